Add the workspace, core types, peer transport and API description

Cause: the repository is empty; every later part needs shared names, result codes, narrow platform interfaces, wire frames and a generated API. Ruled out: one module for all (etcd's habit of one module for each library keeps the product's module graph thin).

--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is under construction.
+package bench
--- /dev/null
+++ b/cmd/currantusher/main.go
@@ -0,0 +1,4 @@
+// Command currantusher is the one binary of the system.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/errors.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Namespace is the errorx namespace of all errors with a result code.
+var Namespace = errorx.NewNamespace("currantusher")
+
+// ResultError is the errorx type of all errors with a result code.
+var ResultError = Namespace.NewType("result")
+
+var (
+	propertyCode  = errorx.RegisterProperty("code")
+	propertyWork  = errorx.RegisterProperty("work")
+	propertyRetry = errorx.RegisterProperty("retry_after")
+)
+
+// Refuse returns an error for work that provably did not run. retryAfter is
+// when the caller may come back; 0 means that no time is suggested.
+func Refuse(code Code, retryAfter time.Duration, format string, args ...any) error {
+	return ResultError.New(format, args...).
+		WithProperty(propertyCode, code).
+		WithProperty(propertyWork, WorkNotRun).
+		WithProperty(propertyRetry, retryAfter)
+}
+
+// Fail returns an error with a code and what happened to the work.
+func Fail(code Code, work Work, format string, args ...any) error {
+	return ResultError.New(format, args...).
+		WithProperty(propertyCode, code).
+		WithProperty(propertyWork, work)
+}
+
+// Wrap adds a code and what happened to the work to cause.
+func Wrap(cause error, code Code, work Work, format string, args ...any) error {
+	return ResultError.Wrap(cause, format, args...).
+		WithProperty(propertyCode, code).
+		WithProperty(propertyWork, work)
+}
+
+// CodeOf returns the code of err: CodeOK for nil and CodeInternal for an error
+// without a code.
+func CodeOf(err error) Code {
+	if err == nil {
+		return CodeOK
+	}
+	if code, ok := property[Code](err, propertyCode); ok {
+		return code
+	}
+	return CodeInternal
+}
+
+// WorkOf returns what happened to the work: WorkRan for nil and WorkUnknown
+// for an error that does not say.
+func WorkOf(err error) Work {
+	if err == nil {
+		return WorkRan
+	}
+	work, _ := property[Work](err, propertyWork)
+	return work
+}
+
+// RetryAfterOf returns when the caller may come back, or 0.
+func RetryAfterOf(err error) time.Duration {
+	if err == nil {
+		return 0
+	}
+	after, _ := property[time.Duration](err, propertyRetry)
+	return after
+}
+
+// DetailOf returns the message of err without its type name.
+func DetailOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	var coded *errorx.Error
+	if errors.As(err, &coded) {
+		return coded.Message()
+	}
+	return err.Error()
+}
+
+func property[T any](err error, name errorx.Property) (T, bool) {
+	var zero T
+	var coded *errorx.Error
+	if !errors.As(err, &coded) {
+		return zero, false
+	}
+	value, ok := coded.Property(name)
+	if !ok {
+		return zero, false
+	}
+	typed, ok := value.(T)
+	return typed, ok
+}
--- /dev/null
+++ b/core/keys/keys.go
@@ -0,0 +1,152 @@
+// Package keys makes and loads the certificates by which daemons know each
+// other. A certificate's common name is the instance id.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"time"
+
+	"currantusher.dev/core"
+)
+
+const (
+	validity      = 365 * 24 * time.Hour
+	clockSkew     = time.Hour
+	serialBits    = 120
+	pemCert       = "CERTIFICATE"
+	pemPrivateKey = "PRIVATE KEY"
+	// peerName is the server name in every daemon's certificate. Daemons are
+	// reached by IP, so the name only says that the key belongs to a daemon.
+	peerName = "peer.currantusher"
+)
+
+// Authority signs daemons' certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority makes a throw-away authority, for tests and the demo.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template, err := newTemplate("currantusher authority")
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{cert: cert, key: key}, nil
+}
+
+func newTemplate(name string) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+// Pair is a certificate and its private key, PEM encoded.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Issue signs a new certificate for an instance.
+func (a *Authority) Issue(id core.InstanceID) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, err
+	}
+	template, err := newTemplate(string(id))
+	if err != nil {
+		return Pair{}, err
+	}
+	template.DNSNames = []string{peerName}
+	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, err
+	}
+	encoded, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: pemCert, Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: pemPrivateKey, Bytes: encoded}),
+	}, nil
+}
+
+// CertPEM returns the authority's own certificate, PEM encoded.
+func (a *Authority) CertPEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: pemCert, Bytes: a.cert.Raw})
+}
+
+// Config returns the mutual TLS settings of a daemon: it shows pair and
+// accepts peers whose certificates the authority in caPEM signed.
+func Config(caPEM []byte, pair Pair) (*tls.Config, error) {
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(caPEM) {
+		return nil, fmt.Errorf("authority certificate: no PEM certificate found")
+	}
+	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	if err != nil {
+		return nil, fmt.Errorf("daemon certificate: %w", err)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      roots,
+		ClientCAs:    roots,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   peerName,
+	}, nil
+}
+
+// Load reads PEM files and returns the mutual TLS settings of a daemon.
+func Load(caFile, certFile, keyFile string) (*tls.Config, error) {
+	ca, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, fmt.Errorf("authority certificate: %w", err)
+	}
+	cert, err := os.ReadFile(certFile)
+	if err != nil {
+		return nil, fmt.Errorf("daemon certificate: %w", err)
+	}
+	key, err := os.ReadFile(keyFile)
+	if err != nil {
+		return nil, fmt.Errorf("daemon key: %w", err)
+	}
+	return Config(ca, Pair{Cert: cert, Key: key})
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon is under construction.
+package daemon
--- /dev/null
+++ b/report/doc.go
@@ -0,0 +1,2 @@
+// Package report is under construction.
+package report
--- /dev/null
+++ b/requests/doc.go
@@ -0,0 +1,2 @@
+// Package requests is under construction.
+package requests
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is under construction.
+package standin
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,2 @@
+// Package tools pins the development tools: the API generator and the linter.
+package tools
