--- /dev/null
+++ b/standin/store/memory.go
@@ -0,0 +1,320 @@
+// Package store is a small stand-in of the platform: a transactional table
+// service, an object store and a lagging list of instances, with switches for
+// the faults that the real ones have.
+package store
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+)
+
+const (
+	defaultReadsPerSecond  = 2000
+	defaultWritesPerSecond = 400
+	defaultListRetention   = 30 * time.Second
+)
+
+// Config holds the settings of a stand-in.
+type Config struct {
+	// ReadsPerSecond and WritesPerSecond are the rates over which calls are
+	// refused.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// ListLag is how long an announcement takes to show in the list.
+	ListLag time.Duration
+	// ListRetention is how long an instance stays without a new announcement.
+	ListRetention time.Duration
+	// Seed starts the random choice of lost answers.
+	Seed uint64
+	// Now replaces the clock.
+	Now func() time.Time
+}
+
+func (c *Config) applyDefaults() {
+	if c.ReadsPerSecond == 0 {
+		c.ReadsPerSecond = defaultReadsPerSecond
+	}
+	if c.WritesPerSecond == 0 {
+		c.WritesPerSecond = defaultWritesPerSecond
+	}
+	if c.ListRetention == 0 {
+		c.ListRetention = defaultListRetention
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+}
+
+// Faults are the switches. The zero value is a healthy service.
+type Faults struct {
+	// Down refuses every call of the tables, the objects and the list.
+	Down bool `json:"down"`
+	// ObjectsDown and ListDown refuse the calls of one service.
+	ObjectsDown bool `json:"objects_down"`
+	ListDown    bool `json:"list_down"`
+	// SlowMillis delays every answer of the tables and the objects.
+	SlowMillis int64 `json:"slow_millis"`
+	// LoseAnswers is the fraction of commits that take effect but are not
+	// answered.
+	LoseAnswers float64 `json:"lose_answers"`
+	// Throttle refuses every read and write as over the rate.
+	Throttle bool `json:"throttle"`
+	// OldReads serves reads from the state at the time it was switched on.
+	OldReads bool `json:"old_reads"`
+	// ListLagMillis replaces the configured lag of the list when not 0.
+	ListLagMillis int64 `json:"list_lag_millis"`
+}
+
+// Stats counts the calls that reached the tables and the objects.
+type Stats struct {
+	Reads     int64 `json:"reads"`
+	Writes    int64 `json:"writes"`
+	Conflicts int64 `json:"conflicts"`
+	Throttled int64 `json:"throttled"`
+	Lost      int64 `json:"lost"`
+}
+
+type state map[platform.RowKey]platform.Row
+
+type announcement struct {
+	instance platform.Instance
+	at       time.Time
+}
+
+// Memory holds the content. It implements platform.Tables, platform.Objects
+// and platform.List in the same process.
+type Memory struct {
+	config Config
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	faults  Faults
+	stats   Stats
+	version uint64
+	rows    state
+	old     state
+	objects map[string][]byte
+	list    map[core.InstanceID][]announcement
+}
+
+var (
+	_ platform.Tables  = (*Memory)(nil)
+	_ platform.Objects = (*Memory)(nil)
+	_ platform.List    = (*Memory)(nil)
+)
+
+// NewMemory returns an empty, healthy stand-in.
+func NewMemory(config Config) *Memory {
+	config.applyDefaults()
+	return &Memory{
+		config:  config,
+		reads:   rate.NewLimiter(rate.Limit(config.ReadsPerSecond), int(config.ReadsPerSecond)),
+		writes:  rate.NewLimiter(rate.Limit(config.WritesPerSecond), int(config.WritesPerSecond)),
+		random:  rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		rows:    state{},
+		objects: map[string][]byte{},
+		list:    map[core.InstanceID][]announcement{},
+	}
+}
+
+// SetFaults replaces all switches.
+func (m *Memory) SetFaults(faults Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if faults.OldReads && !m.faults.OldReads {
+		m.old = m.rows.clone()
+	}
+	m.faults = faults
+}
+
+// Faults returns the switches.
+func (m *Memory) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults
+}
+
+// Stats returns the counts since start.
+func (m *Memory) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stats
+}
+
+func (s state) clone() state {
+	copied := make(state, len(s))
+	for key, row := range s {
+		copied[key] = row
+	}
+	return copied
+}
+
+// admit counts a call and returns its error when a switch or the rate refuses
+// it.
+func (m *Memory) admit(ctx context.Context, write bool) error {
+	m.mu.Lock()
+	faults := m.faults
+	m.mu.Unlock()
+	if faults.SlowMillis > 0 {
+		if err := sleep(ctx, time.Duration(faults.SlowMillis)*time.Millisecond); err != nil {
+			return core.Wrap(err, core.CodeStoreUnavailable, core.WorkNotRun, "slow")
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	limiter := m.reads
+	if write {
+		limiter = m.writes
+		m.stats.Writes++
+	} else {
+		m.stats.Reads++
+	}
+	if faults.Down {
+		return core.Refuse(core.CodeStoreUnavailable, 0, "down")
+	}
+	if faults.Throttle || !limiter.AllowN(m.config.Now(), 1) {
+		m.stats.Throttled++
+		return core.Refuse(core.CodeStoreThrottled, 0, "over the rate")
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// visible returns the state that reads see.
+func (m *Memory) visible() state {
+	if m.faults.OldReads {
+		return m.old
+	}
+	return m.rows
+}
+
+// Get implements platform.Tables.
+func (m *Memory) Get(ctx context.Context, keys ...platform.RowKey) ([]platform.Row, error) {
+	if err := m.admit(ctx, false); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		if row, ok := m.visible()[key]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// Scan implements platform.Tables.
+func (m *Memory) Scan(ctx context.Context, tables ...string) ([]platform.Row, error) {
+	if err := m.admit(ctx, false); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := make(map[string]bool, len(tables))
+	for _, table := range tables {
+		wanted[table] = true
+	}
+	var rows []platform.Row
+	for _, row := range m.visible() {
+		if wanted[row.Table] {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Table != rows[j].Table {
+			return rows[i].Table < rows[j].Table
+		}
+		return rows[i].Key < rows[j].Key
+	})
+	return rows, nil
+}
+
+// Commit implements platform.Tables.
+func (m *Memory) Commit(ctx context.Context, txn platform.Transaction) error {
+	if err := m.admit(ctx, true); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, condition := range txn.Preconditions {
+		if m.rows[condition.RowKey].Version != condition.Version {
+			m.stats.Conflicts++
+			return core.Refuse(core.CodeStoreConflict, 0, "%s %q has version %d, not %d", condition.Table,
+				condition.Key, m.rows[condition.RowKey].Version, condition.Version)
+		}
+	}
+	m.apply(txn)
+	if m.faults.LoseAnswers > 0 && m.random.Float64() < m.faults.LoseAnswers {
+		m.stats.Lost++
+		return core.Fail(core.CodeStoreOutcomeLost, core.WorkUnknown, "answer lost")
+	}
+	return nil
+}
+
+func (m *Memory) apply(txn platform.Transaction) {
+	m.version++
+	for _, key := range txn.Deletes {
+		delete(m.rows, key)
+	}
+	for _, put := range txn.Puts {
+		m.rows[put.RowKey] = platform.Row{
+			Table:   put.Table,
+			Key:     put.Key,
+			Version: m.version,
+			Value:   append([]byte(nil), put.Value...),
+		}
+	}
+}
+
+// GetObject implements platform.Objects.
+func (m *Memory) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if err := m.admitObject(ctx, false); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	content, ok := m.objects[name]
+	if !ok {
+		return nil, core.Refuse(core.CodeUnknownEntity, 0, "no object %q", name)
+	}
+	return append([]byte(nil), content...), nil
+}
+
+// PutObject implements platform.Objects.
+func (m *Memory) PutObject(ctx context.Context, name string, content []byte) error {
+	if err := m.admitObject(ctx, true); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects[name] = append([]byte(nil), content...)
+	return nil
+}
+
+func (m *Memory) admitObject(ctx context.Context, write bool) error {
+	if m.Faults().ObjectsDown {
+		return core.Refuse(core.CodeStoreUnavailable, 0, "objects down")
+	}
+	return m.admit(ctx, write)
+}
