--- /dev/null
+++ b/tables/edit/view.go
@@ -0,0 +1,216 @@
+package edit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+	"currantusher.dev/tables"
+)
+
+const (
+	tableHead      = "config-head"
+	tableHistory   = "config-history"
+	tableEdits     = "config-edits"
+	acceptedPrefix = "accepted-"
+)
+
+var headKey = platform.RowKey{Table: tableHead, Key: "head"}
+
+// head is the value of the one row that each accepted revision replaces.
+type head struct {
+	Revision core.Revision `json:"revision"`
+	EditID   string        `json:"edit_id"`
+}
+
+// Record is one accepted revision in the history.
+type Record struct {
+	Revision   core.Revision   `json:"revision"`
+	EditID     string          `json:"edit_id"`
+	Author     string          `json:"author,omitempty"`
+	AcceptedAt time.Time       `json:"accepted_at"`
+	Request    core.Digest     `json:"request,omitzero"`
+	Changes    []tables.Change `json:"changes"`
+}
+
+// editRow is the value of a row that finds the revision of an edit id.
+type editRow struct {
+	Revision core.Revision `json:"revision"`
+}
+
+func historyKey(revision core.Revision) platform.RowKey {
+	return platform.RowKey{Table: tableHistory, Key: fmt.Sprintf("%020d", revision)}
+}
+
+func editKey(id string) platform.RowKey {
+	return platform.RowKey{Table: tableEdits, Key: id}
+}
+
+func acceptedKey(key platform.RowKey) platform.RowKey {
+	return platform.RowKey{Table: acceptedPrefix + key.Table, Key: key.Key}
+}
+
+// view is what one attempt of an edit knows of the table service.
+type view struct {
+	head        head
+	headVersion uint64
+	// accepted is the configuration at head; direct holds the rows that
+	// automation may have edited, with their versions.
+	accepted tables.Set
+	direct   tables.Set
+	versions map[platform.RowKey]uint64
+	// contained is what direct puts in force, without the faulty rows.
+	contained tables.Set
+	faults    []tables.RowFault
+	// first is the record of an earlier edit with the same id.
+	first *Record
+	// expiring is the record that the next revision pushes out of retention.
+	expiring *Record
+}
+
+// dirty reports whether direct edits wait to be accepted.
+func (v view) dirty() bool { return !v.contained.Equal(v.accepted) }
+
+// scan reads the head and all configuration rows at one point in time.
+func (e *Editor) scan(ctx context.Context) (view, error) {
+	names := []string{tableHead}
+	for _, name := range tables.Names() {
+		names = append(names, name, acceptedPrefix+name)
+	}
+	rows, err := e.config.Tables.Scan(ctx, names...)
+	if err != nil {
+		return view{}, err
+	}
+	return newView(rows)
+}
+
+func newView(rows []platform.Row) (view, error) {
+	v := view{accepted: tables.Set{}, direct: tables.Set{}, versions: map[platform.RowKey]uint64{}}
+	accepted := map[string]string{}
+	for _, name := range tables.Names() {
+		accepted[acceptedPrefix+name] = name
+	}
+	for _, row := range rows {
+		if row.Table == tableHead {
+			if err := v.setHead(row); err != nil {
+				return view{}, err
+			}
+			continue
+		}
+		if name, ok := accepted[row.Table]; ok {
+			v.accepted[platform.RowKey{Table: name, Key: row.Key}] = row.Value
+			continue
+		}
+		key := platform.RowKey{Table: row.Table, Key: row.Key}
+		v.direct[key] = row.Value
+		v.versions[key] = row.Version
+	}
+	v.contained, v.faults = tables.Contain(v.accepted, v.direct)
+	return v, nil
+}
+
+func (v *view) setHead(row platform.Row) error {
+	if err := json.Unmarshal(row.Value, &v.head); err != nil {
+		return core.Wrap(err, core.CodeUnreadableRow, core.WorkNotRun, "head row")
+	}
+	v.headVersion = row.Version
+	return nil
+}
+
+// read scans, then looks up the edit id and the record that will expire.
+// Records never change, so reading them later than the scan is safe.
+func (e *Editor) read(ctx context.Context, id string) (view, error) {
+	v, err := e.scan(ctx)
+	if err != nil {
+		return view{}, err
+	}
+	keys := []platform.RowKey{editKey(id)}
+	next := v.head.Revision + 1
+	if next > e.config.Retention {
+		keys = append(keys, historyKey(next-e.config.Retention))
+	}
+	rows, err := e.config.Tables.Get(ctx, keys...)
+	if err != nil {
+		return view{}, err
+	}
+	for _, row := range rows {
+		if err := e.setRecord(ctx, &v, row); err != nil {
+			return view{}, err
+		}
+	}
+	return v, nil
+}
+
+func (e *Editor) setRecord(ctx context.Context, v *view, row platform.Row) error {
+	if row.Table == tableHistory {
+		record, err := decodeRecord(row)
+		v.expiring = &record
+		return err
+	}
+	var found editRow
+	if err := json.Unmarshal(row.Value, &found); err != nil {
+		return core.Wrap(err, core.CodeUnreadableRow, core.WorkNotRun, "edit row %q", row.Key)
+	}
+	records, err := e.records(ctx, []core.Revision{found.Revision})
+	if err != nil {
+		return err
+	}
+	if len(records) == 0 {
+		return core.Refuse(core.CodeUnreadableRow, 0, "edit row %q names revision %d, which is not in the history", row.Key, found.Revision)
+	}
+	v.first = &records[0]
+	return nil
+}
+
+func decodeRecord(row platform.Row) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, core.Wrap(err, core.CodeUnreadableRow, core.WorkNotRun, "history row %q", row.Key)
+	}
+	return record, nil
+}
+
+func (e *Editor) records(ctx context.Context, revisions []core.Revision) ([]Record, error) {
+	keys := make([]platform.RowKey, 0, len(revisions))
+	for _, revision := range revisions {
+		keys = append(keys, historyKey(revision))
+	}
+	rows, err := e.config.Tables.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]Record, 0, len(rows))
+	for _, row := range rows {
+		record, err := decodeRecord(row)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// Head returns the accepted revision; 0 when nothing was accepted yet.
+func (e *Editor) Head(ctx context.Context) (core.Revision, error) {
+	rows, err := e.config.Tables.Get(ctx, headKey)
+	if err != nil || len(rows) == 0 {
+		return 0, err
+	}
+	var v view
+	err = v.setHead(rows[0])
+	return v.head.Revision, err
+}
+
+// Load returns the accepted rows, and the rows of direct edits that are not in
+// force.
+func (e *Editor) Load(ctx context.Context) (tables.Rows, []tables.RowFault, error) {
+	v, err := e.scan(ctx)
+	if err != nil {
+		return tables.Rows{}, nil, err
+	}
+	rows, err := v.accepted.Rows(v.head.Revision)
+	return rows, v.faults, err
+}
