--- /dev/null
+++ b/daemon/obs/http.go
@@ -0,0 +1,84 @@
+package obs
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"currantusher.dev/core/invariant"
+)
+
+const metricPrefix = "currantusher_"
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Mount adds /metrics, /healthz and /readyz to mux. ready returns nil when the
+// daemon may take work.
+func Mount(mux *http.ServeMux, registry metrics.Registry, ready func() error) {
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		WriteMetrics(w, registry)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+}
+
+// WriteMetrics writes the registry and the invariant counters in the text
+// exposition format.
+func WriteMetrics(w io.Writer, registry metrics.Registry) {
+	lines := make([]string, 0)
+	registry.Each(func(name string, metric any) {
+		lines = append(lines, metricLines(metricName(name), metric)...)
+	})
+	for _, promise := range invariant.Promises() {
+		line := fmt.Sprintf("%sinvariant_violations_total{promise=%q} %d", metricPrefix, promise, invariant.Count(promise))
+		lines = append(lines, line)
+	}
+	sort.Strings(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+}
+
+func metricName(name string) string {
+	return metricPrefix + strings.NewReplacer(".", "_", "-", "_", "/", "_").Replace(name)
+}
+
+func metricLines(name string, metric any) []string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s %d", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.GaugeFloat64:
+		return []string{fmt.Sprintf("%s %g", name, m.Value())}
+	case metrics.Meter:
+		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
+	case metrics.Histogram:
+		snapshot := m.Snapshot()
+		return summaryLines(name, snapshot.Count(), snapshot.Percentiles(quantiles))
+	case metrics.Timer:
+		snapshot := m.Snapshot()
+		return summaryLines(name, snapshot.Count(), snapshot.Percentiles(quantiles))
+	default:
+		return nil
+	}
+}
+
+func summaryLines(name string, count int64, values []float64) []string {
+	lines := []string{fmt.Sprintf("%s_count %d", name, count)}
+	for i, q := range quantiles {
+		lines = append(lines, fmt.Sprintf("%s{quantile=\"%g\"} %g", name, q, values[i]))
+	}
+	return lines
+}
--- /dev/null
+++ b/daemon/obs/logs.go
@@ -0,0 +1,66 @@
+// Package obs gives daemons their logs, metrics and health pages.
+package obs
+
+import (
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
+)
+
+// PartField is the log field that holds the fixed prefix of a part.
+const PartField = "part"
+
+// Logger writes a daemon's logs; Part gives each part its prefix.
+type Logger struct {
+	base *logrus.Entry
+}
+
+// NewLogger returns a logger to out. level is a logrus level and format is
+// "text" or "json".
+func NewLogger(out io.Writer, level, format string, instance core.InstanceID) (*Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log-level %q: %w", level, err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(out)
+	logger.SetLevel(parsed)
+	switch format {
+	case "text":
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	case "json":
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, fmt.Errorf("log-format %q: want text or json", format)
+	}
+	return &Logger{base: logger.WithField("instance", string(instance))}, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return &Logger{base: logrus.NewEntry(logger)}
+}
+
+// Part returns the log of one part.
+func (l *Logger) Part(name string) *logrus.Entry {
+	return l.base.WithField(PartField, name)
+}
+
+var reportOnce sync.Once
+
+// ReportInvariants logs each violation of a safety promise in this process.
+func (l *Logger) ReportInvariants() {
+	reportOnce.Do(func() {
+		log := l.Part("invariant")
+		invariant.SetReporter(func(promise invariant.Promise, detail string) {
+			log.WithField("promise", promise.String()).Error(detail)
+		})
+	})
+}
--- a/wire/request.go
+++ b/wire/request.go
@@ -31,6 +31,8 @@
 	Body       []byte `cbor:"15,keyasint"`
 	// ResumeFrom is the number of answer bytes that the caller already has.
 	ResumeFrom int64 `cbor:"16,keyasint"`
+	// Key is the caller's idempotency key, passed on to the backend server.
+	Key string `cbor:"17,keyasint,omitempty"`
 }
 
 // Reply is one frame of an agent's answer; exactly one field is set.
