--- /dev/null
+++ b/cmd/currantusher/command.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"currantusher.dev/daemon/settings"
+)
+
+// command is one node of the command tree.
+type command struct {
+	name     string
+	usage    string
+	settings settings.Set
+	values   []value
+	children []*command
+	run      func(ctx context.Context) error
+
+	sub *flaggy.Subcommand
+}
+
+// value is a positional argument.
+type value struct {
+	target   *string
+	name     string
+	usage    string
+	required bool
+}
+
+func attach(parent *flaggy.Subcommand, commands []*command) error {
+	for _, c := range commands {
+		c.sub = flaggy.NewSubcommand(c.name)
+		c.sub.Description = c.usage
+		if err := c.settings.Bind(c.sub); err != nil {
+			return err
+		}
+		for i, v := range c.values {
+			c.sub.AddPositionalValue(v.target, v.name, i+1, v.required, v.usage)
+		}
+		if err := attach(c.sub, c.children); err != nil {
+			return err
+		}
+		parent.AttachSubcommand(c.sub, 1)
+	}
+	return nil
+}
+
+// find returns the most specific command that was used.
+func find(commands []*command) *command {
+	for _, c := range commands {
+		if !c.sub.Used {
+			continue
+		}
+		if child := find(c.children); child != nil {
+			return child
+		}
+		return c
+	}
+	return nil
+}
+
+func rootCommands() []*command {
+	return []*command{
+		entryCommand(),
+		agentCommand(),
+		standinCommand(),
+		tableCommand(routeTable),
+		tableCommand(poolTable),
+		dataCentreCommand(),
+		tableCommand(teamTable),
+		applyCommand(),
+		historyCommand(),
+		statusCommand(),
+		weightsCommand(),
+		reportCommand(),
+		keysCommand(),
+		demoCommand(),
+		benchCommand(),
+		versionCommand(),
+	}
+}
+
+func versionCommand() *command {
+	return &command{
+		name:  "version",
+		usage: "Prints the version.",
+		run: func(context.Context) error {
+			fmt.Println(version)
+			return nil
+		},
+	}
+}
--- a/cmd/currantusher/main.go
+++ b/cmd/currantusher/main.go
@@ -1,4 +1,104 @@
-// Command currantusher is the one binary of the system.
+// Command currantusher is the one binary of the system: its daemons, the
+// operators' tool, the stand-ins of the platform and the experiment tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"currantusher.dev/core"
+)
+
+// Exit statuses.
+const (
+	exitOK            = 0
+	exitFailed        = 1
+	exitUsage         = 2
+	exitPromiseBroken = 3
+	exitConflict      = 4
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+// helpTemplate shows one line for a usage error and a whole page for --help.
+const helpTemplate = `{{if .Message}}{{.CommandName}}: {{.Message}} (see --help)
+{{else}}{{.CommandName}}{{if .Description}} - {{.Description}}{{end}}
+{{if .UsageString}}
+  Usage:
+    {{.UsageString}}{{end}}
+{{if .Positionals}}
+  Values:{{range .Positionals}}
+    {{.Name}}  {{.Description}}{{end}}
+{{end}}{{if .Subcommands}}
+  Subcommands:{{range .Subcommands}}
+    {{.LongName}}{{.Spacer}}  {{.Description}}{{end}}
+{{end}}{{if .Flags}}
+  Flags (each also as CURRANTUSHER_<NAME> in the environment):{{range .Flags}}
+    {{.LongDisplay}}  {{.Description}}{{if .DefaultValue}} (default: {{.DefaultValue}}){{end}}{{end}}
+{{end}}{{end}}`
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flaggy.NewParser("currantusher")
+	parser.Description = "weight distribution for bursts"
+	parser.Version = version
+	parser.ShowCompletion = false
+	if err := parser.SetHelpTemplate(helpTemplate); err != nil {
+		return fail(err)
+	}
+	commands := rootCommands()
+	if err := attach(&parser.Subcommand, commands); err != nil {
+		fmt.Fprintln(os.Stderr, "currantusher:", err)
+		return exitUsage
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, "currantusher:", err)
+		return exitUsage
+	}
+	chosen := find(commands)
+	if chosen == nil || chosen.run == nil {
+		parser.ShowHelp()
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return fail(chosen.run(ctx))
+}
+
+// usageError reports a wrong setting.
+type usageError struct{ cause error }
+
+func (e usageError) Error() string { return e.cause.Error() }
+
+func (e usageError) Unwrap() error { return e.cause }
+
+// errPromiseBroken reports that an experiment saw a broken safety promise.
+var errPromiseBroken = errors.New("a safety promise was broken")
+
+func fail(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "currantusher:", err)
+	var usage usageError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.Is(err, errPromiseBroken):
+		return exitPromiseBroken
+	case core.CodeOf(err) == core.CodeRevisionConflict:
+		return exitConflict
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/cmd/currantusher/status.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"currantusher.dev/api/oas"
+)
+
+const digestShown = 12
+
+func statusCommand() *command {
+	var op operator
+	c := &command{name: "status", usage: "Prints daemons, revisions, versions and who is missing."}
+	op.define(&c.settings)
+	c.run = func(ctx context.Context) error {
+		client, err := op.client()
+		if err != nil {
+			return err
+		}
+		status, err := client.GetStatus(ctx)
+		if err != nil {
+			return explain(err)
+		}
+		if op.json {
+			return printJSON(status)
+		}
+		return printStatus(status)
+	}
+	return c
+}
+
+func printStatus(status *oas.Status) error {
+	fmt.Printf("revision %d, %d daemons, %d invariant violations\n", status.Revision, len(status.Daemons), status.Violations)
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tREVISION\tWEIGHTS\tCHUNKS\tLOAD\tTEMPERATURE")
+	var behind []string
+	for _, d := range status.Daemons {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%d/%d\t%d/%d\t%s\n", d.Instance, d.Role, d.DataCentre, d.State, d.Revision,
+			short(d.Weights.Or("")), d.ChunksDone.Or(0), d.ChunksTotal.Or(0), d.Running.Or(0), d.Limit.Or(0), d.Temperature.Or("-"))
+		if d.Revision < status.Revision {
+			behind = append(behind, d.Instance)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if len(behind) > 0 {
+		fmt.Println("behind:", strings.Join(behind, ", "))
+	}
+	return nil
+}
+
+func short(digest string) string {
+	if digest == "" {
+		return "-"
+	}
+	return digest[:min(digestShown, len(digest))]
+}
+
+func historyCommand() *command {
+	var op operator
+	var limit, rollback int
+	var flags editFlags
+	c := &command{name: "history", usage: "Prints accepted revisions; rolls back to one as a new revision."}
+	op.define(&c.settings)
+	flags.define(c)
+	c.settings.Int(&limit, "limit", 20, "revisions to print")
+	c.settings.Int(&rollback, "rollback-to", 0, "restore the rows of this revision; 0 only prints")
+	c.run = func(ctx context.Context) error {
+		if rollback != 0 {
+			return flags.send(ctx, &op, &oas.Edit{RollbackTo: oas.NewOptInt64(int64(rollback))})
+		}
+		return printHistory(ctx, &op, limit)
+	}
+	return c
+}
+
+func printHistory(ctx context.Context, op *operator, limit int) error {
+	client, err := op.client()
+	if err != nil {
+		return err
+	}
+	records, err := client.ListRevisions(ctx, oas.ListRevisionsParams{Limit: oas.NewOptInt(limit)})
+	if err != nil {
+		return explain(err)
+	}
+	if op.json {
+		return printJSON(records)
+	}
+	for _, record := range records {
+		fmt.Printf("%d\t%s\t%s\t%s\n", record.Revision, record.Author.Or("-"), record.EditID, strings.Join(record.Changes, "; "))
+	}
+	return nil
+}
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -166,6 +166,9 @@
 	if weights != d.Weights {
 		return nil, core.Fail(core.CodeDigestMismatch, core.WorkUnknown, "answer from weights %s, want %s", weights.Short(), d.Weights.Short())
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, core.Fail(core.CodeIncomplete, core.WorkUnknown, "answer without a length or chunked encoding")
+	}
 	contentType := response.Header.Get("Content-Type")
 	return &answer{
 		body:        response.Body,
