--- /dev/null
+++ b/members/exchange.go
@@ -0,0 +1,142 @@
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+	"currantusher.dev/wire"
+)
+
+const (
+	exchangeTimeout = 2 * time.Second
+	// probeRounds is the number of rounds between exchanges with a random
+	// entry, which reconnect parts of the fleet after a split.
+	probeRounds = 10
+)
+
+// runExchanges calls the neighbours once a period, sooner after a change.
+func (d *Directory) runExchanges(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for round := 0; ; round++ {
+		if !d.waitRound(ctx) {
+			return
+		}
+		partners := d.partners()
+		for _, partner := range partners {
+			d.start(ctx, &wg, partner, true)
+		}
+		if round%probeRounds == 0 {
+			if probe, ok := d.probe(partners); ok {
+				d.start(ctx, &wg, probe, false)
+			}
+		}
+	}
+}
+
+// waitRound waits for the next period, or for the gap after a change.
+func (d *Directory) waitRound(ctx context.Context) bool {
+	if !sleep(ctx, jitter(d.config.ExchangeGap)) {
+		return false
+	}
+	timer := time.NewTimer(jitter(d.config.ExchangePeriod - d.config.ExchangeGap))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.urgent:
+	case <-timer.C:
+	}
+	d.mu.Lock()
+	d.roster.urgent = false
+	d.mu.Unlock()
+	return true
+}
+
+func (d *Directory) start(ctx context.Context, wg *sync.WaitGroup, partner platform.Instance, watch bool) {
+	d.mu.Lock()
+	busy := d.calls[partner.ID]
+	d.calls[partner.ID] = true
+	d.mu.Unlock()
+	if busy {
+		return
+	}
+	wg.Go(func() {
+		d.exchange(ctx, partner, watch)
+		d.mu.Lock()
+		delete(d.calls, partner.ID)
+		d.mu.Unlock()
+	})
+}
+
+func (d *Directory) exchange(ctx context.Context, partner platform.Instance, watch bool) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var request wire.Summary
+	d.update(func(r *roster, now time.Time) { request = r.summaryFor(now, partner.ID) })
+	d.exchanges.Inc(1)
+	reply, err := wire.Call[wire.Summary](ctx, d.config.Peer, partner.PeerAddr, wire.KindSummary, request)
+	if err != nil {
+		d.failures.Inc(1)
+		return
+	}
+	d.update(func(r *roster, now time.Time) { r.receive(now, reply, watch && reply.From == partner.ID) })
+}
+
+// partners returns the neighbours and stops watching former ones.
+func (d *Directory) partners() []platform.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	chosen := chooseNeighbours(d.config.Self, d.roster.reachableEntries())
+	current := make(map[core.InstanceID]bool, len(chosen))
+	for _, partner := range chosen {
+		current[partner.ID] = true
+	}
+	d.roster.watchOnly(current)
+	return chosen
+}
+
+// probe picks a random entry besides the neighbours, also one that is gone.
+func (d *Directory) probe(partners []platform.Instance) (platform.Instance, bool) {
+	excluded := map[core.InstanceID]bool{d.config.Self.ID: true}
+	for _, partner := range partners {
+		excluded[partner.ID] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var candidates []platform.Instance
+	for id, known := range d.roster.records {
+		if known.instance.Role == platform.RoleEntry && !excluded[id] && !known.left() {
+			candidates = append(candidates, known.instance)
+		}
+	}
+	if len(candidates) == 0 {
+		return platform.Instance{}, false
+	}
+	return candidates[rand.IntN(len(candidates))], true
+}
+
+// reachableEntries returns the entries that are not gone, without self.
+func (r *roster) reachableEntries() []platform.Instance {
+	var entries []platform.Instance
+	for id, known := range r.records {
+		if id == r.self.ID || known.instance.Role != platform.RoleEntry || known.state() == StateGone {
+			continue
+		}
+		entries = append(entries, known.instance)
+	}
+	return entries
+}
+
+// watchOnly stops the watch of entries that are not in current.
+func (r *roster) watchOnly(current map[core.InstanceID]bool) {
+	for id, known := range r.records {
+		if known.instance.Role == platform.RoleEntry && !current[id] {
+			known.observed = false
+		}
+	}
+}
--- /dev/null
+++ b/members/reporter.go
@@ -0,0 +1,312 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+	"currantusher.dev/wire"
+)
+
+const (
+	defaultHeartbeatPeriod = time.Second
+	defaultAnnouncePeriod  = 2 * time.Second
+	defaultMaxHomes        = 4
+	defaultPerDataCentre   = 1
+	homeBackoff            = 5 * time.Second
+	leaveTimeout           = 2 * time.Second
+)
+
+// ReporterConfig configures a Reporter. Zero values take defaults.
+type ReporterConfig struct {
+	Self        platform.Instance
+	Incarnation core.Incarnation
+	Peer        *wire.Peer
+	List        platform.List
+	// Report returns the daemon's current state. Incarnation, Sequence,
+	// Leaving, Left, Acknowledge and Instance are filled in by the Reporter.
+	Report func() wire.Heartbeat
+	// Directory, on entries, receives the reports instead of other entries:
+	// the exchange of summaries spreads them.
+	Directory *Directory
+	// HeartbeatPeriod is the time between two reports.
+	HeartbeatPeriod time.Duration
+	// AnnouncePeriod is the shortest time between two calls to the list; it is
+	// stretched in large fleets.
+	AnnouncePeriod time.Duration
+	// PerDataCentre is the number of entries reported to in each data centre,
+	// MaxHomes the number in all.
+	PerDataCentre int
+	MaxHomes      int
+	// Now is the clock; time.Now by default.
+	Now func() time.Time
+	Log logrus.FieldLogger
+}
+
+func (c *ReporterConfig) applyDefaults() error {
+	if c.Self.ID == "" || c.Self.PeerAddr == "" {
+		return errors.New("members: Self needs an ID and a PeerAddr")
+	}
+	if c.Incarnation == 0 {
+		return errors.New("members: Incarnation must not be 0")
+	}
+	if c.Peer == nil || c.List == nil || c.Report == nil {
+		return errors.New("members: Peer, List and Report are required")
+	}
+	setDefault(&c.HeartbeatPeriod, defaultHeartbeatPeriod)
+	setDefault(&c.AnnouncePeriod, defaultAnnouncePeriod)
+	if c.PerDataCentre == 0 {
+		c.PerDataCentre = defaultPerDataCentre
+	}
+	if c.MaxHomes == 0 {
+		c.MaxHomes = defaultMaxHomes
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger().WithField("part", "members")
+	}
+	return nil
+}
+
+// Reporter announces a daemon in the platform's list and reports its state to
+// a few entries.
+type Reporter struct {
+	config ReporterConfig
+
+	mu       sync.Mutex
+	sequence uint64
+	leaving  bool
+	left     bool
+	entries  []platform.Instance
+	listSize int
+	homes    map[core.InstanceID]*home
+	// avoid holds entries that failed, until the time given.
+	avoid map[core.InstanceID]time.Time
+
+	early chan struct{}
+	wg    sync.WaitGroup
+}
+
+// NewReporter returns a reporter that is idle until Run.
+func NewReporter(config ReporterConfig) (*Reporter, error) {
+	if err := config.applyDefaults(); err != nil {
+		return nil, err
+	}
+	return &Reporter{
+		config: config,
+		homes:  map[core.InstanceID]*home{},
+		avoid:  map[core.InstanceID]time.Time{},
+		early:  make(chan struct{}, 1),
+	}, nil
+}
+
+// Run announces and reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	r.wg.Go(func() { r.runList(ctx) })
+	r.runReports(ctx)
+	r.wg.Wait()
+	return nil
+}
+
+func (r *Reporter) runList(ctx context.Context) {
+	for {
+		r.announce(ctx)
+		r.readList(ctx)
+		r.mu.Lock()
+		size := r.listSize
+		r.mu.Unlock()
+		if !sleep(ctx, jitter(platformPeriod(r.config.AnnouncePeriod, size))) {
+			return
+		}
+	}
+}
+
+func (r *Reporter) announce(ctx context.Context) {
+	if err := r.config.List.Announce(ctx, r.self()); err != nil && ctx.Err() == nil {
+		r.config.Log.WithError(err).Warn("Cannot announce this instance.")
+	}
+}
+
+func (r *Reporter) self() platform.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	instance := r.config.Self
+	instance.State = platform.InstanceLive
+	if r.leaving {
+		instance.State = platform.InstanceLeaving
+	}
+	return instance
+}
+
+func (r *Reporter) readList(ctx context.Context) {
+	if r.config.Directory != nil {
+		return
+	}
+	instances, err := r.config.List.Instances(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.config.Log.WithError(err).Warn("Cannot read the list of instances.")
+		}
+		return
+	}
+	var entries []platform.Instance
+	for _, instance := range instances {
+		if instance.Role == platform.RoleEntry && instance.State == platform.InstanceLive {
+			entries = append(entries, instance)
+		}
+	}
+	r.mu.Lock()
+	first := len(r.entries) == 0
+	r.entries = entries
+	r.listSize = len(instances)
+	r.mu.Unlock()
+	if first {
+		r.reportEarly()
+	}
+}
+
+func (r *Reporter) runReports(ctx context.Context) {
+	ticker := time.NewTicker(r.config.HeartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		r.report(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.early:
+		}
+	}
+}
+
+func (r *Reporter) reportEarly() {
+	select {
+	case r.early <- struct{}{}:
+	default:
+	}
+}
+
+// ReportNow sends a report without waiting for the period, for a change that
+// others should know soon.
+func (r *Reporter) ReportNow() { r.reportEarly() }
+
+// report hands one report to all homes.
+func (r *Reporter) report(ctx context.Context) {
+	beat := r.next()
+	if r.config.Directory != nil {
+		r.config.Directory.self(beat)
+		return
+	}
+	for _, h := range r.chooseHomes(ctx) {
+		h.offer(beat)
+	}
+}
+
+// next makes the next report of this incarnation.
+func (r *Reporter) next() wire.Heartbeat {
+	beat := r.config.Report()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	beat.Incarnation = r.config.Incarnation
+	beat.Sequence = r.sequence
+	beat.Leaving = r.leaving
+	beat.Left = r.left
+	return beat
+}
+
+// chooseHomes starts and stops senders so that they match the entries chosen,
+// and returns the running ones.
+func (r *Reporter) chooseHomes(ctx context.Context) []*home {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	avoid := map[core.InstanceID]bool{}
+	for id, until := range r.avoid {
+		if now.Before(until) {
+			avoid[id] = true
+		} else {
+			delete(r.avoid, id)
+		}
+	}
+	chosen := map[core.InstanceID]platform.Instance{}
+	for _, entry := range chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes) {
+		chosen[entry.ID] = entry
+	}
+	for id, h := range r.homes {
+		if entry, ok := chosen[id]; !ok || entry.PeerAddr != h.entry.PeerAddr {
+			close(h.beats)
+			delete(r.homes, id)
+		}
+	}
+	for id, entry := range chosen {
+		if r.homes[id] == nil && !avoid[id] {
+			r.startHome(ctx, entry)
+		}
+	}
+	running := make([]*home, 0, len(r.homes))
+	for _, h := range r.homes {
+		running = append(running, h)
+	}
+	return running
+}
+
+func (r *Reporter) startHome(ctx context.Context, entry platform.Instance) {
+	h := newHome(r.config, entry)
+	r.homes[entry.ID] = h
+	r.wg.Go(func() {
+		err := h.run(ctx)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.homes[entry.ID] == h {
+			delete(r.homes, entry.ID)
+			r.avoid[entry.ID] = r.config.Now().Add(homeBackoff)
+			r.reportEarly()
+		}
+	})
+}
+
+// Homes returns the entries that this daemon reports to, which are also its
+// sources of configuration.
+func (r *Reporter) Homes() []platform.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	avoid := map[core.InstanceID]bool{}
+	for id, until := range r.avoid {
+		avoid[id] = now.Before(until)
+	}
+	return chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes)
+}
+
+// Leave tells the platform's list and the entries that this daemon starts no
+// new work. It cannot be undone.
+func (r *Reporter) Leave(ctx context.Context) error {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	r.reportEarly()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return r.config.List.Announce(ctx, r.self())
+}
+
+// Left tells the entries that this daemon has no work and ends now, so that
+// nobody waits for it. Run must go on for a moment afterwards.
+func (r *Reporter) Left() {
+	r.mu.Lock()
+	r.leaving = true
+	r.left = true
+	r.mu.Unlock()
+	r.reportEarly()
+}
--- /dev/null
+++ b/members/selection.go
@@ -0,0 +1,159 @@
+package members
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+)
+
+const (
+	// refreshPerMember stretches the refresh of unchanged records with the
+	// fleet, so that the bytes for it stay the same.
+	refreshPerMember = 70 * time.Millisecond
+	minRefresh       = 2 * time.Second
+	// silentRefreshes is how many refreshes may be missed before a daemon that
+	// reports to other entries is suspected.
+	silentRefreshes = 4
+	minSilent       = 30 * time.Second
+	// platformPerMember stretches the calls to the platform's list.
+	platformPerMember = 20 * time.Millisecond
+)
+
+// refreshInterval is the period at which an unchanged daemon's reports are
+// passed on in a fleet of n daemons.
+func refreshInterval(n int) time.Duration {
+	return max(minRefresh, time.Duration(n)*refreshPerMember)
+}
+
+// silentAfter is how long no entry may pass on a report of a daemon before it
+// is suspected.
+func silentAfter(n int) time.Duration {
+	return max(minSilent, silentRefreshes*refreshInterval(n))
+}
+
+// platformPeriod is the period of calls to the platform's list, at least base.
+func platformPeriod(base time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*platformPerMember)
+}
+
+// rendezvous scores a pair of daemons; each daemon ranks others by it.
+func rendezvous(salt string, ids ...core.InstanceID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(salt))
+	for _, id := range ids {
+		_, _ = hash.Write([]byte{0})
+		_, _ = hash.Write([]byte(id))
+	}
+	return mix(hash.Sum64())
+}
+
+// mix spreads the low entropy of short names over all bits (the finaliser of
+// MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// chooseHomes returns the entries that self reports to: in each data centre
+// the perDataCentre highest by rendezvous hash, the own data centre first, at
+// most limit in all. Candidates in avoid are used only when a data centre has
+// no others.
+func chooseHomes(self platform.Instance, candidates []platform.Instance, avoid map[core.InstanceID]bool, perDataCentre, limit int) []platform.Instance {
+	byZone := map[core.DataCentre][]platform.Instance{}
+	for _, candidate := range candidates {
+		if candidate.Role == platform.RoleEntry && candidate.ID != self.ID {
+			byZone[candidate.DataCentre] = append(byZone[candidate.DataCentre], candidate)
+		}
+	}
+	zones := make([]core.DataCentre, 0, len(byZone))
+	for zone := range byZone {
+		zones = append(zones, zone)
+	}
+	sort.Slice(zones, func(i, j int) bool {
+		if (zones[i] == self.DataCentre) != (zones[j] == self.DataCentre) {
+			return zones[i] == self.DataCentre
+		}
+		return rendezvous("zone", self.ID, core.InstanceID(zones[i])) > rendezvous("zone", self.ID, core.InstanceID(zones[j]))
+	})
+	var homes []platform.Instance
+	for _, zone := range zones {
+		ranked := byZone[zone]
+		sort.Slice(ranked, func(i, j int) bool { return preferHome(self.ID, avoid, ranked[i], ranked[j]) })
+		homes = append(homes, ranked[:min(perDataCentre, len(ranked))]...)
+	}
+	return homes[:min(limit, len(homes))]
+}
+
+func preferHome(self core.InstanceID, avoid map[core.InstanceID]bool, a, b platform.Instance) bool {
+	if avoid[a.ID] != avoid[b.ID] {
+		return !avoid[a.ID]
+	}
+	return rendezvous("home", self, a.ID) > rendezvous("home", self, b.ID)
+}
+
+// chooseNeighbours returns the entries that self exchanges summaries with: the
+// next ones on the ring of all entries and on the ring of its data centre, and
+// one long link. The ring of all entries connects the fleet; the long links
+// keep the number of hops logarithmic.
+func chooseNeighbours(self platform.Instance, entries []platform.Instance) []platform.Instance {
+	next := ringSuccessor(self, entries, func(platform.Instance) bool { return true })
+	zone := ringSuccessor(self, entries, func(e platform.Instance) bool { return e.DataCentre == self.DataCentre })
+	long := longLink(self, entries)
+	var chosen []platform.Instance
+	seen := map[core.InstanceID]bool{self.ID: true}
+	for _, candidate := range []*platform.Instance{next, zone, long} {
+		if candidate == nil || seen[candidate.ID] {
+			continue
+		}
+		seen[candidate.ID] = true
+		chosen = append(chosen, *candidate)
+	}
+	return chosen
+}
+
+func ringSuccessor(self platform.Instance, entries []platform.Instance, accept func(platform.Instance) bool) *platform.Instance {
+	own := rendezvous("ring", self.ID)
+	var best *platform.Instance
+	var bestDistance uint64
+	for i := range entries {
+		if entries[i].ID == self.ID || !accept(entries[i]) {
+			continue
+		}
+		distance := rendezvous("ring", entries[i].ID) - own
+		if best == nil || distance < bestDistance {
+			best = &entries[i]
+			bestDistance = distance
+		}
+	}
+	return best
+}
+
+func longLink(self platform.Instance, entries []platform.Instance) *platform.Instance {
+	var best *platform.Instance
+	var bestScore uint64
+	for i := range entries {
+		if entries[i].ID == self.ID {
+			continue
+		}
+		score := rendezvous("long", self.ID, entries[i].ID)
+		if best == nil || score > bestScore {
+			best = &entries[i]
+			bestScore = score
+		}
+	}
+	return best
+}
+
+// pairScore orders addresses for one caller.
+func pairScore(salt uint64, id core.InstanceID) uint64 {
+	var seed [8]byte
+	binary.BigEndian.PutUint64(seed[:], salt)
+	return rendezvous(string(seed[:]), id)
+}
