API: engine and service stand-ins, and the burn report

Cause: the thin path needs backend servers that speak the backend protocol, and entries need somewhere to count service-level burn.

Conclusion: standin/backend holds the limit, restarts, fault switches and counters that both kinds of server share; engine and service add their calls. report counts in rings of buckets with a bound on series.

--- a/report/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package report is under construction.
-package report
--- /dev/null
+++ b/report/html.go
@@ -0,0 +1,84 @@
+package report
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+	"math"
+	"time"
+)
+
+//go:embed burn.html.tmpl
+var pageSource string
+
+const (
+	// barWidth is the length in pixels of the bar of the highest burn rate.
+	barWidth = 360.0
+	// minScale is the burn rate that fills a bar when all rates are lower.
+	minScale = 1.0
+)
+
+type pageRow struct {
+	Series    Series
+	Objective string
+	Alert     string
+	Bars      []bar
+}
+
+type bar struct {
+	Label string
+	Rate  float64
+	Width float64
+	Y     int
+	Over  bool
+}
+
+type page struct {
+	At   string
+	Rows []pageRow
+	// BudgetX is where a burn rate of 1 stands.
+	BudgetX float64
+}
+
+const barPitch = 16
+
+var pageTemplate = template.Must(template.New("burn").Parse(pageSource))
+
+// WriteHTML writes the report as one HTML page with SVG bars.
+func (r Report) WriteHTML(w io.Writer) error {
+	scale := r.scale()
+	out := page{At: r.At.UTC().Format(time.RFC3339), BudgetX: barWidth / scale}
+	for _, s := range r.Series {
+		out.Rows = append(out.Rows, pageRow{
+			Series:    s,
+			Objective: s.objectiveText(),
+			Alert:     s.alertText(),
+			Bars:      s.bars(scale),
+		})
+	}
+	return pageTemplate.Execute(w, out)
+}
+
+func (r Report) scale() float64 {
+	highest := minScale
+	for _, s := range r.Series {
+		for _, window := range s.Windows {
+			highest = math.Max(highest, window.BurnRate)
+		}
+	}
+	return highest
+}
+
+func (s Series) bars(scale float64) []bar {
+	bars := make([]bar, 0, len(s.Windows))
+	for i, window := range s.Windows {
+		bars = append(bars, bar{
+			Label: shortLength(time.Duration(window.Seconds) * time.Second),
+			Rate:  window.BurnRate,
+			Width: barWidth * window.BurnRate / scale,
+			Y:     i * barPitch,
+			Over:  window.BurnRate > 1,
+		})
+	}
+	return bars
+}
--- /dev/null
+++ b/standin/backend/http.go
@@ -0,0 +1,75 @@
+package backend
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+)
+
+// Headers between an agent and its backend server.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderAttemptID      = "X-Attempt-Id"
+	HeaderTeam           = "X-Team"
+	HeaderIdempotencyKey = "X-Idempotency-Key"
+	HeaderWeights        = "X-Weights"
+	HeaderResumeFrom     = "X-Resume-From"
+)
+
+// RunCount is the body of GET /runs?key=K.
+type RunCount struct {
+	Count int `json:"count"`
+}
+
+// Register adds the bench's calls to mux: GET /counters, GET /runs?key=K and
+// POST /faults. inject applies the faults of the kind of server.
+func (g *Gate) Register(mux *http.ServeMux, inject func(Faults) error) {
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, g.Counters())
+	})
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
+		WriteJSON(w, http.StatusOK, RunCount{Count: g.Runs(r.URL.Query().Get("key"))})
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		faults, err := DecodeFaults(r)
+		if err == nil {
+			err = inject(faults)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// AbortWhenDown breaks the connections of calls to a crashed server, except
+// the bench's own.
+func (g *Gate) AbortWhenDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.Down() && r.URL.Path != "/faults" && r.URL.Path != "/counters" && r.URL.Path != "/runs" {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// WriteJSON writes one JSON answer.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded)
+}
+
+// RefuseStart answers a request that the gate did not admit.
+func RefuseStart(w http.ResponseWriter, err error) {
+	if errors.Is(err, ErrDown) || errors.Is(err, ErrFellOver) {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -1,2 +1,3 @@
-// Package standin is under construction.
+// Package standin is the root of the small stand-ins for the operator's
+// platform and backend servers, for tests, the demo and benches.
 package standin
