--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -29,22 +29,17 @@
 	required bool
 }
 
-func attach(parent *flaggy.Subcommand, commands []*command) error {
+func attach(parent *flaggy.Subcommand, commands []*command) {
 	for _, c := range commands {
 		c.sub = flaggy.NewSubcommand(c.name)
 		c.sub.Description = c.usage
-		if err := c.settings.Bind(c.sub); err != nil {
-			return err
-		}
+		c.settings.Bind(c.sub)
 		for i, v := range c.values {
 			c.sub.AddPositionalValue(v.target, v.name, i+1, v.required, v.usage)
 		}
-		if err := attach(c.sub, c.children); err != nil {
-			return err
-		}
+		attach(c.sub, c.children)
 		parent.AttachSubcommand(c.sub, 1)
 	}
-	return nil
 }
 
 // find returns the most specific command that was used.
@@ -63,8 +58,6 @@
 
 func rootCommands() []*command {
 	return []*command{
-		entryCommand(),
-		agentCommand(),
 		standinCommand(),
 		tableCommand(routeTable),
 		tableCommand(poolTable),
@@ -73,11 +66,7 @@
 		applyCommand(),
 		historyCommand(),
 		statusCommand(),
-		weightsCommand(),
-		reportCommand(),
 		keysCommand(),
-		demoCommand(),
-		benchCommand(),
 		versionCommand(),
 	}
 }
--- a/cmd/currantusher/main.go
+++ b/cmd/currantusher/main.go
@@ -57,10 +57,7 @@
 		return fail(err)
 	}
 	commands := rootCommands()
-	if err := attach(&parser.Subcommand, commands); err != nil {
-		fmt.Fprintln(os.Stderr, "currantusher:", err)
-		return exitUsage
-	}
+	attach(&parser.Subcommand, commands)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "currantusher:", err)
 		return exitUsage
@@ -70,6 +67,9 @@
 		parser.ShowHelp()
 		return exitUsage
 	}
+	if err := chosen.settings.Parse(); err != nil {
+		return fail(usageError{err})
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return fail(chosen.run(ctx))
--- a/cmd/currantusher/operator.go
+++ b/cmd/currantusher/operator.go
@@ -32,7 +32,7 @@
 
 func (o *operator) define(set *settings.Set) {
 	set.String(&o.entry, "entry", "http://127.0.0.1:7070", "URL of an entry")
-	set.Secret(&o.token, "operator-token", "operator's token for edits")
+	set.String(&o.token, "operator-token", "", "operator's token for edits")
 	set.String(&o.ca, "entry-ca", "", "PEM file that checks the entry's HTTPS certificate")
 	set.Bool(&o.json, "json", "print JSON")
 	set.Duration(&o.timeout, "timeout", operatorTimeout, "longest time for one call")
--- /dev/null
+++ b/cmd/currantusher/standins.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"currantusher.dev/standin/engine"
+	"currantusher.dev/standin/service"
+	"currantusher.dev/standin/store"
+)
+
+const standinHeaderTimeout = 5 * time.Second
+
+func standinCommand() *command {
+	return &command{
+		name:  "standin",
+		usage: "Runs a small stand-in of an outside system, for trials; faults are switched by POST /faults.",
+		children: []*command{
+			storeStandin("store", "Table service, object store and list of instances."),
+			storeStandin("list", "The same server as store, for a list at an address of its own."),
+			engineStandin(),
+			serviceStandin(),
+		},
+	}
+}
+
+// serveStandin serves until ctx ends.
+func serveStandin(ctx context.Context, name, listen string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return usageError{fmt.Errorf("listen: %w", err)}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	fmt.Printf("stand-in %s on http://%s\n", name, listener.Addr())
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func storeStandin(name, usage string) *command {
+	var listen string
+	var config store.Config
+	c := &command{name: name, usage: usage}
+	c.settings.String(&listen, "listen", "127.0.0.1:9000", "IP and TCP port")
+	c.settings.Float(&config.ReadsPerSecond, "reads-per-second", 2000, "reads over this rate are refused")
+	c.settings.Float(&config.WritesPerSecond, "writes-per-second", 500, "writes over this rate are refused")
+	c.settings.Duration(&config.ListLag, "list-lag", 2*time.Second, "time until an announcement shows in the list")
+	c.settings.Duration(&config.ListRetention, "list-retention", 30*time.Second, "time until a silent instance leaves the list")
+	c.run = func(ctx context.Context) error {
+		return serveStandin(ctx, name, listen, store.New(config))
+	}
+	return c
+}
+
+func engineStandin() *command {
+	var listen string
+	var ignoreFence bool
+	var config engine.Config
+	c := &command{name: "engine", usage: "Model engine."}
+	c.settings.String(&listen, "listen", "127.0.0.1:9100", "IP and TCP port")
+	c.settings.Duration(&config.TokenDelay, "token-delay", 20*time.Millisecond, "time between tokens once warm")
+	c.settings.Duration(&config.WarmUp, "warm-up", 3*time.Second, "length of a cold start")
+	c.settings.Int(&config.ColdLimit, "cold-limit", 2, "requests borne in cold start; more fell the engine")
+	c.settings.Int(&config.WarmLimit, "warm-limit", 16, "requests borne once warm")
+	c.settings.Bool(&ignoreFence, "ignore-fence", "accept orders with stale fencing tokens")
+	c.run = func(ctx context.Context) error {
+		config.CheckFence = !ignoreFence
+		return serveStandin(ctx, "engine", listen, engine.New(config))
+	}
+	return c
+}
+
+func serviceStandin() *command {
+	var listen string
+	var config service.Config
+	c := &command{name: "service", usage: "Plain service whose calls may not be repeated."}
+	c.settings.String(&listen, "listen", "127.0.0.1:9200", "IP and TCP port")
+	c.settings.Duration(&config.Delay, "delay", 20*time.Millisecond, "running time of a request once warm")
+	c.settings.Duration(&config.WarmUp, "warm-up", time.Second, "length of a cold start")
+	c.settings.Int(&config.ColdLimit, "cold-limit", 2, "requests borne in cold start; more fell the service")
+	c.settings.Int(&config.WarmLimit, "warm-limit", 16, "requests borne once warm")
+	c.run = func(ctx context.Context) error {
+		return serveStandin(ctx, "service", listen, service.New(config))
+	}
+	return c
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -25,100 +25,120 @@
 	Default string
 	// Usage is one sentence with the unit.
 	Usage string
-	// Secret settings are not shown in logs.
-	Secret bool
 
+	text  string
+	list  []string
 	parse func(text string) error
-	bind  func(cmd *flaggy.Subcommand)
+	bind  func(s *Setting, cmd *flaggy.Subcommand)
 }
 
 // Set is the settings of one command.
 type Set struct {
-	settings []Setting
+	settings []*Setting
 }
 
 // All returns the settings in the order of definition.
-func (s *Set) All() []Setting { return append([]Setting(nil), s.settings...) }
+func (s *Set) All() []*Setting { return append([]*Setting(nil), s.settings...) }
 
-func (s *Set) add(flag, fallback, usage string, parse func(string) error, bind func(*flaggy.Subcommand)) {
-	s.settings = append(s.settings, Setting{
+// EnvName returns the environment variable of a flag.
+func EnvName(flag string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func (s *Set) add(flag, fallback, usage string, parse func(string) error) *Setting {
+	setting := &Setting{
 		Flag:    flag,
 		Env:     EnvName(flag),
 		Default: fallback,
 		Usage:   usage,
+		text:    fallback,
 		parse:   parse,
-		bind:    bind,
-	})
-}
-
-// EnvName returns the environment variable of a flag.
-func EnvName(flag string) string {
-	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+		bind: func(s *Setting, cmd *flaggy.Subcommand) {
+			cmd.String(&s.text, "", s.Flag, s.Usage)
+		},
+	}
+	s.settings = append(s.settings, setting)
+	return setting
 }
 
 // String defines a text setting.
 func (s *Set) String(target *string, flag, fallback, usage string) {
-	*target = fallback
-	s.add(flag, fallback, usage,
-		func(text string) error { *target = text; return nil },
-		func(cmd *flaggy.Subcommand) { cmd.String(target, "", flag, usage) })
-}
-
-// Secret defines a text setting that logs do not show.
-func (s *Set) Secret(target *string, flag, usage string) {
-	s.String(target, flag, "", usage)
-	s.settings[len(s.settings)-1].Secret = true
-}
-
-// Strings defines a setting that takes several values, comma separated in the
-// environment and repeated on the command line.
-func (s *Set) Strings(target *[]string, flag, usage string) {
-	s.add(flag, "", usage,
-		func(text string) error { *target = strings.Split(text, ","); return nil },
-		func(cmd *flaggy.Subcommand) { cmd.StringSlice(target, "", flag, usage) })
+	s.add(flag, fallback, usage, func(text string) error {
+		*target = text
+		return nil
+	})
 }
 
 // Int defines a whole-number setting.
 func (s *Set) Int(target *int, flag string, fallback int, usage string) {
-	*target = fallback
-	s.add(flag, strconv.Itoa(fallback), usage,
-		func(text string) (err error) { *target, err = strconv.Atoi(text); return err },
-		func(cmd *flaggy.Subcommand) { cmd.Int(target, "", flag, usage) })
+	s.add(flag, strconv.Itoa(fallback), usage, func(text string) (err error) {
+		*target, err = strconv.Atoi(text)
+		return err
+	})
 }
 
 // Float defines a number setting.
 func (s *Set) Float(target *float64, flag string, fallback float64, usage string) {
-	*target = fallback
-	s.add(flag, strconv.FormatFloat(fallback, 'g', -1, 64), usage,
-		func(text string) (err error) { *target, err = strconv.ParseFloat(text, 64); return err },
-		func(cmd *flaggy.Subcommand) { cmd.Float64(target, "", flag, usage) })
+	s.add(flag, strconv.FormatFloat(fallback, 'g', -1, 64), usage, func(text string) (err error) {
+		*target, err = strconv.ParseFloat(text, 64)
+		return err
+	})
+}
+
+// Duration defines a duration setting such as "250ms".
+func (s *Set) Duration(target *time.Duration, flag string, fallback time.Duration, usage string) {
+	s.add(flag, fallback.String(), usage, func(text string) (err error) {
+		*target, err = time.ParseDuration(text)
+		return err
+	})
 }
 
 // Bool defines a switch.
 func (s *Set) Bool(target *bool, flag, usage string) {
-	s.add(flag, "false", usage,
-		func(text string) (err error) { *target, err = strconv.ParseBool(text); return err },
-		func(cmd *flaggy.Subcommand) { cmd.Bool(target, "", flag, usage) })
+	setting := s.add(flag, "false", usage, func(text string) (err error) {
+		switched := *target
+		*target, err = strconv.ParseBool(text)
+		*target = *target || switched
+		return err
+	})
+	setting.bind = func(s *Setting, cmd *flaggy.Subcommand) {
+		cmd.Bool(target, "", s.Flag, s.Usage)
+	}
 }
 
-// Duration defines a duration setting such as "250ms".
-func (s *Set) Duration(target *time.Duration, flag string, fallback time.Duration, usage string) {
-	*target = fallback
-	s.add(flag, fallback.String(), usage,
-		func(text string) (err error) { *target, err = time.ParseDuration(text); return err },
-		func(cmd *flaggy.Subcommand) { cmd.Duration(target, "", flag, usage) })
+// Strings defines a setting that takes several values: repeated on the command
+// line, comma separated in the environment.
+func (s *Set) Strings(target *[]string, flag, usage string) {
+	setting := s.add(flag, "", usage, nil)
+	setting.parse = func(text string) error {
+		*target = setting.list
+		if len(setting.list) == 0 && text != "" {
+			*target = strings.Split(text, ",")
+		}
+		return nil
+	}
+	setting.bind = func(s *Setting, cmd *flaggy.Subcommand) {
+		cmd.StringSlice(&s.list, "", s.Flag, s.Usage)
+	}
 }
 
-// Bind reads the environment and adds the flags to cmd. The error names the
-// variable and its value.
-func (s *Set) Bind(cmd *flaggy.Subcommand) error {
+// Bind reads the environment and adds the flags to cmd.
+func (s *Set) Bind(cmd *flaggy.Subcommand) {
 	for _, setting := range s.settings {
 		if text, ok := os.LookupEnv(setting.Env); ok {
-			if err := setting.parse(text); err != nil {
-				return fmt.Errorf("%s=%q: %w", setting.Env, text, err)
-			}
+			setting.text = text
+		}
+		setting.bind(setting, cmd)
+	}
+}
+
+// Parse sets the targets after the command line was read. The error names the
+// setting and its value.
+func (s *Set) Parse() error {
+	for _, setting := range s.settings {
+		if err := setting.parse(setting.text); err != nil {
+			return fmt.Errorf("--%s (%s) %q: not valid: %s", setting.Flag, setting.Env, setting.text, setting.Usage)
 		}
-		setting.bind(cmd)
 	}
 	return nil
 }
