--- /dev/null
+++ b/requests/dispatch/assembly.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"github.com/zeebo/blake3"
+
+	"currantusher.dev/core"
+	"currantusher.dev/wire"
+)
+
+// assembly checks the frames of one attempt: one Begin first, Data without
+// gaps, an End whose length and checksum cover the Data.
+type assembly struct {
+	requestID string
+	begin     *wire.Begin
+	end       *wire.End
+	next      uint64
+	length    int64
+	hasher    *blake3.Hasher
+}
+
+func newAssembly(requestID string) *assembly {
+	return &assembly{requestID: requestID, hasher: blake3.New()}
+}
+
+// accept checks the next frame. The error means that the answer cannot be used.
+func (a *assembly) accept(reply wire.Reply) error {
+	if a.end != nil {
+		return incomplete("a frame came after the end frame")
+	}
+	switch {
+	case reply.Begin != nil && reply.Data == nil && reply.End == nil:
+		return a.acceptBegin(reply.Begin)
+	case reply.Data != nil && reply.Begin == nil && reply.End == nil:
+		return a.acceptData(reply.Data)
+	case reply.End != nil && reply.Begin == nil && reply.Data == nil:
+		return a.acceptEnd(reply.End)
+	default:
+		return incomplete("a frame has not exactly one part")
+	}
+}
+
+func (a *assembly) acceptBegin(begin *wire.Begin) error {
+	if begin.RequestID != a.requestID {
+		return crossed(begin.RequestID, a.requestID)
+	}
+	if a.begin != nil {
+		return incomplete("the answer began twice")
+	}
+	a.begin = begin
+	return nil
+}
+
+func (a *assembly) acceptData(data *wire.Data) error {
+	if a.begin == nil {
+		return incomplete("data came before the begin frame")
+	}
+	if data.Sequence != a.next {
+		return incomplete("data frame %d came in place of %d", data.Sequence, a.next)
+	}
+	a.next++
+	a.length += int64(len(data.Bytes))
+	_, _ = a.hasher.Write(data.Bytes)
+	return nil
+}
+
+func (a *assembly) acceptEnd(end *wire.End) error {
+	if end.RequestID != a.requestID {
+		return crossed(end.RequestID, a.requestID)
+	}
+	if end.Code == core.CodeOK {
+		if err := a.checkWhole(end); err != nil {
+			return err
+		}
+	}
+	a.end = end
+	return nil
+}
+
+func (a *assembly) checkWhole(end *wire.End) error {
+	if a.begin == nil {
+		return incomplete("the answer ended before it began")
+	}
+	if end.Length != a.length {
+		return incomplete("the answer has %d bytes, its end frame says %d", a.length, end.Length)
+	}
+	if end.Checksum != a.checksum() {
+		return core.Fail(core.CodeChecksumMismatch, core.WorkUnknown, "the answer's checksum does not match its end frame")
+	}
+	return nil
+}
+
+func (a *assembly) checksum() core.Digest {
+	var sum core.Digest
+	copy(sum[:], a.hasher.Sum(nil))
+	return sum
+}
+
+// isWhole reports whether the attempt ended with a checked answer.
+func (a *assembly) isWhole() bool { return a.end != nil && a.end.Code == core.CodeOK }
+
+func incomplete(format string, args ...any) error {
+	return core.Fail(core.CodeIncomplete, core.WorkUnknown, format, args...)
+}
+
+func crossed(got, want string) error {
+	return core.Fail(core.CodeCrossedAnswer, core.WorkUnknown, "answer for request %q, want %q", got, want)
+}
--- /dev/null
+++ b/requests/dispatch/attempt.go
@@ -0,0 +1,173 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// attempt dispatches once. The error says whether this attempt provably did
+// not run; nil means that the whole answer is out.
+func (x *exchange) attempt(ctx context.Context, placer *placement.Placer, agent placement.Candidate) error {
+	id := x.nextID()
+	if !x.mayDispatch(id) {
+		placer.Finish(x.config.Now(), agent.ID, placement.Abandoned, 0, 0)
+		return core.Fail(core.CodeInternal, core.WorkUnknown, "attempt %s would break a safety promise", id)
+	}
+	// Until it is proven otherwise the attempt may have run.
+	x.unproven++
+	answer := newAssembly(x.request.ID)
+	err := x.exchange(ctx, id, agent, answer)
+	if core.WorkOf(err) == core.WorkNotRun {
+		x.unproven--
+	} else {
+		x.used = true
+	}
+	running, limit := 0, 0
+	if answer.end != nil {
+		running, limit = answer.end.Running, answer.end.Limit
+	}
+	placer.Finish(x.config.Now(), agent.ID, outcomeOf(ctx, err, answer), running, limit)
+	return err
+}
+
+func outcomeOf(ctx context.Context, err error, answer *assembly) placement.Outcome {
+	switch {
+	case err == nil:
+		return placement.Answered
+	case ctx.Err() != nil:
+		return placement.Abandoned
+	case core.CodeOf(err) == core.CodeEngineFailed:
+		return placement.Failed
+	case answer.end != nil && core.WorkOf(err) == core.WorkNotRun:
+		return placement.Refused
+	default:
+		return placement.Failed
+	}
+}
+
+// callContext ends when the attempt must be given up. At-most-once work goes
+// on after the caller left, so that a repeat finds its result.
+func (x *exchange) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if x.request.AtMostOnce {
+		ctx = context.WithoutCancel(ctx)
+	}
+	left := x.request.Deadline.Add(-x.reserve()).Sub(x.config.Now())
+	return context.WithTimeout(ctx, left)
+}
+
+// exchange sends the dispatch and receives the answer.
+func (x *exchange) exchange(ctx context.Context, id string, agent placement.Candidate, answer *assembly) error {
+	call, cancel := x.callContext(ctx)
+	defer cancel()
+	stream, err := x.config.Sender.Send(call, agent, x.message(id, agent))
+	if isNotConnected(err) {
+		return core.Refuse(core.CodeAgentUnreachable, 0, "agent %s: %v", agent.ID, err)
+	}
+	if err == nil {
+		var abandon *time.Timer
+		if x.config.BeginTimeout > 0 && !x.request.AtMostOnce {
+			abandon = time.AfterFunc(x.config.BeginTimeout, cancel)
+		}
+		err = x.receive(stream, answer, abandon)
+		if err != nil {
+			stream.Cancel()
+		}
+	}
+	if err == nil || answer.end != nil {
+		return err
+	}
+	return x.resolve(ctx, call, id, agent, answer, err)
+}
+
+// receive takes frames until the answer's end. Errors other than the answer's
+// own result leave answer.end unset.
+func (x *exchange) receive(stream ReplyStream, answer *assembly, abandon *time.Timer) error {
+	if abandon != nil {
+		defer abandon.Stop()
+	}
+	for {
+		reply, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return incomplete("the answer ended before its end frame")
+		}
+		if err != nil {
+			return core.Wrap(err, core.CodeIncomplete, core.WorkUnknown, "the answer broke off")
+		}
+		if err := answer.accept(reply); err != nil {
+			x.output.tainted = true
+			return err
+		}
+		if abandon != nil {
+			abandon.Stop()
+		}
+		if err := x.forward(reply); err != nil {
+			return err
+		}
+		if reply.End != nil {
+			return x.finish(answer)
+		}
+	}
+}
+
+// forward hands a checked frame on.
+func (x *exchange) forward(reply wire.Reply) error {
+	switch {
+	case reply.Begin != nil:
+		return x.output.accept(reply.Begin)
+	case reply.Data != nil:
+		return x.output.write(reply.Data.Bytes)
+	default:
+		return nil
+	}
+}
+
+// finish ends an attempt whose end frame was checked.
+func (x *exchange) finish(answer *assembly) error {
+	end := answer.end
+	if end.Code == core.CodeOK {
+		x.whole = answer.isWhole() && x.skip != guardAnswer
+		return x.output.close()
+	}
+	work := end.Work
+	if work == core.WorkNotRun && answer.begin != nil {
+		work = core.WorkUnknown
+	}
+	if work == core.WorkNotRun {
+		after := time.Duration(end.RetryAfterMillis) * time.Millisecond
+		return core.Refuse(end.Code, after, "%s", end.Detail)
+	}
+	return core.Fail(end.Code, work, "%s", end.Detail)
+}
+
+// resolve finds out what happened to an attempt that has no end: a tombstone
+// that the agent confirms proves that it did not and will not run.
+func (x *exchange) resolve(ctx, call context.Context, id string, agent placement.Candidate, answer *assembly, cause error) error {
+	if answer.begin != nil {
+		return x.broken(ctx, call, cause)
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.config.TombstoneTimeout)
+	defer cancel()
+	reply, err := x.config.Sender.Tombstone(bounded, agent, wire.Tombstone{AttemptID: id, Incarnation: agent.Incarnation})
+	if err != nil || reply.Work != core.WorkNotRun {
+		return x.broken(ctx, call, cause)
+	}
+	return core.Refuse(core.CodeTombstoned, x.queue(x.request).RetryAfter(x.request.Team), "the attempt was barred before it started: %s", core.DetailOf(cause))
+}
+
+// broken is the error of an attempt that may have run.
+func (x *exchange) broken(ctx, call context.Context, cause error) error {
+	switch {
+	case ctx.Err() != nil && !x.request.AtMostOnce:
+		return core.Wrap(cause, core.CodeCancelled, core.WorkUnknown, "the caller cancelled")
+	case errors.Is(call.Err(), context.DeadlineExceeded):
+		return core.Wrap(cause, core.CodeTimeout, core.WorkUnknown, "the deadline passed after dispatch")
+	default:
+		return cause
+	}
+}
--- /dev/null
+++ b/requests/dispatch/dispatch.go
@@ -0,0 +1,175 @@
+// Package dispatch carries one request at an entry from the queue to its final
+// answer: it claims at-most-once requests, picks an agent, checks that the
+// answer is whole, retries what provably did not run, resumes broken streams
+// and says truthfully what happened to the work.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/attempt"
+	"currantusher.dev/requests/fair"
+	"currantusher.dev/requests/ledger"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultTombstoneTimeout = 200 * time.Millisecond
+	DefaultReleaseTimeout   = 200 * time.Millisecond
+	DefaultMaxAnswerBytes   = 16 << 20
+	DefaultMaxAttempts      = 4
+)
+
+// reserveDivisor bounds the part of a deadline that is kept for a tombstone.
+const reserveDivisor = 5
+
+// ReplyStream receives the frames of one attempt. Recv ends with an error when
+// the context given to Send ends.
+type ReplyStream interface {
+	Recv() (wire.Reply, error)
+	// Cancel ends the call at once; the agent sees its stream end.
+	Cancel()
+}
+
+// Sender reaches agents. Errors of Send that wrap wire.ErrNotConnected mean
+// that nothing was sent.
+type Sender interface {
+	Send(ctx context.Context, agent placement.Candidate, message wire.Dispatch) (ReplyStream, error)
+	Tombstone(ctx context.Context, agent placement.Candidate, message wire.Tombstone) (wire.TombstoneReply, error)
+}
+
+// Sink receives the answer for the caller.
+type Sink interface {
+	// Begin comes once, before the first Write.
+	Begin(contentType string, weights core.Digest) error
+	// Write sends the next bytes of the answer.
+	Write(p []byte) (int, error)
+}
+
+// Ledger keeps the claims of at-most-once requests.
+type Ledger interface {
+	Claim(ctx context.Context, key ledger.Key, body core.Digest, attemptID string) (ledger.Claim, error)
+	Finish(claim ledger.Claim, result ledger.Result) error
+	Release(ctx context.Context, claim ledger.Claim) error
+}
+
+// Config holds the parts and settings of a Dispatcher.
+type Config struct {
+	// Attempts makes attempt ids.
+	Attempts *attempt.Source
+	// Queue returns the queue of a pool.
+	Queue func(core.PoolName) *fair.Queue
+	// Placer returns the placer of a pool.
+	Placer func(core.PoolName) *placement.Placer
+	// Candidates returns the agents of a pool as the entry knows them now.
+	Candidates func(core.PoolName) []placement.Candidate
+	Ledger     Ledger
+	Sender     Sender
+	// TombstoneTimeout bounds the wait for a tombstone's answer. The same time
+	// is kept free before a request's deadline.
+	TombstoneTimeout time.Duration
+	// ReleaseTimeout bounds the wait for the release of a claim.
+	ReleaseTimeout time.Duration
+	// BeginTimeout abandons an attempt of a repeatable request that has not
+	// begun to answer; 0 means only the deadline does.
+	BeginTimeout time.Duration
+	// MaxAnswerBytes bounds an answer that is held until it was checked.
+	MaxAnswerBytes int
+	// MaxAttempts bounds the dispatches of one request.
+	MaxAttempts int
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+func (c *Config) applyDefaults() {
+	if c.TombstoneTimeout <= 0 {
+		c.TombstoneTimeout = DefaultTombstoneTimeout
+	}
+	if c.ReleaseTimeout <= 0 {
+		c.ReleaseTimeout = DefaultReleaseTimeout
+	}
+	if c.MaxAnswerBytes <= 0 {
+		c.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	if c.MaxAttempts <= 0 {
+		c.MaxAttempts = DefaultMaxAttempts
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+}
+
+// Request is one caller's request.
+type Request struct {
+	ID       string
+	Team     core.Team
+	Route    core.RouteName
+	Pool     core.PoolName
+	Weights  core.Digest
+	Revision core.Revision
+	Priority int
+	// Deadline is when the caller must have the final answer.
+	Deadline time.Time
+	// MaxTokens bounds the tokens to generate; 0 for plain services.
+	MaxTokens int
+	// Prefix is a hash of the prompt's prefix; 0 means none.
+	Prefix uint64
+	// AtMostOnce requests carry the caller's Key.
+	AtMostOnce bool
+	Key        string
+	Stream     bool
+	Path       string
+	Body       []byte
+}
+
+// Dispatcher is safe for concurrent use.
+type Dispatcher struct {
+	config Config
+	// skip leaves out a guard. Tests set it to show that the invariant behind
+	// the guard can fail.
+	skip guard
+}
+
+type guard uint8
+
+const (
+	guardNone guard = iota
+	guardAnswer
+	guardRefusal
+	guardClaim
+)
+
+// New returns a Dispatcher.
+func New(config Config) *Dispatcher {
+	config.applyDefaults()
+	return &Dispatcher{config: config}
+}
+
+// Do runs one request and writes its answer to sink. A nil error means that
+// the whole answer was written. Any other error carries a result code, what
+// happened to the work and, for refusals, when to come back.
+func (d *Dispatcher) Do(ctx context.Context, request Request, sink Sink) error {
+	if !d.config.Now().Before(request.Deadline) {
+		return core.Refuse(core.CodeDeadlineShort, d.queue(request).RetryAfter(request.Team), "the deadline has passed")
+	}
+	grant, err := d.queue(request).Enqueue(ctx, fair.Item{
+		Team:     request.Team,
+		Priority: request.Priority,
+		Deadline: request.Deadline,
+	})
+	if err != nil {
+		return err
+	}
+	x := newExchange(d, request, sink, grant)
+	err = x.run(ctx)
+	grant.Done(x.used)
+	return x.checked(err)
+}
+
+func (d *Dispatcher) queue(request Request) *fair.Queue {
+	return d.config.Queue(request.Pool)
+}
--- /dev/null
+++ b/requests/dispatch/exchange.go
@@ -0,0 +1,279 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
+	"currantusher.dev/requests/fair"
+	"currantusher.dev/requests/ledger"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// exchange is the state of one request between its grant and its final answer.
+type exchange struct {
+	*Dispatcher
+	request Request
+	grant   *fair.Grant
+	output  *output
+
+	claim   *ledger.Claim
+	firstID string
+	tried   map[core.InstanceID]bool
+	count   int
+	// used says that an agent did some of the work.
+	used bool
+	// unproven counts attempts that may have run.
+	unproven int
+	// whole says that the checked answer is out.
+	whole bool
+}
+
+func newExchange(d *Dispatcher, request Request, sink Sink, grant *fair.Grant) *exchange {
+	return &exchange{
+		Dispatcher: d,
+		request:    request,
+		grant:      grant,
+		output:     newOutput(request, sink, d.config.MaxAnswerBytes),
+		firstID:    d.config.Attempts.Next(),
+		tried:      map[core.InstanceID]bool{},
+	}
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	if !x.request.AtMostOnce {
+		return x.attempts(ctx)
+	}
+	key := ledger.Key{Team: x.request.Team, Route: x.request.Route, Key: x.request.Key}
+	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	defer cancel()
+	claim, err := x.config.Ledger.Claim(bounded, key, core.DigestOf(x.request.Body), x.firstID)
+	if err != nil {
+		return err
+	}
+	if claim.Stored != nil {
+		return x.replay(*claim.Stored)
+	}
+	x.claim = &claim
+	err = x.attempts(ctx)
+	x.settle(ctx, err)
+	return err
+}
+
+// settle records how the claimed request ended.
+func (x *exchange) settle(ctx context.Context, err error) {
+	if core.WorkOf(err) == core.WorkNotRun {
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.config.ReleaseTimeout)
+		defer cancel()
+		_ = x.config.Ledger.Release(bounded, *x.claim)
+		return
+	}
+	_ = x.config.Ledger.Finish(*x.claim, x.result(err))
+}
+
+func (x *exchange) result(err error) ledger.Result {
+	result := ledger.Result{Code: core.CodeOf(err), Work: core.WorkOf(err), Detail: core.DetailOf(err)}
+	if err != nil {
+		return result
+	}
+	result.ContentType = x.output.begin.ContentType
+	result.Weights = x.output.begin.Weights
+	result.Body = x.output.held
+	return result
+}
+
+func (x *exchange) replay(stored ledger.Result) error {
+	if stored.Code != core.CodeOK {
+		return core.Fail(stored.Code, stored.Work, "first request with this Idempotency-Key: %s", stored.Detail)
+	}
+	if stored.Truncated {
+		return core.Fail(core.CodeOutcomeUnknown, core.WorkRan, "the request ran and its answer was too large to keep")
+	}
+	x.whole = true
+	return x.output.replay(stored)
+}
+
+// attempts dispatches until the request has a final answer.
+func (x *exchange) attempts(ctx context.Context) error {
+	placer := x.config.Placer(x.request.Pool)
+	placer.FirstAttempt()
+	var last error
+	for {
+		agent, err := x.pick(ctx, placer)
+		if err != nil {
+			return x.final(last, err)
+		}
+		last = x.attempt(ctx, placer, agent)
+		if last == nil {
+			return nil
+		}
+		x.tried[agent.ID] = true
+		if !x.mayRetry(ctx, last) {
+			return x.final(last, last)
+		}
+		if err := x.prepareRetry(ctx, placer, last); err != nil {
+			return x.final(last, err)
+		}
+	}
+}
+
+func (x *exchange) pick(ctx context.Context, placer *placement.Placer) (placement.Candidate, error) {
+	if ctx.Err() != nil {
+		return placement.Candidate{}, core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled before dispatch")
+	}
+	now := x.config.Now()
+	if !now.Before(x.request.Deadline) {
+		return placement.Candidate{}, x.late()
+	}
+	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Tried: x.tried}
+	return placer.Pick(now, wanted, x.config.Candidates(x.request.Pool))
+}
+
+func (x *exchange) late() error {
+	return core.Refuse(core.CodeDeadlineShort, x.queue(x.request).RetryAfter(x.request.Team), "the deadline passed before dispatch")
+}
+
+// mayRetry reports whether another dispatch is permitted after err.
+func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || x.count >= x.config.MaxAttempts || x.output.failed != nil {
+		return false
+	}
+	if !x.config.Now().Before(x.request.Deadline.Add(-x.reserve())) {
+		return false
+	}
+	if core.WorkOf(err) == core.WorkNotRun {
+		return isElsewhere(core.CodeOf(err))
+	}
+	if x.request.AtMostOnce {
+		return false
+	}
+	return isTransient(core.CodeOf(err))
+}
+
+// isElsewhere reports whether another agent may start what one refused.
+func isElsewhere(code core.Code) bool {
+	switch code {
+	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge:
+		return false
+	default:
+		return true
+	}
+}
+
+// isTransient reports whether a repeatable request may be run again.
+func isTransient(code core.Code) bool {
+	switch code {
+	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
+		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// prepareRetry takes a retry out of the budget, or returns to the queue when
+// the agents are full.
+func (x *exchange) prepareRetry(ctx context.Context, placer *placement.Placer, last error) error {
+	if x.output.sent > 0 && !x.output.canResume() {
+		return core.Fail(core.CodeStreamBroken, core.WorkUnknown, "the stream broke after %d bytes: %s", x.output.sent, core.DetailOf(last))
+	}
+	if placer.Retry() {
+		return nil
+	}
+	if core.CodeOf(last) != core.CodeLimitReached {
+		return core.Refuse(core.CodeRetryBudget, x.queue(x.request).RetryAfter(x.request.Team), "the retry budget is spent: %s", core.DetailOf(last))
+	}
+	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	defer cancel()
+	if err := x.grant.Requeue(bounded); err != nil {
+		return err
+	}
+	clear(x.tried)
+	return nil
+}
+
+// final returns the error for the caller. It says not-run only when every
+// attempt provably did not run.
+func (x *exchange) final(last, err error) error {
+	if x.unproven == 0 || x.skip == guardRefusal {
+		return err
+	}
+	if x.output.sent > 0 {
+		return core.Wrap(err, core.CodeStreamBroken, core.WorkUnknown, "the stream broke after %d bytes", x.output.sent)
+	}
+	if last != nil && core.WorkOf(last) != core.WorkNotRun {
+		err = last
+	}
+	if x.request.AtMostOnce && core.WorkOf(err) == core.WorkUnknown && core.CodeOf(err) != core.CodeTimeout {
+		return core.Wrap(err, core.CodeOutcomeUnknown, core.WorkUnknown, "%s", core.DetailOf(err))
+	}
+	if core.WorkOf(err) == core.WorkNotRun {
+		return core.Wrap(err, core.CodeOf(err), core.WorkUnknown, "an earlier attempt may have run: %s", core.DetailOf(err))
+	}
+	return err
+}
+
+// checked asserts the promises about the final answer.
+func (x *exchange) checked(err error) error {
+	if err == nil {
+		invariant.Check(invariant.WholeAnswer, x.whole, "request %s is answered without a checked end", x.request.ID)
+		return nil
+	}
+	if core.WorkOf(err) == core.WorkNotRun {
+		proven := x.unproven == 0 && x.output.sent == 0
+		invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven)
+	}
+	return err
+}
+
+// reserve is the time kept before the deadline for a tombstone.
+func (x *exchange) reserve() time.Duration {
+	left := x.request.Deadline.Sub(x.config.Now())
+	return min(x.config.TombstoneTimeout, max(left, 0)/reserveDivisor)
+}
+
+// nextID returns the id of the next dispatch. The first is the claim's.
+func (x *exchange) nextID() string {
+	x.count++
+	if x.count == 1 {
+		return x.firstID
+	}
+	return x.config.Attempts.Next()
+}
+
+func (x *exchange) message(id string, agent placement.Candidate) wire.Dispatch {
+	left := x.request.Deadline.Add(-x.reserve()).Sub(x.config.Now())
+	return wire.Dispatch{
+		RequestID:      x.request.ID,
+		AttemptID:      id,
+		Team:           x.request.Team,
+		Route:          x.request.Route,
+		Pool:           x.request.Pool,
+		Weights:        x.request.Weights,
+		Incarnation:    agent.Incarnation,
+		Revision:       x.request.Revision,
+		Priority:       x.request.Priority,
+		DeadlineMillis: max(left.Milliseconds(), 1),
+		MaxTokens:      x.request.MaxTokens,
+		AtMostOnce:     x.request.AtMostOnce,
+		Stream:         x.request.Stream,
+		Path:           x.request.Path,
+		Body:           x.request.Body,
+		ResumeFrom:     x.output.sent,
+	}
+}
+
+// mayDispatch asserts that an at-most-once request is claimed and that no
+// earlier attempt may have run.
+func (x *exchange) mayDispatch(id string) bool {
+	if !x.request.AtMostOnce {
+		return true
+	}
+	return invariant.Check(invariant.AtMostOnce, x.claim != nil && x.unproven == 0,
+		"attempt %s of request %s: claimed %t, %d unproven attempts", id, x.request.ID, x.claim != nil, x.unproven)
+}
+
+func isNotConnected(err error) bool { return errors.Is(err, wire.ErrNotConnected) }
--- /dev/null
+++ b/requests/fair/queue.go
@@ -0,0 +1,214 @@
+// Package fair queues requests at an entry. Teams share the capacity by
+// weighted max-min fairness; within a team higher priorities go first. A
+// request that cannot make its deadline is refused at once.
+package fair
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"currantusher.dev/core"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxQueue    = 256
+	DefaultHold        = 200 * time.Millisecond
+	DefaultTick        = 20 * time.Millisecond
+	DefaultMinRetry    = 100 * time.Millisecond
+	DefaultMaxRetry    = 30 * time.Second
+	DefaultMaxRequeues = 3
+)
+
+// Config holds the settings of a Queue.
+type Config struct {
+	// Weights returns a team's share relative to other teams, at least 1.
+	Weights func(core.Team) int
+	// Capacity returns how many requests this entry may run at once. It is
+	// asked at most once a Tick.
+	Capacity func() int
+	// MaxQueue bounds the waiting requests of each team.
+	MaxQueue int
+	// Hold is the time that a request is expected to run before any has ended.
+	Hold time.Duration
+	// Tick is the period in which capacity and deadlines are looked at again.
+	Tick time.Duration
+	// MinRetry and MaxRetry bound the suggested retry delay.
+	MinRetry, MaxRetry time.Duration
+	// MaxRequeues bounds how often one request may return to the queue.
+	MaxRequeues int
+	// Seed makes the jitter of retry delays.
+	Seed uint64
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+func (c *Config) applyDefaults() {
+	if c.Weights == nil {
+		c.Weights = func(core.Team) int { return 1 }
+	}
+	if c.Capacity == nil {
+		c.Capacity = func() int { return 1 }
+	}
+	if c.MaxQueue <= 0 {
+		c.MaxQueue = DefaultMaxQueue
+	}
+	if c.Hold <= 0 {
+		c.Hold = DefaultHold
+	}
+	if c.Tick <= 0 {
+		c.Tick = DefaultTick
+	}
+	if c.MinRetry <= 0 {
+		c.MinRetry = DefaultMinRetry
+	}
+	if c.MaxRetry < c.MinRetry {
+		c.MaxRetry = max(DefaultMaxRetry, c.MinRetry)
+	}
+	if c.MaxRequeues <= 0 {
+		c.MaxRequeues = DefaultMaxRequeues
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+}
+
+// Item is one request that waits for a place.
+type Item struct {
+	Team core.Team
+	// Priority orders requests of one team; higher goes first.
+	Priority int
+	// Deadline is when the final answer must be out; zero means none.
+	Deadline time.Time
+	// Cost is the request's share of capacity; at least 1.
+	Cost int
+}
+
+// Stats describes a queue for metrics.
+type Stats struct {
+	Waiting int
+	Running int
+	Limit   int
+	Hold    time.Duration
+}
+
+// Queue is safe for concurrent use.
+type Queue struct {
+	config Config
+
+	mu     sync.Mutex
+	state  *state
+	polled time.Time
+}
+
+// New returns an empty queue.
+func New(config Config) *Queue {
+	config.applyDefaults()
+	random := rand.New(rand.NewPCG(config.Seed, 0))
+	return &Queue{config: config, state: newState(config, random)}
+}
+
+// Run looks at capacity and deadlines each Tick until ctx ends.
+func (q *Queue) Run(ctx context.Context) error {
+	ticker := time.NewTicker(q.config.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			q.step(func(now time.Time) {})
+		}
+	}
+}
+
+// step runs one change of the state and sends its decisions.
+func (q *Queue) step(change func(now time.Time)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.config.Now()
+	if q.polled.IsZero() || now.Sub(q.polled) >= q.config.Tick {
+		q.polled = now
+		q.state.setCapacity(q.config.Capacity())
+		q.state.sweep(now)
+	}
+	change(now)
+	q.state.fill(now)
+	q.deliver()
+}
+
+func (q *Queue) deliver() {
+	for _, d := range q.state.takeDecisions() {
+		d.ticket.verdict <- d.err
+	}
+}
+
+// Enqueue waits for a place. The error is a refusal for work that did not run.
+func (q *Queue) Enqueue(ctx context.Context, item Item) (*Grant, error) {
+	var t *ticket
+	var err error
+	q.step(func(now time.Time) {
+		t, err = q.state.offer(now, item)
+	})
+	if err != nil {
+		return nil, err
+	}
+	grant := &Grant{queue: q, ticket: t}
+	return grant, grant.wait(ctx)
+}
+
+// Stats returns the queue's state.
+func (q *Queue) Stats() Stats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.stats()
+}
+
+// Grant is the place of one running request.
+type Grant struct {
+	queue  *Queue
+	ticket *ticket
+}
+
+func (g *Grant) wait(ctx context.Context) error {
+	select {
+	case err := <-g.ticket.verdict:
+		return err
+	case <-ctx.Done():
+	}
+	g.queue.step(func(now time.Time) {
+		g.queue.state.abandon(now, g.ticket)
+	})
+	return core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled in the queue")
+}
+
+// Done returns the place. ran says that the request used it to the end, so
+// that its duration counts. Later calls do nothing.
+func (g *Grant) Done(ran bool) {
+	g.queue.step(func(now time.Time) {
+		g.queue.state.release(now, g.ticket, ran)
+	})
+}
+
+// Requeue returns the place because the backend servers were full, and waits
+// for another one ahead of the team's queue. The error is a refusal; the place
+// is then returned for good.
+func (g *Grant) Requeue(ctx context.Context) error {
+	var err error
+	g.queue.step(func(now time.Time) {
+		err = g.queue.state.requeue(now, g.ticket)
+	})
+	if err != nil {
+		return err
+	}
+	return g.wait(ctx)
+}
+
+// RetryAfter suggests when a request of this team may come back.
+func (q *Queue) RetryAfter(team core.Team) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state.retryAfter(team)
+}
--- /dev/null
+++ b/requests/fair/state.go
@@ -0,0 +1,330 @@
+package fair
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"currantusher.dev/core"
+)
+
+const (
+	holdGain       = 0.1
+	windowDecrease = 0.9
+	retryJitter    = 0.5
+)
+
+type phase uint8
+
+const (
+	waiting phase = iota
+	granted
+	closed
+)
+
+// ticket is one request in the queue or running.
+type ticket struct {
+	item     Item
+	arrived  uint64
+	phase    phase
+	granted  time.Time
+	requeues int
+	charged  bool
+	verdict  chan error
+}
+
+type decision struct {
+	ticket *ticket
+	err    error
+}
+
+// team is one team's waiting requests and its place in virtual time.
+type team struct {
+	name    core.Team
+	weight  float64
+	waiting []*ticket
+	// finish is the virtual time at which the team's granted work is paid.
+	finish float64
+}
+
+// state is the queue without its lock: no clock and no I/O.
+type state struct {
+	config   Config
+	random   *rand.Rand
+	teams    map[core.Team]*team
+	backlog  []*team
+	virtual  float64
+	arrivals uint64
+	capacity int
+	window   float64
+	running  int
+	waiting  int
+	hold     time.Duration
+
+	decisions []decision
+}
+
+func newState(config Config, random *rand.Rand) *state {
+	return &state{config: config, random: random, teams: map[core.Team]*team{}, hold: config.Hold}
+}
+
+func (s *state) takeDecisions() []decision {
+	taken := s.decisions
+	s.decisions = nil
+	return taken
+}
+
+func (s *state) setCapacity(capacity int) {
+	if capacity > s.capacity && int(s.window) >= s.capacity {
+		s.window = float64(capacity)
+	}
+	s.capacity = capacity
+	s.window = min(s.window, float64(capacity))
+}
+
+// limit is how many requests may run at once.
+func (s *state) limit() int {
+	if s.capacity <= 0 {
+		return 0
+	}
+	return max(1, int(s.window))
+}
+
+func (s *state) offer(now time.Time, item Item) (*ticket, error) {
+	item.Cost = max(item.Cost, 1)
+	owner := s.team(item.Team)
+	if s.limit() == 0 {
+		return nil, core.Refuse(core.CodeNoBackend, s.retryAfter(item.Team), "no backend server takes requests")
+	}
+	if len(owner.waiting) >= s.config.MaxQueue {
+		return nil, core.Refuse(core.CodeQueueFull, s.retryAfter(item.Team), "queue of team %q is full", item.Team)
+	}
+	t := &ticket{item: item, arrived: s.arrivals, verdict: make(chan error, 1)}
+	s.arrivals++
+	place := owner.place(t)
+	if s.isHopeless(now, owner, item, place) {
+		return nil, s.deadlineShort(item.Team)
+	}
+	s.insert(owner, t, place)
+	return t, nil
+}
+
+func (s *state) deadlineShort(name core.Team) error {
+	return core.Refuse(core.CodeDeadlineShort, s.retryAfter(name), "the queue of team %q cannot reach the request before its deadline", name)
+}
+
+func (s *state) team(name core.Team) *team {
+	known := s.teams[name]
+	if known == nil {
+		known = &team{name: name}
+		s.teams[name] = known
+	}
+	known.weight = float64(max(s.config.Weights(name), 1))
+	return known
+}
+
+// place returns the index at which t waits: by priority, then by arrival.
+func (o *team) place(t *ticket) int {
+	at := len(o.waiting)
+	for at > 0 && goesBefore(t, o.waiting[at-1]) {
+		at--
+	}
+	return at
+}
+
+func goesBefore(a, b *ticket) bool {
+	if a.item.Priority != b.item.Priority {
+		return a.item.Priority > b.item.Priority
+	}
+	return a.arrived < b.arrived
+}
+
+func (s *state) insert(owner *team, t *ticket, at int) {
+	if len(owner.waiting) == 0 {
+		s.backlog = append(s.backlog, owner)
+	}
+	owner.waiting = append(owner.waiting, nil)
+	copy(owner.waiting[at+1:], owner.waiting[at:])
+	owner.waiting[at] = t
+	t.phase = waiting
+	s.waiting++
+}
+
+func (s *state) remove(owner *team, at int) *ticket {
+	t := owner.waiting[at]
+	owner.waiting = append(owner.waiting[:at], owner.waiting[at+1:]...)
+	s.waiting--
+	if len(owner.waiting) > 0 {
+		return t
+	}
+	for i, candidate := range s.backlog {
+		if candidate == owner {
+			s.backlog = append(s.backlog[:i], s.backlog[i+1:]...)
+			break
+		}
+	}
+	return t
+}
+
+// wait estimates how long the request at index at of a team's queue waits,
+// from the drain rate and the team's share among the teams that wait now.
+func (s *state) wait(owner *team, at int) time.Duration {
+	limit := s.limit()
+	if limit == 0 {
+		return s.config.MaxRetry
+	}
+	if s.running+s.waiting < limit {
+		return 0
+	}
+	weights := owner.weight
+	for _, other := range s.backlog {
+		if other != owner {
+			weights += other.weight
+		}
+	}
+	slots := float64(at+1) * weights / owner.weight
+	slots = min(slots, float64(s.waiting+1))
+	return time.Duration(slots / float64(limit) * float64(s.hold))
+}
+
+func (s *state) isHopeless(now time.Time, owner *team, item Item, at int) bool {
+	if item.Deadline.IsZero() {
+		return false
+	}
+	left := item.Deadline.Sub(now)
+	return left <= 0 || s.wait(owner, at) >= left
+}
+
+// sweep refuses requests that can no longer make their deadline.
+func (s *state) sweep(now time.Time) {
+	for _, owner := range append([]*team(nil), s.backlog...) {
+		for at := len(owner.waiting) - 1; at >= 0; at-- {
+			if s.limit() > 0 && !s.isHopeless(now, owner, owner.waiting[at].item, at) {
+				continue
+			}
+			t := s.remove(owner, at)
+			s.close(t, s.sweepError(owner.name))
+		}
+	}
+}
+
+func (s *state) sweepError(name core.Team) error {
+	if s.limit() == 0 {
+		return core.Refuse(core.CodeNoBackend, s.retryAfter(name), "no backend server takes requests")
+	}
+	return s.deadlineShort(name)
+}
+
+func (s *state) close(t *ticket, err error) {
+	t.phase = closed
+	s.decisions = append(s.decisions, decision{ticket: t, err: err})
+}
+
+// fill grants places while there are any.
+func (s *state) fill(now time.Time) {
+	for s.running < s.limit() && len(s.backlog) > 0 {
+		owner := s.next()
+		t := s.remove(owner, 0)
+		s.charge(owner, t)
+		t.phase = granted
+		t.granted = now
+		s.running++
+		s.decisions = append(s.decisions, decision{ticket: t})
+	}
+}
+
+// next returns the waiting team with the least virtual start.
+func (s *state) next() *team {
+	best := s.backlog[0]
+	for _, candidate := range s.backlog[1:] {
+		if s.precedes(candidate, best) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+func (s *state) precedes(a, b *team) bool {
+	startA, startB := s.start(a), s.start(b)
+	if startA != startB {
+		return startA < startB
+	}
+	return a.waiting[0].arrived < b.waiting[0].arrived
+}
+
+func (s *state) start(t *team) float64 {
+	if t.waiting[0].charged {
+		return 0
+	}
+	return max(s.virtual, t.finish)
+}
+
+// charge moves virtual time on. A request that returned to the queue is not
+// charged again.
+func (s *state) charge(owner *team, t *ticket) {
+	if t.charged {
+		return
+	}
+	t.charged = true
+	s.virtual = max(s.virtual, owner.finish)
+	owner.finish = s.virtual + float64(t.item.Cost)/owner.weight
+}
+
+func (s *state) abandon(now time.Time, t *ticket) {
+	switch t.phase {
+	case waiting:
+		owner := s.team(t.item.Team)
+		for at, candidate := range owner.waiting {
+			if candidate == t {
+				s.remove(owner, at)
+				break
+			}
+		}
+		t.phase = closed
+	case granted:
+		s.release(now, t, false)
+	}
+}
+
+func (s *state) release(now time.Time, t *ticket, ran bool) {
+	if t.phase != granted {
+		return
+	}
+	t.phase = closed
+	s.running--
+	if !ran {
+		return
+	}
+	s.hold += time.Duration(holdGain * float64(now.Sub(t.granted)-s.hold))
+	s.window = min(s.window+1/max(s.window, 1), float64(s.capacity))
+}
+
+func (s *state) requeue(now time.Time, t *ticket) error {
+	if t.phase != granted {
+		return core.Refuse(core.CodeInternal, 0, "request is not running")
+	}
+	s.release(now, t, false)
+	s.window = max(1, min(s.window, float64(s.running+1))*windowDecrease)
+	name := t.item.Team
+	owner := s.team(name)
+	t.requeues++
+	if t.requeues > s.config.MaxRequeues {
+		return core.Refuse(core.CodeLimitReached, s.retryAfter(name), "backend servers are full")
+	}
+	if s.isHopeless(now, owner, t.item, 0) || s.limit() == 0 {
+		return s.sweepError(name)
+	}
+	s.insert(owner, t, 0)
+	return nil
+}
+
+// retryAfter is the time in which the team's queue drains, with jitter.
+func (s *state) retryAfter(name core.Team) time.Duration {
+	owner := s.team(name)
+	drain := s.wait(owner, len(owner.waiting))
+	drain = min(max(drain, s.config.MinRetry), s.config.MaxRetry)
+	return drain + time.Duration(s.random.Float64()*retryJitter*float64(drain))
+}
+
+func (s *state) stats() Stats {
+	return Stats{Waiting: s.waiting, Running: s.running, Limit: s.limit(), Hold: s.hold}
+}
--- /dev/null
+++ b/requests/ledger/finish.go
@@ -0,0 +1,183 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+)
+
+// Finish writes the result of a claimed request. It returns once the write
+// waits to be committed: the caller of the request need not wait for it. The
+// write is tried again until FinishTimeout. It must not be called for a claim
+// that is released.
+func (l *Ledger) Finish(claim Claim, result Result) error {
+	return l.finish(claim, result, nil)
+}
+
+// FinishWait is Finish that waits until the row is committed or ctx ends.
+func (l *Ledger) FinishWait(ctx context.Context, claim Claim, result Result) error {
+	done := make(chan outcome, 1)
+	if err := l.finish(claim, result, done); err != nil {
+		return err
+	}
+	select {
+	case o := <-done:
+		return o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Ledger) finish(claim Claim, result Result, done chan outcome) error {
+	if len(result.Body) > l.config.MaxResultBytes {
+		result.Body = nil
+		result.Truncated = true
+	}
+	claim.row.State = stateFinished
+	claim.row.Result = &result
+	return l.submit(&write{
+		key:     claim.rowKey,
+		value:   claim.row.encode(),
+		expires: l.config.Now().Add(l.config.FinishTimeout),
+		done:    done,
+	})
+}
+
+// Release lets the key be claimed again. The caller must hold a proof that no
+// attempt of the claim ran or will run: each was refused as not run, barred by
+// a tombstone or never sent. A release that fails leaves the claim in place.
+func (l *Ledger) Release(ctx context.Context, claim Claim) error {
+	rows, err := l.get(ctx, claim.rowKey)
+	if err != nil {
+		return err
+	}
+	if len(rows) != 1 {
+		return core.Fail(core.CodeStoreConflict, core.WorkNotRun, "the claim is gone")
+	}
+	held, err := decodeRow(rows[0].Value)
+	if err != nil {
+		return err
+	}
+	if held.State != stateClaimed || held.AttemptID != claim.row.AttemptID {
+		return core.Fail(core.CodeStoreConflict, core.WorkNotRun, "the claim is not held")
+	}
+	held.State = stateReleased
+	w := &write{
+		key:         claim.rowKey,
+		value:       held.encode(),
+		conditional: true,
+		version:     rows[0].Version,
+		done:        make(chan outcome, 1),
+	}
+	if err := l.submit(w); err != nil {
+		return err
+	}
+	return l.await(ctx, w)
+}
+
+func (l *Ledger) await(ctx context.Context, w *write) error {
+	select {
+	case o := <-w.done:
+		if o.found != nil {
+			return core.Fail(core.CodeStoreConflict, core.WorkNotRun, "the claim changed")
+		}
+		return o.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Ledger) get(ctx context.Context, key platform.RowKey) ([]platform.Row, error) {
+	bounded, cancel := context.WithTimeout(ctx, l.config.CommitTimeout)
+	defer cancel()
+	return l.config.Tables.Get(bounded, key)
+}
+
+func encodeIndex(claims index) []byte {
+	encoded, err := cbor.Marshal(claims)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+const sweepRows = 128
+
+// Sweep deletes the claims of the hour that has just left the retention
+// period, at most limit rows, and returns how many it deleted. Two sweeps at
+// once are safe.
+func (l *Ledger) Sweep(ctx context.Context, limit int) (int, error) {
+	due := l.config.Now().Add(-l.config.Retention - time.Hour)
+	table := indexTable(due)
+	entries, err := l.config.Tables.Scan(ctx, table)
+	if err != nil {
+		return 0, err
+	}
+	deleted := 0
+	for _, entry := range entries {
+		if deleted >= limit {
+			break
+		}
+		count, err := l.sweepEntry(ctx, table, entry)
+		deleted += count
+		if err != nil {
+			return deleted, err
+		}
+	}
+	return deleted, nil
+}
+
+// sweepEntry deletes the claims of one index row, then the row itself.
+func (l *Ledger) sweepEntry(ctx context.Context, table string, entry platform.Row) (int, error) {
+	var claims index
+	if err := cbor.Unmarshal(entry.Value, &claims); err != nil {
+		return 0, err
+	}
+	deleted := 0
+	for start := 0; start < len(claims.Keys); start += sweepRows {
+		keys := claims.Keys[start:min(start+sweepRows, len(claims.Keys))]
+		count, err := l.sweepKeys(ctx, keys)
+		deleted += count
+		if err != nil {
+			return deleted, err
+		}
+	}
+	own := platform.RowKey{Table: table, Key: entry.Key}
+	return deleted, l.config.Tables.Commit(ctx, platform.Transaction{Deletes: []platform.RowKey{own}})
+}
+
+func (l *Ledger) sweepKeys(ctx context.Context, names []string) (int, error) {
+	keys := make([]platform.RowKey, 0, len(names))
+	for _, name := range names {
+		keys = append(keys, platform.RowKey{Table: TableClaims, Key: name})
+	}
+	rows, err := l.config.Tables.Get(ctx, keys...)
+	if err != nil {
+		return 0, err
+	}
+	var txn platform.Transaction
+	for _, found := range rows {
+		if !l.isExpired(found) {
+			continue
+		}
+		key := platform.RowKey{Table: found.Table, Key: found.Key}
+		txn.Preconditions = append(txn.Preconditions, platform.Precondition{RowKey: key, Version: found.Version})
+		txn.Deletes = append(txn.Deletes, key)
+	}
+	if len(txn.Deletes) == 0 {
+		return 0, nil
+	}
+	return len(txn.Deletes), l.config.Tables.Commit(ctx, txn)
+}
+
+func (l *Ledger) isExpired(found platform.Row) bool {
+	held, err := decodeRow(found.Value)
+	if err != nil {
+		return false
+	}
+	return l.config.Now().Sub(time.UnixMilli(held.ClaimedAt)) >= l.config.Retention
+}
--- /dev/null
+++ b/requests/ledger/writer.go
@@ -0,0 +1,284 @@
+package ledger
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+)
+
+// write is one row to be written.
+type write struct {
+	key   platform.RowKey
+	value []byte
+	// conditional writes need the row to have version; attemptID tells whether
+	// a write whose answer was lost has landed.
+	conditional bool
+	version     uint64
+	attemptID   string
+	// indexed writes are listed in the index of the hour.
+	indexed bool
+	// expires ends the attempts of an unconditional write.
+	expires time.Time
+	done    chan outcome
+}
+
+// outcome is how a write ended: landed when both fields are nil.
+type outcome struct {
+	found *platform.Row
+	err   error
+}
+
+func (w *write) finish(o outcome) {
+	if w.done != nil {
+		w.done <- o
+	}
+}
+
+const (
+	maxCommitRounds = 6
+	retryPause      = 20 * time.Millisecond
+)
+
+// Run commits writes until ctx ends, then commits what still waits.
+func (l *Ledger) Run(ctx context.Context) error {
+	var group errgroup.Group
+	for number := range l.config.Writers {
+		writer := &writer{ledger: l, number: number}
+		group.Go(func() error {
+			writer.run(ctx)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// writer commits one transaction at a time.
+type writer struct {
+	ledger *Ledger
+	number int
+	serial uint64
+	// pending are writes to be committed with the next transaction.
+	pending []*write
+}
+
+func (w *writer) run(ctx context.Context) {
+	for {
+		if len(w.pending) == 0 {
+			select {
+			case next := <-w.ledger.writes:
+				w.pending = append(w.pending, next)
+			case <-ctx.Done():
+				w.drain()
+				return
+			}
+		}
+		w.collect()
+		w.commit(context.WithoutCancel(ctx))
+	}
+}
+
+// drain commits what waits when the ledger stops.
+func (w *writer) drain() {
+	for w.collect(); len(w.pending) > 0; w.collect() {
+		w.commit(context.Background())
+	}
+}
+
+// collect takes waiting writes without waiting for more.
+func (w *writer) collect() {
+	for len(w.pending) < w.ledger.config.Batch {
+		select {
+		case next := <-w.ledger.writes:
+			w.pending = append(w.pending, next)
+		default:
+			return
+		}
+	}
+}
+
+// commit writes one batch: at most one write of each key, the rest stays
+// pending.
+func (w *writer) commit(ctx context.Context) {
+	batch, rest := split(w.pending)
+	w.pending = rest
+	for range maxCommitRounds {
+		if len(batch) == 0 {
+			return
+		}
+		err := w.try(ctx, batch)
+		w.ledger.breaker.observe(w.ledger.config.Now(), err)
+		if err == nil {
+			finishAll(batch, outcome{})
+			return
+		}
+		left, again := w.settle(ctx, batch, err)
+		if !again {
+			w.giveUp(left, err)
+			return
+		}
+		batch = left
+	}
+	w.giveUp(batch, core.Fail(core.CodeStoreUnavailable, core.WorkUnknown, "the table service kept refusing the transaction"))
+}
+
+func split(pending []*write) (batch, rest []*write) {
+	taken := map[platform.RowKey]bool{}
+	for _, next := range pending {
+		if taken[next.key] {
+			rest = append(rest, next)
+			continue
+		}
+		taken[next.key] = true
+		batch = append(batch, next)
+	}
+	return batch, rest
+}
+
+func (w *writer) try(ctx context.Context, batch []*write) error {
+	bounded, cancel := context.WithTimeout(ctx, w.ledger.config.CommitTimeout)
+	defer cancel()
+	return w.ledger.config.Tables.Commit(bounded, w.transaction(batch))
+}
+
+func (w *writer) transaction(batch []*write) platform.Transaction {
+	var txn platform.Transaction
+	var claims index
+	for _, next := range batch {
+		if next.conditional {
+			txn.Preconditions = append(txn.Preconditions, platform.Precondition{RowKey: next.key, Version: next.version})
+		}
+		if next.indexed {
+			claims.Keys = append(claims.Keys, next.key.Key)
+		}
+		txn.Puts = append(txn.Puts, platform.Put{RowKey: next.key, Value: next.value})
+	}
+	if len(claims.Keys) > 0 {
+		txn.Puts = append(txn.Puts, w.indexPut(claims))
+	}
+	return txn
+}
+
+func (w *writer) indexPut(claims index) platform.Put {
+	w.serial++
+	key := w.ledger.config.Entry + "/" + strconv.Itoa(w.number) + "/" + strconv.FormatUint(w.serial, 10)
+	return platform.Put{
+		RowKey: platform.RowKey{Table: indexTable(w.ledger.config.Now()), Key: key},
+		Value:  encodeIndex(claims),
+	}
+}
+
+// settle sorts a batch after a failed commit: writes that are decided are
+// answered, the others are returned. again says whether to commit them again.
+func (w *writer) settle(ctx context.Context, batch []*write, err error) (left []*write, again bool) {
+	code := core.CodeOf(err)
+	if code == core.CodeStoreUnavailable || code == core.CodeStoreThrottled {
+		return batch, false
+	}
+	rows, readErr := w.read(ctx, batch)
+	if readErr != nil {
+		return batch, false
+	}
+	for _, next := range batch {
+		if decided, o := next.compare(rows[next.key]); decided {
+			next.finish(o)
+			continue
+		}
+		left = append(left, next)
+	}
+	return left, true
+}
+
+// compare decides a write by the row that is there now.
+func (w *write) compare(found *platform.Row) (decided bool, o outcome) {
+	if !w.conditional {
+		return false, outcome{}
+	}
+	version := uint64(0)
+	if found != nil {
+		version = found.Version
+	}
+	if version == w.version {
+		return false, outcome{}
+	}
+	if found == nil {
+		// The row that the write builds on was swept.
+		return true, outcome{err: core.Fail(core.CodeStoreConflict, core.WorkNotRun, "the row is gone")}
+	}
+	if held, err := decodeRow(found.Value); err == nil && string(held.encode()) == string(w.value) {
+		return true, outcome{}
+	}
+	return true, outcome{found: found}
+}
+
+func (w *writer) read(ctx context.Context, batch []*write) (map[platform.RowKey]*platform.Row, error) {
+	bounded, cancel := context.WithTimeout(ctx, w.ledger.config.CommitTimeout)
+	defer cancel()
+	keys := make([]platform.RowKey, 0, len(batch))
+	for _, next := range batch {
+		keys = append(keys, next.key)
+	}
+	rows, err := w.ledger.config.Tables.Get(bounded, keys...)
+	if err != nil {
+		return nil, err
+	}
+	byKey := make(map[platform.RowKey]*platform.Row, len(rows))
+	for i := range rows {
+		byKey[platform.RowKey{Table: rows[i].Table, Key: rows[i].Key}] = &rows[i]
+	}
+	return byKey, nil
+}
+
+// giveUp answers conditional writes with the error. Unconditional ones are
+// tried again until they expire.
+func (w *writer) giveUp(batch []*write, err error) {
+	now := w.ledger.config.Now()
+	retried := false
+	for _, next := range batch {
+		if next.conditional || !now.Before(next.expires) {
+			next.finish(outcome{err: err})
+			continue
+		}
+		w.pending = append(w.pending, next)
+		retried = true
+	}
+	if retried {
+		time.Sleep(retryPause)
+	}
+}
+
+func finishAll(batch []*write, o outcome) {
+	for _, next := range batch {
+		next.finish(o)
+	}
+}
+
+// breaker refuses claims at once for a period after the table service failed.
+type breaker struct {
+	mu     sync.Mutex
+	period time.Duration
+	until  time.Time
+}
+
+func (b *breaker) openFor(now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.until.Sub(now)
+	return left, left > 0
+}
+
+func (b *breaker) observe(now time.Time, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	code := core.CodeOf(err)
+	if err == nil || code == core.CodeStoreConflict || code == core.CodeStoreThrottled {
+		b.until = time.Time{}
+		return
+	}
+	b.until = now.Add(b.period)
+}
