--- a/standin/backend/answer.go
+++ b/standin/backend/answer.go
@@ -23,6 +23,7 @@
 		a.header(w.Header())
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 		_, _ = w.Write(a.Body[:len(a.Body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
 		a.header(w.Header())
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -71,5 +71,9 @@
 	if errors.Is(err, ErrDown) || errors.Is(err, ErrFellOver) {
 		panic(http.ErrAbortHandler)
 	}
-	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, ErrOverLimit) {
+		status = http.StatusTooManyRequests
+	}
+	http.Error(w, err.Error(), status)
 }
