--- /dev/null
+++ b/weights/budget/grants.go
@@ -0,0 +1,98 @@
+package budget
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+)
+
+// Table is the table that holds the grants.
+const Table = "origin-grants"
+
+// maxConflicts bounds how often a grant is tried again after a concurrent one.
+const maxConflicts = 8
+
+// Store grants origin fetches by compare-and-set on one row for each extent.
+type Store struct {
+	tables platform.Tables
+}
+
+// NewStore returns the grants that tables holds.
+func NewStore(tables platform.Tables) *Store { return &Store{tables: tables} }
+
+// Acquire asks for origin fetches. An error means that none may be made.
+func (s *Store) Acquire(ctx context.Context, ask Ask) (Grant, error) {
+	for range maxConflicts {
+		granted, err := s.try(ctx, ask)
+		if core.CodeOf(err) != core.CodeStoreConflict {
+			return granted, err
+		}
+	}
+	return Grant{}, core.Refuse(core.CodeStoreConflict, 0, "extent %d of %s: too many concurrent grants", ask.Extent, ask.Root.Short())
+}
+
+func (s *Store) try(ctx context.Context, ask Ask) (Grant, error) {
+	key := rowKey(ask)
+	row, version, err := s.read(ctx, key)
+	if err != nil {
+		return Grant{}, err
+	}
+	next, granted := row.grant(ask)
+	if len(granted.Chunks) == 0 {
+		return granted, nil
+	}
+	next.Nonce = uuid.NewString()
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return Grant{}, err
+	}
+	err = s.tables.Commit(ctx, platform.Transaction{
+		Preconditions: []platform.Precondition{{RowKey: key, Version: version}},
+		Puts:          []platform.Put{{RowKey: key, Value: value}},
+	})
+	if core.CodeOf(err) == core.CodeStoreOutcomeLost {
+		err = s.confirm(ctx, key, next.Nonce)
+	}
+	if err != nil {
+		return Grant{}, err
+	}
+	return granted, nil
+}
+
+// confirm decides a commit whose answer was lost. A later grant by another
+// downloader hides the nonce; the fetches then stay counted but are not made.
+func (s *Store) confirm(ctx context.Context, key platform.RowKey, nonce string) error {
+	row, _, err := s.read(ctx, key)
+	if err != nil {
+		return err
+	}
+	if row.Nonce != nonce {
+		return core.Refuse(core.CodeStoreConflict, 0, "grant %s was not committed or was overtaken", key.Key)
+	}
+	return nil
+}
+
+func (s *Store) read(ctx context.Context, key platform.RowKey) (extentRow, uint64, error) {
+	var row extentRow
+	rows, err := s.tables.Get(ctx, key)
+	if err != nil || len(rows) == 0 {
+		return row, 0, err
+	}
+	if err := cbor.Unmarshal(rows[0].Value, &row); err != nil {
+		return row, 0, core.Wrap(err, core.CodeUnreadableRow, core.WorkNotRun, "row %s", key.Key)
+	}
+	return row, rows[0].Version, nil
+}
+
+func rowKey(ask Ask) platform.RowKey {
+	part := fmt.Sprintf("%05d", ask.Extent)
+	if ask.Manifest {
+		part = "manifest"
+	}
+	return platform.RowKey{Table: Table, Key: ask.Root.String() + "/" + part}
+}
--- /dev/null
+++ b/weights/engine/client.go
@@ -0,0 +1,151 @@
+// Package engine holds the HTTP client of a model engine's staging area and
+// orders, as docs/design/backend-protocol.md describes them.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"currantusher.dev/core"
+	"currantusher.dev/weights"
+)
+
+const maxListBytes = 64 << 20
+
+// State is the answer of GET /v1/state.
+type State struct {
+	// Incarnation is new after each restart of the engine.
+	Incarnation string `json:"incarnation"`
+	// Weights is the root digest in use.
+	Weights core.Digest `json:"weights"`
+	// Fence is the highest fencing token seen.
+	Fence   core.Fence `json:"fence"`
+	Running int        `json:"running"`
+	Warm    bool       `json:"warm"`
+}
+
+// Client speaks to one engine.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// New returns a client of the engine at url. A nil client means
+// http.DefaultClient.
+func New(url string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Client{url: strings.TrimRight(url, "/"), http: client}
+}
+
+// State returns the engine's state.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var state State
+	content, err := c.do(ctx, http.MethodGet, "/v1/state", nil, core.CodeStagingFailed)
+	if err != nil {
+		return state, err
+	}
+	if err := json.Unmarshal(content, &state); err != nil {
+		return state, core.Wrap(err, core.CodeStagingFailed, core.WorkUnknown, "decode engine state")
+	}
+	return state, nil
+}
+
+// PutManifest stages a manifest.
+func (c *Client) PutManifest(ctx context.Context, root core.Digest, encoded []byte) error {
+	_, err := c.do(ctx, http.MethodPut, "/v1/staging/manifests/"+root.String(), encoded, core.CodeStagingFailed)
+	return err
+}
+
+// PutChunk stages a chunk.
+func (c *Client) PutChunk(ctx context.Context, digest core.Digest, content []byte) error {
+	_, err := c.do(ctx, http.MethodPut, "/v1/staging/chunks/"+digest.String(), content, core.CodeStagingFailed)
+	return err
+}
+
+// GetChunk reads a staged chunk. The caller checks its digest.
+func (c *Client) GetChunk(ctx context.Context, digest core.Digest) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, "/v1/staging/chunks/"+digest.String(), nil, core.CodeStagingFailed)
+}
+
+// ListChunks returns the digests of all staged chunks.
+func (c *Client) ListChunks(ctx context.Context) ([]core.Digest, error) {
+	content, err := c.do(ctx, http.MethodGet, "/v1/staging/chunks", nil, core.CodeStagingFailed)
+	if err != nil {
+		return nil, err
+	}
+	var digests []core.Digest
+	if err := json.Unmarshal(content, &digests); err != nil {
+		return nil, core.Wrap(err, core.CodeStagingFailed, core.WorkUnknown, "decode chunk list")
+	}
+	return digests, nil
+}
+
+type activateOrder struct {
+	Root  core.Digest `json:"root"`
+	Fence core.Fence  `json:"fence"`
+}
+
+// Activate puts a staged version in use. A stale fence gives CodeFenced.
+func (c *Client) Activate(ctx context.Context, root core.Digest, fence core.Fence) error {
+	return c.order(ctx, "/v1/activate", activateOrder{Root: root, Fence: fence}, core.CodeActivationFailed)
+}
+
+type evictOrder struct {
+	Keep  []core.Digest `json:"keep"`
+	Fence core.Fence    `json:"fence"`
+}
+
+// Evict drops staged chunks that no kept version names.
+func (c *Client) Evict(ctx context.Context, keep []core.Digest, fence core.Fence) error {
+	return c.order(ctx, "/v1/evict", evictOrder{Keep: keep, Fence: fence}, core.CodeStagingFailed)
+}
+
+func (c *Client) order(ctx context.Context, path string, order any, code core.Code) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return err
+	}
+	_, err = c.do(ctx, http.MethodPost, path, body, code)
+	return err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, code core.Code) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, core.Wrap(err, code, core.WorkUnknown, "%s %s", method, path)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBytes(path)))
+	if err != nil {
+		return nil, core.Wrap(err, code, core.WorkUnknown, "%s %s", method, path)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return nil, refusal(response.StatusCode, code, fmt.Sprintf("%s %s", method, path))
+	}
+	return content, nil
+}
+
+func maxBytes(path string) int64 {
+	if path == "/v1/staging/chunks" {
+		return maxListBytes
+	}
+	return weights.MaxChunkBytes
+}
+
+func refusal(status int, code core.Code, call string) error {
+	if status == http.StatusConflict {
+		code = core.CodeFenced
+	}
+	return core.Refuse(code, 0, "engine answered %d to %s", status, call)
+}
--- /dev/null
+++ b/weights/source/client.go
@@ -0,0 +1,138 @@
+// Package source holds the HTTP client of the origin of weights and of the
+// weight store, which speak the same protocol.
+package source
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/weights"
+)
+
+const (
+	// HeaderDataCentre names the client's data centre.
+	HeaderDataCentre = "X-Data-Centre"
+
+	maxManifestBytes  = 4 << 20
+	defaultRetryAfter = time.Second
+)
+
+// Config configures a Client.
+type Config struct {
+	// URL is the base address, such as http://10.0.0.1:8080.
+	URL        string
+	DataCentre core.DataCentre
+	// HTTP is the client to use; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Client reads and writes manifests and chunks. It does not retry.
+type Client struct {
+	config Config
+}
+
+// New returns a client.
+func New(config Config) (*Client, error) {
+	if config.URL == "" {
+		return nil, fmt.Errorf("source URL is empty")
+	}
+	config.URL = strings.TrimRight(config.URL, "/")
+	if config.HTTP == nil {
+		config.HTTP = http.DefaultClient
+	}
+	return &Client{config: config}, nil
+}
+
+// Manifest returns the encoded manifest of root, checked against root.
+func (c *Client) Manifest(ctx context.Context, root core.Digest) ([]byte, error) {
+	return c.get(ctx, "/v1/manifests/", root, maxManifestBytes)
+}
+
+// Chunk returns the content of a chunk, checked against digest.
+func (c *Client) Chunk(ctx context.Context, digest core.Digest) ([]byte, error) {
+	return c.get(ctx, "/v1/chunks/", digest, weights.MaxChunkBytes)
+}
+
+// HasChunk implements weights.Sink.
+func (c *Client) HasChunk(ctx context.Context, digest core.Digest) (bool, error) {
+	response, err := c.send(ctx, http.MethodHead, "/v1/chunks/"+digest.String(), nil)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return false, nil
+	}
+	return response.StatusCode == http.StatusOK, statusError(response)
+}
+
+// PutChunk implements weights.Sink.
+func (c *Client) PutChunk(ctx context.Context, digest core.Digest, content []byte) error {
+	return c.put(ctx, "/v1/chunks/"+digest.String(), content)
+}
+
+// PutManifest implements weights.Sink.
+func (c *Client) PutManifest(ctx context.Context, root core.Digest, encoded []byte) error {
+	return c.put(ctx, "/v1/manifests/"+root.String(), encoded)
+}
+
+func (c *Client) get(ctx context.Context, prefix string, digest core.Digest, limit int64) ([]byte, error) {
+	response, err := c.send(ctx, http.MethodGet, prefix+digest.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if err := statusError(response); err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, core.Wrap(err, core.CodeOriginFailed, core.WorkUnknown, "read %s", digest.Short())
+	}
+	if core.DigestOf(content) != digest {
+		return nil, core.Fail(core.CodeChunkCorrupt, core.WorkUnknown, "content of %s is corrupt", digest.Short())
+	}
+	return content, nil
+}
+
+func (c *Client) put(ctx context.Context, path string, content []byte) error {
+	response, err := c.send(ctx, http.MethodPut, path, content)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return statusError(response)
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.config.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(HeaderDataCentre, string(c.config.DataCentre))
+	response, err := c.config.HTTP.Do(request)
+	if err != nil {
+		return nil, core.Wrap(err, core.CodeOriginFailed, core.WorkUnknown, "%s %s", method, path)
+	}
+	return response, nil
+}
+
+// statusError turns an HTTP status into an error. A refusal before any content
+// was sent carries WorkNotRun.
+func statusError(response *http.Response) error {
+	if response.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	after := defaultRetryAfter
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		after = time.Duration(seconds) * time.Second
+	}
+	return core.Refuse(core.CodeOriginFailed, after, "source answered %d", response.StatusCode)
+}
--- /dev/null
+++ b/weights/swarm/config.go
@@ -0,0 +1,194 @@
+// Package swarm downloads versions of weights into an engine's staging area
+// from peers, the origin and the weight store, offers verified chunks to peers
+// and activates whole versions.
+package swarm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/weights/budget"
+	"currantusher.dev/weights/engine"
+	"currantusher.dev/wire"
+)
+
+// Staging is an engine's staging area and its orders.
+type Staging interface {
+	State(ctx context.Context) (engine.State, error)
+	PutManifest(ctx context.Context, root core.Digest, encoded []byte) error
+	PutChunk(ctx context.Context, digest core.Digest, content []byte) error
+	GetChunk(ctx context.Context, digest core.Digest) ([]byte, error)
+	ListChunks(ctx context.Context) ([]core.Digest, error)
+	Activate(ctx context.Context, root core.Digest, fence core.Fence) error
+	Evict(ctx context.Context, keep []core.Digest, fence core.Fence) error
+}
+
+// Source is the origin or the weight store.
+type Source interface {
+	Manifest(ctx context.Context, root core.Digest) ([]byte, error)
+	Chunk(ctx context.Context, digest core.Digest) ([]byte, error)
+}
+
+// Sources are the places that weights come from besides peers. Either may be
+// nil.
+type Sources struct {
+	// Origin is read only with a grant.
+	Origin Source
+	// Store is the rate-limited weight store, read when the origin's budget
+	// is spent or cannot be asked.
+	Store Source
+}
+
+// Grants bounds the origin fetches.
+type Grants interface {
+	Acquire(ctx context.Context, ask budget.Ask) (budget.Grant, error)
+}
+
+// Rollout bounds the instances that activate at once.
+type Rollout interface {
+	// Acquire waits for a slot. release returns it.
+	Acquire(ctx context.Context, root core.Digest) (release func(), err error)
+}
+
+// Fence gives the token of this agent's lease on its engine.
+type Fence interface {
+	// Token returns a token that is valid now, or an error when orders may
+	// not be given.
+	Token(ctx context.Context) (core.Fence, error)
+}
+
+// Links paces transfers. Wait blocks until size bytes may pass; far transfers
+// cross a region border.
+type Links interface {
+	WaitUp(ctx context.Context, size int, far bool) error
+	WaitDown(ctx context.Context, size int, far bool) error
+}
+
+const (
+	defaultPeers      = 10
+	defaultFarPeers   = 2
+	defaultInFlight   = 6
+	defaultQueue      = 3
+	defaultAnnounce   = 2 * time.Second
+	defaultHaveEvery  = 100 * time.Millisecond
+	defaultTimeout    = 15 * time.Second
+	defaultStall      = 20 * time.Second
+	defaultStatePoll  = 2 * time.Second
+	defaultWindow     = 10 * time.Minute
+	defaultRetryDelay = 500 * time.Millisecond
+)
+
+// Config configures a Manager.
+type Config struct {
+	Self        core.InstanceID
+	DataCentre  core.DataCentre
+	Region      core.Region
+	Incarnation core.Incarnation
+	// Peer is the daemon's endpoint. Addr is its address as peers reach it;
+	// "" means Peer.Addr().
+	Peer *wire.Peer
+	Addr string
+
+	Staging Staging
+	Sources Sources
+	Grants  Grants
+	// Trackers returns the peer addresses of the entries that track root, the
+	// best ranked first.
+	Trackers func(root core.Digest) []string
+	Rollout  Rollout
+	Fence    Fence
+	// Links is optional.
+	Links Links
+
+	// Peers and FarPeers bound the peers of the own and of other regions.
+	Peers    int
+	FarPeers int
+	// InFlight bounds the chunks requested at once.
+	InFlight int
+	// UploadQueue bounds the chunks being sent at once.
+	UploadQueue int
+	// Announce is the interval of reports to the tracker.
+	Announce time.Duration
+	// HaveEvery is the shortest interval of updates to one peer.
+	HaveEvery time.Duration
+	// ChunkTimeout bounds the transfer of one chunk.
+	ChunkTimeout time.Duration
+	// StallTimeout is how long no chunk may arrive before the downloader turns
+	// to a source without being asked by a tracker.
+	StallTimeout time.Duration
+	// StatePoll is the interval of looks at the engine's state.
+	StatePoll time.Duration
+	// UploadWindow is when the upload budget of a whole version is renewed.
+	UploadWindow time.Duration
+	// RetryDelay is the pause after a failed step.
+	RetryDelay time.Duration
+	// Seed seeds the random choices; 0 draws one.
+	Seed uint64
+	Log  *logrus.Entry
+}
+
+func (c *Config) applyDefaults() error {
+	if c.Self == "" || c.Peer == nil || c.Staging == nil || c.Trackers == nil || c.Rollout == nil || c.Fence == nil {
+		return errors.New("swarm: Self, Peer, Staging, Trackers, Rollout and Fence are required")
+	}
+	if c.Sources.Origin != nil && c.Grants == nil {
+		return errors.New("swarm: an origin needs Grants")
+	}
+	if c.Addr == "" {
+		c.Addr = c.Peer.Addr()
+	}
+	if c.Links == nil {
+		c.Links = unpaced{}
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
+	if c.Log == nil {
+		c.Log = logrus.WithField("part", "swarm")
+	}
+	setDefault(&c.Peers, defaultPeers)
+	setDefault(&c.FarPeers, defaultFarPeers)
+	setDefault(&c.InFlight, defaultInFlight)
+	setDefault(&c.UploadQueue, defaultQueue)
+	setDefault(&c.Announce, defaultAnnounce)
+	setDefault(&c.HaveEvery, defaultHaveEvery)
+	setDefault(&c.ChunkTimeout, defaultTimeout)
+	setDefault(&c.StallTimeout, defaultStall)
+	setDefault(&c.StatePoll, defaultStatePoll)
+	setDefault(&c.UploadWindow, defaultWindow)
+	setDefault(&c.RetryDelay, defaultRetryDelay)
+	return c.checkRanges()
+}
+
+func (c *Config) checkRanges() error {
+	counts := []int{c.Peers, c.FarPeers, c.InFlight, c.UploadQueue}
+	for _, count := range counts {
+		if count < 0 {
+			return fmt.Errorf("swarm: negative count in %v", counts)
+		}
+	}
+	times := []time.Duration{c.Announce, c.HaveEvery, c.ChunkTimeout, c.StallTimeout, c.StatePoll, c.UploadWindow, c.RetryDelay}
+	for _, span := range times {
+		if span < 0 {
+			return fmt.Errorf("swarm: negative duration in %v", times)
+		}
+	}
+	return nil
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+type unpaced struct{}
+
+func (unpaced) WaitUp(context.Context, int, bool) error   { return nil }
+func (unpaced) WaitDown(context.Context, int, bool) error { return nil }
--- /dev/null
+++ b/weights/swarm/download.go
@@ -0,0 +1,455 @@
+package swarm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/weights/budget"
+	"currantusher.dev/wire"
+)
+
+const (
+	eventQueue     = 64
+	sourceParallel = 2
+	replanEvery    = 20 * time.Millisecond
+)
+
+// download runs one version's transfers. Only the goroutine of run touches its
+// fields; transfers report to it by events.
+type download struct {
+	*session
+	ctx     context.Context
+	plan    *planner
+	events  chan event
+	wg      sync.WaitGroup
+	kick    chan struct{}
+	watches map[string]context.CancelFunc
+
+	// extents are the extents being fetched from sources.
+	extents map[int]bool
+	fetched []uint32
+	// progressAt is when the last chunk came or a source was last asked.
+	progressAt time.Time
+	stall      time.Duration
+	// heldAt is when another grant of the region was seen for an extent.
+	heldAt map[int]time.Time
+	// unused are chunks with an origin grant of which nothing was drawn.
+	unused map[int]bool
+	err    error
+
+	reportMu  sync.Mutex
+	reporting wire.TrackRequest
+}
+
+// event is something that happened to a transfer.
+type event interface {
+	apply(d *download, now time.Time)
+}
+
+// download fetches all missing chunks.
+func (s *session) download(ctx context.Context) error {
+	running, cancel := context.WithCancel(ctx)
+	sizes := make([]int64, len(s.chunks))
+	for i, chunk := range s.chunks {
+		sizes[i] = chunk.Size
+	}
+	d := &download{
+		session:    s,
+		ctx:        running,
+		plan:       newPlanner(sizes, s.config.InFlight, s.config.Seed),
+		events:     make(chan event, eventQueue),
+		kick:       make(chan struct{}, 1),
+		watches:    map[string]context.CancelFunc{},
+		extents:    map[int]bool{},
+		heldAt:     map[int]time.Time{},
+		unused:     map[int]bool{},
+		progressAt: time.Now(),
+		stall:      s.jittered(s.config.StallTimeout),
+	}
+	for chunk := range sizes {
+		if s.offers.has(chunk) {
+			d.plan.done(chunk)
+		}
+	}
+	err := d.run()
+	cancel()
+	d.wg.Wait()
+	for addr := range d.watches {
+		s.config.Peer.Disconnect(addr)
+	}
+	return err
+}
+
+func (d *download) run() error {
+	d.updateReport()
+	d.spawn(d.announceLoop)
+	ticker := time.NewTicker(replanEvery)
+	defer ticker.Stop()
+	for !d.plan.whole() {
+		now := time.Now()
+		d.checkStall(now)
+		d.startRequests(now)
+		d.updateReport()
+		select {
+		case <-d.ctx.Done():
+			return d.ctx.Err()
+		case happened := <-d.events:
+			happened.apply(d, time.Now())
+		case <-ticker.C:
+		}
+		if d.err != nil {
+			return d.err
+		}
+	}
+	return nil
+}
+
+func (d *download) spawn(work func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		work()
+	}()
+}
+
+// post hands an event to run. It reports false when the download ended.
+func (d *download) post(happened event) bool {
+	select {
+	case d.events <- happened:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *download) startRequests(now time.Time) {
+	for _, req := range d.plan.next(now) {
+		if !d.ledger.room(d.plan.sizes[req.chunk]) {
+			d.plan.ended(req, outcomeSpent, d.plan.peers[req.peer].left, 0, now)
+			return
+		}
+		far := d.plan.peers[req.peer].far
+		d.spawn(func() { d.fetchChunk(req, far) })
+	}
+}
+
+func (d *download) fetchChunk(req request, far bool) {
+	digest := d.chunks[req.chunk].Digest
+	got := d.fetchFromPeer(d.ctx, req.peer, digest, far)
+	var err error
+	if got.result == outcomeDone {
+		err = d.config.Staging.PutChunk(d.ctx, digest, got.content)
+	}
+	d.post(peerDone{req: req, result: got.result, left: got.left, took: got.took, stageErr: err})
+}
+
+// peerDone ends a request to a peer.
+type peerDone struct {
+	req      request
+	result   outcome
+	left     int64
+	took     time.Duration
+	stageErr error
+}
+
+func (e peerDone) apply(d *download, now time.Time) {
+	d.plan.ended(e.req, e.result, e.left, e.took, now)
+	if e.result == outcomeDone {
+		d.staged(e.req.chunk, e.stageErr, now)
+	}
+}
+
+// staged records that a verified chunk was staged, or why it was not.
+func (d *download) staged(chunk int, err error, now time.Time) {
+	if err != nil {
+		d.err = err
+		return
+	}
+	d.plan.done(chunk)
+	d.offers.add(chunk)
+	d.progressAt = now
+}
+
+// offered updates what a peer offers.
+type offered struct {
+	addr   string
+	update wire.HaveUpdate
+}
+
+func (e offered) apply(d *download, _ time.Time) {
+	d.plan.offer(e.addr, bitset(e.update.Bits), e.update.Added, e.update.Left)
+}
+
+// peerLost ends the watch of a peer.
+type peerLost struct {
+	addr string
+}
+
+func (e peerLost) apply(d *download, _ time.Time) {
+	d.plan.removePeer(e.addr)
+	if cancel := d.watches[e.addr]; cancel != nil {
+		cancel()
+		delete(d.watches, e.addr)
+	}
+}
+
+// tracked is a tracker's answer.
+type tracked struct {
+	reply wire.TrackReply
+}
+
+func (e tracked) apply(d *download, now time.Time) {
+	for _, peer := range e.reply.Peers {
+		d.watch(peer)
+	}
+	for _, extent := range e.reply.Fetch {
+		d.fetchExtent(int(extent), e.reply.Takeover, now)
+	}
+}
+
+func (d *download) watch(peer wire.TrackPeer) {
+	if peer.Addr == d.config.Addr || d.watches[peer.Addr] != nil {
+		return
+	}
+	far := peer.Region != d.config.Region
+	if !d.makeRoom(far, peer.Left > 0) {
+		return
+	}
+	d.plan.addPeer(peer.Addr, far)
+	if d.plan.peers[peer.Addr].banned {
+		return
+	}
+	watching, cancel := context.WithCancel(d.ctx)
+	d.watches[peer.Addr] = cancel
+	d.spawn(func() {
+		_ = d.watchPeer(watching, peer.Addr, func(update wire.HaveUpdate) bool {
+			return d.post(offered{addr: peer.Addr, update: update})
+		})
+		d.post(peerLost{addr: peer.Addr})
+	})
+}
+
+// makeRoom reports whether another peer may be watched. A peer whose upload
+// budget is spent gives way to one with a budget.
+func (d *download) makeRoom(far, useful bool) bool {
+	limit := d.config.Peers
+	if far {
+		limit = d.config.FarPeers
+	}
+	count := 0
+	spent := ""
+	for addr := range d.watches {
+		view := d.plan.peers[addr]
+		if view.far != far {
+			continue
+		}
+		count++
+		if view.banned || view.left <= 0 {
+			spent = addr
+		}
+	}
+	if count < limit {
+		return true
+	}
+	if !useful || spent == "" {
+		return false
+	}
+	peerLost{addr: spent}.apply(d, time.Now())
+	return true
+}
+
+// fetchExtent draws the chunks of an extent that no near peer delivers from a
+// source, on behalf of the region.
+func (d *download) fetchExtent(extent int, takeover bool, now time.Time) {
+	size := extentChunks(len(d.chunks))
+	from := extent * size
+	to := min(from+size, len(d.chunks))
+	if d.extents[extent] || from >= to {
+		return
+	}
+	chunks := d.plan.uncovered(from, to)
+	if len(chunks) == 0 {
+		d.fetched = append(d.fetched, uint32(extent))
+		d.nudge()
+		return
+	}
+	for _, chunk := range chunks {
+		d.plan.take(chunk)
+	}
+	d.extents[extent] = true
+	d.progressAt = now
+	ask := budget.Ask{Extent: uint32(extent), Size: to - from, Takeover: takeover}
+	owned := map[int]bool{}
+	for _, chunk := range chunks {
+		if d.unused[chunk] {
+			delete(d.unused, chunk)
+			owned[chunk] = true
+			continue
+		}
+		ask.Chunks = append(ask.Chunks, chunk-from)
+	}
+	d.spawn(func() { d.drawExtent(ask, from, chunks, owned) })
+}
+
+// drawExtent reads granted chunks from the origin. Chunks without a grant are
+// left to far peers and the weight store.
+func (d *download) drawExtent(ask budget.Ask, from int, chunks []int, granted map[int]bool) {
+	var grant budget.Grant
+	if len(ask.Chunks) > 0 {
+		grant, _ = d.acquire(d.ctx, ask)
+	}
+	if grant.Held && len(granted) == 0 {
+		d.post(extentDone{extent: int(ask.Extent), held: true, left: chunks})
+		return
+	}
+	for _, chunk := range grant.Chunks {
+		granted[from+chunk] = true
+	}
+	var refused []int
+	group := errgroup.Group{}
+	group.SetLimit(sourceParallel)
+	for _, chunk := range chunks {
+		if !granted[chunk] {
+			refused = append(refused, chunk)
+			continue
+		}
+		group.Go(func() error {
+			d.drawChunk(chunk, true)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	d.post(extentDone{extent: int(ask.Extent), left: refused})
+}
+
+func (d *download) drawChunk(chunk int, origin bool) {
+	digest := d.chunks[chunk].Digest
+	var content []byte
+	var err error
+	if origin {
+		content, err = d.readOrigin(d.ctx, digest, d.config.Sources.Origin.Chunk)
+	} else {
+		content, err = d.readStore(d.ctx, digest, d.config.Sources.Store.Chunk)
+	}
+	if err != nil {
+		d.post(sourceDone{chunk: chunk, origin: origin, readErr: err})
+		return
+	}
+	d.post(sourceDone{chunk: chunk, stageErr: d.config.Staging.PutChunk(d.ctx, digest, content)})
+}
+
+// sourceDone ends a fetch from a source.
+type sourceDone struct {
+	chunk    int
+	origin   bool
+	readErr  error
+	stageErr error
+}
+
+func (e sourceDone) apply(d *download, now time.Time) {
+	d.plan.release(e.chunk)
+	if e.readErr == nil {
+		d.staged(e.chunk, e.stageErr, now)
+		return
+	}
+	d.config.Log.WithError(e.readErr).Debug("Source failed.")
+	if e.origin && core.WorkOf(e.readErr) == core.WorkNotRun {
+		d.unused[e.chunk] = true
+	}
+	d.retryLater(e.chunk)
+}
+
+// retryChunk turns to the sources again for a chunk that one failed to give.
+type retryChunk struct {
+	chunk int
+}
+
+func (d *download) retryLater(chunk int) {
+	span := d.jittered(d.config.RetryDelay)
+	d.spawn(func() {
+		pause(d.ctx, span)
+		d.post(retryChunk{chunk: chunk})
+	})
+}
+
+func (e retryChunk) apply(d *download, now time.Time) {
+	if len(d.plan.uncovered(e.chunk, e.chunk+1)) == 0 {
+		return
+	}
+	extent := e.chunk / extentChunks(len(d.chunks))
+	if d.extents[extent] {
+		d.retryLater(e.chunk)
+		return
+	}
+	d.fetchExtent(extent, true, now)
+}
+
+// extentDone ends the work on an extent; left were not fetched.
+type extentDone struct {
+	extent int
+	held   bool
+	left   []int
+}
+
+func (e extentDone) apply(d *download, now time.Time) {
+	delete(d.extents, e.extent)
+	for _, chunk := range e.left {
+		d.plan.release(chunk)
+	}
+	if e.held {
+		if d.heldAt[e.extent].IsZero() {
+			d.heldAt[e.extent] = now
+		}
+		return
+	}
+	for _, chunk := range e.left {
+		d.fetchElsewhere(chunk)
+	}
+	size := extentChunks(len(d.chunks))
+	from := e.extent * size
+	if len(d.plan.uncovered(from, min(from+size, len(d.chunks)))) == 0 {
+		d.fetched = append(d.fetched, uint32(e.extent))
+	}
+	d.nudge()
+}
+
+// fetchElsewhere turns to a far peer or, when none offers the chunk, to the
+// weight store.
+func (d *download) fetchElsewhere(chunk int) {
+	d.plan.wantFar.set(chunk)
+	if d.plan.cover(chunk) >= coverNear || d.config.Sources.Store == nil {
+		return
+	}
+	if !d.plan.take(chunk) {
+		return
+	}
+	d.spawn(func() { d.drawChunk(chunk, false) })
+}
+
+// checkStall turns to sources when chunks that no near peer delivers have not
+// come for too long.
+func (d *download) checkStall(now time.Time) {
+	if now.Sub(d.progressAt) < d.stall || len(d.extents) > 0 {
+		return
+	}
+	d.progressAt = now
+	d.stall = d.jittered(d.config.StallTimeout)
+	d.nudge()
+	missing := d.plan.uncovered(0, len(d.chunks))
+	if len(missing) == 0 {
+		return
+	}
+	chunk := missing[d.random.IntN(len(missing))]
+	if d.plan.cover(chunk) != coverNone {
+		d.fetchElsewhere(chunk)
+		return
+	}
+	extent := chunk / extentChunks(len(d.chunks))
+	heldAt := d.heldAt[extent]
+	takeover := !heldAt.IsZero() && now.Sub(heldAt) >= d.config.StallTimeout
+	d.fetchExtent(extent, takeover, now)
+}
--- /dev/null
+++ b/weights/swarm/ledger.go
@@ -0,0 +1,98 @@
+package swarm
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxCopies bounds the copies of a version that cross this instance's
+	// link, received and sent together.
+	maxCopies = 2
+	// reserveChunks is the allowance for discarded content while chunks are
+	// missing, in chunks.
+	reserveChunks = 2
+)
+
+// ledger accounts for the content of one version that crosses this instance's
+// link. Sending is bounded so that received and sent content stay within
+// maxCopies once all missing chunks have come. It is safe for concurrent use.
+type ledger struct {
+	mu sync.Mutex
+	// size is one copy, missing is what is still to be received and reserve
+	// the allowance for discarded content, in bytes.
+	size     int64
+	missing  int64
+	reserve  int64
+	received int64
+	sent     int64
+	renewed  time.Time
+	window   time.Duration
+}
+
+func newLedger(size, missing, chunk int64, window time.Duration) *ledger {
+	return &ledger{size: size, missing: missing, reserve: reserveChunks * chunk, window: window}
+}
+
+// left returns the bytes that may still be sent.
+func (l *ledger) left(now time.Time) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leftLocked(now)
+}
+
+func (l *ledger) leftLocked(now time.Time) int64 {
+	if l.missing == 0 && !l.renewed.IsZero() && now.Sub(l.renewed) >= l.window {
+		l.received, l.sent, l.renewed = 0, 0, now
+	}
+	reserve := l.reserve
+	if l.missing == 0 {
+		reserve = 0
+	}
+	return max(0, maxCopies*l.size-l.received-l.missing-l.sent-reserve)
+}
+
+// send books an upload. It reports false when the budget does not allow it.
+func (l *ledger) send(size int64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leftLocked(now) < size {
+		return false
+	}
+	if l.renewed.IsZero() {
+		l.renewed = now
+	}
+	l.sent += size
+	return true
+}
+
+// refund takes back an upload of which nothing was sent.
+func (l *ledger) refund(size int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent = max(0, l.sent-size)
+}
+
+// room reports whether a download of size stays within the bound.
+func (l *ledger) room(size int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.received+l.sent+size <= maxCopies*l.size
+}
+
+// receive books a download; useful content is no longer missing.
+func (l *ledger) receive(size int64, useful bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received += size
+	if useful {
+		l.missing = max(0, l.missing-size)
+	}
+}
+
+// setMissing corrects what is still to be received.
+func (l *ledger) setMissing(missing int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missing = missing
+}
