--- /dev/null
+++ b/standin/origin/origin.go
@@ -0,0 +1,229 @@
+// Package origin is a stand-in for the origin of weights and for the weight
+// store: an HTTP server of manifests and chunks with a link rate, byte counters
+// and fault switches. It keeps everything in memory.
+package origin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"currantusher.dev/core"
+)
+
+const (
+	headerDataCentre = "X-Data-Centre"
+	maxBody          = 8 << 20
+	pieceBytes       = 16 << 10
+)
+
+// Fault is what a switched-on fault does to reads.
+type Fault string
+
+// Faults of reads.
+const (
+	FaultNone Fault = ""
+	// FaultThrottle answers 429.
+	FaultThrottle Fault = "throttle"
+	// FaultError answers 500.
+	FaultError Fault = "error"
+	// FaultSlow waits for Faults.Delay before it answers.
+	FaultSlow Fault = "slow"
+	// FaultLost sends half of the content and cuts the connection.
+	FaultLost Fault = "lost"
+	// FaultCorrupt changes one byte of the content.
+	FaultCorrupt Fault = "corrupt"
+)
+
+// Faults configures the faults of reads.
+type Faults struct {
+	Fault Fault
+	// Every makes each n-th read faulty; 0 and 1 mean every read.
+	Every int
+	// Delay is the wait of FaultSlow.
+	Delay time.Duration
+}
+
+// Config configures an Origin.
+type Config struct {
+	// BytesPerSecond is the rate of the link that all clients share; 0 means
+	// no limit.
+	BytesPerSecond int
+	// Pace, when set, is waited for before content is sent to a data centre.
+	Pace func(ctx context.Context, dataCentre core.DataCentre, bytes int) error
+}
+
+// Origin is an http.Handler. It is safe for concurrent use.
+type Origin struct {
+	config  Config
+	limiter *rate.Limiter
+	mux     *http.ServeMux
+
+	mu      sync.Mutex
+	content map[string][]byte
+	sent    map[core.DataCentre]int64
+	reads   int
+	faults  Faults
+}
+
+// New returns an empty origin.
+func New(config Config) *Origin {
+	limit := rate.Inf
+	if config.BytesPerSecond > 0 {
+		limit = rate.Limit(config.BytesPerSecond)
+	}
+	o := &Origin{
+		config:  config,
+		limiter: rate.NewLimiter(limit, pieceBytes),
+		mux:     http.NewServeMux(),
+		content: map[string][]byte{},
+		sent:    map[core.DataCentre]int64{},
+	}
+	for _, kind := range []string{"manifests", "chunks"} {
+		o.mux.HandleFunc("PUT /v1/"+kind+"/{digest}", o.put)
+		o.mux.HandleFunc("GET /v1/"+kind+"/{digest}", o.get)
+	}
+	return o
+}
+
+// ServeHTTP implements http.Handler.
+func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) { o.mux.ServeHTTP(w, r) }
+
+// SetFaults replaces the faults of reads.
+func (o *Origin) SetFaults(faults Faults) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = faults
+}
+
+// Sent returns the content bytes sent to each data centre, cut answers
+// included.
+func (o *Origin) Sent() map[core.DataCentre]int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	sent := make(map[core.DataCentre]int64, len(o.sent))
+	for dc, bytes := range o.sent {
+		sent[dc] = bytes
+	}
+	return sent
+}
+
+// SentTotal returns the content bytes sent in all.
+func (o *Origin) SentTotal() int64 {
+	var total int64
+	for _, bytes := range o.Sent() {
+		total += bytes
+	}
+	return total
+}
+
+func (o *Origin) put(w http.ResponseWriter, r *http.Request) {
+	digest, err := core.ParseDigest(r.PathValue("digest"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if core.DigestOf(content) != digest {
+		http.Error(w, fmt.Sprintf("content does not match %s", digest), http.StatusUnprocessableEntity)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.content[key(r)] = content
+}
+
+func key(r *http.Request) string { return strings.TrimPrefix(r.URL.Path, "/v1/") }
+
+func (o *Origin) get(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	content, ok := o.content[key(r)]
+	o.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	if r.Method == http.MethodHead {
+		return
+	}
+	faults := o.nextFault()
+	switch faults.Fault {
+	case FaultThrottle:
+		w.Header().Set("Retry-After", "0")
+		http.Error(w, "rate limit", http.StatusTooManyRequests)
+		return
+	case FaultError:
+		w.Header().Set("Retry-After", "0")
+		http.Error(w, "internal", http.StatusInternalServerError)
+		return
+	case FaultSlow:
+		select {
+		case <-time.After(faults.Delay):
+		case <-r.Context().Done():
+			return
+		}
+	case FaultCorrupt:
+		content = append([]byte(nil), content...)
+		content[len(content)/2] ^= 1
+	}
+	o.send(w, r, content, faults.Fault == FaultLost)
+}
+
+func (o *Origin) nextFault() Faults {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reads++
+	if o.faults.Every > 1 && o.reads%o.faults.Every != 0 {
+		return Faults{}
+	}
+	return o.faults
+}
+
+// send writes content at the link's rate, or cuts it in the middle.
+func (o *Origin) send(w http.ResponseWriter, r *http.Request, content []byte, cut bool) {
+	w.Header().Set("Content-Length", fmt.Sprint(len(content)))
+	dc := core.DataCentre(r.Header.Get(headerDataCentre))
+	end := len(content)
+	if cut {
+		end /= 2
+	}
+	for from := 0; from < end; from += pieceBytes {
+		piece := content[from:min(from+pieceBytes, end)]
+		if err := o.pace(r.Context(), dc, len(piece)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		o.count(dc, len(piece))
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (o *Origin) pace(ctx context.Context, dc core.DataCentre, bytes int) error {
+	if err := o.limiter.WaitN(ctx, bytes); err != nil {
+		return err
+	}
+	if o.config.Pace == nil {
+		return nil
+	}
+	return o.config.Pace(ctx, dc, bytes)
+}
+
+func (o *Origin) count(dc core.DataCentre, bytes int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent[dc] += int64(bytes)
+}
