Wire the entry and agent daemons and their commands

Cause: the libraries need processes around them; a request must go from a caller through an entry and an agent to a backend server. Ruled out: fixing the version of a request when it arrives (a request that waits through a rollout would find no server with that version); it is chosen for each attempt until the first byte is out.

--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -58,6 +58,8 @@
 
 func rootCommands() []*command {
 	return []*command{
+		entryCommand(),
+		agentCommand(),
 		standinCommand(),
 		tableCommand(routeTable),
 		tableCommand(poolTable),
@@ -66,6 +68,7 @@
 		applyCommand(),
 		historyCommand(),
 		statusCommand(),
+		weightsCommand(),
 		keysCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,245 @@
+// Package agent is the daemon in a backend server instance's slot. It is the
+// only process that speaks to its backend server: it admits requests, keeps the
+// engine's weights at the pinned version and reports its state.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/daemon/inflight"
+	"currantusher.dev/daemon/obs"
+	"currantusher.dev/members"
+	"currantusher.dev/members/lease"
+	"currantusher.dev/platform"
+	"currantusher.dev/platform/client"
+	"currantusher.dev/requests/admission"
+	"currantusher.dev/tables"
+	"currantusher.dev/tables/spread"
+	"currantusher.dev/weights/swarm"
+	"currantusher.dev/wire"
+)
+
+// Agent is one agent process.
+type Agent struct {
+	config      Config
+	incarnation core.Incarnation
+	peer        *wire.Peer
+	platform    *client.Client
+	backend     *backend
+	gate        *admission.Gate
+	spread      *spread.Manager
+	reporter    *members.Reporter
+	lease       *lease.Lease
+	swarm       *swarm.Manager
+	registry    metrics.Registry
+	log         agentLogs
+	engine      atomic.Pointer[engineView]
+	draining    atomic.Bool
+	seen        seenWeights
+	work        inflight.Group
+}
+
+type agentLogs struct {
+	main, request, weights, config *logrus.Entry
+}
+
+// New checks the settings, opens the peer endpoint and wires the parts.
+func New(config Config) (*Agent, error) {
+	config = config.applyDefaults()
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	peer, err := wire.Listen(config.PeerListen, config.TLS)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		config:      config,
+		incarnation: newIncarnation(),
+		peer:        peer,
+		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
+		backend:     newBackend(config.BackendURL),
+		registry:    metrics.NewRegistry(),
+		log:         newLogs(config.Log),
+	}
+	a.engine.Store(&engineView{})
+	a.gate = admission.New(admission.Config{Incarnation: a.incarnation, Limits: startLimits})
+	if err := a.wire(); err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// startLimits hold until the pool's limits are known.
+var startLimits = tables.Limits{ColdRequests: 1, WarmRequests: 1}
+
+func newLogs(log *obs.Logger) agentLogs {
+	return agentLogs{
+		main:    log.Part("agent"),
+		request: log.Part("request"),
+		weights: log.Part("weights"),
+		config:  log.Part("config"),
+	}
+}
+
+// newIncarnation numbers this process. A later process of the same slot gets a
+// larger number as long as the instance's clock does not go back past the start
+// of the earlier process.
+func newIncarnation() core.Incarnation {
+	return core.Incarnation(time.Now().UnixNano())
+}
+
+func (a *Agent) self() platform.Instance {
+	return platform.Instance{
+		ID:         a.config.Instance,
+		Role:       platform.RoleAgent,
+		DataCentre: a.config.DataCentre,
+		Group:      a.config.Group,
+		State:      platform.InstanceLive,
+		PeerAddr:   a.peer.Addr(),
+	}
+}
+
+func (a *Agent) wire() error {
+	var err error
+	a.reporter, err = members.NewReporter(members.ReporterConfig{
+		Self:        a.self(),
+		Incarnation: a.incarnation,
+		Peer:        a.peer,
+		List:        a.platform,
+		Report:      a.heartbeat,
+		Log:         a.config.Log.Part("members"),
+	})
+	if err != nil {
+		return err
+	}
+	a.lease, err = lease.New(lease.Config{
+		Tables: a.platform,
+		Key:    platform.RowKey{Table: "lease", Key: string(a.config.Instance)},
+		Holder: fmt.Sprintf("%s/%d", a.config.Instance, a.incarnation),
+		TTL:    a.config.LeaseDuration,
+	})
+	if err != nil {
+		return err
+	}
+	if err := a.wireSpread(); err != nil {
+		return err
+	}
+	if err := a.wireWeights(); err != nil {
+		return err
+	}
+	a.peer.Handle(wire.KindDispatch, a.handleDispatch)
+	a.peer.Handle(wire.KindTombstone, a.handleTombstone)
+	return nil
+}
+
+// Addr returns the IP and UDP port for other daemons.
+func (a *Agent) Addr() string { return a.peer.Addr() }
+
+// Incarnation returns the number of this process.
+func (a *Agent) Incarnation() core.Incarnation { return a.incarnation }
+
+// Run serves until ctx ends, then drains: it starts no new work, waits for
+// work in progress up to the drain time and stops.
+func (a *Agent) Run(ctx context.Context) error {
+	a.config.Log.ReportInvariants()
+	a.log.main.WithField("peer", a.Addr()).Info("Agent started.")
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, duties := errgroup.WithContext(running)
+	for _, duty := range a.duties() {
+		group.Go(func() error { return ignoreCancelled(duty(duties)) })
+	}
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			a.drain()
+		case <-duties.Done():
+		}
+		return nil
+	})
+	err := group.Wait()
+	closeErr := a.peer.Close()
+	a.log.main.Info("Agent stopped.")
+	return errors.Join(err, closeErr)
+}
+
+func (a *Agent) duties() []func(context.Context) error {
+	duties := []func(context.Context) error{
+		a.peer.Serve,
+		a.spread.Run,
+		a.reporter.Run,
+		a.pollEngine,
+		a.followConfig,
+	}
+	if a.swarm != nil {
+		duties = append(duties, a.swarm.Run)
+	}
+	if a.config.HTTPListen != "" {
+		duties = append(duties, a.serveHTTP)
+	}
+	return duties
+}
+
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain announces the leave, waits for work in progress and reports the end.
+func (a *Agent) drain() {
+	a.draining.Store(true)
+	a.log.main.Info("Draining.")
+	ctx, cancel := context.WithTimeout(context.Background(), a.config.DrainTime)
+	defer cancel()
+	if err := a.reporter.Leave(ctx); err != nil {
+		a.log.main.WithError(err).Warn("Leave not announced to the list.")
+	}
+	time.Sleep(leaveNotice)
+	if err := a.work.Wait(ctx); err != nil {
+		a.log.main.WithField("running", a.work.Count()).Warn("Drain time ran out.")
+	}
+	a.reporter.Left()
+	time.Sleep(leftNotice)
+}
+
+const (
+	// leaveNotice leaves time for all entries to learn of the leave, while
+	// dispatches are still refused by an answer.
+	leaveNotice = 2 * time.Second
+	// leftNotice leaves time for the last report to be sent.
+	leftNotice = 200 * time.Millisecond
+)
+
+func (a *Agent) serveHTTP(ctx context.Context) error {
+	mux := http.NewServeMux()
+	obs.Mount(mux, a.registry, a.ready)
+	server := &http.Server{Addr: a.config.HTTPListen, Handler: mux, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("http-listen: %w", err)
+	}
+	return nil
+}
+
+func (a *Agent) ready() error {
+	if a.draining.Load() {
+		return core.Refuse(core.CodeDraining, 0, "leaving")
+	}
+	return a.spread.Fresh(time.Now())
+}
--- /dev/null
+++ b/daemon/agent/config_follow.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"currantusher.dev/daemon/peers"
+	"currantusher.dev/platform"
+	"currantusher.dev/tables"
+	"currantusher.dev/tables/spread"
+	"currantusher.dev/wire"
+)
+
+func (a *Agent) wireSpread() error {
+	config := spread.Config{
+		Self: spread.Neighbour{
+			ID:         a.config.Instance,
+			Role:       platform.RoleAgent,
+			DataCentre: a.config.DataCentre,
+			Region:     a.config.Region,
+			Addr:       a.peer.Addr(),
+		},
+		Peer:       a.peer,
+		Neighbours: a.neighbours,
+		MaxAge:     a.config.ConfigMaxAge,
+		OnStale:    a.config.StalePolicy,
+		Log:        a.log.config,
+		Metrics:    a.registry,
+	}
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	a.spread = spread.New(config)
+	return nil
+}
+
+func (a *Agent) neighbours() []spread.Neighbour {
+	return peers.Neighbours(a.reporter.Entries(), a.spread.Current())
+}
+
+// followConfig puts each configuration in force at the gate and at the weights
+// until ctx ends.
+func (a *Agent) followConfig(ctx context.Context) error {
+	changes := make(chan *tables.Config, 1)
+	a.spread.Subscribe(func(current *tables.Config) {
+		select {
+		case changes <- current:
+		case <-ctx.Done():
+		}
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case current := <-changes:
+			a.apply(current)
+		}
+	}
+}
+
+func (a *Agent) apply(current *tables.Config) {
+	a.log.config.WithField("revision", current.Revision()).Info("Configuration in force.")
+	a.reporter.ReportNow()
+	pool, ok := current.PoolOf(a.config.Group)
+	if !ok {
+		a.log.config.WithField("group", a.config.Group).Warn("No pool selects this group.")
+		return
+	}
+	a.gate.SetLimits(pool.Limits)
+	if a.swarm != nil && pool.Kind == tables.PoolEngine {
+		a.swarm.SetTarget(pool.Weights)
+	}
+}
+
+// heartbeat describes this agent for membership.
+func (a *Agent) heartbeat() wire.Heartbeat {
+	load := a.gate.Load(time.Now())
+	view := a.engine.Load()
+	status := &wire.Status{
+		Weights:     view.state.Weights,
+		Limit:       load.Limit,
+		Temperature: wire.Temperature(load.Temperature),
+		EngineFence: view.state.Fence,
+	}
+	if !view.serving {
+		status.Limit = 0
+	}
+	if current := a.spread.Current(); current != nil {
+		status.Revision = current.Revision()
+	}
+	if a.swarm != nil {
+		progress := a.swarm.Status()
+		status.Target = progress.Target
+		status.ChunksDone = progress.Done
+		status.ChunksTotal = progress.Total
+	}
+	return wire.Heartbeat{
+		Running:         load.Running,
+		ConfigAgeMillis: a.spread.Age().Milliseconds(),
+		Status:          status,
+	}
+}
--- /dev/null
+++ b/daemon/agent/weights.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/daemon/peers"
+	"currantusher.dev/members/lease"
+	"currantusher.dev/weights/budget"
+	"currantusher.dev/weights/engine"
+	"currantusher.dev/weights/rollout"
+	"currantusher.dev/weights/source"
+	"currantusher.dev/weights/swarm"
+)
+
+func (a *Agent) wireWeights() error {
+	if a.config.OriginURL == "" && a.config.WeightStoreURL == "" {
+		return nil
+	}
+	sources, err := a.sources()
+	if err != nil {
+		return err
+	}
+	slots, err := rollout.NewClient(rollout.ClientConfig{
+		Peer:        a.peer,
+		Pool:        a.pool,
+		Instance:    a.config.Instance,
+		Incarnation: a.incarnation,
+		Servers:     func() []string { return peers.Ranked(a.reporter.Entries(), []byte(a.pool())) },
+	})
+	if err != nil {
+		return err
+	}
+	a.swarm, err = swarm.New(swarm.Config{
+		Self:        a.config.Instance,
+		DataCentre:  a.config.DataCentre,
+		Region:      a.config.Region,
+		Incarnation: a.incarnation,
+		Peer:        a.peer,
+		Staging:     engine.New(a.config.BackendURL, nil),
+		Sources:     sources,
+		Grants:      budget.NewStore(a.platform),
+		Trackers:    func(root core.Digest) []string { return peers.Ranked(a.reporter.Entries(), root[:]) },
+		Rollout:     slots,
+		Fence:       orderLease{lease: a.lease, ignoresFence: a.config.EngineIgnoresFence},
+		Links:       a.config.Links,
+		Log:         a.log.weights,
+	})
+	return err
+}
+
+func (a *Agent) sources() (swarm.Sources, error) {
+	var sources swarm.Sources
+	if a.config.OriginURL != "" {
+		origin, err := source.New(source.Config{URL: a.config.OriginURL, DataCentre: a.config.DataCentre})
+		if err != nil {
+			return sources, err
+		}
+		sources.Origin = origin
+	}
+	if a.config.WeightStoreURL != "" {
+		store, err := source.New(source.Config{URL: a.config.WeightStoreURL, DataCentre: a.config.DataCentre})
+		if err != nil {
+			return sources, err
+		}
+		sources.Store = store
+	}
+	return sources, nil
+}
+
+// pool returns the pool that selects this agent's group, or "".
+func (a *Agent) pool() core.PoolName {
+	current := a.spread.Current()
+	if current == nil {
+		return ""
+	}
+	pool, _ := current.PoolOf(a.config.Group)
+	return pool.Name
+}
+
+// orderLease gives the fencing tokens of the agent's order lease.
+type orderLease struct {
+	lease        *lease.Lease
+	ignoresFence bool
+}
+
+// Token implements swarm.Fence. For an engine that ignores fencing tokens it
+// waits until every earlier holder's lease surely ended.
+func (l orderLease) Token(ctx context.Context) (core.Fence, error) {
+	fence, err := l.lease.Acquire(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if l.ignoresFence {
+		if err := l.lease.WaitOut(ctx); err != nil {
+			return 0, err
+		}
+	}
+	if err := l.lease.Check(time.Now()); err != nil {
+		return 0, err
+	}
+	return fence, nil
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,335 @@
+// Package entry is the daemon that callers and operators connect to. It queues
+// requests by team, places them on agents, accepts edits of the configuration
+// and helps agents find each other.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/daemon/inflight"
+	"currantusher.dev/daemon/obs"
+	"currantusher.dev/daemon/peers"
+	"currantusher.dev/members"
+	"currantusher.dev/platform"
+	"currantusher.dev/platform/client"
+	"currantusher.dev/report"
+	"currantusher.dev/requests/attempt"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/ledger"
+	"currantusher.dev/tables/edit"
+	"currantusher.dev/tables/spread"
+	"currantusher.dev/weights/rollout"
+	"currantusher.dev/weights/tracker"
+	"currantusher.dev/wire"
+)
+
+const (
+	defaultHistory = 20
+	retryNotReady  = time.Second
+	// leftNotice leaves time for the last report to be sent.
+	leftNotice = 200 * time.Millisecond
+)
+
+// Entry is one entry process.
+type Entry struct {
+	config      Config
+	incarnation core.Incarnation
+	peer        *wire.Peer
+	listener    net.Listener
+	platform    *client.Client
+	directory   *members.Directory
+	reporter    *members.Reporter
+	spread      *spread.Manager
+	editor      *edit.Editor
+	rollout     *rollout.Server
+	ledger      *ledger.Ledger
+	dispatcher  *dispatch.Dispatcher
+	pools       *poolSet
+	burn        *report.Burn
+	registry    metrics.Registry
+	log         entryLogs
+	draining    atomic.Bool
+	work        inflight.Group
+}
+
+type entryLogs struct {
+	main, request, edit, config *logrus.Entry
+}
+
+// New checks the settings, opens both endpoints and wires the parts.
+func New(config Config) (*Entry, error) {
+	config = config.applyDefaults()
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	peer, err := wire.Listen(config.PeerListen, config.TLS)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.HTTPListen)
+	if err != nil {
+		_ = peer.Close()
+		return nil, err
+	}
+	e := &Entry{
+		config:      config,
+		incarnation: core.Incarnation(time.Now().UnixNano()),
+		peer:        peer,
+		listener:    listener,
+		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
+		burn:        report.NewBurn(report.Config{}),
+		registry:    metrics.NewRegistry(),
+		log:         newLogs(config.Log),
+	}
+	if err := e.wire(); err != nil {
+		_ = listener.Close()
+		_ = peer.Close()
+		return nil, err
+	}
+	return e, nil
+}
+
+func newLogs(log *obs.Logger) entryLogs {
+	return entryLogs{
+		main:    log.Part("entry"),
+		request: log.Part("request"),
+		edit:    log.Part("edit"),
+		config:  log.Part("config"),
+	}
+}
+
+func (e *Entry) self() platform.Instance {
+	return platform.Instance{
+		ID:         e.config.Instance,
+		Role:       platform.RoleEntry,
+		DataCentre: e.config.DataCentre,
+		State:      platform.InstanceLive,
+		PeerAddr:   e.peer.Addr(),
+		HTTPAddr:   e.listener.Addr().String(),
+	}
+}
+
+func (e *Entry) wire() error {
+	if err := e.wireMembers(); err != nil {
+		return err
+	}
+	if err := e.wireSpread(); err != nil {
+		return err
+	}
+	if err := e.wireWeights(); err != nil {
+		return err
+	}
+	e.wireRequests()
+	return nil
+}
+
+func (e *Entry) wireMembers() error {
+	var err error
+	e.directory, err = members.NewDirectory(members.DirectoryConfig{
+		Self:         e.self(),
+		Incarnation:  e.incarnation,
+		Peer:         e.peer,
+		List:         e.platform,
+		ConfigMaxAge: e.config.ConfigMaxAge,
+		Log:          e.config.Log.Part("members"),
+		Metrics:      e.registry,
+	})
+	if err != nil {
+		return err
+	}
+	e.reporter, err = members.NewReporter(members.ReporterConfig{
+		Self:        e.self(),
+		Incarnation: e.incarnation,
+		Peer:        e.peer,
+		List:        e.platform,
+		Report:      e.heartbeat,
+		Directory:   e.directory,
+		Log:         e.config.Log.Part("members"),
+	})
+	return err
+}
+
+func (e *Entry) wireSpread() error {
+	e.editor = edit.New(edit.Config{Tables: e.platform, Log: e.log.edit})
+	config := spread.Config{
+		Self: spread.Neighbour{
+			ID:         e.config.Instance,
+			Role:       platform.RoleEntry,
+			DataCentre: e.config.DataCentre,
+			Region:     e.config.Region,
+			Addr:       e.peer.Addr(),
+		},
+		StoreRegion: e.config.StoreRegion,
+		Peer:        e.peer,
+		Loader:      e.editor,
+		Objects:     e.platform,
+		Neighbours:  e.neighbours,
+		MaxAge:      e.config.ConfigMaxAge,
+		OnStale:     e.config.StalePolicy,
+		Log:         e.log.config,
+		Metrics:     e.registry,
+	}
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	e.spread = spread.New(config)
+	return nil
+}
+
+func (e *Entry) neighbours() []spread.Neighbour {
+	var instances []platform.Instance
+	for _, member := range e.directory.Members() {
+		if member.State == members.StateGone {
+			continue
+		}
+		instances = append(instances, platform.Instance{
+			ID:         member.Instance,
+			Role:       member.Role,
+			DataCentre: member.DataCentre,
+			PeerAddr:   member.PeerAddr,
+		})
+	}
+	return peers.Neighbours(instances, e.spread.Current())
+}
+
+func (e *Entry) wireWeights() error {
+	downloads, err := tracker.New(tracker.Config{})
+	if err != nil {
+		return err
+	}
+	downloads.Register(e.peer)
+	e.rollout, err = rollout.NewServer(rollout.ServerConfig{
+		Tables:         e.platform,
+		MaxUnavailable: e.maxUnavailable,
+	})
+	if err != nil {
+		return err
+	}
+	e.rollout.Register(e.peer)
+	return nil
+}
+
+func (e *Entry) maxUnavailable(name core.PoolName) int {
+	current := e.spread.Current()
+	if current == nil {
+		return 0
+	}
+	pool, _ := current.Pool(name)
+	return pool.MaxUnavailable
+}
+
+func (e *Entry) wireRequests() {
+	e.ledger = ledger.New(ledger.Config{
+		Tables: e.platform,
+		Entry:  string(e.config.Instance),
+	})
+	e.pools = newPoolSet(e)
+	e.dispatcher = dispatch.New(dispatch.Config{
+		Attempts:       attempt.NewSource(e.config.Instance, e.incarnation),
+		Queue:          e.pools.queue,
+		Placer:         e.pools.placer,
+		Candidates:     e.candidates,
+		Ledger:         e.ledger,
+		Sender:         sender{peer: e.peer},
+		MaxAnswerBytes: e.config.MaxAnswer,
+	})
+}
+
+// HTTPAddr returns the IP and TCP port for callers and operators.
+func (e *Entry) HTTPAddr() string { return e.listener.Addr().String() }
+
+// PeerAddr returns the IP and UDP port for other daemons.
+func (e *Entry) PeerAddr() string { return e.peer.Addr() }
+
+func (e *Entry) scheme() string {
+	if e.config.HTTPTLS != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+func (e *Entry) heartbeat() wire.Heartbeat {
+	status := &wire.Status{}
+	if current := e.spread.Current(); current != nil {
+		status.Revision = current.Revision()
+	}
+	return wire.Heartbeat{
+		Running:         e.work.Count(),
+		ConfigAgeMillis: e.spread.Age().Milliseconds(),
+		Status:          status,
+	}
+}
+
+// Run serves until ctx ends, then leaves: the address answers no longer name
+// this entry, callers' copies of older answers run out, work in progress ends,
+// and only then the listeners close.
+func (e *Entry) Run(ctx context.Context) error {
+	e.config.Log.ReportInvariants()
+	e.log.main.WithField("http", e.HTTPAddr()).WithField("peer", e.PeerAddr()).Info("Entry started.")
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, duties := errgroup.WithContext(running)
+	for _, duty := range e.duties() {
+		group.Go(func() error { return ignoreCancelled(duty(duties)) })
+	}
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			e.drain()
+		case <-duties.Done():
+		}
+		return nil
+	})
+	err := group.Wait()
+	closeErr := e.peer.Close()
+	e.log.main.Info("Entry stopped.")
+	return errors.Join(err, closeErr)
+}
+
+func (e *Entry) duties() []func(context.Context) error {
+	return []func(context.Context) error{
+		e.peer.Serve,
+		e.directory.Run,
+		e.reporter.Run,
+		e.spread.Run,
+		e.rollout.Run,
+		e.ledger.Run,
+		e.sweepClaims,
+		e.pools.run,
+		e.reportRevisions,
+		e.serveHTTP,
+	}
+}
+
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (e *Entry) drain() {
+	e.draining.Store(true)
+	e.log.main.Info("Leaving.")
+	ctx, cancel := context.WithTimeout(context.Background(), e.config.AddressTTL+e.config.DrainTime)
+	defer cancel()
+	if err := e.reporter.Leave(ctx); err != nil {
+		e.log.main.WithError(err).Warn("Leave not announced to the list.")
+	}
+	time.Sleep(e.config.AddressTTL)
+	if err := e.work.Wait(ctx); err != nil {
+		e.log.main.WithField("running", e.work.Count()).Warn("Drain time ran out.")
+	}
+	e.reporter.Left()
+	time.Sleep(leftNotice)
+}
--- /dev/null
+++ b/daemon/entry/sender.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// sender implements dispatch.Sender over the peer endpoint.
+type sender struct {
+	peer *wire.Peer
+}
+
+// Send implements dispatch.Sender.
+func (s sender) Send(ctx context.Context, agent placement.Candidate, message wire.Dispatch) (dispatch.ReplyStream, error) {
+	stream, err := s.peer.Open(ctx, agent.Addr, wire.KindDispatch)
+	if err != nil {
+		return nil, err
+	}
+	if err := stream.Send(message); err != nil {
+		stream.Cancel()
+		return nil, err
+	}
+	return &replyStream{stream: stream, release: context.AfterFunc(ctx, stream.Cancel)}, nil
+}
+
+// Tombstone implements dispatch.Sender.
+func (s sender) Tombstone(ctx context.Context, agent placement.Candidate, message wire.Tombstone) (wire.TombstoneReply, error) {
+	return wire.Call[wire.TombstoneReply](ctx, s.peer, agent.Addr, wire.KindTombstone, message)
+}
+
+// replyStream implements dispatch.ReplyStream.
+type replyStream struct {
+	stream  *wire.Stream
+	release func() bool
+}
+
+// Recv implements dispatch.ReplyStream.
+func (r *replyStream) Recv() (wire.Reply, error) {
+	var reply wire.Reply
+	err := r.stream.Recv(&reply)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil || reply.End != nil {
+		r.release()
+		_ = r.stream.CloseSend()
+	}
+	return reply, err
+}
+
+// Cancel implements dispatch.ReplyStream.
+func (r *replyStream) Cancel() {
+	r.release()
+	r.stream.Cancel()
+}
--- /dev/null
+++ b/daemon/entry/views.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"currantusher.dev/api/oas"
+	"currantusher.dev/core"
+	"currantusher.dev/members"
+	"currantusher.dev/platform"
+	"currantusher.dev/report"
+	"currantusher.dev/tables"
+)
+
+// agentToAPI returns the API's form of an agent.
+func agentToAPI(group core.Group, agent members.Agent) oas.Daemon {
+	return oas.Daemon{
+		Instance:        string(agent.Instance),
+		Role:            string(platform.RoleAgent),
+		DataCentre:      string(agent.DataCentre),
+		Group:           oas.NewOptString(string(group)),
+		State:           agent.State.String(),
+		Address:         oas.NewOptString(agent.PeerAddr),
+		Incarnation:     oas.NewOptInt64(int64(agent.Incarnation)),
+		Revision:        int64(agent.Revision),
+		Weights:         oas.NewOptString(digestText(agent.Weights)),
+		TargetWeights:   oas.NewOptString(digestText(agent.Target)),
+		ChunksDone:      oas.NewOptInt(agent.ChunksDone),
+		ChunksTotal:     oas.NewOptInt(agent.ChunksTotal),
+		Running:         oas.NewOptInt(agent.Running),
+		Limit:           oas.NewOptInt(agent.Limit),
+		Temperature:     oas.NewOptString(agent.Temperature.String()),
+		ConfigAgeMillis: oas.NewOptInt64(agent.ConfigAge.Milliseconds()),
+	}
+}
+
+// burnToAPI returns the API's form of a burn report.
+func burnToAPI(r report.Report) *oas.BurnReport {
+	result := &oas.BurnReport{Series: []oas.BurnSeries{}}
+	for _, series := range r.Series {
+		converted := oas.BurnSeries{
+			Route:           string(series.Route),
+			Team:            string(series.Team),
+			ObjectiveMillis: oas.NewOptInt64(series.ObjectiveMillis),
+			ObjectiveRatio:  series.ObjectiveRatio,
+			Alert:           oas.OptString{Value: string(series.Alert), Set: series.Alert != report.SeverityNone},
+			Windows:         []oas.BurnWindow{},
+		}
+		for _, window := range series.Windows {
+			converted.Windows = append(converted.Windows, oas.BurnWindow{
+				WindowSeconds: window.Seconds,
+				Total:         window.Total,
+				Bad:           window.Bad,
+				BurnRate:      window.BurnRate,
+			})
+		}
+		result.Series = append(result.Series, converted)
+	}
+	return result
+}
+
+func (e *Entry) burnReport() report.Report { return e.burn.Report(time.Now()) }
+
+// reportRevisions sends a report for each configuration put in force until ctx
+// ends.
+func (e *Entry) reportRevisions(ctx context.Context) error {
+	e.spread.Subscribe(func(current *tables.Config) {
+		e.log.config.WithField("revision", current.Revision()).Info("Configuration in force.")
+		e.reporter.ReportNow()
+	})
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/daemon/peers/peers.go
@@ -0,0 +1,69 @@
+// Package peers turns what membership knows into what configuration spread and
+// weight distribution need.
+package peers
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/zeebo/blake3"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+	"currantusher.dev/tables"
+	"currantusher.dev/tables/spread"
+)
+
+// Neighbours converts instances for configuration spread. The regions come
+// from current; without a configuration they are unknown.
+func Neighbours(instances []platform.Instance, current *tables.Config) []spread.Neighbour {
+	result := make([]spread.Neighbour, 0, len(instances))
+	for _, instance := range instances {
+		result = append(result, spread.Neighbour{
+			ID:         instance.ID,
+			Role:       instance.Role,
+			DataCentre: instance.DataCentre,
+			Region:     RegionOf(current, instance.DataCentre),
+			Addr:       instance.PeerAddr,
+		})
+	}
+	return result
+}
+
+// RegionOf returns the region of a data centre, or "" when it is unknown.
+func RegionOf(current *tables.Config, dataCentre core.DataCentre) core.Region {
+	if current == nil {
+		return ""
+	}
+	row, _ := current.DataCentre(dataCentre)
+	return row.Region
+}
+
+// Ranked returns the peer addresses of entries by rendezvous rank for a topic,
+// the best first. All daemons that see the same entries get the same order.
+func Ranked(entries []platform.Instance, topic []byte) []string {
+	type scored struct {
+		addr  string
+		score uint64
+	}
+	ranked := make([]scored, 0, len(entries))
+	for _, entry := range entries {
+		if entry.State != platform.InstanceLive {
+			continue
+		}
+		ranked = append(ranked, scored{addr: entry.PeerAddr, score: score(entry.ID, topic)})
+	}
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].score > ranked[j].score })
+	addrs := make([]string, 0, len(ranked))
+	for _, entry := range ranked {
+		addrs = append(addrs, entry.addr)
+	}
+	return addrs
+}
+
+func score(id core.InstanceID, topic []byte) uint64 {
+	hash := blake3.New()
+	_, _ = hash.Write(topic)
+	_, _ = hash.WriteString(string(id))
+	return binary.BigEndian.Uint64(hash.Sum(nil))
+}
--- a/members/reporter.go
+++ b/members/reporter.go
@@ -289,6 +289,13 @@
 	return chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes)
 }
 
+// Entries returns the entries that the platform's list names.
+func (r *Reporter) Entries() []platform.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]platform.Instance(nil), r.entries...)
+}
+
 // Leave tells the platform's list and the entries that this daemon starts no
 // new work. It cannot be undone.
 func (r *Reporter) Leave(ctx context.Context) error {
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -105,11 +105,15 @@
 
 // Request is one caller's request.
 type Request struct {
-	ID       string
-	Team     core.Team
-	Route    core.RouteName
-	Pool     core.PoolName
-	Weights  core.Digest
+	ID      string
+	Team    core.Team
+	Route   core.RouteName
+	Pool    core.PoolName
+	Weights core.Digest
+	// Version, when set, chooses Weights anew for each attempt as long as the
+	// caller has no byte of the answer, so that a request that waited follows a
+	// pool to its next version.
+	Version  func() core.Digest
 	Revision core.Revision
 	Priority int
 	// Deadline is when the caller must have the final answer.
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -128,10 +128,21 @@
 	if !now.Before(x.request.Deadline) {
 		return placement.Candidate{}, x.late()
 	}
+	x.chooseVersion()
 	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Tried: x.tried}
 	return placer.Pick(now, wanted, x.config.Candidates(x.request.Pool))
 }
 
+// chooseVersion sets the weights of the next attempt. Once bytes are out the
+// version stays.
+func (x *exchange) chooseVersion() {
+	if x.request.Version == nil || x.output.sent > 0 {
+		return
+	}
+	x.request.Weights = x.request.Version()
+	x.output.request.Weights = x.request.Weights
+}
+
 func (x *exchange) late() error {
 	return core.Refuse(core.CodeDeadlineShort, x.queue(x.request).RetryAfter(x.request.Team), "the deadline passed before dispatch")
 }
@@ -263,6 +274,7 @@
 		Path:           x.request.Path,
 		Body:           x.request.Body,
 		ResumeFrom:     x.output.sent,
+		Key:            x.request.Key,
 	}
 }
 
