API: swarm takes members/lease for fenced orders

Cause: members/lease already gives fencing tokens and waits out earlier holders, so a second lease in weights would stand twice. The Fence interface now has its shape (Do).

--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -56,11 +56,11 @@
 	Acquire(ctx context.Context, root core.Digest) (release func(), err error)
 }
 
-// Fence gives the token of this agent's lease on its engine.
+// Fence gives this agent's orders to its engine. members/lease implements it.
 type Fence interface {
-	// Token returns a token that is valid now, or an error when orders may
-	// not be given.
-	Token(ctx context.Context) (core.Fence, error)
+	// Do runs order while this agent is the only one that may order the
+	// engine. The context of order ends when that is no longer sure.
+	Do(ctx context.Context, order func(ctx context.Context, fence core.Fence) error) error
 }
 
 // Links paces transfers. Wait blocks until size bytes may pass; far transfers
--- a/weights/swarm/session.go
+++ b/weights/swarm/session.go
@@ -207,20 +207,21 @@
 	}
 	defer release()
 	s.setStage(StageActivating)
-	token, err := s.config.Fence.Token(ctx)
-	if err != nil {
-		return err
-	}
+	return s.config.Fence.Do(ctx, s.orderActivation)
+}
+
+// orderActivation tells the engine to use the version and to drop others.
+func (s *session) orderActivation(ctx context.Context, fence core.Fence) error {
 	verified := s.offers.count()
 	if !invariant.Check(invariant.WholeWeights, verified == len(s.chunks),
 		"activation of %s with %d of %d chunks verified", s.root.Short(), verified, len(s.chunks)) {
 		return core.Fail(core.CodeInternal, core.WorkNotRun, "version %s is not whole", s.root.Short())
 	}
-	if err := s.config.Staging.Activate(ctx, s.root, token); err != nil {
+	if err := s.config.Staging.Activate(ctx, s.root, fence); err != nil {
 		return err
 	}
 	s.manager.setActive(s.root)
-	if err := s.config.Staging.Evict(ctx, []core.Digest{s.root}, token); err != nil {
+	if err := s.config.Staging.Evict(ctx, []core.Digest{s.root}, fence); err != nil {
 		s.config.Log.WithError(err).Warn("Eviction of old chunks failed.")
 	}
 	return nil
