--- a/cmd/currantusher/standins.go
+++ b/cmd/currantusher/standins.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"currantusher.dev/standin/engine"
+	"currantusher.dev/standin/origin"
 	"currantusher.dev/standin/service"
 	"currantusher.dev/standin/store"
 )
@@ -22,6 +23,7 @@
 		children: []*command{
 			storeStandin("store", "Table service, object store and list of instances."),
 			storeStandin("list", "The same server as store, for a list at an address of its own."),
+			originStandin(),
 			engineStandin(),
 			serviceStandin(),
 		},
@@ -59,6 +61,18 @@
 	return c
 }
 
+func originStandin() *command {
+	var listen string
+	var config origin.Config
+	c := &command{name: "origin", usage: "Origin of weights, or the rate-limited weight store."}
+	c.settings.String(&listen, "listen", "127.0.0.1:9300", "IP and TCP port")
+	c.settings.Int(&config.BytesPerSecond, "bytes-per-second", 0, "rate of the link in bytes per second; 0 means no limit")
+	c.run = func(ctx context.Context) error {
+		return serveStandin(ctx, "origin", listen, origin.New(config))
+	}
+	return c
+}
+
 func engineStandin() *command {
 	var listen string
 	var ignoreFence bool
--- a/daemon/agent/weights.go
+++ b/daemon/agent/weights.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"currantusher.dev/core"
 	"currantusher.dev/daemon/peers"
@@ -79,26 +78,14 @@
 	return pool.Name
 }
 
-// orderLease gives the fencing tokens of the agent's order lease.
+// orderLease gives orders under the agent's order lease.
 type orderLease struct {
 	lease        *lease.Lease
 	ignoresFence bool
 }
 
-// Token implements swarm.Fence. For an engine that ignores fencing tokens it
-// waits until every earlier holder's lease surely ended.
-func (l orderLease) Token(ctx context.Context) (core.Fence, error) {
-	fence, err := l.lease.Acquire(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if l.ignoresFence {
-		if err := l.lease.WaitOut(ctx); err != nil {
-			return 0, err
-		}
-	}
-	if err := l.lease.Check(time.Now()); err != nil {
-		return 0, err
-	}
-	return fence, nil
+// Do implements swarm.Fence. For an engine that ignores fencing tokens it waits
+// until every earlier holder's lease surely ended.
+func (l orderLease) Do(ctx context.Context, order func(context.Context, core.Fence) error) error {
+	return l.lease.Do(ctx, l.ignoresFence, order)
 }
--- a/daemon/entry/api.go
+++ b/daemon/entry/api.go
@@ -170,7 +170,7 @@
 			Instance:    string(peer.Instance),
 			Role:        string(platform.RoleEntry),
 			DataCentre:  string(peer.DataCentre),
-			State:       string(peer.State),
+			State:       peer.State.String(),
 			Address:     oas.NewOptString(peer.HTTPAddr),
 			Incarnation: oas.NewOptInt64(int64(peer.Incarnation)),
 			Revision:    int64(peer.Revision),
