--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -69,6 +69,7 @@
 		historyCommand(),
 		statusCommand(),
 		weightsCommand(),
+		reportCommand(),
 		keysCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/cmd/currantusher/settings_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const settingsHeader = `# Settings
+
+Each setting is a flag of its command and an environment variable; the flag
+wins. Values are checked before the process does anything else: a wrong one ends
+it with status 2 and one line that names the setting and the value.
+
+`
+
+func renderSettings() string {
+	var b strings.Builder
+	b.WriteString(settingsHeader)
+	renderCommands(&b, "currantusher", rootCommands())
+	return b.String()
+}
+
+func renderCommands(b *strings.Builder, prefix string, commands []*command) {
+	for _, c := range commands {
+		name := prefix + " " + c.name
+		if all := c.settings.All(); len(all) > 0 {
+			fmt.Fprintf(b, "## %s\n\n%s\n\n| flag | variable | default | meaning |\n|---|---|---|---|\n", name, c.usage)
+			for _, s := range all {
+				fmt.Fprintf(b, "| --%s | %s | %s | %s |\n", s.Flag, s.Env, s.Default, s.Usage)
+			}
+			b.WriteString("\n")
+		}
+		renderCommands(b, name, c.children)
+	}
+}
+
+func TestSettingsPage(t *testing.T) {
+	const page = "../../docs/SETTINGS.md"
+	if os.Getenv("UPDATE_DOCS") != "" {
+		require.NoError(t, os.WriteFile(page, []byte(renderSettings()), 0o644))
+	}
+	content, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Equal(t, renderSettings(), string(content), "run with UPDATE_DOCS=1 after a change of the settings")
+}
+
+func TestUsageErrors(t *testing.T) {
+	t.Setenv("CURRANTUSHER_DRAIN_TIME", "")
+	require.Equal(t, exitUsage, run([]string{"entry", "--instance", "e-1"}), "empty duration")
+	require.Equal(t, exitUsage, run([]string{"report", "burn", "--format", "pdf"}))
+	require.Equal(t, exitUsage, run([]string{"weights", "publish", "nothing"}), "no pool")
+	require.Equal(t, exitUsage, run([]string{"apply", "missing.yaml"}))
+}
