Test the gate and the ledger; fail waiting claims at once in an outage

Cause: a claim that waited behind a hanging transaction would have waited for the next one too, and a claim refused before dispatch but landed in the store would have kept its key for MaxRunTime. Claims submitted before the last failure are now answered with it, and landed orphans are released in the background. go test -race ./requests/...: pass.

--- /dev/null
+++ b/requests/admission/state_test.go
@@ -0,0 +1,280 @@
+package admission
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
+	"currantusher.dev/requests/attempt"
+	"currantusher.dev/tables"
+)
+
+var (
+	testEpoch   = time.Unix(1_700_000_000, 0)
+	testWeights = core.DigestOf([]byte("weights"))
+	testLimits  = tables.Limits{ColdRequests: 2, WarmRequests: 8, WarmTokens: 800}
+)
+
+func newTestState() *state {
+	config := Config{Incarnation: 5, Limits: testLimits}
+	config.applyDefaults()
+	return newState(config)
+}
+
+func goodConditions() Conditions {
+	return Conditions{EngineWeights: testWeights, PinnedWeights: testWeights, EngineServing: true, Revision: 3}
+}
+
+func testAttempt(sequence uint64) Attempt {
+	id := attempt.ID{Process: "entry.1", Sequence: sequence}
+	return Attempt{ID: id.String(), Incarnation: 5, Weights: testWeights, Revision: 3, Tokens: 10, Received: testEpoch, Remaining: time.Hour}
+}
+
+func TestStartRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Attempt, *Conditions)
+		code   core.Code
+	}{
+		{"earlier process", func(a *Attempt, _ *Conditions) { a.Incarnation = 4 }, core.CodeStaleIncarnation},
+		{"late", func(a *Attempt, _ *Conditions) { a.Received = testEpoch.Add(-time.Hour) }, core.CodeDeadlineShort},
+		{"stale configuration", func(_ *Attempt, c *Conditions) { c.ConfigErr = errors.New("old") }, core.CodeConfigStale},
+		{"lapsed lease", func(_ *Attempt, c *Conditions) { c.LeaseErr = errors.New("lapsed") }, core.CodeFenced},
+		{"older revision", func(_ *Attempt, c *Conditions) { c.Revision = 2 }, core.CodeRevisionTooLow},
+		{"draining", func(_ *Attempt, c *Conditions) { c.Draining = true }, core.CodeDraining},
+		{"data centre out", func(_ *Attempt, c *Conditions) { c.DataCentreOut = true }, core.CodeDataCentreOut},
+		{"not serving", func(_ *Attempt, c *Conditions) { c.EngineServing = false }, core.CodeEngineNotServing},
+		{"other engine weights", func(_ *Attempt, c *Conditions) { c.EngineWeights = core.Digest{1} }, core.CodeDigestMismatch},
+		{"other pinned weights", func(_ *Attempt, c *Conditions) { c.PinnedWeights = core.Digest{1} }, core.CodeDigestMismatch},
+		{"malformed id", func(a *Attempt, _ *Conditions) { a.ID = "x" }, core.CodeInvalidField},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTestState()
+			a, c := testAttempt(1), goodConditions()
+			test.change(&a, &c)
+			_, err := s.start(testEpoch, a, c)
+			require.Equal(t, test.code, core.CodeOf(err))
+			require.Equal(t, core.WorkNotRun, core.WorkOf(err))
+			if test.code == core.CodeInvalidField {
+				return
+			}
+			// A second copy of the refused dispatch never starts.
+			_, err = s.start(testEpoch, testAttempt(1), goodConditions())
+			require.Equal(t, core.CodeTombstoned, core.CodeOf(err))
+		})
+	}
+}
+
+func TestTombstone(t *testing.T) {
+	s := newTestState()
+	id := func(n uint64) string { return testAttempt(n).ID }
+	require.Equal(t, core.WorkNotRun, s.tombstone(testEpoch, id(1), 5))
+	_, err := s.start(testEpoch, testAttempt(1), goodConditions())
+	require.Equal(t, core.CodeTombstoned, core.CodeOf(err))
+	require.Equal(t, core.WorkUnknown, s.tombstone(testEpoch, id(2), 4), "another process")
+
+	r, err := s.start(testEpoch, testAttempt(3), goodConditions())
+	require.NoError(t, err)
+	require.Equal(t, core.WorkUnknown, s.tombstone(testEpoch, id(3), 5))
+	s.done(testEpoch, r, Succeeded)
+	require.Equal(t, core.WorkRan, s.tombstone(testEpoch, id(3), 5))
+	_, err = s.start(testEpoch, testAttempt(3), goodConditions())
+	require.Equal(t, core.CodeAlreadyDispatched, core.CodeOf(err))
+	require.Equal(t, core.WorkUnknown, core.WorkOf(err))
+
+	r, err = s.start(testEpoch, testAttempt(4), goodConditions())
+	require.NoError(t, err)
+	s.done(testEpoch, r, NotSent)
+	require.Equal(t, core.WorkNotRun, s.tombstone(testEpoch, id(4), 5))
+
+	// Beyond the retention period an attempt is barred and not said to be so.
+	late := testEpoch.Add(DefaultRetention)
+	require.Equal(t, core.WorkUnknown, s.tombstone(late, id(1), 5))
+	_, err = s.start(late, testAttempt(1), goodConditions())
+	require.Equal(t, core.WorkUnknown, core.WorkOf(err))
+	require.Error(t, err)
+}
+
+// warm makes the gate warm with answers after latency.
+func warm(t *testing.T, s *state, latency time.Duration) (now time.Time, next uint64) {
+	t.Helper()
+	now = testEpoch
+	next = 1000
+	for round := 0; s.limit.state != Warm; round++ {
+		require.Less(t, round, 100, "never warm")
+		var runs []*run
+		for range s.limit.requests() {
+			r, err := s.start(now, testAttempt(next), goodConditions())
+			require.NoError(t, err)
+			next++
+			runs = append(runs, r)
+		}
+		now = now.Add(latency)
+		for _, r := range runs {
+			s.done(now, r, Succeeded)
+		}
+	}
+	return now, next
+}
+
+func TestLimitWarmsAndCollapses(t *testing.T) {
+	latency := 100 * time.Millisecond
+	slow := 10 * latency
+	t.Run("latency step", func(t *testing.T) {
+		s := newTestState()
+		now, next := warm(t, s, latency)
+		for range DefaultStepSamples {
+			r, err := s.start(now, testAttempt(next), goodConditions())
+			require.NoError(t, err)
+			next++
+			now = now.Add(slow)
+			s.firstByte(now, r)
+			s.done(now, r, Succeeded)
+		}
+		require.Equal(t, Cold, s.limit.state)
+	})
+	t.Run("no first bytes", func(t *testing.T) {
+		s := newTestState()
+		now, next := warm(t, s, latency)
+		for range DefaultStepSamples {
+			_, err := s.start(now, testAttempt(next), goodConditions())
+			require.NoError(t, err)
+			next++
+		}
+		load := s.load(now.Add(slow))
+		require.Equal(t, Cold, load.Temperature)
+		require.Equal(t, testLimits.ColdRequests, load.Limit)
+		_, err := s.start(now.Add(slow), testAttempt(next), goodConditions())
+		require.Equal(t, core.CodeLimitReached, core.CodeOf(err))
+	})
+	t.Run("engine says cold", func(t *testing.T) {
+		s := newTestState()
+		now, next := warm(t, s, latency)
+		c := goodConditions()
+		c.EngineCold = true
+		_, err := s.start(now, testAttempt(next), c)
+		require.NoError(t, err)
+		require.Equal(t, Cold, s.limit.state)
+	})
+}
+
+func TestTokenLimit(t *testing.T) {
+	s := newTestState()
+	now, next := warm(t, s, time.Millisecond)
+	a := testAttempt(next)
+	a.Tokens = 700
+	_, err := s.start(now, a, goodConditions())
+	require.NoError(t, err)
+	b := testAttempt(next + 1)
+	b.Tokens = 200
+	_, err = s.start(now, b, goodConditions())
+	require.Equal(t, core.CodeLimitReached, core.CodeOf(err))
+	require.Positive(t, core.RetryAfterOf(err))
+}
+
+// TestInvariantGate shows that the checks inside the gate report a violation,
+// and refuse, when the guard in front of each is left out.
+func TestInvariantGate(t *testing.T) {
+	tests := []struct {
+		promise invariant.Promise
+		guard   core.Code
+		change  func(*state, *Attempt, *Conditions)
+	}{
+		{invariant.ColdStartLimit, core.CodeLimitReached, func(s *state, _ *Attempt, _ *Conditions) { s.limit.bounds.ColdRequests = 0 }},
+		{invariant.WholeWeights, core.CodeDigestMismatch, func(_ *state, _ *Attempt, c *Conditions) { c.EngineWeights = core.Digest{9} }},
+		{invariant.DataCentreOut, core.CodeDataCentreOut, func(_ *state, _ *Attempt, c *Conditions) { c.DataCentreOut = true }},
+		{invariant.LeavingBackend, core.CodeDraining, func(_ *state, _ *Attempt, c *Conditions) { c.Draining = true }},
+		{invariant.AtMostOnce, core.CodeAlreadyDispatched, func(s *state, a *Attempt, _ *Conditions) {
+			s.tombstone(testEpoch, a.ID, 5)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.promise.String(), func(t *testing.T) {
+			s := newTestState()
+			s.skip = map[core.Code]bool{test.guard: true}
+			a, c := testAttempt(1), goodConditions()
+			test.change(s, &a, &c)
+			before := invariant.Count(test.promise)
+			_, err := s.start(testEpoch, a, c)
+			require.Equal(t, core.CodeInternal, core.CodeOf(err))
+			require.Equal(t, before+1, invariant.Count(test.promise))
+		})
+	}
+}
+
+// TestRandomGate drives the gate with random starts, copies, tombstones, ends
+// and engine faults, and compares it with a plain record of what started.
+func TestRandomGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := Config{Incarnation: 5, Limits: testLimits, Retention: time.Minute, MaxAttempts: 16}
+		config.applyDefaults()
+		s := newState(config)
+		now := testEpoch
+		next := uint64(1)
+		started := map[string]int{}
+		barred := map[string]bool{}
+		var running []*run
+		before := invariant.Total()
+		start := func(t *rapid.T, sequence uint64) {
+			a := testAttempt(sequence)
+			a.Received = now
+			c := goodConditions()
+			c.DataCentreOut = rapid.IntRange(0, 9).Draw(t, "out") == 0
+			c.Draining = rapid.IntRange(0, 9).Draw(t, "draining") == 0
+			limit := s.load(now).Limit
+			r, err := s.start(now, a, c)
+			if err != nil {
+				if core.WorkOf(err) == core.WorkNotRun {
+					require.Zero(t, started[a.ID], "refused as not run after a start")
+					barred[a.ID] = true
+				}
+				return
+			}
+			require.False(t, barred[a.ID], "a barred attempt started")
+			require.False(t, c.DataCentreOut || c.Draining)
+			require.LessOrEqual(t, len(s.running), limit)
+			started[a.ID]++
+			require.Equal(t, 1, started[a.ID])
+			running = append(running, r)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				next++
+				start(t, next)
+			},
+			"copy": func(t *rapid.T) { start(t, rapid.Uint64Range(1, next).Draw(t, "sequence")) },
+			"tombstone": func(t *rapid.T) {
+				id := testAttempt(rapid.Uint64Range(1, next+2).Draw(t, "sequence")).ID
+				if s.tombstone(now, id, 5) == core.WorkNotRun {
+					require.Zero(t, started[id])
+					barred[id] = true
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(running) == 0 {
+					t.Skip()
+				}
+				at := rapid.IntRange(0, len(running)-1).Draw(t, "run")
+				outcome := rapid.SampledFrom([]Outcome{Succeeded, Failed, Cancelled}).Draw(t, "outcome")
+				s.done(now, running[at], outcome)
+				running = append(running[:at], running[at+1:]...)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "millis")) * time.Millisecond)
+			},
+			"restart": func(*rapid.T) { s.limit.collapse() },
+			"": func(t *rapid.T) {
+				require.Len(t, running, len(s.running))
+				require.LessOrEqual(t, s.limit.requests(), testLimits.WarmRequests)
+				require.LessOrEqual(t, len(s.ledger.statuses), 16+len(running)+2)
+				require.Equal(t, before, invariant.Total())
+			},
+		})
+	})
+}
--- a/requests/ledger/finish.go
+++ b/requests/ledger/finish.go
@@ -49,14 +49,23 @@
 
 // Release lets the key be claimed again. The caller must hold a proof that no
 // attempt of the claim ran or will run: each was refused as not run, barred by
-// a tombstone or never sent. A release that fails leaves the claim in place.
+// a tombstone or never sent. A release that fails is tried again in the
+// background.
 func (l *Ledger) Release(ctx context.Context, claim Claim) error {
+	err := l.release(ctx, claim)
+	if err != nil && core.CodeOf(err) != core.CodeStoreConflict {
+		l.reapLater(claim)
+	}
+	return err
+}
+
+func (l *Ledger) release(ctx context.Context, claim Claim) error {
 	rows, err := l.get(ctx, claim.rowKey)
 	if err != nil {
 		return err
 	}
 	if len(rows) != 1 {
-		return core.Fail(core.CodeStoreConflict, core.WorkNotRun, "the claim is gone")
+		return core.Fail(core.CodeUnknownEntity, core.WorkNotRun, "the claim is not there")
 	}
 	held, err := decodeRow(rows[0].Value)
 	if err != nil {
@@ -107,13 +116,20 @@
 
 const sweepRows = 128
 
-// Sweep deletes the claims of the hour that has just left the retention
-// period, at most limit rows, and returns how many it deleted. Two sweeps at
-// once are safe.
+// sweepHours is how many hours beyond the retention period a sweep looks at.
+const sweepHours = 6
+
+// Sweep deletes the claims of the hours that have left the retention period,
+// about limit rows at most, and returns how many it deleted. Claims older than
+// the hours that it looks at stay when no sweep ran for that long. Two sweeps
+// at once are safe.
 func (l *Ledger) Sweep(ctx context.Context, limit int) (int, error) {
-	due := l.config.Now().Add(-l.config.Retention - time.Hour)
-	table := indexTable(due)
-	entries, err := l.config.Tables.Scan(ctx, table)
+	tables := make([]string, 0, sweepHours)
+	for hours := 1; hours <= sweepHours; hours++ {
+		due := l.config.Now().Add(-l.config.Retention - time.Duration(hours)*time.Hour)
+		tables = append(tables, indexTable(due))
+	}
+	entries, err := l.config.Tables.Scan(ctx, tables...)
 	if err != nil {
 		return 0, err
 	}
@@ -122,7 +138,7 @@
 		if deleted >= limit {
 			break
 		}
-		count, err := l.sweepEntry(ctx, table, entry)
+		count, err := l.sweepEntry(ctx, entry)
 		deleted += count
 		if err != nil {
 			return deleted, err
@@ -132,7 +148,7 @@
 }
 
 // sweepEntry deletes the claims of one index row, then the row itself.
-func (l *Ledger) sweepEntry(ctx context.Context, table string, entry platform.Row) (int, error) {
+func (l *Ledger) sweepEntry(ctx context.Context, entry platform.Row) (int, error) {
 	var claims index
 	if err := cbor.Unmarshal(entry.Value, &claims); err != nil {
 		return 0, err
@@ -146,7 +162,7 @@
 			return deleted, err
 		}
 	}
-	own := platform.RowKey{Table: table, Key: entry.Key}
+	own := platform.RowKey{Table: entry.Table, Key: entry.Key}
 	return deleted, l.config.Tables.Commit(ctx, platform.Transaction{Deletes: []platform.RowKey{own}})
 }
 
--- a/requests/ledger/ledger.go
+++ b/requests/ledger/ledger.go
@@ -15,7 +15,7 @@
 const (
 	DefaultBatch          = 64
 	DefaultQueue          = 4096
-	DefaultCommitTimeout  = time.Second
+	DefaultCommitTimeout  = 500 * time.Millisecond
 	DefaultFinishTimeout  = 30 * time.Second
 	DefaultOpenPeriod     = 500 * time.Millisecond
 	DefaultRetention      = 24 * time.Hour
@@ -124,6 +124,7 @@
 	config  Config
 	writes  chan *write
 	breaker *breaker
+	orphans chan orphan
 }
 
 // New returns a Ledger.
@@ -133,6 +134,7 @@
 		config:  config,
 		writes:  make(chan *write, config.Queue),
 		breaker: &breaker{period: config.OpenPeriod},
+		orphans: make(chan orphan, config.Queue),
 	}
 }
 
@@ -141,7 +143,7 @@
 // say that the first request with the key is running or has an unknown
 // outcome; none of them permits a dispatch.
 func (l *Ledger) Claim(ctx context.Context, key Key, body core.Digest, attemptID string) (Claim, error) {
-	if after, open := l.breaker.openFor(l.config.Now()); open {
+	if after, open := l.breaker.refuses(l.config.Now()); open {
 		return Claim{}, l.unavailable(after)
 	}
 	wanted := Claim{
@@ -191,14 +193,18 @@
 	}
 	select {
 	case o := <-w.done:
+		if o.err != nil {
+			l.reapLater(wanted)
+		}
 		return o.found, l.refusal(o.err)
 	case <-ctx.Done():
-		// The row may land, but nothing was dispatched.
+		l.reapLater(wanted)
 		return nil, core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled while the claim was written")
 	}
 }
 
 func (l *Ledger) submit(w *write) error {
+	w.submitted = l.config.Now()
 	select {
 	case l.writes <- w:
 		return nil
--- a/requests/ledger/writer.go
+++ b/requests/ledger/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,8 +23,9 @@
 	// indexed writes are listed in the index of the hour.
 	indexed bool
 	// expires ends the attempts of an unconditional write.
-	expires time.Time
-	done    chan outcome
+	expires   time.Time
+	submitted time.Time
+	done      chan outcome
 }
 
 // outcome is how a write ended: landed when both fields are nil.
@@ -41,13 +41,19 @@
 }
 
 const (
-	maxCommitRounds = 6
+	maxCommitRounds = 8
 	retryPause      = 20 * time.Millisecond
+	throttlePause   = 5 * time.Millisecond
 )
 
-// Run commits writes until ctx ends, then commits what still waits.
+// Run commits writes until ctx ends, then commits what still waits. End it
+// after the last request has its answer.
 func (l *Ledger) Run(ctx context.Context) error {
 	var group errgroup.Group
+	group.Go(func() error {
+		l.reap(ctx)
+		return nil
+	})
 	for number := range l.config.Writers {
 		writer := &writer{ledger: l, number: number}
 		group.Go(func() error {
@@ -105,13 +111,15 @@
 // commit writes one batch: at most one write of each key, the rest stays
 // pending.
 func (w *writer) commit(ctx context.Context) {
-	batch, rest := split(w.pending)
+	batch, rest := split(w.pending, w.ledger.config.Batch)
 	w.pending = rest
+	batch = w.failStale(batch)
+	var err error
 	for range maxCommitRounds {
 		if len(batch) == 0 {
 			return
 		}
-		err := w.try(ctx, batch)
+		err = w.try(ctx, batch)
 		w.ledger.breaker.observe(w.ledger.config.Now(), err)
 		if err == nil {
 			finishAll(batch, outcome{})
@@ -124,13 +132,28 @@
 		}
 		batch = left
 	}
-	w.giveUp(batch, core.Fail(core.CodeStoreUnavailable, core.WorkUnknown, "the table service kept refusing the transaction"))
+	w.giveUp(batch, err)
 }
 
-func split(pending []*write) (batch, rest []*write) {
+// failStale answers the claims that were waiting when the table service last
+// failed, so that they do not wait for another failure.
+func (w *writer) failStale(batch []*write) []*write {
+	failedAt := w.ledger.breaker.failure()
+	kept := batch[:0]
+	for _, next := range batch {
+		if next.conditional && !failedAt.IsZero() && !next.submitted.After(failedAt) {
+			next.finish(outcome{err: core.Fail(core.CodeStoreUnavailable, core.WorkNotRun, "the table service failed")})
+			continue
+		}
+		kept = append(kept, next)
+	}
+	return kept
+}
+
+func split(pending []*write, limit int) (batch, rest []*write) {
 	taken := map[platform.RowKey]bool{}
 	for _, next := range pending {
-		if taken[next.key] {
+		if taken[next.key] || len(batch) >= limit {
 			rest = append(rest, next)
 			continue
 		}
@@ -177,13 +200,21 @@
 // answered, the others are returned. again says whether to commit them again.
 func (w *writer) settle(ctx context.Context, batch []*write, err error) (left []*write, again bool) {
 	code := core.CodeOf(err)
-	if code == core.CodeStoreUnavailable || code == core.CodeStoreThrottled {
+	switch code {
+	case core.CodeStoreThrottled:
+		time.Sleep(throttlePause)
+		return batch, true
+	case core.CodeStoreUnavailable:
+		return batch, false
+	}
+	if !anyConditional(batch) {
 		return batch, false
 	}
 	rows, readErr := w.read(ctx, batch)
 	if readErr != nil {
 		return batch, false
 	}
+	w.ledger.breaker.observe(w.ledger.config.Now(), nil)
 	for _, next := range batch {
 		if decided, o := next.compare(rows[next.key]); decided {
 			next.finish(o)
@@ -194,6 +225,15 @@
 	return left, true
 }
 
+func anyConditional(batch []*write) bool {
+	for _, next := range batch {
+		if next.conditional {
+			return true
+		}
+	}
+	return false
+}
+
 // compare decides a write by the row that is there now.
 func (w *write) compare(found *platform.Row) (decided bool, o outcome) {
 	if !w.conditional {
@@ -234,51 +274,40 @@
 	return byKey, nil
 }
 
-// giveUp answers conditional writes with the error. Unconditional ones are
-// tried again until they expire.
+// giveUp answers conditional writes with the error, also those that wait
+// behind the batch. Unconditional ones are tried again until they expire.
 func (w *writer) giveUp(batch []*write, err error) {
+	w.pending = append(w.pending, batch...)
+	w.collectAll()
 	now := w.ledger.config.Now()
-	retried := false
-	for _, next := range batch {
+	kept := w.pending[:0]
+	for _, next := range w.pending {
 		if next.conditional || !now.Before(next.expires) {
 			next.finish(outcome{err: err})
 			continue
 		}
-		w.pending = append(w.pending, next)
-		retried = true
+		kept = append(kept, next)
 	}
-	if retried {
+	w.pending = kept
+	if len(kept) > 0 {
 		time.Sleep(retryPause)
 	}
 }
 
-func finishAll(batch []*write, o outcome) {
-	for _, next := range batch {
-		next.finish(o)
+// collectAll takes waiting writes up to the queue's bound.
+func (w *writer) collectAll() {
+	for len(w.pending) < w.ledger.config.Queue {
+		select {
+		case next := <-w.ledger.writes:
+			w.pending = append(w.pending, next)
+		default:
+			return
+		}
 	}
 }
 
-// breaker refuses claims at once for a period after the table service failed.
-type breaker struct {
-	mu     sync.Mutex
-	period time.Duration
-	until  time.Time
-}
-
-func (b *breaker) openFor(now time.Time) (time.Duration, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	left := b.until.Sub(now)
-	return left, left > 0
-}
-
-func (b *breaker) observe(now time.Time, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	code := core.CodeOf(err)
-	if err == nil || code == core.CodeStoreConflict || code == core.CodeStoreThrottled {
-		b.until = time.Time{}
-		return
+func finishAll(batch []*write, o outcome) {
+	for _, next := range batch {
+		next.finish(o)
 	}
-	b.until = now.Add(b.period)
 }
--- /dev/null
+++ b/requests/proof/ledger_test.go
@@ -0,0 +1,187 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/ledger"
+)
+
+func startLedger(t *testing.T, s *store, entry string, change func(*ledger.Config)) *ledger.Ledger {
+	t.Helper()
+	config := ledger.Config{Tables: s, Entry: entry}
+	if change != nil {
+		change(&config)
+	}
+	l := ledger.New(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = l.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l
+}
+
+func keyOf(n int) ledger.Key { return ledger.Key{Team: "aare", Route: "lots", Key: fmt.Sprint(n)} }
+
+var bodyDigest = core.DigestOf([]byte("body"))
+
+func TestLedgerRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a, b := startLedger(t, s, "a", nil), startLedger(t, s, "b", nil)
+		first, err := a.Claim(t.Context(), keyOf(1), bodyDigest, "a.1")
+		require.NoError(t, err)
+		require.Nil(t, first.Stored)
+
+		_, err = b.Claim(t.Context(), keyOf(1), bodyDigest, "b.1")
+		require.Equal(t, core.CodeInProgress, core.CodeOf(err))
+		require.Equal(t, core.WorkUnknown, core.WorkOf(err))
+		_, err = b.Claim(t.Context(), keyOf(1), core.DigestOf([]byte("other")), "b.2")
+		require.Equal(t, core.CodeKeyReused, core.CodeOf(err))
+
+		require.NoError(t, a.FinishWait(t.Context(), first, ledger.Result{Body: []byte("lot 7"), Work: core.WorkRan}))
+		repeat, err := b.Claim(t.Context(), keyOf(1), bodyDigest, "b.3")
+		require.NoError(t, err)
+		require.Equal(t, "lot 7", string(repeat.Stored.Body))
+	})
+}
+
+func TestLedgerReleaseGivesNextNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a, b := startLedger(t, s, "a", nil), startLedger(t, s, "b", nil)
+		first, err := a.Claim(t.Context(), keyOf(1), bodyDigest, "a.1")
+		require.NoError(t, err)
+		require.NoError(t, a.Release(t.Context(), first))
+		second, err := b.Claim(t.Context(), keyOf(1), bodyDigest, "b.1")
+		require.NoError(t, err)
+		require.Equal(t, 2, second.Number())
+		require.Error(t, a.Release(t.Context(), first), "the first claim is no longer held")
+		_, err = a.Claim(t.Context(), keyOf(1), bodyDigest, "a.2")
+		require.Equal(t, core.CodeInProgress, core.CodeOf(err))
+	})
+}
+
+// TestLedgerGroupCommit shows that claims share transactions and that a
+// conflict on one key does not fail the others.
+func TestLedgerGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a, b := startLedger(t, s, "a", nil), startLedger(t, s, "b", nil)
+		_, err := b.Claim(t.Context(), keyOf(7), bodyDigest, "b.1")
+		require.NoError(t, err)
+		const claims = 100
+		errs := make([]error, claims)
+		var wg sync.WaitGroup
+		for i := range claims {
+			wg.Go(func() { _, errs[i] = a.Claim(t.Context(), keyOf(i), bodyDigest, fmt.Sprint("a.", i)) })
+		}
+		wg.Wait()
+		for i, err := range errs {
+			if i == 7 {
+				require.Equal(t, core.CodeInProgress, core.CodeOf(err))
+				continue
+			}
+			require.NoError(t, err)
+		}
+		require.Less(t, s.commits, 12, "commits for %d claims", claims)
+	})
+}
+
+func TestLedgerStoreFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault storeFault
+		code  core.Code
+	}{
+		{"down", storeDown, core.CodeStoreUnavailable},
+		{"hangs", storeHangs, core.CodeStoreUnavailable},
+		{"slow", storeSlow, core.CodeOK},
+		{"throttles", storeThrottles, core.CodeStoreThrottled},
+		{"lost before effect", storeLostBefore, core.CodeStoreUnavailable},
+		{"lost after effect", storeLostAfter, core.CodeOK},
+		{"lands late", storeLandsLate, core.CodeStoreUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				a := startLedger(t, s, "a", nil)
+				s.always(test.fault)
+				started := time.Now()
+				_, err := a.Claim(t.Context(), keyOf(1), bodyDigest, "a.1")
+				require.Equal(t, test.code, core.CodeOf(err), "%v", err)
+				require.LessOrEqual(t, time.Since(started), 2*ledger.DefaultCommitTimeout)
+				if err == nil {
+					return
+				}
+				require.Equal(t, core.WorkNotRun, core.WorkOf(err))
+				require.Positive(t, core.RetryAfterOf(err))
+				// The refused claim does not block the key once the store works.
+				s.always(storeWorks)
+				time.Sleep(2 * time.Second)
+				_, err = a.Claim(t.Context(), keyOf(1), bodyDigest, "a.2")
+				require.NoError(t, err)
+			})
+		})
+	}
+}
+
+// TestLedgerRefusesAtOnceWhileDown shows that an outage does not make later
+// claims wait, and that results written meanwhile land afterwards.
+func TestLedgerRefusesAtOnceWhileDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a := startLedger(t, s, "a", nil)
+		held, err := a.Claim(t.Context(), keyOf(1), bodyDigest, "a.1")
+		require.NoError(t, err)
+		s.always(storeHangs)
+		_, err = a.Claim(t.Context(), keyOf(2), bodyDigest, "a.2")
+		require.Equal(t, core.CodeStoreUnavailable, core.CodeOf(err))
+		require.NoError(t, a.Finish(held, ledger.Result{Body: []byte("lot 7")}))
+		for i := range 20 {
+			started := time.Now()
+			_, err = a.Claim(t.Context(), keyOf(100+i), bodyDigest, fmt.Sprint("a.", 100+i))
+			require.Equal(t, core.CodeStoreUnavailable, core.CodeOf(err))
+			require.LessOrEqual(t, time.Since(started), 2*ledger.DefaultCommitTimeout+100*time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.always(storeWorks)
+		time.Sleep(5 * time.Second)
+		repeat, err := a.Claim(t.Context(), keyOf(1), bodyDigest, "a.3")
+		require.NoError(t, err)
+		require.Equal(t, "lot 7", string(repeat.Stored.Body))
+	})
+}
+
+func TestLedgerSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		a := startLedger(t, s, "a", func(c *ledger.Config) { c.Retention = 2 * time.Hour })
+		for i := range 10 {
+			_, err := a.Claim(t.Context(), keyOf(i), bodyDigest, fmt.Sprint("a.", i))
+			require.NoError(t, err)
+		}
+		deleted, err := a.Sweep(t.Context(), 1000)
+		require.NoError(t, err)
+		require.Zero(t, deleted)
+		time.Sleep(4 * time.Hour)
+		deleted, err = a.Sweep(t.Context(), 1000)
+		require.NoError(t, err)
+		require.Equal(t, 10, deleted)
+		require.Zero(t, s.count(ledger.TableClaims))
+	})
+}
