--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -8,7 +9,15 @@
 )
 
 const (
-	holdGain       = 0.1
+	holdGain = 0.02
+	// An arrival is refused by a cautious estimate of its wait, a waiting
+	// request only by a hopeful one, so that few are refused after a wait.
+	arrivalMargin = 2.0
+	waitingMargin = 1.0
+	// creditHolds is how much capacity, in mean running times, an idle team
+	// may save up and use ahead of others.
+	creditHolds    = 10
+	arrivalTurn    = 16
 	windowDecrease = 0.9
 	retryJitter    = 0.5
 )
@@ -54,6 +63,7 @@
 	backlog  []*team
 	virtual  float64
 	arrivals uint64
+	grants   uint64
 	capacity int
 	window   float64
 	running  int
@@ -101,7 +111,7 @@
 	t := &ticket{item: item, arrived: s.arrivals, verdict: make(chan error, 1)}
 	s.arrivals++
 	place := owner.place(t)
-	if s.isHopeless(now, owner, item, place) {
+	if s.isHopeless(now, owner, item, place, arrivalMargin) {
 		return nil, s.deadlineShort(item.Team)
 	}
 	s.insert(owner, t, place)
@@ -186,19 +196,22 @@
 	return time.Duration(slots / float64(limit) * float64(s.hold))
 }
 
-func (s *state) isHopeless(now time.Time, owner *team, item Item, at int) bool {
+// isHopeless reports whether the wait, scaled by margin, and the running time
+// are beyond the deadline.
+func (s *state) isHopeless(now time.Time, owner *team, item Item, at int, margin float64) bool {
 	if item.Deadline.IsZero() {
 		return false
 	}
 	left := item.Deadline.Sub(now)
-	return left <= 0 || s.wait(owner, at) >= left
+	needed := margin * float64(s.wait(owner, at)+s.hold)
+	return left <= 0 || needed >= float64(left)
 }
 
 // sweep refuses requests that can no longer make their deadline.
 func (s *state) sweep(now time.Time) {
 	for _, owner := range append([]*team(nil), s.backlog...) {
 		for at := len(owner.waiting) - 1; at >= 0; at-- {
-			if s.limit() > 0 && !s.isHopeless(now, owner, owner.waiting[at].item, at) {
+			if s.limit() > 0 && !s.isHopeless(now, owner, owner.waiting[at].item, at, waitingMargin) {
 				continue
 			}
 			t := s.remove(owner, at)
@@ -232,11 +245,18 @@
 	}
 }
 
-// next returns the waiting team with the least virtual start.
+// next returns the waiting team with the least virtual start. Every
+// arrivalTurn-th place goes to the request that came first, so that no team's
+// credit bars the others.
 func (s *state) next() *team {
+	s.grants++
+	precedes := s.precedes
+	if s.grants%arrivalTurn == 0 {
+		precedes = cameFirst
+	}
 	best := s.backlog[0]
 	for _, candidate := range s.backlog[1:] {
-		if s.precedes(candidate, best) {
+		if precedes(candidate, best) {
 			best = candidate
 		}
 	}
@@ -248,14 +268,22 @@
 	if startA != startB {
 		return startA < startB
 	}
-	return a.waiting[0].arrived < b.waiting[0].arrived
+	return cameFirst(a, b)
 }
 
+func cameFirst(a, b *team) bool { return a.waiting[0].arrived < b.waiting[0].arrived }
+
 func (s *state) start(t *team) float64 {
 	if t.waiting[0].charged {
-		return 0
+		return math.Inf(-1)
 	}
-	return max(s.virtual, t.finish)
+	return s.begin(t)
+}
+
+// begin is the virtual time at which the team's next request starts. A team
+// that was idle starts in the past, as far as its credit goes.
+func (s *state) begin(t *team) float64 {
+	return max(s.virtual-creditHolds*float64(s.limit()), t.finish)
 }
 
 // charge moves virtual time on. A request that returned to the queue is not
@@ -265,8 +293,9 @@
 		return
 	}
 	t.charged = true
-	s.virtual = max(s.virtual, owner.finish)
-	owner.finish = s.virtual + float64(t.item.Cost)/owner.weight
+	begin := s.begin(owner)
+	s.virtual = max(s.virtual, begin)
+	owner.finish = begin + float64(t.item.Cost)/owner.weight
 }
 
 func (s *state) abandon(now time.Time, t *ticket) {
@@ -310,7 +339,7 @@
 	if t.requeues > s.config.MaxRequeues {
 		return core.Refuse(core.CodeLimitReached, s.retryAfter(name), "backend servers are full")
 	}
-	if s.isHopeless(now, owner, t.item, 0) || s.limit() == 0 {
+	if s.isHopeless(now, owner, t.item, 0, waitingMargin) || s.limit() == 0 {
 		return s.sweepError(name)
 	}
 	s.insert(owner, t, 0)
