Add stand-in links and a harness for separate processes

Cause: measures of bytes on each machine's link and faults of links have to come from outside the daemons.

A Network stands before each daemon's UDP socket. Daemons use one socket for calls in and out, so the source of a datagram names its machine and both ends can be counted.

Test: go test -race -count=3 ./standin/link and -count=2 ./bench/procs pass.

--- /dev/null
+++ b/bench/procs/procs_test.go
@@ -0,0 +1,83 @@
+package procs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	childListen = "PROCS_CHILD_LISTEN"
+	childExit   = 7
+)
+
+// TestMain runs as the child process when the environment asks for it.
+func TestMain(m *testing.M) {
+	if listen := os.Getenv(childListen); listen != "" {
+		child(listen)
+	}
+	os.Exit(m.Run())
+}
+
+func child(listen string) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	go func() {
+		<-stop
+		fmt.Println("stopping")
+		os.Exit(childExit)
+	}()
+	panic(http.ListenAndServe(listen, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+}
+
+func startChild(t *testing.T) (*Process, string, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	listen, err := FreeTCP()
+	require.NoError(t, err)
+	p, err := Start(Config{Name: "child", Binary: os.Args[0], Env: []string{childListen + "=" + listen}})
+	require.NoError(t, err)
+	t.Cleanup(p.Kill)
+	url := "http://" + listen
+	require.NoError(t, p.WaitHTTP(ctx, http.DefaultClient, url))
+	return p, url, ctx
+}
+
+func TestTerminate(t *testing.T) {
+	p, _, ctx := startChild(t)
+	require.True(t, p.Running())
+	require.NoError(t, p.Terminate())
+	status, err := p.Wait(ctx)
+	require.NoError(t, err)
+	require.Equal(t, childExit, status)
+	require.Contains(t, p.Output(), "stopping")
+}
+
+func TestKill(t *testing.T) {
+	p, url, ctx := startChild(t)
+	p.Kill()
+	require.False(t, p.Running())
+	require.ErrorContains(t, p.WaitHTTP(ctx, http.DefaultClient, url), "child ended")
+	status, err := p.Wait(ctx)
+	require.NoError(t, err)
+	require.Equal(t, -1, status)
+}
+
+func TestPausedProcessDoesNotAnswer(t *testing.T) {
+	p, url, ctx := startChild(t)
+	require.NoError(t, p.Pause())
+	short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+	defer cancel()
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	require.ErrorIs(t, p.WaitHTTP(short, fresh, url), context.DeadlineExceeded)
+	require.NoError(t, p.Resume())
+	require.NoError(t, p.WaitHTTP(ctx, fresh, url))
+}
--- /dev/null
+++ b/standin/link/link_test.go
@@ -0,0 +1,106 @@
+package link
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+	return conn
+}
+
+func sendTo(t *testing.T, from *net.UDPConn, to, text string) {
+	t.Helper()
+	address, err := net.ResolveUDPAddr("udp4", to)
+	require.NoError(t, err)
+	_, err = from.WriteTo([]byte(text), address)
+	require.NoError(t, err)
+}
+
+func receive(t *testing.T, conn *net.UDPConn) (string, string) {
+	t.Helper()
+	buffer := make([]byte, 100)
+	size, source, err := conn.ReadFrom(buffer)
+	require.NoError(t, err)
+	return string(buffer[:size]), source.String()
+}
+
+func twoMachines(t *testing.T) (n *Network, a, b *net.UDPConn, toB string) {
+	n = NewNetwork()
+	t.Cleanup(n.Close)
+	n.Add(Machine{ID: "a", DataCentre: "bern-west"})
+	n.Add(Machine{ID: "b", DataCentre: "lugano-sud"})
+	a, b = listenUDP(t), listenUDP(t)
+	_, err := n.UDP("a", a.LocalAddr().String())
+	require.NoError(t, err)
+	toB, err = n.UDP("b", b.LocalAddr().String())
+	require.NoError(t, err)
+	return n, a, b, toB
+}
+
+func TestUDPCountsBothLinks(t *testing.T) {
+	n, a, b, toB := twoMachines(t)
+	sendTo(t, a, toB, "question")
+	text, source := receive(t, b)
+	require.Equal(t, "question", text)
+	sendTo(t, b, source, "answer")
+	text, source = receive(t, a)
+	require.Equal(t, "answer", text)
+	require.Equal(t, toB, source)
+	require.Equal(t, Counts{Received: 6, Sent: 8}, n.Counts("a"))
+	require.Equal(t, Counts{Received: 8, Sent: 6}, n.Counts("b"))
+}
+
+func TestCutAndIsolation(t *testing.T) {
+	n, a, b, toB := twoMachines(t)
+	n.SetCut("lugano-sud", "bern-west", true)
+	sendTo(t, a, toB, "cut")
+	require.Eventually(t, func() bool { return !n.passes("a", "b") }, time.Minute, time.Millisecond)
+	n.SetIsolated("b", true)
+	n.SetCut("bern-west", "lugano-sud", false)
+	require.False(t, n.move("a", "b", 1))
+	n.SetIsolated("b", false)
+	require.True(t, n.move("a", "b", 1))
+	sendTo(t, a, toB, "mended")
+	for {
+		text, _ := receive(t, b)
+		if text == "mended" {
+			return
+		}
+	}
+}
+
+func TestTCPCountsAndCuts(t *testing.T) {
+	n := NewNetwork()
+	defer n.Close()
+	n.Add(Machine{ID: "a", DataCentre: "bern-west"})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "0123456789")
+	}))
+	defer server.Close()
+	front, err := n.TCP("a", server.Listener.Addr().String())
+	require.NoError(t, err)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + front)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, "0123456789", string(body))
+	require.Greater(t, n.Counts("a").Received, int64(10))
+	require.Positive(t, n.Counts("a").Sent)
+	n.SetIsolated("a", true)
+	_, err = client.Get("http://" + front)
+	require.Error(t, err)
+}
--- /dev/null
+++ b/standin/link/network.go
@@ -0,0 +1,165 @@
+// Package link stands in for the network between instances. A Network puts a
+// UDP port before each daemon and a TCP port before each call to the platform;
+// it counts the bytes of each machine's link, limits rates and cuts or stalls
+// pairs of data centres.
+package link
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"currantusher.dev/core"
+)
+
+// burstBytes is what a limited link passes at once.
+const burstBytes = 256 << 10
+
+// Machine describes one instance's link.
+type Machine struct {
+	ID         core.InstanceID
+	DataCentre core.DataCentre
+	// BytesPerSecond limits each direction; 0 sets no limit.
+	BytesPerSecond float64
+}
+
+// Counts is what passed over one machine's link, in bytes.
+type Counts struct {
+	Received int64
+	Sent     int64
+}
+
+// machine is the state of one link. sent and received bytes are guarded by the
+// Network.
+type machine struct {
+	Machine
+	counts Counts
+	up     *rate.Limiter
+	down   *rate.Limiter
+}
+
+type pair struct{ a, b core.DataCentre }
+
+func pairOf(a, b core.DataCentre) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// Network connects machines over loopback.
+type Network struct {
+	mu       sync.Mutex
+	machines map[core.InstanceID]*machine
+	bySocket map[string]core.InstanceID
+	cut      map[pair]bool
+	isolated map[core.InstanceID]bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// NewNetwork returns a network without machines.
+func NewNetwork() *Network {
+	n := &Network{
+		machines: make(map[core.InstanceID]*machine),
+		bySocket: make(map[string]core.InstanceID),
+		cut:      make(map[pair]bool),
+		isolated: make(map[core.InstanceID]bool),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+// Close ends all forwarding.
+func (n *Network) Close() {
+	n.cancel()
+	n.wg.Wait()
+}
+
+// Add makes a machine known; adding it again keeps its counts.
+func (n *Network) Add(m Machine) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.machines[m.ID]; known {
+		return
+	}
+	limit := rate.Inf
+	if m.BytesPerSecond > 0 {
+		limit = rate.Limit(m.BytesPerSecond)
+	}
+	n.machines[m.ID] = &machine{
+		Machine: m,
+		up:      rate.NewLimiter(limit, burstBytes),
+		down:    rate.NewLimiter(limit, burstBytes),
+	}
+}
+
+// Counts returns what passed over a machine's link.
+func (n *Network) Counts(id core.InstanceID) Counts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m := n.machines[id]; m != nil {
+		return m.counts
+	}
+	return Counts{}
+}
+
+// SetCut cuts or mends all paths between two data centres.
+func (n *Network) SetCut(a, b core.DataCentre, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[pairOf(a, b)] = cut
+}
+
+// SetIsolated drops all peer traffic of one machine, or passes it again.
+func (n *Network) SetIsolated(id core.InstanceID, isolated bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated[id] = isolated
+}
+
+// owner returns the machine whose daemon uses a UDP socket, or "".
+func (n *Network) owner(socket string) core.InstanceID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bySocket[socket]
+}
+
+// passes reports whether traffic flows between two machines. An unknown sender
+// is only subject to the receiver's isolation.
+func (n *Network) passes(from, to core.InstanceID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isolated[from] || n.isolated[to] {
+		return false
+	}
+	a, b := n.machines[from], n.machines[to]
+	if a == nil || b == nil {
+		return true
+	}
+	return !n.cut[pairOf(a.DataCentre, b.DataCentre)]
+}
+
+// move counts size bytes on both machines' links and waits for their rates. It
+// reports whether the bytes arrive.
+func (n *Network) move(from, to core.InstanceID, size int) bool {
+	if !n.passes(from, to) {
+		return false
+	}
+	n.mu.Lock()
+	a, b := n.machines[from], n.machines[to]
+	if a != nil {
+		a.counts.Sent += int64(size)
+	}
+	if b != nil {
+		b.counts.Received += int64(size)
+	}
+	n.mu.Unlock()
+	if a != nil && a.up.WaitN(n.ctx, size) != nil {
+		return false
+	}
+	return b == nil || b.down.WaitN(n.ctx, size) == nil
+}
