Give stand-in links delays and rates between regions

Each direction of a flow has a bounded queue of its own, so that a slow path does not hold up the others of a machine.

Test: go test -race -count=3 ./standin/link passes.

--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -37,10 +37,10 @@
 }
 
 func twoMachines(t *testing.T) (n *Network, a, b *net.UDPConn, toB string) {
-	n = NewNetwork()
+	n = NewNetwork(Config{DataCentreDelay: time.Millisecond, RegionDelay: 2 * time.Millisecond})
 	t.Cleanup(n.Close)
-	n.Add(Machine{ID: "a", DataCentre: "bern-west"})
-	n.Add(Machine{ID: "b", DataCentre: "lugano-sud"})
+	n.Add(Machine{ID: "a", DataCentre: "bern-west", Region: "mittelland"})
+	n.Add(Machine{ID: "b", DataCentre: "lugano-sud", Region: "ticino"})
 	a, b = listenUDP(t), listenUDP(t)
 	_, err := n.UDP("a", a.LocalAddr().String())
 	require.NoError(t, err)
@@ -58,6 +58,8 @@
 	text, source = receive(t, a)
 	require.Equal(t, "answer", text)
 	require.Equal(t, toB, source)
+	require.Equal(t, 2*time.Millisecond, n.delay("a", "b"))
+	require.EqualValues(t, 14, n.CrossedRegions())
 	require.Equal(t, Counts{Received: 6, Sent: 8}, n.Counts("a"))
 	require.Equal(t, Counts{Received: 8, Sent: 6}, n.Counts("b"))
 }
@@ -82,9 +84,9 @@
 }
 
 func TestTCPCountsAndCuts(t *testing.T) {
-	n := NewNetwork()
+	n := NewNetwork(Config{DataCentreDelay: time.Millisecond, RegionDelay: 2 * time.Millisecond})
 	defer n.Close()
-	n.Add(Machine{ID: "a", DataCentre: "bern-west"})
+	n.Add(Machine{ID: "a", DataCentre: "bern-west", Region: "mittelland"})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "0123456789")
 	}))
--- a/standin/link/network.go
+++ b/standin/link/network.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -16,10 +17,22 @@
 // burstBytes is what a limited link passes at once.
 const burstBytes = 256 << 10
 
+// Config describes the paths between machines.
+type Config struct {
+	// RegionBytesPerSecond limits each direction between two regions; 0 sets no
+	// limit.
+	RegionBytesPerSecond float64
+	// DataCentreDelay and RegionDelay are the one-way times between machines of
+	// two data centres, in one region and in two.
+	DataCentreDelay time.Duration
+	RegionDelay     time.Duration
+}
+
 // Machine describes one instance's link.
 type Machine struct {
 	ID         core.InstanceID
 	DataCentre core.DataCentre
+	Region     core.Region
 	// BytesPerSecond limits each direction; 0 sets no limit.
 	BytesPerSecond float64
 }
@@ -41,6 +54,8 @@
 
 type pair struct{ a, b core.DataCentre }
 
+type regionPath struct{ from, to core.Region }
+
 func pairOf(a, b core.DataCentre) pair {
 	if a > b {
 		a, b = b, a
@@ -50,11 +65,15 @@
 
 // Network connects machines over loopback.
 type Network struct {
+	cfg Config
+
 	mu       sync.Mutex
 	machines map[core.InstanceID]*machine
 	bySocket map[string]core.InstanceID
 	cut      map[pair]bool
 	isolated map[core.InstanceID]bool
+	regions  map[regionPath]*rate.Limiter
+	crossed  int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -62,12 +81,14 @@
 }
 
 // NewNetwork returns a network without machines.
-func NewNetwork() *Network {
+func NewNetwork(cfg Config) *Network {
 	n := &Network{
+		cfg:      cfg,
 		machines: make(map[core.InstanceID]*machine),
 		bySocket: make(map[string]core.InstanceID),
 		cut:      make(map[pair]bool),
 		isolated: make(map[core.InstanceID]bool),
+		regions:  make(map[regionPath]*rate.Limiter),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
@@ -143,23 +164,73 @@
 	return !n.cut[pairOf(a.DataCentre, b.DataCentre)]
 }
 
-// move counts size bytes on both machines' links and waits for their rates. It
-// reports whether the bytes arrive.
+// delay returns the one-way time between two machines.
+func (n *Network) delay(from, to core.InstanceID) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a, b := n.machines[from], n.machines[to]
+	switch {
+	case a == nil || b == nil || a.DataCentre == b.DataCentre:
+		return 0
+	case a.Region == b.Region:
+		return n.cfg.DataCentreDelay
+	default:
+		return n.cfg.RegionDelay
+	}
+}
+
+// move counts size bytes on both machines' links and waits for the rates of
+// the path. It reports whether the bytes arrive.
 func (n *Network) move(from, to core.InstanceID, size int) bool {
 	if !n.passes(from, to) {
 		return false
 	}
+	for _, limiter := range n.count(from, to, size) {
+		if limiter.WaitN(n.ctx, size) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// count adds size bytes to the counters and returns the limiters of the path.
+func (n *Network) count(from, to core.InstanceID, size int) []*rate.Limiter {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	limiters := make([]*rate.Limiter, 0, 3)
 	a, b := n.machines[from], n.machines[to]
 	if a != nil {
 		a.counts.Sent += int64(size)
+		limiters = append(limiters, a.up)
 	}
 	if b != nil {
 		b.counts.Received += int64(size)
+		limiters = append(limiters, b.down)
 	}
-	n.mu.Unlock()
-	if a != nil && a.up.WaitN(n.ctx, size) != nil {
-		return false
+	if a != nil && b != nil && a.Region != b.Region {
+		n.crossed += int64(size)
+		limiters = append(limiters, n.regionLimiter(a.Region, b.Region))
+	}
+	return limiters
+}
+
+func (n *Network) regionLimiter(from, to core.Region) *rate.Limiter {
+	path := regionPath{from, to}
+	if limiter := n.regions[path]; limiter != nil {
+		return limiter
 	}
-	return b == nil || b.down.WaitN(n.ctx, size) == nil
+	limit := rate.Inf
+	if n.cfg.RegionBytesPerSecond > 0 {
+		limit = rate.Limit(n.cfg.RegionBytesPerSecond)
+	}
+	limiter := rate.NewLimiter(limit, burstBytes)
+	n.regions[path] = limiter
+	return limiter
+}
+
+// CrossedRegions returns the bytes that passed between regions.
+func (n *Network) CrossedRegions() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.crossed
 }
--- a/standin/link/udp.go
+++ b/standin/link/udp.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,60 @@
 	socketBuffer     = 1 << 20
 	// flowIdle is when a flow without traffic is closed.
 	flowIdle = time.Minute
+	// queueDatagrams bounds the datagrams under way in one direction of a flow;
+	// more are dropped.
+	queueDatagrams = 512
 )
 
+// datagram is under way until due.
+type datagram struct {
+	bytes []byte
+	due   time.Time
+}
+
+// pipe is one direction of a flow.
+type pipe struct {
+	network  *Network
+	from, to core.InstanceID
+	queue    chan datagram
+	write    func(bytes []byte)
+}
+
+func (n *Network) newPipe(from, to core.InstanceID, write func([]byte)) *pipe {
+	return &pipe{network: n, from: from, to: to, queue: make(chan datagram, queueDatagrams), write: write}
+}
+
+// offer queues a copy of bytes or drops it.
+func (p *pipe) offer(bytes []byte) {
+	d := datagram{bytes: slices.Clone(bytes), due: time.Now().Add(p.network.delay(p.from, p.to))}
+	select {
+	case p.queue <- d:
+	default:
+	}
+}
+
+func (p *pipe) run(done <-chan struct{}) {
+	for {
+		select {
+		case d := <-p.queue:
+			time.Sleep(time.Until(d.due))
+			if p.network.move(p.from, p.to, len(d.bytes)) {
+				p.write(d.bytes)
+			}
+		case <-done:
+			return
+		}
+	}
+}
+
+// flow carries the datagrams between one source and the daemon.
+type flow struct {
+	socket *net.UDPConn
+	in     *pipe
+	out    *pipe
+	done   chan struct{}
+}
+
 // udpLink forwards datagrams between other daemons and one daemon's socket.
 type udpLink struct {
 	network *Network
@@ -25,7 +78,7 @@
 	target  *net.UDPAddr
 
 	mu    sync.Mutex
-	flows map[netip.AddrPort]*net.UDPConn
+	flows map[netip.AddrPort]*flow
 }
 
 // UDP opens a port for other daemons to reach the daemon of machine id, which
@@ -40,7 +93,7 @@
 		return "", err
 	}
 	_ = front.SetReadBuffer(socketBuffer)
-	l := &udpLink{network: n, id: id, front: front, target: address, flows: make(map[netip.AddrPort]*net.UDPConn)}
+	l := &udpLink{network: n, id: id, front: front, target: address, flows: make(map[netip.AddrPort]*flow)}
 	n.mu.Lock()
 	n.bySocket[address.String()] = id
 	n.mu.Unlock()
@@ -56,8 +109,8 @@
 	_ = l.front.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, flow := range l.flows {
-		_ = flow.Close()
+	for _, f := range l.flows {
+		_ = f.socket.Close()
 	}
 }
 
@@ -72,51 +125,55 @@
 		if err != nil {
 			continue
 		}
-		if !l.network.move(l.network.owner(source.String()), l.id, size) {
-			continue
-		}
-		flow, err := l.flow(source)
+		f, err := l.flow(source)
 		if err != nil {
 			continue
 		}
-		_, _ = flow.Write(buffer[:size])
+		f.in.offer(buffer[:size])
 	}
 }
 
-// flow returns the socket by which the daemon sees one source.
-func (l *udpLink) flow(source netip.AddrPort) (*net.UDPConn, error) {
+// flow returns the flow of one source, by whose socket the daemon sees it.
+func (l *udpLink) flow(source netip.AddrPort) (*flow, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if flow, found := l.flows[source]; found {
-		return flow, nil
+	if f, found := l.flows[source]; found {
+		return f, nil
 	}
-	flow, err := net.DialUDP("udp4", nil, l.target)
+	socket, err := net.DialUDP("udp4", nil, l.target)
 	if err != nil {
 		return nil, err
 	}
-	_ = flow.SetReadBuffer(socketBuffer)
-	l.flows[source] = flow
-	l.network.wg.Go(func() { l.reply(source, flow) })
-	return flow, nil
+	_ = socket.SetReadBuffer(socketBuffer)
+	other := l.network.owner(source.String())
+	f := &flow{
+		socket: socket,
+		in:     l.network.newPipe(other, l.id, func(bytes []byte) { _, _ = socket.Write(bytes) }),
+		out:    l.network.newPipe(l.id, other, func(bytes []byte) { _, _ = l.front.WriteToUDPAddrPort(bytes, source) }),
+		done:   make(chan struct{}),
+	}
+	l.flows[source] = f
+	l.network.wg.Go(func() { f.in.run(f.done) })
+	l.network.wg.Go(func() { f.out.run(f.done) })
+	l.network.wg.Go(func() { l.reply(source, f) })
+	return f, nil
 }
 
-// reply passes datagrams from the daemon back to one source.
-func (l *udpLink) reply(source netip.AddrPort, flow *net.UDPConn) {
-	defer l.drop(source, flow)
-	owner := l.network.owner(source.String())
+// reply passes datagrams from the daemon back to one source. It ends the flow
+// when the daemon is silent for long.
+func (l *udpLink) reply(source netip.AddrPort, f *flow) {
+	defer l.drop(source, f)
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		_ = flow.SetReadDeadline(time.Now().Add(flowIdle))
-		size, err := flow.Read(buffer)
+		_ = f.socket.SetReadDeadline(time.Now().Add(flowIdle))
+		size, err := f.socket.Read(buffer)
 		if errors.Is(err, net.ErrClosed) || isTimeout(err) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		if l.network.move(l.id, owner, size) {
-			_, _ = l.front.WriteToUDPAddrPort(buffer[:size], source)
-		}
+		f.out.offer(buffer[:size])
 	}
 }
 
@@ -125,11 +182,12 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func (l *udpLink) drop(source netip.AddrPort, flow *net.UDPConn) {
-	_ = flow.Close()
+func (l *udpLink) drop(source netip.AddrPort, f *flow) {
+	close(f.done)
+	_ = f.socket.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.flows[source] == flow {
+	if l.flows[source] == f {
 		delete(l.flows, source)
 	}
 }
