--- /dev/null
+++ b/bench/fleet/layout.go
@@ -0,0 +1,194 @@
+// Package fleet builds a whole site in one process: stand-ins for the platform
+// and for backend servers, the network between machines, and the system's own
+// daemons, which the caller's Hooks start.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"currantusher.dev/api/oas"
+	"currantusher.dev/bench/load"
+	"currantusher.dev/core"
+	"currantusher.dev/tables"
+)
+
+// DataCentre is one data centre of a site.
+type DataCentre struct {
+	Name    core.DataCentre
+	Region  core.Region
+	Entries int
+}
+
+// Group is one kind of backend server, with a pool and a route of its own.
+type Group struct {
+	Name          core.Group
+	Route         core.RouteName
+	Kind          tables.PoolKind
+	PerDataCentre int
+	AtMostOnce    bool
+	// Path is the HTTP path at plain services.
+	Path string
+	// RequestShare and StreamRatio are the route's part in the load.
+	RequestShare float64
+	StreamRatio  float64
+	ColdLimit    int
+	WarmLimit    int
+}
+
+// Layout is the size and shape of a site.
+type Layout struct {
+	DataCentres []DataCentre
+	Groups      []Group
+	Teams       []core.Team
+
+	// Rates of links in bytes a second; 0 sets no limit.
+	MachineBytesPerSecond float64
+	OriginBytesPerSecond  int
+	RegionBytesPerSecond  float64
+	// One-way times.
+	DataCentreDelay time.Duration
+	RegionDelay     time.Duration
+
+	TokenDelay   time.Duration
+	ServiceDelay time.Duration
+	WarmUp       time.Duration
+	// OutGrace is the time for taking a data centre out to be in force.
+	OutGrace time.Duration
+	// MaxUnavailable bounds the engines that activate a version at once.
+	MaxUnavailable int
+	Deadline       time.Duration
+	Objective      time.Duration
+}
+
+const (
+	mebibyte = 1 << 20
+	// regionRate is 20 Mbit/s in bytes a second.
+	regionRate = 20e6 / 8
+)
+
+// Small is the site of a labelling house: three data centres in three regions,
+// seven entries, 36 backend servers and ten teams.
+func Small() Layout {
+	return Layout{
+		DataCentres: []DataCentre{
+			{Name: "bern-west", Region: "mittelland", Entries: 3},
+			{Name: "lausanne-nord", Region: "romandie", Entries: 2},
+			{Name: "lugano-sud", Region: "ticino", Entries: 2},
+		},
+		Groups: []Group{
+			{Name: "label-llm", Route: "draft", Kind: tables.PoolEngine, PerDataCentre: 9, RequestShare: 8, StreamRatio: 0.5, ColdLimit: 2, WarmLimit: 8},
+			{Name: "lot-registry", Route: "lot", Kind: tables.PoolService, PerDataCentre: 2, RequestShare: 2, AtMostOnce: true, Path: "/lots", ColdLimit: 2, WarmLimit: 16},
+			{Name: "packhouse-portal", Route: "portal", Kind: tables.PoolService, PerDataCentre: 1, RequestShare: 1, Path: "/pages", ColdLimit: 2, WarmLimit: 16},
+		},
+		Teams:                 teamNames(10),
+		MachineBytesPerSecond: 2 * mebibyte,
+		OriginBytesPerSecond:  8 * mebibyte,
+		RegionBytesPerSecond:  regionRate,
+		DataCentreDelay:       1500 * time.Microsecond,
+		RegionDelay:           3 * time.Millisecond,
+		TokenDelay:            5 * time.Millisecond,
+		ServiceDelay:          5 * time.Millisecond,
+		WarmUp:                time.Second,
+		OutGrace:              3 * time.Second,
+		MaxUnavailable:        9,
+		Deadline:              10 * time.Second,
+		Objective:             460 * time.Millisecond,
+	}
+}
+
+func teamNames(count int) []core.Team {
+	names := make([]core.Team, 0, count)
+	for i := range count {
+		names = append(names, core.Team(fmt.Sprintf("team-%d", i+1)))
+	}
+	return names
+}
+
+func (l Layout) validate() error {
+	if len(l.DataCentres) == 0 || len(l.Groups) == 0 || len(l.Teams) == 0 {
+		return errors.New("fleet: a layout needs data centres, groups and teams")
+	}
+	entries := 0
+	for _, dc := range l.DataCentres {
+		entries += dc.Entries
+	}
+	if entries == 0 {
+		return errors.New("fleet: a layout needs entries")
+	}
+	return nil
+}
+
+// Routes returns what callers need to know of the routes.
+func (l Layout) Routes() []load.Route {
+	routes := make([]load.Route, 0, len(l.Groups))
+	for _, group := range l.Groups {
+		routes = append(routes, load.Route{
+			Name:        group.Route,
+			Kind:        group.Kind,
+			AtMostOnce:  group.AtMostOnce,
+			StreamRatio: group.StreamRatio,
+			Share:       group.RequestShare,
+		})
+	}
+	return routes
+}
+
+// DataCentreNames returns the names in the layout's order.
+func (l Layout) DataCentreNames() []core.DataCentre {
+	names := make([]core.DataCentre, 0, len(l.DataCentres))
+	for _, dc := range l.DataCentres {
+		names = append(names, dc.Name)
+	}
+	return names
+}
+
+// firstEdit is the edit that sets all tables.
+func (l Layout) firstEdit() *oas.Edit {
+	edit := &oas.Edit{}
+	for _, dc := range l.DataCentres {
+		edit.SetDataCentres = append(edit.SetDataCentres, oas.DataCentre{
+			Name: string(dc.Name), Region: string(dc.Region), State: oas.DataCentreStateIn,
+		})
+	}
+	for _, team := range l.Teams {
+		edit.SetTeams = append(edit.SetTeams, oas.Team{Name: string(team), Weight: 1})
+	}
+	for _, group := range l.Groups {
+		edit.SetPools = append(edit.SetPools, l.pool(group, core.Digest{}))
+		edit.SetRoutes = append(edit.SetRoutes, l.route(group, group.Route))
+	}
+	return edit
+}
+
+func (l Layout) pool(group Group, weights core.Digest) oas.Pool {
+	pool := oas.Pool{
+		Name:           string(group.Name),
+		Group:          string(group.Name),
+		Kind:           oas.PoolKind(group.Kind),
+		Limits:         oas.Limits{ColdRequests: group.ColdLimit, WarmRequests: group.WarmLimit},
+		MaxUnavailable: oas.NewOptInt(l.MaxUnavailable),
+	}
+	if !weights.IsZero() {
+		pool.Weights = oas.NewOptString(weights.String())
+	}
+	return pool
+}
+
+func (l Layout) route(group Group, name core.RouteName) oas.RouteRow {
+	row := oas.RouteRow{
+		Name:            string(name),
+		Pool:            string(group.Name),
+		AtMostOnce:      oas.NewOptBool(group.AtMostOnce),
+		DeadlineMillis:  oas.NewOptInt64(l.Deadline.Milliseconds()),
+		ObjectiveMillis: oas.NewOptInt64(l.Objective.Milliseconds()),
+		ObjectiveRatio:  oas.NewOptFloat64(objectiveRatio),
+	}
+	if group.Path != "" {
+		row.Path = oas.NewOptString(group.Path)
+	}
+	return row
+}
+
+const objectiveRatio = 0.95
--- a/bench/measure/backends.go
+++ b/bench/measure/backends.go
@@ -27,7 +27,7 @@
 	URL string
 }
 
-const maxReplyBytes = 1 << 20
+const maxReplyBytes = 64 << 20
 
 // Backends reads and switches all stand-ins of backend servers over HTTP.
 type Backends struct {
@@ -122,8 +122,8 @@
 	PartialWeights           int
 	StartsAfterOut           int
 	LastStartAfterOutSeconds float64
-	// MaxRuns is the highest number of runs of one Idempotency-Key at all
-	// stand-ins that could see it apart.
+	// MaxRuns is the highest number of runs of one Idempotency-Key, at all
+	// stand-ins together.
 	MaxRuns int
 	// Unread counts stand-ins that did not answer.
 	Unread int
@@ -132,13 +132,22 @@
 // Totals reads all stand-ins.
 func (b *Backends) Totals(ctx context.Context) Totals {
 	var totals Totals
+	runs := make(map[string]int)
 	for _, one := range b.All {
 		counters, err := b.Counters(ctx, one)
+		var keyed map[string]int
+		if err == nil {
+			err = b.call(ctx, http.MethodGet, one.URL+"/runs/keyed", nil, &keyed)
+		}
 		if err != nil {
 			totals.Unread++
 			continue
 		}
 		totals.add(counters)
+		for key, count := range keyed {
+			runs[key] += count
+			totals.MaxRuns = max(totals.MaxRuns, runs[key])
+		}
 	}
 	return totals
 }
@@ -149,7 +158,6 @@
 	t.PartialWeights += c.PartialWeights
 	t.StartsAfterOut += c.StartsAfterOut
 	t.LastStartAfterOutSeconds = max(t.LastStartAfterOutSeconds, c.LastStartAfterOutSeconds)
-	t.MaxRuns = max(t.MaxRuns, c.MaxRuns)
 }
 
 // EnginesOn counts the engines whose state names the root digest.
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -16,13 +16,16 @@
 	HeaderResumeFrom     = "X-Resume-From"
 )
 
+// benchPaths are the bench's own calls, which a crashed server still answers.
+var benchPaths = map[string]bool{"/faults": true, "/counters": true, "/runs": true, "/runs/keyed": true}
+
 // RunCount is the body of GET /runs?key=K.
 type RunCount struct {
 	Count int `json:"count"`
 }
 
-// Register adds the bench's calls to mux: GET /counters, GET /runs?key=K and
-// POST /faults. inject applies the faults of the kind of server.
+// Register adds the bench's calls to mux: GET /counters, GET /runs?key=K,
+// GET /runs/keyed and POST /faults. inject applies the faults of the kind of server.
 func (g *Gate) Register(mux *http.ServeMux, inject func(Faults) error) {
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
 		WriteJSON(w, http.StatusOK, g.Counters())
@@ -30,6 +33,9 @@
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
 		WriteJSON(w, http.StatusOK, RunCount{Count: g.Runs(r.URL.Query().Get("key"))})
 	})
+	mux.HandleFunc("GET /runs/keyed", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, g.KeyedRuns())
+	})
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
 		faults, err := DecodeFaults(r)
 		if err == nil {
@@ -47,7 +53,7 @@
 // the bench's own.
 func (g *Gate) AbortWhenDown(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.Down() && r.URL.Path != "/faults" && r.URL.Path != "/counters" && r.URL.Path != "/runs" {
+		if g.Down() && !benchPaths[r.URL.Path] {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
--- a/standin/backend/inject.go
+++ b/standin/backend/inject.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Inject applies the fault switches that all backend servers share.
 func (g *Gate) Inject(faults Faults) error {
@@ -86,6 +89,19 @@
 	}
 }
 
+// KeyedRuns returns how often each request with an Idempotency-Key started.
+func (g *Gate) KeyedRuns() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	keyed := make(map[string]int)
+	for key, count := range g.runs.counts {
+		if strings.HasPrefix(key, keyedPrefix) {
+			keyed[key] = count
+		}
+	}
+	return keyed
+}
+
 // Runs returns how often the request with this key started.
 func (g *Gate) Runs(key string) int {
 	g.mu.Lock()
