--- a/bench/fleet/site.go
+++ b/bench/fleet/site.go
@@ -41,8 +41,10 @@
 	backend measure.Backend
 	origin  string
 
-	mu     sync.Mutex
-	daemon Daemon
+	// changing is held while the daemon is being replaced.
+	changing sync.Mutex
+	mu       sync.Mutex
+	daemon   Daemon
 }
 
 // Site is a running site.
@@ -294,6 +296,9 @@
 
 var errNoNode = errors.New("fleet: no such instance")
 
+// ErrChanging means that an instance's daemon is already being replaced.
+var ErrChanging = errors.New("fleet: instance is being replaced")
+
 func (s *Site) node(id core.InstanceID) (*node, error) {
 	for _, n := range append(append([]*node(nil), s.agents...), s.entries...) {
 		if n.common.Instance.ID == id {
@@ -304,19 +309,21 @@
 }
 
 // Restart ends one daemon, gracefully or at once, and starts another in its
-// place after the pause.
-func (s *Site) Restart(ctx context.Context, id core.InstanceID, graceful bool, pause time.Duration) error {
+// place after the gap.
+func (s *Site) Restart(ctx context.Context, id core.InstanceID, graceful bool, gap time.Duration) error {
 	n, err := s.node(id)
 	if err != nil {
 		return err
 	}
+	if !n.changing.TryLock() {
+		return fmt.Errorf("%w: %s", ErrChanging, id)
+	}
+	defer n.changing.Unlock()
 	if err := n.stop(ctx, graceful); err != nil {
 		return err
 	}
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := pause(ctx, gap); err != nil {
+		return err
 	}
 	return s.start(ctx, n)
 }
--- a/bench/load/result.go
+++ b/bench/load/result.go
@@ -47,6 +47,8 @@
 
 // Result is what the callers saw.
 type Result struct {
+	// Start is the time of the first point of the timeline.
+	Start   time.Time
 	Total   int
 	Whole   int
 	Refused int
@@ -94,6 +96,32 @@
 	return time.Duration(longest) * PointLength
 }
 
+// MinWholeRatio returns the lowest fraction of whole answers among the requests
+// that ended in any window of one second between two times; 1 when none ended.
+func (r Result) MinWholeRatio(from, to time.Time) float64 {
+	const pointsPerWindow = int(time.Second / PointLength)
+	first := max(0, int(from.Sub(r.Start)/PointLength))
+	last := min(len(r.Timeline), int(to.Sub(r.Start)/PointLength)+1)
+	lowest := 1.0
+	for at := first; at < last; at++ {
+		window := r.Timeline[at:min(at+pointsPerWindow, last)]
+		lowest = min(lowest, wholeRatio(window))
+	}
+	return lowest
+}
+
+func wholeRatio(points []Point) float64 {
+	whole, all := 0, 0
+	for _, point := range points {
+		whole += point.Whole
+		all += point.Whole + point.Refused + point.Unknown + point.Lost
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(whole) / float64(all)
+}
+
 // tally collects results from all callers.
 type tally struct {
 	mu      sync.Mutex
@@ -104,6 +132,7 @@
 
 func newTally(start time.Time) *tally {
 	return &tally{start: start, sum: Result{
+		Start:     start,
 		FirstByte: hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		Latency:   hdrhistogram.New(histogramMin, histogramMax, histogramDigits),
 		ByCode:    make(map[string]int),
