Let daemons advertise other addresses than they listen at, and end at once

Cause: experiments put a link with limits before each daemon, and sites with address translation need the same; a lost instance must be told apart from a planned stop.

--- a/cmd/currantusher/daemons.go
+++ b/cmd/currantusher/daemons.go
@@ -18,7 +18,8 @@
 // daemonFlags are the settings that entries and agents share.
 type daemonFlags struct {
 	instance, dataCentre, region string
-	peerListen, platformURL      string
+	peerListen, peerAdvertise    string
+	platformURL                  string
 	ca, cert, key                string
 	logLevel, logFormat          string
 }
@@ -28,6 +29,7 @@
 	set.String(&f.dataCentre, "data-centre", "", "data centre of this instance")
 	set.String(&f.region, "region", "", "region of the data centre")
 	set.String(&f.peerListen, "peer-listen", "127.0.0.1:0", "IP and UDP port for other daemons")
+	set.String(&f.peerAdvertise, "peer-advertise", "", "IP and UDP port by which other daemons reach peer-listen; empty means peer-listen")
 	set.String(&f.platformURL, "platform-url", "http://127.0.0.1:9000", "URL of the platform's table service, object store and list")
 	set.String(&f.ca, "ca", "", "PEM file of the authority that signs the daemons' certificates")
 	set.String(&f.cert, "cert", "", "PEM file of this daemon's certificate")
@@ -55,6 +57,7 @@
 	c := &command{name: "entry", usage: "Runs an entry, which callers and operators connect to."}
 	flags.define(&c.settings)
 	c.settings.String(&config.HTTPListen, "http-listen", "127.0.0.1:7070", "IP and TCP port for callers and operators")
+	c.settings.String(&config.HTTPAdvertise, "http-advertise", "", "IP and TCP port by which callers reach http-listen; empty means http-listen")
 	c.settings.String(&httpCert, "http-cert", "", "PEM file of the HTTPS certificate; without it plain HTTP is served")
 	c.settings.String(&httpKey, "http-key", "", "PEM file of the HTTPS private key")
 	c.settings.String(&config.OperatorToken, "operator-token", "", "token that edits need")
@@ -82,6 +85,7 @@
 		config.Region = core.Region(flags.region)
 		config.StoreRegion = core.Region(storeRegion)
 		config.PeerListen = flags.peerListen
+		config.PeerAdvertise = flags.peerAdvertise
 		config.PlatformURL = flags.platformURL
 		daemon, err := entry.New(config)
 		if err != nil {
@@ -131,6 +135,7 @@
 		config.Region = core.Region(flags.region)
 		config.Group = core.Group(group)
 		config.PeerListen = flags.peerListen
+		config.PeerAdvertise = flags.peerAdvertise
 		config.PlatformURL = flags.platformURL
 		daemon, err := agent.New(config)
 		if err != nil {
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,8 @@
 	log         agentLogs
 	engine      atomic.Pointer[engineView]
 	draining    atomic.Bool
+	killed      chan struct{}
+	kill        func()
 	seen        seenWeights
 	work        inflight.Group
 }
@@ -70,10 +73,12 @@
 		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
 		backend:     newBackend(config.BackendURL),
 		registry:    metrics.NewRegistry(),
+		killed:      make(chan struct{}),
 		log:         newLogs(config.Log),
 	}
 	a.engine.Store(&engineView{})
 	a.gate = admission.New(admission.Config{Incarnation: a.incarnation, Limits: startLimits})
+	a.kill = sync.OnceFunc(func() { close(a.killed) })
 	if err := a.wire(); err != nil {
 		_ = peer.Close()
 		return nil, err
@@ -107,7 +112,7 @@
 		DataCentre: a.config.DataCentre,
 		Group:      a.config.Group,
 		State:      platform.InstanceLive,
-		PeerAddr:   a.peer.Addr(),
+		PeerAddr:   a.PeerAddr(),
 	}
 }
 
@@ -144,8 +149,13 @@
 	return nil
 }
 
-// Addr returns the IP and UDP port for other daemons.
-func (a *Agent) Addr() string { return a.peer.Addr() }
+// PeerAddr returns the address by which other daemons reach this one.
+func (a *Agent) PeerAddr() string {
+	if a.config.PeerAdvertise != "" {
+		return a.config.PeerAdvertise
+	}
+	return a.peer.Addr()
+}
 
 // Incarnation returns the number of this process.
 func (a *Agent) Incarnation() core.Incarnation { return a.incarnation }
@@ -154,7 +164,7 @@
 // work in progress up to the drain time and stops.
 func (a *Agent) Run(ctx context.Context) error {
 	a.config.Log.ReportInvariants()
-	a.log.main.WithField("peer", a.Addr()).Info("Agent started.")
+	a.log.main.WithField("peer", a.PeerAddr()).Info("Agent started.")
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, duties := errgroup.WithContext(running)
@@ -166,6 +176,8 @@
 		select {
 		case <-ctx.Done():
 			a.drain()
+		case <-a.killed:
+			_ = a.peer.Close()
 		case <-duties.Done():
 		}
 		return nil
@@ -193,6 +205,9 @@
 	return duties
 }
 
+// Kill ends Run at once, without a drain, as the loss of the instance would.
+func (a *Agent) Kill() { a.kill() }
+
 func ignoreCancelled(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/daemon/agent/config.go
+++ b/daemon/agent/config.go
@@ -27,6 +27,9 @@
 	Group      core.Group
 	// PeerListen is the IP and UDP port for other daemons.
 	PeerListen string
+	// PeerAdvertise is the address by which other daemons reach PeerListen; ""
+	// means PeerListen itself.
+	PeerAdvertise string
 	// HTTPListen is the IP and TCP port of /metrics and the health pages; ""
 	// serves none.
 	HTTPListen string
--- a/daemon/agent/config_follow.go
+++ b/daemon/agent/config_follow.go
@@ -18,7 +18,7 @@
 			Role:       platform.RoleAgent,
 			DataCentre: a.config.DataCentre,
 			Region:     a.config.Region,
-			Addr:       a.peer.Addr(),
+			Addr:       a.PeerAddr(),
 		},
 		Peer:       a.peer,
 		Neighbours: a.neighbours,
--- a/daemon/agent/weights.go
+++ b/daemon/agent/weights.go
@@ -37,6 +37,7 @@
 		Region:      a.config.Region,
 		Incarnation: a.incarnation,
 		Peer:        a.peer,
+		Addr:        a.PeerAddr(),
 		Staging:     engine.New(a.config.BackendURL, nil),
 		Sources:     sources,
 		Grants:      budget.NewStore(a.platform),
--- a/daemon/entry/config.go
+++ b/daemon/entry/config.go
@@ -30,10 +30,16 @@
 	StoreRegion core.Region
 	// HTTPListen is the IP and TCP port for callers and operators.
 	HTTPListen string
+	// HTTPAdvertise is the address by which callers reach HTTPListen; "" means
+	// HTTPListen itself.
+	HTTPAdvertise string
 	// HTTPTLS serves HTTPS when set.
 	HTTPTLS *tls.Config
 	// PeerListen is the IP and UDP port for other daemons.
 	PeerListen string
+	// PeerAdvertise is the address by which other daemons reach PeerListen; ""
+	// means PeerListen itself.
+	PeerAdvertise string
 	// PlatformURL is the platform's table service, object store and list.
 	PlatformURL string
 	// TLS holds the daemon's certificate and the authority.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,8 @@
 	registry    metrics.Registry
 	log         entryLogs
 	draining    atomic.Bool
+	killed      chan struct{}
+	kill        func()
 	work        inflight.Group
 }
 
@@ -88,8 +91,10 @@
 		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
 		burn:        report.NewBurn(report.Config{}),
 		registry:    metrics.NewRegistry(),
+		killed:      make(chan struct{}),
 		log:         newLogs(config.Log),
 	}
+	e.kill = sync.OnceFunc(func() { close(e.killed) })
 	if err := e.wire(); err != nil {
 		_ = listener.Close()
 		_ = peer.Close()
@@ -113,8 +118,8 @@
 		Role:       platform.RoleEntry,
 		DataCentre: e.config.DataCentre,
 		State:      platform.InstanceLive,
-		PeerAddr:   e.peer.Addr(),
-		HTTPAddr:   e.listener.Addr().String(),
+		PeerAddr:   e.PeerAddr(),
+		HTTPAddr:   e.HTTPAddr(),
 	}
 }
 
@@ -166,7 +171,7 @@
 			Role:       platform.RoleEntry,
 			DataCentre: e.config.DataCentre,
 			Region:     e.config.Region,
-			Addr:       e.peer.Addr(),
+			Addr:       e.PeerAddr(),
 		},
 		StoreRegion: e.config.StoreRegion,
 		Peer:        e.peer,
@@ -244,11 +249,21 @@
 	})
 }
 
-// HTTPAddr returns the IP and TCP port for callers and operators.
-func (e *Entry) HTTPAddr() string { return e.listener.Addr().String() }
+// HTTPAddr returns the address by which callers and operators reach this entry.
+func (e *Entry) HTTPAddr() string {
+	if e.config.HTTPAdvertise != "" {
+		return e.config.HTTPAdvertise
+	}
+	return e.listener.Addr().String()
+}
 
-// PeerAddr returns the IP and UDP port for other daemons.
-func (e *Entry) PeerAddr() string { return e.peer.Addr() }
+// PeerAddr returns the address by which other daemons reach this one.
+func (e *Entry) PeerAddr() string {
+	if e.config.PeerAdvertise != "" {
+		return e.config.PeerAdvertise
+	}
+	return e.peer.Addr()
+}
 
 func (e *Entry) scheme() string {
 	if e.config.HTTPTLS != nil {
@@ -286,6 +301,8 @@
 		select {
 		case <-ctx.Done():
 			e.drain()
+		case <-e.killed:
+			_ = e.peer.Close()
 		case <-duties.Done():
 		}
 		return nil
@@ -311,6 +328,9 @@
 	}
 }
 
+// Kill ends Run at once, without a drain, as the loss of the instance would.
+func (e *Entry) Kill() { e.kill() }
+
 func ignoreCancelled(err error) error {
 	if errors.Is(err, context.Canceled) {
 		return nil
