--- /dev/null
+++ b/requests/proof/main_test.go
@@ -0,0 +1,20 @@
+// Package proof holds the tests that cross the request packages: the ledger
+// against a faulty table service, the fault matrix, and random histories.
+package proof
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the randomised tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/requests/proof/matrix_test.go
@@ -0,0 +1,218 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/fair"
+)
+
+// fault is brought about at a step; agent is nil before the dispatch.
+type fault struct {
+	name   string
+	inject func(c *cluster, e *fakeEntry, a *fakeAgent)
+	// harmless faults leave every repeatable request with its whole answer.
+	harmless bool
+}
+
+func agentOr(c *cluster, a *fakeAgent) *fakeAgent {
+	if a == nil {
+		return c.agents[0]
+	}
+	return a
+}
+
+func ofAgent(a *fakeAgent) func(*link) bool { return func(l *link) bool { return l.agent == a } }
+
+func kill(c *cluster, a *fakeAgent) {
+	a.set(func() { a.dead = true })
+	c.cutLinks(ofAgent(a))
+}
+
+func answers(f answerFault) func(*cluster, *fakeEntry, *fakeAgent) {
+	return func(c *cluster, _ *fakeEntry, _ *fakeAgent) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.fault = f
+	}
+}
+
+func storeIs(f storeFault) func(*cluster, *fakeEntry, *fakeAgent) {
+	return func(c *cluster, _ *fakeEntry, _ *fakeAgent) { c.store.always(f) }
+}
+
+var faults = []fault{
+	{"none", func(*cluster, *fakeEntry, *fakeAgent) {}, true},
+	{"entry killed", func(c *cluster, e *fakeEntry, _ *fakeAgent) {
+		e.kill()
+		c.cutLinks(func(l *link) bool { return l.entry == e })
+	}, false},
+	{"agent killed", func(c *cluster, _ *fakeEntry, a *fakeAgent) { kill(c, agentOr(c, a)) }, true},
+	{"agent replaced", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		kill(c, agentOr(c, a))
+		agentOr(c, a).replace()
+	}, true},
+	{"agent replaced, frame in flight", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		agentOr(c, a).replace()
+	}, true},
+	{"agent paused", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		agentOr(c, a).pause()
+		time.AfterFunc(10*time.Second, agentOr(c, a).resume)
+	}, false},
+	{"dispatch delayed", func(c *cluster, _ *fakeEntry, _ *fakeAgent) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.delay = 10 * time.Second
+	}, false},
+	{"link cut", func(c *cluster, _ *fakeEntry, a *fakeAgent) { c.cutLinks(ofAgent(agentOr(c, a))) }, true},
+	{"answer late", answers(answerLate), false},
+	{"answer crossed", answers(answerCrossed), false},
+	{"answer doubled", answers(answerDoubled), false},
+	{"answer cut", answers(answerCut), false},
+	{"answer ends early", answers(answerEndsEarly), true},
+	{"engine turned cold", func(c *cluster, _ *fakeEntry, a *fakeAgent) { agentOr(c, a).gate.EngineRestarted() }, true},
+	{"store down", storeIs(storeDown), true},
+	{"store hangs", storeIs(storeHangs), true},
+	{"store slow", storeIs(storeSlow), true},
+	{"store answers lost", storeIs(storeLostAfter), true},
+	{"store lands late", storeIs(storeLandsLate), true},
+	{"data centre out", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		for _, other := range c.agents {
+			if other.dc == agentOr(c, a).dc {
+				other.set(func() { other.out = true })
+			}
+		}
+	}, true},
+	{"agent leaves", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		leaving := agentOr(c, a)
+		leaving.set(func() { leaving.draining = true })
+	}, true},
+	{"version changed", func(c *cluster, _ *fakeEntry, a *fakeAgent) {
+		changed := agentOr(c, a)
+		changed.set(func() { changed.weights = core.DigestOf([]byte("weights two")) })
+	}, true},
+}
+
+var steps = []step{stepQueued, stepClaimed, stepDispatched, stepStarted, stepStreaming, stepFinished, stepWritten}
+
+// TestFaultMatrixRequest brings about every fault at every step of a request,
+// then repeats the request at another entry, also after the fault is over.
+func TestFaultMatrixRequest(t *testing.T) {
+	kinds := []struct {
+		name               string
+		atMostOnce, stream bool
+	}{{"plain", false, false}, {"stream", false, true}, {"at-most-once", true, false}}
+	for _, kind := range kinds {
+		for _, at := range steps {
+			if !kind.atMostOnce && (at == stepClaimed || at == stepWritten) {
+				continue
+			}
+			for _, f := range faults {
+				name := strings.Join([]string{kind.name, string(at), f.name}, "/")
+				t.Run(name, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { runCell(t, kind.atMostOnce, kind.stream, at, f) })
+				})
+			}
+		}
+	}
+}
+
+func runCell(t *testing.T, atMostOnce, stream bool, at step, f fault) {
+	c := newCluster(t, 4)
+	first, second := c.entry("entry-a"), c.entry("entry-b")
+	before := invariant.Total()
+	var once sync.Once
+	fired := false
+	c.hook = func(s step, e *fakeEntry, a *fakeAgent) {
+		if s == at && e == first {
+			once.Do(func() {
+				fired = true
+				f.inject(c, e, a)
+			})
+		}
+	}
+	request := requestOf("r1", atMostOnce, stream)
+	err, answered := c.send(first, request, at == stepQueued)
+	require.True(t, fired, "the step was not reached")
+	if !atMostOnce && f.harmless {
+		require.True(t, answered)
+		require.NoError(t, err)
+	}
+	refused := answered && core.WorkOf(err) == core.WorkNotRun
+	ranAtRefusal := c.ran(request.Body)
+	if refused {
+		require.Zero(t, ranAtRefusal, "refused as not run: %v", err)
+	}
+	// Whatever is in flight comes to its end.
+	time.Sleep(30 * time.Second)
+	if refused {
+		require.Zero(t, c.ran(request.Body), "ran after it was refused: %v", err)
+	}
+	c.store.setFault(nil)
+	time.Sleep(30 * time.Second)
+	repeat := requestOf("r1", atMostOnce, stream)
+	repeat.ID = "r2"
+	repeatErr, _ := c.send(second, repeat, false)
+	if atMostOnce {
+		require.LessOrEqual(t, c.ran(request.Body), 1)
+		if answered && err == nil {
+			require.NoError(t, repeatErr, "the result of an answered request is kept")
+		}
+		if refused {
+			require.NoError(t, repeatErr, "a key refused as not run can be used again")
+		}
+	}
+	require.Equal(t, before, invariant.Total())
+	t.Logf("first: %v; repeat: %v; ran %d", describe(err, answered), describe(repeatErr, true), c.ran(request.Body))
+}
+
+func describe(err error, answered bool) string {
+	if !answered {
+		return "entry dead"
+	}
+	return fmt.Sprintf("%v (%v)", core.CodeOf(err), core.WorkOf(err))
+}
+
+// send runs a request and checks its answer. answered is false when the entry
+// died. With queued the request waits behind another one until the fault is
+// there.
+func (c *cluster) send(e *fakeEntry, request dispatch.Request, queued bool) (err error, answered bool) {
+	var grants []*fair.Grant
+	if queued {
+		for range e.queue.Stats().Limit + 16 {
+			grant, err := e.queue.Enqueue(c.down, fair.Item{Team: "other"})
+			require.NoError(c.t, err)
+			grants = append(grants, grant)
+			if stats := e.queue.Stats(); stats.Running == stats.Limit {
+				break
+			}
+		}
+	}
+	var s sink
+	started := time.Now()
+	done := make(chan error, 1)
+	go func() { done <- e.Do(c.down, request, &s) }()
+	if queued {
+		time.Sleep(5 * time.Millisecond)
+		c.at(stepQueued, e, nil)
+		for _, grant := range grants {
+			grant.Done(true)
+		}
+	}
+	select {
+	case err := <-done:
+		c.check(request, &s, err, time.Since(started))
+		return err, true
+	case <-e.dead():
+		return nil, false
+	}
+}
--- /dev/null
+++ b/requests/proof/random_test.go
@@ -0,0 +1,3 @@
+package proof
+
+import _ "pgregory.net/rapid"
