Add the demo on real daemons, and transfers paced by their link

Cause: daemons announce the address at which they listen, so a forwarded port before them is not used by their peers. Until they can announce another, the demo gives agents a link to pace and count their transfers.

Wish for the daemons: a setting for the announced peer address and HTTP address, and an end without draining, so that links carry all traffic and instances can be lost inside one process.

--- a/bench/fleet/hooks.go
+++ b/bench/fleet/hooks.go
@@ -3,16 +3,18 @@
 import (
 	"context"
 
+	"currantusher.dev/core"
 	"currantusher.dev/core/keys"
 	"currantusher.dev/platform"
 	"currantusher.dev/tables"
+	"currantusher.dev/weights/swarm"
 )
 
 // Daemon is a running entry or agent.
 type Daemon interface {
 	// Stop drains the daemon and returns when it has ended.
 	Stop(ctx context.Context) error
-	// Kill ends the daemon at once, as the loss of its instance would.
+	// Kill ends the daemon as fast as it can be ended within one process.
 	Kill()
 }
 
@@ -21,6 +23,7 @@
 	// Instance is what the daemon announces: PeerAddr is the address by which
 	// others reach it and HTTPAddr, of entries, the one to listen at.
 	Instance platform.Instance
+	Region   core.Region
 	// PeerListen is the IP and UDP port to listen at.
 	PeerListen string
 	// StoreURL serves the tables, the objects and the list.
@@ -42,10 +45,16 @@
 	Kind       tables.PoolKind
 	// OriginURL serves weights.
 	OriginURL string
+	// Links paces and counts transfers when Hooks.Announce is false.
+	Links swarm.Links
 }
 
 // Hooks start the system's daemons.
 type Hooks struct {
 	StartEntry func(ctx context.Context, spec EntrySpec) (Daemon, error)
 	StartAgent func(ctx context.Context, spec AgentSpec) (Daemon, error)
+	// Announce says that daemons announce Common.Instance.PeerAddr instead of
+	// the address at which they listen, so that all their traffic passes
+	// through the Site's links.
+	Announce bool
 }
