--- a/tables/spread/peers.go
+++ b/tables/spread/peers.go
@@ -11,11 +11,10 @@
 func (s *State) Pulled(now time.Time, event Pulled) []Action {
 	if !event.Parent {
 		delete(s.sidePulls, event.From.ID)
-		delete(s.surveyLeft, event.From.ID)
 	}
-	var actions []Action
+	actions := s.surveyAnswered(now, event)
 	if event.Err == nil {
-		actions = s.learn(now, event)
+		actions = append(actions, s.learn(now, event)...)
 	} else {
 		delete(s.witnesses, event.From.ID)
 	}
--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -22,7 +22,7 @@
 	// after several useless pulls in a row.
 	Pace  time.Duration
 	Retry time.Duration
-	// Survey bounds the wait for peers at start.
+	// Survey bounds the wait for the peers that are asked at start.
 	Survey time.Duration
 	// Snapshot is the least time between two snapshots.
 	Snapshot time.Duration
@@ -52,7 +52,6 @@
 const (
 	defaultMaxAge = 4 * time.Second
 	defaultRelays = 3
-	surveyPeers   = 3
 	maxHeldPulls  = 1024
 	// quickParents is the number of parents that are tried without delay.
 	quickParents = 2
@@ -120,10 +119,8 @@
 	witnesses  map[core.InstanceID]witness
 	witnessDue time.Time
 
-	surveying   bool
-	surveyed    bool
-	surveyUntil time.Time
-	surveyLeft  map[core.InstanceID]bool
+	survey   survey
+	surveyed bool
 
 	held        []held
 	snapshotDue time.Time
@@ -137,11 +134,10 @@
 func NewState(settings Settings) *State {
 	settings.applyDefaults()
 	return &State{
-		settings:   settings,
-		sidePulls:  map[core.InstanceID]time.Time{},
-		witnesses:  map[core.InstanceID]witness{},
-		surveyLeft: map[core.InstanceID]bool{},
-		askNow:     true,
+		settings:  settings,
+		sidePulls: map[core.InstanceID]time.Time{},
+		witnesses: map[core.InstanceID]witness{},
+		askNow:    true,
 	}
 }
 
@@ -188,7 +184,7 @@
 // Tick starts what is due.
 func (s *State) Tick(now time.Time) []Action {
 	var actions []Action
-	actions = append(actions, s.survey(now)...)
+	actions = append(actions, s.surveyAtStart(now)...)
 	actions = append(actions, s.askStore(now)...)
 	actions = append(actions, s.askParent(now)...)
 	actions = append(actions, s.askWitnesses(now)...)
@@ -196,29 +192,6 @@
 	return append(actions, s.snapshot(now)...)
 }
 
-// survey asks several peers at start, so that a table service or a peer that
-// answers with an old revision does not decide alone.
-func (s *State) survey(now time.Time) []Action {
-	if s.surveyed {
-		return nil
-	}
-	if s.surveyUntil.IsZero() {
-		s.surveyUntil = now.Add(s.settings.Timing.Survey)
-		return []Action{ReadSnapshot{}}
-	}
-	if s.surveying || now.After(s.surveyUntil) {
-		s.surveyed = len(s.surveyLeft) == 0 || now.After(s.surveyUntil)
-		return nil
-	}
-	s.surveying = len(s.topology.parents) > 0
-	var actions []Action
-	for _, peer := range s.topology.parents[:min(surveyPeers, len(s.topology.parents))] {
-		s.surveyLeft[peer.ID] = true
-		actions = append(actions, s.sidePull(now, peer)...)
-	}
-	return actions
-}
-
 func (s *State) inFlight(now, sent time.Time) bool {
 	return !sent.IsZero() && now.Sub(sent) < s.settings.Timing.InFlight
 }
@@ -296,8 +269,7 @@
 	case event.Revision > own:
 		return s.load(now)
 	default:
-		s.confirm(event.SentAt)
-		return nil
+		return s.confirmByStore(now, event.SentAt)
 	}
 }
 
