--- a/members/directory.go
+++ b/members/directory.go
@@ -204,9 +204,15 @@
 	}
 }
 
-// self applies the entry's own report.
-func (d *Directory) self(beat wire.Heartbeat) {
-	d.update(func(r *roster, now time.Time) { r.heard(now, d.config.Self, beat) })
+// self applies the entry's own report. It reports whether a later process runs
+// in this one's place.
+func (d *Directory) self(beat wire.Heartbeat) bool {
+	var replaced bool
+	d.update(func(r *roster, now time.Time) {
+		r.heard(now, d.config.Self, beat)
+		replaced = r.replaced
+	})
+	return replaced
 }
 
 // jitter spreads periodic work by a tenth around period.
--- a/members/exchange.go
+++ b/members/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"time"
 
@@ -26,18 +27,31 @@
 		if !d.waitRound(ctx) {
 			return
 		}
-		partners := d.partners()
+		partners, probe := d.plan(round)
 		for _, partner := range partners {
 			d.start(ctx, &wg, partner, true)
 		}
-		if round%probeRounds == 0 {
-			if probe, ok := d.probe(partners); ok {
-				d.start(ctx, &wg, probe, false)
-			}
+		if probe != nil {
+			d.start(ctx, &wg, *probe, false)
 		}
 	}
 }
 
+// plan returns the neighbours to call in this round and the entry to probe.
+func (d *Directory) plan(round int) ([]platform.Instance, *platform.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	partners := d.roster.partners()
+	if round%probeRounds != 0 {
+		return partners, nil
+	}
+	probe, ok := d.roster.probe(partners, rand.IntN)
+	if !ok {
+		return partners, nil
+	}
+	return partners, &probe
+}
+
 // waitRound waits for the next period, or for the gap after a change.
 func (d *Directory) waitRound(ctx context.Context) bool {
 	if !sleep(ctx, jitter(d.config.ExchangeGap)) {
@@ -87,29 +101,42 @@
 	d.update(func(r *roster, now time.Time) { r.receive(now, reply, watch && reply.From == partner.ID) })
 }
 
-// partners returns the neighbours and stops watching former ones.
-func (d *Directory) partners() []platform.Instance {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	chosen := chooseNeighbours(d.config.Self, d.roster.reachableEntries())
+// reachableEntries returns the entries that are not gone, without self.
+func (r *roster) reachableEntries() []platform.Instance {
+	var entries []platform.Instance
+	for id, known := range r.records {
+		if id == r.self.ID || known.instance.Role != platform.RoleEntry || known.state() == StateGone {
+			continue
+		}
+		entries = append(entries, known.instance)
+	}
+	return entries
+}
+
+// partners returns the neighbours and stops the watch of former ones.
+func (r *roster) partners() []platform.Instance {
+	chosen := chooseNeighbours(r.self, r.reachableEntries())
 	current := make(map[core.InstanceID]bool, len(chosen))
 	for _, partner := range chosen {
 		current[partner.ID] = true
 	}
-	d.roster.watchOnly(current)
+	for id, known := range r.records {
+		if known.instance.Role == platform.RoleEntry && !current[id] {
+			known.observed = false
+		}
+	}
 	return chosen
 }
 
-// probe picks a random entry besides the neighbours, also one that is gone.
-func (d *Directory) probe(partners []platform.Instance) (platform.Instance, bool) {
-	excluded := map[core.InstanceID]bool{d.config.Self.ID: true}
+// probe returns a random entry besides partners, also one that is gone. pick
+// returns a random number below its argument.
+func (r *roster) probe(partners []platform.Instance, pick func(n int) int) (platform.Instance, bool) {
+	excluded := map[core.InstanceID]bool{r.self.ID: true}
 	for _, partner := range partners {
 		excluded[partner.ID] = true
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var candidates []platform.Instance
-	for id, known := range d.roster.records {
+	for id, known := range r.records {
 		if known.instance.Role == platform.RoleEntry && !excluded[id] && !known.left() {
 			candidates = append(candidates, known.instance)
 		}
@@ -117,26 +144,6 @@
 	if len(candidates) == 0 {
 		return platform.Instance{}, false
 	}
-	return candidates[rand.IntN(len(candidates))], true
-}
-
-// reachableEntries returns the entries that are not gone, without self.
-func (r *roster) reachableEntries() []platform.Instance {
-	var entries []platform.Instance
-	for id, known := range r.records {
-		if id == r.self.ID || known.instance.Role != platform.RoleEntry || known.state() == StateGone {
-			continue
-		}
-		entries = append(entries, known.instance)
-	}
-	return entries
-}
-
-// watchOnly stops the watch of entries that are not in current.
-func (r *roster) watchOnly(current map[core.InstanceID]bool) {
-	for id, known := range r.records {
-		if known.instance.Role == platform.RoleEntry && !current[id] {
-			known.observed = false
-		}
-	}
+	sort.Slice(candidates, func(i, j int) bool { return candidates[i].ID < candidates[j].ID })
+	return candidates[pick(len(candidates))], true
 }
--- a/members/handlers.go
+++ b/members/handlers.go
@@ -37,7 +37,7 @@
 		beat.Incarnation = incarnation
 		if !d.heard(instance, beat) {
 			d.rejected.Inc(1)
-			return core.Refuse(core.CodeStaleIncarnation, 0, "instance %q was replaced", instance.ID)
+			return stream.Send(wire.HeartbeatReply{Sequence: beat.Sequence, Replaced: true})
 		}
 		if !beat.Acknowledge {
 			continue
--- a/members/home.go
+++ b/members/home.go
@@ -19,7 +19,10 @@
 	openTimeout   = 3 * time.Second
 )
 
-var errNoAcknowledgement = errors.New("members: entry does not acknowledge reports")
+var (
+	errNoAcknowledgement = errors.New("members: entry does not acknowledge reports")
+	errReplaced          = errors.New("members: a later process runs in this daemon's place")
+)
 
 // home sends reports to one entry over one stream.
 type home struct {
@@ -84,6 +87,9 @@
 		if err := stream.Recv(&reply); err != nil {
 			return err
 		}
+		if reply.Replaced {
+			return errReplaced
+		}
 		select {
 		case acknowledged <- struct{}{}:
 		default:
--- a/members/reporter.go
+++ b/members/reporter.go
@@ -34,6 +34,10 @@
 	// Directory, on entries, receives the reports instead of other entries:
 	// the exchange of summaries spreads them.
 	Directory *Directory
+	// OnReplaced is called once when an entry says that a later process runs in
+	// this daemon's place. From then on the daemon reports that it is leaving;
+	// it should start no new work.
+	OnReplaced func()
 	// HeartbeatPeriod is the time between two reports.
 	HeartbeatPeriod time.Duration
 	// AnnouncePeriod is the shortest time between two calls to the list; it is
@@ -84,6 +88,9 @@
 	sequence uint64
 	leaving  bool
 	left     bool
+	// wasReplaced is set when an entry knows a later incarnation.
+	wasReplaced bool
+
 	entries  []platform.Instance
 	listSize int
 	homes    map[core.InstanceID]*home
@@ -201,7 +208,9 @@
 func (r *Reporter) report(ctx context.Context) {
 	beat := r.next()
 	if r.config.Directory != nil {
-		r.config.Directory.self(beat)
+		if r.config.Directory.self(beat) {
+			r.replaced()
+		}
 		return
 	}
 	for _, h := range r.chooseHomes(ctx) {
@@ -266,6 +275,9 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errReplaced) {
+			r.replaced()
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.homes[entry.ID] == h {
@@ -276,6 +288,21 @@
 	})
 }
 
+func (r *Reporter) replaced() {
+	r.mu.Lock()
+	first := !r.wasReplaced
+	r.wasReplaced = true
+	r.leaving = true
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	r.config.Log.Error("A later process runs in this daemon's place.")
+	if r.config.OnReplaced != nil {
+		r.config.OnReplaced()
+	}
+}
+
 // Homes returns the entries that this daemon reports to, which are also its
 // sources of configuration.
 func (r *Reporter) Homes() []platform.Instance {
--- a/members/roster.go
+++ b/members/roster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/platform"
 	"currantusher.dev/wire"
 )
@@ -43,12 +44,21 @@
 	ghost         ghost
 }
 
-// ghost is an earlier incarnation that never said that it ended.
+// ghost stands for the earlier incarnations that never said that they ended:
+// the lowest revision of theirs, and until when they are remembered.
 type ghost struct {
 	revision core.Revision
 	until    time.Time
 }
 
+// with adds an incarnation that ran revision.
+func (g ghost) with(now time.Time, revision core.Revision, retention time.Duration) ghost {
+	if now.Before(g.until) {
+		revision = min(revision, g.revision)
+	}
+	return ghost{revision: revision, until: now.Add(retention)}
+}
+
 // roster is the membership state of one entry. It is pure: it has no clock and
 // does no I/O.
 type roster struct {
@@ -62,8 +72,12 @@
 	links    map[core.InstanceID]*link
 	known    revisionLog
 	listRead bool
+	// replaced is set when a later process runs in this one's place.
+	replaced bool
 	// urgent is set when a change should be spread without delay.
 	urgent bool
+	// merge joins two reports; tests replace it to show that checkMerge fails.
+	merge func(known, incoming report) (report, change)
 }
 
 func newRoster(self platform.Instance, incarnation core.Incarnation, t timing) *roster {
@@ -74,6 +88,7 @@
 		records:     map[core.InstanceID]*record{},
 		keys:        map[uint64]core.InstanceID{},
 		links:       map[core.InstanceID]*link{},
+		merge:       merge,
 	}
 }
 
@@ -131,6 +146,10 @@
 // itself when via is "". It reports false when the incarnation was replaced.
 func (r *roster) apply(now time.Time, via core.InstanceID, incoming report) bool {
 	id := incoming.instance.ID
+	if id == r.self.ID && incoming.incarnation > r.incarnation {
+		r.replaced = true
+		return false
+	}
 	known := r.records[id]
 	if known == nil {
 		known = &record{report: report{instance: incoming.instance, live: livenessSuspected, madeAt: now}}
@@ -144,11 +163,14 @@
 		return false
 	}
 	before := known.report
-	joined, changed := merge(known.report, incoming)
+	joined, changed := r.merge(known.report, incoming)
+	if !checkMerge(before, joined) {
+		return false
+	}
 	known.report = joined
 	r.known.note(now, joined.revision)
 	if joined.incarnation > before.incarnation {
-		r.replace(now, known, before)
+		r.succeed(now, known, before)
 	}
 	if changed != changeNone {
 		known.learnedAt = now
@@ -158,19 +180,31 @@
 	return true
 }
 
+// checkMerge asserts that a report never loses what is final.
+func checkMerge(before, joined report) bool {
+	id := before.instance.ID
+	if joined.incarnation != before.incarnation {
+		return invariant.Check(invariant.NoRevert, joined.incarnation > before.incarnation,
+			"incarnation of %s fell from %d to %d", id, before.incarnation, joined.incarnation)
+	}
+	kept := invariant.Check(invariant.NoRevert, joined.revision >= before.revision,
+		"revision of %s fell from %d to %d", id, before.revision, joined.revision)
+	return kept && invariant.Check(invariant.LeavingBackend, joined.flags&before.flags == before.flags,
+		"%s is no longer leaving in incarnation %d", id, joined.incarnation)
+}
+
 // outdated reports whether incoming wrongly doubts a daemon, so that its
 // sender needs the newer report.
 func outdated(known, incoming report) bool {
 	return incoming.silent() && incoming.sequence < known.sequence
 }
 
-func (r *roster) replace(now time.Time, known *record, before report) {
+func (r *roster) succeed(now time.Time, known *record, before report) {
 	delete(r.keys, memberKey(before.instance.ID, before.incarnation))
 	r.keys[memberKey(known.instance.ID, known.incarnation)] = known.instance.ID
 	known.observed = false
-	known.ghost = ghost{}
 	if before.incarnation != 0 && !before.left() {
-		known.ghost = ghost{revision: before.revision, until: now.Add(r.timing.lease)}
+		known.ghost = known.ghost.with(now, before.revision, r.timing.retention)
 	}
 	r.supersedeAddress(now, known)
 }
@@ -209,8 +243,8 @@
 }
 
 // rejectReplaced tells a neighbour about the later incarnation. A replaced
-// process that reports to this entry itself evidently still runs, so it counts
-// for another lease.
+// process that reports to this entry itself evidently still runs, so it is
+// remembered for longer.
 func (r *roster) rejectReplaced(now time.Time, known *record, via core.InstanceID, incoming report) {
 	if via != "" {
 		r.bump(now, known, "", changeMaterial)
@@ -219,7 +253,7 @@
 	if incoming.left() {
 		return
 	}
-	known.ghost = ghost{revision: incoming.revision, until: now.Add(r.timing.lease)}
+	known.ghost = known.ghost.with(now, incoming.revision, r.timing.retention)
 }
 
 func (r *roster) trackSilence(now time.Time, known *record, before report) {
@@ -325,8 +359,11 @@
 	return now.Sub(known.learnedAt) >= silentAfter
 }
 
+// doubt records that reports are missing. The watch ends, so that a daemon that
+// reports elsewhere is doubted only once.
 func (r *roster) doubt(now time.Time, known *record, live liveness) {
 	known.live = live
+	known.observed = false
 	if live == livenessSuspected {
 		known.silentAt = now
 	}
--- a/wire/members.go
+++ b/wire/members.go
@@ -54,6 +54,8 @@
 // HeartbeatReply acknowledges the heartbeats up to Sequence.
 type HeartbeatReply struct {
 	Sequence uint64 `cbor:"1,keyasint"`
+	// Replaced says that a later process runs in the daemon's place.
+	Replaced bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Status is the part of a report that changes seldom.
