--- /dev/null
+++ b/bench/burst/config.go
@@ -0,0 +1,85 @@
+// Package burst measures how fast one version of weights reaches a fleet. All
+// agents run in one process, each with its own endpoint on loopback; links are
+// limited in software.
+package burst
+
+import (
+	"fmt"
+	"time"
+)
+
+// Strategy is a way to distribute weights.
+type Strategy string
+
+// Strategies.
+const (
+	// Swarm is the product's way.
+	Swarm Strategy = "swarm"
+	// OriginOnly lets every agent fetch everything from the origin.
+	OriginOnly Strategy = "origin-only"
+	// Chain lets each agent fetch from one predecessor of its region.
+	Chain Strategy = "chain"
+	// OneFetcher lets one agent of each region fetch from the origin.
+	OneFetcher Strategy = "one-fetcher"
+)
+
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+)
+
+// Config describes one run. Zero values take defaults.
+type Config struct {
+	Strategy Strategy
+	Agents   int
+	Regions  int
+	// Bytes is the size of the weights and ChunkBytes that of a chunk.
+	Bytes      int
+	ChunkBytes int
+	// MachineRate is the rate of a machine's link each way, OriginRate that
+	// of the origin's link, RegionRate that of a region's border each way and
+	// StoreRate that of the weight store, in bytes a second.
+	MachineRate int
+	OriginRate  int
+	RegionRate  int
+	StoreRate   int
+	// Trackers is the number of entries that track.
+	Trackers int
+	// Peers bounds the near peers of an agent; 0 means the product's default.
+	Peers int
+	// Seed seeds the content and the random choices.
+	Seed    uint64
+	Timeout time.Duration
+}
+
+func (c *Config) applyDefaults() error {
+	if c.Strategy == "" {
+		c.Strategy = Swarm
+	}
+	switch c.Strategy {
+	case Swarm, OriginOnly, Chain, OneFetcher:
+	default:
+		return fmt.Errorf("strategy %q: want swarm, origin-only, chain or one-fetcher", c.Strategy)
+	}
+	setDefault(&c.Agents, 50)
+	setDefault(&c.Regions, 3)
+	setDefault(&c.Bytes, 2*mib)
+	setDefault(&c.ChunkBytes, 16*kib)
+	setDefault(&c.MachineRate, 128*kib)
+	setDefault(&c.OriginRate, 4*c.MachineRate)
+	setDefault(&c.RegionRate, 2*c.MachineRate)
+	setDefault(&c.StoreRate, c.MachineRate)
+	setDefault(&c.Trackers, 3)
+	setDefault(&c.Seed, 1)
+	setDefault(&c.Timeout, 30*time.Minute)
+	if c.Agents < 0 || c.Regions < 0 || c.Bytes < 0 || c.ChunkBytes < 0 || c.Trackers < 0 || c.Peers < 0 {
+		return fmt.Errorf("burst: negative count in %+v", *c)
+	}
+	return nil
+}
+
+func setDefault[T int | uint64 | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -34,7 +34,12 @@
 	fetched []uint32
 	// progressAt is when the last chunk came or a source was last asked.
 	progressAt time.Time
-	stall      time.Duration
+	// stall and starve are how long nothing may come before a source is asked
+	// for chunks that no peer offers, or that no peer can deliver.
+	stall  time.Duration
+	starve time.Duration
+	// asked reports that the tracker was asked for peers in this wait.
+	asked bool
 	// heldAt is when another grant of the region was seen for an extent.
 	heldAt map[int]time.Time
 	// unused are chunks with an origin grant of which nothing was drawn.
@@ -69,6 +74,7 @@
 		unused:     map[int]bool{},
 		progressAt: time.Now(),
 		stall:      s.jittered(s.config.StallTimeout),
+		starve:     s.jittered(s.config.RetryDelay),
 	}
 	for chunk := range sizes {
 		if s.offers.has(chunk) {
@@ -433,23 +439,51 @@
 // checkStall turns to sources when chunks that no near peer delivers have not
 // come for too long.
 func (d *download) checkStall(now time.Time) {
-	if now.Sub(d.progressAt) < d.stall || len(d.extents) > 0 {
+	if len(d.extents) > 0 || now.Sub(d.progressAt) < d.starve {
 		return
 	}
-	d.progressAt = now
-	d.stall = d.jittered(d.config.StallTimeout)
-	d.nudge()
 	missing := d.plan.uncovered(0, len(d.chunks))
-	if len(missing) == 0 {
+	if len(missing) == 0 || d.plan.flying > 0 {
 		return
 	}
 	chunk := missing[d.random.IntN(len(missing))]
-	if d.plan.cover(chunk) != coverNone {
-		d.fetchElsewhere(chunk)
+	if d.plan.cover(chunk) == coverSpent {
+		d.starved(missing, now)
+		return
+	}
+	if now.Sub(d.progressAt) < d.stall {
 		return
 	}
+	d.restart(now)
 	extent := chunk / extentChunks(len(d.chunks))
 	heldAt := d.heldAt[extent]
 	takeover := !heldAt.IsZero() && now.Sub(heldAt) >= d.config.StallTimeout
 	d.fetchExtent(extent, takeover, now)
 }
+
+// restart begins a new wait for chunks.
+func (d *download) restart(now time.Time) {
+	d.progressAt = now
+	d.stall = d.jittered(d.config.StallTimeout)
+	d.starve = d.jittered(d.config.RetryDelay)
+	d.asked = false
+	d.nudge()
+}
+
+// starved asks the tracker for peers with an upload budget and, when that did
+// not help, the weight store.
+func (d *download) starved(missing []int, now time.Time) {
+	if !d.asked {
+		d.asked = true
+		d.starve += d.jittered(d.config.RetryDelay)
+		d.nudge()
+		return
+	}
+	d.restart(now)
+	for i, chunk := range missing {
+		if i == sourceParallel {
+			break
+		}
+		d.fetchElsewhere(chunk)
+	}
+}
--- a/weights/swarm/ledger.go
+++ b/weights/swarm/ledger.go
@@ -9,9 +9,9 @@
 	// maxCopies bounds the copies of a version that cross this instance's
 	// link, received and sent together.
 	maxCopies = 2
-	// reserveChunks is the allowance for discarded content while chunks are
-	// missing, in chunks.
-	reserveChunks = 2
+	// reserveParts gives the allowance for discarded content while chunks are
+	// missing: this part of a copy, and at least one chunk.
+	reserveParts = 256
 )
 
 // ledger accounts for the content of one version that crosses this instance's
@@ -21,9 +21,11 @@
 	mu sync.Mutex
 	// size is one copy, missing is what is still to be received and reserve
 	// the allowance for discarded content, in bytes.
-	size     int64
-	missing  int64
-	reserve  int64
+	size    int64
+	missing int64
+	reserve int64
+	// chunk is the size of the largest chunk; a smaller rest counts as none.
+	chunk    int64
 	received int64
 	sent     int64
 	renewed  time.Time
@@ -31,7 +33,7 @@
 }
 
 func newLedger(size, missing, chunk int64, window time.Duration) *ledger {
-	return &ledger{size: size, missing: missing, reserve: reserveChunks * chunk, window: window}
+	return &ledger{size: size, missing: missing, chunk: chunk, reserve: max(chunk, size/reserveParts), window: window}
 }
 
 // left returns the bytes that may still be sent.
@@ -49,7 +51,11 @@
 	if l.missing == 0 {
 		reserve = 0
 	}
-	return max(0, maxCopies*l.size-l.received-l.missing-l.sent-reserve)
+	left := maxCopies*l.size - l.received - l.missing - l.sent - reserve
+	if left < l.chunk {
+		return 0
+	}
+	return left
 }
 
 // send books an upload. It reports false when the budget does not allow it.
--- a/weights/swarm/planner.go
+++ b/weights/swarm/planner.go
@@ -29,6 +29,7 @@
 type peerView struct {
 	far      bool
 	bits     bitset
+	offers   int
 	left     int64
 	inFlight int
 	strikes  int
@@ -43,8 +44,7 @@
 }
 
 // planner decides which chunk to request from which peer: the rarest first,
-// ties at random, from the peer with the fewest requests and the most upload
-// budget. It has no clock and does no I/O.
+// ties at random, from one of the peers with the fewest requests. It has no clock and does no I/O.
 type planner struct {
 	sizes    []int64
 	have     bitset
@@ -131,6 +131,7 @@
 		}
 	}
 	view.bits = newBitset(len(p.sizes))
+	view.offers = 0
 }
 
 // offer records chunks that a peer offers and the rest of its upload budget.
@@ -153,7 +154,11 @@
 }
 
 func (p *planner) offerOne(view *peerView, chunk int) {
-	if view.bits.set(chunk) && !view.far {
+	if !view.bits.set(chunk) {
+		return
+	}
+	view.offers++
+	if !view.far {
 		p.rarity[chunk]++
 	}
 }
@@ -196,6 +201,7 @@
 		return
 	}
 	view.bits[chunk>>3] &^= 1 << (chunk & 7)
+	view.offers--
 	if !view.far && !view.banned {
 		p.rarity[chunk]--
 	}
@@ -294,41 +300,36 @@
 	return !view.far || p.wantFar.has(chunk)
 }
 
+// bestPeer draws two of the best peers and takes the one with more upload
+// budget, which spreads requests and evens out the budgets. Peers that are not
+// whole come first: what is left of their budget once everybody is whole is of
+// no use, while whole peers can serve any chunk until the end. Then come the
+// peers with the fewest requests.
 func (p *planner) bestPeer(usable []string, chunk int) string {
-	var best string
-	ties := 0
+	var best []string
+	lowest := 0
 	for _, addr := range usable {
 		view := p.peers[addr]
 		if !p.serves(view, chunk) {
 			continue
 		}
-		switch p.compare(view, p.peers[best]) {
-		case 1:
-			best, ties = addr, 1
-		case 0:
-			ties++
-			if p.random.IntN(ties) == 0 {
-				best = addr
-			}
+		rank := view.inFlight
+		if view.offers == len(p.sizes) {
+			rank += perPeer
+		}
+		if len(best) == 0 || rank < lowest {
+			best, lowest = best[:0], rank
+		}
+		if rank == lowest {
+			best = append(best, addr)
 		}
 	}
-	return best
-}
-
-// compare returns 1 when a is the better peer, 0 for a tie and -1 otherwise.
-func (p *planner) compare(a, b *peerView) int {
-	switch {
-	case b == nil || a.inFlight < b.inFlight:
-		return 1
-	case a.inFlight > b.inFlight:
-		return -1
-	case a.left > b.left:
-		return 1
-	case a.left < b.left:
-		return -1
-	default:
-		return 0
+	first := best[p.random.IntN(len(best))]
+	second := best[p.random.IntN(len(best))]
+	if p.peers[second].left > p.peers[first].left {
+		return second
 	}
+	return first
 }
 
 // coverage says where a missing chunk can come from.
--- a/weights/tracker/state.go
+++ b/weights/tracker/state.go
@@ -44,8 +44,9 @@
 
 // limits are the times after which soft state is dropped.
 type limits struct {
-	member time.Duration
-	fetch  time.Duration
+	member     time.Duration
+	fetch      time.Duration
+	oneFetcher bool
 }
 
 func (v *version) track(request wire.TrackRequest, now time.Time, limits limits, random *rand.Rand) wire.TrackReply {
@@ -57,10 +58,13 @@
 	if known, ok := v.members[request.Self.ID]; ok && known.peer.Incarnation > request.Self.Incarnation {
 		return wire.TrackReply{}
 	}
+	if request.Self.Done > v.members[request.Self.ID].peer.Done {
+		v.region(request.Self.Region).progress(request.Self.ID, now)
+	}
 	v.members[request.Self.ID] = member{peer: request.Self, seen: now}
 	v.expire(now, limits.member)
 	reply := wire.TrackReply{Peers: v.pick(request, random)}
-	v.assign(&reply, request, now, limits.fetch)
+	v.assign(&reply, request, now, limits)
 	return reply
 }
 
@@ -100,12 +104,9 @@
 	return peers
 }
 
-func (v *version) assign(reply *wire.TrackReply, request wire.TrackRequest, now time.Time, timeout time.Duration) {
-	region := v.regions[request.Self.Region]
-	if region == nil {
-		region = &regionState{}
-		v.regions[request.Self.Region] = region
-	}
+func (v *version) assign(reply *wire.TrackReply, request wire.TrackRequest, now time.Time, limits limits) {
+	timeout := limits.fetch
+	region := v.region(request.Self.Region)
 	if request.Extents == 0 {
 		reply.FetchManifest = region.assignManifest(request.Self.ID, now, timeout)
 		return
@@ -116,7 +117,7 @@
 			region.extents[extent].done = true
 		}
 	}
-	if !request.Idle {
+	if !request.Idle || limits.oneFetcher && region.taken(request.Self.ID) {
 		return
 	}
 	if extent, ok := region.nextExtent(now, timeout); ok {
@@ -126,6 +127,24 @@
 	}
 }
 
+func (v *version) region(name core.Region) *regionState {
+	region := v.regions[name]
+	if region == nil {
+		region = &regionState{}
+		v.regions[name] = region
+	}
+	return region
+}
+
+// progress extends the extents of a downloader that gets on.
+func (r *regionState) progress(holder core.InstanceID, now time.Time) {
+	for i := range r.extents {
+		if r.extents[i].holder == holder {
+			r.extents[i].at = now
+		}
+	}
+}
+
 func (r *regionState) assignManifest(holder core.InstanceID, now time.Time, timeout time.Duration) bool {
 	if r.manifest != nil && r.manifest.holder != holder && now.Sub(r.manifest.at) < timeout {
 		return false
@@ -141,6 +160,12 @@
 	r.extents = make([]assignment, extents)
 }
 
+// taken reports whether the first extent is with another downloader.
+func (r *regionState) taken(by core.InstanceID) bool {
+	first := r.extents[0].holder
+	return first != "" && first != by
+}
+
 // nextExtent prefers an extent that nobody was asked for, then one whose holder
 // is late.
 func (r *regionState) nextExtent(now time.Time, timeout time.Duration) (int, bool) {
--- a/weights/tracker/tracker.go
+++ b/weights/tracker/tracker.go
@@ -27,6 +27,9 @@
 	FetchTimeout time.Duration
 	// VersionTTL is how long an unused version is remembered.
 	VersionTTL time.Duration
+	// OneFetcher gives all extents of a region to the downloader that was
+	// given the first one, unless it is late.
+	OneFetcher bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Seed seeds the choice of peers.
@@ -98,7 +101,7 @@
 		known = newVersion()
 		t.versions[request.Root] = known
 	}
-	return known.track(request, now, limits{member: t.config.MemberTTL, fetch: t.config.FetchTimeout}, t.random)
+	return known.track(request, now, limits{member: t.config.MemberTTL, fetch: t.config.FetchTimeout, oneFetcher: t.config.OneFetcher}, t.random)
 }
 
 func (t *Tracker) expire(now time.Time) {
