Follow engines to their next version without refusals; test separate processes

Cause: an entry learns an engine's version by heartbeats, so right after an activation both agents of a pool refused with digest-mismatch and the caller got no-backend (seen in TestProcessesServe). End frames now name the version that the engine carries, agents report a change at once, and an agent that moved on may be tried again on its new version.

--- a/bench/e2e/deployment_test.go
+++ b/bench/e2e/deployment_test.go
@@ -152,7 +152,7 @@
   - {name: lot-registry, group: lot-registry, kind: service, limits: {cold_requests: 2, warm_requests: 16}}
 routes:
   - {name: labels, pool: label-llm, deadline_millis: 60000}
-  - {name: lots, pool: lot-registry, at_most_once: true, path: /lots, deadline_millis: 60000}
+  - {name: lots, pool: lot-registry, at_most_once: true, path: /lots, deadline_millis: 20000}
 `
 
 func (d *deployment) apply() {
@@ -180,6 +180,9 @@
 			d.eventually(name+" carries the version", func() bool { return d.state(url).Weights == root })
 		}
 	}
+	for name, url := range d.entries {
+		d.eventually(name+" knows both engines", func() bool { return enginesOn(url, root) == 2 })
+	}
 	return root
 }
 
@@ -200,6 +203,30 @@
 	}
 }
 
+// enginesOn counts the agents that an entry knows to carry a version.
+func enginesOn(entry, root string) int {
+	response, err := http.Get(entry + "/v1/status")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0
+	}
+	var known oas.Status
+	if known.UnmarshalJSON(body) != nil {
+		return 0
+	}
+	count := 0
+	for _, daemon := range known.Daemons {
+		if daemon.Weights.Or("") == root {
+			count++
+		}
+	}
+	return count
+}
+
 func status(url string) int {
 	response, err := http.Get(url)
 	if err != nil {
--- a/daemon/agent/dispatch.go
+++ b/daemon/agent/dispatch.go
@@ -39,6 +39,7 @@
 	load := a.gate.Load(time.Now())
 	end.Running = load.Running
 	end.Limit = load.Limit
+	end.Weights = a.engine.Load().state.Weights
 	return stream.Send(wire.Reply{End: end})
 }
 
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -48,6 +48,10 @@
 		next.missed++
 		next.serving = previous.serving && next.missed < serveMissed
 		a.engine.Store(&next)
+		if previous.serving && !next.serving {
+			a.log.main.WithError(err).Warn("Backend server does not answer.")
+			a.reporter.ReportNow()
+		}
 		return
 	}
 	if previous.state.Incarnation != "" && previous.state.Incarnation != state.Incarnation {
@@ -59,6 +63,9 @@
 	}
 	a.seen.add(state.Weights)
 	a.engine.Store(&engineView{state: state, serving: true})
+	if state.Weights != previous.state.Weights || !previous.serving {
+		a.reporter.ReportNow()
+	}
 }
 
 // seenWeights remembers the latest versions that this engine has carried. An
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -55,6 +55,7 @@
 	ledger      *ledger.Ledger
 	dispatcher  *dispatch.Dispatcher
 	pools       *poolSet
+	versions    *versionOverlay
 	burn        *report.Burn
 	registry    metrics.Registry
 	log         entryLogs
@@ -238,13 +239,14 @@
 		Entry:  string(e.config.Instance),
 	})
 	e.pools = newPoolSet(e)
+	e.versions = newVersionOverlay()
 	e.dispatcher = dispatch.New(dispatch.Config{
 		Attempts:       attempt.NewSource(e.config.Instance, e.incarnation),
 		Queue:          e.pools.queue,
 		Placer:         e.pools.placer,
 		Candidates:     e.candidates,
 		Ledger:         e.ledger,
-		Sender:         sender{peer: e.peer},
+		Sender:         sender{peer: e.peer, observe: e.versions.observe},
 		MaxAnswerBytes: e.config.MaxAnswer,
 	})
 }
--- a/daemon/entry/pools.go
+++ b/daemon/entry/pools.go
@@ -133,7 +133,7 @@
 			Running:       agent.Running,
 			Limit:         agent.Limit,
 			ReportedAt:    now.Add(-agent.Age),
-			Weights:       agent.Weights,
+			Weights:       e.versions.of(agent, now),
 			DataCentreOut: current.IsOut(agent.DataCentre),
 			Leaving:       agent.State == members.StateLeaving || agent.State == members.StateGone,
 		})
--- a/daemon/entry/sender.go
+++ b/daemon/entry/sender.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"currantusher.dev/core"
 	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/wire"
@@ -13,6 +14,8 @@
 // sender implements dispatch.Sender over the peer endpoint.
 type sender struct {
 	peer *wire.Peer
+	// observe learns the version that an End frame names.
+	observe func(agent placement.Candidate, weights core.Digest)
 }
 
 // Send implements dispatch.Sender.
@@ -25,7 +28,11 @@
 		stream.Cancel()
 		return nil, err
 	}
-	return &replyStream{stream: stream, release: context.AfterFunc(ctx, stream.Cancel)}, nil
+	return &replyStream{
+		stream:  stream,
+		release: context.AfterFunc(ctx, stream.Cancel),
+		ended:   func(end *wire.End) { s.observe(agent, end.Weights) },
+	}, nil
 }
 
 // Tombstone implements dispatch.Sender.
@@ -37,6 +44,7 @@
 type replyStream struct {
 	stream  *wire.Stream
 	release func() bool
+	ended   func(end *wire.End)
 }
 
 // Recv implements dispatch.ReplyStream.
@@ -46,6 +54,9 @@
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == nil && reply.End != nil {
+		r.ended(reply.End)
+	}
 	if err != nil || reply.End != nil {
 		r.release()
 		_ = r.stream.CloseSend()
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -110,7 +110,9 @@
 		if last == nil {
 			return nil
 		}
-		x.tried[agent.ID] = true
+		// An agent that moved to another version may serve a request that
+		// follows it there.
+		x.tried[agent.ID] = x.request.Version == nil || core.CodeOf(last) != core.CodeDigestMismatch
 		if !x.mayRetry(ctx, last) {
 			return x.final(last, last)
 		}
--- a/wire/request.go
+++ b/wire/request.go
@@ -68,6 +68,8 @@
 	// Running and Limit are the agent's load after this request.
 	Running int `cbor:"8,keyasint"`
 	Limit   int `cbor:"9,keyasint"`
+	// Weights is the version that the agent's engine carries now.
+	Weights core.Digest `cbor:"10,keyasint,omitzero"`
 }
 
 // Tombstone bars an attempt from ever starting at this agent process.
