Run the demo on real daemons through the links

Cause: daemons can now advertise another address than they listen at.

Seen on the way: with 6 chunks of 1 MiB and 9 agents a region, the swarm stood still with 3 of 6 chunks everywhere. The region's first agent spends its upload budget of one copy on repeats of three chunks and the rest waits for the stall timeout. The demo therefore cuts 6 MiB into 96 chunks; the swarm should offer each chunk once before any twice.

--- a/bench/daemons/daemons.go
+++ b/bench/daemons/daemons.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -24,7 +23,6 @@
 
 const (
 	defaultAddressTTL = 2 * time.Second
-	killTimeout       = 20 * time.Second
 )
 
 // Hooks returns the starters of real entries and agents.
@@ -44,10 +42,12 @@
 // runner is what entries and agents have in common.
 type runner interface {
 	Run(ctx context.Context) error
+	Kill()
 }
 
 // process is one daemon in a goroutine of its own.
 type process struct {
+	daemon runner
 	cancel context.CancelFunc
 	done   chan struct{}
 	err    error
@@ -55,7 +55,7 @@
 
 func run(daemon runner) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{cancel: cancel, done: make(chan struct{})}
+	p := &process{daemon: daemon, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
 		p.err = daemon.Run(ctx)
@@ -74,14 +74,11 @@
 	}
 }
 
-// Kill implements fleet.Daemon. Daemons have no way to end without draining, so
-// it is a planned stop.
+// Kill implements fleet.Daemon.
 func (p *process) Kill() {
-	ctx, cancel := context.WithTimeout(context.Background(), killTimeout)
-	defer cancel()
-	if err := p.Stop(ctx); errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
+	p.daemon.Kill()
+	<-p.done
+	p.cancel()
 }
 
 func (c Config) startEntry(_ context.Context, spec fleet.EntrySpec) (fleet.Daemon, error) {
@@ -95,6 +92,7 @@
 		Region:        spec.Region,
 		HTTPListen:    spec.Instance.HTTPAddr,
 		PeerListen:    spec.PeerListen,
+		PeerAdvertise: spec.Instance.PeerAddr,
 		PlatformURL:   spec.StoreURL,
 		TLS:           tls,
 		OperatorToken: spec.OperatorToken,
@@ -113,17 +111,17 @@
 		return nil, err
 	}
 	daemon, err := agent.New(agent.Config{
-		Instance:    spec.Instance.ID,
-		DataCentre:  spec.Instance.DataCentre,
-		Region:      spec.Region,
-		Group:       spec.Instance.Group,
-		PeerListen:  spec.PeerListen,
-		BackendURL:  spec.BackendURL,
-		PlatformURL: spec.StoreURL,
-		OriginURL:   spec.OriginURL,
-		TLS:         tls,
-		Links:       spec.Links,
-		Log:         c.Log,
+		Instance:      spec.Instance.ID,
+		DataCentre:    spec.Instance.DataCentre,
+		Region:        spec.Region,
+		Group:         spec.Instance.Group,
+		PeerListen:    spec.PeerListen,
+		PeerAdvertise: spec.Instance.PeerAddr,
+		BackendURL:    spec.BackendURL,
+		PlatformURL:   spec.StoreURL,
+		OriginURL:     spec.OriginURL,
+		TLS:           tls,
+		Log:           c.Log,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/bench/demo/demo_test.go
@@ -0,0 +1,61 @@
+package demo
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/bench/daemons"
+	"currantusher.dev/bench/fleet"
+	"currantusher.dev/bench/measure"
+	"currantusher.dev/bench/scenario"
+)
+
+// testLimit is far above what a slow machine needs.
+const testLimit = 5 * time.Minute
+
+// smallest is a site of two data centres with a few backend servers.
+func smallest() fleet.Layout {
+	layout := fleet.Small()
+	layout.DataCentres = layout.DataCentres[:2]
+	layout.Groups[0].PerDataCentre = 3
+	layout.Groups[1].PerDataCentre = 1
+	return layout
+}
+
+func TestDemoKeepsPromises(t *testing.T) {
+	report, result, err := Run(t.Context(), Config{
+		Layout:       smallest(),
+		Hooks:        daemons.Hooks(daemons.Config{}),
+		Seed:         1,
+		WeightsBytes: 1 << 20,
+		Rate:         20,
+		Limit:        testLimit,
+		Log:          t.Logf,
+	})
+	require.NoError(t, err, "%v", result.Examples)
+	require.Equal(t, 6, report.Replicas)
+	require.Positive(t, report.RequestsWhole)
+	require.Equal(t, report.RequestsTotal, report.RequestsWhole+report.RequestsRefusedNotRun+report.RequestsUnknown+report.RequestsLost)
+	require.Equal(t, 1, report.AtMostOnceMaxRuns)
+	require.Positive(t, report.OriginCopies)
+	require.Positive(t, report.MaxMachineLinkReceivedCopies)
+	require.Zero(t, report.UnreadStandIns)
+}
+
+func TestJudgeNamesBrokenPromises(t *testing.T) {
+	require.NoError(t, judge(&measure.Report{RequestsTotal: 9, RequestsUnknown: 4, AtMostOnceMaxRuns: 1}))
+	for _, broken := range []measure.Report{
+		{RequestsLost: 1},
+		{FalseRefusals: 1},
+		{AtMostOnceMaxRuns: 2},
+		{StartsAfterDataCentreOut: 1},
+		{PartialWeightRuns: 1},
+		{EnginesFallenOver: 1},
+		{Reverts: 1},
+		{InvariantViolations: 1},
+	} {
+		require.ErrorIs(t, judge(&broken), scenario.ErrPromiseBroken)
+	}
+}
--- a/bench/fleet/hooks.go
+++ b/bench/fleet/hooks.go
@@ -7,14 +7,13 @@
 	"currantusher.dev/core/keys"
 	"currantusher.dev/platform"
 	"currantusher.dev/tables"
-	"currantusher.dev/weights/swarm"
 )
 
 // Daemon is a running entry or agent.
 type Daemon interface {
 	// Stop drains the daemon and returns when it has ended.
 	Stop(ctx context.Context) error
-	// Kill ends the daemon as fast as it can be ended within one process.
+	// Kill ends the daemon at once, as the loss of its instance would.
 	Kill()
 }
 
@@ -45,16 +44,10 @@
 	Kind       tables.PoolKind
 	// OriginURL serves weights.
 	OriginURL string
-	// Links paces and counts transfers when Hooks.Announce is false.
-	Links swarm.Links
 }
 
 // Hooks start the system's daemons.
 type Hooks struct {
 	StartEntry func(ctx context.Context, spec EntrySpec) (Daemon, error)
 	StartAgent func(ctx context.Context, spec AgentSpec) (Daemon, error)
-	// Announce says that daemons announce Common.Instance.PeerAddr instead of
-	// the address at which they listen, so that all their traffic passes
-	// through the Site's links.
-	Announce bool
 }
--- a/bench/fleet/layout.go
+++ b/bench/fleet/layout.go
@@ -56,6 +56,8 @@
 	WarmUp       time.Duration
 	// OutGrace is the time for taking a data centre out to be in force.
 	OutGrace time.Duration
+	// ChunkBytes is the chunk size of published versions.
+	ChunkBytes int
 	// MaxUnavailable bounds the engines that activate a version at once.
 	MaxUnavailable int
 	Deadline       time.Duration
@@ -63,6 +65,7 @@
 }
 
 const (
+	kibibyte = 1 << 10
 	mebibyte = 1 << 20
 	// regionRate is 20 Mbit/s in bytes a second.
 	regionRate = 20e6 / 8
@@ -92,6 +95,7 @@
 		ServiceDelay:          5 * time.Millisecond,
 		WarmUp:                time.Second,
 		OutGrace:              3 * time.Second,
+		ChunkBytes:            64 * kibibyte,
 		MaxUnavailable:        9,
 		Deadline:              10 * time.Second,
 		Objective:             460 * time.Millisecond,
--- a/bench/fleet/operate.go
+++ b/bench/fleet/operate.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return Version{}, err
 	}
-	root, manifest, err := weights.Publish(ctx, path, sink, weights.PublishConfig{})
+	root, manifest, err := weights.Publish(ctx, path, sink, weights.PublishConfig{ChunkBytes: s.Layout.ChunkBytes})
 	if err != nil {
 		return Version{}, err
 	}
--- a/bench/fleet/site.go
+++ b/bench/fleet/site.go
@@ -22,7 +22,6 @@
 	"currantusher.dev/standin/service"
 	"currantusher.dev/standin/store"
 	"currantusher.dev/tables"
-	"currantusher.dev/weights/swarm"
 )
 
 const (
@@ -41,7 +40,6 @@
 	common  Common
 	backend measure.Backend
 	origin  string
-	links   swarm.Links
 
 	// changing is held while the daemon is being replaced.
 	changing sync.Mutex
@@ -142,11 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
-	announced := listen
-	if s.hooks.Announce {
-		if announced, err = s.Network.UDP(id, listen); err != nil {
-			return nil, err
-		}
+	announced, err := s.Network.UDP(id, listen)
+	if err != nil {
+		return nil, err
 	}
 	pair, err := s.authority.Issue(id)
 	if err != nil {
@@ -200,19 +196,13 @@
 	return nil
 }
 
-// addOriginPath sets the address by which an agent reaches the origin, and its
-// link when it paces itself.
+// addOriginPath opens the port by which an agent reaches the origin over its
+// machine's link.
 func (s *Site) addOriginPath(n *node) error {
 	if n.backend.Kind == tables.PoolService {
 		return nil
 	}
-	id := n.common.Instance.ID
-	if !s.hooks.Announce {
-		n.origin = "http://" + s.originAt
-		n.links = s.Network.Transfers(id)
-		return nil
-	}
-	front, err := s.Network.TCP(id, s.originAt)
+	front, err := s.Network.TCP(n.common.Instance.ID, s.originAt)
 	n.origin = "http://" + front
 	return err
 }
@@ -276,7 +266,6 @@
 			BackendURL: n.backend.URL,
 			Kind:       n.backend.Kind,
 			OriginURL:  n.origin,
-			Links:      n.links,
 		})
 	}
 	if err != nil {
--- a/bench/scenario/experiment.go
+++ b/bench/scenario/experiment.go
@@ -18,7 +18,6 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/invariant"
 	"currantusher.dev/tables"
-	"currantusher.dev/weights"
 )
 
 const (
@@ -238,7 +237,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return float64(size+min(size, weights.DefaultChunkBytes)) / rate
+	return float64(size+min(size, int64(e.cfg.Layout.ChunkBytes))) / rate
 }
 
 // generate writes new random content; the seed and the number of the version
--- a/standin/backend/gate.go
+++ b/standin/backend/gate.go
@@ -107,6 +107,7 @@
 	coldSince   time.Time
 	unannounced bool
 	outSince    time.Time
+	lastStart   time.Time
 	slow        float64
 	late        time.Duration
 	armed       map[AnswerFault]int
@@ -180,6 +181,7 @@
 	g.counters.Starts++
 	g.counters.Running++
 	g.counters.MaxRunning = max(g.counters.MaxRunning, g.counters.Running)
+	g.lastStart = now
 	g.noteOut(now)
 	g.runs.record(key)
 	return &Run{gate: g, life: g.life, Fault: g.takeFault(), Late: g.late}, nil
--- a/standin/backend/inject.go
+++ b/standin/backend/inject.go
@@ -25,6 +25,8 @@
 	}
 	if faults.DataCentreOutSince != nil {
 		g.outSince = since
+		// The mark comes a little later than what it marks.
+		g.noteOut(g.lastStart)
 	}
 	g.injectLife(faults)
 	return nil
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -295,6 +295,13 @@
 	require.Equal(t, 200, r.status("POST", "/v1/generate", []byte(testBody)))
 	require.Equal(t, 1, r.engine.Counters().StartsAfterOut)
 	require.InDelta(t, 4, r.engine.Counters().LastStartAfterOutSeconds, 0.001)
+	late := newRig(t, nil)
+	late.warm("a")
+	since = late.clock.Now().Format(time.RFC3339Nano)
+	late.clock.advance(time.Second)
+	require.Equal(t, 200, late.status("POST", "/v1/generate", []byte(testBody)))
+	require.NoError(t, late.engine.Inject(backend.Faults{DataCentreOutSince: &since}))
+	require.InDelta(t, 1, late.engine.Counters().LastStartAfterOutSeconds, 0.001, "a start before the mark arrived counts")
 }
 
 func TestRunsByKey(t *testing.T) {
