--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -71,6 +71,7 @@
 		weightsCommand(),
 		reportCommand(),
 		keysCommand(),
+		demoCommand(),
 		versionCommand(),
 	}
 }
