--- /dev/null
+++ b/cmd/currantusher/bench.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"currantusher.dev/bench/burst"
+)
+
+func benchCommand() *command {
+	return &command{
+		name:     "bench",
+		usage:    "Experiments; each prints one JSON line for each run.",
+		children: []*command{benchBurst()},
+	}
+}
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+)
+
+func benchBurst() *command {
+	var config burst.Config
+	var strategy string
+	var seed, runs int
+	c := &command{name: "burst", usage: "Brings one version to many agents in this process and prints times and bytes."}
+	c.settings.String(&strategy, "strategy", string(burst.Swarm), "swarm, chain, one-fetcher or origin-only")
+	c.settings.Int(&config.Agents, "agents", 50, "agents")
+	c.settings.Int(&config.Regions, "regions", 3, "regions")
+	c.settings.Int(&config.Bytes, "weights-size", 16*mebibyte, "size of the weights in bytes")
+	c.settings.Int(&config.ChunkBytes, "chunk-bytes", 64*kibibyte, "chunk size in bytes")
+	c.settings.Int(&config.MachineRate, "machine-link", 2*mebibyte, "rate of a machine's link each way, in bytes per second")
+	c.settings.Int(&config.OriginRate, "origin-link", 8*mebibyte, "rate of the origin's link, in bytes per second")
+	c.settings.Int(&config.RegionRate, "region-link", 2500000, "rate of a region's border each way, in bytes per second")
+	c.settings.Int(&seed, "seed", 1, "seed of the first run; later runs add 1")
+	c.settings.Int(&runs, "runs", 1, "runs")
+	c.settings.Duration(&config.Timeout, "limit", 5*time.Minute, "longest time for one run")
+	c.run = func(ctx context.Context) error {
+		config.Strategy = burst.Strategy(strategy)
+		for run := range runs {
+			config.Seed = uint64(seed + run)
+			if err := burstRun(ctx, config); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return c
+}
+
+func burstRun(ctx context.Context, config burst.Config) error {
+	result, err := burst.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+		return err
+	}
+	if result.Complete < result.Agents {
+		return fmt.Errorf("%d of %d agents use the version after %s", result.Complete, result.Agents, config.Timeout)
+	}
+	return nil
+}
--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -72,6 +72,7 @@
 		reportCommand(),
 		keysCommand(),
 		demoCommand(),
+		benchCommand(),
 		versionCommand(),
 	}
 }
