Spread callers over the entries with a salt for each address answer

Cause: the order of an entry's address answers was the same for all callers of one data centre, so all of them connected to the same entry. Ruled out: the caller's IP as salt (many callers share a few instances). Conclusion: the data centre's order holds; within it answers differ.

--- a/daemon/entry/api.go
+++ b/daemon/entry/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 
 	"github.com/go-faster/jx"
@@ -27,7 +28,9 @@
 func (a *api) ListEntries(_ context.Context, params oas.ListEntriesParams) (*oas.EntryList, error) {
 	e := a.entry
 	dataCentre := core.DataCentre(params.DataCentre.Or(string(e.config.DataCentre)))
-	addresses := e.directory.Addresses(dataCentre, e.isOut)
+	// A fresh salt for each answer spreads callers over the entries; each caller
+	// keeps its answer for the TTL.
+	addresses := e.directory.AddressesFor(dataCentre, e.isOut, rand.Uint64())
 	list := &oas.EntryList{TTLSeconds: int(e.config.AddressTTL.Seconds())}
 	for _, address := range addresses {
 		list.Entries = append(list.Entries, oas.EntryAddress{
