--- a/tables/spread/peers.go
+++ b/tables/spread/peers.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// askHedged asks the parents in turn beside the parent loop while the
+// configuration is about to go stale, so that several dead parents cost no more
+// than one. A daemon that is stale for long asks less often.
+func (s *State) askHedged(now time.Time) []Action {
+	old := s.Age(now)
+	parents := s.topology.parents
+	if old < s.settings.MaxAge/2 || s.confirmed.IsZero() || len(parents) == 0 || now.Before(s.hedgeDue) {
+		return nil
+	}
+	s.hedgeDue = now.Add(s.settings.Timing.Retry)
+	if old > longStale*s.settings.MaxAge {
+		s.hedgeDue = now.Add(longStale * s.settings.Timing.Retry)
+	}
+	s.hedge++
+	return s.sidePull(now, parents[s.hedge%len(parents)])
+}
+
 // useful reports whether a parent's reply keeps this daemon fresh.
 func (s *State) useful(event Pulled) bool {
 	reply := event.Reply
--- a/tables/spread/random_test.go
+++ b/tables/spread/random_test.go
@@ -207,7 +207,7 @@
 		require.Equal(t, invariant.NoRevert, p)
 		reported = append(reported, detail)
 	})
-	defer invariant.SetReporter(previous)
+	defer func() { invariant.SetReporter(previous) }()
 	state := NewState(Settings{})
 	higher, err := tables.Compile(tables.Rows{Revision: 2})
 	require.NoError(t, err)
--- a/tables/spread/sim_test.go
+++ b/tables/spread/sim_test.go
@@ -88,6 +88,34 @@
 	cutRegion  core.Region
 	disturbed  time.Time
 	violations []string
+
+	// fate, when set, decides on each occurrence of a step at a node.
+	fate func(step simStep, node *simNode) simFate
+	// acknowledged is the revision that each daemon last told another one.
+	acknowledged map[core.InstanceID]core.Revision
+}
+
+// simStep names a step of spreading an edit.
+type simStep string
+
+const (
+	simRelay       simStep = "relay"
+	simAdopt       simStep = "adopt"
+	simAcknowledge simStep = "acknowledge"
+)
+
+// simFate is what happens to one occurrence of a step.
+type simFate struct {
+	lose      bool
+	delay     time.Duration
+	duplicate bool
+}
+
+func (s *sim) fateOf(step simStep, node *simNode) simFate {
+	if s.fate == nil {
+		return simFate{}
+	}
+	return s.fate(step, node)
 }
 
 func newSim(seed uint64) *sim {
@@ -95,6 +123,8 @@
 		now:    simStart,
 		random: rand.New(rand.NewPCG(seed, seed)),
 		byID:   map[core.InstanceID]*simNode{},
+
+		acknowledged: map[core.InstanceID]core.Revision{},
 	}
 	layout := []struct {
 		dc     core.DataCentre
@@ -203,16 +233,21 @@
 }
 
 // send delivers a message, perhaps twice or never.
-func (s *sim) send(from, to *simNode, deliver func()) {
+func (s *sim) send(from, to *simNode, deliver func()) { s.sendWith(simFate{}, from, to, deliver) }
+
+func (s *sim) sendWith(fate simFate, from, to *simNode, deliver func()) {
 	copies := 1
 	if s.random.Float64() < s.duplicate {
-		copies = 2
+		copies++
+	}
+	if fate.duplicate {
+		copies++
 	}
 	for range copies {
-		if s.lost() || !s.connected(from, to) {
+		if fate.lose || s.lost() || !s.connected(from, to) {
 			continue
 		}
-		s.after(s.latency(), to, deliver)
+		s.after(s.latency()+fate.delay, to, deliver)
 	}
 }
 
@@ -269,7 +304,8 @@
 
 func (s *sim) readHead(node *simNode) {
 	sent := s.now
-	if !s.reachesStore(node) || s.lost() {
+	fate := s.fateOf(simRelay, node)
+	if !s.reachesStore(node) || s.lost() || fate.lose {
 		err := core.Refuse(core.CodeStoreUnavailable, 0, "down")
 		s.after(headTimeout, node, func() {
 			s.do(node, node.state.HeadRead(s.now, HeadRead{SentAt: sent, Err: err}))
@@ -277,14 +313,15 @@
 		return
 	}
 	revision := s.storeHead()
-	s.after(simStoreTime, node, func() {
+	s.after(simStoreTime+fate.delay, node, func() {
 		s.do(node, node.state.HeadRead(s.now, HeadRead{SentAt: sent, Revision: revision}))
 	})
 }
 
 func (s *sim) load(node *simNode) {
 	sent := s.now
-	if !s.reachesStore(node) || s.lost() {
+	fate := s.fateOf(simRelay, node)
+	if !s.reachesStore(node) || s.lost() || fate.lose {
 		err := core.Refuse(core.CodeStoreUnavailable, 0, "down")
 		s.after(headTimeout, node, func() {
 			s.do(node, node.state.Loaded(s.now, Loaded{SentAt: sent, Err: err}))
@@ -292,7 +329,7 @@
 		return
 	}
 	config := s.configs[s.storeHead()-1]
-	s.after(simStoreTime, node, func() {
+	s.after(simStoreTime+fate.delay, node, func() {
 		s.do(node, node.state.Loaded(s.now, Loaded{SentAt: sent, Config: config}))
 	})
 }
@@ -319,11 +356,20 @@
 		WaitMillis: a.Wait.Milliseconds(),
 	}
 	epoch := node.epoch
-	s.send(node, target, func() {
+	var fate simFate
+	if request.Revision == s.head() {
+		fate = s.fateOf(simAcknowledge, node)
+	}
+	s.sendWith(fate, node, target, func() {
+		s.acknowledged[request.From] = request.Revision
 		target.token++
 		token := target.token
 		target.pending[token] = func(answer Answer) {
-			s.send(target, node, func() {
+			var fate simFate
+			if answer.Config != nil {
+				fate = s.fateOf(simAdopt, node)
+			}
+			s.sendWith(fate, target, node, func() {
 				if node.epoch == epoch {
 					finish(Pulled{Reply: answer.Reply, Config: answer.Config})
 				}
--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -55,6 +55,9 @@
 	maxHeldPulls  = 1024
 	// quickParents is the number of parents that are tried without delay.
 	quickParents = 2
+	// longStale is the multiple of the age limit after which a stale daemon
+	// asks less often, and by how much.
+	longStale = 4
 	// unknownAge is the age of a configuration that was never confirmed.
 	unknownAge = time.Duration(math.MaxInt64)
 )
@@ -115,6 +118,8 @@
 	parentDue  time.Time
 	parentSent time.Time
 	askNow     bool
+	hedge      int
+	hedgeDue   time.Time
 	sidePulls  map[core.InstanceID]time.Time
 	witnesses  map[core.InstanceID]witness
 	witnessDue time.Time
@@ -187,6 +192,7 @@
 	actions = append(actions, s.surveyAtStart(now)...)
 	actions = append(actions, s.askStore(now)...)
 	actions = append(actions, s.askParent(now)...)
+	actions = append(actions, s.askHedged(now)...)
 	actions = append(actions, s.askWitnesses(now)...)
 	actions = append(actions, s.expireHeld(now)...)
 	return append(actions, s.snapshot(now)...)
@@ -298,7 +304,7 @@
 		return s.reverted(event.SentAt, event.Config.Revision())
 	}
 	actions := s.adopt(now, event.Config)
-	s.confirm(event.SentAt)
+	actions = append(actions, s.confirmByStore(now, event.SentAt)...)
 	if push && s.Revision() > own {
 		actions = append(actions, s.push()...)
 	}
