Pull over one stream for each parent, and give large data centres more relays

Ruled out: a longer hold, because the ages of the path add up. Relays are now a sixth of a data centre's entries, at least three; the witnesses of an outage stay three for each data centre of the table service's region.

--- a/tables/spread/manager.go
+++ b/tables/spread/manager.go
@@ -66,7 +66,7 @@
 	MaxAge time.Duration
 	// OnStale is OnStaleStop or OnStaleServe; "" means OnStaleStop.
 	OnStale string
-	// Relays is the number of relays in each data centre.
+	// Relays is the least number of relays in each data centre.
 	Relays  int
 	Timing  Timing
 	Log     *logrus.Entry
--- a/tables/spread/peers.go
+++ b/tables/spread/peers.go
@@ -87,13 +87,13 @@
 	return actions
 }
 
-// askWitnesses asks the other relays of the table service's region whether
-// they reach it, while this one does not.
+// askWitnesses asks the other witnesses whether they reach the table service,
+// while this one does not.
 func (s *State) askWitnesses(now time.Time) []Action {
 	if !s.storeDown || now.Before(s.witnessDue) {
 		return nil
 	}
-	s.witnessDue = now.Add(s.settings.Timing.Poll)
+	s.witnessDue = now.Add(witnessPolls * s.settings.Timing.Poll)
 	var actions []Action
 	for _, peer := range s.topology.witnesses {
 		actions = append(actions, s.sidePull(now, peer)...)
@@ -101,11 +101,11 @@
 	return append(actions, s.confirmByWitnesses()...)
 }
 
-// confirmByWitnesses confirms the configuration while no relay of the table
-// service's region reaches it and more than half of them say so: an edit
-// accepted meanwhile would have come through one of them.
+// confirmByWitnesses confirms the configuration while no witness is known to
+// reach the table service and more than half of them say that they do not: an
+// edit accepted meanwhile would have come through one of them.
 func (s *State) confirmByWitnesses() []Action {
-	if !s.storeDown || !s.inStoreRegion() || s.confirmed.IsZero() {
+	if !s.storeDown || !s.topology.witness || s.confirmed.IsZero() {
 		return nil
 	}
 	seen := []time.Time{s.storeDownAt}
@@ -124,11 +124,6 @@
 	return nil
 }
 
-func (s *State) inStoreRegion() bool {
-	region := s.settings.StoreRegion
-	return s.topology.relay && (region == "" || region == s.settings.Self.Region)
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -58,6 +58,9 @@
 	// longStale is the multiple of the age limit after which a stale daemon
 	// asks less often, and by how much.
 	longStale = 4
+	// witnessPolls is the number of polls between two questions to the
+	// witnesses.
+	witnessPolls = 2
 	// unknownAge is the age of a configuration that was never confirmed.
 	unknownAge = time.Duration(math.MaxInt64)
 )
@@ -67,7 +70,7 @@
 	Self Neighbour
 	// StoreRegion is the region of the table service. "" means any.
 	StoreRegion core.Region
-	// Relays is the number of relays in each data centre.
+	// Relays is the least number of relays in each data centre.
 	Relays int
 	// MaxAge is the age over which the configuration is stale.
 	MaxAge time.Duration
@@ -86,7 +89,7 @@
 	until time.Time
 }
 
-// witness is what another relay said of the table service.
+// witness is what another witness said of the table service.
 type witness struct {
 	heardAt time.Time
 	down    bool
--- a/tables/spread/topology.go
+++ b/tables/spread/topology.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// entriesPerRelay is the number of entries for each relay in a data centre
+	// that has more than a few.
+	entriesPerRelay = 6
+
 	parentsNear   = 4
 	parentsRegion = 2
 	parentsStore  = 2
@@ -31,15 +35,17 @@
 	absorber bool
 	// parents are asked for news, best first.
 	parents []Neighbour
-	// witnesses are the other relays of the table service's region; set on
-	// relays of that region only.
+	// witness is set on the first relays of the data centres in the table
+	// service's region, and witnesses are the others of them.
+	witness   bool
 	witnesses []Neighbour
 	// relays are all other relays.
 	relays []Neighbour
 }
 
 // newTopology ranks daemons by rendezvous hash, so that daemons with the same
-// neighbours agree without talking.
+// neighbours agree without talking. A relay of unknown region counts as one of
+// the table service's region, so that too few never make up a majority.
 func newTopology(self Neighbour, neighbours []Neighbour, storeRegion core.Region, perDataCentre int) topology {
 	entries := []Neighbour{}
 	for _, n := range neighbours {
@@ -50,65 +56,57 @@
 	if self.Role == platform.RoleEntry {
 		entries = append(entries, self)
 	}
-	relays := chooseRelays(entries, perDataCentre)
 	t := topology{}
-	var storeRelays []Neighbour
-	for _, relay := range relays {
-		inStore := storeRegion == "" || relay.Region == storeRegion
-		if inStore && relay.ID != self.ID {
-			storeRelays = append(storeRelays, relay)
+	var witnesses []Neighbour
+	for _, dc := range byDataCentre(entries) {
+		inStore := storeRegion == "" || dc[0].Region == storeRegion || dc[0].Region == ""
+		if inStore {
+			witnesses = append(witnesses, dc[:min(perDataCentre, len(dc))]...)
 		}
-		if relay.ID != self.ID {
-			t.relays = append(t.relays, relay)
-			continue
+		for i, relay := range dc[:relayCount(len(dc), perDataCentre)] {
+			if relay.ID != self.ID {
+				t.relays = append(t.relays, relay)
+				continue
+			}
+			t.relay = true
+			t.absorber = inStore && i == 0
 		}
-		t.relay = true
-		t.absorber = inStore && rankOf(relays, relay) == 0
 	}
-	if t.relay && (storeRegion == "" || self.Region == storeRegion) {
-		t.witnesses = storeRelays
+	others := filter(witnesses, func(n Neighbour) bool { return n.ID != self.ID })
+	if len(others) < len(witnesses) {
+		t.witness = true
+		t.witnesses = others
 	}
-	t.parents = t.chooseParents(self, entries, storeRelays)
+	t.parents = t.chooseParents(self, entries, others)
 	return t
 }
 
-// chooseRelays returns the relays of every data centre, each data centre's in
-// order of rank.
-func chooseRelays(entries []Neighbour, perDataCentre int) []Neighbour {
-	byDataCentre := map[core.DataCentre][]Neighbour{}
+func relayCount(entries, atLeast int) int {
+	return min(entries, max(atLeast, (entries+entriesPerRelay-1)/entriesPerRelay))
+}
+
+// byDataCentre returns the entries of each data centre in order of rank.
+func byDataCentre(entries []Neighbour) [][]Neighbour {
+	grouped := map[core.DataCentre][]Neighbour{}
 	var names []core.DataCentre
 	for _, entry := range entries {
-		if byDataCentre[entry.DataCentre] == nil {
+		if grouped[entry.DataCentre] == nil {
 			names = append(names, entry.DataCentre)
 		}
-		byDataCentre[entry.DataCentre] = append(byDataCentre[entry.DataCentre], entry)
+		grouped[entry.DataCentre] = append(grouped[entry.DataCentre], entry)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	var relays []Neighbour
+	ranked := make([][]Neighbour, 0, len(names))
 	for _, name := range names {
-		ranked := rank("relay", byDataCentre[name])
-		relays = append(relays, ranked[:min(perDataCentre, len(ranked))]...)
-	}
-	return relays
-}
-
-func rankOf(relays []Neighbour, relay Neighbour) int {
-	position := 0
-	for _, other := range relays {
-		if other.ID == relay.ID {
-			return position
-		}
-		if other.DataCentre == relay.DataCentre {
-			position++
-		}
+		ranked = append(ranked, rank("relay", grouped[name]))
 	}
-	return position
+	return ranked
 }
 
-func (t topology) chooseParents(self Neighbour, entries, storeRelays []Neighbour) []Neighbour {
+func (t topology) chooseParents(self Neighbour, entries, witnesses []Neighbour) []Neighbour {
 	key := string(self.ID)
 	if t.relay {
-		return rank(key, storeRelays)
+		return rank(key, witnesses)
 	}
 	near := entries
 	if self.Role == platform.RoleEntry {
@@ -117,7 +115,7 @@
 	chosen := newSelection(self)
 	chosen.add(rank(key, filter(near, func(n Neighbour) bool { return n.DataCentre == self.DataCentre })), parentsNear)
 	chosen.add(rank(key, filter(near, func(n Neighbour) bool { return n.Region == self.Region })), parentsRegion)
-	chosen.add(rank(key, storeRelays), parentsStore)
+	chosen.add(rank(key, witnesses), parentsStore)
 	if len(chosen.list) == 0 {
 		chosen.add(rank(key, near), parentsNear)
 	}
--- a/tables/spread/work.go
+++ b/tables/spread/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -235,13 +236,17 @@
 	}
 }
 
+// pullParents carries out the parent loop on one stream to each parent in
+// turn.
 func (m *Manager) pullParents(ctx context.Context) {
+	var session session
+	defer session.close()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case pull := <-m.parents:
-			m.pull(ctx, pull)
+		case a := <-m.parents:
+			m.pull(ctx, a, session.call)
 		}
 	}
 }
@@ -255,7 +260,7 @@
 		case action := <-m.side:
 			switch a := action.(type) {
 			case PullFrom:
-				m.pull(ctx, a)
+				m.pull(ctx, a, wire.Call[wire.PullReply])
 			case PushTo:
 				m.push(ctx, a)
 			}
@@ -263,7 +268,10 @@
 	}
 }
 
-func (m *Manager) pull(ctx context.Context, a PullFrom) {
+// caller sends a pull and receives its reply.
+type caller func(ctx context.Context, p *wire.Peer, addr string, kind wire.Kind, request any) (wire.PullReply, error)
+
+func (m *Manager) pull(ctx context.Context, a PullFrom, call caller) {
 	bounded, cancel := context.WithTimeout(ctx, a.Wait+pullGrace)
 	defer cancel()
 	var own core.Revision
@@ -278,7 +286,7 @@
 		WaitMillis: a.Wait.Milliseconds(),
 	}
 	m.gauges.pulls.Inc(1)
-	pulled.Reply, pulled.Err = wire.Call[wire.PullReply](bounded, m.config.Peer, a.To.Addr, wire.KindPull, request)
+	pulled.Reply, pulled.Err = call(bounded, m.config.Peer, a.To.Addr, wire.KindPull, request)
 	if pulled.Err == nil && len(pulled.Reply.Rows) > 0 {
 		pulled.Config, pulled.Err = decodeConfig(pulled.Reply.Rows)
 	}
@@ -298,23 +306,36 @@
 	}
 }
 
-// servePull answers a peer's pull.
+// servePull answers a peer's pulls until it ends the stream.
 func (m *Manager) servePull(ctx context.Context, stream *wire.Stream) error {
-	var pull wire.Pull
-	if err := stream.Recv(&pull); err != nil {
-		return err
+	for {
+		var pull wire.Pull
+		if err := stream.Recv(&pull); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if err := m.answerPull(ctx, stream, pull); err != nil {
+			return err
+		}
 	}
+}
+
+func (m *Manager) answerPull(ctx context.Context, stream *wire.Stream, pull wire.Pull) error {
 	token, reply := m.await()
 	defer m.forget(token)
 	m.post(ctx, func(s *State, now time.Time) []Action {
 		return s.PullAsked(now, PullAsked{Token: token, Pull: pull})
 	})
+	limit := time.NewTimer(m.config.Timing.Wait + pullGrace)
+	defer limit.Stop()
 	select {
 	case answer := <-reply:
 		return stream.Send(answer.Reply)
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(m.config.Timing.Wait + pullGrace):
+	case <-limit.C:
 		return context.DeadlineExceeded
 	}
 }
