--- a/members/directory.go
+++ b/members/directory.go
@@ -17,13 +17,16 @@
 
 const (
 	defaultTickPeriod     = 500 * time.Millisecond
-	defaultExchangePeriod = time.Second
+	defaultExchangePeriod = 2 * time.Second
 	defaultExchangeGap    = 200 * time.Millisecond
 	defaultListPeriod     = 2 * time.Second
 	defaultSuspectAfter   = 3500 * time.Millisecond
 	defaultGoneAfter      = 15 * time.Second
 	defaultRetention      = 10 * time.Minute
 	defaultConfigMaxAge   = 5 * time.Second
+	// exchangesPerSuspicion is how many exchanges an entry may miss before it
+	// is suspected.
+	exchangesPerSuspicion = 3
 	defaultLeaseMargin    = 500 * time.Millisecond
 )
 
@@ -123,6 +126,7 @@
 		config: config,
 		roster: newRoster(config.Self, config.Incarnation, timing{
 			suspectAfter: config.SuspectAfter,
+			entryAfter:   max(config.SuspectAfter, exchangesPerSuspicion*config.ExchangePeriod),
 			goneAfter:    config.GoneAfter,
 			retention:    config.Retention,
 			lease:        config.ConfigMaxAge + config.LeaseMargin,
--- a/members/exchange.go
+++ b/members/exchange.go
@@ -15,7 +15,7 @@
 const (
 	exchangeTimeout = 2 * time.Second
 	// probeRounds is the number of rounds between exchanges with a random
-	// entry, which reconnect parts of the fleet after a split.
+	// silent entry, which reconnect parts of the fleet after a split.
 	probeRounds = 10
 )
 
@@ -128,8 +128,10 @@
 	return chosen
 }
 
-// probe returns a random entry besides partners, also one that is gone. pick
-// returns a random number below its argument.
+// probe returns a random entry besides partners that is silent, since it may
+// be in another part of a split fleet. Probing entries that are alive would
+// cost a full summary for each pair. pick returns a random number below its
+// argument.
 func (r *roster) probe(partners []platform.Instance, pick func(n int) int) (platform.Instance, bool) {
 	excluded := map[core.InstanceID]bool{r.self.ID: true}
 	for _, partner := range partners {
@@ -137,7 +139,7 @@
 	}
 	var candidates []platform.Instance
 	for id, known := range r.records {
-		if known.instance.Role == platform.RoleEntry && !excluded[id] && !known.left() {
+		if known.instance.Role == platform.RoleEntry && !excluded[id] && known.silent() && !known.left() {
 			candidates = append(candidates, known.instance)
 		}
 	}
--- a/members/roster.go
+++ b/members/roster.go
@@ -13,7 +13,10 @@
 
 // timing holds the periods that the roster decides by.
 type timing struct {
+	// suspectAfter is the silence that makes an agent suspected, entryAfter
+	// that of an entry.
 	suspectAfter time.Duration
+	entryAfter   time.Duration
 	goneAfter    time.Duration
 	retention    time.Duration
 	// lease is how long a daemon that does not confirm its configuration may
@@ -353,6 +356,9 @@
 }
 
 func (r *roster) missing(now time.Time, known *record, silentAfter time.Duration) bool {
+	if known.observed && known.instance.Role == platform.RoleEntry {
+		return now.Sub(known.heardAt) >= r.timing.entryAfter
+	}
 	if known.observed {
 		return now.Sub(known.heardAt) >= r.timing.suspectAfter
 	}
--- a/members/selection.go
+++ b/members/selection.go
@@ -99,16 +99,20 @@
 }
 
 // chooseNeighbours returns the entries that self exchanges summaries with: the
-// next ones on the ring of all entries and on the ring of its data centre, and
-// one long link. The ring of all entries connects the fleet; the long links
-// keep the number of hops logarithmic.
+// next one on two rings of all entries and on the ring of its data centre. The
+// rings have unrelated orders, so that the number of hops grows with the
+// logarithm of the fleet, and each entry is chosen as often as it chooses.
 func chooseNeighbours(self platform.Instance, entries []platform.Instance) []platform.Instance {
-	next := ringSuccessor(self, entries, func(platform.Instance) bool { return true })
-	zone := ringSuccessor(self, entries, func(e platform.Instance) bool { return e.DataCentre == self.DataCentre })
-	long := longLink(self, entries)
+	everywhere := func(platform.Instance) bool { return true }
+	sameZone := func(e platform.Instance) bool { return e.DataCentre == self.DataCentre }
+	candidates := []*platform.Instance{
+		ringSuccessor("ring", self, entries, everywhere),
+		ringSuccessor("zone", self, entries, sameZone),
+		ringSuccessor("long", self, entries, everywhere),
+	}
 	var chosen []platform.Instance
 	seen := map[core.InstanceID]bool{self.ID: true}
-	for _, candidate := range []*platform.Instance{next, zone, long} {
+	for _, candidate := range candidates {
 		if candidate == nil || seen[candidate.ID] {
 			continue
 		}
@@ -118,15 +122,15 @@
 	return chosen
 }
 
-func ringSuccessor(self platform.Instance, entries []platform.Instance, accept func(platform.Instance) bool) *platform.Instance {
-	own := rendezvous("ring", self.ID)
+func ringSuccessor(ring string, self platform.Instance, entries []platform.Instance, accept func(platform.Instance) bool) *platform.Instance {
+	own := rendezvous(ring, self.ID)
 	var best *platform.Instance
 	var bestDistance uint64
 	for i := range entries {
 		if entries[i].ID == self.ID || !accept(entries[i]) {
 			continue
 		}
-		distance := rendezvous("ring", entries[i].ID) - own
+		distance := rendezvous(ring, entries[i].ID) - own
 		if best == nil || distance < bestDistance {
 			best = &entries[i]
 			bestDistance = distance
@@ -135,22 +139,6 @@
 	return best
 }
 
-func longLink(self platform.Instance, entries []platform.Instance) *platform.Instance {
-	var best *platform.Instance
-	var bestScore uint64
-	for i := range entries {
-		if entries[i].ID == self.ID {
-			continue
-		}
-		score := rendezvous("long", self.ID, entries[i].ID)
-		if best == nil || score > bestScore {
-			best = &entries[i]
-			bestScore = score
-		}
-	}
-	return best
-}
-
 // pairScore orders addresses for one caller.
 func pairScore(salt uint64, id core.InstanceID) uint64 {
 	var seed [8]byte
--- a/members/simulation_test.go
+++ b/members/simulation_test.go
@@ -35,6 +35,7 @@
 
 var simTiming = timing{
 	suspectAfter: defaultSuspectAfter,
+	entryAfter:   defaultSuspectAfter,
 	goneAfter:    defaultGoneAfter,
 	retention:    defaultRetention,
 	lease:        simMaxAge + simMargin,
