--- a/requests/dispatch/assembly.go
+++ b/requests/dispatch/assembly.go
@@ -57,8 +57,12 @@
 	if data.Sequence != a.next {
 		return incomplete("data frame %d came in place of %d", data.Sequence, a.next)
 	}
+	length := a.length + int64(len(data.Bytes))
+	if data.End != 0 && data.End != length {
+		return incomplete("data frame %d ends at byte %d in place of %d", data.Sequence, length, data.End)
+	}
 	a.next++
-	a.length += int64(len(data.Bytes))
+	a.length = length
 	_, _ = a.hasher.Write(data.Bytes)
 	return nil
 }
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -100,7 +100,7 @@
 			return core.Wrap(err, core.CodeIncomplete, core.WorkUnknown, "the answer broke off")
 		}
 		if err := answer.accept(reply); err != nil {
-			x.output.tainted = true
+			x.output.tainted = x.output.sent > 0 && core.CodeOf(err) == core.CodeChecksumMismatch
 			return err
 		}
 		if abandon != nil {
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"currantusher.dev/core"
@@ -178,7 +179,7 @@
 func isTransient(code core.Code) bool {
 	switch code {
 	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
-		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed:
+		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed, core.CodeDigestMismatch:
 		return true
 	default:
 		return false
@@ -237,7 +238,20 @@
 		proven := x.unproven == 0 && x.output.sent == 0
 		invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven)
 	}
-	return err
+	return x.withRetryAfter(err)
+}
+
+// withRetryAfter adds to a refusal when to come back, unless another try of
+// the same request is pointless.
+func (x *exchange) withRetryAfter(err error) error {
+	code := core.CodeOf(err)
+	if core.WorkOf(err) != core.WorkNotRun || core.RetryAfterOf(err) > 0 {
+		return err
+	}
+	if code.Info().HTTPStatus < http.StatusTooManyRequests || code == core.CodeCancelled {
+		return err
+	}
+	return core.Refuse(code, x.queue(x.request).RetryAfter(x.request.Team), "%s", core.DetailOf(err))
 }
 
 // reserve is the time kept before the deadline for a tombstone.
--- a/requests/ledger/finish.go
+++ b/requests/ledger/finish.go
@@ -33,18 +33,26 @@
 }
 
 func (l *Ledger) finish(claim Claim, result Result, done chan outcome) error {
-	if len(result.Body) > l.config.MaxResultBytes {
+	tooMuch := l.held.Load()+int64(len(result.Body)) > int64(l.config.MaxHeldBytes)
+	if len(result.Body) > l.config.MaxResultBytes || tooMuch {
 		result.Body = nil
 		result.Truncated = true
 	}
 	claim.row.State = stateFinished
 	claim.row.Result = &result
-	return l.submit(&write{
+	w := &write{
 		key:     claim.rowKey,
 		value:   claim.row.encode(),
 		expires: l.config.Now().Add(l.config.FinishTimeout),
+		held:    &l.held,
 		done:    done,
-	})
+	}
+	l.held.Add(int64(len(w.value)))
+	err := l.submit(w)
+	if err != nil {
+		l.held.Add(-int64(len(w.value)))
+	}
+	return err
 }
 
 // Release lets the key be claimed again. The caller must hold a proof that no
--- a/requests/ledger/ledger.go
+++ b/requests/ledger/ledger.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -16,10 +18,12 @@
 	DefaultBatch          = 64
 	DefaultQueue          = 4096
 	DefaultCommitTimeout  = 500 * time.Millisecond
-	DefaultFinishTimeout  = 30 * time.Second
+	DefaultFinishTimeout  = 10 * time.Minute
+	DefaultDrainTimeout   = 10 * time.Second
 	DefaultOpenPeriod     = 500 * time.Millisecond
 	DefaultRetention      = 24 * time.Hour
 	DefaultMaxResultBytes = 256 << 10
+	DefaultMaxHeldBytes   = 4 << 20
 	DefaultMaxRunTime     = 10 * time.Minute
 	DefaultWriters        = 2
 )
@@ -42,6 +46,8 @@
 	CommitTimeout time.Duration
 	// FinishTimeout bounds the attempts to write one result.
 	FinishTimeout time.Duration
+	// DrainTimeout bounds the writes after Run's context has ended.
+	DrainTimeout time.Duration
 	// OpenPeriod is how long claims are refused at once after the table
 	// service failed.
 	OpenPeriod time.Duration
@@ -51,6 +57,9 @@
 	// MaxResultBytes bounds a stored result. Larger ones are answered, but a
 	// repeat gets only their code.
 	MaxResultBytes int
+	// MaxHeldBytes bounds the results that wait to be written. Beyond it
+	// results are written without their bodies.
+	MaxHeldBytes int
 	// MaxRunTime is the longest that a claimed request may run. Later a claim
 	// without a result is answered as unknown.
 	MaxRunTime time.Duration
@@ -66,6 +75,8 @@
 	setInt(&c.MaxResultBytes, DefaultMaxResultBytes)
 	setDuration(&c.CommitTimeout, DefaultCommitTimeout)
 	setDuration(&c.FinishTimeout, DefaultFinishTimeout)
+	setInt(&c.MaxHeldBytes, DefaultMaxHeldBytes)
+	setDuration(&c.DrainTimeout, DefaultDrainTimeout)
 	setDuration(&c.OpenPeriod, DefaultOpenPeriod)
 	setDuration(&c.Retention, DefaultRetention)
 	setDuration(&c.MaxRunTime, DefaultMaxRunTime)
@@ -125,6 +136,8 @@
 	writes  chan *write
 	breaker *breaker
 	orphans chan orphan
+	// held counts the bytes of results that wait to be written.
+	held atomic.Int64
 }
 
 // New returns a Ledger.
@@ -138,7 +151,8 @@
 	}
 }
 
-// Claim inserts the claim row of a key and waits until it is committed. A nil
+// Claim inserts the claim row of a key and waits until it is committed. The
+// deadline of ctx is when the request has its final answer at the latest. A nil
 // error with Stored unset is the right to dispatch. All errors are refusals or
 // say that the first request with the key is running or has an unknown
 // outcome; none of them permits a dispatch.
@@ -155,6 +169,7 @@
 			AttemptID: attemptID,
 			Number:    1,
 			ClaimedAt: l.config.Now().UnixMilli(),
+			Until:     l.until(ctx).UnixMilli(),
 		},
 	}
 	for range maxClaimRounds {
@@ -176,6 +191,16 @@
 
 const maxClaimRounds = 4
 
+// until is when a claim made now has its result at the latest.
+func (l *Ledger) until(ctx context.Context) time.Time {
+	latest := l.config.Now().Add(l.config.MaxRunTime)
+	deadline, ok := ctx.Deadline()
+	if ok && deadline.Before(latest) {
+		return deadline
+	}
+	return latest
+}
+
 // insert commits the claim's row. It returns the row that is there instead, or
 // nil when the claim holds.
 func (l *Ledger) insert(ctx context.Context, wanted Claim) (*platform.Row, error) {
@@ -199,6 +224,9 @@
 		return o.found, l.refusal(o.err)
 	case <-ctx.Done():
 		l.reapLater(wanted)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil, core.Refuse(core.CodeDeadlineShort, l.config.OpenPeriod, "the deadline passed while the claim was written")
+		}
 		return nil, core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled while the claim was written")
 	}
 }
@@ -256,8 +284,7 @@
 }
 
 func (l *Ledger) pending(held row) error {
-	age := l.config.Now().Sub(time.UnixMilli(held.ClaimedAt))
-	if age < l.config.MaxRunTime {
+	if l.config.Now().Before(time.UnixMilli(held.Until)) {
 		return core.Fail(core.CodeInProgress, core.WorkUnknown, "the first request with this Idempotency-Key is running at %s", held.Entry)
 	}
 	return core.Fail(core.CodeOutcomeUnknown, core.WorkUnknown, "the first request with this Idempotency-Key left no result")
--- a/requests/ledger/row.go
+++ b/requests/ledger/row.go
@@ -39,6 +39,9 @@
 	// ClaimedAt is the entry's wall clock in Unix milliseconds.
 	ClaimedAt int64   `cbor:"6,keyasint"`
 	Result    *Result `cbor:"7,keyasint,omitempty"`
+	// Until is when the request has its final answer at the latest, by the
+	// same clock.
+	Until int64 `cbor:"8,keyasint"`
 }
 
 func (r row) encode() []byte {
--- a/requests/ledger/writer.go
+++ b/requests/ledger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -25,7 +26,9 @@
 	// expires ends the attempts of an unconditional write.
 	expires   time.Time
 	submitted time.Time
-	done      chan outcome
+	// held counts the value's bytes while the write waits, or is nil.
+	held *atomic.Int64
+	done chan outcome
 }
 
 // outcome is how a write ended: landed when both fields are nil.
@@ -35,6 +38,9 @@
 }
 
 func (w *write) finish(o outcome) {
+	if w.held != nil {
+		w.held.Add(-int64(len(w.value)))
+	}
 	if w.done != nil {
 		w.done <- o
 	}
@@ -75,13 +81,16 @@
 
 func (w *writer) run(ctx context.Context) {
 	for {
+		if ctx.Err() != nil {
+			w.drain()
+			return
+		}
 		if len(w.pending) == 0 {
 			select {
 			case next := <-w.ledger.writes:
 				w.pending = append(w.pending, next)
 			case <-ctx.Done():
-				w.drain()
-				return
+				continue
 			}
 		}
 		w.collect()
@@ -91,8 +100,10 @@
 
 // drain commits what waits when the ledger stops.
 func (w *writer) drain() {
-	for w.collect(); len(w.pending) > 0; w.collect() {
-		w.commit(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), w.ledger.config.DrainTimeout)
+	defer cancel()
+	for w.collect(); len(w.pending) > 0 && ctx.Err() == nil; w.collect() {
+		w.commit(ctx)
 	}
 }
 
--- a/wire/request.go
+++ b/wire/request.go
@@ -53,6 +53,9 @@
 type Data struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Bytes    []byte `cbor:"2,keyasint"`
+	// End is the length of this attempt's answer up to and with Bytes, so that
+	// a short frame is noticed before it is handed on. 0 means not given.
+	End int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // End closes the answer. Length and Checksum (BLAKE3) cover the bytes of all
