--- a/bench/procs/procs.go
+++ b/bench/procs/procs.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -155,23 +154,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-// FreeTCP returns a loopback address whose TCP port is free now.
-func FreeTCP() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
-// FreeUDP returns a loopback address whose UDP port is free now.
-func FreeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().String(), nil
-}
--- a/daemon/agent/dispatch.go
+++ b/daemon/agent/dispatch.go
@@ -99,6 +99,10 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := newRelay(stream, d, func() { permit.FirstByte(time.Now()) })
+	if err := r.start(); err != nil {
+		permit.Done(time.Now(), admission.NotSent)
+		return nil, err
+	}
 	reply, err := a.backend.run(ctx, d)
 	if err == nil {
 		invariant.Check(invariant.WholeWeights, reply.weights == d.Weights,
--- a/daemon/agent/relay.go
+++ b/daemon/agent/relay.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// start tells the entry that the attempt was admitted.
+func (r *relay) start() error {
+	if err := r.out.Send(wire.Reply{Start: &wire.Start{RequestID: r.dispatch.RequestID}}); err != nil {
+		return errEntryGone
+	}
+	return nil
+}
+
 // copy sends the whole answer. Its error says what is known of the work when
 // the answer is not whole. A failure to reach the entry is errEntryGone.
 func (r *relay) copy(a *answer) error {
@@ -74,7 +82,7 @@
 	r.length += int64(len(part))
 	r.tail = append(r.tail, part...)
 	r.tail = r.tail[max(0, len(r.tail)-len(streamEnd)):]
-	frame := wire.Reply{Data: &wire.Data{Sequence: r.sequence, Bytes: part}}
+	frame := wire.Reply{Data: &wire.Data{Sequence: r.sequence, Bytes: part, End: r.length}}
 	r.sequence++
 	return r.out.Send(frame)
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -36,6 +36,9 @@
 const (
 	defaultHistory = 20
 	retryNotReady  = time.Second
+	// startTimeout abandons a repeatable request at an agent that does not
+	// answer, such as a paused one.
+	startTimeout = time.Second
 	// leftNotice leaves time for the last report to be sent.
 	leftNotice = 200 * time.Millisecond
 )
@@ -247,6 +250,7 @@
 		Candidates:     e.candidates,
 		Ledger:         e.ledger,
 		Sender:         sender{peer: e.peer, observe: e.versions.observe},
+		StartTimeout:   startTimeout,
 		MaxAnswerBytes: e.config.MaxAnswer,
 	})
 }
--- a/requests/dispatch/assembly.go
+++ b/requests/dispatch/assembly.go
@@ -11,6 +11,7 @@
 // gaps, an End whose length and checksum cover the Data.
 type assembly struct {
 	requestID string
+	started   bool
 	begin     *wire.Begin
 	end       *wire.End
 	next      uint64
@@ -29,18 +30,34 @@
 	if a.end != nil {
 		return incomplete("a frame came after the end frame")
 	}
-	switch {
-	case reply.Begin != nil && reply.Data == nil && reply.End == nil:
+	switch reply {
+	case wire.Reply{Start: reply.Start}:
+		return a.acceptStart(reply.Start)
+	case wire.Reply{Begin: reply.Begin}:
 		return a.acceptBegin(reply.Begin)
-	case reply.Data != nil && reply.Begin == nil && reply.End == nil:
+	case wire.Reply{Data: reply.Data}:
 		return a.acceptData(reply.Data)
-	case reply.End != nil && reply.Begin == nil && reply.Data == nil:
+	case wire.Reply{End: reply.End}:
 		return a.acceptEnd(reply.End)
 	default:
 		return incomplete("a frame has not exactly one part")
 	}
 }
 
+func (a *assembly) acceptStart(start *wire.Start) error {
+	if start == nil {
+		return incomplete("a frame has no part")
+	}
+	if start.RequestID != a.requestID {
+		return crossed(start.RequestID, a.requestID)
+	}
+	if a.started || a.begin != nil {
+		return incomplete("the attempt started twice")
+	}
+	a.started = true
+	return nil
+}
+
 func (a *assembly) acceptBegin(begin *wire.Begin) error {
 	if begin.RequestID != a.requestID {
 		return crossed(begin.RequestID, a.requestID)
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -73,8 +73,8 @@
 	}
 	if err == nil {
 		var abandon *time.Timer
-		if x.config.BeginTimeout > 0 && !x.request.AtMostOnce {
-			abandon = time.AfterFunc(x.config.BeginTimeout, cancel)
+		if x.config.StartTimeout > 0 && !x.request.AtMostOnce {
+			abandon = time.AfterFunc(x.config.StartTimeout, cancel)
 		}
 		err = x.receive(stream, answer, abandon)
 		if err != nil {
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -74,9 +74,9 @@
 	TombstoneTimeout time.Duration
 	// ReleaseTimeout bounds the wait for the release of a claim.
 	ReleaseTimeout time.Duration
-	// BeginTimeout abandons an attempt of a repeatable request that has not
-	// begun to answer; 0 means only the deadline does.
-	BeginTimeout time.Duration
+	// StartTimeout abandons an attempt of a repeatable request whose
+	// start the agent has not confirmed; 0 means only the deadline does.
+	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is held until it was checked.
 	MaxAnswerBytes int
 	// MaxAttempts bounds the dispatches of one request.
--- a/requests/proof/cluster_test.go
+++ b/requests/proof/cluster_test.go
@@ -392,7 +392,7 @@
 		Ledger:     e.ledger,
 		Sender:     &network{entry: e},
 		// The fake engine begins to answer at once.
-		BeginTimeout: 500 * time.Millisecond,
+		StartTimeout: 500 * time.Millisecond,
 	})
 	go func() { _ = e.queue.Run(c.down) }()
 	go func() { _ = e.ledger.Run(c.down) }()
--- a/wire/request.go
+++ b/wire/request.go
@@ -5,7 +5,8 @@
 )
 
 // Dispatch asks an agent to run one attempt of a request. The agent answers
-// with at most one Begin, any number of Data and exactly one End. A stream
+// with Start once it admitted the attempt, at most one Begin, any number of Data
+// and exactly one End. A stream
 // that closes without an End is incomplete.
 type Dispatch struct {
 	RequestID string `cbor:"1,keyasint"`
@@ -40,9 +41,16 @@
 	Begin *Begin `cbor:"1,keyasint,omitempty"`
 	Data  *Data  `cbor:"2,keyasint,omitempty"`
 	End   *End   `cbor:"3,keyasint,omitempty"`
+	Start *Start `cbor:"4,keyasint,omitempty"`
 }
 
-// Begin says that the work started.
+// Start says that the agent admitted the attempt and sends it to the backend
+// server now.
+type Start struct {
+	RequestID string `cbor:"1,keyasint"`
+}
+
+// Begin says that the backend server began to answer.
 type Begin struct {
 	RequestID   string      `cbor:"1,keyasint"`
 	Weights     core.Digest `cbor:"2,keyasint"`
