--- a/bench/fleet/hooks.go
+++ b/bench/fleet/hooks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"currantusher.dev/core"
 	"currantusher.dev/core/keys"
 	"currantusher.dev/platform"
 	"currantusher.dev/tables"
@@ -21,6 +22,7 @@
 	// Instance is what the daemon announces: PeerAddr is the address by which
 	// others reach it and HTTPAddr, of entries, the one to listen at.
 	Instance platform.Instance
+	Region   core.Region
 	// PeerListen is the IP and UDP port to listen at.
 	PeerListen string
 	// StoreURL serves the tables, the objects and the list.
--- a/bench/fleet/site.go
+++ b/bench/fleet/site.go
@@ -156,6 +156,7 @@
 			State:      platform.InstanceLive,
 			PeerAddr:   announced,
 		},
+		Region:     dc.Region,
 		PeerListen: listen,
 		StoreURL:   s.storeURL,
 		CA:         s.authority.CertPEM(),
@@ -187,16 +188,25 @@
 		return err
 	}
 	n.backend = measure.Backend{ID: id, DataCentre: dc.Name, Kind: group.Kind, URL: "http://" + address}
-	toOrigin, err := s.Network.TCP(id, s.originAt)
-	if err != nil {
+	if err := s.addOriginPath(n); err != nil {
 		return err
 	}
-	n.origin = "http://" + toOrigin
 	s.agents = append(s.agents, n)
 	s.Backends.All = append(s.Backends.All, n.backend)
 	return nil
 }
 
+// addOriginPath opens the port by which an agent reaches the origin over its
+// machine's link.
+func (s *Site) addOriginPath(n *node) error {
+	if n.backend.Kind == tables.PoolService {
+		return nil
+	}
+	front, err := s.Network.TCP(n.common.Instance.ID, s.originAt)
+	n.origin = "http://" + front
+	return err
+}
+
 func (s *Site) newBackend(id core.InstanceID, group Group, content *engine.Content) http.Handler {
 	if group.Kind == tables.PoolService {
 		return service.New(service.Config{
--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -71,6 +71,8 @@
 		weightsCommand(),
 		reportCommand(),
 		keysCommand(),
+		demoCommand(),
+		benchCommand(),
 		versionCommand(),
 	}
 }
--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -22,7 +22,7 @@
 	// after several useless pulls in a row.
 	Pace  time.Duration
 	Retry time.Duration
-	// Survey bounds the wait for peers at start.
+	// Survey bounds the wait for the peers that are asked at start.
 	Survey time.Duration
 	// Snapshot is the least time between two snapshots.
 	Snapshot time.Duration
@@ -52,10 +52,15 @@
 const (
 	defaultMaxAge = 4 * time.Second
 	defaultRelays = 3
-	surveyPeers   = 3
 	maxHeldPulls  = 1024
 	// quickParents is the number of parents that are tried without delay.
 	quickParents = 2
+	// longStale is the multiple of the age limit after which a stale daemon
+	// asks less often, and by how much.
+	longStale = 4
+	// witnessPolls is the number of polls between two questions to the
+	// witnesses.
+	witnessPolls = 2
 	// unknownAge is the age of a configuration that was never confirmed.
 	unknownAge = time.Duration(math.MaxInt64)
 )
@@ -65,7 +70,7 @@
 	Self Neighbour
 	// StoreRegion is the region of the table service. "" means any.
 	StoreRegion core.Region
-	// Relays is the number of relays in each data centre.
+	// Relays is the least number of relays in each data centre.
 	Relays int
 	// MaxAge is the age over which the configuration is stale.
 	MaxAge time.Duration
@@ -84,7 +89,7 @@
 	until time.Time
 }
 
-// witness is what another relay said of the table service.
+// witness is what another witness said of the table service.
 type witness struct {
 	heardAt time.Time
 	down    bool
@@ -116,14 +121,14 @@
 	parentDue  time.Time
 	parentSent time.Time
 	askNow     bool
+	hedge      int
+	hedgeDue   time.Time
 	sidePulls  map[core.InstanceID]time.Time
 	witnesses  map[core.InstanceID]witness
 	witnessDue time.Time
 
-	surveying   bool
-	surveyed    bool
-	surveyUntil time.Time
-	surveyLeft  map[core.InstanceID]bool
+	survey   survey
+	surveyed bool
 
 	held        []held
 	snapshotDue time.Time
@@ -137,11 +142,10 @@
 func NewState(settings Settings) *State {
 	settings.applyDefaults()
 	return &State{
-		settings:   settings,
-		sidePulls:  map[core.InstanceID]time.Time{},
-		witnesses:  map[core.InstanceID]witness{},
-		surveyLeft: map[core.InstanceID]bool{},
-		askNow:     true,
+		settings:  settings,
+		sidePulls: map[core.InstanceID]time.Time{},
+		witnesses: map[core.InstanceID]witness{},
+		askNow:    true,
 	}
 }
 
@@ -188,37 +192,15 @@
 // Tick starts what is due.
 func (s *State) Tick(now time.Time) []Action {
 	var actions []Action
-	actions = append(actions, s.survey(now)...)
+	actions = append(actions, s.surveyAtStart(now)...)
 	actions = append(actions, s.askStore(now)...)
 	actions = append(actions, s.askParent(now)...)
+	actions = append(actions, s.askHedged(now)...)
 	actions = append(actions, s.askWitnesses(now)...)
 	actions = append(actions, s.expireHeld(now)...)
 	return append(actions, s.snapshot(now)...)
 }
 
-// survey asks several peers at start, so that a table service or a peer that
-// answers with an old revision does not decide alone.
-func (s *State) survey(now time.Time) []Action {
-	if s.surveyed {
-		return nil
-	}
-	if s.surveyUntil.IsZero() {
-		s.surveyUntil = now.Add(s.settings.Timing.Survey)
-		return []Action{ReadSnapshot{}}
-	}
-	if s.surveying || now.After(s.surveyUntil) {
-		s.surveyed = len(s.surveyLeft) == 0 || now.After(s.surveyUntil)
-		return nil
-	}
-	s.surveying = len(s.topology.parents) > 0
-	var actions []Action
-	for _, peer := range s.topology.parents[:min(surveyPeers, len(s.topology.parents))] {
-		s.surveyLeft[peer.ID] = true
-		actions = append(actions, s.sidePull(now, peer)...)
-	}
-	return actions
-}
-
 func (s *State) inFlight(now, sent time.Time) bool {
 	return !sent.IsZero() && now.Sub(sent) < s.settings.Timing.InFlight
 }
@@ -296,8 +278,7 @@
 	case event.Revision > own:
 		return s.load(now)
 	default:
-		s.confirm(event.SentAt)
-		return nil
+		return s.confirmByStore(now, event.SentAt)
 	}
 }
 
@@ -326,7 +307,7 @@
 		return s.reverted(event.SentAt, event.Config.Revision())
 	}
 	actions := s.adopt(now, event.Config)
-	s.confirm(event.SentAt)
+	actions = append(actions, s.confirmByStore(now, event.SentAt)...)
 	if push && s.Revision() > own {
 		actions = append(actions, s.push()...)
 	}
