Send the rows of a new revision once to each data centre of another region

Cause: every relay loaded all rows from the table service on a new head; with a sixth of 350 entries as relays, those of the other regions would each draw the rows over the 20 Mbit/s between regions. Relays now give a peer 300 ms to send the rows, and outside the table service's region all but the first relay of a data centre pull from that first one. The first relays of its own region still load at once. Ruled out: fewer relays, which would give each too many children.

--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -16,6 +15,8 @@
 	Poll time.Duration
 	// Absorb is the time between looks for direct edits.
 	Absorb time.Duration
+	// Grace is the time that a peer has to send the rows of a new head.
+	Grace time.Duration
 	// Wait is how long a pull is held back without news.
 	Wait time.Duration
 	// Pace is the least time between two pulls of one loop, Retry the one
@@ -34,6 +35,7 @@
 func (t *Timing) applyDefaults() {
 	setDefault(&t.Poll, 500*time.Millisecond)
 	setDefault(&t.Absorb, time.Second)
+	setDefault(&t.Grace, 300*time.Millisecond)
 	setDefault(&t.Wait, 500*time.Millisecond)
 	setDefault(&t.Pace, 50*time.Millisecond)
 	setDefault(&t.Retry, 250*time.Millisecond)
@@ -110,10 +112,14 @@
 	confirmed time.Time
 
 	// Reads of the table service by this daemon.
-	headDue, headSent, loadSent, absorbDue time.Time
-	storeDown                              bool
-	storeDownAt                            time.Time
-	pushAfterLoad                          bool
+	headDue, headSent, absorbDue time.Time
+	// head is the highest revision read; rows are loaded at loadDue when they
+	// have not come from a peer.
+	head              core.Revision
+	loadDue, loadSent time.Time
+	pushAfterLoad     bool
+	storeDown         bool
+	storeDownAt       time.Time
 
 	// The parent loop and other pulls in flight.
 	parent     int
@@ -205,32 +211,6 @@
 	return !sent.IsZero() && now.Sub(sent) < s.settings.Timing.InFlight
 }
 
-func (s *State) askStore(now time.Time) []Action {
-	if !s.topology.relay {
-		s.storeDown = false
-		return nil
-	}
-	var actions []Action
-	if !now.Before(s.headDue) && !s.inFlight(now, s.headSent) {
-		s.headSent = now
-		s.headDue = now.Add(s.settings.Timing.Poll)
-		actions = append(actions, ReadHead{})
-	}
-	if s.topology.absorber && !s.storeDown && !now.Before(s.absorbDue) {
-		s.absorbDue = now.Add(s.settings.Timing.Absorb)
-		actions = append(actions, Absorb{})
-	}
-	return actions
-}
-
-func (s *State) load(now time.Time) []Action {
-	if s.inFlight(now, s.loadSent) {
-		return nil
-	}
-	s.loadSent = now
-	return []Action{Load{}}
-}
-
 func (s *State) askParent(now time.Time) []Action {
 	parents := s.topology.parents
 	if len(parents) == 0 || now.Before(s.parentDue) || s.inFlight(now, s.parentSent) {
@@ -263,57 +243,6 @@
 	return []Action{SaveSnapshot{Config: s.config}}
 }
 
-// HeadRead takes the answer of the table service.
-func (s *State) HeadRead(now time.Time, event HeadRead) []Action {
-	s.headSent = time.Time{}
-	if event.Err != nil {
-		s.storeDown = true
-		s.storeDownAt = event.SentAt
-		return s.askWitnesses(now)
-	}
-	s.storeDown = false
-	switch own := s.Revision(); {
-	case event.Revision < own:
-		return s.reverted(event.SentAt, event.Revision)
-	case event.Revision > own:
-		return s.load(now)
-	default:
-		return s.confirmByStore(now, event.SentAt)
-	}
-}
-
-// reverted reports an answer with an older revision, unless it was asked for
-// before the present revision was adopted.
-func (s *State) reverted(sentAt time.Time, revision core.Revision) []Action {
-	if !sentAt.After(s.adoptedAt) {
-		return nil
-	}
-	return []Action{Report{
-		Code:   core.CodeRevisionReverted,
-		Detail: fmt.Sprintf("revision %d is older than %d", revision, s.Revision()),
-	}}
-}
-
-// Loaded takes the accepted rows.
-func (s *State) Loaded(now time.Time, event Loaded) []Action {
-	s.loadSent = time.Time{}
-	push := s.pushAfterLoad
-	s.pushAfterLoad = false
-	if event.Err != nil {
-		return []Action{Report{Code: core.CodeOf(event.Err), Detail: "load: " + event.Err.Error()}}
-	}
-	own := s.Revision()
-	if event.Config.Revision() < own {
-		return s.reverted(event.SentAt, event.Config.Revision())
-	}
-	actions := s.adopt(now, event.Config)
-	actions = append(actions, s.confirmByStore(now, event.SentAt)...)
-	if push && s.Revision() > own {
-		actions = append(actions, s.push()...)
-	}
-	return actions
-}
-
 // SnapshotRead takes the snapshot object. It confirms nothing.
 func (s *State) SnapshotRead(now time.Time, config *tables.Config) []Action {
 	if config == nil {
--- a/tables/spread/survey.go
+++ b/tables/spread/survey.go
@@ -68,21 +68,3 @@
 	delete(s.survey.left, event.From.ID)
 	return nil
 }
-
-// confirmByStore confirms the configuration by an answer of the table service.
-// A daemon that was stale asks its peers first, as at start.
-func (s *State) confirmByStore(now, sentAt time.Time) []Action {
-	stale := !s.confirmed.IsZero() && s.Age(now) > s.settings.MaxAge
-	if !stale {
-		s.confirm(sentAt)
-		return nil
-	}
-	recent := s.survey.until.After(s.confirmed.Add(s.settings.MaxAge)) && now.Sub(s.survey.until) < s.settings.MaxAge
-	if !recent {
-		return s.beginSurvey(now)
-	}
-	if s.survey.done(now) {
-		s.confirm(sentAt)
-	}
-	return nil
-}
--- a/tables/spread/topology.go
+++ b/tables/spread/topology.go
@@ -13,6 +13,7 @@
 	// that has more than a few.
 	entriesPerRelay = 6
 
+	parentsSenior = 1
 	parentsNear   = 4
 	parentsRegion = 2
 	parentsStore  = 2
@@ -31,8 +32,12 @@
 type topology struct {
 	// relay is set on entries that ask the table service.
 	relay bool
-	// absorber is set on the relays that accept direct edits.
+	// absorber is set on the first relay of each data centre in the table
+	// service's region. It accepts direct edits and loads rows at once; other
+	// relays give the rows time to come from a peer.
 	absorber bool
+	// senior are the relays of the own data centre that rank before this one.
+	senior []Neighbour
 	// parents are asked for news, best first.
 	parents []Neighbour
 	// witness is set on the first relays of the data centres in the table
@@ -70,6 +75,7 @@
 			}
 			t.relay = true
 			t.absorber = inStore && i == 0
+			t.senior = dc[:min(i, parentsSenior)]
 		}
 	}
 	others := filter(witnesses, func(n Neighbour) bool { return n.ID != self.ID })
@@ -105,9 +111,12 @@
 
 func (t topology) chooseParents(self Neighbour, entries, witnesses []Neighbour) []Neighbour {
 	key := string(self.ID)
-	if t.relay {
+	if t.witness {
 		return rank(key, witnesses)
 	}
+	if t.relay {
+		return append(append([]Neighbour(nil), t.senior...), rank(key, witnesses)...)
+	}
 	near := entries
 	if self.Role == platform.RoleEntry {
 		near = t.relays
