--- a/members/directory.go
+++ b/members/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	// ConfigMaxAge is the age of its configuration at which every daemon of
 	// the fleet stops starting new work.
 	ConfigMaxAge time.Duration
+	// ServesStale says that daemons go on past ConfigMaxAge. A silent daemon
+	// then never stops counting for InForce until it is forgotten.
+	ServesStale bool
 	// LeaseMargin is added to ConfigMaxAge for the drift between clocks.
 	LeaseMargin time.Duration
 	// TickPeriod is how often silence is looked for.
@@ -93,6 +97,15 @@
 	return nil
 }
 
+// lease is how long a daemon may go on with a configuration that it cannot
+// confirm.
+func (c *DirectoryConfig) lease() time.Duration {
+	if c.ServesStale {
+		return math.MaxInt64
+	}
+	return c.ConfigMaxAge + c.LeaseMargin
+}
+
 func setDefault(value *time.Duration, fallback time.Duration) {
 	if *value == 0 {
 		*value = fallback
@@ -129,7 +142,7 @@
 			entryAfter:   max(config.SuspectAfter, exchangesPerSuspicion*config.ExchangePeriod),
 			goneAfter:    config.GoneAfter,
 			retention:    config.Retention,
-			lease:        config.ConfigMaxAge + config.LeaseMargin,
+			lease:        config.lease(),
 		}),
 		calls:     map[core.InstanceID]bool{},
 		urgent:    make(chan struct{}, 1),
--- a/members/queries.go
+++ b/members/queries.go
@@ -1,29 +1,40 @@
 package members
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"currantusher.dev/core"
 	"currantusher.dev/platform"
 )
 
+// selected returns the records that accept takes, ordered by instance.
+func (r *roster) selected(accept func(*record) bool) []*record {
+	var chosen []*record
+	for _, known := range r.records {
+		if accept(known) {
+			chosen = append(chosen, known)
+		}
+	}
+	slices.SortFunc(chosen, func(a, b *record) int { return cmp.Compare(a.instance.ID, b.instance.ID) })
+	return chosen
+}
+
 // Agents returns the agents of a group that are not gone, ordered by instance;
 // "" selects all groups. An agent that only the platform's list names has
 // incarnation 0 and is suspected.
 func (d *Directory) Agents(group core.Group) []Agent {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	chosen := d.roster.selected(func(known *record) bool {
+		inGroup := group == "" || known.instance.Group == group
+		return inGroup && known.instance.Role == platform.RoleAgent && known.state() != StateGone
+	})
 	now := d.config.Now()
-	var agents []Agent
-	for _, known := range d.roster.records {
-		if known.instance.Role != platform.RoleAgent || known.state() == StateGone {
-			continue
-		}
-		if group == "" || known.instance.Group == group {
-			agents = append(agents, known.agent(now, known.listedLeaving))
-		}
+	agents := make([]Agent, 0, len(chosen))
+	for _, known := range chosen {
+		agents = append(agents, known.agent(now, known.listedLeaving))
 	}
-	sort.Slice(agents, func(i, j int) bool { return agents[i].Instance < agents[j].Instance })
 	return agents
 }
 
@@ -32,15 +43,14 @@
 func (d *Directory) Entries() []Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	chosen := d.roster.selected(func(known *record) bool {
+		return known.instance.Role == platform.RoleEntry && known.state() != StateGone
+	})
 	now := d.config.Now()
-	var entries []Entry
-	for _, known := range d.roster.records {
-		if known.instance.Role != platform.RoleEntry || known.state() == StateGone {
-			continue
-		}
+	entries := make([]Entry, 0, len(chosen))
+	for _, known := range chosen {
 		entries = append(entries, Entry{Member: known.member(now, known.listedLeaving)})
 	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].Instance < entries[j].Instance })
 	return entries
 }
 
@@ -48,12 +58,12 @@
 func (d *Directory) Members() []Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	chosen := d.roster.selected(func(*record) bool { return true })
 	now := d.config.Now()
-	all := make([]Member, 0, len(d.roster.records))
-	for _, known := range d.roster.records {
+	all := make([]Member, 0, len(chosen))
+	for _, known := range chosen {
 		all = append(all, known.member(now, known.listedLeaving))
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Instance < all[j].Instance })
 	return all
 }
 
--- a/members/roster.go
+++ b/members/roster.go
@@ -69,8 +69,10 @@
 	incarnation core.Incarnation
 	timing      timing
 
-	records  map[core.InstanceID]*record
-	keys     map[uint64]core.InstanceID
+	records map[core.InstanceID]*record
+	keys    map[uint64]core.InstanceID
+	// holders names the latest process on each address.
+	holders  map[string]core.InstanceID
 	position uint64
 	links    map[core.InstanceID]*link
 	known    revisionLog
@@ -90,6 +92,7 @@
 		timing:      t,
 		records:     map[core.InstanceID]*record{},
 		keys:        map[uint64]core.InstanceID{},
+		holders:     map[string]core.InstanceID{},
 		links:       map[core.InstanceID]*link{},
 		merge:       merge,
 	}
@@ -212,37 +215,31 @@
 	r.supersedeAddress(now, known)
 }
 
-// supersedeAddress marks earlier processes on the same address as gone.
+// supersedeAddress marks an earlier process on the same address as gone.
 func (r *roster) supersedeAddress(now time.Time, current *record) {
-	for id, other := range r.records {
-		if id == current.instance.ID || other.instance.PeerAddr != current.instance.PeerAddr {
-			continue
-		}
-		if other.incarnation >= current.incarnation || other.live == livenessGone {
-			continue
-		}
-		other.live = livenessGone
-		other.observed = false
-		other.silentAt = now
-		r.bump(now, other, "", changeMaterial)
+	addr := current.instance.PeerAddr
+	other := r.records[r.holders[addr]]
+	if other != nil && other.incarnation > current.incarnation {
+		return
+	}
+	r.holders[addr] = current.instance.ID
+	if other == nil || other == current || other.live == livenessGone {
+		return
 	}
+	other.live = livenessGone
+	other.observed = false
+	other.silentAt = now
+	r.bump(now, other, "", changeMaterial)
 }
 
 // displaced reports whether a later process holds the address of an alive
 // report, which therefore is late.
 func (r *roster) displaced(incoming report) bool {
-	if incoming.silent() || incoming.instance.PeerAddr == "" {
+	if incoming.silent() {
 		return false
 	}
-	for id, other := range r.records {
-		if id == incoming.instance.ID || other.instance.PeerAddr != incoming.instance.PeerAddr {
-			continue
-		}
-		if other.incarnation > incoming.incarnation {
-			return true
-		}
-	}
-	return false
+	holder := r.records[r.holders[incoming.instance.PeerAddr]]
+	return holder != nil && holder.instance.ID != incoming.instance.ID && holder.incarnation > incoming.incarnation
 }
 
 // rejectReplaced tells a neighbour about the later incarnation. A replaced
@@ -388,6 +385,9 @@
 
 func (r *roster) forget(id core.InstanceID, known *record) {
 	delete(r.keys, memberKey(id, known.incarnation))
+	if r.holders[known.instance.PeerAddr] == id {
+		delete(r.holders, known.instance.PeerAddr)
+	}
 	delete(r.records, id)
 	delete(r.links, id)
 }
--- a/members/roster_test.go
+++ b/members/roster_test.go
@@ -126,6 +126,28 @@
 	require.Equal(t, homes[1], other[1])
 }
 
+func TestInForceWaitsForTheLeaseOfSilentDaemons(t *testing.T) {
+	for _, servesStale := range []bool{false, true} {
+		r, agent := rosterWithAgent()
+		config := DirectoryConfig{ConfigMaxAge: simMaxAge, LeaseMargin: simMargin, ServesStale: servesStale}
+		r.timing.lease = config.lease()
+		r.list(simStart, []platform.Instance{r.self, agent})
+		report := wire.Heartbeat{Incarnation: 1, Sequence: 1, Status: &wire.Status{Revision: 8}}
+		now := simStart.Add(time.Minute)
+		r.tick(now)
+		r.heard(now, r.self, report)
+		inForce, missing := r.inForce(now, 8)
+		require.False(t, inForce)
+		require.Equal(t, []core.InstanceID{agent.ID}, missing, "a suspected daemon counts until its lease ends")
+		inForce, _ = r.inForce(now.Add(config.ConfigMaxAge+config.LeaseMargin), 8)
+		require.Equal(t, !servesStale, inForce)
+
+		r.heard(now, agent, wire.Heartbeat{Incarnation: 5, Sequence: 2, Left: true})
+		inForce, _ = r.inForce(now, 8)
+		require.True(t, inForce, "one that said that it ended does not count")
+	}
+}
+
 func TestReplacedProcessLearnsIt(t *testing.T) {
 	r, agent := rosterWithAgent()
 	require.True(t, r.heard(simStart, agent, wire.Heartbeat{Incarnation: 6, Sequence: 1}))
