--- a/members/exchange.go
+++ b/members/exchange.go
@@ -16,7 +16,7 @@
 	exchangeTimeout = 2 * time.Second
 	// probeRounds is the number of rounds between exchanges with a random
 	// silent entry, which reconnect parts of the fleet after a split.
-	probeRounds = 10
+	probeRounds = 3
 )
 
 // runExchanges calls the neighbours once a period, sooner after a change.
--- a/members/fleet_test.go
+++ b/members/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 	directory *Directory
 	reporter  *Reporter
 	stop      context.CancelFunc
+	replaced  atomic.Bool
 }
 
 type fleet struct {
@@ -62,6 +64,10 @@
 }
 
 func (f *fleet) start(role platform.Role, id core.InstanceID, zone core.DataCentre) *daemon {
+	return f.startAs(role, id, zone, 1)
+}
+
+func (f *fleet) startAs(role platform.Role, id core.InstanceID, zone core.DataCentre, incarnation core.Incarnation) *daemon {
 	pair, err := f.authority.Issue(id)
 	require.NoError(f.t, err)
 	tls, err := keys.Config(f.authority.CertPEM(), pair)
@@ -74,13 +80,14 @@
 	}}
 	if role == platform.RoleEntry {
 		d.instance.HTTPAddr = peer.Addr()
-		d.directory, err = NewDirectory(DirectoryConfig{Self: d.instance, Incarnation: 1, Peer: peer, List: f.list})
+		d.directory, err = NewDirectory(DirectoryConfig{Self: d.instance, Incarnation: incarnation, Peer: peer, List: f.list})
 		require.NoError(f.t, err)
 	} else {
 		d.instance.Group = "workers"
 	}
 	d.reporter, err = NewReporter(ReporterConfig{
-		Self: d.instance, Incarnation: 1, Peer: peer, List: f.list, Directory: d.directory,
+		Self: d.instance, Incarnation: incarnation, Peer: peer, List: f.list, Directory: d.directory,
+		OnReplaced: func() { d.replaced.Store(true) },
 		Report: func() wire.Heartbeat {
 			return wire.Heartbeat{Running: 1, Status: &wire.Status{Revision: f.revision, Limit: 4}}
 		},
@@ -139,3 +146,26 @@
 		return len(entries[0].directory.Agents("workers")) < 4
 	}, eventually, 20*time.Millisecond)
 }
+
+func TestReplacedDaemonIsTold(t *testing.T) {
+	f := newFleet(t)
+	entries := []*daemon{f.start(platform.RoleEntry, "entry-0", "north"), f.start(platform.RoleEntry, "entry-1", "south")}
+	roles := map[core.InstanceID]platform.Role{"entry-1": platform.RoleEntry, "agent-0": platform.RoleAgent}
+	earlier := map[core.InstanceID]*daemon{"entry-1": entries[1], "agent-0": f.start(platform.RoleAgent, "agent-0", "north")}
+	for id, role := range roles {
+		require.Eventually(t, func() bool { return incarnationAt(entries[0], id) == 1 }, eventually, 20*time.Millisecond)
+		f.startAs(role, id, "north", 2)
+		require.Eventually(t, func() bool {
+			return earlier[id].replaced.Load() && incarnationAt(entries[0], id) == 2
+		}, eventually, 20*time.Millisecond, id)
+	}
+}
+
+func incarnationAt(entry *daemon, id core.InstanceID) core.Incarnation {
+	for _, member := range entry.directory.Members() {
+		if member.Instance == id {
+			return member.Incarnation
+		}
+	}
+	return 0
+}
--- a/members/handlers.go
+++ b/members/handlers.go
@@ -61,9 +61,6 @@
 		return err
 	}
 	var reply wire.Summary
-	d.update(func(r *roster, now time.Time) {
-		r.receive(now, incoming, false)
-		reply = r.summaryFor(now, incoming.From)
-	})
+	d.update(func(r *roster, now time.Time) { reply = r.answer(now, incoming) })
 	return stream.Send(reply)
 }
--- a/members/reporter.go
+++ b/members/reporter.go
@@ -16,7 +16,7 @@
 const (
 	defaultHeartbeatPeriod = time.Second
 	defaultAnnouncePeriod  = 2 * time.Second
-	defaultMaxHomes        = 4
+	defaultMaxHomes        = 3
 	defaultPerDataCentre   = 1
 	homeBackoff            = 5 * time.Second
 	leaveTimeout           = 2 * time.Second
--- a/members/roster.go
+++ b/members/roster.go
@@ -274,7 +274,7 @@
 	case changed == changeBeat:
 		interval := refreshInterval(len(r.records))
 		if via != "" {
-			interval /= 2
+			interval -= interval / 4
 		}
 		if now.Sub(known.bumpedAt) >= interval {
 			r.bump(now, known, via, changeBeat)
--- a/members/roster_test.go
+++ b/members/roster_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/platform"
 	"currantusher.dev/wire"
 )
@@ -158,3 +160,26 @@
 	r.heard(simStart, r.self, wire.Heartbeat{Incarnation: 2, Sequence: 1})
 	require.True(t, r.replaced)
 }
+
+// FuzzSummary feeds arbitrary frames to a roster: they must neither panic nor
+// break what is final.
+func FuzzSummary(f *testing.F) {
+	r, _ := rosterWithAgent()
+	seed, err := cbor.Marshal(r.summaryFor(simStart, "other"))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		var summary wire.Summary
+		if cbor.Unmarshal(frame, &summary) != nil {
+			return
+		}
+		r, agent := rosterWithAgent()
+		before := invariant.Total()
+		_ = r.answer(simStart, summary)
+		r.receive(simStart, summary, true)
+		r.tick(simStart.Add(time.Minute))
+		_ = r.summaryFor(simStart, summary.From)
+		require.Equal(t, before, invariant.Total())
+		require.GreaterOrEqual(t, r.records[agent.ID].incarnation, core.Incarnation(5))
+	})
+}
--- a/members/selection.go
+++ b/members/selection.go
@@ -13,7 +13,7 @@
 const (
 	// refreshPerMember stretches the refresh of unchanged records with the
 	// fleet, so that the bytes for it stay the same.
-	refreshPerMember = 70 * time.Millisecond
+	refreshPerMember = 120 * time.Millisecond
 	minRefresh       = 2 * time.Second
 	// silentRefreshes is how many refreshes may be missed before a daemon that
 	// reports to other entries is suspected.
--- a/members/simulation_test.go
+++ b/members/simulation_test.go
@@ -305,8 +305,7 @@
 		if to.roster == nil {
 			return
 		}
-		to.roster.receive(now, request, false)
-		reply := to.roster.summaryFor(now, request.From)
+		reply := to.roster.answer(now, request)
 		s.post(to.instance.ID, p.instance.ID, func(now time.Time, back *process) {
 			if back == p {
 				back.roster.receive(now, reply, watch)
--- a/members/summary.go
+++ b/members/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"currantusher.dev/core"
@@ -57,11 +58,29 @@
 	return encoder.finish()
 }
 
+// answer applies a neighbour's summary and returns the own one. A neighbour
+// that was replaced is only told so.
+func (r *roster) answer(now time.Time, s wire.Summary) wire.Summary {
+	if !r.supersedes(s) {
+		r.receive(now, s, false)
+		return r.summaryFor(now, s.From)
+	}
+	encoder := newSummaryEncoder(now, wire.Summary{From: r.self.ID, Incarnation: r.incarnation, Since: math.MaxUint64})
+	encoder.add(r.records[s.From], 0)
+	return encoder.finish()
+}
+
+// supersedes reports whether a later process runs in the sender's place.
+func (r *roster) supersedes(s wire.Summary) bool {
+	known := r.records[s.From]
+	return known != nil && known.incarnation > s.Incarnation
+}
+
 // receive applies a neighbour's summary. watch says that this entry calls the
 // neighbour regularly, so that its silence means something.
 func (r *roster) receive(now time.Time, s wire.Summary, watch bool) {
 	l := r.link(s.From)
-	if l.incarnation > s.Incarnation {
+	if l.incarnation > s.Incarnation || r.supersedes(s) {
 		return
 	}
 	if l.incarnation < s.Incarnation {
