--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/wire"
 )
@@ -22,6 +23,7 @@
 	// Until it is proven otherwise the attempt may have run.
 	x.unproven++
 	answer := newAssembly(x.request.ID)
+	answer.lenient = x.skip == guardAnswer
 	err := x.exchange(ctx, id, agent, answer)
 	if core.WorkOf(err) == core.WorkNotRun {
 		x.unproven--
@@ -71,8 +73,8 @@
 	}
 	if err == nil {
 		var abandon *time.Timer
-		if x.config.BeginTimeout > 0 && !x.request.AtMostOnce {
-			abandon = time.AfterFunc(x.config.BeginTimeout, cancel)
+		if x.config.StartTimeout > 0 && !x.request.AtMostOnce {
+			abandon = time.AfterFunc(x.config.StartTimeout, cancel)
 		}
 		err = x.receive(stream, answer, abandon)
 		if err != nil {
@@ -100,7 +102,7 @@
 			return core.Wrap(err, core.CodeIncomplete, core.WorkUnknown, "the answer broke off")
 		}
 		if err := answer.accept(reply); err != nil {
-			x.output.tainted = true
+			x.output.tainted = x.output.sent > 0 && core.CodeOf(err) == core.CodeChecksumMismatch
 			return err
 		}
 		if abandon != nil {
@@ -131,7 +133,10 @@
 func (x *exchange) finish(answer *assembly) error {
 	end := answer.end
 	if end.Code == core.CodeOK {
-		x.whole = answer.isWhole() && x.skip != guardAnswer
+		x.whole = answer.isWhole()
+		if !invariant.Check(invariant.WholeAnswer, x.whole, "request %s has an answer that its end frame does not cover", x.request.ID) {
+			return core.Fail(core.CodeInternal, core.WorkUnknown, "the answer is not whole")
+		}
 		return x.output.close()
 	}
 	work := end.Work
--- a/wire/request.go
+++ b/wire/request.go
@@ -5,7 +5,8 @@
 )
 
 // Dispatch asks an agent to run one attempt of a request. The agent answers
-// with at most one Begin, any number of Data and exactly one End. A stream
+// with Start once it admitted the attempt, at most one Begin, any number of Data
+// and exactly one End. A stream
 // that closes without an End is incomplete.
 type Dispatch struct {
 	RequestID string `cbor:"1,keyasint"`
@@ -40,9 +41,16 @@
 	Begin *Begin `cbor:"1,keyasint,omitempty"`
 	Data  *Data  `cbor:"2,keyasint,omitempty"`
 	End   *End   `cbor:"3,keyasint,omitempty"`
+	Start *Start `cbor:"4,keyasint,omitempty"`
 }
 
-// Begin says that the work started.
+// Start says that the agent admitted the attempt and sends it to the backend
+// server now.
+type Start struct {
+	RequestID string `cbor:"1,keyasint"`
+}
+
+// Begin says that the backend server began to answer.
 type Begin struct {
 	RequestID   string      `cbor:"1,keyasint"`
 	Weights     core.Digest `cbor:"2,keyasint"`
@@ -53,6 +61,9 @@
 type Data struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Bytes    []byte `cbor:"2,keyasint"`
+	// End is the length of this attempt's answer up to and with Bytes, so that
+	// a short frame is noticed before it is handed on. 0 means not given.
+	End int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // End closes the answer. Length and Checksum (BLAKE3) cover the bytes of all
