--- a/members/roster_test.go
+++ b/members/roster_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/platform"
 	"currantusher.dev/wire"
 )
@@ -126,6 +128,28 @@
 	require.Equal(t, homes[1], other[1])
 }
 
+func TestInForceWaitsForTheLeaseOfSilentDaemons(t *testing.T) {
+	for _, servesStale := range []bool{false, true} {
+		r, agent := rosterWithAgent()
+		config := DirectoryConfig{ConfigMaxAge: simMaxAge, LeaseMargin: simMargin, ServesStale: servesStale}
+		r.timing.lease = config.lease()
+		r.list(simStart, []platform.Instance{r.self, agent})
+		report := wire.Heartbeat{Incarnation: 1, Sequence: 1, Status: &wire.Status{Revision: 8}}
+		now := simStart.Add(time.Minute)
+		r.tick(now)
+		r.heard(now, r.self, report)
+		inForce, missing := r.inForce(now, 8)
+		require.False(t, inForce)
+		require.Equal(t, []core.InstanceID{agent.ID}, missing, "a suspected daemon counts until its lease ends")
+		inForce, _ = r.inForce(now.Add(config.ConfigMaxAge+config.LeaseMargin), 8)
+		require.Equal(t, !servesStale, inForce)
+
+		r.heard(now, agent, wire.Heartbeat{Incarnation: 5, Sequence: 2, Left: true})
+		inForce, _ = r.inForce(now, 8)
+		require.True(t, inForce, "one that said that it ended does not count")
+	}
+}
+
 func TestReplacedProcessLearnsIt(t *testing.T) {
 	r, agent := rosterWithAgent()
 	require.True(t, r.heard(simStart, agent, wire.Heartbeat{Incarnation: 6, Sequence: 1}))
@@ -136,3 +160,26 @@
 	r.heard(simStart, r.self, wire.Heartbeat{Incarnation: 2, Sequence: 1})
 	require.True(t, r.replaced)
 }
+
+// FuzzSummary feeds arbitrary frames to a roster: they must neither panic nor
+// break what is final.
+func FuzzSummary(f *testing.F) {
+	r, _ := rosterWithAgent()
+	seed, err := cbor.Marshal(r.summaryFor(simStart, "other"))
+	require.NoError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		var summary wire.Summary
+		if cbor.Unmarshal(frame, &summary) != nil {
+			return
+		}
+		r, agent := rosterWithAgent()
+		before := invariant.Total()
+		_ = r.answer(simStart, summary)
+		r.receive(simStart, summary, true)
+		r.tick(simStart.Add(time.Minute))
+		_ = r.summaryFor(simStart, summary.From)
+		require.Equal(t, before, invariant.Total())
+		require.GreaterOrEqual(t, r.records[agent.ID].incarnation, core.Incarnation(5))
+	})
+}
