--- a/bench/daemons/daemons.go
+++ b/bench/daemons/daemons.go
@@ -111,17 +111,18 @@
 		return nil, err
 	}
 	daemon, err := agent.New(agent.Config{
-		Instance:      spec.Instance.ID,
-		DataCentre:    spec.Instance.DataCentre,
-		Region:        spec.Region,
-		Group:         spec.Instance.Group,
-		PeerListen:    spec.PeerListen,
-		PeerAdvertise: spec.Instance.PeerAddr,
-		BackendURL:    spec.BackendURL,
-		PlatformURL:   spec.StoreURL,
-		OriginURL:     spec.OriginURL,
-		TLS:           tls,
-		Log:           c.Log,
+		Instance:       spec.Instance.ID,
+		DataCentre:     spec.Instance.DataCentre,
+		Region:         spec.Region,
+		Group:          spec.Instance.Group,
+		PeerListen:     spec.PeerListen,
+		PeerAdvertise:  spec.Instance.PeerAddr,
+		BackendURL:     spec.BackendURL,
+		PlatformURL:    spec.StoreURL,
+		OriginURL:      spec.OriginURL,
+		WeightStoreURL: spec.WeightStoreURL,
+		TLS:            tls,
+		Log:            c.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/bench/fleet/hooks.go
+++ b/bench/fleet/hooks.go
@@ -42,8 +42,9 @@
 	Common
 	BackendURL string
 	Kind       tables.PoolKind
-	// OriginURL serves weights.
-	OriginURL string
+	// OriginURL and WeightStoreURL serve weights.
+	OriginURL      string
+	WeightStoreURL string
 }
 
 // Hooks start the system's daemons.
--- a/bench/fleet/operate.go
+++ b/bench/fleet/operate.go
@@ -116,9 +116,16 @@
 	Size int64
 }
 
-// Publish stores a file or folder at the origin.
+// Publish stores a file or folder at the origin and at the weight store.
 func (s *Site) Publish(ctx context.Context, path string) (Version, error) {
-	sink, err := source.New(source.Config{URL: "http://" + s.originAt, HTTP: s.client})
+	if _, err := s.publishTo(ctx, s.weightsAt, path); err != nil {
+		return Version{}, err
+	}
+	return s.publishTo(ctx, s.originAt, path)
+}
+
+func (s *Site) publishTo(ctx context.Context, address, path string) (Version, error) {
+	sink, err := source.New(source.Config{URL: "http://" + address, HTTP: s.client})
 	if err != nil {
 		return Version{}, err
 	}
@@ -198,9 +205,10 @@
 	machines map[core.InstanceID]link.Counts
 }
 
-// Usage reads the links of all engines' machines and of the origin.
+// Usage reads the links of all engines' machines, and those of the origin and
+// the weight store together.
 func (s *Site) Usage() Usage {
-	usage := Usage{origin: s.Origin.SentTotal(), machines: make(map[core.InstanceID]link.Counts)}
+	usage := Usage{origin: s.Origin.SentTotal() + s.WeightStore.SentTotal(), machines: make(map[core.InstanceID]link.Counts)}
 	for _, n := range s.agents {
 		if n.backend.Kind == tables.PoolEngine {
 			id := n.common.Instance.ID
--- a/bench/scenario/experiment.go
+++ b/bench/scenario/experiment.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -197,12 +198,14 @@
 	}
 	e.mu.Lock()
 	e.known[version.Root] = true
-	e.pinned = version
 	e.mu.Unlock()
 	before := e.Site.Usage()
 	if err := e.Site.Pin(ctx, version); err != nil {
 		return err
 	}
+	e.mu.Lock()
+	e.pinned = version
+	e.mu.Unlock()
 	replicas, took, err := e.Site.WaitReplicas(ctx, version.Root, time.Now())
 	e.addBurst(version, replicas, took, e.Site.Usage().CopiesSince(before, version.Size))
 	if err != nil {
@@ -332,6 +335,29 @@
 	return out.to.Add(settleAfterIn)
 }
 
+// WaitConverged waits until every engine carries the version pinned last.
+func (e *Experiment) WaitConverged(ctx context.Context) error {
+	e.bursts.Lock()
+	defer e.bursts.Unlock()
+	e.mu.Lock()
+	pinned := e.pinned
+	e.mu.Unlock()
+	_, took, err := e.Site.WaitReplicas(ctx, pinned.Root, time.Now())
+	if err == nil {
+		e.cfg.Log("all engines carry version %s %.1f s after the last fault", pinned.Root.Short(), took.Seconds())
+	}
+	return err
+}
+
+// Judge returns ErrPromiseBroken with the broken promises of a report.
+func Judge(report *measure.Report) error {
+	broken := report.Broken()
+	if len(broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrPromiseBroken, strings.Join(broken, "; "))
+}
+
 // Close ends the site.
 func (e *Experiment) Close(ctx context.Context) {
 	if e.stopLoad != nil {
