--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"currantusher.dev/core"
@@ -160,7 +161,7 @@
 	if core.WorkOf(err) == core.WorkNotRun {
 		return isElsewhere(core.CodeOf(err))
 	}
-	if x.request.AtMostOnce {
+	if x.request.AtMostOnce && x.skip != guardClaim {
 		return false
 	}
 	return isTransient(core.CodeOf(err))
@@ -180,7 +181,7 @@
 func isTransient(code core.Code) bool {
 	switch code {
 	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
-		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed:
+		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed, core.CodeDigestMismatch:
 		return true
 	default:
 		return false
@@ -237,9 +238,24 @@
 	}
 	if core.WorkOf(err) == core.WorkNotRun {
 		proven := x.unproven == 0 && x.output.sent == 0
-		invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven)
+		if !invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven) {
+			return core.Wrap(err, core.CodeOf(err), core.WorkUnknown, "%s", core.DetailOf(err))
+		}
 	}
-	return err
+	return x.withRetryAfter(err)
+}
+
+// withRetryAfter adds to a refusal when to come back, unless another try of
+// the same request is pointless.
+func (x *exchange) withRetryAfter(err error) error {
+	code := core.CodeOf(err)
+	if core.WorkOf(err) != core.WorkNotRun || core.RetryAfterOf(err) > 0 {
+		return err
+	}
+	if code.Info().HTTPStatus < http.StatusTooManyRequests || code == core.CodeCancelled {
+		return err
+	}
+	return core.Refuse(code, x.queue(x.request).RetryAfter(x.request.Team), "%s", core.DetailOf(err))
 }
 
 // reserve is the time kept before the deadline for a tombstone.
--- a/tables/spread/peers.go
+++ b/tables/spread/peers.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// askHedged asks the parents in turn beside the parent loop while the
+// configuration is about to go stale, so that several dead parents cost no more
+// than one. A daemon that is stale for long asks less often.
+func (s *State) askHedged(now time.Time) []Action {
+	old := s.Age(now)
+	parents := s.topology.parents
+	if old < s.settings.MaxAge/2 || s.confirmed.IsZero() || len(parents) == 0 || now.Before(s.hedgeDue) {
+		return nil
+	}
+	s.hedgeDue = now.Add(s.settings.Timing.Retry)
+	if old > longStale*s.settings.MaxAge {
+		s.hedgeDue = now.Add(longStale * s.settings.Timing.Retry)
+	}
+	s.hedge++
+	return s.sidePull(now, parents[s.hedge%len(parents)])
+}
+
 // useful reports whether a parent's reply keeps this daemon fresh.
 func (s *State) useful(event Pulled) bool {
 	reply := event.Reply
@@ -70,13 +87,13 @@
 	return actions
 }
 
-// askWitnesses asks the other relays of the table service's region whether
-// they reach it, while this one does not.
+// askWitnesses asks the other witnesses whether they reach the table service,
+// while this one does not.
 func (s *State) askWitnesses(now time.Time) []Action {
 	if !s.storeDown || now.Before(s.witnessDue) {
 		return nil
 	}
-	s.witnessDue = now.Add(s.settings.Timing.Poll)
+	s.witnessDue = now.Add(witnessPolls * s.settings.Timing.Poll)
 	var actions []Action
 	for _, peer := range s.topology.witnesses {
 		actions = append(actions, s.sidePull(now, peer)...)
@@ -84,11 +101,11 @@
 	return append(actions, s.confirmByWitnesses()...)
 }
 
-// confirmByWitnesses confirms the configuration while no relay of the table
-// service's region reaches it and more than half of them say so: an edit
-// accepted meanwhile would have come through one of them.
+// confirmByWitnesses confirms the configuration while no witness is known to
+// reach the table service and more than half of them say that they do not: an
+// edit accepted meanwhile would have come through one of them.
 func (s *State) confirmByWitnesses() []Action {
-	if !s.storeDown || !s.inStoreRegion() || s.confirmed.IsZero() {
+	if !s.storeDown || !s.topology.witness || s.confirmed.IsZero() {
 		return nil
 	}
 	seen := []time.Time{s.storeDownAt}
@@ -107,11 +124,6 @@
 	return nil
 }
 
-func (s *State) inStoreRegion() bool {
-	region := s.settings.StoreRegion
-	return s.topology.relay && (region == "" || region == s.settings.Self.Region)
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/tables/spread/state.go
+++ b/tables/spread/state.go
@@ -55,6 +55,12 @@
 	maxHeldPulls  = 1024
 	// quickParents is the number of parents that are tried without delay.
 	quickParents = 2
+	// longStale is the multiple of the age limit after which a stale daemon
+	// asks less often, and by how much.
+	longStale = 4
+	// witnessPolls is the number of polls between two questions to the
+	// witnesses.
+	witnessPolls = 2
 	// unknownAge is the age of a configuration that was never confirmed.
 	unknownAge = time.Duration(math.MaxInt64)
 )
@@ -64,7 +70,7 @@
 	Self Neighbour
 	// StoreRegion is the region of the table service. "" means any.
 	StoreRegion core.Region
-	// Relays is the number of relays in each data centre.
+	// Relays is the least number of relays in each data centre.
 	Relays int
 	// MaxAge is the age over which the configuration is stale.
 	MaxAge time.Duration
@@ -83,7 +89,7 @@
 	until time.Time
 }
 
-// witness is what another relay said of the table service.
+// witness is what another witness said of the table service.
 type witness struct {
 	heardAt time.Time
 	down    bool
@@ -115,6 +121,8 @@
 	parentDue  time.Time
 	parentSent time.Time
 	askNow     bool
+	hedge      int
+	hedgeDue   time.Time
 	sidePulls  map[core.InstanceID]time.Time
 	witnesses  map[core.InstanceID]witness
 	witnessDue time.Time
@@ -187,6 +195,7 @@
 	actions = append(actions, s.surveyAtStart(now)...)
 	actions = append(actions, s.askStore(now)...)
 	actions = append(actions, s.askParent(now)...)
+	actions = append(actions, s.askHedged(now)...)
 	actions = append(actions, s.askWitnesses(now)...)
 	actions = append(actions, s.expireHeld(now)...)
 	return append(actions, s.snapshot(now)...)
@@ -298,7 +307,7 @@
 		return s.reverted(event.SentAt, event.Config.Revision())
 	}
 	actions := s.adopt(now, event.Config)
-	s.confirm(event.SentAt)
+	actions = append(actions, s.confirmByStore(now, event.SentAt)...)
 	if push && s.Revision() > own {
 		actions = append(actions, s.push()...)
 	}
