Swarm: balance peers by what they can spare, release few extents at once

Cause: at 200 agents the mesh fell into parts that watched only each other, fetchers' pending origin chunks filled their request slots, and budgets of popular peers ran out first.

--- a/bench/burst/config.go
+++ b/bench/burst/config.go
@@ -19,7 +19,8 @@
 	OriginOnly Strategy = "origin-only"
 	// Chain lets each agent fetch from one predecessor of its region.
 	Chain Strategy = "chain"
-	// OneFetcher lets one agent of each region fetch from the origin.
+	// OneFetcher lets one agent of each region at a time fetch from the
+	// origin.
 	OneFetcher Strategy = "one-fetcher"
 )
 
@@ -47,6 +48,9 @@
 	Trackers int
 	// Peers bounds the near peers of an agent; 0 means the product's default.
 	Peers int
+	// Fetchers bounds the agents of a region that draw from the origin at
+	// once; 0 means the product's default.
+	Fetchers int
 	// Seed seeds the content and the random choices.
 	Seed    uint64
 	Timeout time.Duration
@@ -61,11 +65,14 @@
 	default:
 		return fmt.Errorf("strategy %q: want swarm, origin-only, chain or one-fetcher", c.Strategy)
 	}
+	if c.Strategy == OneFetcher {
+		c.Fetchers = 1
+	}
 	setDefault(&c.Agents, 50)
 	setDefault(&c.Regions, 3)
 	setDefault(&c.Bytes, 2*mib)
 	setDefault(&c.ChunkBytes, 16*kib)
-	setDefault(&c.MachineRate, 128*kib)
+	setDefault(&c.MachineRate, 32*kib)
 	setDefault(&c.OriginRate, 4*c.MachineRate)
 	setDefault(&c.RegionRate, 2*c.MachineRate)
 	setDefault(&c.StoreRate, c.MachineRate)
--- a/bench/burst/fleet.go
+++ b/bench/burst/fleet.go
@@ -30,11 +30,13 @@
 )
 
 const (
-	announceEvery = 500 * time.Millisecond
-	retryDelay    = 100 * time.Millisecond
-	haveEvery     = 150 * time.Millisecond
-	statePoll     = 2 * time.Second
-	stallParts    = 4
+	statePoll  = 2 * time.Second
+	stallParts = 4
+	// The intervals of an agent in chunk times on a machine's link.
+	announceChunks = 4
+	haveChunks     = 1
+	retryChunks    = 1
+	waitChunks     = 2
 )
 
 // fleet is everything of one run.
@@ -194,7 +196,7 @@
 			tracked, err := tracker.New(tracker.Config{
 				Seed:         f.config.Seed + uint64(i),
 				FetchTimeout: f.stall(),
-				OneFetcher:   f.config.Strategy == OneFetcher,
+				Fetchers:     f.config.Fetchers,
 			})
 			if err != nil {
 				return err
@@ -280,6 +282,7 @@
 	if built.peer, err = f.listen(); err != nil {
 		return err
 	}
+	chunk := seconds(int64(f.config.ChunkBytes), f.config.MachineRate)
 	config := swarm.Config{
 		Self:         core.InstanceID(fmt.Sprintf("agent-%04d", built.index)),
 		DataCentre:   dc,
@@ -294,11 +297,12 @@
 		Fence:        openFence{},
 		Links:        built.links,
 		Peers:        f.config.Peers,
-		Announce:     announceEvery,
-		HaveEvery:    haveEvery,
+		Announce:     announceChunks * chunk,
+		HaveEvery:    haveChunks * chunk,
 		StallTimeout: f.stall(),
 		StatePoll:    statePoll,
-		RetryDelay:   retryDelay,
+		RetryDelay:   retryChunks * chunk,
+		UploadWait:   waitChunks * chunk,
 		Seed:         f.config.Seed*1000 + uint64(built.index),
 		Log:          f.log,
 	}
--- a/weights/swarm/announce.go
+++ b/weights/swarm/announce.go
@@ -81,6 +81,7 @@
 	if total > 0 {
 		request.Self.Done, request.Self.Total = uint32(done), uint32(total)
 		request.Self.Left = s.left()
+		request.Self.Spare = s.ledger.spare()
 		request.Extents = uint32(extentCount(total))
 	}
 	return request
--- a/weights/swarm/bitset.go
+++ b/weights/swarm/bitset.go
@@ -15,3 +15,10 @@
 	b[i>>3] |= 1 << (i & 7)
 	return true
 }
+
+// clear removes i.
+func (b bitset) clear(i int) {
+	if b.has(i) {
+		b[i>>3] &^= 1 << (i & 7)
+	}
+}
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -71,10 +71,11 @@
 }
 
 const (
-	defaultPeers      = 10
+	defaultPeers      = 8
 	defaultFarPeers   = 2
 	defaultInFlight   = 6
-	defaultQueue      = 3
+	defaultQueue      = 2
+	defaultWait       = 200 * time.Millisecond
 	defaultAnnounce   = 2 * time.Second
 	defaultHaveEvery  = 100 * time.Millisecond
 	defaultTimeout    = 15 * time.Second
@@ -111,8 +112,10 @@
 	FarPeers int
 	// InFlight bounds the chunks requested at once.
 	InFlight int
-	// UploadQueue bounds the chunks being sent at once.
+	// UploadQueue bounds the chunks being sent at once, and UploadWait the
+	// time that a request waits for its turn.
 	UploadQueue int
+	UploadWait  time.Duration
 	// Announce is the interval of reports to the tracker.
 	Announce time.Duration
 	// HaveEvery is the shortest interval of updates to one peer.
@@ -156,6 +159,7 @@
 	setDefault(&c.FarPeers, defaultFarPeers)
 	setDefault(&c.InFlight, defaultInFlight)
 	setDefault(&c.UploadQueue, defaultQueue)
+	setDefault(&c.UploadWait, defaultWait)
 	setDefault(&c.Announce, defaultAnnounce)
 	setDefault(&c.HaveEvery, defaultHaveEvery)
 	setDefault(&c.ChunkTimeout, defaultTimeout)
@@ -173,7 +177,7 @@
 			return fmt.Errorf("swarm: negative count in %v", counts)
 		}
 	}
-	times := []time.Duration{c.Announce, c.HaveEvery, c.ChunkTimeout, c.StallTimeout, c.StatePoll, c.UploadWindow, c.RetryDelay}
+	times := []time.Duration{c.UploadWait, c.Announce, c.HaveEvery, c.ChunkTimeout, c.StallTimeout, c.StatePoll, c.UploadWindow, c.RetryDelay}
 	for _, span := range times {
 		if span < 0 {
 			return fmt.Errorf("swarm: negative duration in %v", times)
--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -14,8 +14,11 @@
 
 const (
 	eventQueue     = 64
-	sourceParallel = 2
-	replanEvery    = 20 * time.Millisecond
+	sourceParallel = 1
+	// rebalanceParts gives the difference of upload budgets, as a part of a
+	// copy, for which a peer is replaced.
+	rebalanceParts = 8
+	replanEvery    = 250 * time.Millisecond
 )
 
 // download runs one version's transfers. Only the goroutine of run touches its
@@ -27,7 +30,7 @@
 	events  chan event
 	wg      sync.WaitGroup
 	kick    chan struct{}
-	watches map[string]context.CancelFunc
+	watches map[string]*watch
 
 	// extents are the extents being fetched from sources.
 	extents map[int]bool
@@ -38,6 +41,12 @@
 	// for chunks that no peer offers, or that no peer can deliver.
 	stall  time.Duration
 	starve time.Duration
+	// wantFar reports that peers of other regions are of use.
+	wantFar bool
+	// nextSwap is when a peer may next be replaced.
+	nextSwap time.Time
+	// nextNudge is when a report for want of peers may come next.
+	nextNudge time.Time
 	// asked reports that the tracker was asked for peers in this wait.
 	asked bool
 	// heldAt is when another grant of the region was seen for an extent.
@@ -50,6 +59,12 @@
 	reporting wire.TrackRequest
 }
 
+// watch is a running subscription to what a peer offers.
+type watch struct {
+	cancel context.CancelFunc
+	since  time.Time
+}
+
 // event is something that happened to a transfer.
 type event interface {
 	apply(d *download, now time.Time)
@@ -68,7 +83,7 @@
 		plan:       newPlanner(sizes, s.config.InFlight, s.config.Seed),
 		events:     make(chan event, eventQueue),
 		kick:       make(chan struct{}, 1),
-		watches:    map[string]context.CancelFunc{},
+		watches:    map[string]*watch{},
 		extents:    map[int]bool{},
 		heldAt:     map[int]time.Time{},
 		unused:     map[int]bool{},
@@ -93,19 +108,21 @@
 func (d *download) run() error {
 	d.updateReport()
 	d.spawn(d.announceLoop)
-	ticker := time.NewTicker(replanEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(replanEvery)
+	defer timer.Stop()
 	for !d.plan.whole() {
 		now := time.Now()
 		d.checkStall(now)
+		d.checkPeers(now)
 		d.startRequests(now)
 		d.updateReport()
+		timer.Reset(d.plan.wait(now, replanEvery))
 		select {
 		case <-d.ctx.Done():
 			return d.ctx.Err()
 		case happened := <-d.events:
 			happened.apply(d, time.Now())
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if d.err != nil {
 			return d.err
@@ -197,9 +214,12 @@
 
 func (e peerLost) apply(d *download, _ time.Time) {
 	d.plan.removePeer(e.addr)
-	if cancel := d.watches[e.addr]; cancel != nil {
-		cancel()
+	if watched := d.watches[e.addr]; watched != nil {
+		watched.cancel()
 		delete(d.watches, e.addr)
+		if d.plan.peers[e.addr].inFlight == 0 {
+			d.config.Peer.Disconnect(e.addr)
+		}
 	}
 }
 
@@ -222,7 +242,7 @@
 		return
 	}
 	far := peer.Region != d.config.Region
-	if !d.makeRoom(far, peer.Left > 0) {
+	if !d.makeRoom(peer, far) {
 		return
 	}
 	d.plan.addPeer(peer.Addr, far)
@@ -230,7 +250,7 @@
 		return
 	}
 	watching, cancel := context.WithCancel(d.ctx)
-	d.watches[peer.Addr] = cancel
+	d.watches[peer.Addr] = &watch{cancel: cancel, since: time.Now()}
 	d.spawn(func() {
 		_ = d.watchPeer(watching, peer.Addr, func(update wire.HaveUpdate) bool {
 			return d.post(offered{addr: peer.Addr, update: update})
@@ -239,35 +259,48 @@
 	})
 }
 
-// makeRoom reports whether another peer may be watched. A peer whose upload
-// budget is spent gives way to one with a budget.
-func (d *download) makeRoom(far, useful bool) bool {
+// makeRoom reports whether another peer may be watched. When there are enough,
+// a peer that is of no use, or has much less upload budget to spare, gives way.
+func (d *download) makeRoom(peer wire.TrackPeer, far bool) bool {
 	limit := d.config.Peers
 	if far {
 		limit = d.config.FarPeers
 	}
+	now := time.Now()
 	count := 0
-	spent := ""
-	for addr := range d.watches {
-		view := d.plan.peers[addr]
-		if view.far != far {
+	worst := ""
+	for addr, watched := range d.watches {
+		if d.plan.peers[addr].far != far {
 			continue
 		}
 		count++
-		if view.banned || view.left <= 0 {
-			spent = addr
+		settled := d.plan.peers[addr].known && now.Sub(watched.since) >= d.config.Announce
+		if settled && (worst == "" || d.worth(addr) < d.worth(worst)) {
+			worst = addr
 		}
 	}
 	if count < limit {
 		return true
 	}
-	if !useful || spent == "" {
+	if worst == "" || peer.Done == 0 || peer.Left <= 0 || now.Before(d.nextSwap) {
 		return false
 	}
-	peerLost{addr: spent}.apply(d, time.Now())
+	if d.plan.useful(worst) && peer.Spare-d.worth(worst) <= d.ledger.size/rebalanceParts {
+		return false
+	}
+	d.nextSwap = now.Add(d.jittered(d.config.Announce))
+	peerLost{addr: worst}.apply(d, now)
 	return true
 }
 
+// worth ranks the watched peers: those of no use come last.
+func (d *download) worth(addr string) int64 {
+	if !d.plan.useful(addr) {
+		return -d.ledger.size
+	}
+	return d.plan.spare(addr, d.ledger.size)
+}
+
 // fetchExtent draws the chunks of an extent that no near peer delivers from a
 // source, on behalf of the region.
 func (d *download) fetchExtent(extent int, takeover bool, now time.Time) {
@@ -427,6 +460,7 @@
 // weight store.
 func (d *download) fetchElsewhere(chunk int) {
 	d.plan.wantFar.set(chunk)
+	d.wantFar = true
 	if d.plan.cover(chunk) >= coverNear || d.config.Sources.Store == nil {
 		return
 	}
@@ -439,11 +473,11 @@
 // checkStall turns to sources when chunks that no near peer delivers have not
 // come for too long.
 func (d *download) checkStall(now time.Time) {
-	if len(d.extents) > 0 || now.Sub(d.progressAt) < d.starve {
+	if d.plan.flying > 0 || len(d.extents) > 0 || now.Sub(d.progressAt) < d.starve {
 		return
 	}
 	missing := d.plan.uncovered(0, len(d.chunks))
-	if len(missing) == 0 || d.plan.flying > 0 {
+	if len(missing) == 0 {
 		return
 	}
 	chunk := missing[d.random.IntN(len(missing))]
@@ -461,6 +495,15 @@
 	d.fetchExtent(extent, takeover, now)
 }
 
+// checkPeers reports to the tracker early when peers are wanting.
+func (d *download) checkPeers(now time.Time) {
+	if now.Before(d.nextNudge) || 2*d.usefulPeers() >= d.config.Peers {
+		return
+	}
+	d.nextNudge = now.Add(d.jittered(d.config.RetryDelay))
+	d.nudge()
+}
+
 // restart begins a new wait for chunks.
 func (d *download) restart(now time.Time) {
 	d.progressAt = now
--- a/weights/swarm/fetch.go
+++ b/weights/swarm/fetch.go
@@ -44,6 +44,9 @@
 	started := time.Now()
 	s.manager.counters.messages.Add(2)
 	request := wire.ChunkRequest{Root: s.root, Digest: digest, Far: far}
+	if s.offers != nil {
+		request.Done = uint32(s.offers.count())
+	}
 	reply, err := wire.Call[wire.ChunkReply](calling, s.config.Peer, addr, wire.KindChunk, request)
 	if err != nil {
 		return fetched{result: outcomeFailed}
--- a/weights/swarm/planner.go
+++ b/weights/swarm/planner.go
@@ -27,7 +27,9 @@
 
 // peerView is what the planner knows about one peer.
 type peerView struct {
-	far      bool
+	far bool
+	// known reports that the peer said what it offers.
+	known    bool
 	bits     bitset
 	offers   int
 	left     int64
@@ -50,11 +52,12 @@
 	have     bitset
 	missing  int
 	inFlight bitset
-	flying   int
-	max      int
-	rarity   []uint16
-	wantFar  bitset
-	peers    map[string]*peerView
+	// flying counts the requests to peers.
+	flying  int
+	max     int
+	rarity  []uint16
+	wantFar bitset
+	peers   map[string]*peerView
 	// order keeps peers in a fixed sequence, so that a seed fixes the choices.
 	order     []string
 	random    *rand.Rand
@@ -88,21 +91,11 @@
 
 // take marks a chunk as requested from a source.
 func (p *planner) take(chunk int) bool {
-	if p.have.has(chunk) || !p.inFlight.set(chunk) {
-		return false
-	}
-	p.flying++
-	return true
+	return !p.have.has(chunk) && p.inFlight.set(chunk)
 }
 
 // release ends the request for a chunk.
-func (p *planner) release(chunk int) {
-	if !p.inFlight.has(chunk) {
-		return
-	}
-	p.inFlight[chunk>>3] &^= 1 << (chunk & 7)
-	p.flying--
-}
+func (p *planner) release(chunk int) { p.inFlight.clear(chunk) }
 
 // addPeer adds a peer; an update of what it offers follows.
 func (p *planner) addPeer(addr string, far bool) bool {
@@ -121,6 +114,7 @@
 		return
 	}
 	p.clearBits(view)
+	view.known = false
 	view.left = 0
 }
 
@@ -140,6 +134,7 @@
 	if view == nil || view.banned {
 		return
 	}
+	view.known = true
 	view.left = left
 	for chunk := range p.sizes {
 		if bits.has(chunk) {
@@ -167,10 +162,8 @@
 // done is called too.
 func (p *planner) ended(req request, result outcome, left int64, took time.Duration, now time.Time) {
 	p.release(req.chunk)
+	p.flying--
 	view := p.peers[req.peer]
-	if view == nil {
-		return
-	}
 	view.inFlight--
 	switch result {
 	case outcomeDone:
@@ -200,7 +193,7 @@
 	if !view.bits.has(chunk) {
 		return
 	}
-	view.bits[chunk>>3] &^= 1 << (chunk & 7)
+	view.bits.clear(chunk)
 	view.offers--
 	if !view.far && !view.banned {
 		p.rarity[chunk]--
@@ -235,6 +228,19 @@
 	return requests
 }
 
+// wait returns the time until a peer may be asked again, at most limit.
+func (p *planner) wait(now time.Time, limit time.Duration) time.Duration {
+	if p.flying >= p.max {
+		return limit
+	}
+	for _, view := range p.peers {
+		if after := view.retryAt.Sub(now); after > 0 && !view.banned {
+			limit = min(limit, after)
+		}
+	}
+	return limit
+}
+
 func (p *planner) pick(now time.Time) (request, bool) {
 	usable := p.usable(now)
 	if len(usable) == 0 {
@@ -366,6 +372,30 @@
 	return result
 }
 
+// useful reports whether a peer can deliver a missing chunk, as far as known.
+func (p *planner) useful(addr string) bool {
+	view := p.peers[addr]
+	if !view.known {
+		return true
+	}
+	if view.banned || view.left <= 0 {
+		return false
+	}
+	for i, offered := range view.bits {
+		if offered&^p.have[i] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// spare estimates how many bytes more a peer received than it sent on.
+func (p *planner) spare(addr string, size int64) int64 {
+	view := p.peers[addr]
+	missing := size * int64(len(p.sizes)-view.offers) / int64(len(p.sizes))
+	return view.left - missing
+}
+
 // uncovered returns the missing chunks in [from, to) that are not requested
 // and that no near peer can deliver.
 func (p *planner) uncovered(from, to int) []int {
--- a/weights/swarm/report.go
+++ b/weights/swarm/report.go
@@ -8,7 +8,11 @@
 
 // updateReport prepares the next report to the tracker.
 func (d *download) updateReport() {
-	request := d.report(d.config.Peers)
+	useful := d.usefulPeers()
+	request := d.report(max(1, d.config.Peers-useful))
+	if !d.wantFar {
+		request.Far = 0
+	}
 	request.Idle = len(d.extents) == 0
 	request.Fetched = append([]uint32(nil), d.fetched...)
 	d.reportMu.Lock()
@@ -16,6 +20,17 @@
 	d.reporting = request
 }
 
+// usefulPeers counts the near peers that can deliver a missing chunk.
+func (d *download) usefulPeers() int {
+	count := 0
+	for addr := range d.watches {
+		if !d.plan.peers[addr].far && d.plan.useful(addr) {
+			count++
+		}
+	}
+	return count
+}
+
 func (d *download) nextReport() wire.TrackRequest {
 	d.reportMu.Lock()
 	defer d.reportMu.Unlock()
--- a/weights/swarm/serve.go
+++ b/weights/swarm/serve.go
@@ -27,12 +27,10 @@
 	if !ok || !s.offers.has(chunk) {
 		return stream.Send(wire.ChunkReply{Status: wire.ChunkMissing, Left: s.left()})
 	}
-	select {
-	case s.uploads <- struct{}{}:
-		defer func() { <-s.uploads }()
-	default:
+	if !s.uploads.take(ctx, request.Done, s.config.UploadWait) {
 		return stream.Send(wire.ChunkReply{Status: wire.ChunkBusy, Left: s.left()})
 	}
+	defer s.uploads.release()
 	return s.upload(ctx, stream, chunk, request.Far)
 }
 
--- a/weights/swarm/session.go
+++ b/weights/swarm/session.go
@@ -33,7 +33,7 @@
 	ledger  *ledger
 	offers  *offers
 
-	uploads chan struct{}
+	uploads *slots
 	lost    chan struct{}
 
 	mu     sync.Mutex
@@ -49,7 +49,7 @@
 		tracker: newAnnouncer(m, root),
 		random:  rand.New(rand.NewPCG(m.config.Seed, 2)),
 		ready:   make(chan struct{}),
-		uploads: make(chan struct{}, m.config.UploadQueue),
+		uploads: newSlots(m.config.UploadQueue),
 		lost:    make(chan struct{}, 1),
 	}
 	if previous != nil && previous.loaded {
--- a/weights/tracker/state.go
+++ b/weights/tracker/state.go
@@ -13,6 +13,9 @@
 	"currantusher.dev/wire"
 )
 
+// budgetLevels is how finely upload budgets are told apart.
+const budgetLevels = 8
+
 // assignment is one extent that a downloader was asked to fetch.
 type assignment struct {
 	holder core.InstanceID
@@ -23,6 +26,8 @@
 type member struct {
 	peer wire.TrackPeer
 	seen time.Time
+	// named counts how often the member was named to others.
+	named int
 }
 
 // regionState is the share-out of one version in one region.
@@ -33,20 +38,20 @@
 
 // version is the soft state of one version. It has no clock and does no I/O.
 type version struct {
-	members map[core.InstanceID]member
+	members map[core.InstanceID]*member
 	regions map[core.Region]*regionState
 	seen    time.Time
 }
 
 func newVersion() *version {
-	return &version{members: map[core.InstanceID]member{}, regions: map[core.Region]*regionState{}}
+	return &version{members: map[core.InstanceID]*member{}, regions: map[core.Region]*regionState{}}
 }
 
 // limits are the times after which soft state is dropped.
 type limits struct {
-	member     time.Duration
-	fetch      time.Duration
-	oneFetcher bool
+	member   time.Duration
+	fetch    time.Duration
+	fetchers int
 }
 
 func (v *version) track(request wire.TrackRequest, now time.Time, limits limits, random *rand.Rand) wire.TrackReply {
@@ -55,19 +60,33 @@
 		delete(v.members, request.Self.ID)
 		return wire.TrackReply{}
 	}
-	if known, ok := v.members[request.Self.ID]; ok && known.peer.Incarnation > request.Self.Incarnation {
+	if !v.update(request.Self, now) {
 		return wire.TrackReply{}
 	}
-	if request.Self.Done > v.members[request.Self.ID].peer.Done {
-		v.region(request.Self.Region).progress(request.Self.ID, now)
-	}
-	v.members[request.Self.ID] = member{peer: request.Self, seen: now}
 	v.expire(now, limits.member)
 	reply := wire.TrackReply{Peers: v.pick(request, random)}
 	v.assign(&reply, request, now, limits)
 	return reply
 }
 
+// update records a report. It reports false for a process that was replaced.
+func (v *version) update(self wire.TrackPeer, now time.Time) bool {
+	known := v.members[self.ID]
+	if known == nil {
+		known = &member{}
+		v.members[self.ID] = known
+	}
+	if known.peer.Incarnation > self.Incarnation {
+		return false
+	}
+	if self.Done > known.peer.Done {
+		v.region(self.Region).progress(self.ID, now)
+	}
+	known.peer = self
+	known.seen = now
+	return true
+}
+
 func (v *version) expire(now time.Time, after time.Duration) {
 	for id, known := range v.members {
 		if now.Sub(known.seen) > after {
@@ -76,34 +95,81 @@
 	}
 }
 
-// pick returns a random sample of peers, those with upload budget left first.
+// pick returns peers of the requester's region and of others.
 func (v *version) pick(request wire.TrackRequest, random *rand.Rand) []wire.TrackPeer {
-	var near, far []wire.TrackPeer
+	var near, far []*member
 	for id, known := range v.members {
 		switch {
 		case id == request.Self.ID:
 		case known.peer.Region == request.Self.Region:
-			near = append(near, known.peer)
+			near = append(near, known)
 		default:
-			far = append(far, known.peer)
+			far = append(far, known)
 		}
 	}
-	return append(sample(near, request.Near, random), sample(far, request.Far, random)...)
+	want := wantChunks
+	if request.Extents == 0 {
+		want = wantManifest
+	}
+	return append(sample(near, request.Near, want, random), sample(far, request.Far, want, random)...)
 }
 
-func sample(peers []wire.TrackPeer, want int, random *rand.Rand) []wire.TrackPeer {
-	sort.Slice(peers, func(i, j int) bool { return peers[i].ID < peers[j].ID })
-	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	sort.SliceStable(peers, func(i, j int) bool { return peers[i].Left > 0 && peers[j].Left <= 0 })
-	if want < 0 {
-		want = 0
+// need is what a downloader asks its peers for.
+type need uint8
+
+const (
+	wantManifest need = iota
+	wantChunks
+)
+
+// sample draws the members that can help most: those that have what is wanted,
+// then those with the most upload budget to spare, roughly, then those named
+// least so far.
+func sample(members []*member, count int, want need, random *rand.Rand) []wire.TrackPeer {
+	sort.Slice(members, func(i, j int) bool { return members[i].peer.ID < members[j].peer.ID })
+	random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var most int64
+	for _, known := range members {
+		most = max(most, known.peer.Spare)
 	}
-	if len(peers) > want {
-		peers = peers[:want]
+	sort.SliceStable(members, func(i, j int) bool {
+		level, other := members[i].level(want, most), members[j].level(want, most)
+		if level != other {
+			return level > other
+		}
+		return members[i].named < members[j].named
+	})
+	var peers []wire.TrackPeer
+	for _, known := range members[:min(max(count, 0), len(members))] {
+		known.named++
+		peers = append(peers, known.peer)
 	}
 	return peers
 }
 
+// level ranks a member by how much it can help.
+func (m *member) level(want need, most int64) int64 {
+	switch {
+	case want == wantManifest && m.peer.Total > 0:
+		return 1
+	case want == wantChunks && m.peer.Done > 0:
+		return 1 + budgetLevel(m.peer, most)
+	default:
+		return 0
+	}
+}
+
+// budgetLevel is 0 for a spent budget and budgetLevels for the most to spare.
+func budgetLevel(peer wire.TrackPeer, most int64) int64 {
+	if peer.Left <= 0 {
+		return 0
+	}
+	if most <= 0 {
+		return 1
+	}
+	return 1 + max(0, peer.Spare)*(budgetLevels-1)/most
+}
+
 func (v *version) assign(reply *wire.TrackReply, request wire.TrackRequest, now time.Time, limits limits) {
 	timeout := limits.fetch
 	region := v.region(request.Self.Region)
@@ -117,7 +183,7 @@
 			region.extents[extent].done = true
 		}
 	}
-	if !request.Idle || limits.oneFetcher && region.taken(request.Self.ID) {
+	if !request.Idle || region.fetchers(now, timeout) >= limits.fetchers {
 		return
 	}
 	if extent, ok := region.nextExtent(now, timeout); ok {
@@ -160,10 +226,15 @@
 	r.extents = make([]assignment, extents)
 }
 
-// taken reports whether the first extent is with another downloader.
-func (r *regionState) taken(by core.InstanceID) bool {
-	first := r.extents[0].holder
-	return first != "" && first != by
+// fetchers counts the downloaders that are fetching an extent in time.
+func (r *regionState) fetchers(now time.Time, timeout time.Duration) int {
+	count := 0
+	for _, extent := range r.extents {
+		if extent.holder != "" && !extent.done && now.Sub(extent.at) < timeout {
+			count++
+		}
+	}
+	return count
 }
 
 // nextExtent prefers an extent that nobody was asked for, then one whose holder
--- a/weights/tracker/tracker.go
+++ b/weights/tracker/tracker.go
@@ -14,6 +14,7 @@
 const (
 	maxExtents     = 4096
 	maxVersions    = 64
+	defaultFetcher = 4
 	defaultMember  = 30 * time.Second
 	defaultFetch   = 30 * time.Second
 	defaultVersion = 10 * time.Minute
@@ -27,9 +28,8 @@
 	FetchTimeout time.Duration
 	// VersionTTL is how long an unused version is remembered.
 	VersionTTL time.Duration
-	// OneFetcher gives all extents of a region to the downloader that was
-	// given the first one, unless it is late.
-	OneFetcher bool
+	// Fetchers bounds the downloaders of a region that draw extents at once.
+	Fetchers int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 	// Seed seeds the choice of peers.
@@ -37,8 +37,8 @@
 }
 
 func (c *Config) applyDefaults() error {
-	if c.MemberTTL < 0 || c.FetchTimeout < 0 || c.VersionTTL < 0 {
-		return fmt.Errorf("tracker: negative duration in %+v", *c)
+	if c.MemberTTL < 0 || c.FetchTimeout < 0 || c.VersionTTL < 0 || c.Fetchers < 0 {
+		return fmt.Errorf("tracker: negative value in %+v", *c)
 	}
 	if c.MemberTTL == 0 {
 		c.MemberTTL = defaultMember
@@ -49,6 +49,9 @@
 	if c.VersionTTL == 0 {
 		c.VersionTTL = defaultVersion
 	}
+	if c.Fetchers == 0 {
+		c.Fetchers = defaultFetcher
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -101,7 +104,7 @@
 		known = newVersion()
 		t.versions[request.Root] = known
 	}
-	return known.track(request, now, limits{member: t.config.MemberTTL, fetch: t.config.FetchTimeout, oneFetcher: t.config.OneFetcher}, t.random)
+	return known.track(request, now, limits{member: t.config.MemberTTL, fetch: t.config.FetchTimeout, fetchers: t.config.Fetchers}, t.random)
 }
 
 func (t *Tracker) expire(now time.Time) {
--- a/wire/chunk.go
+++ b/wire/chunk.go
@@ -11,6 +11,8 @@
 	Digest core.Digest `cbor:"2,keyasint"`
 	// Far marks a request from another region.
 	Far bool `cbor:"3,keyasint"`
+	// Done is the number of chunks that the requester has.
+	Done uint32 `cbor:"4,keyasint"`
 }
 
 // ChunkStatus says why a chunk was or was not delivered.
