--- a/bench/e2e/requests_test.go
+++ b/bench/e2e/requests_test.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	prompt       = `{"prompt": "lettuce", "max_tokens": 8}`
-	slowPrompt   = `{"prompt": "long recall sheet", "max_tokens": 150}`
-	slowTokens   = 150
-	settleMillis = 400 * time.Millisecond
+	prompt     = `{"prompt": "lettuce", "max_tokens": 8}`
+	slowPrompt = `{"prompt": "long recall sheet", "max_tokens": 150}`
+	slowTokens = 150
+	settleTime = 400 * time.Millisecond
 )
 
 func requireWholeText(t *testing.T, got answer, root, body string, tokens int) {
@@ -128,7 +128,7 @@
 			d.inject("service-2", `{"slow_factor": 20}`)
 			key := func(i int) string { return fmt.Sprintf("lot-%d", i) }
 			wait := d.sendMany("entry-1", "lots", 4, key, `{"lot": 1}`)
-			time.Sleep(settleMillis)
+			time.Sleep(settleTime)
 			fault(d)
 			answers := wait()
 			for i, got := range answers {
