--- a/bench/spread/fleet.go
+++ b/bench/spread/fleet.go
@@ -48,6 +48,7 @@
 	managers  []*spread.Manager
 	peers     []*wire.Peer
 	running   sync.WaitGroup
+	stalls    stallWatch
 }
 
 func newFleet(ctx context.Context, config fleetConfig) (*fleet, error) {
@@ -70,6 +71,7 @@
 	if err := f.listen(); err != nil {
 		return nil, err
 	}
+	f.running.Go(func() { f.stalls.run(ctx) })
 	for i := range f.members {
 		f.start(ctx, i)
 	}
@@ -189,11 +191,13 @@
 // turn, from the commit to the last daemon.
 func (f *fleet) timeEdits(ctx context.Context) error {
 	times := map[string][]time.Duration{}
+	var stalls []time.Duration
 	for n := range f.config.Edits {
 		kind, edit := "edit through an entry", f.throughEntry
 		if n%2 == 1 {
 			kind, edit = "direct edit", f.direct
 		}
+		f.stalls.take()
 		committed, revision, err := edit(ctx, n)
 		if err != nil {
 			return err
@@ -202,6 +206,7 @@
 			return err
 		}
 		times[kind] = append(times[kind], time.Since(committed))
+		stalls = append(stalls, f.stalls.take())
 		if err := sleep(ctx, f.config.Pause); err != nil {
 			return err
 		}
@@ -209,6 +214,7 @@
 	for _, kind := range []string{"edit through an entry", "direct edit"} {
 		fmt.Printf("%s: in force everywhere after %s\n", kind, summary(times[kind]))
 	}
+	fmt.Printf("time that the whole process stood still during an edit: %s\n", summary(stalls))
 	return nil
 }
 
