--- a/members/reporter.go
+++ b/members/reporter.go
@@ -40,8 +40,8 @@
 	OnReplaced func()
 	// HeartbeatPeriod is the time between two reports.
 	HeartbeatPeriod time.Duration
-	// AnnouncePeriod is the shortest time between two calls to the list; it is
-	// stretched in large fleets.
+	// AnnouncePeriod is the shortest time between two announcements, and between
+	// two readings of the list; both are stretched in large fleets.
 	AnnouncePeriod time.Duration
 	// PerDataCentre is the number of entries reported to in each data centre,
 	// MaxHomes the number in all.
@@ -116,25 +116,53 @@
 
 // Run announces and reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	r.wg.Go(func() { r.runList(ctx) })
+	r.wg.Go(func() { r.runAnnouncements(ctx) })
+	if r.config.Directory == nil {
+		r.wg.Go(func() { r.runList(ctx) })
+	}
 	r.runReports(ctx)
 	r.wg.Wait()
 	return nil
 }
 
-func (r *Reporter) runList(ctx context.Context) {
+func (r *Reporter) runAnnouncements(ctx context.Context) {
 	for {
 		r.announce(ctx)
+		if !sleep(ctx, jitter(announcePeriod(r.config.AnnouncePeriod, r.fleetSize()))) {
+			return
+		}
+	}
+}
+
+func (r *Reporter) runList(ctx context.Context) {
+	for {
 		r.readList(ctx)
-		r.mu.Lock()
-		size := r.listSize
-		r.mu.Unlock()
-		if !sleep(ctx, jitter(platformPeriod(r.config.AnnouncePeriod, size))) {
+		period := r.config.AnnouncePeriod
+		if r.reporting() {
+			period = listPeriod(period, r.fleetSize())
+		}
+		if !sleep(ctx, jitter(period)) {
 			return
 		}
 	}
 }
 
+// reporting reports whether at least one entry takes the reports.
+func (r *Reporter) reporting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.homes) > 0
+}
+
+func (r *Reporter) fleetSize() int {
+	if r.config.Directory != nil {
+		return r.config.Directory.size()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listSize
+}
+
 func (r *Reporter) announce(ctx context.Context) {
 	if err := r.config.List.Announce(ctx, r.self()); err != nil && ctx.Err() == nil {
 		r.config.Log.WithError(err).Warn("Cannot announce this instance.")
@@ -153,9 +181,6 @@
 }
 
 func (r *Reporter) readList(ctx context.Context) {
-	if r.config.Directory != nil {
-		return
-	}
 	instances, err := r.config.List.Instances(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/members/selection.go
+++ b/members/selection.go
@@ -19,8 +19,10 @@
 	// reports to other entries is suspected.
 	silentRefreshes = 4
 	minSilent       = 30 * time.Second
-	// platformPerMember stretches the calls to the platform's list.
-	platformPerMember = 20 * time.Millisecond
+	// announcePerMember and listPerMember stretch the announcements to the
+	// platform's list and its readings, whose size grows with the fleet.
+	announcePerMember = 20 * time.Millisecond
+	listPerMember     = 200 * time.Millisecond
 )
 
 // refreshInterval is the period at which an unchanged daemon's reports are
@@ -35,9 +37,14 @@
 	return max(minSilent, silentRefreshes*refreshInterval(n))
 }
 
-// platformPeriod is the period of calls to the platform's list, at least base.
-func platformPeriod(base time.Duration, n int) time.Duration {
-	return max(base, time.Duration(n)*platformPerMember)
+// announcePeriod is the period of announcements, at least base.
+func announcePeriod(base time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*announcePerMember)
+}
+
+// listPeriod is the period of readings of the platform's list, at least base.
+func listPeriod(base time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*listPerMember)
 }
 
 // rendezvous scores a pair of daemons; each daemon ranks others by it.
