--- a/requests/proof/main_test.go
+++ b/requests/proof/main_test.go
@@ -1,5 +1,3 @@
-// Package proof holds the tests that cross the request packages: the ledger
-// against a faulty table service, the fault matrix, and random histories.
 package proof
 
 import (
