--- a/cmd/currantusher/bench.go
+++ b/cmd/currantusher/bench.go
@@ -14,7 +14,7 @@
 	return &command{
 		name:     "bench",
 		usage:    "Experiments; each prints one JSON line for each run.",
-		children: []*command{benchBurst()},
+		children: []*command{benchBurst(), benchService(), benchSoak()},
 	}
 }
 
--- a/cmd/currantusher/demo.go
+++ b/cmd/currantusher/demo.go
@@ -11,7 +11,6 @@
 	"currantusher.dev/bench/daemons"
 	"currantusher.dev/bench/demo"
 	"currantusher.dev/bench/fleet"
-	"currantusher.dev/bench/scenario"
 	"currantusher.dev/core"
 	"currantusher.dev/daemon/obs"
 )
@@ -45,9 +44,7 @@
 			config.Log = printStep
 		}
 		measures, _, err := demo.Run(ctx, config)
-		if errors.Is(err, scenario.ErrPromiseBroken) {
-			err = fmt.Errorf("%w: %w", errPromiseBroken, err)
-		}
+		err = promiseError(err)
 		if asJSON {
 			return errors.Join(json.NewEncoder(os.Stdout).Encode(measures), err)
 		}
