--- /dev/null
+++ b/tools/proofpage/main_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestRender(t *testing.T) {
+	const run = `{"Action":"pass","Package":"p","Test":"TestFaultMatrixX/step_one/killed"}
+{"Action":"fail","Package":"p","Test":"TestFaultMatrixX/step_one/paused"}
+{"Action":"pass","Package":"p","Test":"TestFaultMatrixX/step_two/killed"}
+{"Action":"fail","Package":"p","Test":"TestFaultMatrixX/step_one"}
+{"Action":"fail","Package":"p","Test":"TestFaultMatrixX"}
+{"Action":"pass","Package":"p","Test":"TestRandomY"}
+`
+	all, err := read(strings.NewReader(run))
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := render(all)
+	for _, want := range []string{
+		"`p`, 3 cells.",
+		"| | killed | paused |",
+		"| step_one | . | RED |",
+		"| step_two | . |  |",
+		"| TestRandomY | p | pass |",
+	} {
+		if !strings.Contains(page, want) {
+			t.Errorf("page lacks %q:\n%s", want, page)
+		}
+	}
+}
