--- a/tables/spread/topology.go
+++ b/tables/spread/topology.go
@@ -11,7 +11,7 @@
 const (
 	// entriesPerRelay is the number of entries for each relay in a data centre
 	// that has more than a few.
-	entriesPerRelay = 6
+	entriesPerRelay = 4
 
 	parentsSenior = 1
 	parentsNear   = 4
