Callers know a stream that ends with a problem as broken, not as wrong

The caller is told by a code, so the request is unknown and is tried again; a problem that cannot be read still counts as lost.

Test: go test -race ./bench/load passes with the three new rows.

--- a/bench/load/attempt.go
+++ b/bench/load/attempt.go
@@ -148,8 +148,14 @@
 	}
 	out.detail = err.Error()
 	out.verdict = verdictCut
-	if errors.Is(err, errWrongAnswer) {
+	var broken brokenStream
+	switch {
+	case errors.Is(err, errWrongAnswer):
 		out.verdict = verdictWrong
+	case errors.As(err, &broken):
+		// The status said 200, so the work began, whatever the problem says.
+		out.verdict = verdictUnknown
+		out.code = core.Code(broken.problem.Code)
 	}
 	return out
 }
--- a/bench/load/check.go
+++ b/bench/load/check.go
@@ -9,6 +9,7 @@
 	"io"
 	"strings"
 
+	"currantusher.dev/api/oas"
 	"currantusher.dev/core"
 	"currantusher.dev/standin/engine"
 	"currantusher.dev/standin/service"
@@ -18,7 +19,20 @@
 // the request.
 var errWrongAnswer = errors.New("wrong answer")
 
-const dataPrefix = "data: "
+const (
+	dataPrefix = "data: "
+	// errorLine announces that the next data is a problem, after which the
+	// connection is aborted.
+	errorLine = "event: error"
+)
+
+// brokenStream is a stream whose end says by a problem that it broke.
+type brokenStream struct{ problem oas.Problem }
+
+// Error implements error.
+func (b brokenStream) Error() string {
+	return fmt.Sprintf("stream broke: %d %s", b.problem.Code, b.problem.Detail)
+}
 
 // checker checks answers to one body.
 type checker struct {
@@ -90,6 +104,7 @@
 	next      int
 	text      strings.Builder
 	done      bool
+	failing   bool
 }
 
 // read consumes the stream. An error that is not errWrongAnswer means that the
@@ -114,6 +129,10 @@
 	if line == "" {
 		return nil
 	}
+	if line == errorLine && !s.done && !s.failing {
+		s.failing = true
+		return nil
+	}
 	data, found := strings.CutPrefix(line, dataPrefix)
 	if !found {
 		return wrong("line %q", line)
@@ -121,6 +140,9 @@
 	if s.done {
 		return wrong("event after the last one")
 	}
+	if s.failing {
+		return s.problem([]byte(data))
+	}
 	if data == engine.StreamEnd {
 		s.done = true
 		return nil
@@ -128,6 +150,14 @@
 	return s.event([]byte(data))
 }
 
+func (s *streamChecker) problem(data []byte) error {
+	var broken brokenStream
+	if err := json.Unmarshal(data, &broken.problem); err != nil {
+		return wrong("problem in stream: %v", err)
+	}
+	return broken
+}
+
 func (s *streamChecker) event(data []byte) error {
 	var event engine.Event
 	if err := strictDecode(data, &event); err != nil {
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -138,6 +138,9 @@
 		{"stream doubled event", stream, streamOf(func(e []engine.Event) []engine.Event { return append(e[:1:1], e...) }, done), OutcomeLost},
 		{"stream crossed", stream, streamOf(func(e []engine.Event) []engine.Event { e[1].RequestID = "s"; return e }, done), OutcomeLost},
 		{"stream from two versions", stream, streamOf(func(e []engine.Event) []engine.Event { e[1].Weights = core.DigestOf(nil).String(); return e }, done), OutcomeLost},
+		{"stream broken with a problem", stream, streamOf(unchanged, "event: error\ndata: {\"code\":307,\"name\":\"stream-broken\",\"work\":\"unknown\",\"detail\":\"d\"}\n\n"), OutcomeUnknown},
+		{"stream broken with something else", stream, streamOf(unchanged, "event: error\ndata: [DONE]\n\n"), OutcomeLost},
+		{"stream with a problem after its end", stream, streamOf(unchanged, done+"event: error\ndata: {}\n\n"), OutcomeLost},
 		{"stream after its end", stream, streamOf(unchanged, done+done), OutcomeLost},
 		{"service whole", lot, func(w http.ResponseWriter, body []byte) {
 			writeJSON(w, service.Answer{RequestID: "r", Sequence: 1, Echo: core.DigestOf(body)})
