--- /dev/null
+++ b/bench/overhead/doc.go
@@ -0,0 +1,3 @@
+// Package overhead measures what an entry and an agent add to a request, beside
+// a direct call to the same backend server. It holds benchmarks only.
+package overhead
