--- a/members/selection.go
+++ b/members/selection.go
@@ -13,14 +13,18 @@
 const (
 	// refreshPerMember stretches the refresh of unchanged records with the
 	// fleet, so that the bytes for it stay the same.
-	refreshPerMember = 70 * time.Millisecond
+	refreshPerMember = 120 * time.Millisecond
 	minRefresh       = 2 * time.Second
 	// silentRefreshes is how many refreshes may be missed before a daemon that
 	// reports to other entries is suspected.
 	silentRefreshes = 4
 	minSilent       = 30 * time.Second
-	// platformPerMember stretches the calls to the platform's list.
-	platformPerMember = 20 * time.Millisecond
+	// announcePerMember stretches the announcements to the platform's list in
+	// large fleets, listPerEntry and listPerAgent the readings by entries and
+	// agents, whose size grows with the fleet.
+	announcePerMember = 20 * time.Millisecond
+	listPerEntry      = 90 * time.Millisecond
+	listPerAgent      = 200 * time.Millisecond
 )
 
 // refreshInterval is the period at which an unchanged daemon's reports are
@@ -35,9 +39,10 @@
 	return max(minSilent, silentRefreshes*refreshInterval(n))
 }
 
-// platformPeriod is the period of calls to the platform's list, at least base.
-func platformPeriod(base time.Duration, n int) time.Duration {
-	return max(base, time.Duration(n)*platformPerMember)
+// stretched is the period of calls to the platform's list in a fleet of n
+// daemons, at least base.
+func stretched(base, perMember time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*perMember)
 }
 
 // rendezvous scores a pair of daemons; each daemon ranks others by it.
--- a/requests/proof/cluster_test.go
+++ b/requests/proof/cluster_test.go
@@ -413,7 +413,7 @@
 		Ledger:     e.ledger,
 		Sender:     &network{entry: e},
 		// The fake engine begins to answer at once.
-		BeginTimeout: 500 * time.Millisecond,
+		StartTimeout: 500 * time.Millisecond,
 	})
 	go func() { _ = e.queue.Run(c.down) }()
 	go func() { _ = e.ledger.Run(c.down) }()
