--- a/requests/admission/ledger.go
+++ b/requests/admission/ledger.go
@@ -32,9 +32,23 @@
 	capacity  int
 	statuses  map[attempt.ID]status
 	order     []mark
-	floors    map[string]uint64
+	floors    map[string]floor
 }
 
+// floor bars the attempts of an entry process up to a sequence number.
+type floor struct {
+	sequence uint64
+	raised   time.Time
+}
+
+const (
+	// floorCount is the number of floors from which on old ones are dropped.
+	floorCount = 4096
+	// floorRetention is far beyond the time that a frame of a process can be
+	// in flight.
+	floorRetention = 24 * time.Hour
+)
+
 type mark struct {
 	id attempt.ID
 	at time.Time
@@ -45,7 +59,7 @@
 		retention: retention,
 		capacity:  capacity,
 		statuses:  map[attempt.ID]status{},
-		floors:    map[string]uint64{},
+		floors:    map[string]floor{},
 	}
 }
 
@@ -53,7 +67,7 @@
 	if known, ok := l.statuses[id]; ok {
 		return known
 	}
-	if id.Sequence <= l.floors[id.Process] {
+	if id.Sequence <= l.floors[id.Process].sequence {
 		return forgotten
 	}
 	return absent
@@ -79,7 +93,7 @@
 			kept++
 			continue
 		}
-		l.forget(oldest.id)
+		l.forget(now, oldest.id)
 	}
 }
 
@@ -92,7 +106,20 @@
 	return len(l.order) > l.capacity || now.Sub(l.order[0].at) >= l.retention
 }
 
-func (l *ledger) forget(id attempt.ID) {
+func (l *ledger) forget(now time.Time, id attempt.ID) {
 	delete(l.statuses, id)
-	l.floors[id.Process] = max(l.floors[id.Process], id.Sequence)
+	raised := max(l.floors[id.Process].sequence, id.Sequence)
+	l.floors[id.Process] = floor{sequence: raised, raised: now}
+	if len(l.floors) > floorCount {
+		l.dropFloors(now)
+	}
+}
+
+// dropFloors forgets entry processes that have not called for long.
+func (l *ledger) dropFloors(now time.Time) {
+	for process, f := range l.floors {
+		if now.Sub(f.raised) >= floorRetention {
+			delete(l.floors, process)
+		}
+	}
 }
--- a/requests/admission/state_test.go
+++ b/requests/admission/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -294,6 +295,20 @@
 	}
 }
 
+// TestFloorsAreBounded: floors of entry processes that called within a day are
+// kept, older ones go once there are many.
+func TestFloorsAreBounded(t *testing.T) {
+	l := newLedger(time.Minute, 16)
+	now := testEpoch
+	for i := range 3 * floorCount {
+		now = now.Add(time.Minute)
+		l.record(now, attempt.ID{Process: fmt.Sprint("entry.", i), Sequence: 1}, ran)
+		l.expire(now)
+	}
+	require.LessOrEqual(t, len(l.floors), floorCount+1)
+	require.Equal(t, forgotten, l.find(attempt.ID{Process: fmt.Sprint("entry.", 3*floorCount-100), Sequence: 1}))
+}
+
 // BenchmarkRemember reports the heap that one remembered attempt takes.
 func BenchmarkRemember(b *testing.B) {
 	for b.Loop() {
