Report a table service that is not reached or answers with an unreadable head

An unreadable head row looked like an outage without a trace in the log. The first failed read is now reported with its code; tests cover the unreadable head and the operators' procedure after a restore.

--- a/tables/edit/edit_test.go
+++ b/tables/edit/edit_test.go
@@ -251,3 +251,27 @@
 	require.Equal(t, core.CodeEditUnknown, core.CodeOf(err))
 	require.Equal(t, core.WorkUnknown, core.WorkOf(err))
 }
+
+// TestHeadRaisedAfterRestore follows the operators' page on a restored table
+// service: the head is raised by hand and the history begins anew.
+func TestHeadRaisedAfterRestore(t *testing.T) {
+	memory, editor := newEditor(t)
+	put(t, memory, "config-head", "head", map[string]any{"revision": 5000, "edit_id": "restored"})
+	result, err := editor.Apply(t.Context(), edit.Request{ID: "after", DeletePools: []core.PoolName{"b"}})
+	require.NoError(t, err)
+	require.Equal(t, core.Revision(5001), result.Revision)
+	_, err = editor.Apply(t.Context(), edit.Request{ID: "back", RollbackTo: 4995})
+	require.Equal(t, core.CodeUnknownEntity, core.CodeOf(err))
+	_, err = editor.Apply(t.Context(), edit.Request{ID: "back", RollbackTo: 5000})
+	require.NoError(t, err)
+}
+
+func TestUnreadableHeadIsRefused(t *testing.T) {
+	memory, editor := newEditor(t)
+	put(t, memory, "config-head", "head", "garbage")
+	_, err := editor.Head(t.Context())
+	require.Equal(t, core.CodeUnreadableRow, core.CodeOf(err))
+	_, err = editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.Equal(t, core.CodeUnreadableRow, core.CodeOf(err))
+	require.Equal(t, core.WorkNotRun, core.WorkOf(err))
+}
--- a/tables/spread/storage.go
+++ b/tables/spread/storage.go
@@ -59,9 +59,7 @@
 func (s *State) HeadRead(now time.Time, event HeadRead) []Action {
 	s.headSent = time.Time{}
 	if event.Err != nil {
-		s.storeDown = true
-		s.storeDownAt = event.SentAt
-		return s.askWitnesses(now)
+		return s.storeFailed(now, event)
 	}
 	s.storeDown = false
 	switch own := s.Revision(); {
@@ -74,6 +72,19 @@
 	}
 }
 
+// storeFailed notes that the table service was not reached, and reports it the
+// first time.
+func (s *State) storeFailed(now time.Time, event HeadRead) []Action {
+	var actions []Action
+	if !s.storeDown {
+		detail := "head row: " + event.Err.Error()
+		actions = append(actions, Report{Code: core.CodeOf(event.Err), Detail: detail})
+	}
+	s.storeDown = true
+	s.storeDownAt = event.SentAt
+	return append(actions, s.askWitnesses(now)...)
+}
+
 // reverted reports an answer with an older revision, unless it was asked for
 // before the present revision was adopted.
 func (s *State) reverted(sentAt time.Time, revision core.Revision) []Action {
--- a/tables/spread/work.go
+++ b/tables/spread/work.go
@@ -166,9 +166,11 @@
 		m.post(ctx, func(s *State, now time.Time) []Action { return s.Loaded(now, loaded) })
 	case Absorb:
 		faults, err := m.config.Loader.Absorb(bounded)
-		if err == nil {
-			m.setFaults(faults)
+		if err != nil {
+			m.log.WithError(err).Warn("direct edits were not looked for")
+			return
 		}
+		m.setFaults(faults)
 	case ReadSnapshot:
 		m.readSnapshot(ctx, bounded)
 	case SaveSnapshot:
