--- a/tables/edit/history.go
+++ b/tables/edit/history.go
@@ -129,7 +129,7 @@
 	if err := e.config.Tables.Commit(ctx, txn); err != nil {
 		return err
 	}
-	e.log.WithField("revision", next).Infof("direct edit accepted: %d rows", len(changes))
+	e.log.WithField("revision", next).Infof("Direct edit of %d rows accepted.", len(changes))
 	return nil
 }
 
--- /dev/null
+++ b/tables/edit/http_test.go
@@ -0,0 +1,34 @@
+package edit_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform/client"
+	"currantusher.dev/standin/store"
+	"currantusher.dev/tables/edit"
+)
+
+// TestEditsOverHTTPWithLostAnswers has every commit take effect without an
+// answer; each edit is still accepted, once.
+func TestEditsOverHTTPWithLostAnswers(t *testing.T) {
+	server := store.New(store.Config{})
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	editor := edit.New(edit.Config{Tables: client.New(client.Config{
+		BaseURL:         listener.URL,
+		ReadsPerSecond:  1e6,
+		WritesPerSecond: 1e6,
+	})})
+	server.SetFaults(store.Faults{LoseAnswers: 1})
+	for i := range 5 {
+		result, err := editor.Apply(t.Context(), edit.Request{ID: fmt.Sprint("e", i)})
+		require.NoError(t, err)
+		require.Equal(t, core.Revision(i+1), result.Revision)
+	}
+	require.Equal(t, int64(5), server.Stats().Writes)
+}
--- a/tables/spread/manager.go
+++ b/tables/spread/manager.go
@@ -240,7 +240,7 @@
 	}
 	compiled, err := tables.Compile(rows)
 	if err != nil {
-		m.log.WithError(err).Error("offered rows do not compile")
+		m.log.WithError(err).Error("Offered rows do not compile.")
 		return
 	}
 	m.post(ctx, func(s *State, now time.Time) []Action { return s.Offer(now, compiled) })
@@ -296,6 +296,7 @@
 		surveyed:  m.state.Surveyed(),
 	})
 	m.gauges.revision.Update(int64(m.state.Revision()))
+	m.gauges.age.Update(m.Age().Milliseconds())
 }
 
 func (m *Manager) signalAdopted() {
--- a/tables/spread/work.go
+++ b/tables/spread/work.go
@@ -19,6 +19,7 @@
 
 type gauges struct {
 	revision metrics.Gauge
+	age      metrics.Gauge
 	faults   metrics.Gauge
 	reverted metrics.Counter
 	pulls    metrics.Counter
@@ -28,6 +29,7 @@
 func newGauges(registry metrics.Registry) gauges {
 	return gauges{
 		revision: metrics.GetOrRegisterGauge("config.revision", registry),
+		age:      metrics.GetOrRegisterGauge("config.age_millis", registry),
 		faults:   metrics.GetOrRegisterGauge("config.row_faults", registry),
 		reverted: metrics.GetOrRegisterCounter("config.reverted_answers", registry),
 		pulls:    metrics.GetOrRegisterCounter("config.pulls", registry),
@@ -68,7 +70,7 @@
 	switch a := action.(type) {
 	case Adopt:
 		m.signalAdopted()
-		m.log.WithField("revision", a.Config.Revision()).Info("revision in force")
+		m.log.WithField("revision", a.Config.Revision()).Info("Revision in force.")
 	case Report:
 		m.report(a)
 	case Answer:
@@ -117,7 +119,7 @@
 	if a.Config != nil {
 		rows, err := m.encoded.encode(a.Config)
 		if err != nil {
-			m.log.WithError(err).Error("rows cannot be encoded")
+			m.log.WithError(err).Error("Rows cannot be encoded.")
 			return
 		}
 		a.Reply.Rows = rows
@@ -167,7 +169,7 @@
 	case Absorb:
 		faults, err := m.config.Loader.Absorb(bounded)
 		if err != nil {
-			m.log.WithError(err).Warn("direct edits were not looked for")
+			m.log.WithError(err).Warn("Direct edits were not looked for.")
 			return
 		}
 		m.setFaults(faults)
@@ -204,7 +206,7 @@
 	m.gauges.faults.Update(int64(len(faults)))
 	for _, fault := range faults {
 		if !known[fault] {
-			m.log.WithField("code", fault.Code.String()).Warnf("row %s %q is not in force: %s", fault.Table, fault.Key, fault.Detail)
+			m.log.WithField("code", fault.Code.String()).Warnf("Row %s %q is not in force: %s.", fault.Table, fault.Key, fault.Detail)
 		}
 	}
 }
@@ -219,7 +221,7 @@
 	}
 	config, err := decodeConfig(content)
 	if err != nil {
-		m.log.WithError(err).Warn("snapshot is unreadable")
+		m.log.WithError(err).Warn("Snapshot is unreadable.")
 		return
 	}
 	m.post(ctx, func(s *State, now time.Time) []Action { return s.SnapshotRead(now, config) })
@@ -234,7 +236,7 @@
 		err = m.config.Objects.PutObject(ctx, snapshotName, content)
 	}
 	if err != nil {
-		m.log.WithError(err).Warn("snapshot was not saved")
+		m.log.WithError(err).Warn("Snapshot was not saved.")
 	}
 }
 
@@ -304,7 +306,7 @@
 	push := wire.Push{From: m.config.Self.ID, Addr: m.config.Self.Addr, Revision: a.Revision}
 	_, err := wire.Call[wire.PushReply](bounded, m.config.Peer, a.To.Addr, wire.KindPush, push)
 	if err != nil {
-		m.log.WithError(err).Debugf("push to %s failed", a.To.ID)
+		m.log.WithError(err).Debugf("Push to %s failed.", a.To.ID)
 	}
 }
 
