Assign agents to entries with bounded loads

Cause: with rendezvous hashing alone the busiest entry of 175 + 300 daemons spent 5.05 KB/s, the mean 3.44.

--- a/members/bench_test.go
+++ b/members/bench_test.go
@@ -138,3 +138,11 @@
 		}
 	})
 }
+
+func BenchmarkBalance(b *testing.B) {
+	all := instances(benchRoster("other"))
+	self := platform.Instance{ID: "zzz", Role: platform.RoleAgent, DataCentre: "data-centre-1"}
+	for b.Loop() {
+		homeRule{perDataCentre: 1, limit: 3}.balance(self, all)
+	}
+}
--- a/members/reporter.go
+++ b/members/reporter.go
@@ -79,6 +79,10 @@
 	return nil
 }
 
+func (c *ReporterConfig) homes() homeRule {
+	return homeRule{perDataCentre: c.PerDataCentre, limit: c.MaxHomes}
+}
+
 // Reporter announces a daemon in the platform's list and reports its state to
 // a few entries.
 type Reporter struct {
@@ -93,7 +97,9 @@
 
 	entries  []platform.Instance
 	listSize int
-	homes    map[core.InstanceID]*home
+	// preferred holds the entries that the balanced assignment gives.
+	preferred map[core.InstanceID]bool
+	homes     map[core.InstanceID]*home
 	// avoid holds entries that failed, until the time given.
 	avoid map[core.InstanceID]time.Time
 
@@ -194,8 +200,10 @@
 			entries = append(entries, instance)
 		}
 	}
+	preferred := r.config.homes().balance(r.config.Self, instances)
 	r.mu.Lock()
 	first := len(r.entries) == 0
+	r.preferred = preferred
 	r.entries = entries
 	r.listSize = len(instances)
 	r.mu.Unlock()
@@ -271,7 +279,7 @@
 		}
 	}
 	chosen := map[core.InstanceID]platform.Instance{}
-	for _, entry := range chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes) {
+	for _, entry := range r.config.homes().choose(r.config.Self, r.entries, avoid, r.preferred) {
 		chosen[entry.ID] = entry
 	}
 	for id, h := range r.homes {
@@ -338,7 +346,7 @@
 	for id, until := range r.avoid {
 		avoid[id] = now.Before(until)
 	}
-	return chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes)
+	return r.config.homes().choose(r.config.Self, r.entries, avoid, r.preferred)
 }
 
 // Entries returns the entries that the platform's list names.
--- a/members/roster_test.go
+++ b/members/roster_test.go
@@ -1,6 +1,8 @@
 package members
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -120,10 +122,10 @@
 		}
 	}
 	self := platform.Instance{ID: "agent", DataCentre: "south"}
-	homes := chooseHomes(self, entries, nil, 1, 2)
+	homes := homeRule{1, 2}.choose(self, entries, nil, nil)
 	require.Len(t, homes, 2)
 	require.Equal(t, core.DataCentre("south"), homes[0].DataCentre)
-	other := chooseHomes(self, entries, map[core.InstanceID]bool{homes[0].ID: true}, 1, 2)
+	other := homeRule{1, 2}.choose(self, entries, map[core.InstanceID]bool{homes[0].ID: true}, nil)
 	require.NotEqual(t, homes[0].ID, other[0].ID)
 	require.Equal(t, homes[1], other[1])
 }
@@ -150,6 +152,36 @@
 	}
 }
 
+func TestBalancedHomes(t *testing.T) {
+	const zones, entries, agents = 3, 30, 90
+	var all []platform.Instance
+	for i := range entries + agents {
+		role := platform.RoleEntry
+		if i >= entries {
+			role = platform.RoleAgent
+		}
+		id := core.InstanceID(fmt.Sprintf("i%03d", i))
+		all = append(all, platform.Instance{ID: id, Role: role, DataCentre: core.DataCentre(fmt.Sprintf("z%d", i%zones))})
+	}
+	rule := homeRule{perDataCentre: 1, limit: zones}
+	load := map[core.InstanceID]int{}
+	for _, agent := range all[entries:] {
+		homes := rule.choose(agent, all, nil, rule.balance(agent, all))
+		require.Len(t, homes, zones)
+		require.Equal(t, agent.DataCentre, homes[0].DataCentre)
+		for _, home := range homes {
+			load[home.ID]++
+		}
+	}
+	require.Len(t, load, entries)
+	for id, count := range load {
+		require.LessOrEqual(t, float64(count), math.Ceil(homeLoadFactor*agents*zones/entries), id)
+	}
+	unlisted := platform.Instance{ID: "new", Role: platform.RoleAgent, DataCentre: "z1"}
+	require.Len(t, rule.balance(unlisted, all), zones)
+	require.Empty(t, rule.balance(unlisted, nil))
+}
+
 func TestReplacedProcessLearnsIt(t *testing.T) {
 	r, agent := rosterWithAgent()
 	require.True(t, r.heard(simStart, agent, wire.Heartbeat{Incarnation: 6, Sequence: 1}))
--- a/members/selection.go
+++ b/members/selection.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
-	"sort"
 	"time"
 
 	"currantusher.dev/core"
@@ -66,43 +65,6 @@
 	return h ^ h>>33
 }
 
-// chooseHomes returns the entries that self reports to: in each data centre
-// the perDataCentre highest by rendezvous hash, the own data centre first, at
-// most limit in all. Candidates in avoid are used only when a data centre has
-// no others.
-func chooseHomes(self platform.Instance, candidates []platform.Instance, avoid map[core.InstanceID]bool, perDataCentre, limit int) []platform.Instance {
-	byZone := map[core.DataCentre][]platform.Instance{}
-	for _, candidate := range candidates {
-		if candidate.Role == platform.RoleEntry && candidate.ID != self.ID {
-			byZone[candidate.DataCentre] = append(byZone[candidate.DataCentre], candidate)
-		}
-	}
-	zones := make([]core.DataCentre, 0, len(byZone))
-	for zone := range byZone {
-		zones = append(zones, zone)
-	}
-	sort.Slice(zones, func(i, j int) bool {
-		if (zones[i] == self.DataCentre) != (zones[j] == self.DataCentre) {
-			return zones[i] == self.DataCentre
-		}
-		return rendezvous("zone", self.ID, core.InstanceID(zones[i])) > rendezvous("zone", self.ID, core.InstanceID(zones[j]))
-	})
-	var homes []platform.Instance
-	for _, zone := range zones {
-		ranked := byZone[zone]
-		sort.Slice(ranked, func(i, j int) bool { return preferHome(self.ID, avoid, ranked[i], ranked[j]) })
-		homes = append(homes, ranked[:min(perDataCentre, len(ranked))]...)
-	}
-	return homes[:min(limit, len(homes))]
-}
-
-func preferHome(self core.InstanceID, avoid map[core.InstanceID]bool, a, b platform.Instance) bool {
-	if avoid[a.ID] != avoid[b.ID] {
-		return !avoid[a.ID]
-	}
-	return rendezvous("home", self, a.ID) > rendezvous("home", self, b.ID)
-}
-
 // chooseNeighbours returns the entries that self exchanges summaries with: the
 // next one on two rings of all entries and on the ring of its data centre. The
 // rings have unrelated orders, so that the number of hops grows with the
--- a/members/simulation_test.go
+++ b/members/simulation_test.go
@@ -266,7 +266,7 @@
 		avoid[id] = s.procs[id] == nil || !s.connected(p.instance.ID, id)
 	}
 	homes := map[core.InstanceID]bool{}
-	for _, home := range chooseHomes(p.instance, s.listed, avoid, 1, 2) {
+	for _, home := range (homeRule{1, 2}).choose(p.instance, s.listed, avoid, nil) {
 		homes[home.ID] = true
 		s.post(p.instance.ID, home.ID, func(now time.Time, to *process) {
 			if to.roster != nil {
