--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/daemon/inflight"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/members"
@@ -46,10 +47,12 @@
 	log         agentLogs
 	engine      atomic.Pointer[engineView]
 	draining    atomic.Bool
-	killed      chan struct{}
-	kill        func()
-	seen        seenWeights
-	work        inflight.Group
+	// drainExpired says that the drain time ran out with work in progress.
+	drainExpired atomic.Bool
+	killed       chan struct{}
+	kill         func()
+	seen         seenWeights
+	work         inflight.Group
 }
 
 type agentLogs struct {
@@ -183,6 +186,7 @@
 		return nil
 	})
 	err := group.Wait()
+	a.checkStopped(ctx)
 	closeErr := a.peer.Close()
 	a.log.main.Info("Agent stopped.")
 	return errors.Join(err, closeErr)
@@ -215,6 +219,13 @@
 	return err
 }
 
+// checkStopped asserts that a planned stop within its drain time cut nothing.
+func (a *Agent) checkStopped(ctx context.Context) {
+	planned := ctx.Err() != nil && !a.drainExpired.Load()
+	running := a.gate.Load(time.Now()).Running
+	invariant.Check(invariant.GracefulStop, !planned || running == 0, "agent stopped with %d requests", running)
+}
+
 // drain announces the leave, waits for work in progress and reports the end.
 func (a *Agent) drain() {
 	a.draining.Store(true)
@@ -226,6 +237,7 @@
 	}
 	time.Sleep(leaveNotice)
 	if err := a.work.Wait(ctx); err != nil {
+		a.drainExpired.Store(true)
 		a.log.main.WithField("running", a.work.Count()).Warn("Drain time ran out.")
 	}
 	a.reporter.Left()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/invariant"
 	"currantusher.dev/daemon/inflight"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/daemon/peers"
@@ -63,9 +64,11 @@
 	registry    metrics.Registry
 	log         entryLogs
 	draining    atomic.Bool
-	killed      chan struct{}
-	kill        func()
-	work        inflight.Group
+	// drainExpired says that the drain time ran out with work in progress.
+	drainExpired atomic.Bool
+	killed       chan struct{}
+	kill         func()
+	work         inflight.Group
 }
 
 type entryLogs struct {
@@ -314,6 +317,7 @@
 		return nil
 	})
 	err := group.Wait()
+	e.checkStopped(ctx)
 	closeErr := e.peer.Close()
 	e.log.main.Info("Entry stopped.")
 	return errors.Join(err, closeErr)
@@ -344,6 +348,13 @@
 	return err
 }
 
+// checkStopped asserts that a planned stop within its drain time cut nothing.
+func (e *Entry) checkStopped(ctx context.Context) {
+	planned := ctx.Err() != nil && !e.drainExpired.Load()
+	running := e.work.Count()
+	invariant.Check(invariant.GracefulStop, !planned || running == 0, "entry stopped with %d requests", running)
+}
+
 func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.log.main.Info("Leaving.")
@@ -354,6 +365,7 @@
 	}
 	time.Sleep(e.config.AddressTTL)
 	if err := e.work.Wait(ctx); err != nil {
+		e.drainExpired.Store(true)
 		e.log.main.WithField("running", e.work.Count()).Warn("Drain time ran out.")
 	}
 	e.reporter.Left()
--- /dev/null
+++ b/daemon/entry/stop_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/invariant"
+)
+
+// TestInvariantGracefulStop leaves out the wait for work in progress.
+func TestInvariantGracefulStop(t *testing.T) {
+	stopped, cancel := context.WithCancel(t.Context())
+	cancel()
+	e := &Entry{}
+	e.checkStopped(stopped)
+	require.Zero(t, invariant.Count(invariant.GracefulStop), "nothing runs")
+
+	leave := e.work.Enter()
+	e.checkStopped(stopped)
+	require.Equal(t, uint64(1), invariant.Count(invariant.GracefulStop), "a request was cut")
+	e.drainExpired.Store(true)
+	e.checkStopped(stopped)
+	require.Equal(t, uint64(1), invariant.Count(invariant.GracefulStop), "the drain time ran out")
+	leave()
+}
