Wait for a place when all agents are full; leave agents alone that refuse all

Cause, found by reading: in a pool of one or few agents a request that each of them refused as full got its refusal at once although it could have waited, and an agent that refuses all work looks least loaded and draws requests until the retry budget is spent. Both are ordinary at sites with one or three workers. At-most-once requests are also refused before they queue while the table service is known to be down.

--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -46,6 +46,8 @@
 		return placement.Abandoned
 	case core.CodeOf(err) == core.CodeEngineFailed:
 		return placement.Failed
+	case answer.end != nil && isUnfit(err):
+		return placement.Unfit
 	case answer.end != nil && core.WorkOf(err) == core.WorkNotRun:
 		return placement.Refused
 	default:
@@ -53,6 +55,17 @@
 	}
 }
 
+// isUnfit reports whether the agent refuses all work for a while.
+func isUnfit(err error) bool {
+	switch core.CodeOf(err) {
+	case core.CodeDraining, core.CodeDataCentreOut, core.CodeConfigStale, core.CodeFenced,
+		core.CodeEngineNotServing, core.CodeNotReady:
+		return core.WorkOf(err) == core.WorkNotRun
+	default:
+		return false
+	}
+}
+
 // callContext ends when the attempt must be given up. At-most-once work goes
 // on after the caller left, so that a repeat finds its result.
 func (x *exchange) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 
 // Ledger keeps the claims of at-most-once requests.
 type Ledger interface {
+	// Ready returns the refusal that a claim would get at once, or nil.
+	Ready() error
 	Claim(ctx context.Context, key ledger.Key, body core.Digest, attemptID string) (ledger.Claim, error)
 	Finish(claim ledger.Claim, result ledger.Result) error
 	Release(ctx context.Context, claim ledger.Claim) error
@@ -161,6 +163,11 @@
 	if !d.config.Now().Before(request.Deadline) {
 		return core.Refuse(core.CodeDeadlineShort, d.queue(request).RetryAfter(request.Team), "the deadline has passed")
 	}
+	if request.AtMostOnce {
+		if err := d.config.Ledger.Ready(); err != nil {
+			return err
+		}
+	}
 	grant, err := d.queue(request).Enqueue(ctx, fair.Item{
 		Team:     request.Team,
 		Priority: request.Priority,
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -25,7 +25,8 @@
 	firstID string
 	tried   map[core.InstanceID]bool
 	count   int
-	// full counts attempts that were refused because the agent was full.
+	// full counts attempts that were refused by agents that may take the
+	// request soon.
 	full int
 	// used says that an agent did some of the work.
 	used bool
@@ -106,6 +107,12 @@
 	var last error
 	for {
 		agent, err := x.pick(ctx, placer)
+		if err != nil && canWait(last) {
+			// Every agent was tried and may take the request soon.
+			if err = x.requeue(ctx); err == nil {
+				continue
+			}
+		}
 		if err != nil {
 			return x.final(last, err)
 		}
@@ -116,7 +123,7 @@
 		// An agent that moved to another version may serve a request that
 		// follows it there.
 		x.tried[agent.ID] = x.request.Version == nil || core.CodeOf(last) != core.CodeDigestMismatch
-		if core.CodeOf(last) == core.CodeLimitReached {
+		if canWait(last) {
 			x.full++
 		}
 		if !x.mayRetry(ctx, last) {
@@ -202,9 +209,14 @@
 	if placer.Retry() {
 		return nil
 	}
-	if core.CodeOf(last) != core.CodeLimitReached {
+	if !canWait(last) {
 		return core.Refuse(core.CodeRetryBudget, x.queue(x.request).RetryAfter(x.request.Team), "the retry budget is spent: %s", core.DetailOf(last))
 	}
+	return x.requeue(ctx)
+}
+
+// requeue waits for another place and forgets which agents were tried.
+func (x *exchange) requeue(ctx context.Context) error {
 	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
 	if err := x.grant.Requeue(bounded); err != nil {
@@ -214,6 +226,17 @@
 	return nil
 }
 
+// canWait reports whether an agent that refused may take the request soon: it
+// was full, or the entry and it learn of a change at different times.
+func canWait(err error) bool {
+	switch core.CodeOf(err) {
+	case core.CodeLimitReached, core.CodeRevisionTooLow, core.CodeStaleIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
 // final returns the error for the caller. It says not-run only when every
 // attempt provably did not run.
 func (x *exchange) final(last, err error) error {
--- a/requests/dispatch/invariant_test.go
+++ b/requests/dispatch/invariant_test.go
@@ -54,6 +54,8 @@
 
 type noLedger struct{ released, finished int }
 
+func (l *noLedger) Ready() error { return nil }
+
 func (l *noLedger) Claim(context.Context, ledger.Key, core.Digest, string) (ledger.Claim, error) {
 	return ledger.Claim{}, nil
 }
@@ -173,6 +175,10 @@
 		{"barred, then whole", [][]wire.Reply{{}, {begin(), end("")}}, core.WorkNotRun, core.CodeOK, 2, 0},
 		{"broken", [][]wire.Reply{{}, {begin(), end("")}}, core.WorkUnknown, core.CodeOutcomeUnknown, 1, 0},
 		{"not connected", nil, core.WorkUnknown, core.CodeNoBackend, 3, 1},
+		{"all full, then whole", [][]wire.Reply{
+			{refusal(core.CodeLimitReached)}, {refusal(core.CodeLimitReached)}, {refusal(core.CodeLimitReached)},
+			{refusal(core.CodeLimitReached)}, {begin(), end("")},
+		}, core.WorkUnknown, core.CodeOK, 5, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -180,7 +186,9 @@
 				s, l := &script{attempts: test.attempts, work: test.work}, &noLedger{}
 				request := testRequest()
 				request.AtMostOnce = true
-				err := newTestDispatcher(s, l).Do(t.Context(), request, &testSink{})
+				d := newTestDispatcher(s, l)
+				go func() { _ = d.queue(request).Run(t.Context()) }()
+				err := d.Do(t.Context(), request, &testSink{})
 				require.Equal(t, test.code, core.CodeOf(err), "%v", err)
 				require.Len(t, s.sent, test.sent)
 				require.Equal(t, test.released, l.released)
--- a/requests/ledger/breaker.go
+++ b/requests/ledger/breaker.go
@@ -30,6 +30,14 @@
 	return 0, false
 }
 
+// isOpen is refuses without taking the period's claim.
+func (b *breaker) isOpen(now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.until.Sub(now)
+	return left, !b.failedAt.IsZero() && left > 0
+}
+
 // failure returns when the table service last failed, or the zero time when it
 // has worked since.
 func (b *breaker) failure() time.Time {
--- a/requests/ledger/ledger.go
+++ b/requests/ledger/ledger.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// Ready returns the refusal that a claim would get at once because the table
+// service failed lately, or nil.
+func (l *Ledger) Ready() error {
+	if after, open := l.breaker.isOpen(l.config.Now()); open {
+		return l.unavailable(after)
+	}
+	return nil
+}
+
 // Claim inserts the claim row of a key and waits until it is committed. The
 // deadline of ctx is when the request has its final answer at the latest. A nil
 // error with Stored unset is the right to dispatch. All errors are refusals or
--- a/requests/placement/agent.go
+++ b/requests/placement/agent.go
@@ -32,6 +32,8 @@
 	ejections int
 	ejected   time.Time
 	probing   bool
+	// unfit is until when the agent is not picked because it refused as Unfit.
+	unfit time.Time
 }
 
 func (a *agent) start(now time.Time) {
@@ -44,9 +46,12 @@
 
 func (a *agent) isEjected() bool { return !a.ejected.IsZero() }
 
-// isOpen reports whether the agent may be picked: it is not ejected, or its
-// time of ejection is over and no probe is out.
+// isOpen reports whether the agent may be picked: it is not unfit, and not
+// ejected, or its time of ejection is over and no probe is out.
 func (a *agent) isOpen(now time.Time) bool {
+	if now.Before(a.unfit) {
+		return false
+	}
 	if !a.isEjected() {
 		return true
 	}
@@ -58,10 +63,13 @@
 	a.lastUsed = now
 	a.probing = false
 	switch outcome {
-	case Answered, Refused:
+	case Answered, Refused, Unfit:
 		a.failures = 0
 		a.ejections = 0
 		a.ejected = time.Time{}
+		if outcome == Unfit {
+			a.unfit = now.Add(config.EjectBase)
+		}
 	case Failed:
 		a.failures++
 		if a.failures >= config.EjectAfter || a.isEjected() {
--- a/requests/placement/pick.go
+++ b/requests/placement/pick.go
@@ -99,6 +99,7 @@
 		a.failures = 0
 		a.ejections = 0
 		a.ejected = time.Time{}
+		a.unfit = time.Time{}
 		a.limit = 0
 		a.reported = time.Time{}
 	}
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -138,6 +138,8 @@
 	Answered Outcome = iota
 	// Refused means that the agent is healthy but did not start the work.
 	Refused
+	// Unfit means that the agent is healthy and refuses all work for a while.
+	Unfit
 	// Failed means that the agent or its backend server failed or could not be
 	// reached.
 	Failed
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -89,6 +89,23 @@
 	require.NoError(t, err)
 }
 
+// TestUnfitAgentIsLeftAlone: an agent that refuses all work at once has no load
+// and must not draw requests for it.
+func TestUnfitAgentIsLeftAlone(t *testing.T) {
+	p := newTestPlacer()
+	candidates := agents(2, 4, "near")
+	first, err := p.Pick(testEpoch, Request{}, candidates)
+	require.NoError(t, err)
+	p.Finish(testEpoch, first.ID, Unfit, 0, 4)
+	for range 4 {
+		c, err := p.Pick(testEpoch, Request{}, candidates)
+		require.NoError(t, err)
+		require.NotEqual(t, first.ID, c.ID)
+	}
+	_, err = p.Pick(testEpoch.Add(DefaultEjectBase), Request{}, candidates)
+	require.NoError(t, err)
+}
+
 func TestPrefixAffinityIsBounded(t *testing.T) {
 	p := newTestPlacer()
 	candidates := agents(4, 8, "near")
@@ -200,7 +217,7 @@
 					t.Skip()
 				}
 				inFlight[c.ID]--
-				outcome := rapid.SampledFrom([]Outcome{Answered, Refused, Failed, Abandoned}).Draw(t, "outcome")
+				outcome := rapid.SampledFrom([]Outcome{Answered, Refused, Unfit, Failed, Abandoned}).Draw(t, "outcome")
 				p.Finish(now, c.ID, outcome, 0, 0)
 			},
 			"data centre": func(t *rapid.T) {
