--- a/members/selection.go
+++ b/members/selection.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
-	"sort"
 	"time"
 
 	"currantusher.dev/core"
@@ -19,10 +18,12 @@
 	// reports to other entries is suspected.
 	silentRefreshes = 4
 	minSilent       = 30 * time.Second
-	// announcePerMember and listPerMember stretch the announcements to the
-	// platform's list and its readings, whose size grows with the fleet.
+	// announcePerMember stretches the announcements to the platform's list in
+	// large fleets, listPerEntry and listPerAgent the readings by entries and
+	// agents, whose size grows with the fleet.
 	announcePerMember = 20 * time.Millisecond
-	listPerMember     = 200 * time.Millisecond
+	listPerEntry      = 90 * time.Millisecond
+	listPerAgent      = 200 * time.Millisecond
 )
 
 // refreshInterval is the period at which an unchanged daemon's reports are
@@ -37,14 +38,10 @@
 	return max(minSilent, silentRefreshes*refreshInterval(n))
 }
 
-// announcePeriod is the period of announcements, at least base.
-func announcePeriod(base time.Duration, n int) time.Duration {
-	return max(base, time.Duration(n)*announcePerMember)
-}
-
-// listPeriod is the period of readings of the platform's list, at least base.
-func listPeriod(base time.Duration, n int) time.Duration {
-	return max(base, time.Duration(n)*listPerMember)
+// stretched is the period of calls to the platform's list in a fleet of n
+// daemons, at least base.
+func stretched(base, perMember time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*perMember)
 }
 
 // rendezvous scores a pair of daemons; each daemon ranks others by it.
@@ -68,43 +65,6 @@
 	return h ^ h>>33
 }
 
-// chooseHomes returns the entries that self reports to: in each data centre
-// the perDataCentre highest by rendezvous hash, the own data centre first, at
-// most limit in all. Candidates in avoid are used only when a data centre has
-// no others.
-func chooseHomes(self platform.Instance, candidates []platform.Instance, avoid map[core.InstanceID]bool, perDataCentre, limit int) []platform.Instance {
-	byZone := map[core.DataCentre][]platform.Instance{}
-	for _, candidate := range candidates {
-		if candidate.Role == platform.RoleEntry && candidate.ID != self.ID {
-			byZone[candidate.DataCentre] = append(byZone[candidate.DataCentre], candidate)
-		}
-	}
-	zones := make([]core.DataCentre, 0, len(byZone))
-	for zone := range byZone {
-		zones = append(zones, zone)
-	}
-	sort.Slice(zones, func(i, j int) bool {
-		if (zones[i] == self.DataCentre) != (zones[j] == self.DataCentre) {
-			return zones[i] == self.DataCentre
-		}
-		return rendezvous("zone", self.ID, core.InstanceID(zones[i])) > rendezvous("zone", self.ID, core.InstanceID(zones[j]))
-	})
-	var homes []platform.Instance
-	for _, zone := range zones {
-		ranked := byZone[zone]
-		sort.Slice(ranked, func(i, j int) bool { return preferHome(self.ID, avoid, ranked[i], ranked[j]) })
-		homes = append(homes, ranked[:min(perDataCentre, len(ranked))]...)
-	}
-	return homes[:min(limit, len(homes))]
-}
-
-func preferHome(self core.InstanceID, avoid map[core.InstanceID]bool, a, b platform.Instance) bool {
-	if avoid[a.ID] != avoid[b.ID] {
-		return !avoid[a.ID]
-	}
-	return rendezvous("home", self, a.ID) > rendezvous("home", self, b.ID)
-}
-
 // chooseNeighbours returns the entries that self exchanges summaries with: the
 // next one on two rings of all entries and on the ring of its data centre. The
 // rings have unrelated orders, so that the number of hops grows with the
--- a/requests/admission/state_test.go
+++ b/requests/admission/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -292,3 +294,34 @@
 		s.done(testEpoch, r, Succeeded)
 	}
 }
+
+// TestFloorsAreBounded: floors of entry processes that called within a day are
+// kept, older ones go once there are many.
+func TestFloorsAreBounded(t *testing.T) {
+	l := newLedger(time.Minute, 16)
+	now := testEpoch
+	for i := range 3 * floorCount {
+		now = now.Add(time.Minute)
+		l.record(now, attempt.ID{Process: fmt.Sprint("entry.", i), Sequence: 1}, ran)
+		l.expire(now)
+	}
+	require.LessOrEqual(t, len(l.floors), floorCount+1)
+	require.Equal(t, forgotten, l.find(attempt.ID{Process: fmt.Sprint("entry.", 3*floorCount-100), Sequence: 1}))
+}
+
+// BenchmarkRemember reports the heap that one remembered attempt takes.
+func BenchmarkRemember(b *testing.B) {
+	for b.Loop() {
+		l := newLedger(DefaultRetention, DefaultMaxAttempts)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range uint64(DefaultMaxAttempts) {
+			l.record(testEpoch, attempt.ID{Process: "entry.1", Sequence: i + 1}, ran)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/DefaultMaxAttempts, "B/attempt")
+		runtime.KeepAlive(l)
+	}
+}
