--- a/weights/swarm/announce.go
+++ b/weights/swarm/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"currantusher.dev/core"
@@ -30,7 +31,7 @@
 	err := error(core.Refuse(core.CodeNoBackend, 0, "no entry tracks %s", a.root.Short()))
 	for _, addr := range a.ranked(time.Now()) {
 		var reply wire.TrackReply
-		calling, cancel := context.WithTimeout(ctx, announceTimeout)
+		calling, cancel := context.WithTimeout(ctx, min(announceTimeout, a.manager.config.ChunkTimeout))
 		a.manager.counters.messages.Add(2)
 		reply, err = wire.Call[wire.TrackReply](calling, a.manager.config.Peer, addr, wire.KindTrack, request)
 		cancel()
@@ -46,7 +47,8 @@
 	return wire.TrackReply{}, err
 }
 
-// ranked returns the trackers to try, those that failed lately last.
+// ranked returns the trackers to try: those that did not fail lately, or else
+// one of the others.
 func (a *announcer) ranked(now time.Time) []string {
 	var usable, failed []string
 	for _, addr := range a.manager.config.Trackers(a.root) {
@@ -57,11 +59,10 @@
 		}
 		usable = append(usable, addr)
 	}
-	ranked := append(usable, failed...)
-	if len(ranked) > trackersPerRound {
-		ranked = ranked[:trackersPerRound]
+	if len(usable) == 0 && len(failed) > 0 {
+		return []string{failed[rand.IntN(len(failed))]}
 	}
-	return ranked
+	return usable[:min(len(usable), trackersPerRound)]
 }
 
 // report describes this downloader to a tracker.
@@ -81,7 +82,6 @@
 	if total > 0 {
 		request.Self.Done, request.Self.Total = uint32(done), uint32(total)
 		request.Self.Left = s.left()
-		request.Self.Spare = s.ledger.spare()
 		request.Extents = uint32(extentCount(total))
 	}
 	return request
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -71,10 +71,10 @@
 }
 
 const (
-	defaultPeers      = 8
+	defaultPeers      = 10
 	defaultFarPeers   = 2
 	defaultInFlight   = 6
-	defaultQueue      = 2
+	defaultQueue      = 3
 	defaultWait       = 200 * time.Millisecond
 	defaultAnnounce   = 2 * time.Second
 	defaultHaveEvery  = 100 * time.Millisecond
--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -15,9 +15,6 @@
 const (
 	eventQueue     = 64
 	sourceParallel = 1
-	// rebalanceParts gives the difference of upload budgets, as a part of a
-	// copy, for which a peer is replaced.
-	rebalanceParts = 8
 	replanEvery    = 250 * time.Millisecond
 )
 
@@ -195,6 +192,7 @@
 	d.plan.done(chunk)
 	d.offers.add(chunk)
 	d.progressAt = now
+	d.manager.hooks.reached(StageChunks, d.offers.count())
 }
 
 // offered updates what a peer offers.
@@ -260,7 +258,7 @@
 }
 
 // makeRoom reports whether another peer may be watched. When there are enough,
-// a peer that is of no use, or has much less upload budget to spare, gives way.
+// a peer that is of no use gives way.
 func (d *download) makeRoom(peer wire.TrackPeer, far bool) bool {
 	limit := d.config.Peers
 	if far {
@@ -268,39 +266,28 @@
 	}
 	now := time.Now()
 	count := 0
-	worst := ""
+	useless := ""
 	for addr, watched := range d.watches {
 		if d.plan.peers[addr].far != far {
 			continue
 		}
 		count++
 		settled := d.plan.peers[addr].known && now.Sub(watched.since) >= d.config.Announce
-		if settled && (worst == "" || d.worth(addr) < d.worth(worst)) {
-			worst = addr
+		if settled && !d.plan.useful(addr) {
+			useless = addr
 		}
 	}
 	if count < limit {
 		return true
 	}
-	if worst == "" || peer.Done == 0 || peer.Left <= 0 || now.Before(d.nextSwap) {
-		return false
-	}
-	if d.plan.useful(worst) && peer.Spare-d.worth(worst) <= d.ledger.size/rebalanceParts {
+	if useless == "" || peer.Done == 0 || peer.Left <= 0 || now.Before(d.nextSwap) {
 		return false
 	}
 	d.nextSwap = now.Add(d.jittered(d.config.Announce))
-	peerLost{addr: worst}.apply(d, now)
+	peerLost{addr: useless}.apply(d, now)
 	return true
 }
 
-// worth ranks the watched peers: those of no use come last.
-func (d *download) worth(addr string) int64 {
-	if !d.plan.useful(addr) {
-		return -d.ledger.size
-	}
-	return d.plan.spare(addr, d.ledger.size)
-}
-
 // fetchExtent draws the chunks of an extent that no near peer delivers from a
 // source, on behalf of the region.
 func (d *download) fetchExtent(extent int, takeover bool, now time.Time) {
@@ -399,7 +386,9 @@
 	if e.origin && core.WorkOf(e.readErr) == core.WorkNotRun {
 		d.unused[e.chunk] = true
 	}
-	d.retryLater(e.chunk)
+	if !e.origin || !d.fetchElsewhere(e.chunk) {
+		d.retryLater(e.chunk)
+	}
 }
 
 // retryChunk turns to the sources again for a chunk that one failed to give.
@@ -457,17 +446,20 @@
 }
 
 // fetchElsewhere turns to a far peer or, when none offers the chunk, to the
-// weight store.
-func (d *download) fetchElsewhere(chunk int) {
+// weight store. It reports whether the chunk can come from there.
+func (d *download) fetchElsewhere(chunk int) bool {
 	d.plan.wantFar.set(chunk)
 	d.wantFar = true
-	if d.plan.cover(chunk) >= coverNear || d.config.Sources.Store == nil {
-		return
+	if d.plan.cover(chunk) >= coverNear {
+		return true
 	}
-	if !d.plan.take(chunk) {
-		return
+	if d.config.Sources.Store == nil {
+		return false
+	}
+	if d.plan.take(chunk) {
+		d.spawn(func() { d.drawChunk(chunk, false) })
 	}
-	d.spawn(func() { d.drawChunk(chunk, false) })
+	return true
 }
 
 // checkStall turns to sources when chunks that no near peer delivers have not
--- a/weights/swarm/ledger.go
+++ b/weights/swarm/ledger.go
@@ -58,13 +58,6 @@
 	return left
 }
 
-// spare returns how many bytes more were received than sent.
-func (l *ledger) spare() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.size - l.missing - l.sent
-}
-
 // send books an upload. It reports false when the budget does not allow it.
 func (l *ledger) send(size int64, now time.Time) bool {
 	l.mu.Lock()
--- a/weights/swarm/manager.go
+++ b/weights/swarm/manager.go
@@ -36,7 +36,15 @@
 type hooks struct {
 	skipChunkCheck bool
 	skipWholeCheck bool
-	step           func(Stage)
+	// step is called at the start of a stage, and with StageChunks and the
+	// number of verified chunks after each of them.
+	step func(stage Stage, chunks int)
+}
+
+func (h hooks) reached(stage Stage, chunks int) {
+	if h.step != nil {
+		h.step(stage, chunks)
+	}
 }
 
 // Manager brings the target version into one engine and offers it to peers.
--- a/weights/swarm/planner.go
+++ b/weights/swarm/planner.go
@@ -389,13 +389,6 @@
 	return false
 }
 
-// spare estimates how many bytes more a peer received than it sent on.
-func (p *planner) spare(addr string, size int64) int64 {
-	view := p.peers[addr]
-	missing := size * int64(len(p.sizes)-view.offers) / int64(len(p.sizes))
-	return view.left - missing
-}
-
 // uncovered returns the missing chunks in [from, to) that are not requested
 // and that no near peer can deliver.
 func (p *planner) uncovered(from, to int) []int {
--- a/weights/swarm/session.go
+++ b/weights/swarm/session.go
@@ -93,9 +93,7 @@
 	s.mu.Lock()
 	s.stage = stage
 	s.mu.Unlock()
-	if s.manager.hooks.step != nil {
-		s.manager.hooks.step(stage)
-	}
+	s.manager.hooks.reached(stage, 0)
 }
 
 func (s *session) stageNow() Stage {
--- a/weights/tracker/state.go
+++ b/weights/tracker/state.go
@@ -13,9 +13,6 @@
 	"currantusher.dev/wire"
 )
 
-// budgetLevels is how finely upload budgets are told apart.
-const budgetLevels = 8
-
 // assignment is one extent that a downloader was asked to fetch.
 type assignment struct {
 	holder core.InstanceID
@@ -122,18 +119,14 @@
 	wantChunks
 )
 
-// sample draws the members that can help most: those that have what is wanted,
-// then those with the most upload budget to spare, roughly, then those named
-// least so far.
+// sample draws the members that can help: those that have what is wanted and an
+// upload budget left come first, then those named least so far. Naming all
+// equally often spreads the uploads.
 func sample(members []*member, count int, want need, random *rand.Rand) []wire.TrackPeer {
 	sort.Slice(members, func(i, j int) bool { return members[i].peer.ID < members[j].peer.ID })
 	random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	var most int64
-	for _, known := range members {
-		most = max(most, known.peer.Spare)
-	}
 	sort.SliceStable(members, func(i, j int) bool {
-		level, other := members[i].level(want, most), members[j].level(want, most)
+		level, other := members[i].level(want), members[j].level(want)
 		if level != other {
 			return level > other
 		}
@@ -148,28 +141,17 @@
 }
 
 // level ranks a member by how much it can help.
-func (m *member) level(want need, most int64) int64 {
+func (m *member) level(want need) int {
 	switch {
 	case want == wantManifest && m.peer.Total > 0:
 		return 1
-	case want == wantChunks && m.peer.Done > 0:
-		return 1 + budgetLevel(m.peer, most)
+	case want == wantChunks && m.peer.Done > 0 && m.peer.Left > 0:
+		return 1
 	default:
 		return 0
 	}
 }
 
-// budgetLevel is 0 for a spent budget and budgetLevels for the most to spare.
-func budgetLevel(peer wire.TrackPeer, most int64) int64 {
-	if peer.Left <= 0 {
-		return 0
-	}
-	if most <= 0 {
-		return 1
-	}
-	return 1 + max(0, peer.Spare)*(budgetLevels-1)/most
-}
-
 func (v *version) assign(reply *wire.TrackReply, request wire.TrackRequest, now time.Time, limits limits) {
 	timeout := limits.fetch
 	region := v.region(request.Self.Region)
--- a/wire/track.go
+++ b/wire/track.go
@@ -16,9 +16,6 @@
 	Total uint32 `cbor:"7,keyasint"`
 	// Left is the rest of the upload budget in bytes.
 	Left int64 `cbor:"8,keyasint"`
-	// Spare is the part of Left that the downloader has earned: the bytes that
-	// it received and did not send on.
-	Spare int64 `cbor:"9,keyasint"`
 }
 
 // TrackRequest registers a downloader for a while and asks for peers.
