--- a/members/lease/lease_test.go
+++ b/members/lease/lease_test.go
@@ -327,7 +327,7 @@
 	steps := []string{"acquire", "renew", "act", "release"}
 	for _, fault := range faults {
 		for at := range steps {
-			t.Run(fmt.Sprintf("%s/%s", fault.name, steps[at]), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%s", steps[at], fault.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithTimeout(t.Context(), 20*testTTL)
 					defer cancel()
--- a/members/matrix_test.go
+++ b/members/matrix_test.go
@@ -54,7 +54,7 @@
 	}
 	for _, fault := range faultList {
 		for at := range steps {
-			t.Run(fmt.Sprintf("%s/%s", fault.name, steps[at].name), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/%s", steps[at].name, fault.name), func(t *testing.T) {
 				before := invariant.Total()
 				for seed := range uint64(matrixSeeds) {
 					s := newSimulation(t, seed, 4, 3)
