--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -8,17 +8,14 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
-	"currantusher.dev/core/invariant"
-	"currantusher.dev/daemon/inflight"
+	"currantusher.dev/daemon/lifecycle"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/members"
 	"currantusher.dev/members/lease"
@@ -46,13 +43,8 @@
 	registry    metrics.Registry
 	log         agentLogs
 	engine      atomic.Pointer[engineView]
-	draining    atomic.Bool
-	// drainExpired says that the drain time ran out with work in progress.
-	drainExpired atomic.Bool
-	killed       chan struct{}
-	kill         func()
-	seen         seenWeights
-	work         inflight.Group
+	life        *lifecycle.Lifecycle
+	seen        seenWeights
 }
 
 type agentLogs struct {
@@ -76,12 +68,10 @@
 		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
 		backend:     newBackend(config.BackendURL),
 		registry:    metrics.NewRegistry(),
-		killed:      make(chan struct{}),
 		log:         newLogs(config.Log),
 	}
 	a.engine.Store(&engineView{})
 	a.gate = admission.New(admission.Config{Incarnation: a.incarnation, Limits: startLimits})
-	a.kill = sync.OnceFunc(func() { close(a.killed) })
 	if err := a.wire(); err != nil {
 		_ = peer.Close()
 		return nil, err
@@ -89,6 +79,10 @@
 	return a, nil
 }
 
+// leaveNotice leaves time for all entries to learn of the leave, while
+// dispatches are still refused by an answer.
+const leaveNotice = 2 * time.Second
+
 // startLimits hold until the pool's limits are known.
 var startLimits = tables.Limits{ColdRequests: 1, WarmRequests: 1}
 
@@ -141,6 +135,14 @@
 	if err != nil {
 		return err
 	}
+	a.life = lifecycle.New(lifecycle.Config{
+		Leaver:    a.reporter,
+		Notice:    leaveNotice,
+		DrainTime: a.config.DrainTime,
+		Running:   func() int { return a.gate.Load(time.Now()).Running },
+		Abort:     func() { _ = a.peer.Close() },
+		Log:       a.log.main,
+	})
 	if err := a.wireSpread(); err != nil {
 		return err
 	}
@@ -168,32 +170,17 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.config.Log.ReportInvariants()
 	a.log.main.WithField("peer", a.PeerAddr()).Info("Agent started.")
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, duties := errgroup.WithContext(running)
-	for _, duty := range a.duties() {
-		group.Go(func() error { return ignoreCancelled(duty(duties)) })
-	}
-	group.Go(func() error {
-		defer stop()
-		select {
-		case <-ctx.Done():
-			a.drain()
-		case <-a.killed:
-			_ = a.peer.Close()
-		case <-duties.Done():
-		}
-		return nil
-	})
-	err := group.Wait()
-	a.checkStopped(ctx)
+	err := a.life.Run(ctx, a.duties())
 	closeErr := a.peer.Close()
 	a.log.main.Info("Agent stopped.")
 	return errors.Join(err, closeErr)
 }
 
-func (a *Agent) duties() []func(context.Context) error {
-	duties := []func(context.Context) error{
+// Kill ends Run at once, without a drain, as the loss of the instance would.
+func (a *Agent) Kill() { a.life.Kill() }
+
+func (a *Agent) duties() []lifecycle.Duty {
+	duties := []lifecycle.Duty{
 		a.peer.Serve,
 		a.spread.Run,
 		a.reporter.Run,
@@ -209,49 +196,6 @@
 	return duties
 }
 
-// Kill ends Run at once, without a drain, as the loss of the instance would.
-func (a *Agent) Kill() { a.kill() }
-
-func ignoreCancelled(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// checkStopped asserts that a planned stop within its drain time cut nothing.
-func (a *Agent) checkStopped(ctx context.Context) {
-	planned := ctx.Err() != nil && !a.drainExpired.Load()
-	running := a.gate.Load(time.Now()).Running
-	invariant.Check(invariant.GracefulStop, !planned || running == 0, "agent stopped with %d requests", running)
-}
-
-// drain announces the leave, waits for work in progress and reports the end.
-func (a *Agent) drain() {
-	a.draining.Store(true)
-	a.log.main.Info("Draining.")
-	ctx, cancel := context.WithTimeout(context.Background(), a.config.DrainTime)
-	defer cancel()
-	if err := a.reporter.Leave(ctx); err != nil {
-		a.log.main.WithError(err).Warn("Leave not announced to the list.")
-	}
-	time.Sleep(leaveNotice)
-	if err := a.work.Wait(ctx); err != nil {
-		a.drainExpired.Store(true)
-		a.log.main.WithField("running", a.work.Count()).Warn("Drain time ran out.")
-	}
-	a.reporter.Left()
-	time.Sleep(leftNotice)
-}
-
-const (
-	// leaveNotice leaves time for all entries to learn of the leave, while
-	// dispatches are still refused by an answer.
-	leaveNotice = 2 * time.Second
-	// leftNotice leaves time for the last report to be sent.
-	leftNotice = 200 * time.Millisecond
-)
-
 func (a *Agent) serveHTTP(ctx context.Context) error {
 	mux := http.NewServeMux()
 	obs.Mount(mux, a.registry, a.ready)
@@ -265,7 +209,7 @@
 }
 
 func (a *Agent) ready() error {
-	if a.draining.Load() {
+	if a.life.Draining() {
 		return core.Refuse(core.CodeDraining, 0, "leaving")
 	}
 	return a.spread.Fresh(time.Now())
--- a/daemon/agent/dispatch.go
+++ b/daemon/agent/dispatch.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	received := time.Now()
-	defer a.work.Enter()()
+	defer a.life.Work.Enter()()
 	permit, pinned, err := a.start(d, received)
 	if err != nil {
 		metrics.GetOrRegisterCounter("requests.refused", a.registry).Inc(1)
@@ -72,7 +72,7 @@
 		EngineWeights: view.state.Weights,
 		EngineServing: view.serving,
 		EngineCold:    !view.state.Warm,
-		Draining:      a.draining.Load(),
+		Draining:      a.life.Draining(),
 		ConfigErr:     a.spread.Fresh(now),
 	}
 	current := a.spread.Current()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -7,17 +7,13 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
-	"currantusher.dev/core/invariant"
-	"currantusher.dev/daemon/inflight"
+	"currantusher.dev/daemon/lifecycle"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/daemon/peers"
 	"currantusher.dev/members"
@@ -40,8 +36,6 @@
 	// startTimeout abandons a repeatable request at an agent that does not
 	// answer, such as a paused one.
 	startTimeout = time.Second
-	// leftNotice leaves time for the last report to be sent.
-	leftNotice = 200 * time.Millisecond
 )
 
 // Entry is one entry process.
@@ -63,12 +57,7 @@
 	burn        *report.Burn
 	registry    metrics.Registry
 	log         entryLogs
-	draining    atomic.Bool
-	// drainExpired says that the drain time ran out with work in progress.
-	drainExpired atomic.Bool
-	killed       chan struct{}
-	kill         func()
-	work         inflight.Group
+	life        *lifecycle.Lifecycle
 }
 
 type entryLogs struct {
@@ -98,10 +87,8 @@
 		platform:    client.New(client.Config{BaseURL: config.PlatformURL}),
 		burn:        report.NewBurn(report.Config{}),
 		registry:    metrics.NewRegistry(),
-		killed:      make(chan struct{}),
 		log:         newLogs(config.Log),
 	}
-	e.kill = sync.OnceFunc(func() { close(e.killed) })
 	if err := e.wire(); err != nil {
 		_ = listener.Close()
 		_ = peer.Close()
@@ -134,6 +121,14 @@
 	if err := e.wireMembers(); err != nil {
 		return err
 	}
+	e.life = lifecycle.New(lifecycle.Config{
+		Leaver:    e.reporter,
+		Notice:    e.config.AddressTTL,
+		DrainTime: e.config.DrainTime,
+		Running:   func() int { return e.life.Work.Count() },
+		Abort:     func() { _ = e.peer.Close() },
+		Log:       e.log.main,
+	})
 	if err := e.wireSpread(); err != nil {
 		return err
 	}
@@ -287,7 +282,7 @@
 		status.Revision = current.Revision()
 	}
 	return wire.Heartbeat{
-		Running:         e.work.Count(),
+		Running:         e.life.Work.Count(),
 		ConfigAgeMillis: e.spread.Age().Milliseconds(),
 		Status:          status,
 	}
@@ -299,32 +294,17 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.config.Log.ReportInvariants()
 	e.log.main.WithField("http", e.HTTPAddr()).WithField("peer", e.PeerAddr()).Info("Entry started.")
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, duties := errgroup.WithContext(running)
-	for _, duty := range e.duties() {
-		group.Go(func() error { return ignoreCancelled(duty(duties)) })
-	}
-	group.Go(func() error {
-		defer stop()
-		select {
-		case <-ctx.Done():
-			e.drain()
-		case <-e.killed:
-			_ = e.peer.Close()
-		case <-duties.Done():
-		}
-		return nil
-	})
-	err := group.Wait()
-	e.checkStopped(ctx)
+	err := e.life.Run(ctx, e.duties())
 	closeErr := e.peer.Close()
 	e.log.main.Info("Entry stopped.")
 	return errors.Join(err, closeErr)
 }
 
-func (e *Entry) duties() []func(context.Context) error {
-	return []func(context.Context) error{
+// Kill ends Run at once, without a drain, as the loss of the instance would.
+func (e *Entry) Kill() { e.life.Kill() }
+
+func (e *Entry) duties() []lifecycle.Duty {
+	return []lifecycle.Duty{
 		e.peer.Serve,
 		e.directory.Run,
 		e.reporter.Run,
@@ -337,37 +317,3 @@
 		e.serveHTTP,
 	}
 }
-
-// Kill ends Run at once, without a drain, as the loss of the instance would.
-func (e *Entry) Kill() { e.kill() }
-
-func ignoreCancelled(err error) error {
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
-}
-
-// checkStopped asserts that a planned stop within its drain time cut nothing.
-func (e *Entry) checkStopped(ctx context.Context) {
-	planned := ctx.Err() != nil && !e.drainExpired.Load()
-	running := e.work.Count()
-	invariant.Check(invariant.GracefulStop, !planned || running == 0, "entry stopped with %d requests", running)
-}
-
-func (e *Entry) drain() {
-	e.draining.Store(true)
-	e.log.main.Info("Leaving.")
-	ctx, cancel := context.WithTimeout(context.Background(), e.config.AddressTTL+e.config.DrainTime)
-	defer cancel()
-	if err := e.reporter.Leave(ctx); err != nil {
-		e.log.main.WithError(err).Warn("Leave not announced to the list.")
-	}
-	time.Sleep(e.config.AddressTTL)
-	if err := e.work.Wait(ctx); err != nil {
-		e.drainExpired.Store(true)
-		e.log.main.WithField("running", e.work.Count()).Warn("Drain time ran out.")
-	}
-	e.reporter.Left()
-	time.Sleep(leftNotice)
-}
--- a/daemon/entry/http.go
+++ b/daemon/entry/http.go
@@ -76,7 +76,7 @@
 // connections.
 func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.draining.Load() {
+		if e.life.Draining() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -101,7 +101,7 @@
 }
 
 func (e *Entry) ready() error {
-	if e.draining.Load() {
+	if e.life.Draining() {
 		return core.Refuse(core.CodeDraining, 0, "leaving")
 	}
 	return e.spread.Fresh(time.Now())
--- a/daemon/inflight/inflight.go
+++ b/daemon/lifecycle/inflight.go
@@ -1,6 +1,4 @@
-// Package inflight counts work in progress so that a planned stop can wait for
-// its end. Unlike sync.WaitGroup it allows new work while somebody waits.
-package inflight
+package lifecycle
 
 import (
 	"context"
--- a/daemon/inflight/inflight_test.go
+++ b/daemon/lifecycle/inflight_test.go
@@ -1,4 +1,4 @@
-package inflight
+package lifecycle
 
 import (
 	"context"
