Show configuration ages and faulty rows in status; add diff and edit ids

Cause: an operator could not see from the tool which rows of direct edits are not in force, how old an entry's configuration is, or what changed between two revisions; and a network error to the entry left an edit's outcome open without a way to ask again. After: status prints ages and faulty rows, diff prints changes, and edits are sent again with the same edit id up to three times.

--- a/api/oas/oas_client_gen.go
+++ b/api/oas/oas_client_gen.go
@@ -27,6 +27,10 @@
 	//
 	// POST /v1/edits
 	ApplyEdit(ctx context.Context, request *Edit) (*EditResult, error)
+	// DiffRevisions invokes diffRevisions operation.
+	//
+	// GET /v1/diff
+	DiffRevisions(ctx context.Context, params DiffRevisionsParams) ([]string, error)
 	// GetBurn invokes getBurn operation.
 	//
 	// GET /v1/burn
@@ -179,6 +183,78 @@
 	return result, nil
 }
 
+// DiffRevisions invokes diffRevisions operation.
+//
+// GET /v1/diff
+func (c *Client) DiffRevisions(ctx context.Context, params DiffRevisionsParams) ([]string, error) {
+	res, err := c.sendDiffRevisions(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendDiffRevisions(ctx context.Context, params DiffRevisionsParams) (res []string, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/diff"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "from" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "from",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.Int64ToString(params.From))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "to" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "to",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.Int64ToString(params.To))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeDiffRevisionsResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetBurn invokes getBurn operation.
 //
 // GET /v1/burn
--- a/api/oas/oas_handlers_gen.go
+++ b/api/oas/oas_handlers_gen.go
@@ -168,6 +168,103 @@
 	}
 }
 
+// handleDiffRevisionsRequest handles diffRevisions operation.
+//
+// GET /v1/diff
+func (s *Server) handleDiffRevisionsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: DiffRevisionsOperation,
+			ID:   "diffRevisions",
+		}
+	)
+	params, err := decodeDiffRevisionsParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response []string
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    DiffRevisionsOperation,
+			OperationSummary: "",
+			OperationID:      "diffRevisions",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "from",
+					In:   "query",
+				}: params.From,
+				{
+					Name: "to",
+					In:   "query",
+				}: params.To,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = DiffRevisionsParams
+			Response = []string
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackDiffRevisionsParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.DiffRevisions(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.DiffRevisions(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeDiffRevisionsResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetBurnRequest handles getBurn operation.
 //
 // GET /v1/burn
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -3031,6 +3031,153 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *RowFault) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RowFault) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("table")
+		e.Str(s.Table)
+	}
+	{
+		e.FieldStart("key")
+		e.Str(s.Key)
+	}
+	{
+		e.FieldStart("code")
+		e.Int(s.Code)
+	}
+	{
+		e.FieldStart("detail")
+		e.Str(s.Detail)
+	}
+}
+
+var jsonFieldsNameOfRowFault = [4]string{
+	0: "table",
+	1: "key",
+	2: "code",
+	3: "detail",
+}
+
+// Decode decodes RowFault from json.
+func (s *RowFault) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RowFault to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "table":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Table = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"table\"")
+			}
+		case "key":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Key = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
+		case "code":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Code = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"code\"")
+			}
+		case "detail":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Detail = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RowFault")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRowFault) {
+					name = jsonFieldsNameOfRowFault[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RowFault) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RowFault) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -3040,6 +3187,14 @@
 
 // encodeFields encodes fields.
 func (s *Status) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("row_faults")
+		e.ArrStart()
+		for _, elem := range s.RowFaults {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
 	{
 		e.FieldStart("revision")
 		e.Int64(s.Revision)
@@ -3058,10 +3213,11 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [3]string{
-	0: "revision",
-	1: "daemons",
-	2: "violations",
+var jsonFieldsNameOfStatus = [4]string{
+	0: "row_faults",
+	1: "revision",
+	2: "daemons",
+	3: "violations",
 }
 
 // Decode decodes Status from json.
@@ -3073,8 +3229,26 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "revision":
+		case "row_faults":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.RowFaults = make([]RowFault, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem RowFault
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.RowFaults = append(s.RowFaults, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"row_faults\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Int64()
 				s.Revision = int64(v)
@@ -3086,7 +3260,7 @@
 				return errors.Wrap(err, "decode field \"revision\"")
 			}
 		case "daemons":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Daemons = make([]Daemon, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3104,7 +3278,7 @@
 				return errors.Wrap(err, "decode field \"daemons\"")
 			}
 		case "violations":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Int64()
 				s.Violations = int64(v)
@@ -3125,7 +3299,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000111,
+		0b00001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/oas/oas_operations_gen.go
+++ b/api/oas/oas_operations_gen.go
@@ -7,6 +7,7 @@
 
 const (
 	ApplyEditOperation     OperationName = "ApplyEdit"
+	DiffRevisionsOperation OperationName = "DiffRevisions"
 	GetBurnOperation       OperationName = "GetBurn"
 	GetInForceOperation    OperationName = "GetInForce"
 	GetStatusOperation     OperationName = "GetStatus"
--- a/api/oas/oas_parameters_gen.go
+++ b/api/oas/oas_parameters_gen.go
@@ -14,6 +14,143 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// DiffRevisionsParams is parameters of diffRevisions operation.
+type DiffRevisionsParams struct {
+	From int64
+	To   int64
+}
+
+func unpackDiffRevisionsParams(packed middleware.Parameters) (params DiffRevisionsParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "from",
+			In:   "query",
+		}
+		params.From = packed[key].(int64)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "to",
+			In:   "query",
+		}
+		params.To = packed[key].(int64)
+	}
+	return params
+}
+
+func decodeDiffRevisionsParams(args [0]string, argsEscaped bool, r *http.Request) (params DiffRevisionsParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: from.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "from",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToInt64(val)
+				if err != nil {
+					return err
+				}
+
+				params.From = c
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           1,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(params.From)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "from",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode query: to.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "to",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToInt64(val)
+				if err != nil {
+					return err
+				}
+
+				params.To = c
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           1,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(params.To)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "to",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetInForceParams is parameters of getInForce operation.
 type GetInForceParams struct {
 	Revision int64
--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -155,6 +155,155 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeDiffRevisionsResponse(resp *http.Response) (res []string, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response []string
+			if err := func() error {
+				response = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					response = append(response, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if response == nil {
+					return errors.New("nil is invalid value")
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			var wrapper ProblemStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetBurnResponse(resp *http.Response) (res *BurnReport, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -25,6 +25,23 @@
 	return nil
 }
 
+func encodeDiffRevisionsResponse(response []string, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	e.ArrStart()
+	for _, elem := range response {
+		e.Str(elem)
+	}
+	e.ArrEnd()
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetBurnResponse(response *BurnReport, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/oas/oas_router_gen.go
+++ b/api/oas/oas_router_gen.go
@@ -14,7 +14,7 @@
 	rn1AllowedHeaders = map[string]string{
 		"POST": "Authorization,Content-Type",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn15AllowedHeaders = map[string]string{
 		"POST": "Accept,Content-Type,Idempotency-Key,X-Deadline-Millis,X-Priority,X-Team",
 	}
 )
@@ -95,6 +95,31 @@
 					return
 				}
 
+			case 'd': // Prefix: "diff"
+
+				if l := len("diff"); len(elem) >= l && elem[0:l] == "diff" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleDiffRevisionsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 'e': // Prefix: "e"
 
 				if l := len("e"); len(elem) >= l && elem[0:l] == "e" {
@@ -198,7 +223,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn14AllowedHeaders,
+								allowedHeaders: rn15AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -460,6 +485,31 @@
 					}
 				}
 
+			case 'd': // Prefix: "diff"
+
+				if l := len("diff"); len(elem) >= l && elem[0:l] == "diff" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = DiffRevisionsOperation
+						r.summary = ""
+						r.operationID = "diffRevisions"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/diff"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 'e': // Prefix: "e"
 
 				if l := len("e"); len(elem) >= l && elem[0:l] == "e" {
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -1412,6 +1412,54 @@
 	s.ObjectiveRatio = val
 }
 
+// Ref: #/components/schemas/RowFault
+type RowFault struct {
+	Table  string `json:"table"`
+	Key    string `json:"key"`
+	Code   int    `json:"code"`
+	Detail string `json:"detail"`
+}
+
+// GetTable returns the value of Table.
+func (s *RowFault) GetTable() string {
+	return s.Table
+}
+
+// GetKey returns the value of Key.
+func (s *RowFault) GetKey() string {
+	return s.Key
+}
+
+// GetCode returns the value of Code.
+func (s *RowFault) GetCode() int {
+	return s.Code
+}
+
+// GetDetail returns the value of Detail.
+func (s *RowFault) GetDetail() string {
+	return s.Detail
+}
+
+// SetTable sets the value of Table.
+func (s *RowFault) SetTable(val string) {
+	s.Table = val
+}
+
+// SetKey sets the value of Key.
+func (s *RowFault) SetKey(val string) {
+	s.Key = val
+}
+
+// SetCode sets the value of Code.
+func (s *RowFault) SetCode(val int) {
+	s.Code = val
+}
+
+// SetDetail sets the value of Detail.
+func (s *RowFault) SetDetail(val string) {
+	s.Detail = val
+}
+
 type SendRequestOK struct {
 	Data io.Reader
 }
@@ -1445,9 +1493,16 @@
 
 // Ref: #/components/schemas/Status
 type Status struct {
-	Revision   int64    `json:"revision"`
-	Daemons    []Daemon `json:"daemons"`
-	Violations int64    `json:"violations"`
+	// Rows of direct edits that are not in force.
+	RowFaults  []RowFault `json:"row_faults"`
+	Revision   int64      `json:"revision"`
+	Daemons    []Daemon   `json:"daemons"`
+	Violations int64      `json:"violations"`
+}
+
+// GetRowFaults returns the value of RowFaults.
+func (s *Status) GetRowFaults() []RowFault {
+	return s.RowFaults
 }
 
 // GetRevision returns the value of Revision.
@@ -1465,6 +1520,11 @@
 	return s.Violations
 }
 
+// SetRowFaults sets the value of RowFaults.
+func (s *Status) SetRowFaults(val []RowFault) {
+	s.RowFaults = val
+}
+
 // SetRevision sets the value of Revision.
 func (s *Status) SetRevision(val int64) {
 	s.Revision = val
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -15,6 +15,10 @@
 	//
 	// POST /v1/edits
 	ApplyEdit(ctx context.Context, req *Edit) (*EditResult, error)
+	// DiffRevisions implements diffRevisions operation.
+	//
+	// GET /v1/diff
+	DiffRevisions(ctx context.Context, params DiffRevisionsParams) ([]string, error)
 	// GetBurn implements getBurn operation.
 	//
 	// GET /v1/burn
--- a/api/oas/oas_unimplemented_gen.go
+++ b/api/oas/oas_unimplemented_gen.go
@@ -23,6 +23,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// DiffRevisions implements diffRevisions operation.
+//
+// GET /v1/diff
+func (UnimplementedHandler) DiffRevisions(ctx context.Context, params DiffRevisionsParams) (r []string, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetBurn implements getBurn operation.
 //
 // GET /v1/burn
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -518,6 +518,17 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if s.RowFaults == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "row_faults",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Daemons == nil {
 			return errors.New("nil is invalid value")
--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -67,6 +67,7 @@
 		tableCommand(teamTable),
 		applyCommand(),
 		historyCommand(),
+		diffCommand(),
 		statusCommand(),
 		weightsCommand(),
 		reportCommand(),
--- a/cmd/currantusher/operator.go
+++ b/cmd/currantusher/operator.go
@@ -70,6 +70,9 @@
 
 // explain turns a problem reply into an error with its result code.
 func explain(err error) error {
+	if err == nil {
+		return nil
+	}
 	var problem *oas.ProblemStatusCodeWithHeaders
 	if !errors.As(err, &problem) {
 		return err
@@ -82,23 +85,39 @@
 	return core.Fail(core.Code(body.Code), work, "%d %s: %s", body.Code, body.Name, body.Detail)
 }
 
-// edit sends one edit. The edit id makes a repeat after a lost answer safe.
+// editTries bounds the sends of one edit whose outcome is not known.
+const editTries = 3
+
+// edit sends one edit, and sends it again with the same edit id while it is not
+// known whether it was accepted. The entry answers a repeat with the first
+// result.
 func (o *operator) edit(ctx context.Context, edit *oas.Edit) (*oas.EditResult, error) {
 	client, err := o.client()
 	if err != nil {
 		return nil, err
 	}
-	edit.EditID = uuid.NewString()
+	if edit.EditID == "" {
+		edit.EditID = uuid.NewString()
+	}
 	edit.Author = oas.NewOptString(author())
-	result, err := client.ApplyEdit(ctx, edit)
-	if err == nil {
-		return result, nil
+	var result *oas.EditResult
+	for range editTries {
+		result, err = client.ApplyEdit(ctx, edit)
+		if !isUnknown(err) {
+			return result, explain(err)
+		}
 	}
-	if core.CodeOf(explain(err)) != core.CodeEditUnknown {
-		return nil, explain(err)
+	return nil, fmt.Errorf("ask again with --edit-id %s: %w", edit.EditID, explain(err))
+}
+
+// isUnknown reports whether an edit may have been accepted although err came
+// back: the entry said so, or no answer came.
+func isUnknown(err error) bool {
+	var problem *oas.ProblemStatusCodeWithHeaders
+	if errors.As(err, &problem) {
+		return core.Code(problem.Response.Code) == core.CodeEditUnknown
 	}
-	result, err = client.ApplyEdit(ctx, edit)
-	return result, explain(err)
+	return err != nil
 }
 
 func author() string {
--- a/cmd/currantusher/status.go
+++ b/cmd/currantusher/status.go
@@ -10,7 +10,10 @@
 	"currantusher.dev/api/oas"
 )
 
-const digestShown = 12
+const (
+	digestShown     = 12
+	millisPerSecond = 1000
+)
 
 func statusCommand() *command {
 	var op operator
@@ -36,11 +39,11 @@
 func printStatus(status *oas.Status) error {
 	fmt.Printf("revision %d, %d daemons, %d invariant violations\n", status.Revision, len(status.Daemons), status.Violations)
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tREVISION\tWEIGHTS\tCHUNKS\tLOAD\tTEMPERATURE")
+	_, _ = fmt.Fprintln(table, "INSTANCE\tROLE\tDATA CENTRE\tSTATE\tREVISION\tWEIGHTS\tCHUNKS\tLOAD\tTEMPERATURE\tCONFIG AGE")
 	var behind []string
 	for _, d := range status.Daemons {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%d/%d\t%d/%d\t%s\n", d.Instance, d.Role, d.DataCentre, d.State, d.Revision,
-			short(d.Weights.Or("")), d.ChunksDone.Or(0), d.ChunksTotal.Or(0), d.Running.Or(0), d.Limit.Or(0), d.Temperature.Or("-"))
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%d/%d\t%d/%d\t%s\t%.1fs\n", d.Instance, d.Role, d.DataCentre, d.State, d.Revision,
+			short(d.Weights.Or("")), d.ChunksDone.Or(0), d.ChunksTotal.Or(0), d.Running.Or(0), d.Limit.Or(0), d.Temperature.Or("-"), float64(d.ConfigAgeMillis.Or(0))/millisPerSecond)
 		if d.Revision < status.Revision {
 			behind = append(behind, d.Instance)
 		}
@@ -48,6 +51,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, fault := range status.RowFaults {
+		fmt.Printf("not in force: %s %s: %d %s\n", fault.Table, fault.Key, fault.Code, fault.Detail)
+	}
 	if len(behind) > 0 {
 		fmt.Println("behind:", strings.Join(behind, ", "))
 	}
@@ -96,3 +102,27 @@
 	}
 	return nil
 }
+
+func diffCommand() *command {
+	var op operator
+	var from, to int
+	c := &command{name: "diff", usage: "Prints the changes that lead from one accepted revision to another."}
+	op.define(&c.settings)
+	c.settings.Int(&from, "from", 1, "earlier revision")
+	c.settings.Int(&to, "to", 0, "later revision")
+	c.run = func(ctx context.Context) error {
+		client, err := op.client()
+		if err != nil {
+			return err
+		}
+		changes, err := client.DiffRevisions(ctx, oas.DiffRevisionsParams{From: int64(from), To: int64(to)})
+		if err != nil {
+			return explain(err)
+		}
+		for _, change := range changes {
+			fmt.Println(change)
+		}
+		return nil
+	}
+	return c
+}
--- a/cmd/currantusher/tables.go
+++ b/cmd/currantusher/tables.go
@@ -150,10 +150,12 @@
 	ifRevision int
 	dryRun     bool
 	wait       string
+	id         string
 }
 
 func (f *editFlags) define(c *command) {
 	c.settings.Int(&f.ifRevision, "if-revision", 0, "refuse unless this is the newest revision; 0 accepts any")
+	c.settings.String(&f.id, "edit-id", "", "repeats an earlier edit whose outcome is not known; empty makes a new id")
 	c.settings.Bool(&f.dryRun, "dry-run", "show the difference and change nothing")
 	c.settings.String(&f.wait, "wait", "", `"in-force" waits until every live daemon uses the edit`)
 }
@@ -165,6 +167,7 @@
 	if f.ifRevision != 0 {
 		edit.IfRevision = oas.NewOptInt64(int64(f.ifRevision))
 	}
+	edit.EditID = f.id
 	edit.DryRun = oas.NewOptBool(f.dryRun)
 	result, err := op.edit(ctx, edit)
 	if err != nil {
--- a/daemon/entry/api.go
+++ b/daemon/entry/api.go
@@ -115,6 +115,12 @@
 	return result, nil
 }
 
+// DiffRevisions implements oas.Handler.
+func (a *api) DiffRevisions(ctx context.Context, params oas.DiffRevisionsParams) ([]string, error) {
+	changes, err := a.entry.editor.Diff(ctx, core.Revision(params.From), core.Revision(params.To))
+	return notNil(changes), err
+}
+
 // GetInForce implements oas.Handler.
 func (a *api) GetInForce(_ context.Context, params oas.GetInForceParams) (*oas.InForce, error) {
 	inForce, missing := a.entry.directory.InForce(core.Revision(params.Revision))
@@ -164,19 +170,24 @@
 // GetStatus implements oas.Handler.
 func (a *api) GetStatus(context.Context) (*oas.Status, error) {
 	e := a.entry
-	status := &oas.Status{Violations: int64(invariant.Total()), Daemons: []oas.Daemon{}}
+	status := &oas.Status{
+		Violations: int64(invariant.Total()),
+		Daemons:    []oas.Daemon{},
+		RowFaults:  rowFaultsToAPI(e.spread.Faults()),
+	}
 	if current := e.spread.Current(); current != nil {
 		status.Revision = int64(current.Revision())
 	}
 	for _, peer := range e.directory.Entries() {
 		status.Daemons = append(status.Daemons, oas.Daemon{
-			Instance:    string(peer.Instance),
-			Role:        string(platform.RoleEntry),
-			DataCentre:  string(peer.DataCentre),
-			State:       peer.State.String(),
-			Address:     oas.NewOptString(peer.HTTPAddr),
-			Incarnation: oas.NewOptInt64(int64(peer.Incarnation)),
-			Revision:    int64(peer.Revision),
+			Instance:        string(peer.Instance),
+			Role:            string(platform.RoleEntry),
+			DataCentre:      string(peer.DataCentre),
+			State:           peer.State.String(),
+			Address:         oas.NewOptString(peer.HTTPAddr),
+			Incarnation:     oas.NewOptInt64(int64(peer.Incarnation)),
+			Revision:        int64(peer.Revision),
+			ConfigAgeMillis: oas.NewOptInt64(peer.ConfigAge.Milliseconds()),
 		})
 	}
 	for _, group := range e.groups() {
--- a/daemon/entry/views.go
+++ b/daemon/entry/views.go
@@ -34,6 +34,19 @@
 	}
 }
 
+func rowFaultsToAPI(faults []tables.RowFault) []oas.RowFault {
+	result := make([]oas.RowFault, 0, len(faults))
+	for _, fault := range faults {
+		result = append(result, oas.RowFault{
+			Table:  fault.Table,
+			Key:    fault.Key,
+			Code:   int(fault.Code),
+			Detail: fault.Detail,
+		})
+	}
+	return result
+}
+
 // burnToAPI returns the API's form of a burn report.
 func burnToAPI(r report.Report) *oas.BurnReport {
 	result := &oas.BurnReport{Series: []oas.BurnSeries{}}
