--- /dev/null
+++ b/weights/budget/grants_test.go
@@ -0,0 +1,99 @@
+package budget
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantusher.dev/core"
+	"currantusher.dev/platform"
+	"currantusher.dev/standin/store"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func TestFirstGrantLeavesReserve(t *testing.T) {
+	row := extentRow{}
+	var grant Grant
+	for i := range MaxFetches + 1 {
+		ask := Ask{Region: core.Region(fmt.Sprint("r", i)), Size: 2, Chunks: []int{0, 1}}
+		row, grant = row.grant(ask)
+		if i < MaxFetches-reserveFetches {
+			require.Equal(t, []int{0, 1}, grant.Chunks)
+		} else {
+			require.Empty(t, grant.Chunks)
+		}
+	}
+	_, grant = row.grant(Ask{Region: "r0", Size: 2, Chunks: []int{1}})
+	require.True(t, grant.Held)
+	row, grant = row.grant(Ask{Region: "r0", Size: 2, Chunks: []int{1}, Takeover: true})
+	require.Equal(t, []int{1}, grant.Chunks)
+	_, grant = row.grant(Ask{Region: "r0", Size: 2, Chunks: []int{0, 1, 7, -1}, Takeover: true})
+	require.Equal(t, []int{0}, grant.Chunks, "chunk 1 was fetched as often as allowed")
+}
+
+// TestRandomGrants lets many downloaders ask at once while commits lose their
+// answers, and counts the fetches that they may make.
+func TestRandomGrants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := store.NewMemory(store.Config{Seed: rapid.Uint64().Draw(t, "seed"), ReadsPerSecond: 1e9, WritesPerSecond: 1e9})
+		tables.SetFaults(store.Faults{LoseAnswers: rapid.SampledFrom([]float64{0, 0.3, 0.7}).Draw(t, "lose")})
+		size := rapid.IntRange(1, 4).Draw(t, "size")
+		regions := rapid.IntRange(1, 6).Draw(t, "regions")
+		asks := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Ask {
+			return Ask{
+				Region:   core.Region(fmt.Sprint("r", rapid.IntRange(1, regions).Draw(t, "region"))),
+				Holder:   "agent",
+				Size:     size,
+				Chunks:   rapid.SliceOfNDistinct(rapid.IntRange(0, size-1), 1, size, rapid.ID[int]).Draw(t, "chunks"),
+				Takeover: rapid.Bool().Draw(t, "takeover"),
+			}
+		}), 1, 24).Draw(t, "asks")
+		fetches := askAll(NewStore(tables), asks, size)
+		for chunk, count := range fetches {
+			if count > MaxFetches {
+				t.Fatalf("chunk %d may be fetched %d times", chunk, count)
+			}
+		}
+	})
+}
+
+func askAll(grants *Store, asks []Ask, size int) []int {
+	fetches := make([]int, size)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, ask := range asks {
+		wg.Go(func() {
+			grant, err := grants.Acquire(context.Background(), ask)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, chunk := range grant.Chunks {
+				fetches[chunk]++
+			}
+		})
+	}
+	wg.Wait()
+	return fetches
+}
+
+func TestAcquireWithoutTables(t *testing.T) {
+	tables := store.NewMemory(store.Config{})
+	tables.SetFaults(store.Faults{Down: true})
+	grant, err := NewStore(tables).Acquire(t.Context(), Ask{Region: "r", Size: 1, Chunks: []int{0}})
+	require.Error(t, err)
+	require.Empty(t, grant.Chunks)
+	var _ platform.Tables = tables
+}
