Slots: a renewal number never repeats in a pool

Cause: TestRandomSlots gave out three of two slots. A slot that was released and taken again began at renewal 0, so a server that had seen the old slot took the new one for expired. Renewals are now counted for the pool.

--- a/weights/rollout/server.go
+++ b/weights/rollout/server.go
@@ -216,7 +216,7 @@
 	now := s.config.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := poolRow{}
+	next := poolRow{Renewals: row.Renewals}
 	current := map[observation]bool{}
 	for _, held := range row.Slots {
 		seen := observation{pool: pool, slot: held}
--- a/weights/rollout/slots.go
+++ b/weights/rollout/slots.go
@@ -11,19 +11,22 @@
 	Instance    core.InstanceID  `cbor:"1,keyasint"`
 	Incarnation core.Incarnation `cbor:"2,keyasint"`
 	Root        core.Digest      `cbor:"3,keyasint"`
-	// Renewal grows with each renewal, so that an observer sees whether the
-	// slot is in use without comparing clocks.
+	// Renewal differs for each renewal in the pool, so that an observer sees
+	// whether the slot is in use without comparing clocks.
 	Renewal uint64 `cbor:"4,keyasint"`
 }
 
 // poolRow is the value of one pool's row.
 type poolRow struct {
 	Slots []slot `cbor:"1,keyasint"`
+	// Renewals counts the renewals of all slots.
+	Renewals uint64 `cbor:"2,keyasint"`
 }
 
 // acquire takes or renews a slot. It reports false when all are taken.
 func (r poolRow) acquire(want slot, limit int) (poolRow, bool) {
-	next := poolRow{Slots: append([]slot(nil), r.Slots...)}
+	next := poolRow{Slots: append([]slot(nil), r.Slots...), Renewals: r.Renewals + 1}
+	want.Renewal = next.Renewals
 	for i, held := range next.Slots {
 		if held.Instance != want.Instance {
 			continue
@@ -31,7 +34,6 @@
 		if held.Incarnation > want.Incarnation {
 			return r, false
 		}
-		want.Renewal = held.Renewal + 1
 		next.Slots[i] = want
 		return next, true
 	}
@@ -44,7 +46,7 @@
 
 // release returns the slot of an instance's process, if it holds one.
 func (r poolRow) release(instance core.InstanceID, incarnation core.Incarnation) poolRow {
-	next := poolRow{}
+	next := poolRow{Renewals: r.Renewals}
 	for _, held := range r.Slots {
 		if held.Instance == instance && held.Incarnation <= incarnation {
 			continue
--- /dev/null
+++ b/weights/tracker/state_test.go
@@ -0,0 +1,70 @@
+package tracker
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"currantusher.dev/core"
+	"currantusher.dev/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// TestRandomTracker checks that an extent has one holder at a time within the
+// timeout, and that replies name no stranger and not the requester.
+func TestRandomTracker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		const timeout = 10 * time.Second
+		tracked, err := New(Config{FetchTimeout: timeout, Fetchers: 2, Now: func() time.Time { return now }, Seed: 1})
+		require.NoError(t, err)
+		given := map[uint32]time.Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "seconds")) * time.Second)
+			self := wire.TrackPeer{ID: core.InstanceID(fmt.Sprint("a", rapid.IntRange(0, 5).Draw(t, "agent"))), Region: "r", Incarnation: 1}
+			reply := tracked.Track(wire.TrackRequest{Self: self, Near: 3, Extents: 4, Idle: true})
+			require.LessOrEqual(t, len(reply.Peers), 3)
+			for _, peer := range reply.Peers {
+				require.NotEqual(t, self.ID, peer.ID)
+			}
+			for _, extent := range reply.Fetch {
+				at, again := given[extent]
+				require.Equal(t, again, reply.Takeover)
+				require.False(t, again && now.Sub(at) < timeout, "extent %d was given twice", extent)
+				given[extent] = now
+			}
+		}
+	})
+}
+
+func TestTrackerKeepsProgressingFetcher(t *testing.T) {
+	now := time.Unix(0, 0)
+	tracked, err := New(Config{FetchTimeout: 10 * time.Second, Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	report := func(id core.InstanceID, done uint32) wire.TrackReply {
+		self := wire.TrackPeer{ID: id, Region: "r", Incarnation: 1, Done: done}
+		return tracked.Track(wire.TrackRequest{Self: self, Extents: 1, Idle: true})
+	}
+	require.Equal(t, []uint32{0}, report("a", 0).Fetch)
+	now = now.Add(9 * time.Second)
+	require.Empty(t, report("a", 1).Fetch)
+	now = now.Add(9 * time.Second)
+	require.Empty(t, report("b", 0).Fetch, "a gets on")
+	now = now.Add(2 * time.Second)
+	require.Equal(t, wire.TrackReply{Fetch: []uint32{0}, Takeover: true}, withoutPeers(report("b", 0)))
+}
+
+func withoutPeers(reply wire.TrackReply) wire.TrackReply {
+	reply.Peers = nil
+	return reply
+}
