--- /dev/null
+++ b/bench/burst/burst_test.go
@@ -0,0 +1,39 @@
+package burst
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestBurstBounds runs a small burst of each strategy and checks the bounds on
+// bytes, which hold at any speed.
+func TestBurstBounds(t *testing.T) {
+	for _, strategy := range []Strategy{Swarm, OriginOnly, OneFetcher} {
+		t.Run(string(strategy), func(t *testing.T) {
+			result, err := Run(t.Context(), Config{
+				Strategy:    strategy,
+				Agents:      6,
+				Regions:     2,
+				Bytes:       128 * kib,
+				ChunkBytes:  4 * kib,
+				MachineRate: 256 * kib,
+			})
+			require.NoError(t, err)
+			require.Equal(t, 6, result.Complete)
+			require.Positive(t, result.Ratio)
+			if strategy == OriginOnly {
+				require.InDelta(t, 6, result.OriginCopies, 0.01)
+				return
+			}
+			require.LessOrEqual(t, result.OriginCopies, 4.0)
+			require.LessOrEqual(t, result.LinkMax, 2.0)
+			require.Zero(t, result.WastedCopies)
+		})
+	}
+}
+
+func TestConfigRefusesUnknownStrategy(t *testing.T) {
+	_, err := Run(t.Context(), Config{Strategy: "flood"})
+	require.ErrorContains(t, err, "flood")
+}
