--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -58,6 +58,8 @@
 
 func rootCommands() []*command {
 	return []*command{
+		entryCommand(),
+		agentCommand(),
 		standinCommand(),
 		tableCommand(routeTable),
 		tableCommand(poolTable),
@@ -66,7 +68,11 @@
 		applyCommand(),
 		historyCommand(),
 		statusCommand(),
+		weightsCommand(),
+		reportCommand(),
 		keysCommand(),
+		demoCommand(),
+		benchCommand(),
 		versionCommand(),
 	}
 }
--- a/members/directory.go
+++ b/members/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -17,13 +18,16 @@
 
 const (
 	defaultTickPeriod     = 500 * time.Millisecond
-	defaultExchangePeriod = time.Second
+	defaultExchangePeriod = 2 * time.Second
 	defaultExchangeGap    = 200 * time.Millisecond
 	defaultListPeriod     = 2 * time.Second
 	defaultSuspectAfter   = 3500 * time.Millisecond
 	defaultGoneAfter      = 15 * time.Second
 	defaultRetention      = 10 * time.Minute
 	defaultConfigMaxAge   = 5 * time.Second
+	// exchangesPerSuspicion is how many exchanges an entry may miss before it
+	// is suspected.
+	exchangesPerSuspicion = 3
 	defaultLeaseMargin    = 500 * time.Millisecond
 )
 
@@ -36,6 +40,9 @@
 	// ConfigMaxAge is the age of its configuration at which every daemon of
 	// the fleet stops starting new work.
 	ConfigMaxAge time.Duration
+	// ServesStale says that daemons go on past ConfigMaxAge. A silent daemon
+	// then never stops counting for InForce until it is forgotten.
+	ServesStale bool
 	// LeaseMargin is added to ConfigMaxAge for the drift between clocks.
 	LeaseMargin time.Duration
 	// TickPeriod is how often silence is looked for.
@@ -90,6 +97,15 @@
 	return nil
 }
 
+// lease is how long a daemon may go on with a configuration that it cannot
+// confirm.
+func (c *DirectoryConfig) lease() time.Duration {
+	if c.ServesStale {
+		return math.MaxInt64
+	}
+	return c.ConfigMaxAge + c.LeaseMargin
+}
+
 func setDefault(value *time.Duration, fallback time.Duration) {
 	if *value == 0 {
 		*value = fallback
@@ -123,9 +139,10 @@
 		config: config,
 		roster: newRoster(config.Self, config.Incarnation, timing{
 			suspectAfter: config.SuspectAfter,
+			entryAfter:   max(config.SuspectAfter, exchangesPerSuspicion*config.ExchangePeriod),
 			goneAfter:    config.GoneAfter,
 			retention:    config.Retention,
-			lease:        config.ConfigMaxAge + config.LeaseMargin,
+			lease:        config.lease(),
 		}),
 		calls:     map[core.InstanceID]bool{},
 		urgent:    make(chan struct{}, 1),
@@ -165,7 +182,7 @@
 func (d *Directory) runList(ctx context.Context) {
 	for {
 		d.readList(ctx)
-		if !sleep(ctx, jitter(platformPeriod(d.config.ListPeriod, d.size()))) {
+		if !sleep(ctx, jitter(stretched(d.config.ListPeriod, listPerEntry, d.size()))) {
 			return
 		}
 	}
@@ -204,9 +221,15 @@
 	}
 }
 
-// self applies the entry's own report.
-func (d *Directory) self(beat wire.Heartbeat) {
-	d.update(func(r *roster, now time.Time) { r.heard(now, d.config.Self, beat) })
+// self applies the entry's own report. It reports whether a later process runs
+// in this one's place.
+func (d *Directory) self(beat wire.Heartbeat) bool {
+	var replaced bool
+	d.update(func(r *roster, now time.Time) {
+		r.heard(now, d.config.Self, beat)
+		replaced = r.replaced
+	})
+	return replaced
 }
 
 // jitter spreads periodic work by a tenth around period.
--- a/members/reporter.go
+++ b/members/reporter.go
@@ -16,7 +16,7 @@
 const (
 	defaultHeartbeatPeriod = time.Second
 	defaultAnnouncePeriod  = 2 * time.Second
-	defaultMaxHomes        = 4
+	defaultMaxHomes        = 3
 	defaultPerDataCentre   = 1
 	homeBackoff            = 5 * time.Second
 	leaveTimeout           = 2 * time.Second
@@ -34,10 +34,14 @@
 	// Directory, on entries, receives the reports instead of other entries:
 	// the exchange of summaries spreads them.
 	Directory *Directory
+	// OnReplaced is called once when an entry says that a later process runs in
+	// this daemon's place. From then on the daemon reports that it is leaving;
+	// it should start no new work.
+	OnReplaced func()
 	// HeartbeatPeriod is the time between two reports.
 	HeartbeatPeriod time.Duration
-	// AnnouncePeriod is the shortest time between two calls to the list; it is
-	// stretched in large fleets.
+	// AnnouncePeriod is the shortest time between two announcements, and between
+	// two readings of the list; both are stretched in large fleets.
 	AnnouncePeriod time.Duration
 	// PerDataCentre is the number of entries reported to in each data centre,
 	// MaxHomes the number in all.
@@ -75,6 +79,10 @@
 	return nil
 }
 
+func (c *ReporterConfig) homes() homeRule {
+	return homeRule{perDataCentre: c.PerDataCentre, limit: c.MaxHomes}
+}
+
 // Reporter announces a daemon in the platform's list and reports its state to
 // a few entries.
 type Reporter struct {
@@ -84,9 +92,14 @@
 	sequence uint64
 	leaving  bool
 	left     bool
+	// wasReplaced is set when an entry knows a later incarnation.
+	wasReplaced bool
+
 	entries  []platform.Instance
 	listSize int
-	homes    map[core.InstanceID]*home
+	// preferred holds the entries that the balanced assignment gives.
+	preferred map[core.InstanceID]bool
+	homes     map[core.InstanceID]*home
 	// avoid holds entries that failed, until the time given.
 	avoid map[core.InstanceID]time.Time
 
@@ -109,25 +122,53 @@
 
 // Run announces and reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	r.wg.Go(func() { r.runList(ctx) })
+	r.wg.Go(func() { r.runAnnouncements(ctx) })
+	if r.config.Directory == nil {
+		r.wg.Go(func() { r.runList(ctx) })
+	}
 	r.runReports(ctx)
 	r.wg.Wait()
 	return nil
 }
 
-func (r *Reporter) runList(ctx context.Context) {
+func (r *Reporter) runAnnouncements(ctx context.Context) {
 	for {
 		r.announce(ctx)
+		if !sleep(ctx, jitter(stretched(r.config.AnnouncePeriod, announcePerMember, r.fleetSize()))) {
+			return
+		}
+	}
+}
+
+func (r *Reporter) runList(ctx context.Context) {
+	for {
 		r.readList(ctx)
-		r.mu.Lock()
-		size := r.listSize
-		r.mu.Unlock()
-		if !sleep(ctx, jitter(platformPeriod(r.config.AnnouncePeriod, size))) {
+		period := r.config.AnnouncePeriod
+		if r.reporting() {
+			period = stretched(period, listPerAgent, r.fleetSize())
+		}
+		if !sleep(ctx, jitter(period)) {
 			return
 		}
 	}
 }
 
+// reporting reports whether at least one entry takes the reports.
+func (r *Reporter) reporting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.homes) > 0
+}
+
+func (r *Reporter) fleetSize() int {
+	if r.config.Directory != nil {
+		return r.config.Directory.size()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listSize
+}
+
 func (r *Reporter) announce(ctx context.Context) {
 	if err := r.config.List.Announce(ctx, r.self()); err != nil && ctx.Err() == nil {
 		r.config.Log.WithError(err).Warn("Cannot announce this instance.")
@@ -146,9 +187,6 @@
 }
 
 func (r *Reporter) readList(ctx context.Context) {
-	if r.config.Directory != nil {
-		return
-	}
 	instances, err := r.config.List.Instances(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -162,8 +200,10 @@
 			entries = append(entries, instance)
 		}
 	}
+	preferred := r.config.homes().balance(r.config.Self, instances)
 	r.mu.Lock()
 	first := len(r.entries) == 0
+	r.preferred = preferred
 	r.entries = entries
 	r.listSize = len(instances)
 	r.mu.Unlock()
@@ -201,7 +241,9 @@
 func (r *Reporter) report(ctx context.Context) {
 	beat := r.next()
 	if r.config.Directory != nil {
-		r.config.Directory.self(beat)
+		if r.config.Directory.self(beat) {
+			r.replaced()
+		}
 		return
 	}
 	for _, h := range r.chooseHomes(ctx) {
@@ -237,7 +279,7 @@
 		}
 	}
 	chosen := map[core.InstanceID]platform.Instance{}
-	for _, entry := range chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes) {
+	for _, entry := range r.config.homes().choose(r.config.Self, r.entries, avoid, r.preferred) {
 		chosen[entry.ID] = entry
 	}
 	for id, h := range r.homes {
@@ -266,6 +308,9 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errReplaced) {
+			r.replaced()
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.homes[entry.ID] == h {
@@ -276,6 +321,21 @@
 	})
 }
 
+func (r *Reporter) replaced() {
+	r.mu.Lock()
+	first := !r.wasReplaced
+	r.wasReplaced = true
+	r.leaving = true
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	r.config.Log.Error("A later process runs in this daemon's place.")
+	if r.config.OnReplaced != nil {
+		r.config.OnReplaced()
+	}
+}
+
 // Homes returns the entries that this daemon reports to, which are also its
 // sources of configuration.
 func (r *Reporter) Homes() []platform.Instance {
@@ -286,7 +346,14 @@
 	for id, until := range r.avoid {
 		avoid[id] = now.Before(until)
 	}
-	return chooseHomes(r.config.Self, r.entries, avoid, r.config.PerDataCentre, r.config.MaxHomes)
+	return r.config.homes().choose(r.config.Self, r.entries, avoid, r.preferred)
+}
+
+// Entries returns the entries that the platform's list names.
+func (r *Reporter) Entries() []platform.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]platform.Instance(nil), r.entries...)
 }
 
 // Leave tells the platform's list and the entries that this daemon starts no
--- a/members/selection.go
+++ b/members/selection.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
-	"sort"
 	"time"
 
 	"currantusher.dev/core"
@@ -13,14 +12,18 @@
 const (
 	// refreshPerMember stretches the refresh of unchanged records with the
 	// fleet, so that the bytes for it stay the same.
-	refreshPerMember = 70 * time.Millisecond
+	refreshPerMember = 120 * time.Millisecond
 	minRefresh       = 2 * time.Second
 	// silentRefreshes is how many refreshes may be missed before a daemon that
 	// reports to other entries is suspected.
 	silentRefreshes = 4
 	minSilent       = 30 * time.Second
-	// platformPerMember stretches the calls to the platform's list.
-	platformPerMember = 20 * time.Millisecond
+	// announcePerMember stretches the announcements to the platform's list in
+	// large fleets, listPerEntry and listPerAgent the readings by entries and
+	// agents, whose size grows with the fleet.
+	announcePerMember = 20 * time.Millisecond
+	listPerEntry      = 90 * time.Millisecond
+	listPerAgent      = 200 * time.Millisecond
 )
 
 // refreshInterval is the period at which an unchanged daemon's reports are
@@ -35,9 +38,10 @@
 	return max(minSilent, silentRefreshes*refreshInterval(n))
 }
 
-// platformPeriod is the period of calls to the platform's list, at least base.
-func platformPeriod(base time.Duration, n int) time.Duration {
-	return max(base, time.Duration(n)*platformPerMember)
+// stretched is the period of calls to the platform's list in a fleet of n
+// daemons, at least base.
+func stretched(base, perMember time.Duration, n int) time.Duration {
+	return max(base, time.Duration(n)*perMember)
 }
 
 // rendezvous scores a pair of daemons; each daemon ranks others by it.
@@ -61,54 +65,21 @@
 	return h ^ h>>33
 }
 
-// chooseHomes returns the entries that self reports to: in each data centre
-// the perDataCentre highest by rendezvous hash, the own data centre first, at
-// most limit in all. Candidates in avoid are used only when a data centre has
-// no others.
-func chooseHomes(self platform.Instance, candidates []platform.Instance, avoid map[core.InstanceID]bool, perDataCentre, limit int) []platform.Instance {
-	byZone := map[core.DataCentre][]platform.Instance{}
-	for _, candidate := range candidates {
-		if candidate.Role == platform.RoleEntry && candidate.ID != self.ID {
-			byZone[candidate.DataCentre] = append(byZone[candidate.DataCentre], candidate)
-		}
-	}
-	zones := make([]core.DataCentre, 0, len(byZone))
-	for zone := range byZone {
-		zones = append(zones, zone)
-	}
-	sort.Slice(zones, func(i, j int) bool {
-		if (zones[i] == self.DataCentre) != (zones[j] == self.DataCentre) {
-			return zones[i] == self.DataCentre
-		}
-		return rendezvous("zone", self.ID, core.InstanceID(zones[i])) > rendezvous("zone", self.ID, core.InstanceID(zones[j]))
-	})
-	var homes []platform.Instance
-	for _, zone := range zones {
-		ranked := byZone[zone]
-		sort.Slice(ranked, func(i, j int) bool { return preferHome(self.ID, avoid, ranked[i], ranked[j]) })
-		homes = append(homes, ranked[:min(perDataCentre, len(ranked))]...)
-	}
-	return homes[:min(limit, len(homes))]
-}
-
-func preferHome(self core.InstanceID, avoid map[core.InstanceID]bool, a, b platform.Instance) bool {
-	if avoid[a.ID] != avoid[b.ID] {
-		return !avoid[a.ID]
-	}
-	return rendezvous("home", self, a.ID) > rendezvous("home", self, b.ID)
-}
-
 // chooseNeighbours returns the entries that self exchanges summaries with: the
-// next ones on the ring of all entries and on the ring of its data centre, and
-// one long link. The ring of all entries connects the fleet; the long links
-// keep the number of hops logarithmic.
+// next one on two rings of all entries and on the ring of its data centre. The
+// rings have unrelated orders, so that the number of hops grows with the
+// logarithm of the fleet, and each entry is chosen as often as it chooses.
 func chooseNeighbours(self platform.Instance, entries []platform.Instance) []platform.Instance {
-	next := ringSuccessor(self, entries, func(platform.Instance) bool { return true })
-	zone := ringSuccessor(self, entries, func(e platform.Instance) bool { return e.DataCentre == self.DataCentre })
-	long := longLink(self, entries)
+	everywhere := func(platform.Instance) bool { return true }
+	sameZone := func(e platform.Instance) bool { return e.DataCentre == self.DataCentre }
+	candidates := []*platform.Instance{
+		ringSuccessor("ring", self, entries, everywhere),
+		ringSuccessor("zone", self, entries, sameZone),
+		ringSuccessor("long", self, entries, everywhere),
+	}
 	var chosen []platform.Instance
 	seen := map[core.InstanceID]bool{self.ID: true}
-	for _, candidate := range []*platform.Instance{next, zone, long} {
+	for _, candidate := range candidates {
 		if candidate == nil || seen[candidate.ID] {
 			continue
 		}
@@ -118,15 +89,15 @@
 	return chosen
 }
 
-func ringSuccessor(self platform.Instance, entries []platform.Instance, accept func(platform.Instance) bool) *platform.Instance {
-	own := rendezvous("ring", self.ID)
+func ringSuccessor(ring string, self platform.Instance, entries []platform.Instance, accept func(platform.Instance) bool) *platform.Instance {
+	own := rendezvous(ring, self.ID)
 	var best *platform.Instance
 	var bestDistance uint64
 	for i := range entries {
 		if entries[i].ID == self.ID || !accept(entries[i]) {
 			continue
 		}
-		distance := rendezvous("ring", entries[i].ID) - own
+		distance := rendezvous(ring, entries[i].ID) - own
 		if best == nil || distance < bestDistance {
 			best = &entries[i]
 			bestDistance = distance
@@ -135,22 +106,6 @@
 	return best
 }
 
-func longLink(self platform.Instance, entries []platform.Instance) *platform.Instance {
-	var best *platform.Instance
-	var bestScore uint64
-	for i := range entries {
-		if entries[i].ID == self.ID {
-			continue
-		}
-		score := rendezvous("long", self.ID, entries[i].ID)
-		if best == nil || score > bestScore {
-			best = &entries[i]
-			bestScore = score
-		}
-	}
-	return best
-}
-
 // pairScore orders addresses for one caller.
 func pairScore(salt uint64, id core.InstanceID) uint64 {
 	var seed [8]byte
--- a/requests/dispatch/assembly.go
+++ b/requests/dispatch/assembly.go
@@ -11,11 +11,14 @@
 // gaps, an End whose length and checksum cover the Data.
 type assembly struct {
 	requestID string
+	started   bool
 	begin     *wire.Begin
 	end       *wire.End
 	next      uint64
 	length    int64
 	hasher    *blake3.Hasher
+	// lenient leaves out the check of the end frame; tests only.
+	lenient bool
 }
 
 func newAssembly(requestID string) *assembly {
@@ -27,18 +30,34 @@
 	if a.end != nil {
 		return incomplete("a frame came after the end frame")
 	}
-	switch {
-	case reply.Begin != nil && reply.Data == nil && reply.End == nil:
+	switch reply {
+	case wire.Reply{Start: reply.Start}:
+		return a.acceptStart(reply.Start)
+	case wire.Reply{Begin: reply.Begin}:
 		return a.acceptBegin(reply.Begin)
-	case reply.Data != nil && reply.Begin == nil && reply.End == nil:
+	case wire.Reply{Data: reply.Data}:
 		return a.acceptData(reply.Data)
-	case reply.End != nil && reply.Begin == nil && reply.Data == nil:
+	case wire.Reply{End: reply.End}:
 		return a.acceptEnd(reply.End)
 	default:
 		return incomplete("a frame has not exactly one part")
 	}
 }
 
+func (a *assembly) acceptStart(start *wire.Start) error {
+	if start == nil {
+		return incomplete("a frame has no part")
+	}
+	if start.RequestID != a.requestID {
+		return crossed(start.RequestID, a.requestID)
+	}
+	if a.started || a.begin != nil {
+		return incomplete("the attempt started twice")
+	}
+	a.started = true
+	return nil
+}
+
 func (a *assembly) acceptBegin(begin *wire.Begin) error {
 	if begin.RequestID != a.requestID {
 		return crossed(begin.RequestID, a.requestID)
@@ -57,8 +76,12 @@
 	if data.Sequence != a.next {
 		return incomplete("data frame %d came in place of %d", data.Sequence, a.next)
 	}
+	length := a.length + int64(len(data.Bytes))
+	if data.End != 0 && data.End != length {
+		return incomplete("data frame %d ends at byte %d in place of %d", data.Sequence, length, data.End)
+	}
 	a.next++
-	a.length += int64(len(data.Bytes))
+	a.length = length
 	_, _ = a.hasher.Write(data.Bytes)
 	return nil
 }
@@ -67,7 +90,7 @@
 	if end.RequestID != a.requestID {
 		return crossed(end.RequestID, a.requestID)
 	}
-	if end.Code == core.CodeOK {
+	if end.Code == core.CodeOK && !a.lenient {
 		if err := a.checkWhole(end); err != nil {
 			return err
 		}
@@ -95,8 +118,11 @@
 	return sum
 }
 
-// isWhole reports whether the attempt ended with a checked answer.
-func (a *assembly) isWhole() bool { return a.end != nil && a.end.Code == core.CodeOK }
+// isWhole reports whether the attempt ended with an answer that its end frame
+// covers.
+func (a *assembly) isWhole() bool {
+	return a.end != nil && a.end.Code == core.CodeOK && a.checkWhole(a.end) == nil
+}
 
 func incomplete(format string, args ...any) error {
 	return core.Fail(core.CodeIncomplete, core.WorkUnknown, format, args...)
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 
 // Ledger keeps the claims of at-most-once requests.
 type Ledger interface {
+	// Ready returns the refusal that a claim would get at once, or nil.
+	Ready() error
 	Claim(ctx context.Context, key ledger.Key, body core.Digest, attemptID string) (ledger.Claim, error)
 	Finish(claim ledger.Claim, result ledger.Result) error
 	Release(ctx context.Context, claim ledger.Claim) error
@@ -74,12 +76,13 @@
 	TombstoneTimeout time.Duration
 	// ReleaseTimeout bounds the wait for the release of a claim.
 	ReleaseTimeout time.Duration
-	// BeginTimeout abandons an attempt of a repeatable request that has not
-	// begun to answer; 0 means only the deadline does.
-	BeginTimeout time.Duration
+	// StartTimeout abandons an attempt of a repeatable request whose
+	// start the agent has not confirmed; 0 means only the deadline does.
+	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is held until it was checked.
 	MaxAnswerBytes int
-	// MaxAttempts bounds the dispatches of one request.
+	// MaxAttempts bounds the dispatches of one request, without those that a
+	// full agent refused.
 	MaxAttempts int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
@@ -105,11 +108,15 @@
 
 // Request is one caller's request.
 type Request struct {
-	ID       string
-	Team     core.Team
-	Route    core.RouteName
-	Pool     core.PoolName
-	Weights  core.Digest
+	ID      string
+	Team    core.Team
+	Route   core.RouteName
+	Pool    core.PoolName
+	Weights core.Digest
+	// Version, when set, chooses Weights anew for each attempt as long as the
+	// caller has no byte of the answer, so that a request that waited follows a
+	// pool to its next version.
+	Version  func() core.Digest
 	Revision core.Revision
 	Priority int
 	// Deadline is when the caller must have the final answer.
@@ -156,6 +163,11 @@
 	if !d.config.Now().Before(request.Deadline) {
 		return core.Refuse(core.CodeDeadlineShort, d.queue(request).RetryAfter(request.Team), "the deadline has passed")
 	}
+	if request.AtMostOnce {
+		if err := d.config.Ledger.Ready(); err != nil {
+			return err
+		}
+	}
 	grant, err := d.queue(request).Enqueue(ctx, fair.Item{
 		Team:     request.Team,
 		Priority: request.Priority,
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"currantusher.dev/core"
@@ -24,6 +25,9 @@
 	firstID string
 	tried   map[core.InstanceID]bool
 	count   int
+	// full counts attempts that were refused by agents that may take the
+	// request soon.
+	full int
 	// used says that an agent did some of the work.
 	used bool
 	// unproven counts attempts that may have run.
@@ -103,6 +107,12 @@
 	var last error
 	for {
 		agent, err := x.pick(ctx, placer)
+		if err != nil && canWait(last) {
+			// Every agent was tried and may take the request soon.
+			if err = x.requeue(ctx); err == nil {
+				continue
+			}
+		}
 		if err != nil {
 			return x.final(last, err)
 		}
@@ -110,7 +120,12 @@
 		if last == nil {
 			return nil
 		}
-		x.tried[agent.ID] = true
+		// An agent that moved to another version may serve a request that
+		// follows it there.
+		x.tried[agent.ID] = x.request.Version == nil || core.CodeOf(last) != core.CodeDigestMismatch
+		if canWait(last) {
+			x.full++
+		}
 		if !x.mayRetry(ctx, last) {
 			return x.final(last, last)
 		}
@@ -128,17 +143,28 @@
 	if !now.Before(x.request.Deadline) {
 		return placement.Candidate{}, x.late()
 	}
+	x.chooseVersion()
 	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Tried: x.tried}
 	return placer.Pick(now, wanted, x.config.Candidates(x.request.Pool))
 }
 
+// chooseVersion sets the weights of the next attempt. Once bytes are out the
+// version stays.
+func (x *exchange) chooseVersion() {
+	if x.request.Version == nil || x.output.sent > 0 {
+		return
+	}
+	x.request.Weights = x.request.Version()
+	x.output.request.Weights = x.request.Weights
+}
+
 func (x *exchange) late() error {
 	return core.Refuse(core.CodeDeadlineShort, x.queue(x.request).RetryAfter(x.request.Team), "the deadline passed before dispatch")
 }
 
 // mayRetry reports whether another dispatch is permitted after err.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.count >= x.config.MaxAttempts || x.output.failed != nil {
+	if ctx.Err() != nil || x.count-x.full >= x.config.MaxAttempts || x.output.failed != nil {
 		return false
 	}
 	if !x.config.Now().Before(x.request.Deadline.Add(-x.reserve())) {
@@ -147,7 +173,7 @@
 	if core.WorkOf(err) == core.WorkNotRun {
 		return isElsewhere(core.CodeOf(err))
 	}
-	if x.request.AtMostOnce {
+	if x.request.AtMostOnce && x.skip != guardClaim {
 		return false
 	}
 	return isTransient(core.CodeOf(err))
@@ -167,7 +193,7 @@
 func isTransient(code core.Code) bool {
 	switch code {
 	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
-		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed:
+		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed, core.CodeDigestMismatch:
 		return true
 	default:
 		return false
@@ -183,9 +209,14 @@
 	if placer.Retry() {
 		return nil
 	}
-	if core.CodeOf(last) != core.CodeLimitReached {
+	if !canWait(last) {
 		return core.Refuse(core.CodeRetryBudget, x.queue(x.request).RetryAfter(x.request.Team), "the retry budget is spent: %s", core.DetailOf(last))
 	}
+	return x.requeue(ctx)
+}
+
+// requeue waits for another place and forgets which agents were tried.
+func (x *exchange) requeue(ctx context.Context) error {
 	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
 	defer cancel()
 	if err := x.grant.Requeue(bounded); err != nil {
@@ -195,6 +226,17 @@
 	return nil
 }
 
+// canWait reports whether an agent that refused may take the request soon: it
+// was full, or the entry and it learn of a change at different times.
+func canWait(err error) bool {
+	switch core.CodeOf(err) {
+	case core.CodeLimitReached, core.CodeRevisionTooLow, core.CodeStaleIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
 // final returns the error for the caller. It says not-run only when every
 // attempt provably did not run.
 func (x *exchange) final(last, err error) error {
@@ -224,9 +266,24 @@
 	}
 	if core.WorkOf(err) == core.WorkNotRun {
 		proven := x.unproven == 0 && x.output.sent == 0
-		invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven)
+		if !invariant.Check(invariant.TrueRefusal, proven, "request %s is refused as not run after %d unproven attempts", x.request.ID, x.unproven) {
+			return core.Wrap(err, core.CodeOf(err), core.WorkUnknown, "%s", core.DetailOf(err))
+		}
 	}
-	return err
+	return x.withRetryAfter(err)
+}
+
+// withRetryAfter adds to a refusal when to come back, unless another try of
+// the same request is pointless.
+func (x *exchange) withRetryAfter(err error) error {
+	code := core.CodeOf(err)
+	if core.WorkOf(err) != core.WorkNotRun || core.RetryAfterOf(err) > 0 {
+		return err
+	}
+	if code.Info().HTTPStatus < http.StatusTooManyRequests || code == core.CodeCancelled {
+		return err
+	}
+	return core.Refuse(code, x.queue(x.request).RetryAfter(x.request.Team), "%s", core.DetailOf(err))
 }
 
 // reserve is the time kept before the deadline for a tombstone.
@@ -263,6 +320,7 @@
 		Path:           x.request.Path,
 		Body:           x.request.Body,
 		ResumeFrom:     x.output.sent,
+		Key:            x.request.Key,
 	}
 }
 
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -8,8 +9,19 @@
 )
 
 const (
-	holdGain       = 0.1
-	windowDecrease = 0.9
+	holdGain = 0.02
+	// An arrival is refused by a cautious estimate of its wait, a waiting
+	// request only by a hopeful one, so that few are refused after a wait.
+	arrivalMargin = 2.0
+	waitingMargin = 1.0
+	// startMargin is the time, in mean running times, that a request must have
+	// left to be worth a place.
+	startMargin = 1.5
+	// creditHolds is how much capacity, in mean running times, an idle team
+	// may save up and use ahead of others.
+	creditHolds    = 10
+	arrivalTurn    = 16
+	windowDecrease = 0.95
 	retryJitter    = 0.5
 )
 
@@ -54,11 +66,15 @@
 	backlog  []*team
 	virtual  float64
 	arrivals uint64
+	grants   uint64
 	capacity int
 	window   float64
-	running  int
-	waiting  int
-	hold     time.Duration
+	narrowed time.Time
+	// resume is when places are granted again after a refusal.
+	resume  time.Time
+	running int
+	waiting int
+	hold    time.Duration
 
 	decisions []decision
 }
@@ -74,19 +90,35 @@
 }
 
 func (s *state) setCapacity(capacity int) {
-	if capacity > s.capacity && int(s.window) >= s.capacity {
+	if capacity > s.capacity && s.window >= float64(s.capacity) {
 		s.window = float64(capacity)
 	}
 	s.capacity = capacity
-	s.window = min(s.window, float64(capacity))
 }
 
-// limit is how many requests may run at once.
+// limit is how many requests may run at once: the capacity as far as it is
+// known, and the window that refusals of full backend servers teach.
 func (s *state) limit() int {
 	if s.capacity <= 0 {
 		return 0
 	}
-	return max(1, int(s.window))
+	return max(1, min(int(s.window), s.capacity))
+}
+
+// narrow reduces the window after a refusal, at most once in a running time.
+func (s *state) narrow(now time.Time) {
+	if now.Sub(s.narrowed) < s.hold {
+		return
+	}
+	s.narrowed = now
+	s.window = max(1, min(s.window, float64(s.capacity))*windowDecrease)
+}
+
+// widen raises the window by one in about a running time.
+func (s *state) widen() {
+	if s.window < float64(s.capacity) {
+		s.window += 1 / max(s.window, 1)
+	}
 }
 
 func (s *state) offer(now time.Time, item Item) (*ticket, error) {
@@ -101,7 +133,7 @@
 	t := &ticket{item: item, arrived: s.arrivals, verdict: make(chan error, 1)}
 	s.arrivals++
 	place := owner.place(t)
-	if s.isHopeless(now, owner, item, place) {
+	if s.isHopeless(now, owner, item, place, arrivalMargin) {
 		return nil, s.deadlineShort(item.Team)
 	}
 	s.insert(owner, t, place)
@@ -186,19 +218,36 @@
 	return time.Duration(slots / float64(limit) * float64(s.hold))
 }
 
-func (s *state) isHopeless(now time.Time, owner *team, item Item, at int) bool {
+// isHopeless reports whether the wait, scaled by margin, and the running time
+// are beyond the deadline.
+func (s *state) isHopeless(now time.Time, owner *team, item Item, at int, margin float64) bool {
+	if item.Deadline.IsZero() {
+		return false
+	}
+	left := item.Deadline.Sub(now)
+	wait := s.wait(owner, at)
+	if wait == 0 {
+		return left <= 0
+	}
+	needed := margin * (float64(wait) + startMargin*float64(s.hold))
+	return needed >= float64(left)
+}
+
+// isTooLate reports whether a request that others wait behind could no longer
+// run to its end.
+func (s *state) isTooLate(now time.Time, item Item) bool {
 	if item.Deadline.IsZero() {
 		return false
 	}
 	left := item.Deadline.Sub(now)
-	return left <= 0 || s.wait(owner, at) >= left
+	return left <= 0 || s.waiting > 0 && float64(left) <= startMargin*float64(s.hold)
 }
 
 // sweep refuses requests that can no longer make their deadline.
 func (s *state) sweep(now time.Time) {
 	for _, owner := range append([]*team(nil), s.backlog...) {
 		for at := len(owner.waiting) - 1; at >= 0; at-- {
-			if s.limit() > 0 && !s.isHopeless(now, owner, owner.waiting[at].item, at) {
+			if s.limit() > 0 && !s.isHopeless(now, owner, owner.waiting[at].item, at, waitingMargin) {
 				continue
 			}
 			t := s.remove(owner, at)
@@ -221,9 +270,13 @@
 
 // fill grants places while there are any.
 func (s *state) fill(now time.Time) {
-	for s.running < s.limit() && len(s.backlog) > 0 {
+	for s.canGrant(now) {
 		owner := s.next()
 		t := s.remove(owner, 0)
+		if s.isTooLate(now, t.item) {
+			s.close(t, s.deadlineShort(owner.name))
+			continue
+		}
 		s.charge(owner, t)
 		t.phase = granted
 		t.granted = now
@@ -232,11 +285,22 @@
 	}
 }
 
-// next returns the waiting team with the least virtual start.
+func (s *state) canGrant(now time.Time) bool {
+	return s.running < s.limit() && len(s.backlog) > 0 && !now.Before(s.resume)
+}
+
+// next returns the waiting team with the least virtual start. Every
+// arrivalTurn-th place goes to the request that came first, so that no team's
+// credit bars the others.
 func (s *state) next() *team {
+	s.grants++
+	precedes := s.precedes
+	if s.grants%arrivalTurn == 0 {
+		precedes = cameFirst
+	}
 	best := s.backlog[0]
 	for _, candidate := range s.backlog[1:] {
-		if s.precedes(candidate, best) {
+		if precedes(candidate, best) {
 			best = candidate
 		}
 	}
@@ -248,14 +312,22 @@
 	if startA != startB {
 		return startA < startB
 	}
-	return a.waiting[0].arrived < b.waiting[0].arrived
+	return cameFirst(a, b)
 }
 
+func cameFirst(a, b *team) bool { return a.waiting[0].arrived < b.waiting[0].arrived }
+
 func (s *state) start(t *team) float64 {
 	if t.waiting[0].charged {
-		return 0
+		return math.Inf(-1)
 	}
-	return max(s.virtual, t.finish)
+	return s.begin(t)
+}
+
+// begin is the virtual time at which the team's next request starts. A team
+// that was idle starts in the past, as far as its credit goes.
+func (s *state) begin(t *team) float64 {
+	return max(s.virtual-creditHolds*float64(s.limit()), t.finish)
 }
 
 // charge moves virtual time on. A request that returned to the queue is not
@@ -265,8 +337,9 @@
 		return
 	}
 	t.charged = true
-	s.virtual = max(s.virtual, owner.finish)
-	owner.finish = s.virtual + float64(t.item.Cost)/owner.weight
+	begin := s.begin(owner)
+	s.virtual = max(s.virtual, begin)
+	owner.finish = begin + float64(t.item.Cost)/owner.weight
 }
 
 func (s *state) abandon(now time.Time, t *ticket) {
@@ -295,7 +368,7 @@
 		return
 	}
 	s.hold += time.Duration(holdGain * float64(now.Sub(t.granted)-s.hold))
-	s.window = min(s.window+1/max(s.window, 1), float64(s.capacity))
+	s.widen()
 }
 
 func (s *state) requeue(now time.Time, t *ticket) error {
@@ -303,14 +376,15 @@
 		return core.Refuse(core.CodeInternal, 0, "request is not running")
 	}
 	s.release(now, t, false)
-	s.window = max(1, min(s.window, float64(s.running+1))*windowDecrease)
+	s.narrow(now)
+	s.resume = now.Add(s.hold / time.Duration(max(s.limit(), 1)))
 	name := t.item.Team
 	owner := s.team(name)
 	t.requeues++
 	if t.requeues > s.config.MaxRequeues {
 		return core.Refuse(core.CodeLimitReached, s.retryAfter(name), "backend servers are full")
 	}
-	if s.isHopeless(now, owner, t.item, 0) || s.limit() == 0 {
+	if s.isHopeless(now, owner, t.item, 0, waitingMargin) || s.limit() == 0 {
 		return s.sweepError(name)
 	}
 	s.insert(owner, t, 0)
--- a/requests/ledger/ledger.go
+++ b/requests/ledger/ledger.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -13,13 +15,16 @@
 
 // Defaults of Config.
 const (
-	DefaultBatch          = 64
+	DefaultBatch          = 256
 	DefaultQueue          = 4096
-	DefaultCommitTimeout  = time.Second
-	DefaultFinishTimeout  = 30 * time.Second
+	DefaultCommitInterval = 25 * time.Millisecond
+	DefaultCommitTimeout  = 500 * time.Millisecond
+	DefaultFinishTimeout  = 10 * time.Minute
+	DefaultDrainTimeout   = 10 * time.Second
 	DefaultOpenPeriod     = 500 * time.Millisecond
 	DefaultRetention      = 24 * time.Hour
 	DefaultMaxResultBytes = 256 << 10
+	DefaultMaxHeldBytes   = 4 << 20
 	DefaultMaxRunTime     = 10 * time.Minute
 	DefaultWriters        = 2
 )
@@ -38,10 +43,15 @@
 	Queue int
 	// Writers is the number of transactions in flight.
 	Writers int
+	// CommitInterval is the least time between the starts of transactions, so
+	// that many claims share one. A claim after an idle time does not wait.
+	CommitInterval time.Duration
 	// CommitTimeout bounds one call to the table service.
 	CommitTimeout time.Duration
 	// FinishTimeout bounds the attempts to write one result.
 	FinishTimeout time.Duration
+	// DrainTimeout bounds the writes after Run's context has ended.
+	DrainTimeout time.Duration
 	// OpenPeriod is how long claims are refused at once after the table
 	// service failed.
 	OpenPeriod time.Duration
@@ -51,6 +61,9 @@
 	// MaxResultBytes bounds a stored result. Larger ones are answered, but a
 	// repeat gets only their code.
 	MaxResultBytes int
+	// MaxHeldBytes bounds the results that wait to be written. Beyond it
+	// results are written without their bodies.
+	MaxHeldBytes int
 	// MaxRunTime is the longest that a claimed request may run. Later a claim
 	// without a result is answered as unknown.
 	MaxRunTime time.Duration
@@ -64,8 +77,11 @@
 	setInt(&c.Queue, DefaultQueue)
 	setInt(&c.Writers, DefaultWriters)
 	setInt(&c.MaxResultBytes, DefaultMaxResultBytes)
+	setDuration(&c.CommitInterval, DefaultCommitInterval)
 	setDuration(&c.CommitTimeout, DefaultCommitTimeout)
 	setDuration(&c.FinishTimeout, DefaultFinishTimeout)
+	setInt(&c.MaxHeldBytes, DefaultMaxHeldBytes)
+	setDuration(&c.DrainTimeout, DefaultDrainTimeout)
 	setDuration(&c.OpenPeriod, DefaultOpenPeriod)
 	setDuration(&c.Retention, DefaultRetention)
 	setDuration(&c.MaxRunTime, DefaultMaxRunTime)
@@ -124,6 +140,10 @@
 	config  Config
 	writes  chan *write
 	breaker *breaker
+	pacer   pacer
+	orphans chan orphan
+	// held counts the bytes of results that wait to be written.
+	held atomic.Int64
 }
 
 // New returns a Ledger.
@@ -132,16 +152,28 @@
 	return &Ledger{
 		config:  config,
 		writes:  make(chan *write, config.Queue),
+		pacer:   pacer{interval: config.CommitInterval},
 		breaker: &breaker{period: config.OpenPeriod},
+		orphans: make(chan orphan, config.Queue),
 	}
 }
 
-// Claim inserts the claim row of a key and waits until it is committed. A nil
+// Ready returns the refusal that a claim would get at once because the table
+// service failed lately, or nil.
+func (l *Ledger) Ready() error {
+	if after, open := l.breaker.isOpen(l.config.Now()); open {
+		return l.unavailable(after)
+	}
+	return nil
+}
+
+// Claim inserts the claim row of a key and waits until it is committed. The
+// deadline of ctx is when the request has its final answer at the latest. A nil
 // error with Stored unset is the right to dispatch. All errors are refusals or
 // say that the first request with the key is running or has an unknown
 // outcome; none of them permits a dispatch.
 func (l *Ledger) Claim(ctx context.Context, key Key, body core.Digest, attemptID string) (Claim, error) {
-	if after, open := l.breaker.openFor(l.config.Now()); open {
+	if after, open := l.breaker.refuses(l.config.Now()); open {
 		return Claim{}, l.unavailable(after)
 	}
 	wanted := Claim{
@@ -153,6 +185,7 @@
 			AttemptID: attemptID,
 			Number:    1,
 			ClaimedAt: l.config.Now().UnixMilli(),
+			Until:     l.until(ctx).UnixMilli(),
 		},
 	}
 	for range maxClaimRounds {
@@ -174,6 +207,16 @@
 
 const maxClaimRounds = 4
 
+// until is when a claim made now has its result at the latest.
+func (l *Ledger) until(ctx context.Context) time.Time {
+	latest := l.config.Now().Add(l.config.MaxRunTime)
+	deadline, ok := ctx.Deadline()
+	if ok && deadline.Before(latest) {
+		return deadline
+	}
+	return latest
+}
+
 // insert commits the claim's row. It returns the row that is there instead, or
 // nil when the claim holds.
 func (l *Ledger) insert(ctx context.Context, wanted Claim) (*platform.Row, error) {
@@ -191,14 +234,21 @@
 	}
 	select {
 	case o := <-w.done:
+		if o.err != nil {
+			l.reapLater(wanted)
+		}
 		return o.found, l.refusal(o.err)
 	case <-ctx.Done():
-		// The row may land, but nothing was dispatched.
+		l.reapLater(wanted)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return nil, core.Refuse(core.CodeDeadlineShort, l.config.OpenPeriod, "the deadline passed while the claim was written")
+		}
 		return nil, core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled while the claim was written")
 	}
 }
 
 func (l *Ledger) submit(w *write) error {
+	w.submitted = l.config.Now()
 	select {
 	case l.writes <- w:
 		return nil
@@ -250,8 +300,7 @@
 }
 
 func (l *Ledger) pending(held row) error {
-	age := l.config.Now().Sub(time.UnixMilli(held.ClaimedAt))
-	if age < l.config.MaxRunTime {
+	if l.config.Now().Before(time.UnixMilli(held.Until)) {
 		return core.Fail(core.CodeInProgress, core.WorkUnknown, "the first request with this Idempotency-Key is running at %s", held.Entry)
 	}
 	return core.Fail(core.CodeOutcomeUnknown, core.WorkUnknown, "the first request with this Idempotency-Key left no result")
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -29,6 +29,10 @@
 	DefaultForget       = 10 * time.Minute
 )
 
+// othersShare is how much of the other entries' work counts against the
+// capacity. Reports lag, and the agent decides in the end.
+const othersShare = 0.9
+
 // Config holds the settings of a Placer.
 type Config struct {
 	// Entry is this entry's instance id; it decides the subset.
@@ -134,6 +138,8 @@
 	Answered Outcome = iota
 	// Refused means that the agent is healthy but did not start the work.
 	Refused
+	// Unfit means that the agent is healthy and refuses all work for a while.
+	Unfit
 	// Failed means that the agent or its backend server failed or could not be
 	// reached.
 	Failed
@@ -178,7 +184,7 @@
 			continue
 		}
 		chosen.agent.start(now)
-		return chosen.candidate, nil
+		return *chosen.candidate, nil
 	}
 	return Candidate{}, core.Refuse(core.CodeNoBackend, p.config.RetryAfter, "none of %d backend servers can take the request", len(candidates))
 }
@@ -205,7 +211,7 @@
 	defer p.mu.Unlock()
 	sum := 0
 	for _, o := range p.usable(now, Request{Weights: weights}, candidates) {
-		sum += max(0, o.limit-int(o.others))
+		sum += max(0, o.limit-int(othersShare*o.others))
 	}
 	return sum
 }
--- a/standin/backend/inject.go
+++ b/standin/backend/inject.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Inject applies the fault switches that all backend servers share.
 func (g *Gate) Inject(faults Faults) error {
@@ -22,6 +25,8 @@
 	}
 	if faults.DataCentreOutSince != nil {
 		g.outSince = since
+		// The mark comes a little later than what it marks.
+		g.noteOut(g.lastStart)
 	}
 	g.injectLife(faults)
 	return nil
@@ -86,6 +91,19 @@
 	}
 }
 
+// KeyedRuns returns how often each request with an Idempotency-Key started.
+func (g *Gate) KeyedRuns() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	keyed := make(map[string]int)
+	for key, count := range g.runs.counts {
+		if strings.HasPrefix(key, keyedPrefix) {
+			keyed[key] = count
+		}
+	}
+	return keyed
+}
+
 // Runs returns how often the request with this key started.
 func (g *Gate) Runs(key string) int {
 	g.mu.Lock()
