--- a/weights/swarm/planner_test.go
+++ b/weights/swarm/planner_test.go
@@ -26,7 +26,6 @@
 	plan   *planner
 	now    time.Time
 	flying map[int]request
-	asked  map[string]int
 }
 
 // TestRandomPlanner checks the planner's promises under random events.
