--- a/members/directory.go
+++ b/members/directory.go
@@ -210,11 +210,14 @@
 func (d *Directory) update(apply func(r *roster, now time.Time)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	wasUrgent := d.roster.urgent
 	apply(d.roster, d.config.Now())
 	if !d.roster.urgent {
 		return
 	}
-	d.changes.Inc(1)
+	if !wasUrgent {
+		d.changes.Inc(1)
+	}
 	select {
 	case d.urgent <- struct{}{}:
 	default:
