--- a/members/roster_test.go
+++ b/members/roster_test.go
@@ -182,6 +182,63 @@
 	require.Empty(t, rule.balance(unlisted, nil))
 }
 
+// TestSpreadIsLogarithmic counts the rounds until every entry knows of a new
+// agent when all exchanges of a round start from the state before it.
+func TestSpreadIsLogarithmic(t *testing.T) {
+	const entries, bound = 350, 5
+	var listed []platform.Instance
+	for i := range entries {
+		id := core.InstanceID(fmt.Sprintf("e%03d", i))
+		listed = append(listed, platform.Instance{
+			ID: id, Role: platform.RoleEntry, DataCentre: core.DataCentre(fmt.Sprintf("z%d", i%7)), PeerAddr: string(id),
+		})
+	}
+	rosters := map[core.InstanceID]*roster{}
+	for _, instance := range listed {
+		r := newRoster(instance, 1, simTiming)
+		r.list(simStart, listed)
+		rosters[instance.ID] = r
+	}
+	agent := platform.Instance{ID: "agent", Role: platform.RoleAgent, PeerAddr: "agent"}
+	rosters[listed[0].ID].heard(simStart, agent, wire.Heartbeat{Incarnation: 1, Sequence: 1})
+	rounds := 0
+	for ; rounds < bound && !allKnow(rosters, agent.ID); rounds++ {
+		exchangeAll(rosters, listed)
+	}
+	require.True(t, allKnow(rosters, agent.ID), "after %d rounds", rounds)
+}
+
+func allKnow(rosters map[core.InstanceID]*roster, id core.InstanceID) bool {
+	for _, r := range rosters {
+		if r.records[id] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func exchangeAll(rosters map[core.InstanceID]*roster, order []platform.Instance) {
+	type call struct {
+		from, to *roster
+		request  wire.Summary
+	}
+	var calls []call
+	for _, instance := range order {
+		from := rosters[instance.ID]
+		for _, partner := range from.partners() {
+			calls = append(calls, call{from, rosters[partner.ID], from.summaryFor(simStart, partner.ID)})
+		}
+	}
+	replies := make([]wire.Summary, len(calls))
+	for i, c := range calls {
+		replies[i] = c.to.summaryFor(simStart, c.from.self.ID)
+	}
+	for i, c := range calls {
+		c.to.receive(simStart, c.request, false)
+		c.from.receive(simStart, replies[i], true)
+	}
+}
+
 func TestReplacedProcessLearnsIt(t *testing.T) {
 	r, agent := rosterWithAgent()
 	require.True(t, r.heard(simStart, agent, wire.Heartbeat{Incarnation: 6, Sequence: 1}))
