--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -169,7 +169,8 @@
 	if answer.begin != nil {
 		return x.broken(ctx, call, cause)
 	}
-	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), x.config.TombstoneTimeout)
+	left := x.request.Deadline.Sub(x.config.Now())
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(x.config.TombstoneTimeout, left))
 	defer cancel()
 	reply, err := x.config.Sender.Tombstone(bounded, agent, wire.Tombstone{AttemptID: id, Incarnation: agent.Incarnation})
 	if err != nil || reply.Work != core.WorkNotRun {
--- a/requests/proof/random_test.go
+++ b/requests/proof/random_test.go
@@ -185,3 +185,44 @@
 		}
 	}
 }
+
+// TestRandomRepeatable sends plain and streamed requests under random faults.
+// Every answer is whole or ends with a code before its deadline, streams hold
+// only right bytes, and nothing refused as not run was started.
+func TestRandomRepeatable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) { randomRepeatable(t, seed) })
+	})
+}
+
+func randomRepeatable(t *testing.T, seed uint64) {
+	const requests = 40
+	random := rand.New(rand.NewPCG(seed, 4))
+	c := newCluster(t, 4)
+	// Entries are not killed: their callers would see a broken connection.
+	e := c.entry("entry-a")
+	before := invariant.Total()
+	stop := make(chan struct{})
+	go injectFaults(c, []*fakeEntry{c.entry("entry-b"), c.entry("entry-c")}, rand.New(rand.NewPCG(seed, 5)), stop)
+	var wg sync.WaitGroup
+	for i := range requests {
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+		request := requestOf(fmt.Sprint("r", i), false, random.IntN(2) == 0)
+		wg.Go(func() {
+			var s sink
+			sent := time.Now()
+			err := e.Do(c.down, request, &s)
+			require.LessOrEqual(t, time.Since(sent), requestTime+10*time.Millisecond, "seed %d: %v", seed, err)
+			c.check(request, &s, err)
+			time.Sleep(30 * time.Second)
+			if core.WorkOf(err) == core.WorkNotRun {
+				require.Zero(t, c.ran(request.Body), "seed %d: %v", seed, err)
+			}
+		})
+	}
+	time.Sleep(10 * time.Second)
+	close(stop)
+	wg.Wait()
+	require.Equal(t, before, invariant.Total(), "seed %d", seed)
+}
