--- /dev/null
+++ b/requests/fair/estimate.go
@@ -0,0 +1,93 @@
+package fair
+
+import (
+	"time"
+
+	"currantusher.dev/core"
+)
+
+func (s *state) setCapacity(capacity int) {
+	if capacity > s.capacity && s.window >= float64(s.capacity) {
+		s.window = float64(capacity)
+	}
+	s.capacity = capacity
+}
+
+// limit is how many requests may run at once: the capacity as far as it is
+// known, and the window that refusals of full backend servers teach.
+func (s *state) limit() int {
+	if s.capacity <= 0 {
+		return 0
+	}
+	return max(1, min(int(s.window), s.capacity))
+}
+
+// narrow reduces the window after a refusal, at most once in a running time.
+func (s *state) narrow(now time.Time) {
+	if now.Sub(s.narrowed) < s.hold {
+		return
+	}
+	s.narrowed = now
+	s.window = max(1, min(s.window, float64(s.capacity))*windowDecrease)
+}
+
+// widen raises the window by one in about a running time.
+func (s *state) widen() {
+	if s.window < float64(s.capacity) {
+		s.window += 1 / max(s.window, 1)
+	}
+}
+
+// wait estimates how long the request at index at of a team's queue waits,
+// from the drain rate and the team's share among the teams that wait now.
+func (s *state) wait(owner *team, at int) time.Duration {
+	limit := s.limit()
+	if limit == 0 {
+		return s.config.MaxRetry
+	}
+	if s.running+s.waiting < limit {
+		return 0
+	}
+	weights := owner.weight
+	for _, other := range s.backlog {
+		if other != owner {
+			weights += other.weight
+		}
+	}
+	slots := float64(at+1) * weights / owner.weight
+	slots = min(slots, float64(s.waiting+1))
+	return time.Duration(slots / float64(limit) * float64(s.hold))
+}
+
+// isHopeless reports whether the wait, scaled by margin, and the running time
+// are beyond the deadline.
+func (s *state) isHopeless(now time.Time, owner *team, item Item, at int, margin float64) bool {
+	if item.Deadline.IsZero() {
+		return false
+	}
+	left := item.Deadline.Sub(now)
+	wait := s.wait(owner, at)
+	if wait == 0 {
+		return left <= 0
+	}
+	needed := margin * (float64(wait) + startMargin*float64(s.hold))
+	return needed >= float64(left)
+}
+
+// isTooLate reports whether a request that others wait behind could no longer
+// run to its end.
+func (s *state) isTooLate(now time.Time, item Item) bool {
+	if item.Deadline.IsZero() {
+		return false
+	}
+	left := item.Deadline.Sub(now)
+	return left <= 0 || s.waiting > 0 && float64(left) <= startMargin*float64(s.hold)
+}
+
+// retryAfter is the time in which the team's queue drains, with jitter.
+func (s *state) retryAfter(name core.Team) time.Duration {
+	owner := s.team(name)
+	drain := s.wait(owner, len(owner.waiting))
+	drain = min(max(drain, s.config.MinRetry), s.config.MaxRetry)
+	return drain + time.Duration(s.random.Float64()*retryJitter*float64(drain))
+}
