--- a/bench/scenario/cold_test.go
+++ b/bench/scenario/cold_test.go
@@ -38,5 +38,10 @@
 	report, result, err := experiment.Finish(t.Context())
 	require.NoError(t, err)
 	t.Logf("%d of %d whole, codes %v", report.RequestsWhole, report.RequestsTotal, result.ByCode)
+	for _, one := range experiment.Site.Backends.All {
+		counters, err := experiment.Site.Backends.Counters(t.Context(), one)
+		require.NoError(t, err)
+		require.Zero(t, counters.FellOver, "%s fell over %.3f s after its cold start began", one.ID, counters.FellOverAfterSeconds)
+	}
 	require.Zero(t, report.EnginesFallenOver)
 }
--- a/standin/backend/gate.go
+++ b/standin/backend/gate.go
@@ -78,7 +78,10 @@
 	// a cold server restart.
 	OverLimit int `json:"over_limit"`
 	FellOver  int `json:"fell_over"`
-	Restarts  int `json:"restarts"`
+	// FellOverAfterSeconds is how long the last cold start had lasted when the
+	// server fell over.
+	FellOverAfterSeconds float64 `json:"fell_over_after_seconds"`
+	Restarts             int     `json:"restarts"`
 	// StartsAfterOut counts starts later than OutGrace after the data centre
 	// was taken out. LastStartAfterOutSeconds is the latest of all starts after
 	// it, in seconds.
@@ -203,6 +206,7 @@
 	}
 	g.counters.OverLimit++
 	g.counters.FellOver++
+	g.counters.FellOverAfterSeconds = now.Sub(g.coldSince).Seconds()
 	g.restartLocked()
 	return ErrFellOver
 }
