--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,8 +44,12 @@
 	registry    metrics.Registry
 	log         agentLogs
 	engine      atomic.Pointer[engineView]
-	life        *lifecycle.Lifecycle
-	seen        seenWeights
+	reading     sync.Mutex
+	// activating counts orders to the engine whose effect on its state was not
+	// read yet.
+	activating atomic.Int32
+	life       *lifecycle.Lifecycle
+	seen       seenWeights
 }
 
 type agentLogs struct {
--- a/daemon/agent/dispatch.go
+++ b/daemon/agent/dispatch.go
@@ -71,7 +71,7 @@
 	conditions := admission.Conditions{
 		EngineWeights: view.state.Weights,
 		EngineServing: view.serving,
-		EngineCold:    !view.state.Warm,
+		EngineCold:    !view.state.Warm || a.activating.Load() > 0,
 		Draining:      a.life.Draining(),
 		ConfigErr:     a.spread.Fresh(now),
 	}
--- a/daemon/agent/engine.go
+++ b/daemon/agent/engine.go
@@ -38,7 +38,11 @@
 	}
 }
 
+// readEngine reads the state once. Readings follow each other, so that an older
+// one never replaces a newer one.
 func (a *Agent) readEngine(ctx context.Context) {
+	a.reading.Lock()
+	defer a.reading.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, statePollTimeout)
 	defer cancel()
 	previous := a.engine.Load()
--- a/daemon/agent/weights.go
+++ b/daemon/agent/weights.go
@@ -38,7 +38,7 @@
 		Incarnation: a.incarnation,
 		Peer:        a.peer,
 		Addr:        a.PeerAddr(),
-		Staging:     engine.New(a.config.BackendURL, nil),
+		Staging:     stagedEngine{Staging: engine.New(a.config.BackendURL, nil), agent: a},
 		Sources:     sources,
 		Grants:      budget.NewStore(a.platform),
 		Trackers:    func(root core.Digest) []string { return peers.Ranked(a.reporter.Entries(), root[:]) },
@@ -90,3 +90,23 @@
 func (l orderLease) Do(ctx context.Context, order func(context.Context, core.Fence) error) error {
 	return l.lease.Do(ctx, l.ignoresFence, order)
 }
+
+// stagedEngine tells the gate of activations, which put the engine into cold
+// start.
+type stagedEngine struct {
+	swarm.Staging
+	agent *Agent
+}
+
+// Activate implements swarm.Staging. From before the order until the engine's
+// state was read again the gate holds the limit of cold start.
+func (s stagedEngine) Activate(ctx context.Context, root core.Digest, fence core.Fence) error {
+	a := s.agent
+	a.activating.Add(1)
+	defer a.activating.Add(-1)
+	a.gate.EngineRestarted()
+	err := s.Staging.Activate(ctx, root, fence)
+	a.gate.EngineRestarted()
+	a.readEngine(context.WithoutCancel(ctx))
+	return err
+}
