Swarm: keep a useless peer for six reports; matrix: origin bound counts versions only

Cause: at the start of a burst nobody has anything to offer, so peers that came late were dropped at once and were asked little for the rest of the run. The matrix allowed the origin more copies after an engine restart than the bound does; it now counts the versions published, and passes.

--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -15,7 +15,10 @@
 const (
 	eventQueue     = 64
 	sourceParallel = 1
-	replanEvery    = 250 * time.Millisecond
+	// patience is how long a peer may be of no use before another takes its
+	// place, in reports to the tracker.
+	patience    = 6
+	replanEvery = 250 * time.Millisecond
 )
 
 // download runs one version's transfers. Only the goroutine of run touches its
@@ -272,7 +275,7 @@
 			continue
 		}
 		count++
-		settled := d.plan.peers[addr].known && now.Sub(watched.since) >= d.config.Announce
+		settled := d.plan.peers[addr].known && now.Sub(watched.since) >= patience*d.config.Announce
 		if settled && !d.plan.useful(addr) {
 			useless = addr
 		}
--- a/weights/swarm/matrix_test.go
+++ b/weights/swarm/matrix_test.go
@@ -39,73 +39,75 @@
 	name     string
 	regions  int
 	versions int
+	// restarts counts the times that the first engine starts with nothing.
+	restarts int
 	inject   func(r *rig, root core.Digest) core.Digest
 }
 
 const faultSpan = 120 * time.Millisecond
 
 var faults = []fault{
-	{"agent-killed", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"agent-killed", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.agents[0].stop()
 		r.agents[0].start(2)
 		r.agents[0].setTarget(root)
 		return root
 	}},
-	{"agent-stopped-and-resumed", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"agent-stopped-and-resumed", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.agents[0].gate.shut()
 		time.AfterFunc(faultSpan, r.agents[0].gate.reopen)
 		return root
 	}},
-	{"link-stalled", 1, 1, func(r *rig, root core.Digest) core.Digest {
+	{"link-stalled", 1, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.agents[1].gate.shut()
 		time.AfterFunc(faultSpan, r.agents[1].gate.reopen)
 		return root
 	}},
-	{"peer-sends-corrupt-chunks", 1, 1, func(r *rig, root core.Digest) core.Digest {
+	{"peer-sends-corrupt-chunks", 1, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.addRogue(root, func(reply *wire.ChunkReply) { reply.Content = []byte("corrupt") })
 		return root
 	}},
-	{"peer-lies-about-chunks", 1, 1, func(r *rig, root core.Digest) core.Digest {
+	{"peer-lies-about-chunks", 1, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.addRogue(root, func(reply *wire.ChunkReply) { reply.Status = wire.ChunkMissing })
 		return root
 	}},
-	{"peer-never-answers", 1, 1, func(r *rig, root core.Digest) core.Digest {
+	{"peer-never-answers", 1, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.addRogue(root, nil)
 		return root
 	}},
-	{"origin-throttles", 2, 1, originFault(origin.FaultThrottle, 1)},
-	{"origin-errors", 2, 1, originFault(origin.FaultError, 1)},
-	{"origin-slow", 2, 1, originFault(origin.FaultSlow, 1)},
-	{"origin-loses-answers", 2, 1, originFault(origin.FaultLost, 2)},
-	{"origin-sends-corrupt-chunks", 2, 1, originFault(origin.FaultCorrupt, 2)},
-	{"store-corrupt-and-origin-down", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"origin-throttles", 2, 1, 0, originFault(origin.FaultThrottle, 1)},
+	{"origin-errors", 2, 1, 0, originFault(origin.FaultError, 1)},
+	{"origin-slow", 2, 1, 0, originFault(origin.FaultSlow, 1)},
+	{"origin-loses-answers", 2, 1, 0, originFault(origin.FaultLost, 2)},
+	{"origin-sends-corrupt-chunks", 2, 1, 0, originFault(origin.FaultCorrupt, 2)},
+	{"store-corrupt-and-origin-down", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.store.SetFaults(origin.Faults{Fault: origin.FaultCorrupt, Every: 3})
 		r.origin.SetFaults(origin.Faults{Fault: origin.FaultError})
 		return root
 	}},
-	{"tables-down", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"tables-down", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.tables.SetFaults(store.Faults{Down: true})
 		return root
 	}},
-	{"tables-lose-answers", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"tables-lose-answers", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.tables.SetFaults(store.Faults{LoseAnswers: 0.5})
 		return root
 	}},
-	{"tracker-killed", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"tracker-killed", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		_ = r.trackers[0].Close()
 		return root
 	}},
-	{"all-trackers-killed", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"all-trackers-killed", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		_ = r.trackers[0].Close()
 		_ = r.trackers[1].Close()
 		return root
 	}},
-	{"version-changed", 2, 2, func(r *rig, _ core.Digest) core.Digest {
+	{"version-changed", 2, 2, 0, func(r *rig, _ core.Digest) core.Digest {
 		next, _ := r.publish(2)
 		r.setTarget(next)
 		return next
 	}},
-	{"two-versions-raced", 2, 2, func(r *rig, root core.Digest) core.Digest {
+	{"two-versions-raced", 2, 2, 0, func(r *rig, root core.Digest) core.Digest {
 		next, _ := r.publish(2)
 		for i, member := range r.agents {
 			if i%2 == 0 {
@@ -116,16 +118,16 @@
 		r.setTarget(next)
 		return next
 	}},
-	{"region-cut-and-healed", 2, 1, func(r *rig, root core.Digest) core.Digest {
+	{"region-cut-and-healed", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		r.border.shut()
 		time.AfterFunc(faultSpan, r.border.reopen)
 		return root
 	}},
-	{"engine-restarts-empty", 2, 2, func(r *rig, root core.Digest) core.Digest {
+	{"engine-restarts-empty", 2, 1, 1, func(r *rig, root core.Digest) core.Digest {
 		_ = r.agents[0].engine.Inject(backend.Faults{RestartEmpty: true})
 		return root
 	}},
-	{"staged-chunk-corrupt", 2, 2, func(r *rig, root core.Digest) core.Digest {
+	{"staged-chunk-corrupt", 2, 1, 0, func(r *rig, root core.Digest) core.Digest {
 		_ = r.agents[0].engine.Inject(backend.Faults{CorruptChunks: 1})
 		return root
 	}},
@@ -203,7 +205,7 @@
 	}
 	want := fault.inject(r, root)
 	r.waitActive(want)
-	r.checkBounds(fault.versions)
+	r.checkBounds(fault.versions, fault.restarts)
 }
 
 func TestBurstClean(t *testing.T) {
@@ -211,7 +213,7 @@
 	root, manifest := r.publish(1)
 	r.setTarget(root)
 	r.waitActive(root)
-	r.checkBounds(1)
+	r.checkBounds(1, 0)
 	encoded, _, err := manifest.Encode()
 	require.NoError(t, err)
 	size := manifest.Size() + int64(len(encoded))
--- a/weights/swarm/rig_test.go
+++ b/weights/swarm/rig_test.go
@@ -334,8 +334,9 @@
 	}, rigDeadline, 5*time.Millisecond)
 }
 
-// checkBounds checks the promises that hold in every run.
-func (r *rig) checkBounds(versions int) {
+// checkBounds checks the promises that hold in every run. An engine that starts
+// with nothing needs its content once more.
+func (r *rig) checkBounds(versions, restarts int) {
 	r.t.Helper()
 	r.mu.Lock()
 	require.Empty(r.t, r.violations)
@@ -348,7 +349,11 @@
 	require.LessOrEqual(r.t, r.origin.SentTotal(), int64(budget.MaxFetches*versions)*size, "origin")
 	for _, member := range r.agents {
 		usage := member.usage()
-		require.LessOrEqual(r.t, usage.Received+usage.Sent, int64(maxCopies*versions)*size, "link of agent %d: %+v", member.index, usage)
+		copies := int64(maxCopies * versions)
+		if member.index == 0 {
+			copies += int64(restarts)
+		}
+		require.LessOrEqual(r.t, usage.Received+usage.Sent, copies*size, "link of agent %d: %+v", member.index, usage)
 		require.Zero(r.t, member.engine.Counters().PartialWeights)
 	}
 }
