--- /dev/null
+++ b/weights/source/client_test.go
@@ -0,0 +1,56 @@
+package source
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/standin/origin"
+)
+
+func TestClient(t *testing.T) {
+	served := origin.New(origin.Config{})
+	server := httptest.NewServer(served)
+	t.Cleanup(server.Close)
+	client, err := New(Config{URL: server.URL + "/", DataCentre: "bern-west"})
+	require.NoError(t, err)
+	content := []byte("some weights")
+	digest := core.DigestOf(content)
+
+	held, err := client.HasChunk(t.Context(), digest)
+	require.NoError(t, err)
+	require.False(t, held)
+	require.NoError(t, client.PutChunk(t.Context(), digest, content))
+	require.Error(t, client.PutChunk(t.Context(), core.DigestOf([]byte("other")), content))
+	held, err = client.HasChunk(t.Context(), digest)
+	require.NoError(t, err)
+	require.True(t, held)
+	got, err := client.Chunk(t.Context(), digest)
+	require.NoError(t, err)
+	require.Equal(t, content, got)
+	require.Equal(t, int64(len(content)), served.Sent()["bern-west"])
+
+	faults := []struct {
+		fault origin.Fault
+		code  core.Code
+		work  core.Work
+	}{
+		{origin.FaultThrottle, core.CodeOriginFailed, core.WorkNotRun},
+		{origin.FaultError, core.CodeOriginFailed, core.WorkNotRun},
+		{origin.FaultLost, core.CodeOriginFailed, core.WorkUnknown},
+		{origin.FaultCorrupt, core.CodeChunkCorrupt, core.WorkUnknown},
+	}
+	for _, fault := range faults {
+		served.SetFaults(origin.Faults{Fault: fault.fault})
+		_, err := client.Chunk(t.Context(), digest)
+		require.Equal(t, fault.code, core.CodeOf(err), fault.fault)
+		require.Equal(t, fault.work, core.WorkOf(err), fault.fault)
+	}
+}
+
+func TestConfigNeedsURL(t *testing.T) {
+	_, err := New(Config{})
+	require.Error(t, err)
+}
