Swarm: return to the first tracker soon; even out upload budgets by swapping peers

Cause: a report to the first tracker that timed out under load sent a downloader to the second tracker for 20 s; the two trackers' members knew only their own kind. And peers that few watched kept unspent budgets to the end. Ruled out: machine load alone (half the link rate gave the same ratio).

--- a/weights/swarm/announce.go
+++ b/weights/swarm/announce.go
@@ -11,7 +11,7 @@
 
 const (
 	announceTimeout  = 3 * time.Second
-	trackerRetry     = 20 * time.Second
+	trackerRetry     = 3 * time.Second
 	trackersPerRound = 3
 )
 
--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -15,6 +15,9 @@
 const (
 	eventQueue     = 64
 	sourceParallel = 1
+	// rebalanceParts gives the difference of upload budgets, as a part of a
+	// copy, for which a peer is replaced.
+	rebalanceParts = 6
 	// patience is how long a peer may be of no use before another takes its
 	// place, in reports to the tracker.
 	patience    = 6
@@ -261,7 +264,7 @@
 }
 
 // makeRoom reports whether another peer may be watched. When there are enough,
-// a peer that is of no use gives way.
+// a peer that is of no use, or has much less upload budget left, gives way.
 func (d *download) makeRoom(peer wire.TrackPeer, far bool) bool {
 	limit := d.config.Peers
 	if far {
@@ -269,28 +272,40 @@
 	}
 	now := time.Now()
 	count := 0
-	useless := ""
+	worst := ""
 	for addr, watched := range d.watches {
 		if d.plan.peers[addr].far != far {
 			continue
 		}
 		count++
 		settled := d.plan.peers[addr].known && now.Sub(watched.since) >= patience*d.config.Announce
-		if settled && !d.plan.useful(addr) {
-			useless = addr
+		if settled && (worst == "" || d.worth(addr) < d.worth(worst)) {
+			worst = addr
 		}
 	}
 	if count < limit {
 		return true
 	}
-	if useless == "" || peer.Done == 0 || peer.Left <= 0 || now.Before(d.nextSwap) {
+	if worst == "" || peer.Done == 0 || peer.Left <= 0 || now.Before(d.nextSwap) {
+		return false
+	}
+	if peer.Left-d.worth(worst) <= d.ledger.size/rebalanceParts {
 		return false
 	}
 	d.nextSwap = now.Add(d.jittered(d.config.Announce))
-	peerLost{addr: useless}.apply(d, now)
+	peerLost{addr: worst}.apply(d, now)
 	return true
 }
 
+// worth ranks the watched peers by their upload budgets; those of no use come
+// last.
+func (d *download) worth(addr string) int64 {
+	if !d.plan.useful(addr) {
+		return -d.ledger.size
+	}
+	return d.plan.peers[addr].left
+}
+
 // fetchExtent draws the chunks of an extent that no near peer delivers from a
 // source, on behalf of the region.
 func (d *download) fetchExtent(extent int, takeover bool, now time.Time) {
