Stop replaced processes, release the order lease, count stale servers

Cause: a process whose successor runs in its slot went on; the next agent of a slot waited out the lease of one that had stopped as planned; in-force assumed leases that end although daemons serve on with a stale configuration.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -84,6 +84,8 @@
 	return a, nil
 }
 
+const releaseTimeout = 2 * time.Second
+
 // leaveNotice leaves time for all entries to learn of the leave, while
 // dispatches are still refused by an answer.
 const leaveNotice = 2 * time.Second
@@ -126,6 +128,7 @@
 		Peer:        a.peer,
 		List:        a.platform,
 		Report:      a.heartbeat,
+		OnReplaced:  func() { a.life.Stop() },
 		Log:         a.config.Log.Part("members"),
 	})
 	if err != nil {
@@ -176,11 +179,24 @@
 	a.config.Log.ReportInvariants()
 	a.log.main.WithField("peer", a.PeerAddr()).Info("Agent started.")
 	err := a.life.Run(ctx, a.duties())
+	a.releaseLease()
 	closeErr := a.peer.Close()
 	a.log.main.Info("Agent stopped.")
 	return errors.Join(err, closeErr)
 }
 
+// releaseLease spares the next agent of this slot the wait for the lease's end.
+func (a *Agent) releaseLease() {
+	if !a.life.Draining() || a.lease.Fence() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	if err := a.lease.Release(ctx); err != nil {
+		a.log.main.WithError(err).Info("Lease not released.")
+	}
+}
+
 // Kill ends Run at once, without a drain, as the loss of the instance would.
 func (a *Agent) Kill() { a.life.Kill() }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -147,6 +147,7 @@
 		Peer:         e.peer,
 		List:         e.platform,
 		ConfigMaxAge: e.config.ConfigMaxAge,
+		ServesStale:  e.config.StalePolicy == spread.OnStaleServe,
 		Log:          e.config.Log.Part("members"),
 		Metrics:      e.registry,
 	})
@@ -159,6 +160,7 @@
 		Peer:        e.peer,
 		List:        e.platform,
 		Report:      e.heartbeat,
+		OnReplaced:  func() { e.life.Stop() },
 		Directory:   e.directory,
 		Log:         e.config.Log.Part("members"),
 	})
--- a/daemon/lifecycle/lifecycle.go
+++ b/daemon/lifecycle/lifecycle.go
@@ -53,15 +53,21 @@
 	expired  atomic.Bool
 	killed   chan struct{}
 	kill     func()
+	stopped  chan struct{}
+	stop     func()
 }
 
 // New returns a daemon's life before its start.
 func New(config Config) *Lifecycle {
-	l := &Lifecycle{config: config, killed: make(chan struct{})}
+	l := &Lifecycle{config: config, killed: make(chan struct{}), stopped: make(chan struct{})}
 	l.kill = sync.OnceFunc(func() { close(l.killed) })
+	l.stop = sync.OnceFunc(func() { close(l.stopped) })
 	return l
 }
 
+// Stop begins a planned stop, as the end of Run's context does.
+func (l *Lifecycle) Stop() { l.stop() }
+
 // Kill ends Run at once, without a drain, as the loss of the instance would.
 func (l *Lifecycle) Kill() { l.kill() }
 
@@ -82,6 +88,8 @@
 		select {
 		case <-ctx.Done():
 			l.drain()
+		case <-l.stopped:
+			l.drain()
 		case <-l.killed:
 			l.config.Abort()
 		case <-shared.Done():
@@ -121,7 +129,7 @@
 
 // checkStopped asserts that a planned stop within its drain time cut nothing.
 func (l *Lifecycle) checkStopped(ctx context.Context) {
-	planned := ctx.Err() != nil && !l.expired.Load()
+	planned := (ctx.Err() != nil || l.draining.Load()) && !l.expired.Load()
 	running := l.config.Running()
 	invariant.Check(invariant.GracefulStop, !planned || running == 0, "stopped with %d requests in progress", running)
 }
--- a/daemon/lifecycle/lifecycle_test.go
+++ b/daemon/lifecycle/lifecycle_test.go
@@ -60,6 +60,18 @@
 	})
 }
 
+func TestStopDrainsWithoutTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := &leaver{}
+		l := newLife(told)
+		time.AfterFunc(5*time.Second, l.Work.Enter())
+		l.Stop()
+		require.NoError(t, l.Run(t.Context(), []Duty{waitForEnd}))
+		require.Equal(t, []string{"leave", "left"}, told.told)
+		require.True(t, l.Draining())
+	})
+}
+
 func TestDrainTimeBoundsTheStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLife(&leaver{})
