--- a/members/fleet_test.go
+++ b/members/fleet_test.go
@@ -127,8 +127,9 @@
 			return inForce && len(entry.directory.Agents("workers")) == 4 && len(entry.directory.Entries()) == 3
 		}, eventually, 20*time.Millisecond)
 	}
-	require.Len(t, entries[0].directory.Neighbours(), 2)
-	require.Len(t, agents[0].reporter.Homes(), 3)
+	require.Eventually(t, func() bool {
+		return len(entries[0].directory.Neighbours()) == 2 && len(agents[0].reporter.Homes()) == 3
+	}, eventually, 20*time.Millisecond)
 
 	require.NoError(t, agents[0].reporter.Leave(t.Context()))
 	agents[1].stop()
