Renew the budget of link bytes when the burst is over

Ruled out: the budget of the origin (a chunk a stall is all that it gives). After: the account starts anew after three times the own download, at least 30 s, whether or not chunks are missing; within a burst the bound of two copies holds as before (TestRandomLedger). Swarm tests pass with -race (60 s).

--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -127,7 +127,8 @@
 	StallTimeout time.Duration
 	// StatePoll is the interval of looks at the engine's state.
 	StatePoll time.Duration
-	// UploadWindow is when the upload budget of a whole version is renewed.
+	// UploadWindow is the longest time until the budget of a version's link
+	// bytes is renewed; it is shorter for a version that came quickly.
 	UploadWindow time.Duration
 	// RetryDelay is the pause after a failed step.
 	RetryDelay time.Duration
--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -154,7 +154,7 @@
 
 func (d *download) startRequests(now time.Time) {
 	for _, req := range d.plan.next(now) {
-		if !d.ledger.room(d.plan.sizes[req.chunk]) {
+		if !d.ledger.room(d.plan.sizes[req.chunk], now) {
 			d.plan.ended(req, outcomeSpent, d.plan.peers[req.peer].left, 0, now)
 			return
 		}
--- a/weights/swarm/ledger.go
+++ b/weights/swarm/ledger.go
@@ -12,11 +12,17 @@
 	// reserveParts gives the allowance for discarded content while chunks are
 	// missing: this part of a copy, and at least one chunk.
 	reserveParts = 256
+	// burstParts times the duration of the own download bounds the burst that
+	// it was part of; minWindow is the shortest such bound.
+	burstParts = 3
+	minWindow  = 30 * time.Second
 )
 
 // ledger accounts for the content of one version that crosses this instance's
-// link. Sending is bounded so that received and sent content stay within
-// maxCopies once all missing chunks have come. It is safe for concurrent use.
+// link in one burst. Sending is bounded so that received and sent content stay
+// within maxCopies once all missing chunks have come. When the burst is over the
+// account starts anew, so that instances which come later or lose their content
+// find peers again. It is safe for concurrent use.
 type ledger struct {
 	mu sync.Mutex
 	// size is one copy, missing is what is still to be received and reserve
@@ -28,12 +34,38 @@
 	chunk    int64
 	received int64
 	sent     int64
-	renewed  time.Time
-	window   time.Duration
+	// renewed is when the account began, window when it starts anew.
+	renewed time.Time
+	window  time.Duration
 }
 
-func newLedger(size, missing, chunk int64, window time.Duration) *ledger {
-	return &ledger{size: size, missing: missing, chunk: chunk, reserve: max(chunk, size/reserveParts), window: window}
+func newLedger(size, missing, chunk int64, window time.Duration, now time.Time) *ledger {
+	return &ledger{
+		size:    size,
+		missing: missing,
+		chunk:   chunk,
+		reserve: max(chunk, size/reserveParts),
+		renewed: now,
+		window:  window,
+	}
+}
+
+// whole says that nothing is missing any more. Since all instances of a burst
+// begin together and have links alike, a few times the own duration is the end
+// of the burst.
+func (l *ledger) whole(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	spent := burstParts * now.Sub(l.renewed)
+	l.window = min(l.window, max(spent, minWindow))
+}
+
+// renew starts the account anew after the burst.
+func (l *ledger) renew(now time.Time) {
+	if now.Sub(l.renewed) < l.window {
+		return
+	}
+	l.received, l.sent, l.renewed = 0, 0, now
 }
 
 // left returns the bytes that may still be sent.
@@ -44,9 +76,7 @@
 }
 
 func (l *ledger) leftLocked(now time.Time) int64 {
-	if l.missing == 0 && !l.renewed.IsZero() && now.Sub(l.renewed) >= l.window {
-		l.received, l.sent, l.renewed = 0, 0, now
-	}
+	l.renew(now)
 	reserve := l.reserve
 	if l.missing == 0 {
 		reserve = 0
@@ -65,9 +95,6 @@
 	if l.leftLocked(now) < size {
 		return false
 	}
-	if l.renewed.IsZero() {
-		l.renewed = now
-	}
 	l.sent += size
 	return true
 }
@@ -80,9 +107,10 @@
 }
 
 // room reports whether a download of size stays within the bound.
-func (l *ledger) room(size int64) bool {
+func (l *ledger) room(size int64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.renew(now)
 	return l.received+l.sent+size <= maxCopies*l.size
 }
 
--- a/weights/swarm/planner_test.go
+++ b/weights/swarm/planner_test.go
@@ -118,8 +118,8 @@
 		const chunk = 10
 		chunks := rapid.Int64Range(1, 40).Draw(t, "chunks")
 		size := chunks * chunk
-		l := newLedger(size, size, chunk, time.Hour)
 		now := time.Unix(0, 0)
+		l := newLedger(size, size, chunk, time.Hour, now)
 		var crossed int64
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
@@ -128,12 +128,12 @@
 					crossed += chunk
 				}
 			case 1:
-				if l.room(chunk) && l.missing > 0 {
+				if l.room(chunk, now) && l.missing > 0 {
 					l.receive(chunk, true)
 					crossed += chunk
 				}
 			case 2:
-				if l.room(chunk) && l.missing > 0 {
+				if l.room(chunk, now) && l.missing > 0 {
 					l.receive(chunk, false)
 					crossed += chunk
 				}
@@ -145,13 +145,29 @@
 
 func TestLedgerRenewsBudgetOfWholeVersion(t *testing.T) {
 	now := time.Unix(0, 0)
-	l := newLedger(100, 0, 10, time.Minute)
+	l := newLedger(100, 0, 10, time.Minute, now)
 	require.True(t, l.send(100, now))
 	require.True(t, l.send(100, now))
 	require.False(t, l.send(10, now.Add(time.Minute-1)))
 	require.True(t, l.send(10, now.Add(time.Minute)))
 }
 
+// TestLedgerLetsAnInstanceRecover loses all content after a burst in which the
+// whole budget was spent: within the burst nothing more may come, afterwards a
+// whole copy may.
+func TestLedgerLetsAnInstanceRecover(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := newLedger(100, 100, 10, time.Hour, now)
+	l.receive(100, true)
+	now = now.Add(20 * time.Second)
+	l.whole(now)
+	require.True(t, l.send(100, now))
+	l.setMissing(100)
+	require.False(t, l.room(10, now), "the burst goes on")
+	require.True(t, l.room(100, now.Add(40*time.Second)), "three times the download is over")
+	require.Zero(t, l.sent)
+}
+
 // TestInvariantWholeWeights shows that the check before an activation fails
 // when the steps before it are broken.
 func TestInvariantWholeWeights(t *testing.T) {
--- a/weights/swarm/session.go
+++ b/weights/swarm/session.go
@@ -133,7 +133,7 @@
 	}
 	s.offers = newOffers(len(s.chunks))
 	if s.ledger == nil {
-		s.ledger = newLedger(size, size, largest, s.config.UploadWindow)
+		s.ledger = newLedger(size, size, largest, s.config.UploadWindow, time.Now())
 		s.ledger.receive(int64(len(encoded)), true)
 	}
 	s.mu.Lock()
@@ -186,6 +186,7 @@
 	if verified != len(s.chunks) {
 		return core.Fail(core.CodeIncomplete, core.WorkNotRun, "%d of %d chunks are verified", verified, len(s.chunks))
 	}
+	s.ledger.whole(time.Now())
 	return nil
 }
 
