Let no planned request stay in flight when the link's budget is spent

Cause: the planner counts all chosen requests as in flight; when the first one found no room in the budget of link bytes, the others were dropped without an end. Ruled out: peers' budgets (9 and 12 MB left at both peers), a hung call.

--- a/weights/swarm/download.go
+++ b/weights/swarm/download.go
@@ -156,7 +156,7 @@
 	for _, req := range d.plan.next(now) {
 		if !d.ledger.room(d.plan.sizes[req.chunk], now) {
 			d.plan.ended(req, outcomeSpent, d.plan.peers[req.peer].left, 0, now)
-			return
+			continue
 		}
 		far := d.plan.peers[req.peer].far
 		d.spawn(func() { d.fetchChunk(req, far) })
--- a/weights/swarm/planner_test.go
+++ b/weights/swarm/planner_test.go
@@ -206,3 +206,18 @@
 	require.Equal(t, outcomeDone, got.result, "the check can fail")
 	require.Error(t, manager.config.Staging.PutChunk(t.Context(), digest, got.content))
 }
+
+// TestFullLinkLeavesNoRequestInFlight plans several requests while the link's
+// budget is spent: none is sent, and none may count as in flight.
+func TestFullLinkLeavesNoRequestInFlight(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := &download{
+		session: &session{ledger: newLedger(40, 40, 10, time.Hour, now)},
+		plan:    newPlanner([]int64{10, 10, 10, 10}, 4, 1),
+	}
+	d.plan.addPeer("peer", false)
+	d.plan.offer("peer", nil, []uint32{0, 1, 2, 3}, 100)
+	d.ledger.sent = maxCopies * d.ledger.size
+	d.startRequests(now)
+	require.Zero(t, d.plan.flying)
+}
