--- a/cmd/currantusher/main.go
+++ b/cmd/currantusher/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -89,7 +90,8 @@
 	if err == nil {
 		return exitOK
 	}
-	fmt.Fprintln(os.Stderr, "currantusher:", err)
+	text := strings.ReplaceAll(err.Error(), core.ResultError.FullName()+": ", "")
+	fmt.Fprintln(os.Stderr, "currantusher:", text)
 	var usage usageError
 	switch {
 	case errors.As(err, &usage):
--- a/core/errors.go
+++ b/core/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -85,6 +86,20 @@
 	return err.Error()
 }
 
+// ExplainOf returns DetailOf followed by the causes that it does not name yet.
+func ExplainOf(err error) string {
+	text := DetailOf(err)
+	var coded *errorx.Error
+	for errors.As(err, &coded) && coded.Cause() != nil {
+		err = coded.Cause()
+		cause := DetailOf(err)
+		if !strings.Contains(text, cause) {
+			text += ": " + cause
+		}
+	}
+	return text
+}
+
 func property[T any](err error, name errorx.Property) (T, bool) {
 	var zero T
 	var coded *errorx.Error
--- a/core/errors_test.go
+++ b/core/errors_test.go
@@ -37,6 +37,15 @@
 	}
 }
 
+func TestExplainNamesEachCauseOnce(t *testing.T) {
+	inner := errors.New("weight 0 must be 1 to 1000")
+	middle := Wrap(inner, CodeInvalidRow, WorkNotRun, "team %q", "aare")
+	require.Equal(t, `team "aare": weight 0 must be 1 to 1000`, ExplainOf(middle))
+	outer := Wrap(middle, CodeInvalidRow, WorkNotRun, "%s", ExplainOf(middle))
+	require.Equal(t, `team "aare": weight 0 must be 1 to 1000`, ExplainOf(outer))
+	require.Equal(t, "plain", ExplainOf(errors.New("plain")))
+}
+
 func TestCodesAreListedInOrder(t *testing.T) {
 	previous := Code(-1)
 	for _, info := range Codes() {
--- a/daemon/convert/convert.go
+++ b/daemon/convert/convert.go
@@ -142,7 +142,7 @@
 		Code:      int(code),
 		Name:      info.Name,
 		Work:      oas.ProblemWork(core.WorkOf(err).String()),
-		Detail:    core.DetailOf(err),
+		Detail:    core.ExplainOf(err),
 		RequestID: optString(requestID),
 	}
 	result := &oas.ProblemStatusCodeWithHeaders{StatusCode: info.HTTPStatus, Response: problem}
