--- /dev/null
+++ b/wire/frame_test.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+)
+
+func TestFrameLimits(t *testing.T) {
+	require.Error(t, WriteFrame(&bytes.Buffer{}, make([]byte, MaxFrame+1)))
+	cut := bufio.NewReader(bytes.NewReader([]byte{0, 0, 0, 9, 1}))
+	var reply Reply
+	require.ErrorContains(t, ReadFrame(cut, &reply), "frame cut")
+	huge := bufio.NewReader(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+	require.ErrorContains(t, ReadFrame(huge, &reply), "over the limit")
+}
+
+// FuzzReadFrame feeds bytes to the decoder of the request family. What it
+// accepts must survive another round.
+func FuzzReadFrame(f *testing.F) {
+	for _, message := range []any{
+		Reply{Start: &Start{RequestID: "r"}},
+		Reply{Data: &Data{Sequence: 3, Bytes: []byte("token"), End: 5}},
+		Reply{End: &End{RequestID: "r", Code: core.CodeDraining, Work: core.WorkNotRun}},
+		Dispatch{RequestID: "r", AttemptID: "e.1.2", Body: []byte("{}")},
+	} {
+		var framed bytes.Buffer
+		require.NoError(f, WriteFrame(&framed, message))
+		f.Add(framed.Bytes())
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		roundTrip[Reply](t, input)
+		roundTrip[Dispatch](t, input)
+	})
+}
+
+func roundTrip[Message any](t *testing.T, input []byte) {
+	var first, second Message
+	if ReadFrame(bufio.NewReader(bytes.NewReader(input)), &first) != nil {
+		return
+	}
+	var framed bytes.Buffer
+	require.NoError(t, WriteFrame(&framed, first))
+	require.NoError(t, ReadFrame(bufio.NewReader(&framed), &second))
+	require.Equal(t, first, second)
+}
