--- a/requests/fair/state_test.go
+++ b/requests/fair/state_test.go
@@ -301,8 +301,9 @@
 	}
 }
 
-// TestOverloadGoodput offers three times the capacity with deadlines.
-func TestOverloadGoodput(t *testing.T) {
+// overload offers three times the capacity with deadlines. It returns the
+// goodput as a part of the capacity, and how many of the refusals were late.
+func overload(t *testing.T) (goodput float64, slow, refused int) {
 	const capacity, mean, length = 20, 200 * time.Millisecond, 2 * time.Minute
 	random := rand.New(rand.NewPCG(9, 9))
 	load := merge(
@@ -314,17 +315,30 @@
 	s.setCapacity(capacity)
 	result := simulate(s, load, mean, 3)
 	ideal := float64(capacity) / mean.Seconds() * length.Seconds()
-	goodput := float64(result.finished-result.late) / ideal
-	slow := 0
+	goodput = float64(result.finished-result.late) / ideal
 	for _, took := range result.refusedIn {
-		if took > 50*time.Millisecond {
+		if took > refusalTime {
 			slow++
 		}
 	}
 	t.Logf("offered %d, finished %d, late %d, goodput %.3f of capacity; %d of %d refusals later than 50 ms",
 		len(load), result.finished, result.late, goodput, slow, len(result.refusedIn))
+	return goodput, slow, len(result.refusedIn)
+}
+
+// refusalTime is the target's longest time until a refusal.
+const refusalTime = 50 * time.Millisecond
+
+func TestOverloadGoodput(t *testing.T) {
+	goodput, _, _ := overload(t)
 	require.GreaterOrEqual(t, goodput, 0.95)
-	require.Less(t, slow, len(result.refusedIn)/50)
+}
+
+// TestOverloadRefusalTime holds every refusal to the target's time.
+func TestOverloadRefusalTime(t *testing.T) {
+	_, slow, refused := overload(t)
+	require.Positive(t, refused)
+	require.Zero(t, slow, "refusals later than %s", refusalTime)
 }
 
 func BenchmarkQueue(b *testing.B) {
