Add the parts for serving on the operators' platform

Cause: the platform's store, names and node file are not spoken yet, and the entry knows no routes by host, keys, direct connections or living entries there.

--- /dev/null
+++ b/core/fleet/table_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTableFindsLongestPrefixOfTheHost(t *testing.T) {
+	table := Compile(Configuration{Routes: []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}})
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"A.example:8005", "/x/yy", "short"},
+		{"a.example", "/x", ""},
+		{"a.example", "/X/y/", ""},
+		{"b.example", "/anything", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, c := range cases {
+		route := table.Route(c.host, c.path)
+		if c.want == "" {
+			require.Nil(t, route, "%s%s", c.host, c.path)
+			continue
+		}
+		require.NotNil(t, route, "%s%s", c.host, c.path)
+		require.Equal(t, c.want, string(route.Name))
+	}
+}
+
+func TestTableFindsTeamByKey(t *testing.T) {
+	table := Compile(Configuration{Teams: []Team{{Name: "aare", Keys: []string{"k1", "k2"}}}})
+	require.Equal(t, "aare", string(table.Team("k2").Name))
+	require.Nil(t, table.Team("k3"))
+	require.True(t, table.NeedsKey(&Route{}))
+	require.False(t, table.NeedsKey(&Route{Public: true}))
+	require.False(t, Compile(Configuration{}).NeedsKey(&Route{}))
+}
+
+func TestServerOrder(t *testing.T) {
+	first := time.UnixMilli(1000)
+	later := time.UnixMilli(2000)
+	require.True(t, (&Server{Born: first, Orders: 9}).IsOlderThan(&Server{Born: later}))
+	require.True(t, (&Server{Born: first, Orders: 1}).IsOlderThan(&Server{Born: first, Orders: 2}))
+	require.True(t, (&Server{Born: first}).IsOlderThan(&Server{Born: first, Leaving: true}))
+	require.False(t, (&Server{Born: first, Leaving: true}).IsOlderThan(&Server{Born: first}))
+	require.False(t, (&Server{Born: first}).IsOlderThan(&Server{Born: first}))
+}
+
+func TestIsRepeatable(t *testing.T) {
+	require.True(t, (&Route{Kind: Safe}).IsRepeatable())
+	require.False(t, (&Route{Kind: Unsafe, Resumable: true}).IsRepeatable())
+	require.False(t, (&Route{Kind: Streaming}).IsRepeatable())
+	require.True(t, (&Route{Kind: Streaming, Resumable: true}).IsRepeatable())
+}
--- /dev/null
+++ b/members/gossip/node.go
@@ -0,0 +1,190 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+)
+
+// maxDatagram bounds a message that is read.
+const maxDatagram = 32 << 10
+
+// Config holds the parts of a Node.
+type Config struct {
+	Self Member
+	// Revisions returns the newest known changes by table.
+	Revisions func() map[string]uint64
+	// Loads returns the requests in flight at each backend server.
+	Loads func() map[core.InstanceID]int
+	Log   *logrus.Entry
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Node exchanges messages with other entries. It is safe for concurrent use.
+type Node struct {
+	config Config
+	socket *net.UDPConn
+
+	mu    sync.Mutex
+	state *State
+	// loads is the others' work, and loadsAt when a message last changed it.
+	loads   map[core.InstanceID]int
+	loadsAt time.Time
+	alive   int
+}
+
+// Listen opens the node's socket at its peer address.
+func Listen(config Config) (*Node, error) {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	addr, err := net.ResolveUDPAddr("udp", config.Self.PeerAddr)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	socket, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	state := NewState(config.Self, uint64(config.Self.Incarnation))
+	return &Node{config: config, socket: socket, state: state}, nil
+}
+
+// Introduce adds peer addresses that may be up.
+func (n *Node) Introduce(addrs ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, addr := range addrs {
+		n.state.Introduce(addr)
+	}
+}
+
+// SetPhase changes what the entry says of itself and tells the others at once.
+func (n *Node) SetPhase(phase Phase) {
+	n.mu.Lock()
+	changed := n.state.Self().Phase != phase
+	n.state.SetPhase(phase)
+	n.mu.Unlock()
+	if changed {
+		n.round()
+	}
+}
+
+// Run sends and receives until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = n.socket.Close() })
+	defer stop()
+	go n.send(ctx)
+	buffer := make([]byte, maxDatagram)
+	for {
+		length, _, err := n.socket.ReadFromUDP(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			n.config.Log.WithError(err).Warn("Message not received.")
+			continue
+		}
+		n.receive(buffer[:length])
+	}
+}
+
+func (n *Node) send(ctx context.Context) {
+	ticker := time.NewTicker(Period)
+	defer ticker.Stop()
+	for {
+		n.round()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) round() {
+	revisions, loads := n.config.Revisions(), n.config.Loads()
+	n.mu.Lock()
+	now := n.config.Now()
+	message, addrs := n.state.Round(now, revisions, loads)
+	alive := len(n.state.Alive(now))
+	was := n.alive
+	n.alive = alive
+	n.mu.Unlock()
+	if alive != was {
+		n.config.Log.WithFields(logrus.Fields{"alive": alive, "before": was}).Info("Living entries changed.")
+	}
+	datagram, err := cbor.Marshal(message)
+	if err != nil {
+		n.config.Log.WithError(err).Error("Message not encoded.")
+		return
+	}
+	for _, text := range addrs {
+		n.write(datagram, text)
+	}
+}
+
+func (n *Node) write(datagram []byte, text string) {
+	addr, err := net.ResolveUDPAddr("udp", text)
+	if err == nil {
+		_, err = n.socket.WriteToUDP(datagram, addr)
+	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		// A lost message is made up for by the next round.
+		n.config.Log.WithField("peer", text).WithError(err).Debug("Message not sent.")
+	}
+}
+
+func (n *Node) receive(datagram []byte) {
+	var message Message
+	if err := cbor.Unmarshal(datagram, &message); err != nil {
+		n.config.Log.WithError(err).Warn("Unreadable message.")
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.config.Now()
+	if n.state.Receive(now, message) {
+		n.loads = n.state.Loads(now)
+		n.loadsAt = now
+	}
+}
+
+// Alive returns this entry and the others that live, ordered by id.
+func (n *Node) Alive() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Alive(n.config.Now())
+}
+
+// Senders returns how many entries may send requests now.
+func (n *Node) Senders() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Senders(n.config.Now())
+}
+
+// Loads returns the other entries' requests in flight by server, and when the
+// last message came. The map must not be changed.
+func (n *Node) Loads() (map[core.InstanceID]int, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.loads, n.loadsAt
+}
+
+// Ahead returns the address of a living entry that knows a later revision of a
+// table, or "".
+func (n *Node) Ahead(table string, revision uint64) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Ahead(n.config.Now(), table, revision)
+}
--- /dev/null
+++ b/requests/direct/stream.go
@@ -0,0 +1,230 @@
+package direct
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/blake3"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/upstream"
+	"currantusher.dev/wire"
+)
+
+const (
+	readBytes = 8 << 10
+	// maxFailureBytes bounds a failure's body that is kept for the caller.
+	maxFailureBytes = 64 << 10
+)
+
+func newDigest() *blake3.Hasher { return blake3.New() }
+
+// stream is one attempt's answer as frames. It implements
+// dispatch.ReplyStream.
+type stream struct {
+	exchange *Exchange
+	conn     *upstream.Conn
+	server   core.InstanceID
+	release  func() bool
+
+	response *http.Response
+	events   events
+	buffer   []byte
+	frames   uint64
+	length   int64
+	digest   *blake3.Hasher
+	// atEnd says that the body was read whole.
+	atEnd bool
+}
+
+// Recv implements dispatch.ReplyStream.
+func (s *stream) Recv() (wire.Reply, error) {
+	if s.response == nil {
+		return s.head()
+	}
+	for !s.atEnd {
+		part, err := s.read()
+		if err != nil {
+			return wire.Reply{}, err
+		}
+		if len(part) > 0 {
+			return s.data(part), nil
+		}
+	}
+	return s.end()
+}
+
+// Cancel implements dispatch.ReplyStream.
+func (s *stream) Cancel() {
+	s.release()
+	s.conn.Close()
+}
+
+// head reads the head of the answer and decides what it is.
+func (s *stream) head() (wire.Reply, error) {
+	response, err := s.conn.Receive(s.exchange.request.Method)
+	if err != nil {
+		return wire.Reply{}, err
+	}
+	s.response = response
+	if err := s.checkID(); err != nil {
+		return wire.Reply{}, err
+	}
+	s.observe()
+	switch {
+	case s.isNotRun():
+		return s.refused()
+	case response.StatusCode >= http.StatusInternalServerError:
+		return s.failed()
+	}
+	if err := s.checkHead(); err != nil {
+		return wire.Reply{}, err
+	}
+	if s.exchange.began.IsZero() {
+		s.exchange.answer = response
+	}
+	return wire.Reply{Begin: &wire.Begin{
+		RequestID:   s.exchange.request.ID,
+		ContentType: response.Header.Get("Content-Type"),
+	}}, nil
+}
+
+// checkID finds answers that belong to another request. A refusal may name
+// none.
+func (s *stream) checkID() error {
+	got := s.response.Header.Get(s.exchange.names.RequestID)
+	if got == s.exchange.request.ID || got == "" && s.isNotRun() {
+		return nil
+	}
+	return fmt.Errorf("%s answered request %q on the connection of %q", s.server, got, s.exchange.request.ID)
+}
+
+func (s *stream) observe() {
+	names := s.exchange.names
+	version, _ := strconv.ParseInt(s.response.Header.Get(names.WeightsVersion), 10, 64)
+	cold, _ := strconv.ParseInt(s.response.Header.Get(names.ColdFor), 10, 64)
+	s.exchange.observer.Answered(s.server, s.exchange.request.Model,
+		fleet.WeightsVersion(version), time.Duration(cold)*time.Millisecond)
+}
+
+func (s *stream) isNotRun() bool {
+	return s.response.StatusCode == http.StatusMisdirectedRequest || s.response.Header.Get(s.exchange.names.NotRun) != ""
+}
+
+// refused ends an attempt that the backend server did not run.
+func (s *stream) refused() (wire.Reply, error) {
+	code := s.refusalCode()
+	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
+		s.Cancel()
+	} else {
+		s.finish()
+	}
+	seconds, _ := strconv.ParseFloat(s.response.Header.Get("Retry-After"), 64)
+	return wire.Reply{End: &wire.End{
+		RequestID:        s.exchange.request.ID,
+		Code:             code,
+		Work:             core.WorkNotRun,
+		Detail:           fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode),
+		RetryAfterMillis: int64(seconds * 1000),
+	}}, nil
+}
+
+func (s *stream) refusalCode() core.Code {
+	if s.response.StatusCode != http.StatusMisdirectedRequest {
+		return core.CodeLimitReached
+	}
+	here := s.response.Header.Get(s.exchange.names.Server)
+	if here != "" && here != string(s.server) {
+		return core.CodeStaleIncarnation
+	}
+	return core.CodeDigestMismatch
+}
+
+// failed ends an attempt that the backend server ran and failed.
+func (s *stream) failed() (wire.Reply, error) {
+	body, err := io.ReadAll(io.LimitReader(s.response.Body, maxFailureBytes+1))
+	if err != nil || len(body) > maxFailureBytes {
+		return wire.Reply{}, fmt.Errorf("%s answered %d without a whole body", s.server, s.response.StatusCode)
+	}
+	s.finish()
+	s.exchange.failure = &Failure{Status: s.response.StatusCode, Header: s.response.Header, Body: body}
+	return wire.Reply{End: &wire.End{
+		RequestID: s.exchange.request.ID,
+		Code:      core.CodeEngineFailed,
+		Work:      core.WorkRan,
+		Detail:    fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode),
+	}}, nil
+}
+
+// checkHead rejects answers that are not the backend server's own.
+func (s *stream) checkHead() error {
+	header := s.response.Header
+	if encoding := header.Get("Content-Encoding"); encoding != "" {
+		return fmt.Errorf("%s answered with content encoding %q", s.server, encoding)
+	}
+	if s.response.StatusCode < http.StatusMultipleChoices && header.Get(s.exchange.names.Seal) == "" {
+		return fmt.Errorf("%s answered %d without its seal", s.server, s.response.StatusCode)
+	}
+	return nil
+}
+
+// read returns the next bytes to hand on; none means that more must be read.
+func (s *stream) read() ([]byte, error) {
+	if s.buffer == nil {
+		s.buffer = make([]byte, readBytes)
+	}
+	request := &s.exchange.request
+	if request.Resumable && request.Silence > 0 {
+		if err := s.conn.SetReadDeadline(time.Now().Add(request.Silence)); err != nil {
+			return nil, err
+		}
+	}
+	n, err := s.response.Body.Read(s.buffer)
+	s.atEnd = errors.Is(err, io.EOF)
+	if err != nil && !s.atEnd {
+		return nil, fmt.Errorf("answer of %s broke off: %w", s.server, err)
+	}
+	part := s.buffer[:n]
+	if !request.Resumable {
+		return part, nil
+	}
+	whole := s.events.add(part)
+	if s.atEnd && s.events.pending() > 0 {
+		return nil, fmt.Errorf("answer of %s ended within an event", s.server)
+	}
+	if id := s.events.lastID(); id != "" {
+		s.exchange.lastEvent = id
+	}
+	return whole, nil
+}
+
+func (s *stream) data(part []byte) wire.Reply {
+	s.length += int64(len(part))
+	_, _ = s.digest.Write(part)
+	frame := &wire.Data{Sequence: s.frames, Bytes: part, End: s.length}
+	s.frames++
+	return wire.Reply{Data: frame}
+}
+
+// end closes an answer that was read whole.
+func (s *stream) end() (wire.Reply, error) {
+	s.exchange.length = s.length
+	s.finish()
+	end := &wire.End{RequestID: s.exchange.request.ID, Code: core.CodeOK, Work: core.WorkRan, Length: s.length}
+	copy(end.Checksum[:], s.digest.Sum(nil))
+	return wire.Reply{End: end}, nil
+}
+
+// finish returns the connection.
+func (s *stream) finish() {
+	if s.release() {
+		s.conn.Release(s.response)
+		return
+	}
+	s.conn.Close()
+}
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -69,7 +69,7 @@
 // callContext ends when the attempt must be given up. At-most-once work goes
 // on after the caller left, so that a repeat finds its result.
 func (x *exchange) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if x.request.AtMostOnce {
+	if x.request.outlivesCaller() {
 		ctx = context.WithoutCancel(ctx)
 	}
 	left := x.request.Deadline.Add(-x.reserve()).Sub(x.config.Now())
@@ -80,14 +80,14 @@
 func (x *exchange) exchange(ctx context.Context, id string, agent placement.Candidate, answer *assembly) error {
 	call, cancel := x.callContext(ctx)
 	defer cancel()
-	stream, err := x.config.Sender.Send(call, agent, x.message(id, agent))
+	stream, err := x.sender().Send(call, agent, x.message(id, agent))
 	if isNotConnected(err) {
 		return core.Refuse(core.CodeAgentUnreachable, 0, "agent %s: %v", agent.ID, err)
 	}
 	if err == nil {
 		var abandon *time.Timer
-		if x.config.StartTimeout > 0 && !x.request.AtMostOnce {
-			abandon = time.AfterFunc(x.config.StartTimeout, cancel)
+		if x.startTimeout() > 0 && !x.request.AtMostOnce {
+			abandon = time.AfterFunc(x.startTimeout(), cancel)
 		}
 		err = x.receive(stream, answer, abandon)
 		if err != nil {
@@ -172,7 +172,7 @@
 	left := x.request.Deadline.Sub(x.config.Now())
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(x.config.TombstoneTimeout, left))
 	defer cancel()
-	reply, err := x.config.Sender.Tombstone(bounded, agent, wire.Tombstone{AttemptID: id, Incarnation: agent.Incarnation})
+	reply, err := x.sender().Tombstone(bounded, agent, wire.Tombstone{AttemptID: id, Incarnation: agent.Incarnation})
 	if err != nil || reply.Work != core.WorkNotRun {
 		return x.broken(ctx, call, cause)
 	}
@@ -182,7 +182,7 @@
 // broken is the error of an attempt that may have run.
 func (x *exchange) broken(ctx, call context.Context, cause error) error {
 	switch {
-	case ctx.Err() != nil && !x.request.AtMostOnce:
+	case ctx.Err() != nil && !x.request.outlivesCaller():
 		return core.Wrap(cause, core.CodeCancelled, core.WorkUnknown, "the caller cancelled")
 	case errors.Is(call.Err(), context.DeadlineExceeded):
 		return core.Wrap(cause, core.CodeTimeout, core.WorkUnknown, "the deadline passed after dispatch")
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -77,7 +77,8 @@
 	// ReleaseTimeout bounds the wait for the release of a claim.
 	ReleaseTimeout time.Duration
 	// StartTimeout abandons an attempt of a repeatable request whose
-	// start the agent has not confirmed; 0 means only the deadline does.
+	// start the agent has not confirmed; 0 means only the deadline does. A
+	// request's own StartTimeout goes before it.
 	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is held until it was checked.
 	MaxAnswerBytes int
@@ -131,8 +132,27 @@
 	Stream     bool
 	Path       string
 	Body       []byte
+
+	// Unclaimed at-most-once requests have no Key and no claim: each of the
+	// caller's attempts counts as a request of its own. Streams among them
+	// end when the caller leaves.
+	Unclaimed bool
+	// Sender replaces the dispatcher's for this request.
+	Sender Sender
+	// Candidates replaces the dispatcher's for this request.
+	Candidates func() []placement.Candidate
+	// MaxAttempts replaces the dispatcher's when above 0.
+	MaxAttempts int
+	// StartTimeout replaces the dispatcher's when above 0.
+	StartTimeout time.Duration
 }
 
+// isClaimed reports whether the request needs a claim before it is dispatched.
+func (r *Request) isClaimed() bool { return r.AtMostOnce && !r.Unclaimed }
+
+// outlivesCaller reports whether the work goes on when the caller leaves.
+func (r *Request) outlivesCaller() bool { return r.AtMostOnce && !(r.Unclaimed && r.Stream) }
+
 // Dispatcher is safe for concurrent use.
 type Dispatcher struct {
 	config Config
@@ -163,7 +183,7 @@
 	if !d.config.Now().Before(request.Deadline) {
 		return core.Refuse(core.CodeDeadlineShort, d.queue(request).RetryAfter(request.Team), "the deadline has passed")
 	}
-	if request.AtMostOnce {
+	if request.isClaimed() {
 		if err := d.config.Ledger.Ready(); err != nil {
 			return err
 		}
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -48,7 +48,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) error {
-	if !x.request.AtMostOnce {
+	if !x.request.isClaimed() {
 		return x.attempts(ctx)
 	}
 	key := ledger.Key{Team: x.request.Team, Route: x.request.Route, Key: x.request.Key}
@@ -145,7 +145,35 @@
 	}
 	x.chooseVersion()
 	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Tried: x.tried}
-	return placer.Pick(now, wanted, x.config.Candidates(x.request.Pool))
+	return placer.Pick(now, wanted, x.candidates())
+}
+
+func (x *exchange) candidates() []placement.Candidate {
+	if x.request.Candidates != nil {
+		return x.request.Candidates()
+	}
+	return x.config.Candidates(x.request.Pool)
+}
+
+func (x *exchange) sender() Sender {
+	if x.request.Sender != nil {
+		return x.request.Sender
+	}
+	return x.config.Sender
+}
+
+func (x *exchange) maxAttempts() int {
+	if x.request.MaxAttempts > 0 {
+		return x.request.MaxAttempts
+	}
+	return x.config.MaxAttempts
+}
+
+func (x *exchange) startTimeout() time.Duration {
+	if x.request.StartTimeout > 0 {
+		return x.request.StartTimeout
+	}
+	return x.config.StartTimeout
 }
 
 // chooseVersion sets the weights of the next attempt. Once bytes are out the
@@ -164,7 +192,7 @@
 
 // mayRetry reports whether another dispatch is permitted after err.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.count-x.full >= x.config.MaxAttempts || x.output.failed != nil {
+	if ctx.Err() != nil || x.count-x.full >= x.maxAttempts() || x.output.failed != nil {
 		return false
 	}
 	if !x.config.Now().Before(x.request.Deadline.Add(-x.reserve())) {
@@ -330,8 +358,9 @@
 	if !x.request.AtMostOnce {
 		return true
 	}
-	return invariant.Check(invariant.AtMostOnce, x.claim != nil && x.unproven == 0,
-		"attempt %s of request %s: claimed %t, %d unproven attempts", id, x.request.ID, x.claim != nil, x.unproven)
+	claimed := x.claim != nil || x.request.Unclaimed
+	return invariant.Check(invariant.AtMostOnce, claimed && x.unproven == 0,
+		"attempt %s of request %s: claimed %t, %d unproven attempts", id, x.request.ID, claimed, x.unproven)
 }
 
 func isNotConnected(err error) bool { return errors.Is(err, wire.ErrNotConnected) }
--- a/requests/dispatch/output.go
+++ b/requests/dispatch/output.go
@@ -74,7 +74,7 @@
 	if o.failed == nil {
 		o.failed = o.deliver(p)
 	}
-	if o.failed == nil || o.request.AtMostOnce {
+	if o.failed == nil || o.request.outlivesCaller() {
 		return nil
 	}
 	return core.Wrap(o.failed, core.CodeCancelled, core.WorkUnknown, "the caller is gone")
