--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -60,6 +60,8 @@
 	return []*command{
 		entryCommand(),
 		agentCommand(),
+		gatewayCommand(),
+		loaderCommand(),
 		standinCommand(),
 		tableCommand(routeTable),
 		tableCommand(poolTable),
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/requests/attempt"
+	"currantusher.dev/requests/cold"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/upstream"
+	"currantusher.dev/tables/watch"
+)
+
+// sweepPeriod is how often idle connections to backend servers are looked at.
+const sweepPeriod = time.Second
+
+// Gateway is one entry process on the operators' platform.
+type Gateway struct {
+	config      Config
+	node        atomic.Pointer[nodefile.Node]
+	incarnation core.Incarnation
+	store       *rowstore.Client
+	follower    *watch.Follower
+	gossip      *gossip.Node
+	upstream    *upstream.Pool
+	services    *serviceSet
+	dispatcher  *dispatch.Dispatcher
+	cold        *cold.Ledger
+	observed    *observations
+	conns       *callerConns
+	registry    metrics.Registry
+	leaving     atomic.Bool
+	inFlight    atomic.Int64
+	// lastRequest is when the last request came, in Unix nanoseconds.
+	lastRequest atomic.Int64
+	log         *logrus.Entry
+	requests    *logrus.Entry
+}
+
+// New checks the settings and wires the parts.
+func New(config Config) (*Gateway, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		config:      config,
+		incarnation: core.Incarnation(time.Now().UnixNano()),
+		store:       rowstore.New(config.Node.StoreAddr),
+		upstream:    upstream.NewPool(upstream.Config{}),
+		cold:        cold.NewLedger(),
+		observed:    newObservations(),
+		registry:    metrics.NewRegistry(),
+		log:         config.Log.Part("entry"),
+		requests:    config.Log.Part("request"),
+	}
+	g.node.Store(&config.Node)
+	g.conns = newCallerConns(g.limits)
+	g.follower = watch.NewFollower(watch.Config{
+		Store:  g.store,
+		Tables: []string{watch.OperatorTable, watch.ServersTable},
+		Log:    config.Log.Part("watch"),
+	})
+	g.services = newServiceSet(g)
+	var err error
+	g.gossip, err = gossip.Listen(gossip.Config{
+		Self:      g.self(),
+		Revisions: g.revisions,
+		Loads:     g.services.loads,
+		Log:       config.Log.Part("gossip"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.dispatcher = dispatch.New(dispatch.Config{
+		Attempts:         attempt.NewSource(config.Node.Instance, g.incarnation),
+		Queue:            g.services.queue,
+		Placer:           g.services.placer,
+		TombstoneTimeout: time.Millisecond,
+		MaxAnswerBytes:   config.MaxAnswer,
+	})
+	return g, nil
+}
+
+func (g *Gateway) self() gossip.Member {
+	n := g.config.Node
+	return gossip.Member{
+		ID:          n.Instance,
+		Incarnation: g.incarnation,
+		Phase:       gossip.Starting,
+		DataCentre:  n.DataCentre,
+		Region:      n.Region,
+		PeerAddr:    n.PeerAddr,
+		CallerAddr:  n.CallerAddr,
+	}
+}
+
+func (g *Gateway) revisions() map[string]uint64 {
+	view := g.follower.View()
+	return map[string]uint64{
+		watch.OperatorTable: view.OperatorRevision,
+		watch.ServersTable:  view.ServerRevision,
+	}
+}
+
+// isReady reports whether callers' requests can be served.
+func (g *Gateway) isReady() bool {
+	view := g.follower.View()
+	return !g.leaving.Load() && view.Table != nil && len(view.Servers) > 0
+}
+
+// Run serves until ctx ends, then leaves: answers no longer name this entry,
+// requests in progress end, and only then the listeners close.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.config.Log.ReportInvariants()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers, err := g.listen()
+	if err != nil {
+		return err
+	}
+	g.log.WithFields(logrus.Fields{
+		"callers": g.config.Node.CallerAddr, "peers": g.config.Node.PeerAddr, "store": g.config.Node.StoreAddr,
+	}).Info("Entry started.")
+	group, shared := errgroup.WithContext(running)
+	for _, duty := range g.duties() {
+		group.Go(func() error { return ignoreCancelled(duty(shared)) })
+	}
+	for _, server := range servers {
+		group.Go(func() error { return server.run(shared) })
+	}
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			g.leave()
+		case <-shared.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	g.log.Info("Entry stopped.")
+	return err
+}
+
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+type duty func(ctx context.Context) error
+
+func (g *Gateway) duties() []duty {
+	return []duty{
+		g.follower.Run,
+		g.gossip.Run,
+		g.services.run,
+		g.join,
+		g.followPeers,
+		g.followSettings,
+		g.conns.run,
+		g.watchReadiness,
+		g.sweep,
+	}
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	idle := metrics.GetOrRegisterGauge("upstream.idle_connections", g.registry)
+	return every(ctx, sweepPeriod, func() {
+		idle.Update(int64(g.upstream.Sweep()))
+	})
+}
+
+// every calls work in a period until ctx ends.
+func every(ctx context.Context, period time.Duration, work func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			work()
+		}
+	}
+}
+
+// watchReadiness tells the other entries when this one becomes ready.
+func (g *Gateway) watchReadiness(ctx context.Context) error {
+	const period = 50 * time.Millisecond
+	return every(ctx, period, func() {
+		if g.isReady() {
+			g.gossip.SetPhase(gossip.Ready)
+		}
+	})
+}
+
+// followSettings takes a changed settings file. What it may change while the
+// process runs are the operators' bounds.
+func (g *Gateway) followSettings(ctx context.Context) error {
+	const period = 2 * time.Second
+	if g.config.Reload == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return every(ctx, period, func() {
+		next, err := g.config.Reload()
+		if err != nil {
+			g.log.WithError(err).Warn("Settings file not taken.")
+			return
+		}
+		old := g.node.Load()
+		if next.Bounds == old.Bounds {
+			return
+		}
+		merged := *old
+		merged.Bounds = next.Bounds
+		g.node.Store(&merged)
+		g.log.WithField("bounds", fmt.Sprintf("%+v", next.Bounds)).Info("Settings file taken.")
+	})
+}
--- /dev/null
+++ b/daemon/gateway/services.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/cold"
+	"currantusher.dev/requests/fair"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/tables/watch"
+)
+
+const (
+	// queueTick is the period in which capacity and deadlines are looked at.
+	queueTick = 50 * time.Millisecond
+	// rampTime is how long a returning data centre takes to its full share;
+	// servers warm up in about three seconds.
+	rampTime = 3 * time.Second
+	// budgetPart is the part of the shared retry budget that the entries use
+	// together, so that restarts and new entries stay inside it.
+	budgetPart = 0.5
+	// versionMargin is how long before a new version must be in force no
+	// request is sent to older weights: a request may wait in a server's queue.
+	versionMargin = 2 * time.Second
+	// plainSlots is the limit of a server that names none.
+	plainSlots = 8
+)
+
+// serviceSet holds the queue and the placer of each service. A service is a
+// pool of backend servers.
+type serviceSet struct {
+	gateway *Gateway
+
+	mu    sync.Mutex
+	parts map[core.PoolName]*serviceParts
+	ctx   context.Context
+	wait  sync.WaitGroup
+}
+
+type serviceParts struct {
+	queue  *fair.Queue
+	placer *placement.Placer
+}
+
+func newServiceSet(g *Gateway) *serviceSet {
+	return &serviceSet{gateway: g, parts: map[core.PoolName]*serviceParts{}, ctx: context.Background()}
+}
+
+func (s *serviceSet) run(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	for _, parts := range s.parts {
+		s.start(parts)
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	s.wait.Wait()
+	return nil
+}
+
+func (s *serviceSet) start(parts *serviceParts) {
+	ctx := s.ctx
+	if ctx.Done() == nil {
+		return
+	}
+	s.wait.Go(func() { _ = parts.queue.Run(ctx) })
+}
+
+func (s *serviceSet) get(name core.PoolName) *serviceParts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if parts := s.parts[name]; parts != nil {
+		return parts
+	}
+	g := s.gateway
+	node := g.node.Load()
+	bounds := node.Bounds
+	parts := &serviceParts{placer: placement.New(placement.Config{
+		Entry:      node.Instance,
+		DataCentre: node.DataCentre,
+		Region:     node.Region,
+		Ramp:       rampTime,
+		RetryRatio: budgetPart * bounds.RetryRatio,
+		RetryBurst: max(1, int(budgetPart*bounds.RetrySlack/float64(g.gossip.Senders()))),
+		Seed:       uint64(g.incarnation),
+	})}
+	parts.queue = fair.New(fair.Config{
+		Capacity: func() int { return g.capacity(fleet.ServiceName(name), parts.placer) },
+		MaxQueue: g.config.QueueLength,
+		Tick:     queueTick,
+		Seed:     uint64(g.incarnation),
+	})
+	s.parts[name] = parts
+	s.start(parts)
+	return parts
+}
+
+func (s *serviceSet) queue(name core.PoolName) *fair.Queue { return s.get(name).queue }
+
+func (s *serviceSet) placer(name core.PoolName) *placement.Placer { return s.get(name).placer }
+
+// loads returns this entry's requests in flight by server.
+func (s *serviceSet) loads() map[core.InstanceID]int {
+	view := s.gateway.follower.View()
+	loads := map[core.InstanceID]int{}
+	for name, servers := range view.Servers {
+		placer := s.placer(core.PoolName(name))
+		for _, server := range servers {
+			if n := placer.InFlight(server.ID); n > 0 {
+				loads[server.ID] = n
+			}
+		}
+	}
+	return loads
+}
+
+// demand is what a request needs of its backend server.
+type demand struct {
+	service fleet.ServiceName
+	model   fleet.Model
+	// regions are the only ones that may serve; nil means all.
+	regions [][]core.Region
+}
+
+// capacity is how many requests this entry may have in flight at a service.
+func (g *Gateway) capacity(name fleet.ServiceName, placer *placement.Placer) int {
+	view := g.follower.View()
+	var models []fleet.Model
+	if view.Table != nil {
+		if service := view.Table.Service(name); service != nil && service.Engine != nil {
+			models = service.Engine.Models
+		}
+	}
+	if len(models) == 0 {
+		return placer.Capacity(time.Now(), core.Digest{}, g.candidates(placer, demand{service: name}))
+	}
+	capacity := 0
+	for _, model := range models {
+		candidates := g.candidates(placer, demand{service: name, model: model})
+		capacity = max(capacity, placer.Capacity(time.Now(), core.Digest{}, candidates))
+	}
+	return capacity
+}
+
+// candidates returns the servers of a service that may get a request now.
+func (g *Gateway) candidates(placer *placement.Placer, d demand) []placement.Candidate {
+	view := g.follower.View()
+	if view.Table == nil {
+		return nil
+	}
+	service := view.Table.Service(d.service)
+	if service == nil {
+		return nil
+	}
+	now := time.Now()
+	node := g.node.Load()
+	share := g.coldShare(service)
+	loads, loadsAt := g.gossip.Loads()
+	wanted := g.requiredVersion(now, view, d.model)
+	list := make([]placement.Candidate, 0, len(view.Servers[d.service]))
+	for _, server := range view.Servers[d.service] {
+		region := node.Regions[server.DataCentre]
+		if !mayServe(d.regions, region) || !g.hasWeights(server, d.model, wanted) {
+			continue
+		}
+		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.cold.HasRoom(now, server.ID, share) {
+			continue
+		}
+		limit := server.Slots
+		if limit <= 0 {
+			limit = plainSlots
+		}
+		list = append(list, placement.Candidate{
+			ID:            server.ID,
+			Addr:          server.Addr,
+			DataCentre:    server.DataCentre,
+			Region:        region,
+			Incarnation:   core.Incarnation(max(server.Born.UnixMilli(), 0)),
+			Running:       loads[server.ID] + placer.InFlight(server.ID),
+			Limit:         limit,
+			ReportedAt:    loadsAt,
+			DataCentreOut: view.Out[server.DataCentre],
+			Leaving:       server.Leaving,
+		})
+	}
+	return list
+}
+
+func (g *Gateway) coldShare(service *fleet.Service) int {
+	bounds := g.node.Load().Bounds
+	limit := cold.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
+	return limit.Share(g.gossip.Senders())
+}
+
+func (g *Gateway) coldUntil(server *watch.Server) time.Time {
+	if observed := g.observed.coldUntil(server.ID); observed.After(server.ColdUntil) {
+		return observed
+	}
+	return server.ColdUntil
+}
+
+func mayServe(allowed [][]core.Region, region core.Region) bool {
+	for _, list := range allowed {
+		if !contains(list, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// contains reports whether a list of allowed regions, of which an empty one
+// allows all, has the region.
+func contains(list []core.Region, region core.Region) bool {
+	for _, allowed := range list {
+		if allowed == region {
+			return true
+		}
+	}
+	return len(list) == 0
+}
+
+// requiredVersion returns the only version that a request may start on now, or
+// 0 for any.
+func (g *Gateway) requiredVersion(now time.Time, view *watch.View, model fleet.Model) fleet.WeightsVersion {
+	order, ok := view.Orders[model]
+	if model == "" || !ok {
+		return 0
+	}
+	grace := g.node.Load().Bounds.VersionInForce - versionMargin
+	if now.Sub(order.Since) < grace {
+		return 0
+	}
+	return order.Version
+}
+
+// hasWeights reports whether a server has the model loaded, in the wanted
+// version if there is one.
+func (g *Gateway) hasWeights(server *watch.Server, model fleet.Model, wanted fleet.WeightsVersion) bool {
+	if model == "" {
+		return true
+	}
+	version := max(server.Weights[model], g.observed.version(server, model))
+	return version > 0 && version >= wanted
+}
--- /dev/null
+++ b/daemon/loader/loader.go
@@ -0,0 +1,238 @@
+// Package loader is the agent as it runs on the operators' platform: beside one
+// model engine, it brings new weights to it. Requests do not pass through it.
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/daemon/obs"
+	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/platform/worker"
+	"currantusher.dev/tables/watch"
+	"currantusher.dev/weights/staging"
+)
+
+const (
+	// agentsTable holds a row for each agent, by which they find each other.
+	agentsTable = "agents"
+	joinRetry   = 500 * time.Millisecond
+	// agentsTTL is how long a read list of agents serves.
+	agentsTTL = 5 * time.Second
+	// engineConns and originConns bound the connections of one agent. The
+	// origin takes a few dozen of all agents together.
+	engineConns = 4
+	originConns = 3
+
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// firstVersion is what engines hold before operators name any.
+	firstVersion = 1
+)
+
+// Config holds the settings of a Loader.
+type Config struct {
+	Node        nodefile.Node
+	MetricsAddr string
+	Log         *obs.Logger
+}
+
+// Validate checks the settings.
+func (c *Config) Validate() error {
+	if c.Node.BackendAddr == "" {
+		return fmt.Errorf("the settings file names no backend server")
+	}
+	if c.Node.StoreAddr == "" {
+		return fmt.Errorf("the settings file names no store")
+	}
+	return nil
+}
+
+// Loader is one agent process on the operators' platform.
+type Loader struct {
+	config   Config
+	self     staging.Agent
+	store    *rowstore.Client
+	follower *watch.Follower
+	manager  *staging.Manager
+	registry metrics.Registry
+	log      *logrus.Entry
+
+	mu       sync.Mutex
+	agents   []staging.Agent
+	agentsAt time.Time
+	// origins holds a client for each origin address.
+	origins map[string]*worker.Client
+}
+
+// New checks the settings and wires the parts.
+func New(config Config) (*Loader, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	n := config.Node
+	l := &Loader{
+		config: config,
+		self: staging.Agent{
+			ID: n.Instance, Addr: n.PeerAddr, DataCentre: n.DataCentre, Region: n.Region,
+			Service: fleet.ServiceName(n.BackendService),
+		},
+		store:    rowstore.New(n.StoreAddr),
+		registry: metrics.NewRegistry(),
+		log:      config.Log.Part("agent"),
+		origins:  map[string]*worker.Client{},
+	}
+	l.follower = watch.NewFollower(watch.Config{
+		Store:  l.store,
+		Tables: []string{watch.OperatorTable},
+		Log:    config.Log.Part("watch"),
+	})
+	l.manager = staging.New(staging.Config{
+		Self:   l.self,
+		Engine: worker.New(n.BackendAddr, engineConns),
+		Peers:  staging.NewHTTPPeers(),
+		Wanted: l.wanted,
+		Agents: l.others,
+		Log:    config.Log.Part("weights"),
+	})
+	return l, nil
+}
+
+// wanted returns the versions that the engine must have.
+func (l *Loader) wanted() []staging.Wanted {
+	view := l.follower.View()
+	if view.Table == nil {
+		return nil
+	}
+	service := view.Table.Service(l.self.Service)
+	origin := view.Table.Origin()
+	if service == nil || service.Engine == nil || origin == nil {
+		return nil
+	}
+	var list []staging.Wanted
+	for _, model := range service.Engine.Models {
+		order := view.Orders[model]
+		list = append(list, staging.Wanted{
+			Key:     staging.Key{Model: model, Version: max(order.Version, firstVersion)},
+			Pieces:  service.Engine.Pieces,
+			Since:   order.Since,
+			InForce: l.config.Node.Bounds.VersionInForce,
+			Origin:  l.origin(origin.Origin),
+			Home:    l.config.Node.Regions[origin.OriginDataCentre],
+		})
+	}
+	return list
+}
+
+func (l *Loader) origin(addr string) *worker.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	client := l.origins[addr]
+	if client == nil {
+		client = worker.New(addr, originConns)
+		l.origins[addr] = client
+	}
+	return client
+}
+
+// others returns the agents, from the store or as last read there.
+func (l *Loader) others(ctx context.Context) []staging.Agent {
+	l.mu.Lock()
+	known, age := l.agents, time.Since(l.agentsAt)
+	l.mu.Unlock()
+	if len(known) > 0 && age < agentsTTL {
+		return known
+	}
+	agents, err := l.readAgents(ctx)
+	if err != nil {
+		l.log.WithError(err).WithField("known", len(known)).Warn("Agents not read; the last known ones are used.")
+		return known
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.agents, l.agentsAt = agents, time.Now()
+	return agents
+}
+
+func (l *Loader) readAgents(ctx context.Context) ([]staging.Agent, error) {
+	page, err := l.store.ReadAll(ctx, agentsTable)
+	if err != nil {
+		return nil, err
+	}
+	var agents []staging.Agent
+	for _, row := range page.Rows {
+		var a staging.Agent
+		if err := cbor.Unmarshal(row.Value, &a); err != nil || a.ID != core.InstanceID(row.Key) {
+			l.log.WithError(err).WithField("key", row.Key).Warn("Row of an agent ignored.")
+			continue
+		}
+		agents = append(agents, a)
+	}
+	return agents, nil
+}
+
+// join writes this agent's row.
+func (l *Loader) join(ctx context.Context) error {
+	value, err := cbor.Marshal(l.self)
+	if err != nil {
+		return fmt.Errorf("encode own row: %w", err)
+	}
+	for ctx.Err() == nil {
+		err := l.store.Put(ctx, rowstore.Row{Table: agentsTable, Key: string(l.self.ID), Value: value})
+		if err == nil {
+			return nil
+		}
+		l.log.WithError(err).Warn("Row not written yet.")
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinRetry):
+		}
+	}
+	return nil
+}
+
+// Run works until ctx ends.
+func (l *Loader) Run(ctx context.Context) error {
+	l.config.Log.ReportInvariants()
+	l.log.WithFields(logrus.Fields{"engine": l.config.Node.BackendAddr, "peers": l.self.Addr}).Info("Agent started.")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.follower.Run(ctx) })
+	group.Go(func() error { return l.manager.Run(ctx) })
+	group.Go(func() error { return l.join(ctx) })
+	group.Go(func() error { return serve(ctx, l.self.Addr, l.manager.Handler()) })
+	if l.config.MetricsAddr != "" {
+		mux := http.NewServeMux()
+		obs.Mount(mux, l.registry, func() error { return nil })
+		group.Go(func() error { return serve(ctx, l.config.MetricsAddr, mux) })
+	}
+	err := group.Wait()
+	l.log.Info("Agent stopped.")
+	return err
+}
+
+func serve(ctx context.Context, addr string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", addr, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/weights/staging/fetch.go
@@ -0,0 +1,303 @@
+package staging
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+)
+
+const (
+	// fetchers is how many pieces an agent fetches at once: enough to keep its
+	// link busy while some of the sources wait for the piece themselves.
+	fetchers = 8
+	// originFetchers is how many of them ask the origin at once.
+	originFetchers = 3
+	// sourceTimeout bounds one try at one source, the source's own wait for
+	// the piece included.
+	sourceTimeout = 2500 * time.Millisecond
+	// shunTime is how long a source that failed is not asked.
+	shunTime = 2 * time.Second
+	// maxSpoilt is the number of wrong contents of one piece after which the
+	// manifest itself is doubted.
+	maxSpoilt = 3
+	// manifestPiece stands for the manifest where sources are ranked.
+	manifestPiece = -1
+)
+
+// errManifest reports that a manifest does not fit the pieces.
+var errManifest = errors.New("the manifest is doubtful")
+
+func isMissing(err error) bool { return core.CodeOf(err) == core.CodeUnknownEntity }
+
+// fetcher brings the pieces of one version to this agent.
+type fetcher struct {
+	manager *Manager
+	log     *logrus.Entry
+	wanted  Wanted
+	plan    Plan
+	origin  chan struct{}
+
+	mu     sync.Mutex
+	shun   map[core.InstanceID]time.Time
+	from   map[string]int
+	spoilt map[int]int
+}
+
+func newFetcher(m *Manager, log *logrus.Entry, wanted Wanted, plan Plan) *fetcher {
+	return &fetcher{
+		manager: m, log: log, wanted: wanted, plan: plan,
+		origin: make(chan struct{}, originFetchers),
+		shun:   map[core.InstanceID]time.Time{}, from: map[string]int{}, spoilt: map[int]int{},
+	}
+}
+
+// counts returns how many pieces came from which kind of source.
+func (f *fetcher) counts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.from
+}
+
+// pieces returns the version with all of its pieces.
+func (f *fetcher) pieces(ctx context.Context) (*pieces, error) {
+	held := f.manager.holds(f.wanted.Key)
+	fresh := held == nil
+	if fresh {
+		digests, err := f.manifest(ctx, false)
+		if err != nil {
+			return nil, err
+		}
+		held = newPieces(f.wanted.Key, digests)
+		f.manager.hold(held)
+	}
+	if held.left() > 0 {
+		f.fromStage(ctx, held)
+	}
+	err := f.fetchAll(ctx, held)
+	if errors.Is(err, errManifest) {
+		f.log.Warn("Pieces do not fit the manifest; asking the origin for it again.")
+		digests, manifestErr := f.manifest(ctx, true)
+		if manifestErr != nil {
+			return nil, manifestErr
+		}
+		next := newPieces(f.wanted.Key, digests)
+		f.manager.hold(next)
+		return nil, err
+	}
+	return held, err
+}
+
+// manifest gets the digests, from the origin alone when an earlier manifest was
+// wrong.
+func (f *fetcher) manifest(ctx context.Context, originOnly bool) ([][32]byte, error) {
+	if !originOnly {
+		for _, peer := range f.plan.Sources(manifestPiece) {
+			digests, err := f.peerManifest(ctx, peer)
+			if err == nil && len(digests) == f.wanted.Pieces {
+				return digests, nil
+			}
+			f.shunFor(peer, err)
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	digests, err := f.wanted.Origin.Manifest(bounded, f.wanted.Model, f.wanted.Version)
+	if err != nil {
+		return nil, fmt.Errorf("manifest from the origin: %w", err)
+	}
+	if len(digests) != f.wanted.Pieces {
+		return nil, fmt.Errorf("manifest with %d digests, want %d", len(digests), f.wanted.Pieces)
+	}
+	return digests, nil
+}
+
+func (f *fetcher) peerManifest(ctx context.Context, peer Agent) ([][32]byte, error) {
+	bounded, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	return f.manager.config.Peers.Manifest(bounded, peer, f.wanted.Key)
+}
+
+// fromStage takes pieces that lie beside the engine already, after a restart
+// of either.
+func (f *fetcher) fromStage(ctx context.Context, held *pieces) {
+	for num := range held.digests {
+		if content, _ := held.get(num); content != nil {
+			continue
+		}
+		bounded, cancel := context.WithTimeout(ctx, engineTimeout)
+		content, err := f.manager.config.Engine.Staged(bounded, f.wanted.Model, num)
+		cancel()
+		if isMissing(err) {
+			continue
+		}
+		if err != nil {
+			f.log.WithError(err).Info("Staged pieces not read.")
+			return
+		}
+		if held.add(num, content) {
+			f.count("stage")
+		}
+	}
+}
+
+func (f *fetcher) count(source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.from[source]++
+}
+
+// fetchAll fetches the missing pieces: first those that this agent brings into
+// its region, which others wait for.
+func (f *fetcher) fetchAll(ctx context.Context, held *pieces) error {
+	queue := make(chan int)
+	running, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wait sync.WaitGroup
+	for range fetchers {
+		wait.Go(func() {
+			for num := range queue {
+				if err := f.fetch(running, held, num); err != nil {
+					cancel(err)
+				}
+			}
+		})
+	}
+	for _, num := range f.order(held) {
+		select {
+		case queue <- num:
+		case <-running.Done():
+		}
+	}
+	close(queue)
+	wait.Wait()
+	if held.left() == 0 {
+		return nil
+	}
+	return context.Cause(running)
+}
+
+func (f *fetcher) order(held *pieces) []int {
+	total := len(held.digests)
+	var first, rest []int
+	start := int(rank(f.plan.self.ID, 0) % uint64(max(total, 1)))
+	for i := range total {
+		num := (start + i) % total
+		if content, _ := held.get(num); content != nil {
+			continue
+		}
+		if f.plan.Owns(num) {
+			first = append(first, num)
+		} else {
+			rest = append(rest, num)
+		}
+	}
+	return append(first, rest...)
+}
+
+// fetch asks source after source until a piece is here and staged.
+func (f *fetcher) fetch(ctx context.Context, held *pieces, num int) error {
+	for ctx.Err() == nil {
+		for _, peer := range f.plan.Sources(num) {
+			if f.isShunned(peer) {
+				continue
+			}
+			content, err := f.fromPeer(ctx, peer, num)
+			if err != nil {
+				f.shunFor(peer, err)
+				continue
+			}
+			if f.take(ctx, held, num, content, peerKind(f.plan, peer)) {
+				return nil
+			}
+		}
+		content, err := f.fromOrigin(ctx, num)
+		if core.CodeOf(err) == core.CodeSuperseded {
+			return err
+		}
+		if err == nil && f.take(ctx, held, num, content, "origin") {
+			return nil
+		}
+		if f.isDoubtful(num) {
+			return errManifest
+		}
+		if err != nil && ctx.Err() == nil {
+			f.log.WithError(err).WithField("piece", num).Info("Piece not brought from the origin yet.")
+		}
+		pause(ctx, retryPause)
+	}
+	return ctx.Err()
+}
+
+func peerKind(plan Plan, peer Agent) string {
+	if peer.Region == plan.self.Region {
+		return "region"
+	}
+	return "home"
+}
+
+// take keeps a piece and stages it, and reports whether it is the right one.
+func (f *fetcher) take(ctx context.Context, held *pieces, num int, content []byte, source string) bool {
+	if !held.add(num, content) {
+		f.mu.Lock()
+		f.spoilt[num]++
+		f.mu.Unlock()
+		f.log.WithFields(logrus.Fields{"piece": num, "source": source}).Warn("Piece with a wrong digest.")
+		return false
+	}
+	f.count(source)
+	if err := f.manager.stage(ctx, f.wanted, held, num); err != nil {
+		// What is not staged now is staged before the load.
+		f.log.WithError(err).Info("Piece not staged yet.")
+	}
+	return true
+}
+
+func (f *fetcher) isDoubtful(num int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spoilt[num] >= maxSpoilt
+}
+
+func (f *fetcher) fromPeer(ctx context.Context, peer Agent, num int) ([]byte, error) {
+	bounded, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	return f.manager.config.Peers.Piece(bounded, peer, f.wanted.Key, num)
+}
+
+func (f *fetcher) fromOrigin(ctx context.Context, num int) ([]byte, error) {
+	select {
+	case f.origin <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-f.origin }()
+	bounded, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	return f.wanted.Origin.Piece(bounded, f.wanted.Model, f.wanted.Version, num)
+}
+
+func (f *fetcher) isShunned(peer Agent) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.shun[peer.ID])
+}
+
+// shunFor leaves a source out for a while, unless it only lacks the piece.
+func (f *fetcher) shunFor(peer Agent, err error) {
+	if err == nil || isMissing(err) {
+		return
+	}
+	f.mu.Lock()
+	f.shun[peer.ID] = time.Now().Add(shunTime)
+	f.mu.Unlock()
+	f.log.WithError(err).WithField("peer", peer.ID).Info("Source failed; others are asked.")
+}
--- /dev/null
+++ b/weights/staging/manager.go
@@ -0,0 +1,218 @@
+package staging
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/worker"
+)
+
+const (
+	// lookPeriod is how often the agent looks for a newer version and at its
+	// engine, which may have restarted empty.
+	lookPeriod = 250 * time.Millisecond
+	// retryPause is the pause after a step that failed.
+	retryPause = 200 * time.Millisecond
+	// engineTimeout bounds a call to the engine beside the agent.
+	engineTimeout = 2 * time.Second
+)
+
+// Engine is the engine beside the agent.
+type Engine interface {
+	Report(ctx context.Context) (worker.Report, error)
+	Start(ctx context.Context, model fleet.Model, version fleet.WeightsVersion, orders int64) (worker.OrderResult, error)
+	Stage(ctx context.Context, model fleet.Model, piece int, content []byte) error
+	Staged(ctx context.Context, model fleet.Model, piece int) ([]byte, error)
+}
+
+// Origin is the origin of weights.
+type Origin interface {
+	Manifest(ctx context.Context, model fleet.Model, version fleet.WeightsVersion) ([][32]byte, error)
+	Piece(ctx context.Context, model fleet.Model, version fleet.WeightsVersion, piece int) ([]byte, error)
+}
+
+// Peers are the other agents.
+type Peers interface {
+	Manifest(ctx context.Context, peer Agent, key Key) ([][32]byte, error)
+	Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error)
+}
+
+// Wanted is a version that the engine must have.
+type Wanted struct {
+	Key
+	// Pieces is how many pieces the version has.
+	Pieces int
+	// Since is when the version was named; zero means long ago.
+	Since time.Time
+	// InForce is the time from Since in which it must be in force.
+	InForce time.Duration
+	// Origin is where the version comes from, Home its region.
+	Origin Origin
+	Home   core.Region
+}
+
+// Config holds the parts of a Manager.
+type Config struct {
+	Self   Agent
+	Engine Engine
+	Peers  Peers
+	// Wanted returns the version of each model that the engine must have.
+	Wanted func() []Wanted
+	// Agents returns the agents of the service.
+	Agents func(ctx context.Context) []Agent
+	Log    *logrus.Entry
+}
+
+// Manager keeps the engine beside one agent on the newest versions.
+type Manager struct {
+	config Config
+
+	mu   sync.Mutex
+	held map[fleet.Model]*pieces
+	jobs map[fleet.Model]*job
+}
+
+// job is the work on one wanted version.
+type job struct {
+	key    Key
+	cancel context.CancelFunc
+}
+
+// New returns a Manager that holds nothing.
+func New(config Config) *Manager {
+	return &Manager{config: config, held: map[fleet.Model]*pieces{}, jobs: map[fleet.Model]*job{}}
+}
+
+// Run works until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	for {
+		for _, wanted := range m.config.Wanted() {
+			m.follow(ctx, &wait, wanted)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// follow starts the work on a version and ends that on an older one.
+func (m *Manager) follow(ctx context.Context, wait *sync.WaitGroup, wanted Wanted) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	current := m.jobs[wanted.Model]
+	if current != nil && current.key.Version >= wanted.Version {
+		return
+	}
+	if current != nil {
+		current.cancel()
+	}
+	running, cancel := context.WithCancel(ctx)
+	m.jobs[wanted.Model] = &job{key: wanted.Key, cancel: cancel}
+	wait.Go(func() {
+		defer cancel()
+		m.keep(running, wanted)
+	})
+}
+
+// keep brings a version into the engine, and again whenever the engine has
+// lost it.
+func (m *Manager) keep(ctx context.Context, wanted Wanted) {
+	log := m.config.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version})
+	var last string
+	for ctx.Err() == nil {
+		report, err := m.report(ctx)
+		switch {
+		case err != nil:
+			m.logOnce(log, &last, "Engine does not report.", err)
+			pause(ctx, retryPause)
+		case report.Loaded[wanted.Model] >= wanted.Version:
+			last = ""
+			pause(ctx, 2*lookPeriod)
+		case report.Busy:
+			pause(ctx, retryPause)
+		default:
+			log.WithField("report", report.Raw).Info("Engine needs the version.")
+			err := m.bring(ctx, log, wanted, report)
+			if err != nil && ctx.Err() == nil {
+				log.WithError(err).Warn("Version not loaded yet.")
+				pause(ctx, retryPause)
+			}
+		}
+	}
+}
+
+// logOnce logs a failure that repeats only when its text changes.
+func (m *Manager) logOnce(log *logrus.Entry, last *string, text string, err error) {
+	if *last != err.Error() {
+		*last = err.Error()
+		log.WithError(err).Warn(text)
+	}
+}
+
+func (m *Manager) report(ctx context.Context) (worker.Report, error) {
+	bounded, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return m.config.Engine.Report(bounded)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(d, 0))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// bring fetches, stages and loads a version once.
+func (m *Manager) bring(ctx context.Context, log *logrus.Entry, wanted Wanted, report worker.Report) error {
+	began := time.Now()
+	agents := m.config.Agents(ctx)
+	plan := NewPlan(m.config.Self, wanted.Home, agents)
+	fetch := newFetcher(m, log, wanted, plan)
+	held, err := fetch.pieces(ctx)
+	if err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{
+		"ms": time.Since(began).Milliseconds(), "agents": len(agents), "from": fetch.counts(),
+	}).Info("All pieces are here.")
+	if len(report.Loaded) > 0 && !wanted.Since.IsZero() {
+		// Engines load one after the other; an empty one serves nobody.
+		pause(ctx, time.Until(wanted.Since.Add(plan.LoadDelay(wanted.Version, wanted.InForce))))
+	}
+	return m.load(ctx, log, wanted, held)
+}
+
+// holds returns the pieces of a version, or nil.
+func (m *Manager) holds(key Key) *pieces {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.held[key.Model]; p != nil && p.key == key {
+		return p
+	}
+	return nil
+}
+
+// hold keeps the pieces of a version in place of an older one's.
+func (m *Manager) hold(p *pieces) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.held[p.key.Model]
+	if old != nil && old.key.Version > p.key.Version {
+		return
+	}
+	p.reuse(old)
+	m.held[p.key.Model] = p
+}
--- /dev/null
+++ b/weights/staging/peers.go
@@ -0,0 +1,146 @@
+package staging
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+)
+
+const (
+	// peerWait is how long an agent waits for a piece that it was asked for
+	// before it says that it does not have it.
+	peerWait        = 1500 * time.Millisecond
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdleTime    = 5 * time.Second
+	// maxPeerBytes bounds what a peer sends.
+	maxPeerBytes = 4 << 20
+)
+
+// HTTPPeers implements Peers over HTTP.
+type HTTPPeers struct{ client *http.Client }
+
+// NewHTTPPeers returns Peers that open a few connections to each agent.
+func NewHTTPPeers() *HTTPPeers {
+	dialer := &net.Dialer{
+		Timeout:         peerDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTime, DisableCompression: true,
+	}}}
+}
+
+// Manifest implements Peers.
+func (p *HTTPPeers) Manifest(ctx context.Context, peer Agent, key Key) ([][32]byte, error) {
+	body, err := p.get(ctx, peer, path(key, "manifest"))
+	if err != nil {
+		return nil, err
+	}
+	var digests [][32]byte
+	if err := cbor.Unmarshal(body, &digests); err != nil {
+		return nil, fmt.Errorf("manifest of %s: %w", peer.ID, err)
+	}
+	return digests, nil
+}
+
+// Piece implements Peers.
+func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error) {
+	return p.get(ctx, peer, path(key, strconv.Itoa(piece)))
+}
+
+func path(key Key, what string) string {
+	return fmt.Sprintf("/weights/%s/%d/%s", url.PathEscape(string(key.Model)), key.Version, what)
+}
+
+func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerBytes))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("answer of %s: %w", peer.ID, err)
+	case response.StatusCode == http.StatusNotFound:
+		return nil, core.Refuse(core.CodeUnknownEntity, 0, "%s does not have it", peer.ID)
+	case response.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("answer of %s: status %d", peer.ID, response.StatusCode)
+	}
+	return body, nil
+}
+
+// Handler serves other agents.
+func (m *Manager) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{version}/{what}", m.servePeer)
+	return mux
+}
+
+func (m *Manager) servePeer(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.PathValue("version"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	key := Key{Model: fleet.Model(r.PathValue("model")), Version: fleet.WeightsVersion(version)}
+	ctx, cancel := context.WithTimeout(r.Context(), peerWait)
+	defer cancel()
+	held := m.awaitManifest(ctx, key)
+	if held == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, status := m.answerPeer(ctx, held, r.PathValue("what"))
+	w.WriteHeader(status)
+	// A failed write concerns the asking agent, which asks elsewhere.
+	_, _ = w.Write(body)
+}
+
+func (m *Manager) answerPeer(ctx context.Context, held *pieces, what string) ([]byte, int) {
+	if what == "manifest" {
+		body, err := cbor.Marshal(held.digests)
+		if err != nil {
+			m.config.Log.WithError(err).Error("Manifest not encoded.")
+			return nil, http.StatusInternalServerError
+		}
+		return body, http.StatusOK
+	}
+	num, err := strconv.Atoi(what)
+	if err != nil || num < 0 || num >= len(held.digests) {
+		return nil, http.StatusBadRequest
+	}
+	if content := held.wait(ctx, num); content != nil {
+		return content, http.StatusOK
+	}
+	return nil, http.StatusNotFound
+}
+
+// awaitManifest returns a version's pieces once its manifest is here, or nil
+// when ctx ends.
+func (m *Manager) awaitManifest(ctx context.Context, key Key) *pieces {
+	const period = 20 * time.Millisecond
+	for {
+		if held := m.holds(key); held != nil {
+			return held
+		}
+		pause(ctx, period)
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/weights/staging/plan.go
@@ -0,0 +1,111 @@
+package staging
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+)
+
+// Agent is an agent as the others find it.
+type Agent struct {
+	ID         core.InstanceID   `cbor:"1,keyasint"`
+	Addr       string            `cbor:"2,keyasint"`
+	DataCentre core.DataCentre   `cbor:"3,keyasint"`
+	Region     core.Region       `cbor:"4,keyasint"`
+	Service    fleet.ServiceName `cbor:"5,keyasint"`
+}
+
+// Parts of the time in which a version must be in force, within which the
+// engines load one after the other, so that most of them serve at any moment.
+const (
+	loadFrom  = 0.35
+	loadUntil = 0.66
+)
+
+// Plan says from whom one agent takes each piece.
+type Plan struct {
+	self   Agent
+	home   core.Region
+	agents []Agent
+}
+
+// NewPlan returns the plan of one agent among agents, which may hold it too.
+// home is the origin's region.
+func NewPlan(self Agent, home core.Region, agents []Agent) Plan {
+	p := Plan{self: self, home: home, agents: []Agent{self}}
+	for _, a := range agents {
+		if a.ID != self.ID && a.Service == self.Service {
+			p.agents = append(p.agents, a)
+		}
+	}
+	return p
+}
+
+// Sources returns the agents to ask for a piece, in order; the origin comes
+// after them. An agent that brings the piece into the origin's region has none.
+func (p Plan) Sources(piece int) []Agent {
+	here := p.ranked(p.self.Region, piece)
+	sources := p.before(here)
+	if p.self.Region != p.home {
+		sources = append(sources, p.ranked(p.home, piece)...)
+	}
+	return sources
+}
+
+// Owns reports whether the agent brings a piece into its region.
+func (p Plan) Owns(piece int) bool { return p.ranked(p.self.Region, piece)[0].ID == p.self.ID }
+
+// before returns the agents that rank before this one.
+func (p Plan) before(ranked []Agent) []Agent {
+	for i, a := range ranked {
+		if a.ID == p.self.ID {
+			return ranked[:i:i]
+		}
+	}
+	return ranked
+}
+
+// ranked orders a region's agents for a piece by rendezvous hashing.
+func (p Plan) ranked(region core.Region, piece int) []Agent {
+	var list []Agent
+	for _, a := range p.agents {
+		if a.Region == region {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b Agent) int {
+		return cmp.Or(cmp.Compare(rank(b.ID, piece), rank(a.ID, piece)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+func rank(id core.InstanceID, piece int) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(strconv.Itoa(piece)))
+	// The last bytes of FNV-1a change its high bits little.
+	x := hash.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// LoadDelay is how long after a version was named this agent's engine loads
+// it, when it must be in force after inForce.
+func (p Plan) LoadDelay(version fleet.WeightsVersion, inForce time.Duration) time.Duration {
+	place := 0
+	for _, a := range p.agents {
+		if rank(a.ID, -int(version)) > rank(p.self.ID, -int(version)) {
+			place++
+		}
+	}
+	part := loadFrom + (loadUntil-loadFrom)*float64(place)/float64(len(p.agents))
+	return time.Duration(part * float64(inForce))
+}
--- /dev/null
+++ b/weights/staging/plan_test.go
@@ -0,0 +1,70 @@
+package staging
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+)
+
+func agentsOf(regions ...string) []Agent {
+	var list []Agent
+	for i, region := range regions {
+		list = append(list, Agent{ID: core.InstanceID(fmt.Sprintf("a-%d", i)), Region: core.Region(region), Service: "s"})
+	}
+	return list
+}
+
+// Each piece must leave the origin once and cross into each other region once.
+func TestPlanBringsEachPieceOncePerRegion(t *testing.T) {
+	agents := agentsOf("north", "north", "north", "south", "south", "east", "east", "east")
+	const pieces = 64
+	fromOrigin, crossings, work := 0, 0, map[core.InstanceID]int{}
+	for _, self := range agents {
+		plan := NewPlan(self, "north", agents)
+		for piece := range pieces {
+			sources := plan.Sources(piece)
+			if len(sources) == 0 {
+				fromOrigin++
+				require.True(t, plan.Owns(piece))
+				continue
+			}
+			if sources[0].Region != self.Region {
+				crossings++
+			}
+			work[sources[0].ID]++
+		}
+	}
+	require.Equal(t, pieces, fromOrigin)
+	require.Equal(t, 2*pieces, crossings)
+	for id, uploads := range work {
+		require.Less(t, uploads, 2*pieces, "agent %s", id)
+	}
+}
+
+func TestPlanWithoutAgentsInTheOriginsRegion(t *testing.T) {
+	agents := agentsOf("south", "south")
+	plan := NewPlan(agents[0], "north", agents)
+	for piece := range 8 {
+		if plan.Owns(piece) {
+			require.Empty(t, plan.Sources(piece), "the origin is the only source")
+			continue
+		}
+		require.Equal(t, agents[1].ID, plan.Sources(piece)[0].ID)
+	}
+}
+
+func TestLoadsAreSpreadWithinTheTime(t *testing.T) {
+	agents := agentsOf("n", "n", "n", "s", "s", "s", "e", "e", "e")
+	seen := map[time.Duration]bool{}
+	for _, self := range agents {
+		delay := NewPlan(self, "n", agents).LoadDelay(2, 8*time.Second)
+		require.GreaterOrEqual(t, delay, time.Duration(loadFrom*float64(8*time.Second)))
+		require.Less(t, delay, time.Duration(loadUntil*float64(8*time.Second)))
+		seen[delay] = true
+	}
+	require.Len(t, seen, len(agents))
+}
