--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -25,6 +25,9 @@
 	// versionMargin is how long before a new version must be in force no
 	// request is sent to older weights: a request may wait in a server's queue.
 	versionMargin = 2 * time.Second
+	// maxRetryAfter bounds what refused callers are told; servers that refuse
+	// because they load weights are back in about two seconds.
+	maxRetryAfter = time.Second
 	// plainSlots is the limit of a server that names none.
 	plainSlots = 8
 )
@@ -90,6 +93,7 @@
 	parts.queue = fair.New(fair.Config{
 		Capacity: func() int { return g.capacity(fleet.ServiceName(name), parts.placer) },
 		MaxQueue: g.config.QueueLength,
+		MaxRetry: maxRetryAfter,
 		Tick:     queueTick,
 		Seed:     uint64(g.incarnation),
 	})
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -118,7 +118,6 @@
 
 // refused ends an attempt that the backend server did not run.
 func (s *stream) refused() (wire.Reply, error) {
-	code := s.refusalCode()
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
 		s.Cancel()
 	} else {
@@ -126,25 +125,16 @@
 	}
 	seconds, _ := strconv.ParseFloat(s.response.Header.Get("Retry-After"), 64)
 	return wire.Reply{End: &wire.End{
-		RequestID:        s.exchange.request.ID,
-		Code:             code,
+		RequestID: s.exchange.request.ID,
+		// The entry keeps each server under its slots, so a refusal means that
+		// it loads weights, leaves or is not the one that was meant.
+		Code:             core.CodeEngineNotServing,
 		Work:             core.WorkNotRun,
 		Detail:           fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode),
 		RetryAfterMillis: int64(seconds * 1000),
 	}}, nil
 }
 
-func (s *stream) refusalCode() core.Code {
-	if s.response.StatusCode != http.StatusMisdirectedRequest {
-		return core.CodeLimitReached
-	}
-	here := s.response.Header.Get(s.exchange.names.Server)
-	if here != "" && here != string(s.server) {
-		return core.CodeStaleIncarnation
-	}
-	return core.CodeDigestMismatch
-}
-
 // failed ends an attempt that the backend server ran and failed.
 func (s *stream) failed() (wire.Reply, error) {
 	body, err := io.ReadAll(io.LimitReader(s.response.Body, maxFailureBytes+1))
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -13,14 +13,15 @@
 )
 
 const (
-	// fetchers is how many pieces an agent fetches at once: enough to keep its
-	// link busy while some of the sources wait for the piece themselves.
-	fetchers = 8
-	// originFetchers is how many of them ask the origin at once.
+	// laneWidth is how many pieces an agent asks of one source at once: one
+	// arrives while the next is asked for.
+	laneWidth = 2
+	// originFetchers bounds the questions of one agent to the origin.
 	originFetchers = 3
 	// sourceTimeout bounds one try at one source, the source's own wait for
-	// the piece included.
-	sourceTimeout = 2500 * time.Millisecond
+	// the piece included. A piece takes 35 ms alone on the slowest link, and
+	// shares it with up to ten others.
+	sourceTimeout = 1800 * time.Millisecond
 	// shunTime is how long a source that failed is not asked.
 	shunTime = 2 * time.Second
 	// maxSpoilt is the number of wrong contents of one piece after which the
@@ -155,29 +156,28 @@
 	f.from[source]++
 }
 
-// fetchAll fetches the missing pieces: first those that this agent brings into
-// its region, which others wait for.
+// fetchAll fetches the missing pieces, side by side from each source.
 func (f *fetcher) fetchAll(ctx context.Context, held *pieces) error {
-	queue := make(chan int)
 	running, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var wait sync.WaitGroup
-	for range fetchers {
-		wait.Go(func() {
-			for num := range queue {
-				if err := f.fetch(running, held, num); err != nil {
-					cancel(err)
+	for _, lane := range f.lanes(held) {
+		queue := make(chan int, len(lane))
+		for _, num := range lane {
+			queue <- num
+		}
+		close(queue)
+		for range laneWidth {
+			wait.Go(func() {
+				for num := range queue {
+					if err := f.fetch(running, held, num); err != nil {
+						cancel(err)
+						return
+					}
 				}
-			}
-		})
-	}
-	for _, num := range f.order(held) {
-		select {
-		case queue <- num:
-		case <-running.Done():
+			})
 		}
 	}
-	close(queue)
 	wait.Wait()
 	if held.left() == 0 {
 		return nil
@@ -185,22 +185,21 @@
 	return context.Cause(running)
 }
 
-func (f *fetcher) order(held *pieces) []int {
-	total := len(held.digests)
-	var first, rest []int
-	start := int(rank(f.plan.self.ID, 0) % uint64(max(total, 1)))
-	for i := range total {
-		num := (start + i) % total
+// lanes groups the missing pieces by their first source, each in the order in
+// which that source gets them.
+func (f *fetcher) lanes(held *pieces) map[core.InstanceID][]int {
+	lanes := map[core.InstanceID][]int{}
+	for num := range held.digests {
 		if content, _ := held.get(num); content != nil {
 			continue
 		}
-		if f.plan.Owns(num) {
-			first = append(first, num)
-		} else {
-			rest = append(rest, num)
+		var first core.InstanceID
+		if sources := f.plan.Sources(num); len(sources) > 0 {
+			first = sources[0].ID
 		}
+		lanes[first] = append(lanes[first], num)
 	}
-	return append(first, rest...)
+	return lanes
 }
 
 // fetch asks source after source until a piece is here and staged.
@@ -293,7 +292,7 @@
 
 // shunFor leaves a source out for a while, unless it only lacks the piece.
 func (f *fetcher) shunFor(peer Agent, err error) {
-	if err == nil || isMissing(err) {
+	if err == nil || isMissing(err) || errors.Is(err, context.Canceled) {
 		return
 	}
 	f.mu.Lock()
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -81,6 +81,17 @@
 type job struct {
 	key    Key
 	cancel context.CancelFunc
+	// asked has an item when another agent asked for a version that is loaded
+	// here and whose pieces are not held.
+	asked chan struct{}
+}
+
+// requestPieces has the job hold the version's pieces for other agents.
+func (j *job) requestPieces() {
+	select {
+	case j.asked <- struct{}{}:
+	default:
+	}
 }
 
 // New returns a Manager that holds nothing.
@@ -118,16 +129,17 @@
 		current.cancel()
 	}
 	running, cancel := context.WithCancel(ctx)
-	m.jobs[wanted.Model] = &job{key: wanted.Key, cancel: cancel}
+	next := &job{key: wanted.Key, cancel: cancel, asked: make(chan struct{}, 1)}
+	m.jobs[wanted.Model] = next
 	wait.Go(func() {
 		defer cancel()
-		m.keep(running, wanted)
+		m.keep(running, wanted, next)
 	})
 }
 
 // keep brings a version into the engine, and again whenever the engine has
 // lost it.
-func (m *Manager) keep(ctx context.Context, wanted Wanted) {
+func (m *Manager) keep(ctx context.Context, wanted Wanted, j *job) {
 	log := m.config.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version})
 	var last string
 	for ctx.Err() == nil {
@@ -138,7 +150,7 @@
 			pause(ctx, retryPause)
 		case report.Loaded[wanted.Model] >= wanted.Version:
 			last = ""
-			pause(ctx, 2*lookPeriod)
+			m.idle(ctx, log, wanted, j)
 		case report.Busy:
 			pause(ctx, retryPause)
 		default:
@@ -152,6 +164,27 @@
 	}
 }
 
+// idle waits for the next look at an engine that has the version. Pieces that
+// another agent asks for are read from where they lie beside the engine.
+func (m *Manager) idle(ctx context.Context, log *logrus.Entry, wanted Wanted, j *job) {
+	timer := time.NewTimer(2 * lookPeriod)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-j.asked:
+		if m.holds(wanted.Key) != nil {
+			return
+		}
+		fetch := newFetcher(m, log, wanted, NewPlan(m.config.Self, wanted.Home, m.config.Agents(ctx)))
+		if _, err := fetch.pieces(ctx); err != nil && ctx.Err() == nil {
+			log.WithError(err).Warn("Pieces not held for other agents.")
+			return
+		}
+		log.WithField("from", fetch.counts()).Info("Pieces are held for other agents.")
+	}
+}
+
 // logOnce logs a failure that repeats only when its text changes.
 func (m *Manager) logOnce(log *logrus.Entry, last *string, text string, err error) {
 	if *last != err.Error() {
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -19,7 +19,7 @@
 const (
 	// peerWait is how long an agent waits for a piece that it was asked for
 	// before it says that it does not have it.
-	peerWait        = 1500 * time.Millisecond
+	peerWait        = time.Second
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTime    = 5 * time.Second
 	// maxPeerBytes bounds what a peer sends.
@@ -36,7 +36,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdleTime, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: laneWidth, IdleConnTimeout: peerIdleTime, DisableCompression: true,
 	}}}
 }
 
@@ -131,16 +131,23 @@
 }
 
 // awaitManifest returns a version's pieces once its manifest is here, or nil
-// when ctx ends.
+// when ctx ends or the agent is past the version.
 func (m *Manager) awaitManifest(ctx context.Context, key Key) *pieces {
 	const period = 20 * time.Millisecond
-	for {
+	for ctx.Err() == nil {
 		if held := m.holds(key); held != nil {
 			return held
 		}
-		pause(ctx, period)
-		if ctx.Err() != nil {
+		m.mu.Lock()
+		current := m.jobs[key.Model]
+		m.mu.Unlock()
+		if current != nil && current.key.Version > key.Version {
 			return nil
 		}
+		if current != nil && current.key == key {
+			current.requestPieces()
+		}
+		pause(ctx, period)
 	}
+	return nil
 }
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -49,14 +49,48 @@
 // Sources returns the agents to ask for a piece, in order; the origin comes
 // after them. An agent that brings the piece into the origin's region has none.
 func (p Plan) Sources(piece int) []Agent {
-	here := p.ranked(p.self.Region, piece)
-	sources := p.before(here)
-	if p.self.Region != p.home {
-		sources = append(sources, p.ranked(p.home, piece)...)
+	sources := p.before(p.ranked(p.self.Region, piece))
+	for _, region := range p.upstream(piece) {
+		sources = append(sources, p.ranked(region, piece)...)
 	}
 	return sources
 }
 
+// upstream returns the regions from which a piece comes into this one: the one
+// before it in the piece's chain of regions, then the origin's. A chain spares
+// the agents in the origin's region, which would send to all others otherwise;
+// its order differs by piece, so that the regions share that work.
+func (p Plan) upstream(piece int) []core.Region {
+	if p.self.Region == p.home {
+		return nil
+	}
+	var before core.Region
+	for _, region := range p.chain(piece) {
+		if region == p.self.Region {
+			break
+		}
+		before = region
+	}
+	if before == "" {
+		return []core.Region{p.home}
+	}
+	return []core.Region{before, p.home}
+}
+
+// chain orders the regions other than the origin's for a piece.
+func (p Plan) chain(piece int) []core.Region {
+	var regions []core.Region
+	for _, a := range p.agents {
+		if a.Region != p.home && !slices.Contains(regions, a.Region) {
+			regions = append(regions, a.Region)
+		}
+	}
+	slices.SortFunc(regions, func(a, b core.Region) int {
+		return cmp.Or(cmp.Compare(rank(core.InstanceID(a), piece), rank(core.InstanceID(b), piece)), cmp.Compare(a, b))
+	})
+	return regions
+}
+
 // Owns reports whether the agent brings a piece into its region.
 func (p Plan) Owns(piece int) bool { return p.ranked(p.self.Region, piece)[0].ID == p.self.ID }
 
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -45,6 +45,28 @@
 	}
 }
 
+// The agents of the origin's region must not send much more than the others:
+// the busiest link decides the time to all.
+func TestPlanSharesTheWorkOfCrossings(t *testing.T) {
+	agents := agentsOf("north", "north", "north", "south", "south", "south", "east", "east", "east")
+	const pieces = 64
+	byRegion := map[core.Region]int{}
+	region := map[core.InstanceID]core.Region{}
+	for _, self := range agents {
+		region[self.ID] = self.Region
+	}
+	for _, self := range agents {
+		plan := NewPlan(self, "north", agents)
+		for piece := range pieces {
+			if sources := plan.Sources(piece); len(sources) > 0 {
+				byRegion[region[sources[0].ID]]++
+			}
+		}
+	}
+	require.Equal(t, 3*pieces, byRegion["north"], "two in the region and one over the border for each piece")
+	require.Equal(t, 2*2*pieces+pieces, byRegion["south"]+byRegion["east"])
+}
+
 func TestPlanWithoutAgentsInTheOriginsRegion(t *testing.T) {
 	agents := agentsOf("south", "south")
 	plan := NewPlan(agents[0], "north", agents)
