--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -24,7 +24,7 @@
 	budgetPart = 0.5
 	// versionMargin is how long before a new version must be in force no
 	// request is sent to older weights: a request may wait in a server's queue.
-	versionMargin = 2 * time.Second
+	versionMargin = 1200 * time.Millisecond
 	// maxRetryAfter bounds what refused callers are told; servers that refuse
 	// because they load weights are back in about two seconds.
 	maxRetryAfter = time.Second
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -101,12 +101,13 @@
 		Log:    config.Log.Part("watch"),
 	})
 	l.manager = staging.New(staging.Config{
-		Self:   l.self,
-		Engine: worker.New(n.BackendAddr, engineConns),
-		Peers:  staging.NewHTTPPeers(),
-		Wanted: l.wanted,
-		Agents: l.others,
-		Log:    config.Log.Part("weights"),
+		Self:      l.self,
+		Engine:    worker.New(n.BackendAddr, engineConns),
+		Peers:     staging.NewHTTPPeers(),
+		Wanted:    l.wanted,
+		Agents:    l.others,
+		LinkBytes: n.LinkBytes,
+		Log:       config.Log.Part("weights"),
 	})
 	return l, nil
 }
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -63,6 +63,9 @@
 	Peers  Peers
 	// Wanted returns the version of each model that the engine must have.
 	Wanted func() []Wanted
+	// LinkBytes is what the instance's link carries in a second, each way; 0
+	// means that it does not bind.
+	LinkBytes float64
 	// Agents returns the agents of the service.
 	Agents func(ctx context.Context) []Agent
 	Log    *logrus.Entry
@@ -71,6 +74,7 @@
 // Manager keeps the engine beside one agent on the newest versions.
 type Manager struct {
 	config Config
+	uplink *uplink
 
 	mu   sync.Mutex
 	held map[fleet.Model]*pieces
@@ -96,7 +100,7 @@
 
 // New returns a Manager that holds nothing.
 func New(config Config) *Manager {
-	return &Manager{config: config, held: map[fleet.Model]*pieces{}, jobs: map[fleet.Model]*job{}}
+	return &Manager{config: config, uplink: newUplink(config.LinkBytes), held: map[fleet.Model]*pieces{}, jobs: map[fleet.Model]*job{}}
 }
 
 // Run works until ctx ends.
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -106,9 +106,11 @@
 		return
 	}
 	body, status := m.answerPeer(ctx, held, r.PathValue("what"))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	// A failed write concerns the asking agent, which asks elsewhere.
-	_, _ = w.Write(body)
+	if err := m.uplink.send(r.Context(), w, body); err != nil {
+		m.config.Log.WithError(err).WithField("piece", r.PathValue("what")).Info("Piece not sent whole.")
+	}
 }
 
 func (m *Manager) answerPeer(ctx context.Context, held *pieces, what string) ([]byte, int) {
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -23,8 +23,8 @@
 // Parts of the time in which a version must be in force, within which the
 // engines load one after the other, so that most of them serve at any moment.
 const (
-	loadFrom  = 0.35
-	loadUntil = 0.66
+	loadFrom  = 0.36
+	loadUntil = 0.72
 )
 
 // Plan says from whom one agent takes each piece.
@@ -104,7 +104,8 @@
 	return ranked
 }
 
-// ranked orders a region's agents for a piece by rendezvous hashing.
+// ranked orders a region's agents for a piece. The pieces go round the agents,
+// so that each brings in as many as the others and their links fill alike.
 func (p Plan) ranked(region core.Region, piece int) []Agent {
 	var list []Agent
 	for _, a := range p.agents {
@@ -112,10 +113,12 @@
 			list = append(list, a)
 		}
 	}
-	slices.SortFunc(list, func(a, b Agent) int {
-		return cmp.Or(cmp.Compare(rank(b.ID, piece), rank(a.ID, piece)), cmp.Compare(a.ID, b.ID))
-	})
-	return list
+	if len(list) == 0 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b Agent) int { return cmp.Compare(a.ID, b.ID) })
+	first := (piece%len(list) + len(list)) % len(list)
+	return append(list[first:len(list):len(list)], list[:first]...)
 }
 
 func rank(id core.InstanceID, piece int) uint64 {
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -45,6 +45,22 @@
 	}
 }
 
+func TestPlanFillsTheLinksAlike(t *testing.T) {
+	agents := agentsOf("north", "north", "north", "north", "north")
+	owned := map[core.InstanceID]int{}
+	for _, self := range agents {
+		plan := NewPlan(self, "north", agents)
+		for piece := range 64 {
+			if plan.Owns(piece) {
+				owned[self.ID]++
+			}
+		}
+	}
+	for id, count := range owned {
+		require.InDelta(t, 13, count, 1, "agent %s", id)
+	}
+}
+
 // The agents of the origin's region must not send much more than the others:
 // the busiest link decides the time to all.
 func TestPlanSharesTheWorkOfCrossings(t *testing.T) {
