--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -143,7 +143,7 @@
 		defer stop()
 		select {
 		case <-ctx.Done():
-			g.leave()
+			g.leave(servers[0].server)
 		case <-shared.Done():
 		}
 		return nil
--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -36,7 +36,7 @@
 	return nil
 }
 
-// listen opens all listeners.
+// listen opens all listeners, the callers' first.
 func (g *Gateway) listen() ([]httpServer, error) {
 	n := g.config.Node
 	var servers []httpServer
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -239,8 +239,8 @@
 		Model:      model,
 		Priority:   min(max(c.priority(), 0), maxPriority),
 		Silence:    max(gapObjectives*c.route.GapObjective, minSilence),
-		Version: func() fleet.WeightsVersion {
-			return g.requiredVersion(time.Now(), g.follower.View(), model)
+		Version: func(server core.InstanceID) fleet.WeightsVersion {
+			return g.expectedVersion(c.service, server, model)
 		},
 	}
 	if c.team != nil {
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -226,18 +226,34 @@
 	return len(list) == 0
 }
 
-// requiredVersion returns the only version that a request may start on now, or
-// 0 for any.
+// requiredVersion returns the oldest version that a request may start on now,
+// or 0 for any.
 func (g *Gateway) requiredVersion(now time.Time, view *watch.View, model fleet.Model) fleet.WeightsVersion {
-	order, ok := view.Orders[model]
-	if model == "" || !ok {
+	if model == "" {
 		return 0
 	}
-	grace := g.node.Load().Bounds.VersionInForce - versionMargin
-	if now.Sub(order.Since) < grace {
+	return view.Required(now, model, g.node.Load().Bounds.VersionInForce-versionMargin)
+}
+
+// expectedVersion returns the only version of the weights with which a server
+// may take a request, or 0 for any. It is the one that the server is known to
+// have, so that a server that turns out to have an older one refuses.
+func (g *Gateway) expectedVersion(service fleet.ServiceName, id core.InstanceID, model fleet.Model) fleet.WeightsVersion {
+	view := g.follower.View()
+	required := g.requiredVersion(time.Now(), view, model)
+	if required == 0 {
 		return 0
 	}
-	return order.Version
+	server := view.Server(service, id)
+	if server == nil {
+		return required
+	}
+	return max(required, g.knownVersion(server, model))
+}
+
+// knownVersion returns the newest version that the list or an answer named.
+func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
+	return max(server.Weights[model], g.observed.version(server, model))
 }
 
 // hasWeights reports whether a server has the model loaded, in the wanted
@@ -246,6 +262,6 @@
 	if model == "" {
 		return true
 	}
-	version := max(server.Weights[model], g.observed.version(server, model))
+	version := g.knownVersion(server, model)
 	return version > 0 && version >= wanted
 }
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -125,7 +125,7 @@
 	}
 	var list []staging.Wanted
 	for _, model := range service.Engine.Models {
-		order := view.Orders[model]
+		order := view.Newest(model)
 		list = append(list, staging.Wanted{
 			Key:     staging.Key{Model: model, Version: max(order.Version, firstVersion)},
 			Pieces:  service.Engine.Pieces,
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -53,9 +53,9 @@
 	Priority int
 	// Silence bounds the pause before the next event of a resumable stream.
 	Silence time.Duration
-	// Version returns the only version of the weights that may serve an
-	// attempt, or 0 for any.
-	Version func() fleet.WeightsVersion
+	// Version returns the only version of the weights with which a server may
+	// serve an attempt, or 0 for any.
+	Version func(server core.InstanceID) fleet.WeightsVersion
 }
 
 // Exchange is one request's transport. Use it for one call of Dispatcher.Do.
--- a/requests/direct/header.go
+++ b/requests/direct/header.go
@@ -67,7 +67,7 @@
 	if r.Model != "" {
 		writeLine(&b, e.names.Priority, ": ", strconv.Itoa(r.Priority))
 	}
-	if version := r.Version(); version > 0 {
+	if version := r.Version(server); version > 0 {
 		writeLine(&b, e.names.ExpectedVersion, ": ", strconv.FormatInt(int64(version), 10))
 	}
 	if e.lastEvent != "" {
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"currantusher.dev/core"
@@ -67,14 +68,17 @@
 		s.note(row, "weights", "ignored: "+err.Error())
 		return
 	}
-	if version <= s.orders[model].Version {
+	list := s.orders[model]
+	if len(list) > 0 && version <= list[len(list)-1].Version {
 		return
 	}
 	order := Order{Version: version, Since: now}
 	if first {
 		order.Since = time.Time{}
 	}
-	s.orders[model] = order
+	// Views hold the old list, so the new one is a copy.
+	list = append(slices.Clone(list), order)
+	s.orders[model] = list[max(0, len(list)-keptOrders):]
 	s.note(row, "weights", fmt.Sprintf("version %d named", version))
 }
 
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -17,6 +17,10 @@
 // two seconds to write their rows again.
 const lapseGrace = 2 * time.Second
 
+// keptOrders is how many named versions of a model are kept: an origin gives
+// only the two newest.
+const keptOrders = 4
+
 // ServersTable and OperatorTable are the tables that State knows.
 const (
 	OperatorTable = records.TableOperator
@@ -65,7 +69,7 @@
 	config  *fleet.Table
 	servers map[core.InstanceID]*known
 	out     map[core.DataCentre]bool
-	orders  map[fleet.Model]Order
+	orders  map[fleet.Model][]Order
 	// regained is when the store last answered again after an outage, and away
 	// says that it does not answer now.
 	regained time.Time
@@ -82,7 +86,7 @@
 		},
 		servers: map[core.InstanceID]*known{},
 		out:     map[core.DataCentre]bool{},
-		orders:  map[fleet.Model]Order{},
+		orders:  map[fleet.Model][]Order{},
 	}
 }
 
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -14,7 +14,7 @@
 	ColdUntil time.Time
 }
 
-// Order is the newest weights of a model that operators have named.
+// Order is a version of a model's weights that operators have named.
 type Order struct {
 	Version fleet.WeightsVersion
 	// Since is when this daemon learned of the version, zero when it was
@@ -30,8 +30,9 @@
 	Servers map[fleet.ServiceName][]*Server
 	// Out holds the data centres that operators have taken out.
 	Out map[core.DataCentre]bool
-	// Orders holds the newest named weights of each model.
-	Orders map[fleet.Model]Order
+	// Orders holds the named weights of each model, the newest last. Each must
+	// be in force in its own time, so that a newer one puts off none.
+	Orders map[fleet.Model][]Order
 	// OperatorRevision and ServerRevision are the store's revisions of the
 	// last known changes of the two tables.
 	OperatorRevision uint64
@@ -49,3 +50,24 @@
 	}
 	return nil
 }
+
+// Newest returns the newest named weights of a model, or the zero Order.
+func (v *View) Newest(model fleet.Model) Order {
+	list := v.Orders[model]
+	if len(list) == 0 {
+		return Order{}
+	}
+	return list[len(list)-1]
+}
+
+// Required returns the newest version of a model that must be in force at now,
+// each in the time inForce from when it was named; 0 means none.
+func (v *View) Required(now time.Time, model fleet.Model, inForce time.Duration) fleet.WeightsVersion {
+	var required fleet.WeightsVersion
+	for _, order := range v.Orders[model] {
+		if now.Sub(order.Since) >= inForce {
+			required = max(required, order.Version)
+		}
+	}
+	return required
+}
--- /dev/null
+++ b/weights/staging/downlink.go
@@ -0,0 +1,72 @@
+package staging
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// maxTransfers bounds the pieces that arrive side by side. Four at the
+	// usual size queue 0.14 s on the slowest sound link.
+	maxTransfers = 4
+	// slowTransfer is a time for one piece that shows a link narrower than
+	// expected: a piece that shares the slowest sound link with three others
+	// takes 0.14 s.
+	slowTransfer = 350 * time.Millisecond
+	// widening is added to the bound by each transfer that was not slow.
+	widening = 0.25
+)
+
+// downlink bounds the pieces that arrive side by side, so that requests to the
+// engine on the same link do not queue behind them. It halves the bound when
+// transfers are slow, as on a link that has become narrow, and widens it step
+// by step when they are not.
+type downlink struct {
+	mu       sync.Mutex
+	bound    float64
+	used     int
+	narrowed time.Time
+	// freed is closed and replaced whenever a place may be free.
+	freed chan struct{}
+}
+
+func newDownlink() *downlink {
+	return &downlink{bound: maxTransfers, freed: make(chan struct{})}
+}
+
+// acquire waits for a place.
+func (d *downlink) acquire(ctx context.Context) error {
+	for {
+		d.mu.Lock()
+		if d.used < int(d.bound) {
+			d.used++
+			d.mu.Unlock()
+			return nil
+		}
+		freed := d.freed
+		d.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-freed:
+		}
+	}
+}
+
+// release returns a place after a transfer that took so long.
+func (d *downlink) release(now time.Time, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used--
+	switch {
+	case took < slowTransfer:
+		d.bound = min(maxTransfers, d.bound+widening)
+	case now.Sub(d.narrowed) > took:
+		// Transfers that ran side by side are slow for the same reason.
+		d.narrowed = now
+		d.bound = max(1, d.bound/2)
+	}
+	close(d.freed)
+	d.freed = make(chan struct{})
+}
--- /dev/null
+++ b/weights/staging/downlink_test.go
@@ -0,0 +1,43 @@
+package staging
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestDownlinkNarrowsOnSlowTransfersAndWidensAgain(t *testing.T) {
+	d := newDownlink()
+	now := time.Unix(100, 0)
+	ctx := context.Background()
+	for range maxTransfers {
+		require.NoError(t, d.acquire(ctx))
+	}
+	// All four were slow together: one halving.
+	for range maxTransfers {
+		now = now.Add(time.Millisecond)
+		d.release(now, time.Second)
+	}
+	require.InDelta(t, 2, d.bound, 0)
+	now = now.Add(2 * time.Second)
+	require.NoError(t, d.acquire(ctx))
+	d.release(now, time.Second)
+	require.InDelta(t, 1, d.bound, 0)
+	now = now.Add(2 * time.Second)
+	require.NoError(t, d.acquire(ctx))
+	d.release(now, time.Second)
+	require.InDelta(t, 1, d.bound, 0, "one transfer is always let through")
+
+	require.NoError(t, d.acquire(ctx))
+	full, cancel := context.WithCancel(ctx)
+	cancel()
+	require.ErrorIs(t, d.acquire(full), context.Canceled)
+	d.release(now, time.Millisecond)
+	for range 20 {
+		require.NoError(t, d.acquire(ctx))
+		d.release(now, time.Millisecond)
+	}
+	require.InDelta(t, maxTransfers, d.bound, 0)
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -243,7 +243,7 @@
 	return "home"
 }
 
-// take keeps a piece and stages it, and reports whether it is the right one.
+// take keeps a piece, stages it and reports whether it is the right one.
 func (f *fetcher) take(ctx context.Context, held *pieces, num int, content []byte, source string) bool {
 	if !held.add(num, content) {
 		f.mu.Lock()
@@ -253,10 +253,7 @@
 		return false
 	}
 	f.count(source)
-	if err := f.manager.stage(ctx, f.wanted, held, num); err != nil {
-		// What is not staged now is staged before the load.
-		f.log.WithError(err).Info("Piece not staged yet.")
-	}
+	f.manager.stageEarly(ctx, f.log, f.wanted, held, num)
 	return true
 }
 
@@ -266,10 +263,26 @@
 	return f.spoilt[num] >= maxSpoilt
 }
 
+// fromPeer waits until a peer has the piece, and then for a place on this
+// agent's link.
 func (f *fetcher) fromPeer(ctx context.Context, peer Agent, num int) ([]byte, error) {
-	bounded, cancel := context.WithTimeout(ctx, sourceTimeout)
+	peers := f.manager.config.Peers
+	waiting, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	if err := peers.Await(waiting, peer, f.wanted.Key, num); err != nil {
+		return nil, err
+	}
+	if err := f.manager.downlink.acquire(ctx); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	defer func() {
+		now := time.Now()
+		f.manager.downlink.release(now, now.Sub(began))
+	}()
+	sending, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
-	return f.manager.config.Peers.Piece(bounded, peer, f.wanted.Key, num)
+	return peers.Piece(sending, peer, f.wanted.Key, num)
 }
 
 func (f *fetcher) fromOrigin(ctx context.Context, num int) ([]byte, error) {
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -23,6 +23,17 @@
 // load stages a version, verifies every byte of it where the engine will read
 // it, and orders the engine to load it.
 func (m *Manager) load(ctx context.Context, log *logrus.Entry, wanted Wanted, held *pieces) error {
+	if err := m.order(ctx, log, wanted, held); err != nil {
+		return err
+	}
+	return m.await(ctx, log, wanted)
+}
+
+// order verifies what is staged and gives the order. Nothing else is staged
+// meanwhile: the engine loads the bytes as they are when it takes the order.
+func (m *Manager) order(ctx context.Context, log *logrus.Entry, wanted Wanted, held *pieces) error {
+	m.stageMu.Lock()
+	defer m.stageMu.Unlock()
 	if err := m.verify(ctx, log, wanted, held); err != nil {
 		return err
 	}
@@ -33,9 +44,6 @@
 	if report.Busy || report.Loaded[wanted.Model] >= wanted.Version {
 		return nil
 	}
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
 	bounded, cancel := context.WithTimeout(ctx, engineTimeout)
 	result, err := m.config.Engine.Start(bounded, wanted.Model, wanted.Version, report.Orders)
 	cancel()
@@ -47,7 +55,7 @@
 	if result == worker.OrderUnfit || result == worker.OrderFenced {
 		return fmt.Errorf("the engine does not take the order (%d)", result)
 	}
-	return m.await(ctx, log, wanted)
+	return nil
 }
 
 func (m *Manager) await(ctx context.Context, log *logrus.Entry, wanted Wanted) error {
@@ -92,6 +100,20 @@
 	return fmt.Errorf("staged pieces do not stay right")
 }
 
+// stageEarly stages a piece of the newest version while others arrive, which
+// leaves little to stage before the load.
+func (m *Manager) stageEarly(ctx context.Context, log *logrus.Entry, wanted Wanted, held *pieces, num int) {
+	if !m.isNewest(wanted.Key) {
+		return
+	}
+	m.stageMu.Lock()
+	defer m.stageMu.Unlock()
+	if err := m.stage(ctx, wanted, held, num); err != nil && ctx.Err() == nil {
+		// What is not staged now is staged before the load.
+		log.WithError(err).Info("Piece not staged yet.")
+	}
+}
+
 func (m *Manager) isStaged(ctx context.Context, wanted Wanted, held *pieces, num int) (bool, error) {
 	bounded, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -39,6 +39,9 @@
 // Peers are the other agents.
 type Peers interface {
 	Manifest(ctx context.Context, peer Agent, key Key) ([][32]byte, error)
+	// Await returns when the peer has the piece, or an error with
+	// CodeUnknownEntity when it does not have it soon.
+	Await(ctx context.Context, peer Agent, key Key, piece int) error
 	Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error)
 }
 
@@ -73,17 +76,24 @@
 
 // Manager keeps the engine beside one agent on the newest versions.
 type Manager struct {
-	config Config
-	uplink *uplink
+	config   Config
+	uplink   *uplink
+	downlink *downlink
+	// stageMu guards what lies staged beside the engine.
+	stageMu sync.Mutex
 
 	mu   sync.Mutex
-	held map[fleet.Model]*pieces
-	jobs map[fleet.Model]*job
+	held map[Key]*pieces
+	jobs map[Key]*job
+	// newest is the newest wanted version of each model.
+	newest map[fleet.Model]fleet.WeightsVersion
+	// loading has one place: the engine takes one order at a time.
+	loading chan struct{}
 }
 
 // job is the work on one wanted version.
 type job struct {
-	key    Key
+	wanted Wanted
 	cancel context.CancelFunc
 	// asked has an item when another agent asked for a version that is loaded
 	// here and whose pieces are not held.
@@ -100,7 +110,8 @@
 
 // New returns a Manager that holds nothing.
 func New(config Config) *Manager {
-	return &Manager{config: config, uplink: newUplink(config.LinkBytes), held: map[fleet.Model]*pieces{}, jobs: map[fleet.Model]*job{}}
+	return &Manager{config: config, uplink: newUplink(config.LinkBytes), downlink: newDownlink(), held: map[Key]*pieces{}, jobs: map[Key]*job{},
+		newest: map[fleet.Model]fleet.WeightsVersion{}, loading: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -121,28 +132,52 @@
 	}
 }
 
-// follow starts the work on a version and ends that on an older one.
+// follow starts the work on a version. The work on an older one that has most
+// of its pieces goes on: its own time may end before the newer one is here.
 func (m *Manager) follow(ctx context.Context, wait *sync.WaitGroup, wanted Wanted) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	current := m.jobs[wanted.Model]
-	if current != nil && current.key.Version >= wanted.Version {
+	if m.newest[wanted.Model] >= wanted.Version {
 		return
 	}
-	if current != nil {
-		current.cancel()
+	m.newest[wanted.Model] = wanted.Version
+	for key, older := range m.jobs {
+		if key.Model == wanted.Model && !m.isMostlyHere(key) {
+			older.cancel()
+		}
 	}
 	running, cancel := context.WithCancel(ctx)
-	next := &job{key: wanted.Key, cancel: cancel, asked: make(chan struct{}, 1)}
-	m.jobs[wanted.Model] = next
+	next := &job{wanted: wanted, cancel: cancel, asked: make(chan struct{}, 1)}
+	m.jobs[wanted.Key] = next
 	wait.Go(func() {
-		defer cancel()
+		defer m.forget(next)
 		m.keep(running, wanted, next)
 	})
 }
 
+// isMostlyHere reports whether at least half of a version's pieces are here.
+// The caller holds the lock.
+func (m *Manager) isMostlyHere(key Key) bool {
+	held := m.held[key]
+	return held != nil && 2*held.left() <= len(held.digests)
+}
+
+func (m *Manager) forget(j *job) {
+	j.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.jobs, j.wanted.Key)
+}
+
+// isNewest reports whether no newer version of the model is wanted.
+func (m *Manager) isNewest(key Key) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest[key.Model] == key.Version
+}
+
 // keep brings a version into the engine, and again whenever the engine has
-// lost it.
+// lost it. A version that is not the newest ends once the engine has it.
 func (m *Manager) keep(ctx context.Context, wanted Wanted, j *job) {
 	log := m.config.Log.WithFields(logrus.Fields{"model": wanted.Model, "version": wanted.Version})
 	var last string
@@ -154,6 +189,9 @@
 			pause(ctx, retryPause)
 		case report.Loaded[wanted.Model] >= wanted.Version:
 			last = ""
+			if !m.isNewest(wanted.Key) {
+				return
+			}
 			m.idle(ctx, log, wanted, j)
 		case report.Busy:
 			pause(ctx, retryPause)
@@ -225,31 +263,98 @@
 	log.WithFields(logrus.Fields{
 		"ms": time.Since(began).Milliseconds(), "agents": len(agents), "from": fetch.counts(),
 	}).Info("All pieces are here.")
-	if len(report.Loaded) > 0 && !wanted.Since.IsZero() {
-		// Engines load one after the other; an empty one serves nobody.
-		pause(ctx, time.Until(wanted.Since.Add(plan.LoadDelay(wanted.Version, wanted.InForce))))
+	if !m.awaitTurn(ctx, wanted, plan, len(report.Loaded) > 0) {
+		return nil
 	}
+	select {
+	case m.loading <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-m.loading }()
 	return m.load(ctx, log, wanted, held)
 }
 
+const (
+	// lastMoment is the part of a version's time at which it is loaded although
+	// a newer one is on its way.
+	lastMoment = 0.72
+	// usualArrival is the part of a version's time in which its pieces come.
+	usualArrival = 0.5
+)
+
+// awaitTurn waits until the engine may load the version, and reports whether
+// it still must. Engines that serve load one after the other, and a version
+// gives way to a newer one that will be here within its time.
+func (m *Manager) awaitTurn(ctx context.Context, wanted Wanted, plan Plan, serves bool) bool {
+	if !serves || wanted.Since.IsZero() {
+		return true
+	}
+	pause(ctx, time.Until(wanted.Since.Add(plan.LoadDelay(wanted.Version, wanted.InForce))))
+	last := wanted.Since.Add(part(lastMoment, wanted.InForce))
+	for ctx.Err() == nil && !m.isNewest(wanted.Key) {
+		if m.hasNewer(wanted.Key) {
+			return false
+		}
+		if time.Now().After(last) || m.newerArrival(wanted.Key).After(last) {
+			return true
+		}
+		pause(ctx, retryPause)
+	}
+	return true
+}
+
+func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
+
+// newerArrival returns when the pieces of the newest version should be here.
+func (m *Manager) newerArrival(key Key) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newer := m.jobs[Key{Model: key.Model, Version: m.newest[key.Model]}]
+	if newer == nil {
+		return time.Time{}
+	}
+	return newer.wanted.Since.Add(part(usualArrival, newer.wanted.InForce))
+}
+
+// hasNewer reports whether all pieces of a newer version are here, which spares
+// the engine a load.
+func (m *Manager) hasNewer(key Key) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for other, held := range m.held {
+		if other.Model == key.Model && other.Version > key.Version && held.left() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // holds returns the pieces of a version, or nil.
 func (m *Manager) holds(key Key) *pieces {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.held[key.Model]; p != nil && p.key == key {
-		return p
-	}
-	return nil
+	return m.held[key]
 }
 
-// hold keeps the pieces of a version in place of an older one's.
+// hold keeps the pieces of a version beside those of the version before it.
 func (m *Manager) hold(p *pieces) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	old := m.held[p.key.Model]
-	if old != nil && old.key.Version > p.key.Version {
-		return
+	var before fleet.WeightsVersion
+	for key, other := range m.held {
+		if key.Model != p.key.Model || key == p.key {
+			continue
+		}
+		p.reuse(other)
+		if key.Version < p.key.Version {
+			before = max(before, key.Version)
+		}
+	}
+	for key := range m.held {
+		if key.Model == p.key.Model && key.Version < before {
+			delete(m.held, key)
+		}
 	}
-	p.reuse(old)
-	m.held[p.key.Model] = p
+	m.held[p.key] = p
 }
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,6 +23,8 @@
 	peerWait        = time.Second
 	peerDialTimeout = 500 * time.Millisecond
 	peerIdleTime    = 5 * time.Second
+	// awaitSuffix asks whether a piece is there, without its content.
+	awaitSuffix = ".ready"
 	// maxPeerBytes bounds what a peer sends.
 	maxPeerBytes = 4 << 20
 )
@@ -36,7 +39,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: laneWidth, IdleConnTimeout: peerIdleTime, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2 * laneWidth, IdleConnTimeout: peerIdleTime, DisableCompression: true,
 	}}}
 }
 
@@ -53,6 +56,12 @@
 	return digests, nil
 }
 
+// Await implements Peers.
+func (p *HTTPPeers) Await(ctx context.Context, peer Agent, key Key, piece int) error {
+	_, err := p.get(ctx, peer, path(key, strconv.Itoa(piece)+awaitSuffix))
+	return err
+}
+
 // Piece implements Peers.
 func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error) {
 	return p.get(ctx, peer, path(key, strconv.Itoa(piece)))
@@ -122,14 +131,20 @@
 		}
 		return body, http.StatusOK
 	}
-	num, err := strconv.Atoi(what)
+	number, onlyAwaits := strings.CutSuffix(what, awaitSuffix)
+	num, err := strconv.Atoi(number)
 	if err != nil || num < 0 || num >= len(held.digests) {
 		return nil, http.StatusBadRequest
 	}
-	if content := held.wait(ctx, num); content != nil {
+	content := held.wait(ctx, num)
+	switch {
+	case content == nil:
+		return nil, http.StatusNotFound
+	case onlyAwaits:
+		return nil, http.StatusOK
+	default:
 		return content, http.StatusOK
 	}
-	return nil, http.StatusNotFound
 }
 
 // awaitManifest returns a version's pieces once its manifest is here, or nil
@@ -141,12 +156,12 @@
 			return held
 		}
 		m.mu.Lock()
-		current := m.jobs[key.Model]
+		current, newest := m.jobs[key], m.newest[key.Model]
 		m.mu.Unlock()
-		if current != nil && current.key.Version > key.Version {
+		if current == nil && newest > key.Version {
 			return nil
 		}
-		if current != nil && current.key == key {
+		if current != nil {
 			current.requestPieces()
 		}
 		pause(ctx, period)
