--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -69,15 +69,18 @@
 	g.follower = watch.NewFollower(watch.Config{
 		Store:  g.store,
 		Tables: []string{watch.OperatorTable, watch.ServersTable},
-		Log:    config.Log.Part("watch"),
+		// The node is made below and set before the follower runs.
+		OthersReach: func() bool { return g.gossip.OthersReachStore() },
+		Log:         config.Log.Part("watch"),
 	})
 	g.services = newServiceSet(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
-		Self:      g.self(),
-		Revisions: g.revisions,
-		Loads:     g.services.loads,
-		Log:       config.Log.Part("gossip"),
+		Self:         g.self(),
+		Revisions:    g.revisions,
+		Loads:        g.services.loads,
+		ReachesStore: g.follower.ReachesStore,
+		Log:          config.Log.Part("gossip"),
 	})
 	if err != nil {
 		return nil, err
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -22,6 +22,8 @@
 	Self Member
 	// Revisions returns the newest known changes by table.
 	Revisions func() map[string]uint64
+	// ReachesStore reports whether the platform's store answers.
+	ReachesStore func() bool
 	// Loads returns the requests in flight at each backend server.
 	Loads func() map[core.InstanceID]int
 	Log   *logrus.Entry
@@ -112,8 +114,9 @@
 }
 
 func (n *Node) round() {
-	revisions, loads := n.config.Revisions(), n.config.Loads()
+	revisions, loads, reaches := n.config.Revisions(), n.config.Loads(), n.config.ReachesStore()
 	n.mu.Lock()
+	n.state.SetReachesStore(reaches)
 	now := n.config.Now()
 	message, addrs := n.state.Round(now, revisions, loads)
 	alive := len(n.state.Alive(now))
@@ -181,6 +184,13 @@
 	return n.loads, n.loadsAt
 }
 
+// OthersReachStore reports whether the store answers any other living entry.
+func (n *Node) OthersReachStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.OthersReachStore(n.config.Now())
+}
+
 // Ahead returns the address of a living entry that knows a later revision of a
 // table, or "".
 func (n *Node) Ahead(table string, revision uint64) string {
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -57,6 +57,8 @@
 	// Revisions are the newest changes of the platform's tables that the
 	// member knows, by table.
 	Revisions map[string]uint64 `cbor:"9,keyasint,omitempty"`
+	// ReachesStore says that the platform's store answers the member.
+	ReachesStore bool `cbor:"10,keyasint"`
 }
 
 func (m *Member) isNewerThan(other *Member) bool {
@@ -114,6 +116,19 @@
 // Self returns what the entry says of itself.
 func (s *State) Self() Member { return s.self }
 
+// SetReachesStore changes whether the store answers the entry.
+func (s *State) SetReachesStore(reaches bool) { s.self.ReachesStore = reaches }
+
+// OthersReachStore reports whether the store answers any other living member.
+func (s *State) OthersReachStore(now time.Time) bool {
+	for _, p := range s.alive(now) {
+		if p.member.ReachesStore {
+			return true
+		}
+	}
+	return false
+}
+
 // Round returns the next message and the addresses it goes to.
 func (s *State) Round(now time.Time, revisions map[string]uint64, loads map[core.InstanceID]int) (Message, []string) {
 	s.self.Beat++
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -42,6 +42,9 @@
 	Settle time.Duration
 	Retry  time.Duration
 	Log    *logrus.Entry
+	// OthersReach reports whether the store answers other daemons. Rows that go
+	// while it answers any are gone for good; nil means that nobody is asked.
+	OthersReach func() bool
 	// Changed is called after each change of the view.
 	Changed func(*View)
 	// Now is the clock; nil means time.Now.
@@ -218,13 +221,27 @@
 	f.mu.Lock()
 	first := !f.failing[name]
 	f.failing[name] = true
-	f.state.StoreAway()
+	if f.config.OthersReach == nil || !f.config.OthersReach() {
+		f.state.StoreAway()
+	}
 	f.mu.Unlock()
 	if first {
 		f.config.Log.WithField("table", name).WithError(err).Warn("Store lost.")
 	}
 }
 
+// ReachesStore reports whether the last calls to the store were answered.
+func (f *Follower) ReachesStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, failing := range f.failing {
+		if failing {
+			return false
+		}
+	}
+	return f.contact.Load() != 0
+}
+
 func (f *Follower) regained(name string) {
 	f.contact.Store(f.config.Now().UnixNano())
 	f.mu.Lock()
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -107,7 +107,8 @@
 // Content returns the revision of the newest known change of a table.
 func (s *State) Content(name string) uint64 { return s.tables[name].content }
 
-// StoreAway notes that the store does not answer this daemon.
+// StoreAway notes that the store does not answer this daemon nor, as far as it
+// knows, any other.
 func (s *State) StoreAway() { s.away = true }
 
 // StoreBack notes that the store answers.
