--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -41,7 +41,10 @@
 	conns       *callerConns
 	registry    metrics.Registry
 	leaving     atomic.Bool
-	inFlight    atomic.Int64
+	// knowsEntries says that the rows of all entries were read.
+	knowsEntries atomic.Bool
+	started      time.Time
+	inFlight     atomic.Int64
 	// lastRequest is when the last request came, in Unix nanoseconds.
 	lastRequest atomic.Int64
 	log         *logrus.Entry
@@ -55,6 +58,7 @@
 	}
 	g := &Gateway{
 		config:      config,
+		started:     time.Now(),
 		incarnation: core.Incarnation(time.Now().UnixNano()),
 		store:       rowstore.New(config.Node.StoreAddr),
 		upstream:    upstream.NewPool(upstream.Config{}),
@@ -170,6 +174,7 @@
 		g.follower.Run,
 		g.gossip.Run,
 		g.services.run,
+		g.services.share,
 		g.join,
 		g.followPeers,
 		g.followSettings,
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -76,6 +76,7 @@
 		}
 		g.gossip.Introduce(member.PeerAddr)
 	}
+	g.knowsEntries.Store(true)
 	return nil
 }
 
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -22,6 +22,13 @@
 	// budgetPart is the part of the shared retry budget that the entries use
 	// together, so that restarts and new entries stay inside it.
 	budgetPart = 0.5
+	// shareUnknown is how long a new entry that could not learn of the others
+	// uses none of what all share, and assumedSenders how many it then takes
+	// them to be.
+	shareUnknown   = 3 * time.Second
+	assumedSenders = 16
+	// sharePeriod is how often the shares are adapted to the living entries.
+	sharePeriod = 500 * time.Millisecond
 	// versionMargin is how long before a new version must be in force no
 	// request is sent to older weights: a request may wait in a server's queue.
 	versionMargin = 1200 * time.Millisecond
@@ -87,7 +94,7 @@
 		Region:     node.Region,
 		Ramp:       rampTime,
 		RetryRatio: budgetPart * bounds.RetryRatio,
-		RetryBurst: max(1, int(budgetPart*bounds.RetrySlack/float64(g.gossip.Senders()))),
+		RetryBurst: 1,
 		Seed:       uint64(g.incarnation),
 	})}
 	parts.queue = fair.New(fair.Config{
@@ -97,11 +104,45 @@
 		Tick:     queueTick,
 		Seed:     uint64(g.incarnation),
 	})
+	parts.placer.LimitRetries(s.retryShare())
 	s.parts[name] = parts
 	s.start(parts)
 	return parts
 }
 
+// retryShare is this entry's part of the retries that all entries may save up.
+func (s *serviceSet) retryShare() int {
+	senders := s.gateway.senders()
+	if senders == 0 {
+		return 0
+	}
+	return int(budgetPart * s.gateway.node.Load().Bounds.RetrySlack / float64(senders))
+}
+
+// share adapts the retry budgets to the living entries.
+func (s *serviceSet) share(ctx context.Context) error {
+	return every(ctx, sharePeriod, func() {
+		burst := s.retryShare()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, parts := range s.parts {
+			parts.placer.LimitRetries(burst)
+		}
+	})
+}
+
+// senders is how many entries share the limits of backend servers, or 0 while
+// a new entry does not know the others.
+func (g *Gateway) senders() int {
+	if g.knowsEntries.Load() {
+		return g.gossip.Senders()
+	}
+	if time.Since(g.started) < shareUnknown {
+		return 0
+	}
+	return max(assumedSenders, g.gossip.Senders())
+}
+
 func (s *serviceSet) queue(name core.PoolName) *fair.Queue { return s.get(name).queue }
 
 func (s *serviceSet) placer(name core.PoolName) *placement.Placer { return s.get(name).placer }
@@ -196,7 +237,11 @@
 func (g *Gateway) coldShare(service *fleet.Service) int {
 	bounds := g.node.Load().Bounds
 	limit := cold.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
-	return limit.Share(g.gossip.Senders())
+	senders := g.senders()
+	if senders == 0 {
+		return 0
+	}
+	return limit.Share(senders)
 }
 
 func (g *Gateway) coldUntil(server *watch.Server) time.Time {
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -223,6 +223,15 @@
 	p.budget = min(p.budget+p.config.RetryRatio, float64(p.config.RetryBurst))
 }
 
+// LimitRetries changes the number of retries that may be saved up. What is
+// saved beyond it is lost.
+func (p *Placer) LimitRetries(burst int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config.RetryBurst = max(burst, 0)
+	p.budget = min(p.budget, float64(p.config.RetryBurst))
+}
+
 // Retry takes one retry out of the budget. It returns false when none is left.
 func (p *Placer) Retry() bool {
 	p.mu.Lock()
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -266,3 +266,17 @@
 		})
 	}
 }
+
+func TestLimitRetriesKeepsToTheSharedBudget(t *testing.T) {
+	p := New(Config{RetryRatio: 0.2, RetryBurst: 50})
+	p.LimitRetries(2)
+	require.True(t, p.Retry())
+	require.True(t, p.Retry())
+	require.False(t, p.Retry(), "a smaller share takes back what was saved")
+	for range 100 {
+		p.FirstAttempt()
+	}
+	require.True(t, p.Retry())
+	require.True(t, p.Retry())
+	require.False(t, p.Retry())
+}
