--- a/cmd/currantusher/deployed.go
+++ b/cmd/currantusher/deployed.go
@@ -18,9 +18,9 @@
 const (
 	// logLines bounds the log lines that wait for a slow standard output.
 	logLines = 4096
-	// collectPercent lets the heap grow further between collections than the
-	// runtime's default: processor time is scarcer there than memory.
-	collectPercent = 400
+	// collectPercent is the runtime's default. A higher one costs more memory
+	// than the processor time that it saves is worth there.
+	collectPercent = 100
 	// heapLimit makes collections frequent long before a process reaches the
 	// smallest instance's memory of 152 MB.
 	heapLimit = 96 << 20
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -23,12 +23,31 @@
 // load stages a version, verifies every byte of it where the engine will read
 // it, and orders the engine to load it.
 func (m *Manager) load(ctx context.Context, log *logrus.Entry, wanted Wanted, held *pieces) error {
+	if err := m.awaitIdle(ctx); err != nil {
+		return err
+	}
 	if err := m.order(ctx, log, wanted, held); err != nil {
 		return err
 	}
 	return m.await(ctx, log, wanted)
 }
 
+// awaitIdle waits until no order is in progress in the engine.
+func (m *Manager) awaitIdle(ctx context.Context) error {
+	began := time.Now()
+	for time.Since(began) < loadTimeout && ctx.Err() == nil {
+		report, err := m.report(ctx)
+		if err != nil {
+			return err
+		}
+		if !report.Busy {
+			return nil
+		}
+		pause(ctx, loadPoll)
+	}
+	return fmt.Errorf("the engine is busy with another order after %d ms", time.Since(began).Milliseconds())
+}
+
 // order verifies what is staged and gives the order. Nothing else is staged
 // meanwhile: the engine loads the bytes as they are when it takes the order.
 func (m *Manager) order(ctx context.Context, log *logrus.Entry, wanted Wanted, held *pieces) error {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -193,9 +193,8 @@
 				return
 			}
 			m.idle(ctx, log, wanted, j)
-		case report.Busy:
-			pause(ctx, retryPause)
 		default:
+			// Fetching goes on while the engine still takes an older version.
 			log.WithField("report", report.Raw).Info("Engine needs the version.")
 			err := m.bring(ctx, log, wanted, report)
 			if err != nil && ctx.Err() == nil {
