--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -31,6 +31,15 @@
 	Now func() time.Time
 }
 
+// Loads are the requests in flight by server at the last round. The maps must
+// not be changed.
+type Loads struct {
+	At time.Time
+	// Own are this entry's, Others those of all other living entries.
+	Own    map[core.InstanceID]int
+	Others map[core.InstanceID]int
+}
+
 // Node exchanges messages with other entries. It is safe for concurrent use.
 type Node struct {
 	config Config
@@ -38,10 +47,8 @@
 
 	mu    sync.Mutex
 	state *State
-	// loads is the others' work, and loadsAt when a message last changed it.
-	loads   map[core.InstanceID]int
-	loadsAt time.Time
-	alive   int
+	loads Loads
+	alive int
 }
 
 // Listen opens the node's socket at its peer address.
@@ -119,6 +126,7 @@
 	n.state.SetReachesStore(reaches)
 	now := n.config.Now()
 	message, addrs := n.state.Round(now, revisions, loads)
+	n.loads = Loads{At: now, Own: loads, Others: n.state.Loads(now)}
 	alive := len(n.state.Alive(now))
 	was := n.alive
 	n.alive = alive
@@ -155,11 +163,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.config.Now()
-	if n.state.Receive(now, message) {
-		n.loads = n.state.Loads(now)
-		n.loadsAt = now
-	}
+	n.state.Receive(n.config.Now(), message)
 }
 
 // Alive returns this entry and the others that live, ordered by id.
@@ -176,12 +180,11 @@
 	return n.state.Senders(n.config.Now())
 }
 
-// Loads returns the other entries' requests in flight by server, and when the
-// last message came. The map must not be changed.
-func (n *Node) Loads() (map[core.InstanceID]int, time.Time) {
+// Loads returns the requests in flight at the last round.
+func (n *Node) Loads() Loads {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.loads, n.loadsAt
+	return n.loads
 }
 
 // OthersReachStore reports whether the store answers any other living entry.
--- a/requests/placement/pick.go
+++ b/requests/placement/pick.go
@@ -21,9 +21,22 @@
 	return (float64(o.agent.inFlight) + o.others) / float64(o.limit)
 }
 
-// hasRoom reports whether this entry's own work leaves room. The agent decides
-// about the rest.
-func (o option) hasRoom() bool { return o.agent.inFlight < o.limit }
+// hasRoom reports whether this entry's own work leaves room. Where there is an
+// agent, it decides about the rest.
+func (o option) hasRoom() bool {
+	if o.candidate.Direct && !o.probe {
+		return o.candidate.Room > 0
+	}
+	return o.agent.inFlight < o.limit
+}
+
+// capacity is how many requests this entry may have in flight there.
+func (o option) capacity() int {
+	if o.candidate.Direct && !o.probe {
+		return o.agent.inFlight + max(0, o.candidate.Room)
+	}
+	return max(0, o.limit-int(othersShare*o.others))
+}
 
 // usable returns the options of the subset that may be picked now.
 func (p *Placer) usable(now time.Time, request Request, candidates []Candidate) []option {
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -115,6 +115,11 @@
 	ReportedAt time.Time
 	// Weights is the digest that the agent's engine serves; zero for services.
 	Weights core.Digest
+	// Direct candidates are backend servers that entries send to without an
+	// agent that admits. Room is how many more requests this entry may start
+	// there now.
+	Direct bool
+	Room   int
 	// DataCentreOut and Leaving agents are never picked.
 	DataCentreOut bool
 	Leaving       bool
@@ -211,7 +216,7 @@
 	defer p.mu.Unlock()
 	sum := 0
 	for _, o := range p.usable(now, Request{Weights: weights}, candidates) {
-		sum += max(0, o.limit-int(othersShare*o.others))
+		sum += o.capacity()
 	}
 	return sum
 }
