--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -79,6 +79,10 @@
 	if c.outcome.server != "" {
 		fields["server"] = c.outcome.server
 	}
+	if c.outcome.attempts > 0 {
+		fields["wait_ms"] = c.outcome.wait.Milliseconds()
+		g.histogram("requests.queue_millis").Update(c.outcome.wait.Milliseconds())
+	}
 	if c.outcome.first > 0 {
 		fields["first_ms"] = c.outcome.first.Milliseconds()
 		g.histogram("requests.first_byte_millis").Update(c.outcome.first.Milliseconds())
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -29,7 +29,10 @@
 	gapObjectives = 4
 	minSilence    = 1500 * time.Millisecond
 	maxPriority   = 9
-	maxIDLength   = 256
+	// placePart is the part of a stream's objective in which it must get its
+	// place; the rest is for its prompt to be read and the first event to come.
+	placePart   = 0.5
+	maxIDLength = 256
 )
 
 // call is one request of a caller on its way through this entry.
@@ -53,8 +56,11 @@
 	err      error
 	attempts int
 	server   core.InstanceID
-	first    time.Duration
-	retry    time.Duration
+	// wait is the time until the first attempt, and first until the caller got
+	// the first byte.
+	wait  time.Duration
+	first time.Duration
+	retry time.Duration
 }
 
 // serve takes one caller's request.
@@ -198,6 +204,9 @@
 	err := g.dispatcher.Do(r.Context(), g.dispatchRequest(c, exchange, r), exchange)
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.Server()
+	if sent := exchange.Sent(); !sent.IsZero() {
+		c.outcome.wait = sent.Sub(c.began)
+	}
 	if began := exchange.Began(); !began.IsZero() {
 		c.outcome.first = began.Sub(c.began)
 		c.outcome.status = http.StatusOK
@@ -249,6 +258,14 @@
 	return request
 }
 
+// isReturning reports whether the caller has spent so much of the route's time
+// that its request missed the objective elsewhere, as one does that comes back
+// after a refusal.
+func (c *call) isReturning() bool {
+	spent := c.route.Timeout - c.deadline.Sub(c.began)
+	return c.route.Timeout > 0 && c.route.Objective > 0 && spent > c.route.Objective
+}
+
 // priority is the team's, or else the route's.
 func (c *call) priority() int {
 	if c.team != nil && c.team.HasPriority {
@@ -269,7 +286,14 @@
 		need.regions = append(need.regions, c.team.Regions)
 	}
 	placer := g.services.placer(pool)
+	late := c.isReturning()
+	var objective time.Time
+	if c.route.Kind == fleet.Streaming && !late {
+		objective = c.began.Add(time.Duration(placePart * float64(c.route.Objective)))
+	}
 	return dispatch.Request{
+		Objective:    objective,
+		Late:         late,
 		ID:           c.id,
 		Team:         team,
 		Route:        c.route.Name,
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -75,6 +75,7 @@
 	// lastEvent is the id of the last event that was handed on.
 	lastEvent string
 	attempts  int
+	sent      time.Time
 	began     time.Time
 	server    core.InstanceID
 }
@@ -94,6 +95,10 @@
 // Attempts returns how often the request was written to a backend server.
 func (e *Exchange) Attempts() int { return e.attempts }
 
+// Sent returns when the request was first written to a backend server, or the
+// zero time.
+func (e *Exchange) Sent() time.Time { return e.sent }
+
 // Server returns the backend server that the last attempt went to.
 func (e *Exchange) Server() core.InstanceID { return e.server }
 
@@ -114,6 +119,9 @@
 		return nil, fmt.Errorf("%w: %v", wire.ErrNotConnected, err)
 	}
 	release := context.AfterFunc(ctx, conn.Close)
+	if e.attempts == 0 {
+		e.sent = time.Now()
+	}
 	e.attempts++
 	e.server = server.ID
 	e.observer.Sent(server.ID)
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -133,6 +133,11 @@
 	Path       string
 	Body       []byte
 
+	// Objective is until when the request must get a place to earn its full
+	// worth, zero for none. Late requests have missed it before they came.
+	Objective time.Time
+	Late      bool
+
 	// Unclaimed at-most-once requests have no Key and no claim: each of the
 	// caller's attempts counts as a request of its own. Streams among them
 	// end when the caller leaves.
@@ -189,9 +194,11 @@
 		}
 	}
 	grant, err := d.queue(request).Enqueue(ctx, fair.Item{
-		Team:     request.Team,
-		Priority: request.Priority,
-		Deadline: request.Deadline,
+		Team:      request.Team,
+		Priority:  request.Priority,
+		Deadline:  request.Deadline,
+		Objective: request.Objective,
+		Late:      request.Late,
 	})
 	if err != nil {
 		return err
--- a/requests/fair/estimate.go
+++ b/requests/fair/estimate.go
@@ -89,6 +89,35 @@
 	return needed >= float64(left)
 }
 
+// missesObjective reports whether a request that would wait behind others gets
+// its place after its objective. While all servers refuse for a moment nothing
+// is known of the wait.
+func (s *state) missesObjective(now time.Time, item Item) bool {
+	if item.Late || item.Objective.IsZero() || s.limit() == 0 {
+		return false
+	}
+	ahead := s.running + s.inTime() + 1 - s.limit()
+	if ahead <= 0 {
+		return false
+	}
+	wait := time.Duration(float64(ahead) / float64(s.limit()) * float64(s.hold))
+	return now.Add(wait).After(item.Objective)
+}
+
+// inTime counts the waiting requests that go before late ones.
+func (s *state) inTime() int {
+	count := 0
+	for _, owner := range s.backlog {
+		for _, t := range owner.waiting {
+			if t.item.Late {
+				break
+			}
+			count++
+		}
+	}
+	return count
+}
+
 // isTooLate reports whether a request that others wait behind could no longer
 // run to its end.
 func (s *state) isTooLate(now time.Time, item Item) bool {
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantusher.dev/core"
@@ -71,7 +72,7 @@
 	// idleSince is when the capacity became 0; zero while there is any.
 	idleSince time.Time
 	window    float64
-	narrowed time.Time
+	narrowed  time.Time
 	// resume is when places are granted again after a refusal.
 	resume  time.Time
 	running int
@@ -106,6 +107,9 @@
 	if s.isHopeless(now, owner, item, place, arrivalMargin) {
 		return nil, s.deadlineShort(item.Team)
 	}
+	if s.missesObjective(now, item) {
+		return nil, core.Refuse(core.CodeDeadlineShort, s.retryAfter(item.Team), "the queue of team %q cannot reach the request within its objective", item.Team)
+	}
 	s.insert(owner, t, place)
 	return t, nil
 }
@@ -134,6 +138,9 @@
 }
 
 func goesBefore(a, b *ticket) bool {
+	if a.item.Late != b.item.Late {
+		return b.item.Late
+	}
 	if a.item.Priority != b.item.Priority {
 		return a.item.Priority > b.item.Priority
 	}
@@ -167,8 +174,12 @@
 	return t
 }
 
-// sweep refuses requests that can no longer make their deadline.
+// sweep refuses requests that can no longer make their deadline, and puts those
+// that missed their objective behind the others.
 func (s *state) sweep(now time.Time) {
+	for _, owner := range s.backlog {
+		owner.demote(now)
+	}
 	for _, owner := range append([]*team(nil), s.backlog...) {
 		for at := len(owner.waiting) - 1; at >= 0; at-- {
 			if !s.isDown(now) && !s.isHopeless(now, owner, owner.waiting[at].item, at, waitingMargin) {
@@ -180,6 +191,29 @@
 	}
 }
 
+// demote marks requests that missed their objective as late.
+func (o *team) demote(now time.Time) {
+	demoted := false
+	for _, t := range o.waiting {
+		if !t.item.Late && !t.item.Objective.IsZero() && now.After(t.item.Objective) {
+			t.item.Late = true
+			demoted = true
+		}
+	}
+	if demoted {
+		slices.SortStableFunc(o.waiting, func(a, b *ticket) int {
+			switch {
+			case goesBefore(a, b):
+				return -1
+			case goesBefore(b, a):
+				return 1
+			default:
+				return 0
+			}
+		})
+	}
+}
+
 func (s *state) sweepError(now time.Time, name core.Team) error {
 	if s.isDown(now) {
 		return core.Refuse(core.CodeNoBackend, s.retryAfter(name), "no backend server takes requests")
@@ -232,6 +266,9 @@
 }
 
 func (s *state) precedes(a, b *team) bool {
+	if lateA, lateB := a.waiting[0].item.Late, b.waiting[0].item.Late; lateA != lateB {
+		return lateB
+	}
 	startA, startB := s.start(a), s.start(b)
 	if startA != startB {
 		return startA < startB
@@ -239,7 +276,12 @@
 	return cameFirst(a, b)
 }
 
-func cameFirst(a, b *team) bool { return a.waiting[0].arrived < b.waiting[0].arrived }
+func cameFirst(a, b *team) bool {
+	if lateA, lateB := a.waiting[0].item.Late, b.waiting[0].item.Late; lateA != lateB {
+		return lateB
+	}
+	return a.waiting[0].arrived < b.waiting[0].arrived
+}
 
 func (s *state) start(t *team) float64 {
 	if t.waiting[0].charged {
