--- /dev/null
+++ b/daemon/deployed/day_test.go
@@ -0,0 +1,274 @@
+package deployed
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/platform/headers"
+	"currantusher.dev/platform/standin"
+)
+
+func TestCalmDay(t *testing.T) {
+	d := start(t)
+	names := headers.Names()
+
+	stream := d.ask(0, streams, "POST", "/s/x?q=1%2f", "prompt", nil)
+	require.NoError(t, stream.err)
+	require.Equal(t, http.StatusOK, stream.status)
+	require.Equal(t, wholeStream(6), stream.body)
+	require.NotEmpty(t, stream.header.Get(names.Seal))
+
+	issued := d.ask(1, plain, "POST", "/issue/../1", "lot", func(r *http.Request) {
+		r.URL.Opaque = "/issue/..%2F1"
+		r.Header.Set(names.Team, "another")
+		r.Header.Set(names.ExpectServer, "another")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("X-End", "1")
+	})
+	require.Equal(t, http.StatusOK, issued.status)
+	require.Contains(t, issued.body, "answers lot")
+	run := lastRun(t, d.plain, "lot")
+	require.Equal(t, "/issue/..%2F1", run.Path, "the target is handed on byte for byte")
+	require.Equal(t, "team-1", run.Team)
+	require.Empty(t, run.Header.Get(names.Key), "the key stays here")
+	require.Empty(t, run.Header.Get("X-Hop"))
+	require.Equal(t, "1", run.Header.Get("X-End"))
+
+	for _, c := range []struct {
+		name, host, path string
+		change           func(*http.Request)
+		status           int
+	}{
+		{"unknown host", "else.example", "/", nil, http.StatusNotFound},
+		{"unknown path", streams, "/t/", nil, http.StatusNotFound},
+		{"unknown key", plain, "/", func(r *http.Request) { r.Header.Set(names.Key, "guess") }, http.StatusUnauthorized},
+		{"no key", plain, "/", func(r *http.Request) { r.Header.Del(names.Key) }, http.StatusUnauthorized},
+		{"public", plain, "/public/", func(r *http.Request) { r.Header.Del(names.Key) }, http.StatusOK},
+		{"no id", plain, "/", func(r *http.Request) { r.Header.Del(names.RequestID) }, http.StatusBadRequest},
+		{"bad deadline", plain, "/", func(r *http.Request) { r.Header.Set(names.Deadline, "soon") }, http.StatusBadRequest},
+		{"too large", plain, "/", func(r *http.Request) {
+			r.ContentLength = 100001
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 100001)))
+		}, http.StatusRequestEntityTooLarge},
+		{"too large in chunks", plain, "/", func(r *http.Request) {
+			r.ContentLength = -1
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 100001)))
+		}, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.status, d.ask(0, c.host, "POST", c.path, "b", c.change).status)
+		})
+	}
+}
+
+// lastRun returns the run with a body.
+func lastRun(t *testing.T, servers []*standin.Backend, body string) standin.Run {
+	t.Helper()
+	for _, server := range servers {
+		for _, run := range server.Runs() {
+			if run.Body == body {
+				return run
+			}
+		}
+	}
+	t.Fatalf("no server ran a request with body %q", body)
+	return standin.Run{}
+}
+
+func TestAmbiguousFramingReachesNoServer(t *testing.T) {
+	d := start(t)
+	names := headers.Names()
+	before := len(d.plain[0].Runs()) + len(d.plain[1].Runs())
+	for _, framing := range []string{
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+		"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"Content-Length: -3\r\n\r\n",
+		"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", d.entries[0].CallerAddr)
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /issue/1 HTTP/1.1\r\nHost: %s\r\n%s: x-1\r\n%s: %s\r\n%s", plain, names.RequestID, names.Key, key, framing)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, framing)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, framing)
+		require.NoError(t, conn.Close())
+	}
+	require.Equal(t, before, len(d.plain[0].Runs())+len(d.plain[1].Runs()))
+}
+
+func TestNewVersionReachesAllEnginesWhole(t *testing.T) {
+	d := start(t)
+	d.origin.Spoil(3, 1)
+	d.engines[0].Spoil(5)
+	d.nameVersion(2)
+	for _, engine := range d.engines {
+		d.eventually(func() bool { return engine.Version() == 2 }, "%s has the version", engine.ID)
+	}
+	require.Equal(t, d.origin.Pieces+1, d.origin.Sent(2), "each piece left the origin once, and the spoilt one again")
+	d.eventually(func() bool {
+		return d.ask(0, streams, "POST", "/s/x", "after", nil).header.Get(headers.Names().WeightsVersion) == "2"
+	}, "requests are served by the version")
+}
+
+func (d *deployment) nameVersion(version int) {
+	value, err := json.Marshal(map[string]any{"model": model, "version": version})
+	require.NoError(d.t, err)
+	d.store.Put("op", "version/"+model, value)
+}
+
+func TestRestartedEngineIsFilledAgain(t *testing.T) {
+	d := start(t)
+	d.engines[1].Start(0)
+	d.eventually(func() bool { return d.engines[1].Version() == 1 }, "the engine has the version again")
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	d := start(t)
+	d.engines[0].BreakNext(3)
+	// Entry 0 prefers the engine of its data centre.
+	got := d.ask(0, streams, "POST", "/s/x", "broken", nil)
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(6), got.body, "no event is lost or comes twice")
+	require.Equal(t, "3", lastRun(t, d.engines[1:], "broken").Header.Get(headers.Names().LastEvent))
+}
+
+func TestUnsafeRequestRunsOnceAlsoWhenItFails(t *testing.T) {
+	d := start(t)
+	for _, server := range d.plain {
+		server.FailNext(1)
+	}
+	got := d.ask(0, plain, "POST", "/issue/1", "failing lot", nil)
+	require.Equal(t, http.StatusInternalServerError, got.status, "the server's own answer is handed on")
+	runs := 0
+	for _, server := range d.plain {
+		for _, run := range server.Runs() {
+			if run.Body == "failing lot" {
+				runs++
+			}
+		}
+	}
+	require.Equal(t, 1, runs)
+}
+
+func TestSafeRequestIsTriedElsewhere(t *testing.T) {
+	d := start(t)
+	d.plain[0].FailNext(1)
+	for i := range 4 {
+		body := fmt.Sprint("look ", i)
+		require.Equal(t, http.StatusOK, d.ask(0, plain, "POST", "/look", body, nil).status)
+	}
+}
+
+func TestCallerThatLeavesStopsTheWork(t *testing.T) {
+	d := start(t)
+	for _, engine := range d.engines {
+		engine.Events, engine.Gap = 100000, time.Millisecond
+	}
+	request, err := http.NewRequest("POST", "http://"+d.entries[0].CallerAddr+"/s/x", strings.NewReader("long"))
+	require.NoError(t, err)
+	names := headers.Names()
+	request.Host = streams
+	request.Header.Set(names.RequestID, nextID())
+	request.Header.Set(names.Key, key)
+	request.Header.Set(names.Model, model)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	_, err = response.Body.Read(make([]byte, 10))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	d.eventually(func() bool {
+		for _, engine := range d.engines {
+			for _, run := range engine.Runs() {
+				if run.Body == "long" && run.Cut {
+					return true
+				}
+			}
+		}
+		return false
+	}, "the engine sees the caller leave")
+}
+
+func TestDrainAndEvacuationStopNewRequests(t *testing.T) {
+	d := start(t)
+	d.engines[0].Leave()
+	d.awaitOnly(d.engines[0], d.engines[1])
+
+	d.store.Put("op", "evacuate/b", []byte("{}"))
+	d.eventually(func() bool {
+		return d.ask(0, streams, "POST", "/s/x", "", nil).status == http.StatusServiceUnavailable
+	}, "no engine is left")
+	refused := d.ask(1, streams, "POST", "/s/x", "", nil)
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	d.store.Remove("op", "evacuate/b")
+	d.eventually(func() bool { return d.ask(0, streams, "POST", "/s/x", "", nil).status == http.StatusOK }, "it is back")
+}
+
+// awaitOnly waits until requests go to one server alone.
+func (d *deployment) awaitOnly(not, only *standin.Backend) {
+	d.eventually(func() bool {
+		before := len(not.Runs())
+		for entry := range d.entries {
+			for range 4 {
+				if d.ask(entry, streams, "POST", "/s/x", "", nil).status != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return len(not.Runs()) == before
+	}, "%s gets nothing more, %s all", not.ID, only.ID)
+}
+
+func TestStoreOutageStopsNothing(t *testing.T) {
+	d := start(t)
+	d.store.SetDown(true)
+	for entry := range d.entries {
+		for range 10 {
+			require.Equal(t, http.StatusOK, d.ask(entry, plain, "POST", "/issue/1", "away", nil).status)
+		}
+	}
+	d.store.Forget()
+	d.store.SetDown(false)
+	d.engines[0].Leave()
+	d.awaitOnly(d.engines[0], d.engines[1])
+}
+
+func TestDirectoryNamesReadyEntriesOnly(t *testing.T) {
+	d := start(t)
+	named := func(entry int) []string {
+		response, err := http.Get("http://" + d.entries[entry].DirectoryAddr + "/resolve?name=" + plain + "&region=region-a&zone=a")
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = response.Body.Close() }()
+		if response.StatusCode != http.StatusOK {
+			return nil
+		}
+		var body struct {
+			FrontAddresses []string `json:"frontAddresses"`
+			TTLS           float64  `json:"ttlS"`
+		}
+		if json.NewDecoder(response.Body).Decode(&body) != nil || body.TTLS <= 0 {
+			return nil
+		}
+		return body.FrontAddresses
+	}
+	// Few entries are near, so those farther away are named too.
+	near, far := d.entries[0].CallerAddr, d.entries[1].CallerAddr
+	d.eventually(func() bool { return slices.Equal(named(1), []string{near, far}) }, "the near entry first, and as there is one only, the far one")
+	// The first stop is entry 0's.
+	d.stops[0]()
+	d.eventually(func() bool { return slices.Equal(named(1), []string{far}) }, "a leaving entry is no longer named")
+}
--- /dev/null
+++ b/daemon/deployed/doc.go
@@ -0,0 +1,3 @@
+// Package deployed tests entries and agents as they run on the operators'
+// platform, against the stand-ins of that platform.
+package deployed
--- a/daemon/gateway/conns.go
+++ b/daemon/gateway/conns.go
@@ -61,6 +61,9 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(c.conns, conn)
 	default:
+		if framed, ok := conn.(*framedConn); ok && state == http.StateIdle {
+			framed.next()
+		}
 		c.conns[conn] = connState{state: state, since: time.Now()}
 	}
 }
--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -48,6 +48,9 @@
 		if err != nil {
 			return err
 		}
+		if server.ConnContext != nil {
+			listener = framedListener{listener}
+		}
 		server.ErrorLog = stdlog.New(g.log.WriterLevel(debugLevel), "", 0)
 		servers = append(servers, httpServer{listener: listener, server: server})
 		return nil
@@ -56,6 +59,7 @@
 		add(n.CallerAddr, &http.Server{
 			Handler:        http.HandlerFunc(g.serve),
 			ConnState:      g.conns.observe,
+			ConnContext:    withConn,
 			MaxHeaderBytes: g.headerBytes(),
 		}),
 		add(n.ReadyAddr, sideServer(doors.Readiness(g.isReady))),
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -110,6 +110,9 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return core.Refuse(core.CodeInvalidField, 0, "the target is no path")
 	}
+	if isAmbiguous(r) {
+		return core.Refuse(core.CodeInvalidField, 0, "the body has a length and is chunked")
+	}
 	ids := r.Header.Values(g.config.Headers.RequestID)
 	if len(ids) != 1 || c.id == "" || len(c.id) > maxIDLength {
 		return core.Refuse(core.CodeInvalidField, 0, "want one %s, got %d", g.config.Headers.RequestID, len(ids))
