--- a/daemon/deployed/day_test.go
+++ b/daemon/deployed/day_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -113,7 +112,7 @@
 	d := start(t)
 	d.origin.Spoil(3, 1)
 	d.engines[0].Spoil(5)
-	d.nameVersion(2)
+	d.store.NameVersion(model, 2)
 	for _, engine := range d.engines {
 		d.eventually(func() bool { return engine.Version() == 2 }, "%s has the version", engine.ID)
 	}
@@ -123,12 +122,6 @@
 	}, "requests are served by the version")
 }
 
-func (d *deployment) nameVersion(version int) {
-	value, err := json.Marshal(map[string]any{"model": model, "version": version})
-	require.NoError(d.t, err)
-	d.store.Put("op", "version/"+model, value)
-}
-
 func TestRestartedEngineIsFilledAgain(t *testing.T) {
 	d := start(t)
 	d.engines[1].Start(0)
@@ -206,13 +199,13 @@
 	d.engines[0].Leave()
 	d.awaitOnly(d.engines[0], d.engines[1])
 
-	d.store.Put("op", "evacuate/b", []byte("{}"))
+	d.store.Evacuate("b")
 	d.eventually(func() bool {
 		return d.ask(0, streams, "POST", "/s/x", "", nil).status == http.StatusServiceUnavailable
 	}, "no engine is left")
 	refused := d.ask(1, streams, "POST", "/s/x", "", nil)
 	require.NotEmpty(t, refused.header.Get("Retry-After"))
-	d.store.Remove("op", "evacuate/b")
+	d.store.Return("b")
 	d.eventually(func() bool { return d.ask(0, streams, "POST", "/s/x", "", nil).status == http.StatusOK }, "it is back")
 }
 
@@ -247,28 +240,15 @@
 
 func TestDirectoryNamesReadyEntriesOnly(t *testing.T) {
 	d := start(t)
-	named := func(entry int) []string {
-		response, err := http.Get("http://" + d.entries[entry].DirectoryAddr + "/resolve?name=" + plain + "&region=region-a&zone=a")
-		if err != nil {
-			return nil
-		}
-		defer func() { _ = response.Body.Close() }()
-		if response.StatusCode != http.StatusOK {
-			return nil
-		}
-		var body struct {
-			FrontAddresses []string `json:"frontAddresses"`
-			TTLS           float64  `json:"ttlS"`
-		}
-		if json.NewDecoder(response.Body).Decode(&body) != nil || body.TTLS <= 0 {
-			return nil
+	isNamed := func(entry int, want ...string) func() bool {
+		return func() bool {
+			got, err := standin.Resolve(d.entries[entry].DirectoryAddr, plain, "region-a", "a")
+			return err == nil && slices.Equal(got, want)
 		}
-		return body.FrontAddresses
 	}
-	// Few entries are near, so those farther away are named too.
 	near, far := d.entries[0].CallerAddr, d.entries[1].CallerAddr
-	d.eventually(func() bool { return slices.Equal(named(1), []string{near, far}) }, "the near entry first, and as there is one only, the far one")
+	d.eventually(isNamed(1, near, far), "the near entry first, and as there is one only, the far one")
 	// The first stop is entry 0's.
 	d.stops[0]()
-	d.eventually(func() bool { return slices.Equal(named(1), []string{far}) }, "a leaving entry is no longer named")
+	d.eventually(isNamed(1, far), "a leaving entry is no longer named")
 }
--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/gateway"
 	"currantusher.dev/daemon/loader"
 	"currantusher.dev/daemon/obs"
@@ -45,7 +45,6 @@
 	engines []*standin.Backend
 	plain   []*standin.Backend
 	entries []nodefile.Node
-	config  int
 	stops   []context.CancelFunc
 	running sync.WaitGroup
 }
@@ -98,27 +97,27 @@
 }
 
 func (d *deployment) configure(originAddr string) {
-	d.config++
-	value, err := json.Marshal(map[string]any{
-		"version": d.config,
-		"routes": []map[string]any{
-			{"name": "r-stream", "host": streams, "prefix": "/s/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 5000,
-				"service": "llm", "maxAttempts": 3, "resumable": true, "gapTargetMs": 5000, "sticky": true},
-			{"name": "r-safe", "host": plain, "prefix": "/", "kind": "safe", "timeoutMs": 20000, "sloMs": 5000, "service": "lots", "maxAttempts": 2},
-			{"name": "r-unsafe", "host": plain, "prefix": "/issue/", "kind": "unsafe", "timeoutMs": 20000, "sloMs": 5000, "service": "lots", "maxAttempts": 1},
-			{"name": "r-public", "host": plain, "prefix": "/public/", "kind": "safe", "timeoutMs": 20000, "service": "lots", "maxAttempts": 2, "public": true},
+	const long = 20 * time.Second
+	to := func(service fleet.ServiceName) []fleet.Target { return []fleet.Target{{Service: service, Weight: 1}} }
+	d.store.Configure(fleet.Configuration{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "r-stream", Host: streams, Prefix: "/s/", Kind: fleet.Streaming, Timeout: long, Objective: 5 * time.Second,
+				GapObjective: 5 * time.Second, Targets: to("llm"), MaxAttempts: 3, Resumable: true},
+			{Name: "r-safe", Host: plain, Prefix: "/", Kind: fleet.Safe, Timeout: long, Objective: 5 * time.Second, Targets: to("lots"), MaxAttempts: 2},
+			{Name: "r-unsafe", Host: plain, Prefix: "/issue/", Kind: fleet.Unsafe, Timeout: long, Objective: 5 * time.Second, Targets: to("lots"), MaxAttempts: 1},
+			{Name: "r-public", Host: plain, Prefix: "/public/", Kind: fleet.Safe, Timeout: long, Targets: to("lots"), MaxAttempts: 2, Public: true},
 		},
-		"services": []map[string]any{
-			{"name": "llm", "healthPath": "/health", "maxConns": 100, "coldStartS": 0, "coldPerS": 0, "engine": map[string]any{
-				"slots": 16, "models": []map[string]any{{"name": model}}, "chunks": d.origin.Pieces, "chunkBytes": d.origin.PieceBytes}},
-			{"name": "lots", "healthPath": "/health", "maxConns": 100},
-			{"name": "origin", "origin": originAddr, "zone": "a"},
+		Services: []fleet.Service{
+			{Name: "llm", MaxConns: 100, Engine: &fleet.Engine{
+				Slots: 16, Models: []fleet.Model{model}, Pieces: d.origin.Pieces, PieceBytes: d.origin.PieceBytes,
+			}},
+			{Name: "lots", MaxConns: 100},
+			{Name: "origin", Origin: originAddr, OriginDataCentre: "a"},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 20000, "idleTimeoutMs": 20000},
-		"tenants": []map[string]any{{"name": "team-1", "apiKeys": []string{key}, "priority": 1}},
+		Limits: fleet.Limits{HeaderBytes: 16384, BodyBytes: 100000, HeaderTimeout: long, IdleTimeout: long},
+		Teams:  []fleet.Team{{Name: "team-1", Keys: []string{key}, Priority: 1}},
 	})
-	require.NoError(d.t, err)
-	d.store.Put("op", "config", value)
 }
 
 func (d *deployment) node(name, zone, store string) nodefile.Node {
@@ -200,14 +199,7 @@
 
 func (d *deployment) awaitReady() {
 	for _, entry := range d.entries {
-		d.eventually(func() bool {
-			response, err := http.Get("http://" + entry.ReadyAddr + "/readiness")
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		}, "%s is ready", entry.Instance)
+		d.eventually(func() bool { return standin.IsReady(entry.ReadyAddr) }, "%s is ready", entry.Instance)
 	}
 	for _, host := range []string{streams, plain} {
 		d.eventually(func() bool { return d.ask(0, host, "GET", "/s/x", "", nil).status == http.StatusOK }, "%s is served", host)
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/platform/standin"
 )
 
 var start = time.Unix(1000, 0)
@@ -24,9 +24,12 @@
 	return rowstore.Row{Table: ServersTable, Key: id, Value: text, Revision: revision}
 }
 
-func configRow(version int, revision uint64) rowstore.Row {
-	text := fmt.Sprintf(`{"version":%d,"routes":[],"services":[{"name":"llm","coldStartS":3}],"limits":{}}`, version)
-	return rowstore.Row{Table: OperatorTable, Key: "config", Value: []byte(text), Revision: revision}
+func configRow(version int64, revision uint64) rowstore.Row {
+	text := standin.ConfigRow(fleet.Configuration{
+		Version:  version,
+		Services: []fleet.Service{{Name: "llm", ColdStart: 3 * time.Second}},
+	})
+	return operatorRow(standin.ConfigKey, string(text), revision)
 }
 
 func operatorRow(key, text string, revision uint64) rowstore.Row {
@@ -57,7 +60,7 @@
 	s := loaded(t)
 	s.Apply(start, OperatorTable, page(9, configRow(2, 9)))
 	require.EqualValues(t, 3, s.View().Table.Config.Version)
-	s.Apply(start, OperatorTable, page(10, operatorRow("config", "{", 10)))
+	s.Apply(start, OperatorTable, page(10, operatorRow(standin.ConfigKey, "{", 10)))
 	require.EqualValues(t, 3, s.View().Table.Config.Version, "an unreadable row names nothing")
 	s.Apply(start, OperatorTable, page(11, configRow(7, 11)))
 	require.EqualValues(t, 7, s.View().Table.Config.Version)
@@ -113,10 +116,10 @@
 
 func TestEvacuationAndReturn(t *testing.T) {
 	s := loaded(t)
-	s.Apply(start, OperatorTable, page(7, operatorRow("evacuate/a", "{}", 7)))
+	s.Apply(start, OperatorTable, page(7, operatorRow(standin.EvacuationKey("a"), "{}", 7)))
 	require.True(t, s.View().Out["a"])
 	later := start.Add(time.Minute)
-	s.Apply(later, OperatorTable, page(8, rowstore.Row{Table: OperatorTable, Key: "evacuate/a", Revision: 8, Deleted: true}))
+	s.Apply(later, OperatorTable, page(8, rowstore.Row{Table: OperatorTable, Key: standin.EvacuationKey("a"), Revision: 8, Deleted: true}))
 	require.False(t, s.View().Out["a"])
 	require.True(t, s.View().Servers["llm"][0].ColdUntil.Equal(later.Add(3*time.Second)), "servers may be cold on return")
 }
@@ -124,8 +127,8 @@
 func TestEachVersionKeepsItsOwnTime(t *testing.T) {
 	s := loaded(t)
 	name := func(version int, at time.Time, revision uint64) {
-		text := fmt.Sprintf(`{"model":"m","version":%d}`, version)
-		s.Apply(at, OperatorTable, page(revision, operatorRow("version/m", text, revision)))
+		text := string(standin.VersionRow("m", version))
+		s.Apply(at, OperatorTable, page(revision, operatorRow(standin.VersionKey("m"), text, revision)))
 	}
 	name(2, start, 7)
 	name(3, start.Add(2*time.Second), 8)
@@ -139,7 +142,7 @@
 
 func TestPeersHandOverNewerRows(t *testing.T) {
 	ahead, behind := loaded(t), loaded(t)
-	ahead.Apply(start, OperatorTable, page(9, configRow(8, 9), operatorRow("evacuate/a", "{}", 9)))
+	ahead.Apply(start, OperatorTable, page(9, configRow(8, 9), operatorRow(standin.EvacuationKey("a"), "{}", 9)))
 	require.True(t, behind.Import(start, ahead.Export(OperatorTable)))
 	require.EqualValues(t, 8, behind.View().Table.Config.Version)
 	require.True(t, behind.View().Out[core.DataCentre("a")])
