--- a/daemon/gateway/sharers.go
+++ b/daemon/gateway/sharers.go
@@ -9,7 +9,7 @@
 
 // remotePart is the part of a server's free slots that entries of other regions
 // may take together. They send there only when their own servers are full.
-const remotePart = 0.25
+const remotePart = 0.6
 
 // sharers are the entries that compete for the free slots of servers. Each
 // takes its own part of what was free at the last exchange of loads, so that
