Count the running time once in the estimate of a deadline

Cause: the arrival margin multiplied the running time too, so that a request that came back with 4 s left was refused whenever anything waited.

--- a/requests/fair/estimate.go
+++ b/requests/fair/estimate.go
@@ -74,7 +74,7 @@
 	return time.Duration(slots / float64(limit) * float64(s.hold))
 }
 
-// isHopeless reports whether the wait, scaled by margin, and the running time
+// isHopeless reports whether the wait, scaled by margin, and a running time
 // are beyond the deadline.
 func (s *state) isHopeless(now time.Time, owner *team, item Item, at int, margin float64) bool {
 	if item.Deadline.IsZero() {
@@ -85,7 +85,7 @@
 	if wait == 0 {
 		return left <= 0
 	}
-	needed := margin * (float64(wait) + startMargin*float64(s.hold))
+	needed := margin*float64(wait) + startMargin*float64(s.hold)
 	return needed >= float64(left)
 }
 
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -13,7 +13,7 @@
 	holdGain = 0.02
 	// An arrival is refused by a cautious estimate of its wait, a waiting
 	// request only by a hopeful one, so that few are refused after a wait.
-	arrivalMargin = 3.0
+	arrivalMargin = 4.0
 	waitingMargin = 1.0
 	// startMargin is the time, in mean running times, that a request must have
 	// left to be worth a place.
