--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -70,6 +70,7 @@
 	}
 	if c.route != nil {
 		fields["route"] = c.route.Name
+		fields["deadline_ms"] = c.deadline.Sub(c.began).Milliseconds()
 		fields["service"] = c.service
 		fields["config"] = c.view.Table.Config.Version
 	}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -28,7 +28,16 @@
 	// it goes on elsewhere. Callers leave after a little more than two seconds.
 	gapObjectives = 4
 	minSilence    = 1500 * time.Millisecond
-	maxPriority   = 9
+	// minPatience, patienceObjectives and patienceGaps are how long callers
+	// wait for an event before they leave: the longest of a fixed time and of
+	// multiples of the route's objectives. The platform's protocol states them.
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+	// freshPart is the part of a route's timeout that a caller has at least
+	// when it comes first: callers' patience differs by about a sixth.
+	freshPart   = 0.84
+	maxPriority = 9
 	// placePart is the part of a stream's objective in which it must get its
 	// place; the rest is for its prompt to be read and the first event to come.
 	placePart   = 0.5
@@ -261,12 +270,17 @@
 	return request
 }
 
-// isReturning reports whether the caller has spent so much of the route's time
-// that its request missed the objective elsewhere, as one does that comes back
-// after a refusal.
+// streamPatience is how long callers wait for the first event of a stream.
+func streamPatience(route *fleet.Route) time.Duration {
+	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapObjective)
+}
+
+// isReturning reports whether the caller has spent so much of its time that its
+// request missed the objective elsewhere, as one does that comes back after a
+// refusal. Nothing else tells such requests apart.
 func (c *call) isReturning() bool {
-	spent := c.route.Timeout - c.deadline.Sub(c.began)
-	return c.route.Timeout > 0 && c.route.Objective > 0 && spent > c.route.Objective
+	left := c.deadline.Sub(c.began)
+	return c.route.Timeout > 0 && left < time.Duration(freshPart*float64(c.route.Timeout))
 }
 
 // priority is the team's, or else the route's.
@@ -290,11 +304,15 @@
 	}
 	placer := g.services.placer(pool)
 	late := c.isReturning()
-	var objective time.Time
+	var objective, patience time.Time
+	if c.route.Kind == fleet.Streaming {
+		patience = c.began.Add(streamPatience(c.route))
+	}
 	if c.route.Kind == fleet.Streaming && !late {
 		objective = c.began.Add(time.Duration(placePart * float64(c.route.Objective)))
 	}
 	return dispatch.Request{
+		Patience:     patience,
 		Objective:    objective,
 		Late:         late,
 		ID:           c.id,
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -137,6 +137,9 @@
 	// worth, zero for none. Late requests have missed it before they came.
 	Objective time.Time
 	Late      bool
+	// Patience is until when the caller waits for the first byte, zero when
+	// until Deadline.
+	Patience time.Time
 
 	// Unclaimed at-most-once requests have no Key and no claim: each of the
 	// caller's attempts counts as a request of its own. Streams among them
@@ -152,6 +155,14 @@
 	StartTimeout time.Duration
 }
 
+// queueDeadline is until when the request is worth a place.
+func (r *Request) queueDeadline() time.Time {
+	if !r.Patience.IsZero() && r.Patience.Before(r.Deadline) {
+		return r.Patience
+	}
+	return r.Deadline
+}
+
 // isClaimed reports whether the request needs a claim before it is dispatched.
 func (r *Request) isClaimed() bool { return r.AtMostOnce && !r.Unclaimed }
 
@@ -196,7 +207,7 @@
 	grant, err := d.queue(request).Enqueue(ctx, fair.Item{
 		Team:      request.Team,
 		Priority:  request.Priority,
-		Deadline:  request.Deadline,
+		Deadline:  request.queueDeadline(),
 		Objective: request.Objective,
 		Late:      request.Late,
 	})
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -113,6 +113,13 @@
 				continue
 			}
 		}
+		if err != nil && last == nil && x.request.Candidates != nil && core.CodeOf(err) == core.CodeNoBackend {
+			// Without agents that admit, places are taken between the grant
+			// and the pick.
+			if err = x.retake(ctx); err == nil {
+				continue
+			}
+		}
 		if err != nil {
 			return x.final(last, err)
 		}
@@ -254,6 +261,13 @@
 	return nil
 }
 
+// retake waits for another place because no server could be picked for this one.
+func (x *exchange) retake(ctx context.Context) error {
+	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
+	defer cancel()
+	return x.grant.Retake(bounded)
+}
+
 // canWait reports whether an agent that refused may take the request soon: it
 // was full, or the entry and it learn of a change at different times.
 func canWait(err error) bool {
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -337,12 +337,14 @@
 	s.widen()
 }
 
-func (s *state) requeue(now time.Time, t *ticket) error {
+func (s *state) requeue(now time.Time, t *ticket, full bool) error {
 	if t.phase != granted {
 		return core.Refuse(core.CodeInternal, 0, "request is not running")
 	}
 	s.release(now, t, false)
-	s.narrow(now)
+	if full {
+		s.narrow(now)
+	}
 	s.resume = now.Add(s.hold / time.Duration(max(s.limit(), 1)))
 	name := t.item.Team
 	owner := s.team(name)
--- a/requests/fair/state_test.go
+++ b/requests/fair/state_test.go
@@ -78,7 +78,7 @@
 			},
 			"requeue": func(t *rapid.T) {
 				tk := take(t)
-				if s.requeue(now, tk) == nil {
+				if s.requeue(now, tk, true) == nil {
 					open[tk] = true
 				}
 				settle(t)
