Put a server aside after two failures in a row

Cause: in both incidents an engine went silent at 6.9 s; each entry met it three times, 1.6 s each, before it put it aside.

--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -14,6 +14,11 @@
 )
 
 const (
+	// ejectAfter is the number of failures in a row that put a server aside
+	// for a second. Each failure of a silent server costs its caller more than
+	// a second, and a sound one fails twice in a row in one of fifty pairs at
+	// most.
+	ejectAfter = 2
 	// queueTick is the period in which capacity and deadlines are looked at.
 	queueTick = 50 * time.Millisecond
 	// rampTime is how long a returning data centre takes to its full share;
@@ -96,6 +101,7 @@
 		DataCentre: node.DataCentre,
 		Region:     node.Region,
 		Ramp:       rampTime,
+		EjectAfter: ejectAfter,
 		RetryRatio: budgetPart * bounds.RetryRatio,
 		RetryBurst: 1,
 		Seed:       uint64(g.incarnation),
