--- a/daemon/gateway/conns.go
+++ b/daemon/gateway/conns.go
@@ -21,9 +21,6 @@
 const (
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
-	// bodyTimeout bounds a request's head and body together beyond the time
-	// for the head.
-	bodyTimeout = 10 * time.Second
 )
 
 // callerConns closes callers' connections that are idle or silent for longer
