--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -188,6 +188,9 @@
 	idle := metrics.GetOrRegisterGauge("upstream.idle_connections", g.registry)
 	return every(ctx, sweepPeriod, func() {
 		idle.Update(int64(g.upstream.Sweep()))
+		now := time.Now()
+		g.cold.Sweep(now)
+		g.observed.sweep(now)
 	})
 }
 
--- a/daemon/gateway/observed.go
+++ b/daemon/gateway/observed.go
@@ -50,6 +50,17 @@
 	o.servers[server] = seen
 }
 
+// sweep forgets what no longer counts.
+func (o *observations) sweep(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, seen := range o.servers {
+		if now.Sub(seen.at) > observationTTL && now.After(seen.cold) {
+			delete(o.servers, id)
+		}
+	}
+}
+
 // version returns the version that an answer named lately, or 0.
 func (o *observations) version(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -73,7 +73,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, addr := range addrs {
-		n.state.Introduce(addr)
+		n.state.Introduce(n.config.Now(), addr)
 	}
 }
 
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -20,6 +20,8 @@
 	// ShareFor is how long a silent member still counts as one that may send:
 	// it may be cut off from this one and not from the backend servers.
 	ShareFor = 20 * time.Second
+	// forgetAfter is how long a silent member is remembered at all.
+	forgetAfter = 10 * time.Minute
 	// fanout bounds the messages of a round.
 	fanout = 16
 	// relayedFew and relayedMany bound the members that a message tells of
@@ -87,26 +89,28 @@
 // State is what one entry knows of the others. It is not safe for concurrent
 // use.
 type State struct {
-	self   Member
-	peers  map[core.InstanceID]*peer
-	known  map[string]bool
-	random *rand.Rand
+	self  Member
+	peers map[core.InstanceID]*peer
+	// introduced holds the addresses that may be up, and since when they are
+	// known.
+	introduced map[string]time.Time
+	random     *rand.Rand
 }
 
 // NewState returns the state of an entry that knows nobody.
 func NewState(self Member, seed uint64) *State {
 	return &State{
-		self:   self,
-		peers:  map[core.InstanceID]*peer{},
-		known:  map[string]bool{},
-		random: rand.New(rand.NewPCG(seed, 2)),
+		self:       self,
+		peers:      map[core.InstanceID]*peer{},
+		introduced: map[string]time.Time{},
+		random:     rand.New(rand.NewPCG(seed, 2)),
 	}
 }
 
 // Introduce adds a peer address that may be up.
-func (s *State) Introduce(addr string) {
-	if addr != s.self.PeerAddr {
-		s.known[addr] = true
+func (s *State) Introduce(now time.Time, addr string) {
+	if _, ok := s.introduced[addr]; !ok && addr != s.self.PeerAddr {
+		s.introduced[addr] = now
 	}
 }
 
@@ -132,6 +136,11 @@
 // Round returns the next message and the addresses it goes to.
 func (s *State) Round(now time.Time, revisions map[string]uint64, loads map[core.InstanceID]int) (Message, []string) {
 	s.self.Beat++
+	for id, p := range s.peers {
+		if now.Sub(p.heard) > forgetAfter {
+			delete(s.peers, id)
+		}
+	}
 	s.self.Revisions = revisions
 	message := Message{From: s.self, Loads: loads}
 	alive := s.alive(now)
@@ -155,7 +164,7 @@
 // strangers returns a few addresses that are not known to be alive.
 func (s *State) strangers(now time.Time) []string {
 	silent := map[string]bool{}
-	for addr := range s.known {
+	for addr := range s.introduced {
 		silent[addr] = true
 	}
 	for _, p := range s.peers {
@@ -232,7 +241,8 @@
 }
 
 // Senders returns how many entries may send requests now: those alive, those
-// that fell silent lately, and the addresses that have not answered yet.
+// that fell silent lately, and the addresses that were learned of lately and
+// have not answered yet.
 func (s *State) Senders(now time.Time) int {
 	count := 1
 	met := map[string]bool{}
@@ -242,8 +252,8 @@
 			count++
 		}
 	}
-	for addr := range s.known {
-		if !met[addr] {
+	for addr, since := range s.introduced {
+		if !met[addr] && now.Sub(since) < ShareFor {
 			count++
 		}
 	}
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -31,7 +31,7 @@
 	f := &fleet{now: time.Unix(1000, 0), down: map[int]bool{}}
 	for i := range size {
 		state := NewState(member(i), uint64(i))
-		state.Introduce(member(0).PeerAddr)
+		state.Introduce(f.now, member(0).PeerAddr)
 		f.states = append(f.states, state)
 	}
 	return f
@@ -120,3 +120,20 @@
 	}
 	require.Equal(t, 1, f.states[0].Loads(f.now)["s-1"])
 }
+
+// Rows of entries that are long gone stay in the store; they must not take a
+// part of the common limits for ever.
+func TestAddressesThatNeverAnswerLoseTheirShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := NewState(member(0), 1)
+	for i := range 5 {
+		state.Introduce(now, member(i+1).PeerAddr)
+	}
+	require.Equal(t, 6, state.Senders(now))
+	state.Receive(now, Message{From: member(1)})
+	require.Equal(t, 6, state.Senders(now))
+	now = now.Add(ShareFor)
+	require.Equal(t, 1, state.Senders(now))
+	_, addrs := state.Round(now, nil, nil)
+	require.Len(t, addrs, strangers, "they are still tried")
+}
--- a/requests/cold/cold.go
+++ b/requests/cold/cold.go
@@ -64,3 +64,14 @@
 	}
 	return times
 }
+
+// Sweep forgets servers without recent requests.
+func (l *Ledger) Sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for server := range l.sent {
+		if len(l.recent(now, server)) == 0 {
+			delete(l.sent, server)
+		}
+	}
+}
--- a/requests/cold/cold_test.go
+++ b/requests/cold/cold_test.go
@@ -39,3 +39,13 @@
 	require.True(t, ledger.HasRoom(start, "s-2", 1), "servers are counted apart")
 	require.False(t, ledger.HasRoom(start, "s-2", 0))
 }
+
+func TestSweepForgetsIdleServers(t *testing.T) {
+	ledger := NewLedger()
+	start := time.Unix(100, 0)
+	ledger.Record(start, "s-1")
+	ledger.Sweep(start)
+	require.False(t, ledger.HasRoom(start, "s-1", 1))
+	ledger.Sweep(start.Add(2 * window))
+	require.Empty(t, ledger.sent)
+}
