Split the gateway's forwarding from its admission; drop fields that nothing reads

Read as a newcomer: the model of a request was looked up in two places, constants of two subjects stood in one block, and the settings file's heartbeat, stable time, retry window and control address were decoded for nobody. No change of behaviour.

--- a/cmd/currantusher/settings_test.go
+++ b/cmd/currantusher/settings_test.go
@@ -54,4 +54,7 @@
 	require.Equal(t, exitUsage, run([]string{"report", "burn", "--format", "pdf"}))
 	require.Equal(t, exitUsage, run([]string{"weights", "publish", "nothing"}), "no pool")
 	require.Equal(t, exitUsage, run([]string{"apply", "missing.yaml"}))
+	t.Setenv("CURRANTUSHER_NODE_FILE", "")
+	require.Equal(t, exitUsage, run([]string{"gateway"}), "no settings file")
+	require.Equal(t, exitUsage, run([]string{"loader"}), "no settings file")
 }
--- a/core/fleet/table.go
+++ b/core/fleet/table.go
@@ -55,9 +55,6 @@
 	return nil
 }
 
-// HasHost reports whether a route names the host.
-func (t *Table) HasHost(host string) bool { return len(t.byHost[hostName(host)]) > 0 }
-
 // hostName returns the lower-case host without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -128,7 +128,7 @@
 		Regions: map[core.DataCentre]core.Region{"a": "region-a", "b": "region-b"},
 		Bounds: nodefile.Bounds{
 			Stop: 4 * time.Second, AddressTTL: 5 * time.Second, VersionInForce: 2 * time.Second,
-			RetryRatio: 1, RetryWindow: 10 * time.Second, RetrySlack: 1000, ColdOvershoot: 1.5, ColdSlack: 5,
+			RetryRatio: 1, RetrySlack: 1000, ColdOvershoot: 1.5, ColdSlack: 5,
 		},
 	}
 }
--- /dev/null
+++ b/daemon/gateway/forward.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/placement"
+)
+
+const (
+	// startObjectives is the time, in objectives of the route, in which a
+	// repeatable request must get a first sign before it is tried elsewhere.
+	startObjectives = 4
+	minStart        = 300 * time.Millisecond
+	// gapObjectives bounds a stream's pause, in the route's objectives, before
+	// it goes on elsewhere. Callers leave after a little more than two seconds.
+	gapObjectives = 4
+	minSilence    = 1500 * time.Millisecond
+	// minPatience, patienceObjectives and patienceGaps are how long callers
+	// wait for an event before they leave: the longest of a fixed time and of
+	// multiples of the route's objectives. The platform's protocol states them.
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+	// freshPart is the part of a route's timeout that a caller has at least
+	// when it comes first: callers' patience differs by about a sixth.
+	freshPart = 0.84
+	// placePart is the part of a stream's objective in which it must get its
+	// place; the rest is for its prompt to be read and the first event to come.
+	placePart = 0.5
+	// maxPriority is the least urgent rank that engines know.
+	maxPriority = 9
+)
+
+// forward dispatches an admitted request and writes its answer.
+func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
+	exchange := direct.New(g.upstream, g.config.Headers, observer{g}, g.directRequest(c, r), w)
+	err := g.dispatcher.Do(r.Context(), g.dispatchRequest(c, exchange, r), exchange)
+	c.outcome.attempts = exchange.Attempts()
+	c.outcome.server = exchange.Server()
+	if sent := exchange.Sent(); !sent.IsZero() {
+		c.outcome.wait = sent.Sub(c.began)
+	}
+	if began := exchange.Began(); !began.IsZero() {
+		c.outcome.first = began.Sub(c.began)
+		c.outcome.status = http.StatusOK
+	}
+	if err == nil {
+		return
+	}
+	c.outcome.err = err
+	switch failure := exchange.Failure(); {
+	case !exchange.Began().IsZero() || core.CodeOf(err) == core.CodeCancelled:
+		// A cut connection is the only way to say that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	case failure != nil && core.CodeOf(err) == core.CodeEngineFailed:
+		c.outcome.status = failure.Status
+		// A failed write concerns this caller only, which is gone.
+		_ = exchange.WriteFailure(failure)
+	default:
+		g.refuse(c, w, err)
+	}
+}
+
+func (g *Gateway) directRequest(c *call, r *http.Request) direct.Request {
+	model := g.model(c, r)
+	request := direct.Request{
+		ID:         c.id,
+		Method:     r.Method,
+		Target:     r.RequestURI,
+		Host:       r.Host,
+		Header:     r.Header,
+		Body:       c.body,
+		HasBody:    c.hasBody,
+		Kind:       c.route.Kind,
+		Repeatable: c.route.IsRepeatable(),
+		Resumable:  c.route.Kind == fleet.Streaming && c.route.Resumable,
+		Model:      model,
+		Priority:   min(max(c.priority(), 0), maxPriority),
+		Silence:    max(gapObjectives*c.route.GapObjective, minSilence),
+		Version: func(server core.InstanceID) fleet.WeightsVersion {
+			return g.expectedVersion(c.service, server, model)
+		},
+	}
+	if c.team != nil {
+		request.Team = c.team.Name
+	}
+	return request
+}
+
+// model returns the weights that a request needs, or "" for plain services.
+func (g *Gateway) model(c *call, r *http.Request) fleet.Model {
+	service := c.view.Table.Service(c.service)
+	if service == nil || service.Engine == nil {
+		return ""
+	}
+	return fleet.Model(r.Header.Get(g.config.Headers.Model))
+}
+
+// streamPatience is how long callers wait for the first event of a stream.
+func streamPatience(route *fleet.Route) time.Duration {
+	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapObjective)
+}
+
+// isReturning reports whether the caller has spent so much of its time that its
+// request missed the objective elsewhere, as one does that comes back after a
+// refusal. Nothing else tells such requests apart.
+func (c *call) isReturning() bool {
+	left := c.deadline.Sub(c.began)
+	return c.route.Timeout > 0 && left < time.Duration(freshPart*float64(c.route.Timeout))
+}
+
+// priority is the team's, or else the route's.
+func (c *call) priority() int {
+	if c.team != nil && c.team.HasPriority {
+		return c.team.Priority
+	}
+	return c.route.Priority
+}
+
+func (g *Gateway) dispatchRequest(c *call, exchange *direct.Exchange, r *http.Request) dispatch.Request {
+	pool := core.PoolName(c.service)
+	need := demand{service: c.service, model: g.model(c, r), regions: [][]core.Region{c.route.Regions}}
+	var team core.Team
+	if c.team != nil {
+		team = c.team.Name
+		need.regions = append(need.regions, c.team.Regions)
+	}
+	placer := g.services.placer(pool)
+	late := c.isReturning()
+	var objective, patience time.Time
+	if c.route.Kind == fleet.Streaming {
+		patience = c.began.Add(streamPatience(c.route))
+	}
+	if c.route.Kind == fleet.Streaming && !late {
+		objective = c.began.Add(time.Duration(placePart * float64(c.route.Objective)))
+	}
+	return dispatch.Request{
+		Patience:     patience,
+		Objective:    objective,
+		Late:         late,
+		ID:           c.id,
+		Team:         team,
+		Route:        c.route.Name,
+		Pool:         pool,
+		Priority:     -c.priority(),
+		Deadline:     c.deadline,
+		AtMostOnce:   !c.route.IsRepeatable(),
+		Unclaimed:    true,
+		Stream:       c.route.Kind == fleet.Streaming,
+		Sender:       exchange,
+		Candidates:   func() []placement.Candidate { return g.candidates(placer, need) },
+		MaxAttempts:  c.route.MaxAttempts,
+		StartTimeout: max(startObjectives*c.route.Objective, minStart),
+	}
+}
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -41,9 +41,7 @@
 
 	// written says that the last request is out whole.
 	written atomic.Bool
-	// sent says that bytes of the last request may have reached the server.
-	sent   bool
-	closed sync.Once
+	closed  sync.Once
 }
 
 func newConn(pool *Pool, addr string, raw net.Conn) *Conn {
@@ -74,16 +72,11 @@
 	return err == nil && quiet
 }
 
-// HasSent reports whether bytes of the last request may have reached the
-// server.
-func (c *Conn) HasSent() bool { return c.sent }
-
 // Send writes a request. A long one is written while the answer is read.
 func (c *Conn) Send(request []byte) error {
 	if c.reader.Buffered() > 0 {
 		return ErrEarly
 	}
-	c.sent = true
 	c.written.Store(false)
 	if len(request) > inlineBytes {
 		go c.write(request)
