Agents announce pauses of engines; entries drain them ahead and move streams off

Cause: an engine takes nothing new from a load's order until its running answers have ended, 1.1 to 2.6 s, and then loads for 0.3 s.

Now agents announce the moment by datagram, entries send a closing engine only what ends before by the caller's estimate, and resumable streams that still run then go on elsewhere, paid by the retry budget, of which the entries use 0.8. Turns lie between 45 and 85% of a version's time; a version that gave way to a newer one no longer spins.

Rows of daemons are read and written in one place, daemon/roster.

--- a/core/fleet/headers.go
+++ b/core/fleet/headers.go
@@ -25,6 +25,9 @@
 	Model string
 	// Tokens holds the prompt's tokens and the most output tokens.
 	Tokens string
+	// LengthHint is the caller's estimate of the output tokens, right at the
+	// median and off by a factor of 1.6 in a third of the requests.
+	LengthHint string
 	// Priority ranks a request in the engine's queue, 0 to 9, 0 first.
 	Priority string
 	// WeightsVersion is the version of the weights that made the answer.
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
@@ -32,6 +35,15 @@
 	// placePart is the part of a stream's objective in which it must get its
 	// place; the rest is for its prompt to be read and the first event to come.
 	placePart = 0.5
+	// firstTime and tokenTime are the usual times to the first token and between
+	// tokens, as measured on the users' engines at half of their slots.
+	firstTime = 130 * time.Millisecond
+	tokenTime = 10 * time.Millisecond
+	// hintMargin covers five of six estimates, which are off by a factor of 1.6
+	// in a third of the requests.
+	hintMargin = 1.6
+	// maxHint bounds the tokens that an estimate may name.
+	maxHint = 1 << 20
 	// maxPriority is the least urgent rank that engines know.
 	maxPriority = 9
 )
@@ -101,6 +113,40 @@
 	return fleet.Model(r.Header.Get(g.config.Headers.Model))
 }
 
+// expectedTime estimates how long a stream takes from its caller's estimate of
+// its length, or returns 0 when there is none.
+func (g *Gateway) expectedTime(c *call, r *http.Request) time.Duration {
+	text := r.Header.Get(g.config.Headers.LengthHint)
+	if c.route.Kind != fleet.Streaming || text == "" {
+		return 0
+	}
+	tokens, err := strconv.ParseFloat(text, 64)
+	if err != nil || tokens < 0 || tokens > maxHint {
+		g.requests.WithField("id", c.id).WithField("hint", text).Info("Length hint not read; the length counts as unknown.")
+		return 0
+	}
+	return firstTime + time.Duration(hintMargin*tokens*float64(tokenTime))
+}
+
+// handover lets a resumable stream leave an engine that loads weights.
+func (g *Gateway) handover(c *call, model fleet.Model) *dispatch.Handover {
+	if model == "" || !c.route.Resumable {
+		return nil
+	}
+	return &dispatch.Handover{
+		ClosesAt: func(id core.InstanceID) time.Time {
+			server := g.follower.View().Server(c.service, id)
+			if server == nil {
+				return time.Time{}
+			}
+			return g.closesAt(time.Now(), server, model)
+		},
+		Moved: func(from, to core.InstanceID) {
+			g.requests.WithFields(logrus.Fields{"id": c.id, "from": from, "to": to}).Info("Stream moved off a server that loads weights.")
+		},
+	}
+}
+
 // streamPatience is how long callers wait for the first event of a stream.
 func streamPatience(route *fleet.Route) time.Duration {
 	return max(minPatience, patienceObjectives*route.Objective, patienceGaps*route.GapObjective)
@@ -140,6 +186,8 @@
 		objective = c.began.Add(time.Duration(placePart * float64(c.route.Objective)))
 	}
 	return dispatch.Request{
+		Handover:     g.handover(c, need.model),
+		Expected:     g.expectedTime(c, r),
 		Patience:     patience,
 		Objective:    objective,
 		Late:         late,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,13 +11,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/lifecycle"
+	"currantusher.dev/daemon/roster"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/requests/attempt"
 	"currantusher.dev/requests/cold"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/tables/watch"
 )
@@ -42,12 +45,14 @@
 	incarnation core.Incarnation
 	store       *rowstore.Client
 	follower    *watch.Follower
+	roster      *roster.Roster[gossip.Member]
 	gossip      *gossip.Node
 	upstream    *upstream.Pool
 	services    *serviceSet
 	dispatcher  *dispatch.Dispatcher
 	cold        *cold.Ledger
 	observed    *observations
+	pauses      *pauses.Book
 	conns       *callerConns
 	registry    metrics.Registry
 	leaving     atomic.Bool
@@ -74,11 +79,13 @@
 		upstream:    upstream.NewPool(upstream.Config{}),
 		cold:        cold.NewLedger(),
 		observed:    newObservations(),
+		pauses:      pauses.NewBook(),
 		registry:    metrics.NewRegistry(),
 		log:         config.Log.Part("entry"),
 		requests:    config.Log.Part("request"),
 	}
 	g.node.Store(&config.Node)
+	g.roster = roster.New[gossip.Member](g.store, roster.Entries, g.log)
 	g.conns = newCallerConns(g.limits)
 	g.follower = watch.NewFollower(watch.Config{
 		Store:  g.store,
@@ -94,6 +101,7 @@
 		Revisions:    g.revisions,
 		Loads:        g.services.loads,
 		ReachesStore: g.follower.ReachesStore,
+		OnPause:      g.onPause,
 		Log:          config.Log.Part("gossip"),
 	})
 	if err != nil {
@@ -122,6 +130,17 @@
 	}
 }
 
+// onPause takes what an agent announces of the engine beside it.
+func (g *Gateway) onPause(pause fleet.Pause) {
+	if !g.pauses.Announce(time.Now(), pause) {
+		return
+	}
+	g.log.WithFields(logrus.Fields{
+		"server": pause.Addr, "model": pause.Model, "version": pause.Version,
+		"in_ms": pause.In.Milliseconds(), "over": pause.Over,
+	}).Info("Pause of a server announced.")
+}
+
 func (g *Gateway) revisions() map[string]uint64 {
 	view := g.follower.View()
 	return map[string]uint64{
@@ -192,6 +211,7 @@
 		now := time.Now()
 		g.cold.Sweep(now)
 		g.observed.sweep(now)
+		g.pauses.Sweep(now)
 	})
 }
 
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -11,18 +11,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"currantusher.dev/core/pause"
-	"currantusher.dev/members/gossip"
-	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/tables/watch"
 )
 
-// entriesTable holds a row for each entry, by which they find each other.
-const entriesTable = "entries"
-
 const (
-	// joinRetry is the pause after a store call that failed.
-	joinRetry = 500 * time.Millisecond
 	// peersPeriod is how often the entry looks whether others know more. A
 	// change must be in force within two seconds, the feed's own delay is a
 	// few hundred milliseconds.
@@ -39,42 +31,24 @@
 	for _, ip := range g.config.Node.SeedIPs {
 		g.gossip.Introduce(net.JoinHostPort(ip, strconv.Itoa(g.config.Node.PeerPort)))
 	}
-	value, err := cbor.Marshal(g.self())
-	if err != nil {
-		return fmt.Errorf("encode own row: %w", err)
-	}
-	row := rowstore.Row{Table: entriesTable, Key: string(g.config.Node.Instance), Value: value}
-	g.until(ctx, "row written", func() error { return g.store.Put(ctx, row) })
-	g.until(ctx, "rows read", func() error { return g.readEntries(ctx) })
-	return nil
-}
-
-// until repeats a store call that may be repeated until it succeeds.
-func (g *Gateway) until(ctx context.Context, what string, call func() error) {
-	for ctx.Err() == nil && !g.leaving.Load() {
-		err := call()
-		if err == nil {
-			return
-		}
-		g.log.WithError(err).WithField("call", what).Warn("Not joined yet.")
-		pause.For(ctx, joinRetry)
-	}
-}
-
-func (g *Gateway) readEntries(ctx context.Context) error {
-	page, err := g.store.ReadAll(ctx, entriesTable)
-	if err != nil {
+	joining, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		// A row that is written after the entry left would name it for ever.
+		_ = every(joining, leavePoll, func() {
+			if g.leaving.Load() {
+				stop()
+			}
+		})
+	}()
+	if err := g.roster.Write(joining, string(g.config.Node.Instance), g.self()); err != nil {
 		return err
 	}
-	for _, row := range page.Rows {
-		var member gossip.Member
-		if err := cbor.Unmarshal(row.Value, &member); err != nil {
-			g.log.WithError(err).WithField("key", row.Key).Warn("Row of an entry ignored.")
-			continue
-		}
+	entries, ok := g.roster.ReadUntil(joining)
+	for _, member := range entries {
 		g.gossip.Introduce(member.PeerAddr)
 	}
-	g.knowsEntries.Store(true)
+	g.knowsEntries.Store(ok)
 	return nil
 }
 
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -66,8 +66,7 @@
 func (g *Gateway) removeRow() {
 	ctx, cancel := context.WithTimeout(context.Background(), rowstore.CallTimeout)
 	defer cancel()
-	err := g.store.Remove(ctx, rowstore.Row{Table: entriesTable, Key: string(g.config.Node.Instance)})
-	if err != nil {
+	if err := g.roster.Remove(ctx, string(g.config.Node.Instance)); err != nil {
 		g.log.WithError(err).Warn("Row of this entry not removed; it will be silent.")
 	}
 }
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -25,8 +25,9 @@
 	// servers warm up in about three seconds.
 	rampTime = 3 * time.Second
 	// budgetPart is the part of the shared retry budget that the entries use
-	// together, so that restarts and new entries stay inside it.
-	budgetPart = 0.5
+	// together; the rest covers entries that take longer to learn of each other.
+	// A new process starts without savings.
+	budgetPart = 0.8
 	// shareUnknown is how long a new entry that could not learn of the others
 	// uses none of what all share, and assumedSenders how many it then takes
 	// them to be.
@@ -222,6 +223,10 @@
 		if !mayServe(d.regions, region) || !g.hasWeights(server, d.model, wanted) {
 			continue
 		}
+		closes := g.closesAt(now, server, d.model)
+		if !closes.IsZero() && !now.Before(closes) {
+			continue
+		}
 		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.cold.HasRoom(now, server.ID, share) {
 			continue
 		}
@@ -240,6 +245,7 @@
 			Limit:       limit,
 			ReportedAt:  loads.At,
 			Direct:      true,
+			ClosesAt:    closes,
 			Room: sharers.share(server.ID, region, limit-loads.Own[server.ID]-loads.Others[server.ID]) -
 				(own - loads.Own[server.ID]),
 			DataCentreOut: view.Out[server.DataCentre],
@@ -311,9 +317,19 @@
 	return max(required, g.knownVersion(server, model))
 }
 
-// knownVersion returns the newest version that the list or an answer named.
+// knownVersion returns the newest version that the list, an answer or the agent
+// beside the server named.
 func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
-	return max(server.Weights[model], g.observed.version(server, model))
+	return max(server.Weights[model], g.observed.version(server, model), g.pauses.Loaded(server.Addr, model))
+}
+
+// closesAt returns when a server takes no more requests because it loads
+// weights, or the zero time.
+func (g *Gateway) closesAt(now time.Time, server *watch.Server, model fleet.Model) time.Time {
+	if model == "" {
+		return time.Time{}
+	}
+	return g.pauses.Begins(now, server.Addr, g.knownVersion(server, model))
 }
 
 // hasWeights reports whether a server has the model loaded, in the wanted
--- /dev/null
+++ b/daemon/loader/announce.go
@@ -0,0 +1,109 @@
+package loader
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/daemon/roster"
+	"currantusher.dev/members/gossip"
+)
+
+const (
+	// entriesTTL is how long a read list of entries serves.
+	entriesTTL = 5 * time.Second
+	// repeats and repeatPause are how often and in which distance an
+	// announcement is sent, since datagrams are lost at times.
+	repeats     = 2
+	repeatPause = 40 * time.Millisecond
+	// queuedPauses bounds the announcements that wait for the store's answer.
+	queuedPauses = 16
+)
+
+// announcer tells the entries when the engine beside this agent pauses.
+type announcer struct {
+	engine string
+	roster *roster.Roster[gossip.Member]
+	log    *logrus.Entry
+	queue  chan queuedPause
+
+	entries []gossip.Member
+	readAt  time.Time
+	// number orders announcements, also over restarts of the agent.
+	number uint64
+}
+
+type queuedPause struct {
+	pause fleet.Pause
+	at    time.Time
+}
+
+func newAnnouncer(engine string, entries *roster.Roster[gossip.Member], log *logrus.Entry) *announcer {
+	return &announcer{
+		engine: engine, roster: entries, log: log,
+		queue: make(chan queuedPause, queuedPauses), number: uint64(time.Now().UnixNano()),
+	}
+}
+
+// announce hands an announcement to run. It never blocks: entries that miss one
+// learn of the pause from the engine's refusals.
+func (a *announcer) announce(pause fleet.Pause) {
+	select {
+	case a.queue <- queuedPause{pause: pause, at: time.Now()}:
+	default:
+		a.log.WithField("version", pause.Version).Warn("Pause not announced: too many are waiting.")
+	}
+}
+
+func (a *announcer) run(ctx context.Context) error {
+	socket, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = socket.Close() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case next := <-a.queue:
+			a.send(ctx, socket, next)
+		}
+	}
+}
+
+func (a *announcer) send(ctx context.Context, socket *net.UDPConn, next queuedPause) {
+	a.readEntries(ctx)
+	a.number++
+	for range repeats {
+		announced := next.pause
+		announced.Addr = a.engine
+		announced.Number = a.number
+		announced.In = max(next.pause.In-time.Since(next.at), 0)
+		for _, entry := range a.entries {
+			if err := gossip.Announce(socket, entry.PeerAddr, announced); err != nil {
+				a.log.WithError(err).WithField("entry", entry.ID).Info("Pause not announced to an entry.")
+			}
+		}
+		time.Sleep(repeatPause)
+	}
+	a.log.WithFields(logrus.Fields{
+		"version": next.pause.Version, "in_ms": next.pause.In.Milliseconds(), "over": next.pause.Over, "entries": len(a.entries),
+	}).Info("Pause announced.")
+}
+
+// readEntries renews the list of entries; the last known ones serve while the
+// store does not answer.
+func (a *announcer) readEntries(ctx context.Context) {
+	if len(a.entries) > 0 && time.Since(a.readAt) < entriesTTL {
+		return
+	}
+	entries, err := a.roster.Read(ctx)
+	if err != nil {
+		a.log.WithError(err).WithField("known", len(a.entries)).Warn("Entries not read; the last known ones are told.")
+		return
+	}
+	a.entries, a.readAt = entries, time.Now()
+}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -11,15 +11,14 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
-	"currantusher.dev/core/pause"
 	"currantusher.dev/daemon/obs"
+	"currantusher.dev/daemon/roster"
+	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/platform/worker"
@@ -28,10 +27,6 @@
 )
 
 const (
-	// agentsTable holds a row for each agent, by which they find each other.
-	agentsTable = "agents"
-	// joinRetry is the pause after a store call that failed.
-	joinRetry = 500 * time.Millisecond
 	// agentsTTL is how long a read list of agents serves.
 	agentsTTL = 5 * time.Second
 	// engineConns and originConns bound the connections of one agent. The
@@ -67,13 +62,16 @@
 
 // Loader is one agent process on the operators' platform.
 type Loader struct {
-	config   Config
-	self     staging.Agent
-	store    *rowstore.Client
-	follower *watch.Follower
-	manager  *staging.Manager
-	registry metrics.Registry
-	log      *logrus.Entry
+	config Config
+	self   staging.Agent
+	store  *rowstore.Client
+	roster *roster.Roster[staging.Agent]
+	// announcer tells the entries when the engine pauses.
+	announcer *announcer
+	follower  *watch.Follower
+	manager   *staging.Manager
+	registry  metrics.Registry
+	log       *logrus.Entry
 
 	mu       sync.Mutex
 	agents   []staging.Agent
@@ -99,6 +97,8 @@
 		log:      config.Log.Part("agent"),
 		origins:  map[string]*worker.Client{},
 	}
+	l.roster = roster.New[staging.Agent](l.store, roster.Agents, l.log)
+	l.announcer = newAnnouncer(n.BackendAddr, roster.New[gossip.Member](l.store, roster.Entries, l.log), l.log)
 	l.follower = watch.NewFollower(watch.Config{
 		Store:  l.store,
 		Tables: []string{watch.OperatorTable},
@@ -109,6 +109,7 @@
 		Engine:    worker.New(n.BackendAddr, engineConns),
 		Peers:     staging.NewHTTPPeers(),
 		Wanted:    l.wanted,
+		Announce:  l.announcer.announce,
 		Agents:    l.others,
 		LinkBytes: n.LinkBytes,
 		Log:       config.Log.Part("weights"),
@@ -161,7 +162,7 @@
 	if len(known) > 0 && age < agentsTTL {
 		return known
 	}
-	agents, err := l.readAgents(ctx)
+	agents, err := l.roster.Read(ctx)
 	if err != nil {
 		l.log.WithError(err).WithField("known", len(known)).Warn("Agents not read; the last known ones are used.")
 		return known
@@ -172,40 +173,6 @@
 	return agents
 }
 
-func (l *Loader) readAgents(ctx context.Context) ([]staging.Agent, error) {
-	page, err := l.store.ReadAll(ctx, agentsTable)
-	if err != nil {
-		return nil, err
-	}
-	var agents []staging.Agent
-	for _, row := range page.Rows {
-		var a staging.Agent
-		if err := cbor.Unmarshal(row.Value, &a); err != nil || a.ID != core.InstanceID(row.Key) {
-			l.log.WithError(err).WithField("key", row.Key).Warn("Row of an agent ignored.")
-			continue
-		}
-		agents = append(agents, a)
-	}
-	return agents, nil
-}
-
-// join writes this agent's row.
-func (l *Loader) join(ctx context.Context) error {
-	value, err := cbor.Marshal(l.self)
-	if err != nil {
-		return fmt.Errorf("encode own row: %w", err)
-	}
-	for ctx.Err() == nil {
-		err := l.store.Put(ctx, rowstore.Row{Table: agentsTable, Key: string(l.self.ID), Value: value})
-		if err == nil {
-			return nil
-		}
-		l.log.WithError(err).Warn("Row not written yet.")
-		pause.For(ctx, joinRetry)
-	}
-	return nil
-}
-
 // Run works until ctx ends.
 func (l *Loader) Run(ctx context.Context) error {
 	l.config.Log.ReportInvariants()
@@ -213,7 +180,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.follower.Run(ctx) })
 	group.Go(func() error { return l.manager.Run(ctx) })
-	group.Go(func() error { return l.join(ctx) })
+	group.Go(func() error { return l.roster.Write(ctx, string(l.self.ID), l.self) })
+	group.Go(func() error { return l.announcer.run(ctx) })
 	group.Go(func() error { return serve(ctx, l.self.Addr, l.manager.Handler()) })
 	if l.config.MetricsAddr != "" {
 		mux := http.NewServeMux()
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 )
 
 // maxDatagram bounds a message that is read.
@@ -26,7 +27,9 @@
 	ReachesStore func() bool
 	// Loads returns the requests in flight at each backend server.
 	Loads func() map[core.InstanceID]int
-	Log   *logrus.Entry
+	// OnPause takes what agents announce of their backend servers.
+	OnPause func(fleet.Pause)
+	Log     *logrus.Entry
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -56,6 +59,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.OnPause == nil {
+		config.OnPause = func(fleet.Pause) {}
+	}
 	addr, err := net.ResolveUDPAddr("udp", config.Self.PeerAddr)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -161,11 +167,29 @@
 		n.config.Log.WithError(err).Warn("Unreadable message.")
 		return
 	}
+	if message.Pause != nil {
+		n.config.OnPause(*message.Pause)
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.state.Receive(n.config.Now(), message)
 }
 
+// Announce sends a pause of a backend server to the entry at a peer address.
+func Announce(socket *net.UDPConn, addr string, pause fleet.Pause) error {
+	datagram, err := cbor.Marshal(Message{Pause: &pause})
+	if err != nil {
+		return err
+	}
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return err
+	}
+	_, err = socket.WriteToUDP(datagram, to)
+	return err
+}
+
 // Alive returns this entry and the others that live, ordered by id.
 func (n *Node) Alive() []Member {
 	n.mu.Lock()
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 )
 
 const (
@@ -77,6 +78,8 @@
 	Loads map[core.InstanceID]int `cbor:"2,keyasint,omitempty"`
 	// Others are members that the sender heard of lately.
 	Others []Member `cbor:"3,keyasint,omitempty"`
+	// Pause comes from an agent, alone in its message.
+	Pause *fleet.Pause `cbor:"4,keyasint,omitempty"`
 }
 
 type peer struct {
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -20,15 +20,15 @@
 	}
 }
 
-// fleet plays rounds between states that all know only the first.
-type fleet struct {
+// cluster plays rounds between states that all know only the first.
+type cluster struct {
 	now    time.Time
 	states []*State
 	down   map[int]bool
 }
 
-func newFleet(size int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), down: map[int]bool{}}
+func newCluster(size int) *cluster {
+	f := &cluster{now: time.Unix(1000, 0), down: map[int]bool{}}
 	for i := range size {
 		state := NewState(member(i), uint64(i))
 		state.Introduce(f.now, member(0).PeerAddr)
@@ -37,7 +37,7 @@
 	return f
 }
 
-func (f *fleet) round() {
+func (f *cluster) round() {
 	f.now = f.now.Add(Period)
 	for i, state := range f.states {
 		if f.down[i] {
@@ -57,7 +57,7 @@
 func TestEntriesFindEachOtherAndNoticeLosses(t *testing.T) {
 	for _, size := range []int{2, 9, 45} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			f := newFleet(size)
+			f := newCluster(size)
 			for range 40 {
 				f.round()
 			}
@@ -109,7 +109,7 @@
 }
 
 func TestLoadsOfTheDeadDoNotCount(t *testing.T) {
-	f := newFleet(3)
+	f := newCluster(3)
 	for range 5 {
 		f.round()
 	}
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -24,7 +24,7 @@
 	x.unproven++
 	answer := newAssembly(x.request.ID)
 	answer.lenient = x.skip == guardAnswer
-	err := x.exchange(ctx, id, agent, answer)
+	err := x.exchange(ctx, placer, id, agent, answer)
 	if core.WorkOf(err) == core.WorkNotRun {
 		x.unproven--
 	} else {
@@ -34,7 +34,11 @@
 	if answer.end != nil {
 		running, limit = answer.end.Running, answer.end.Limit
 	}
-	placer.Finish(x.config.Now(), agent.ID, outcomeOf(ctx, err, answer), running, limit)
+	outcome := outcomeOf(ctx, err, answer)
+	if x.next != nil {
+		outcome = placement.Abandoned
+	}
+	placer.Finish(x.config.Now(), agent.ID, outcome, running, limit)
 	return err
 }
 
@@ -77,7 +81,7 @@
 }
 
 // exchange sends the dispatch and receives the answer.
-func (x *exchange) exchange(ctx context.Context, id string, agent placement.Candidate, answer *assembly) error {
+func (x *exchange) exchange(ctx context.Context, placer *placement.Placer, id string, agent placement.Candidate, answer *assembly) error {
 	call, cancel := x.callContext(ctx)
 	defer cancel()
 	stream, err := x.sender().Send(call, agent, x.message(id, agent))
@@ -89,7 +93,8 @@
 		if x.startTimeout() > 0 && !x.request.AtMostOnce {
 			abandon = time.AfterFunc(x.startTimeout(), cancel)
 		}
-		err = x.receive(stream, answer, abandon)
+		leave := func() bool { return x.handOver(ctx, placer, agent.ID) }
+		err = x.receive(stream, answer, abandon, leave)
 		if err != nil {
 			stream.Cancel()
 		}
@@ -100,9 +105,10 @@
 	return x.resolve(ctx, call, id, agent, answer, err)
 }
 
-// receive takes frames until the answer's end. Errors other than the answer's
+// receive takes frames until the answer's end, or until leave says after a part
+// that the answer goes on elsewhere. Errors other than the answer's
 // own result leave answer.end unset.
-func (x *exchange) receive(stream ReplyStream, answer *assembly, abandon *time.Timer) error {
+func (x *exchange) receive(stream ReplyStream, answer *assembly, abandon *time.Timer, leave func() bool) error {
 	if abandon != nil {
 		defer abandon.Stop()
 	}
@@ -127,6 +133,9 @@
 		if reply.End != nil {
 			return x.finish(answer)
 		}
+		if reply.Data != nil && leave() {
+			return incomplete("the stream goes on at another server, since this one closes")
+		}
 	}
 }
 
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -137,6 +137,8 @@
 	// time, zero for none. Late requests have missed it before they came.
 	Objective time.Time
 	Late      bool
+	// Expected is how long the answer is expected to take, 0 when unknown.
+	Expected time.Duration
 	// Patience is until when the caller waits for the first byte, zero when
 	// until Deadline.
 	Patience time.Time
@@ -145,6 +147,9 @@
 	// caller's attempts counts as a request of its own. Streams among them
 	// end when the caller leaves.
 	Unclaimed bool
+	// Handover lets resumable streams leave servers that are about to close; nil
+	// lets them end there.
+	Handover *Handover
 	// Sender replaces the dispatcher's for this request.
 	Sender Sender
 	// Candidates replaces the dispatcher's for this request.
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -32,6 +32,8 @@
 	used bool
 	// unproven counts attempts that may have run.
 	unproven int
+	// next is the server that a handover picked.
+	next *placement.Candidate
 	// whole says that the checked answer is out.
 	whole bool
 }
@@ -106,7 +108,11 @@
 	placer.FirstAttempt()
 	var last error
 	for {
-		agent, err := x.pick(ctx, placer)
+		agent, handedOver := x.takeNext()
+		var err error
+		if !handedOver {
+			agent, err = x.pick(ctx, placer)
+		}
 		if err != nil && canWait(last) {
 			// Every agent was tried and may take the request soon.
 			if err = x.requeue(ctx); err == nil {
@@ -128,6 +134,9 @@
 		// An agent that moved to another version may serve a request that
 		// follows it there.
 		x.tried[agent.ID] = x.request.Version == nil || core.CodeOf(last) != core.CodeDigestMismatch
+		if x.next != nil {
+			continue
+		}
 		if canWait(last) {
 			x.full++
 		}
@@ -149,7 +158,7 @@
 		return placement.Candidate{}, x.late()
 	}
 	x.chooseVersion()
-	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Tried: x.tried}
+	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Expected: x.request.Expected, Tried: x.tried}
 	return placer.Pick(now, wanted, x.candidates())
 }
 
--- a/requests/placement/pick.go
+++ b/requests/placement/pick.go
@@ -167,6 +167,29 @@
 	return used / limit
 }
 
+// lasting returns the options that take requests for as long as the answer is
+// expected to take.
+func lasting(now time.Time, request Request, options []option) []option {
+	list := make([]option, 0, len(options))
+	for _, o := range options {
+		closes := o.candidate.ClosesAt
+		if closes.IsZero() || request.Expected > 0 && now.Add(request.Expected).Before(closes) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// chooseNearest picks within the nearest level that has room.
+func (p *Placer) chooseNearest(request Request, options []option) (option, bool) {
+	for _, level := range p.levels(options) {
+		if chosen, ok := p.choose(request, level); ok {
+			return chosen, true
+		}
+	}
+	return option{}, false
+}
+
 // choose picks within one level: a due probe, then the prefix's agent, then
 // the less loaded of two.
 func (p *Placer) choose(request Request, options []option) (option, bool) {
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -120,6 +120,10 @@
 	// there now.
 	Direct bool
 	Room   int
+	// ClosesAt is when the server takes no more requests for a moment, zero
+	// when that is not ahead. Requests that last longer go elsewhere where there
+	// is room.
+	ClosesAt time.Time
 	// DataCentreOut and Leaving agents are never picked.
 	DataCentreOut bool
 	Leaving       bool
@@ -131,6 +135,8 @@
 	Prefix uint64
 	// Weights must be served by the agent; zero for services.
 	Weights core.Digest
+	// Expected is how long the answer is expected to take, 0 when unknown.
+	Expected time.Duration
 	// Tried agents are not picked again.
 	Tried map[core.InstanceID]bool
 }
@@ -183,13 +189,11 @@
 	defer p.mu.Unlock()
 	p.sweep(now)
 	usable := p.usable(now, request, candidates)
-	for _, level := range p.levels(usable) {
-		chosen, ok := p.choose(request, level)
-		if !ok {
-			continue
+	for _, options := range [][]option{lasting(now, request, usable), usable} {
+		if chosen, ok := p.chooseNearest(request, options); ok {
+			chosen.agent.start(now)
+			return *chosen.candidate, nil
 		}
-		chosen.agent.start(now)
-		return *chosen.candidate, nil
 	}
 	return Candidate{}, core.Refuse(core.CodeNoBackend, p.config.RetryAfter, "none of %d backend servers can take the request", len(candidates))
 }
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -84,6 +84,7 @@
 		report, err := m.report(ctx)
 		if err == nil && report.Loaded[wanted.Model] >= wanted.Version {
 			log.WithField("ms", time.Since(began).Milliseconds()).Info("Version loaded.")
+			m.announceLoaded(wanted)
 			return nil
 		}
 		if err == nil && !report.Busy && time.Since(began) > engineTimeout {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -70,6 +71,9 @@
 	// LinkBytes is what the instance's link carries in a second, each way; 0
 	// means that it does not bind.
 	LinkBytes float64
+	// Announce tells the entries that the engine stops taking requests at a
+	// time from now, or that it has loaded the version and takes them again.
+	Announce func(fleet.Pause)
 	// Agents returns the agents of the service.
 	Agents func(ctx context.Context) []Agent
 	Log    *logrus.Entry
@@ -88,6 +92,9 @@
 	jobs map[Key]*job
 	// newest is the newest wanted version of each model.
 	newest map[fleet.Model]fleet.WeightsVersion
+	// skipped holds the versions that gave way to a newer one, and when their
+	// load should have begun.
+	skipped map[Key]time.Time
 	// loading has one place: the engine takes one order at a time.
 	loading chan struct{}
 }
@@ -112,7 +119,7 @@
 // New returns a Manager that holds nothing.
 func New(config Config) *Manager {
 	return &Manager{config: config, uplink: newUplink(config.LinkBytes), downlink: newDownlink(), held: map[Key]*pieces{}, jobs: map[Key]*job{},
-		newest: map[fleet.Model]fleet.WeightsVersion{}, loading: make(chan struct{}, 1)}
+		newest: map[fleet.Model]fleet.WeightsVersion{}, skipped: map[Key]time.Time{}, loading: make(chan struct{}, 1)}
 }
 
 // Run works until ctx ends.
@@ -198,7 +205,10 @@
 			// Fetching goes on while the engine still takes an older version.
 			log.WithField("report", report.Raw).Info("Engine needs the version.")
 			err := m.bring(ctx, log, wanted, report)
-			if err != nil && ctx.Err() == nil {
+			switch {
+			case errors.Is(err, errSuperseded):
+				pause.For(ctx, lookPeriod)
+			case err != nil && ctx.Err() == nil:
 				log.WithError(err).Warn("Version not loaded yet.")
 				pause.For(ctx, retryPause)
 			}
@@ -241,11 +251,16 @@
 	return m.config.Engine.Report(bounded)
 }
 
+// errSuperseded says that a newer version is loaded in place of this one.
+var errSuperseded = errors.New("a newer version is loaded in its place")
+
 // bring fetches, stages and loads a version once.
 func (m *Manager) bring(ctx context.Context, log *logrus.Entry, wanted Wanted, report worker.Report) error {
 	began := time.Now()
 	agents := m.config.Agents(ctx)
 	plan := NewPlan(m.config.Self, wanted.Home, agents)
+	turn := m.turn(wanted, plan, report)
+	m.announce(wanted, turn)
 	fetch := newFetcher(m, log, wanted, plan)
 	held, err := fetch.pieces(ctx)
 	if err != nil {
@@ -254,8 +269,8 @@
 	log.WithFields(logrus.Fields{
 		"ms": time.Since(began).Milliseconds(), "agents": len(agents), "from": fetch.counts(),
 	}).Info("All pieces are here.")
-	if !m.awaitTurn(ctx, wanted, plan, len(report.Loaded) > 0) {
-		return nil
+	if err := m.awaitTurn(ctx, wanted, turn); err != nil {
+		return err
 	}
 	select {
 	case m.loading <- struct{}{}:
@@ -266,62 +281,6 @@
 	return m.load(ctx, log, wanted, held)
 }
 
-const (
-	// lastMoment is the part of a version's time at which it is loaded although
-	// a newer one is on its way.
-	lastMoment = 0.72
-	// usualArrival is the part of a version's time in which its pieces come:
-	// 3.4 of 8 s were measured on the users' links, and some slack.
-	usualArrival = 0.5
-)
-
-// awaitTurn waits until the engine may load the version, and reports whether
-// it still must. Engines that serve load one after the other, and a version
-// gives way to a newer one that will be here within its time.
-func (m *Manager) awaitTurn(ctx context.Context, wanted Wanted, plan Plan, serves bool) bool {
-	if !serves || wanted.Since.IsZero() {
-		return true
-	}
-	pause.For(ctx, time.Until(wanted.Since.Add(plan.LoadDelay(wanted.Version, wanted.InForce))))
-	last := wanted.Since.Add(part(lastMoment, wanted.InForce))
-	for ctx.Err() == nil && !m.isNewest(wanted.Key) {
-		if m.hasNewer(wanted.Key) {
-			return false
-		}
-		if time.Now().After(last) || m.newerArrival(wanted.Key).After(last) {
-			return true
-		}
-		pause.For(ctx, retryPause)
-	}
-	return true
-}
-
-func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
-
-// newerArrival returns when the pieces of the newest version should be here.
-func (m *Manager) newerArrival(key Key) time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	newer := m.jobs[Key{Model: key.Model, Version: m.newest[key.Model]}]
-	if newer == nil {
-		return time.Time{}
-	}
-	return newer.wanted.Since.Add(part(usualArrival, newer.wanted.InForce))
-}
-
-// hasNewer reports whether all pieces of a newer version are here, which spares
-// the engine a load.
-func (m *Manager) hasNewer(key Key) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for other, held := range m.held {
-		if other.Model == key.Model && other.Version > key.Version && held.left() == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // holds returns the pieces of a version, or nil.
 func (m *Manager) holds(key Key) *pieces {
 	m.mu.Lock()
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -23,8 +23,8 @@
 // Parts of the time in which a version must be in force, within which the
 // engines load one after the other, so that most of them serve at any moment.
 const (
-	loadFrom  = 0.36
-	loadUntil = 0.72
+	loadFrom  = 0.45
+	loadUntil = 0.85
 )
 
 // Plan says from whom one agent takes each piece.
