Pieces that others wait for go first; a waiting source is asked again before others

An agent that brings a piece into its region waited for a place on its own link behind pieces for itself, the sender served its region first, and a source that did not have a piece within a second was left for others that waited for the same source: the last quarter of the crossings came 1 s late.

Ruled out: the origin (its pieces are out after 2.1 s) and the region links.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -107,7 +107,7 @@
 	l.manager = staging.New(staging.Config{
 		Self:      l.self,
 		Engine:    worker.New(n.BackendAddr, engineConns),
-		Peers:     staging.NewHTTPPeers(),
+		Peers:     staging.NewHTTPPeers(n.Region),
 		Wanted:    l.wanted,
 		Announce:  l.announcer.announce,
 		Agents:    l.others,
--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -23,9 +23,11 @@
 // transfers are slow, as on a link that has become narrow, and widens it step
 // by step when they are not.
 type downlink struct {
-	mu       sync.Mutex
-	bound    float64
-	used     int
+	mu    sync.Mutex
+	bound float64
+	used  int
+	// urgent counts the urgent transfers that wait; others let them go first.
+	urgent   int
 	narrowed time.Time
 	// freed is closed and replaced whenever a place may be free.
 	freed chan struct{}
@@ -35,11 +37,15 @@
 	return &downlink{bound: maxTransfers, freed: make(chan struct{})}
 }
 
-// acquire waits for a place.
-func (d *downlink) acquire(ctx context.Context) error {
+// acquire waits for a place. Urgent transfers go before others.
+func (d *downlink) acquire(ctx context.Context, urgent bool) error {
+	if urgent {
+		d.wait(1)
+		defer d.wait(-1)
+	}
 	for {
 		d.mu.Lock()
-		if d.used < int(d.bound) {
+		if d.used < int(d.bound) && (urgent || d.urgent == 0) {
 			d.used++
 			d.mu.Unlock()
 			return nil
@@ -54,6 +60,20 @@
 	}
 }
 
+// wait counts an urgent transfer that waits, or that waits no more.
+func (d *downlink) wait(change int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.urgent += change
+	d.wake()
+}
+
+// wake lets those that wait look again. The caller holds the lock.
+func (d *downlink) wake() {
+	close(d.freed)
+	d.freed = make(chan struct{})
+}
+
 // release returns a place after a transfer that took so long.
 func (d *downlink) release(now time.Time, took time.Duration) {
 	d.mu.Lock()
@@ -67,6 +87,5 @@
 		d.narrowed = now
 		d.bound = max(1, d.bound/2)
 	}
-	close(d.freed)
-	d.freed = make(chan struct{})
+	d.wake()
 }
--- a/weights/staging/downlink_test.go
+++ b/weights/staging/downlink_test.go
@@ -13,7 +13,7 @@
 	now := time.Unix(100, 0)
 	ctx := context.Background()
 	for range maxTransfers {
-		require.NoError(t, d.acquire(ctx))
+		require.NoError(t, d.acquire(ctx, false))
 	}
 	// All four were slow together: one halving.
 	for range maxTransfers {
@@ -22,21 +22,21 @@
 	}
 	require.InDelta(t, 2, d.bound, 0)
 	now = now.Add(2 * time.Second)
-	require.NoError(t, d.acquire(ctx))
+	require.NoError(t, d.acquire(ctx, false))
 	d.release(now, time.Second)
 	require.InDelta(t, 1, d.bound, 0)
 	now = now.Add(2 * time.Second)
-	require.NoError(t, d.acquire(ctx))
+	require.NoError(t, d.acquire(ctx, false))
 	d.release(now, time.Second)
 	require.InDelta(t, 1, d.bound, 0, "one transfer is always let through")
 
-	require.NoError(t, d.acquire(ctx))
+	require.NoError(t, d.acquire(ctx, false))
 	full, cancel := context.WithCancel(ctx)
 	cancel()
-	require.ErrorIs(t, d.acquire(full), context.Canceled)
+	require.ErrorIs(t, d.acquire(full, false), context.Canceled)
 	d.release(now, time.Millisecond)
 	for range 20 {
-		require.NoError(t, d.acquire(ctx))
+		require.NoError(t, d.acquire(ctx, false))
 		d.release(now, time.Millisecond)
 	}
 	require.InDelta(t, maxTransfers, d.bound, 0)
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -23,6 +23,9 @@
 	// the piece included. A piece takes 35 ms alone on the slowest link, and
 	// shares it with up to ten others.
 	sourceTimeout = 1800 * time.Millisecond
+	// asksAgain is how often a source that does not have a piece yet is asked
+	// again before the next one, which waits for the same source.
+	asksAgain = 2
 	// shunTime is how long a source that failed is not asked.
 	shunTime = 2 * time.Second
 	// maxSpoilt is the number of wrong contents of one piece after which the
@@ -214,6 +217,9 @@
 				continue
 			}
 			content, err := f.fromPeer(ctx, peer, num)
+			for again := 0; again < asksAgain && isMissing(err); again++ {
+				content, err = f.fromPeer(ctx, peer, num)
+			}
 			if err != nil {
 				f.shunFor(peer, err)
 				continue
@@ -276,7 +282,8 @@
 	if err := peers.Await(waiting, peer, f.wanted.Key, num); err != nil {
 		return nil, err
 	}
-	if err := f.manager.downlink.acquire(ctx); err != nil {
+	// Others of this region wait for the pieces that this agent brings in.
+	if err := f.manager.downlink.acquire(ctx, f.plan.Owns(num)); err != nil {
 		return nil, err
 	}
 	began := time.Now()
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -32,16 +32,23 @@
 	manifestPoll = 20 * time.Millisecond
 	// awaitSuffix asks whether a piece is there, without its content.
 	awaitSuffix = ".ready"
+	// regionField names the asking agent's region.
+	regionField = "region"
 	// maxPeerBytes bounds what a peer sends.
 	maxPeerBytes = 4 << 20
 )
 
 // HTTPPeers implements Peers over HTTP.
-type HTTPPeers struct{ client *http.Client }
+type HTTPPeers struct {
+	client *http.Client
+	query  string
+}
 
-// NewHTTPPeers returns Peers that open a few connections to each agent.
-func NewHTTPPeers() *HTTPPeers {
-	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
+// NewHTTPPeers returns Peers that open a few connections to each agent, for an
+// agent in a region.
+func NewHTTPPeers(region core.Region) *HTTPPeers {
+	query := url.Values{regionField: {string(region)}}
+	return &HTTPPeers{query: "?" + query.Encode(), client: &http.Client{Transport: &http.Transport{
 		DialContext: netdial.New(peerDialTimeout).DialContext, MaxIdleConnsPerHost: 2 * laneWidth, IdleConnTimeout: peerIdleTime, DisableCompression: true,
 	}}}
 }
@@ -75,7 +82,7 @@
 }
 
 func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Addr+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Addr+path+p.query, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -120,11 +127,18 @@
 	body, status := m.answerPeer(ctx, held, r.PathValue("what"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	if err := m.uplink.send(r.Context(), w, body); err != nil {
+	if err := m.uplink.send(r.Context(), w, body, m.isCrossing(r)); err != nil {
 		m.config.Log.WithError(err).WithField("piece", r.PathValue("what")).Info("Piece not sent whole.")
 	}
 }
 
+// isCrossing reports whether the asking agent is in another region, whose other
+// agents wait for the piece too.
+func (m *Manager) isCrossing(r *http.Request) bool {
+	region := r.URL.Query().Get(regionField)
+	return region != "" && core.Region(region) != m.config.Self.Region
+}
+
 func (m *Manager) answerPeer(ctx context.Context, held *pieces, what string) ([]byte, int) {
 	if what == "manifest" {
 		body, err := cbor.Marshal(held.digests)
--- a/weights/staging/uplink.go
+++ b/weights/staging/uplink.go
@@ -26,7 +26,7 @@
 // uplink paces what an agent sends.
 type uplink struct {
 	limiter *rate.Limiter
-	places  chan struct{}
+	places  *places
 }
 
 // newUplink returns the pacing for a link in bytes a second; 0 means none.
@@ -35,17 +35,19 @@
 	if bytesPerSecond > 0 {
 		limit = rate.Limit(uplinkPart * bytesPerSecond)
 	}
-	return &uplink{limiter: rate.NewLimiter(limit, sliceBytes), places: make(chan struct{}, senders)}
+	return &uplink{limiter: rate.NewLimiter(limit, sliceBytes), places: newPlaces(senders)}
 }
 
-// send writes a body in slices at the link's pace.
-func (u *uplink) send(ctx context.Context, w http.ResponseWriter, body []byte) error {
-	select {
-	case u.places <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
+// send writes a body in slices at the link's pace. Urgent bodies go before
+// others; an empty one does not wait.
+func (u *uplink) send(ctx context.Context, w http.ResponseWriter, body []byte, urgent bool) error {
+	if len(body) == 0 {
+		return nil
 	}
-	defer func() { <-u.places }()
+	if err := u.places.acquire(ctx, urgent); err != nil {
+		return err
+	}
+	defer u.places.release()
 	controller := http.NewResponseController(w)
 	if err := controller.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return fmt.Errorf("no bound for the sending: %w", err)
