Engines back from a load take requests at the pace at which they read

Cause: an engine that had loaded was empty, every entry took its part of its 16 free slots at once, and 16 prompts waited for each other: first events came after 0.3 to 0.9 s in the seconds in which versions were loaded (p50 and p90), while the entries' queues held requests under 10 ms.

requests/pace is a pure model of an engine from the figures that operators publish; the limit of an engine that is back grows with its rate of starts.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -87,8 +87,34 @@
 	// Pieces and PieceBytes are the number and the size of a version's pieces.
 	Pieces     int
 	PieceBytes int
+	Pace       Pace
 }
 
+// Pace holds the figures from which the pace of an engine follows. It works in
+// passes: each reads some tokens of the prompts that wait, and then makes Stride
+// tokens of each answer that is being written. Zero figures are unknown.
+type Pace struct {
+	// Step is the time of one step without any answer, PerAnswer what each
+	// answer adds to it, and PerContext what each 1,000 tokens of its context do.
+	Step       time.Duration
+	PerAnswer  time.Duration
+	PerContext time.Duration
+	// ReadPerSecond is how many tokens of prompts are read in a second.
+	ReadPerSecond float64
+	// PerPairs is the time that a million pairs of a token and an earlier one
+	// add to the reading of a prompt.
+	PerPairs time.Duration
+	// Chunk bounds the tokens that one pass reads.
+	Chunk int
+	// Stride is how many steps a pass makes in which answers are written.
+	Stride int
+	// UsualPrompt and UsualAnswer are mean lengths in tokens.
+	UsualPrompt, UsualAnswer float64
+}
+
+// IsKnown reports whether the figures that decide the pace are there.
+func (p Pace) IsKnown() bool { return p.Step > 0 && p.ReadPerSecond > 0 && p.UsualPrompt > 0 }
+
 // Service is a set of backend servers.
 type Service struct {
 	Name       ServiceName
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -9,6 +9,7 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/cold"
 	"currantusher.dev/requests/fair"
+	"currantusher.dev/requests/pace"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/tables/watch"
 )
@@ -44,6 +45,9 @@
 	// loadOutage is how long requests wait while all servers refuse; one that
 	// loads weights is back after its running requests, in about two seconds.
 	loadOutage = 1500 * time.Millisecond
+	// firstStarts is how many prompts an engine may get at once when a pause is
+	// over: read one after the other, the last one keeps the usual objective.
+	firstStarts = 4
 	// plainSlots is the limit of a server that names none.
 	plainSlots = 8
 )
@@ -230,10 +234,7 @@
 		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.cold.HasRoom(now, server.ID, share) {
 			continue
 		}
-		limit := server.Slots
-		if limit <= 0 {
-			limit = plainSlots
-		}
+		limit := g.limit(now, service, server)
 		own := placer.InFlight(server.ID)
 		list = append(list, placement.Candidate{
 			ID:          server.ID,
@@ -255,6 +256,25 @@
 	return list
 }
 
+// limit is how many requests a server may run at once. An engine that comes
+// back from a pause is empty: as many prompts as it has slots would all wait for
+// each other, so that it takes them at the pace at which it reads.
+func (g *Gateway) limit(now time.Time, service *fleet.Service, server *watch.Server) int {
+	limit := server.Slots
+	if limit <= 0 {
+		limit = plainSlots
+	}
+	if service.Engine == nil || !service.Engine.Pace.IsKnown() {
+		return limit
+	}
+	opened := g.pauses.OpenedAt(server.Addr)
+	if opened.IsZero() {
+		return limit
+	}
+	rate := pace.StartsPerSecond(service.Engine.Pace, limit)
+	return min(limit, firstStarts+int(rate*now.Sub(opened).Seconds()))
+}
+
 func (g *Gateway) coldShare(service *fleet.Service) int {
 	bounds := g.node.Load().Bounds
 	limit := cold.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
--- /dev/null
+++ b/requests/pace/pace_test.go
@@ -0,0 +1,37 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/fleet"
+)
+
+// published are the figures of a common engine.
+var published = fleet.Pace{
+	Step: 7400 * time.Microsecond, PerAnswer: 38700 * time.Nanosecond, PerContext: 20300 * time.Nanosecond,
+	ReadPerSecond: 31900, PerPairs: 733 * time.Microsecond, Chunk: 2048, Stride: 6, UsualPrompt: 973, UsualAnswer: 106,
+}
+
+func TestFirstTokenWaitsForWhatIsUnread(t *testing.T) {
+	idle := First(published, Load{}, 973)
+	require.InDelta(t, 38, idle.Milliseconds(), 2)
+	busy := First(published, Load{Answers: 8, Context: 1000}, 973)
+	require.InDelta(t, 78, busy.Milliseconds(), 3)
+	behind := First(published, Load{Answers: 8, Context: 1000, Unread: 4 * 973}, 973)
+	require.InDelta(t, 297, behind.Milliseconds(), 10)
+}
+
+func TestTokensComeSlowerBesideReading(t *testing.T) {
+	alone := Token(published, Load{Answers: 1, Context: 1000})
+	full := Token(published, Load{Answers: 16, Context: 1000})
+	require.InDelta(t, 7.8, alone.Seconds()*1000, 0.2)
+	require.InDelta(t, 13, full.Seconds()*1000, 0.3)
+}
+
+func TestStartsPerSecond(t *testing.T) {
+	require.InDelta(t, 11.6, StartsPerSecond(published, 16), 0.3)
+	require.InDelta(t, 8.1, StartsPerSecond(published, 9), 0.2)
+}
--- a/requests/pauses/pauses.go
+++ b/requests/pauses/pauses.go
@@ -19,7 +19,8 @@
 // Book is safe for concurrent use.
 type Book struct {
 	mu sync.Mutex
-	// known holds the newest announcement of each server and version.
+	// known holds the newest announcement of each server and version. What an
+	// announcement that a pause is over begins is the time that follows it.
 	known map[string]map[fleet.WeightsVersion]announced
 }
 
@@ -81,6 +82,20 @@
 	return newest
 }
 
+// OpenedAt returns when a server last announced that a pause is over, or the
+// zero time.
+func (b *Book) OpenedAt(addr string) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var last time.Time
+	for _, known := range b.known[addr] {
+		if known.pause.Over && known.begins.After(last) {
+			last = known.begins
+		}
+	}
+	return last
+}
+
 // Sweep drops announcements that no longer count.
 func (b *Book) Sweep(now time.Time) {
 	b.mu.Lock()
