--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -259,8 +259,6 @@
 	began := time.Now()
 	agents := m.config.Agents(ctx)
 	plan := NewPlan(m.config.Self, wanted.Home, agents)
-	turn := m.turn(wanted, plan, report)
-	m.announce(wanted, turn)
 	fetch := newFetcher(m, log, wanted, plan)
 	held, err := fetch.pieces(ctx)
 	if err != nil {
@@ -269,7 +267,7 @@
 	log.WithFields(logrus.Fields{
 		"ms": time.Since(began).Milliseconds(), "agents": len(agents), "from": fetch.counts(),
 	}).Info("All pieces are here.")
-	if err := m.awaitTurn(ctx, wanted, turn); err != nil {
+	if err := m.awaitTurn(ctx, wanted, m.turn(wanted, plan, report)); err != nil {
 		return err
 	}
 	select {
--- a/weights/staging/turn.go
+++ b/weights/staging/turn.go
@@ -13,8 +13,8 @@
 	// usualArrival is the part of a version's time in which its pieces come:
 	// 3.4 of 8 s were measured on the users' links, and some slack.
 	usualArrival = 0.5
-	// lateNotice is how long ahead a pause is announced whose turn passed before
-	// the pieces came: half of the answers end within it.
+	// lateNotice is how long ahead a pause is announced at least while there is
+	// time: half of the answers end within it.
 	lateNotice = 600 * time.Millisecond
 	// turnPoll is how often a waiting agent looks whether its turn changed.
 	turnPoll = 100 * time.Millisecond
@@ -74,10 +74,11 @@
 	if turn.IsZero() {
 		return nil
 	}
+	// Only an agent that has all pieces knows that it will keep its turn.
 	if soon := time.Now().Add(lateNotice); turn.Before(soon) && soon.Before(wanted.latest()) {
 		turn = soon
-		m.announce(wanted, turn)
 	}
+	m.announce(wanted, turn)
 	for ctx.Err() == nil && time.Now().Before(m.latestTurn(wanted, turn)) {
 		pause.For(ctx, min(turnPoll, time.Until(m.latestTurn(wanted, turn))))
 	}
