--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	// agentsTTL is how long a read list of agents serves.
-	agentsTTL = 5 * time.Second
+	// removeTimeout bounds the removal of the own row at the end.
+	removeTimeout = time.Second
 	// engineConns and originConns bound the connections of one agent. The
 	// origin takes a few dozen of all agents together.
 	engineConns = 4
@@ -73,9 +73,8 @@
 	registry  metrics.Registry
 	log       *logrus.Entry
 
-	mu       sync.Mutex
-	agents   []staging.Agent
-	agentsAt time.Time
+	agents *agentList
+	mu     sync.Mutex
 	// origins holds a client for each origin address.
 	origins map[string]*worker.Client
 }
@@ -90,7 +89,7 @@
 		config: config,
 		self: staging.Agent{
 			ID: n.Instance, Addr: n.PeerAddr, DataCentre: n.DataCentre, Region: n.Region,
-			Service: fleet.ServiceName(n.BackendService),
+			Service: fleet.ServiceName(n.BackendService), EngineAddr: n.BackendAddr,
 		},
 		store:    rowstore.New(n.StoreAddr),
 		registry: metrics.NewRegistry(),
@@ -98,6 +97,7 @@
 		origins:  map[string]*worker.Client{},
 	}
 	l.roster = roster.New[staging.Agent](l.store, roster.Agents, l.log)
+	l.agents = &agentList{roster: l.roster, store: l.store, log: l.log}
 	l.announcer = newAnnouncer(n.BackendAddr, roster.New[gossip.Member](l.store, roster.Entries, l.log), l.log)
 	l.follower = watch.NewFollower(watch.Config{
 		Store:  l.store,
@@ -110,7 +110,7 @@
 		Peers:     staging.NewHTTPPeers(n.Region),
 		Wanted:    l.wanted,
 		Announce:  l.announcer.announce,
-		Agents:    l.others,
+		Agents:    l.agents.get,
 		LinkBytes: n.LinkBytes,
 		Log:       config.Log.Part("weights"),
 	})
@@ -154,25 +154,6 @@
 	return client
 }
 
-// others returns the agents, from the store or as last read there.
-func (l *Loader) others(ctx context.Context) []staging.Agent {
-	l.mu.Lock()
-	known, age := l.agents, time.Since(l.agentsAt)
-	l.mu.Unlock()
-	if len(known) > 0 && age < agentsTTL {
-		return known
-	}
-	agents, err := l.roster.Read(ctx)
-	if err != nil {
-		l.log.WithError(err).WithField("known", len(known)).Warn("Agents not read; the last known ones are used.")
-		return known
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.agents, l.agentsAt = agents, time.Now()
-	return agents
-}
-
 // Run works until ctx ends.
 func (l *Loader) Run(ctx context.Context) error {
 	l.config.Log.ReportInvariants()
@@ -189,10 +170,19 @@
 		group.Go(func() error { return serve(ctx, l.config.MetricsAddr, mux) })
 	}
 	err := group.Wait()
+	l.removeRow()
 	l.log.Info("Agent stopped.")
 	return err
 }
 
+func (l *Loader) removeRow() {
+	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancel()
+	if err := l.roster.Remove(ctx, string(l.self.ID)); err != nil {
+		l.log.WithError(err).Warn("Own row not removed; others leave this agent out once its engine is gone.")
+	}
+}
+
 func serve(ctx context.Context, addr string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -18,6 +18,24 @@
 	DataCentre core.DataCentre   `cbor:"3,keyasint"`
 	Region     core.Region       `cbor:"4,keyasint"`
 	Service    fleet.ServiceName `cbor:"5,keyasint"`
+	// EngineAddr is the address of the engine beside the agent.
+	EngineAddr string `cbor:"6,keyasint,omitempty"`
+}
+
+// Living returns the agents whose engines are listed: a row of an agent stays
+// behind when its instance is lost. While most engines are missing the list
+// itself is in doubt, as after an outage of the store, and all agents count.
+func Living(agents []Agent, listed map[string]bool) []Agent {
+	living := make([]Agent, 0, len(agents))
+	for _, a := range agents {
+		if listed[a.EngineAddr] {
+			living = append(living, a)
+		}
+	}
+	if 2*len(living) < len(agents) {
+		return agents
+	}
+	return living
 }
 
 // Parts of the time in which a version must be in force, within which the
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -106,3 +106,19 @@
 	}
 	require.Len(t, seen, len(agents))
 }
+
+// Agents of lost instances must have no part in a plan: each of their pieces
+// costs the others seconds.
+func TestLostAgentsAreLeftOut(t *testing.T) {
+	agents := agentsOf("north", "north", "south")
+	listed := map[string]bool{}
+	for i := range agents {
+		agents[i].EngineAddr = fmt.Sprintf("10.0.0.%d:8000", i)
+		listed[agents[i].EngineAddr] = true
+	}
+	require.Len(t, Living(agents, listed), 3)
+	delete(listed, agents[1].EngineAddr)
+	require.Equal(t, []Agent{agents[0], agents[2]}, Living(agents, listed))
+	delete(listed, agents[2].EngineAddr)
+	require.Len(t, Living(agents, listed), 3, "a list without most engines is in doubt")
+}
