An agent on a narrow link leaves its pieces to the next one

Such an agent now declines pieces that it has not got; the next one brings them and does not decline, so that the origin sends a piece twice at most.

--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -14,6 +14,9 @@
 	// expected: a piece that shares the slowest sound link with three others
 	// takes 0.14 s.
 	slowTransfer = 350 * time.Millisecond
+	// narrowBound is the bound at and under which the link counts as narrow:
+	// that after one halving.
+	narrowBound = maxTransfers / 2
 	// widening is added to the bound by each transfer that was not slow.
 	widening = 0.25
 )
@@ -37,6 +40,13 @@
 	return &downlink{bound: maxTransfers, freed: make(chan struct{})}
 }
 
+// isNarrow reports whether transfers were slow lately.
+func (d *downlink) isNarrow() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bound <= narrowBound
+}
+
 // acquire waits for a place. Urgent transfers go before others.
 func (d *downlink) acquire(ctx context.Context, urgent bool) error {
 	if urgent {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -90,6 +90,8 @@
 	mu   sync.Mutex
 	held map[Key]*pieces
 	jobs map[Key]*job
+	// plans holds the plan by which each version is brought.
+	plans map[Key]Plan
 	// newest is the newest wanted version of each model.
 	newest map[fleet.Model]fleet.WeightsVersion
 	// skipped holds the versions that gave way to a newer one, and when their
@@ -118,7 +120,7 @@
 
 // New returns a Manager that holds nothing.
 func New(config Config) *Manager {
-	return &Manager{config: config, uplink: newUplink(config.LinkBytes), downlink: newDownlink(), held: map[Key]*pieces{}, jobs: map[Key]*job{},
+	return &Manager{config: config, uplink: newUplink(config.LinkBytes), downlink: newDownlink(), held: map[Key]*pieces{}, jobs: map[Key]*job{}, plans: map[Key]Plan{},
 		newest: map[fleet.Model]fleet.WeightsVersion{}, skipped: map[Key]time.Time{}, loading: make(chan struct{}, 1)}
 }
 
@@ -175,6 +177,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.jobs, j.wanted.Key)
+	delete(m.plans, j.wanted.Key)
 }
 
 // isNewest reports whether no newer version of the model is wanted.
@@ -259,6 +262,7 @@
 	began := time.Now()
 	agents := m.config.Agents(ctx)
 	plan := NewPlan(m.config.Self, wanted.Home, agents)
+	m.keepPlan(wanted.Key, plan)
 	fetch := newFetcher(m, log, wanted, plan)
 	held, err := fetch.pieces(ctx)
 	if err != nil {
@@ -279,6 +283,22 @@
 	return m.load(ctx, log, wanted, held)
 }
 
+func (m *Manager) keepPlan(key Key, plan Plan) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.plans[key] = plan
+}
+
+// declines reports whether another agent should bring a piece into the region
+// in this one's place, whose link is narrow. The one that takes its place does
+// not decline, so that the origin sends a piece twice at most for it.
+func (m *Manager) declines(key Key, num int) bool {
+	m.mu.Lock()
+	plan, ok := m.plans[key]
+	m.mu.Unlock()
+	return ok && plan.Owns(num) && m.downlink.isNarrow()
+}
+
 // holds returns the pieces of a version, or nil.
 func (m *Manager) holds(key Key) *pieces {
 	m.mu.Lock()
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -153,7 +153,11 @@
 	if err != nil || num < 0 || num >= len(held.digests) {
 		return nil, http.StatusBadRequest
 	}
-	content := held.wait(ctx, num)
+	content, _ := held.get(num)
+	if content == nil && m.declines(held.key, num) {
+		return nil, http.StatusTooManyRequests
+	}
+	content = held.wait(ctx, num)
 	switch {
 	case content == nil:
 		return nil, http.StatusNotFound
