--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"currantusher.dev/core"
 )
 
 const (
@@ -14,9 +16,12 @@
 	// expected: a piece that shares the slowest sound link with three others
 	// takes 0.14 s.
 	slowTransfer = 350 * time.Millisecond
-	// narrowBound is the bound at and under which the link counts as narrow:
-	// that after one halving.
-	narrowBound = maxTransfers / 2
+	// narrowSources is from how many agents pieces must come slowly, and none
+	// fast, for the own link to be the narrow one.
+	narrowSources = 2
+	// narrowFor is how long slow transfers say that the link is narrow; on one
+	// that is, the next follow within it.
+	narrowFor = 2 * time.Second
 	// widening is added to the bound by each transfer that was not slow.
 	widening = 0.25
 )
@@ -32,19 +37,24 @@
 	// urgent counts the urgent transfers that wait; others let them go first.
 	urgent   int
 	narrowed time.Time
+	// slow holds the agents from which pieces came slowly since one last came
+	// fast, and slowAt when the last of them came.
+	slow   map[core.InstanceID]bool
+	slowAt time.Time
 	// freed is closed and replaced whenever a place may be free.
 	freed chan struct{}
 }
 
 func newDownlink() *downlink {
-	return &downlink{bound: maxTransfers, freed: make(chan struct{})}
+	return &downlink{bound: maxTransfers, slow: map[core.InstanceID]bool{}, freed: make(chan struct{})}
 }
 
-// isNarrow reports whether transfers were slow lately.
-func (d *downlink) isNarrow() bool {
+// isNarrow reports whether the link itself is narrow: lately all transfers were
+// slow, from whichever agent.
+func (d *downlink) isNarrow(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.bound <= narrowBound
+	return len(d.slow) >= narrowSources && now.Sub(d.slowAt) < narrowFor
 }
 
 // acquire waits for a place. Urgent transfers go before others.
@@ -84,11 +94,17 @@
 	d.freed = make(chan struct{})
 }
 
-// release returns a place after a transfer that took so long.
-func (d *downlink) release(now time.Time, took time.Duration) {
+// release returns a place after a transfer from an agent that took so long.
+func (d *downlink) release(now time.Time, from core.InstanceID, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.used--
+	if took < slowTransfer {
+		clear(d.slow)
+	} else {
+		d.slow[from] = true
+		d.slowAt = now
+	}
 	switch {
 	case took < slowTransfer:
 		d.bound = min(maxTransfers, d.bound+widening)
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -289,7 +289,7 @@
 	began := time.Now()
 	defer func() {
 		now := time.Now()
-		f.manager.downlink.release(now, now.Sub(began))
+		f.manager.downlink.release(now, peer.ID, now.Sub(began))
 	}()
 	sending, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -296,7 +296,7 @@
 	m.mu.Lock()
 	plan, ok := m.plans[key]
 	m.mu.Unlock()
-	return ok && plan.Owns(num) && m.downlink.isNarrow()
+	return ok && plan.Owns(num) && m.downlink.isNarrow(time.Now())
 }
 
 // holds returns the pieces of a version, or nil.
--- a/weights/staging/turn_test.go
+++ b/weights/staging/turn_test.go
@@ -118,13 +118,14 @@
 	owned := 3
 	require.True(t, plan.Owns(0))
 	require.True(t, plan.Owns(owned))
-	m.downlink.bound = narrowBound
+	m.downlink.release(time.Now(), "a-1", time.Second)
+	m.downlink.release(time.Now(), "a-2", time.Second)
 	_, status := m.answerPeer(t.Context(), held, "3"+awaitSuffix)
 	require.Equal(t, http.StatusTooManyRequests, status)
 	body, status := m.answerPeer(t.Context(), held, "0")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, []byte("piece"), body)
 	require.False(t, m.declines(older, 1), "it does not decline what it brings in another's place")
-	m.downlink.bound = maxTransfers
+	m.downlink.release(time.Now(), "a-1", time.Millisecond)
 	require.False(t, m.declines(older, owned))
 }
