Log each decision on a request; explain tells a request's life from the logs

Each attempt has a line with the server, what was known of it and how old that was; failed attempts say what follows. Times have milliseconds. When a reader stops, plain lines are dropped before refusals and failures, and a line says how many were lost. currantusher explain ID FILE... prints the request's steps between what the entries and agents learned of its servers.

--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/integrii/flaggy"
 
@@ -15,6 +16,9 @@
 	usage    string
 	settings settings.Set
 	values   []value
+	// rest takes the arguments after the values, for commands that have any
+	// number of them.
+	rest     *[]string
 	children []*command
 	run      func(ctx context.Context) error
 
@@ -42,6 +46,20 @@
 	}
 }
 
+// separateRest marks where the rest of a command's arguments begins, which the
+// flag library can't tell from values.
+func separateRest(commands []*command, args []string) []string {
+	for _, c := range commands {
+		if c.rest == nil || len(args) == 0 || args[0] != c.name || slices.Contains(args, "--") {
+			continue
+		}
+		if at := 1 + len(c.values); at < len(args) {
+			return slices.Insert(slices.Clone(args), at, "--")
+		}
+	}
+	return args
+}
+
 // find returns the most specific command that was used.
 func find(commands []*command) *command {
 	for _, c := range commands {
@@ -73,6 +91,7 @@
 		statusCommand(),
 		weightsCommand(),
 		reportCommand(),
+		explainCommand(),
 		keysCommand(),
 		demoCommand(),
 		benchCommand(),
--- /dev/null
+++ b/cmd/currantusher/explain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"currantusher.dev/report/story"
+)
+
+// standardInput stands for the log that is piped in.
+const standardInput = "-"
+
+func explainCommand() *command {
+	var ids string
+	var files []string
+	c := &command{name: "explain", usage: "Prints the life of requests from log files of several processes: explain ID[,ID...] FILE..."}
+	c.values = []value{{&ids, "ids", "request ids, separated by commas", true}}
+	c.rest = &files
+	c.run = func(context.Context) error {
+		if len(files) == 0 {
+			files = []string{standardInput}
+		}
+		return explainRequests(strings.Split(ids, ","), files)
+	}
+	return c
+}
+
+func explainRequests(ids, files []string) error {
+	var log story.Log
+	for _, name := range files {
+		if err := readLog(&log, name); err != nil {
+			return err
+		}
+	}
+	events := log.Of(ids...)
+	if len(events) == 0 {
+		return fmt.Errorf("no line of the logs has the id %s (%d lines are no log lines)", strings.Join(ids, " or "), log.Skipped)
+	}
+	return story.Write(os.Stdout, events)
+}
+
+func readLog(log *story.Log, name string) error {
+	if name == standardInput {
+		return log.Read(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return usageError{err}
+	}
+	defer func() { _ = file.Close() }()
+	if err := log.Read(file); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
--- a/cmd/currantusher/main.go
+++ b/cmd/currantusher/main.go
@@ -59,7 +59,7 @@
 	}
 	commands := rootCommands()
 	attach(&parser.Subcommand, commands)
-	if err := parser.ParseArgs(args); err != nil {
+	if err := parser.ParseArgs(separateRest(commands, args)); err != nil {
 		fmt.Fprintln(os.Stderr, "currantusher:", err)
 		return exitUsage
 	}
@@ -68,6 +68,9 @@
 		parser.ShowHelp()
 		return exitUsage
 	}
+	if chosen.rest != nil {
+		*chosen.rest = parser.TrailingArguments
+	}
 	if err := chosen.settings.Parse(); err != nil {
 		return fail(usageError{err})
 	}
--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -93,7 +93,12 @@
 	if c.outcome.err != nil {
 		fields["reason"] = core.ExplainOf(c.outcome.err)
 	}
-	g.requests.WithFields(fields).Info("Request ended.")
+	level := logrus.InfoLevel
+	if c.outcome.err != nil {
+		// Failures and refusals are kept when lines must be dropped.
+		level = logrus.WarnLevel
+	}
+	g.requests.WithFields(fields).Log(level, "Request ended.")
 	metrics.GetOrRegisterCounter("requests.code."+core.CodeOf(c.outcome.err).Info().Name, g.registry).Inc(1)
 	g.histogram("requests.whole_millis").Update(whole.Milliseconds())
 }
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
@@ -128,22 +126,18 @@
 	return firstTime + time.Duration(hintMargin*tokens*float64(tokenTime))
 }
 
-// handover lets a resumable stream leave an engine that loads weights.
-func (g *Gateway) handover(c *call, model fleet.Model) *dispatch.Handover {
+// closing returns when a server loads weights, for streams that may leave it
+// then; nil for others.
+func (g *Gateway) closing(c *call, model fleet.Model) func(core.InstanceID) time.Time {
 	if model == "" || !c.route.Resumable {
 		return nil
 	}
-	return &dispatch.Handover{
-		ClosesAt: func(id core.InstanceID) time.Time {
-			server := g.follower.View().Server(c.service, id)
-			if server == nil {
-				return time.Time{}
-			}
-			return g.closesAt(time.Now(), server, model)
-		},
-		Moved: func(from, to core.InstanceID) {
-			g.requests.WithFields(logrus.Fields{"id": c.id, "from": from, "to": to}).Info("Stream moved off a server that loads weights.")
-		},
+	return func(id core.InstanceID) time.Time {
+		server := g.follower.View().Server(c.service, id)
+		if server == nil {
+			return time.Time{}
+		}
+		return g.closesAt(time.Now(), server, model)
 	}
 }
 
@@ -186,7 +180,8 @@
 		objective = c.began.Add(time.Duration(placePart * float64(c.route.Objective)))
 	}
 	return dispatch.Request{
-		Handover:     g.handover(c, need.model),
+		ClosesAt:     g.closing(c, need.model),
+		Trace:        callTrace{gateway: g, call: c},
 		Expected:     g.expectedTime(c, r),
 		Patience:     patience,
 		Objective:    objective,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -136,7 +136,7 @@
 		return
 	}
 	g.log.WithFields(logrus.Fields{
-		"server": pause.Addr, "model": pause.Model, "version": pause.Version,
+		"addr": pause.Addr, "model": pause.Model, "version": pause.Version,
 		"in_ms": pause.In.Milliseconds(), "over": pause.Over,
 	}).Info("Pause of a server announced.")
 }
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -93,7 +93,7 @@
 		},
 		store:    rowstore.New(n.StoreAddr),
 		registry: metrics.NewRegistry(),
-		log:      config.Log.Part("agent"),
+		log:      config.Log.Part("agent").WithField("addr", n.BackendAddr),
 		origins:  map[string]*worker.Client{},
 	}
 	l.roster = roster.New[staging.Agent](l.store, roster.Agents, l.log)
@@ -112,7 +112,7 @@
 		Announce:  l.announcer.announce,
 		Agents:    l.agents.get,
 		LinkBytes: n.LinkBytes,
-		Log:       config.Log.Part("weights"),
+		Log:       config.Log.Part("weights").WithField("addr", n.BackendAddr),
 	})
 	return l, nil
 }
--- a/daemon/obs/logs.go
+++ b/daemon/obs/logs.go
@@ -15,6 +15,9 @@
 // PartField is the log field that holds the fixed prefix of a part.
 const PartField = "part"
 
+// timeFormat has the milliseconds that order the lines of several daemons.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger writes a daemon's logs; Part gives each part its prefix.
 type Logger struct {
 	base *logrus.Entry
@@ -32,9 +35,9 @@
 	logger.SetLevel(parsed)
 	switch format {
 	case "text":
-		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true, TimestampFormat: timeFormat})
 	case "json":
-		logger.SetFormatter(&logrus.JSONFormatter{})
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	default:
 		return nil, fmt.Errorf("log-format %q: want text or json", format)
 	}
--- /dev/null
+++ b/report/story/story_test.go
@@ -0,0 +1,52 @@
+package story
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const entryLog = `   1.0 entry-1 {"instance":"entry-1","id":"r-1","msg":"Request placed.","attempt":1,"server":"s-1","addr":"10.0.0.1:8000","time":"2026-01-02T10:00:01.000Z"}
+   1.2 entry-1 {"instance":"entry-1","id":"r-1","msg":"Attempt failed.","attempt":1,"server":"s-1","reason":"broke off","retries":true,"time":"2026-01-02T10:00:01.200Z"}
+   1.2 entry-1 {"instance":"entry-1","id":"r-1","msg":"Request placed.","attempt":2,"server":"s-2","time":"2026-01-02T10:00:01.201Z"}
+   1.3 entry-1 {"instance":"entry-1","id":"other","msg":"Request placed.","server":"s-1","time":"2026-01-02T10:00:01.100Z"}
+   1.9 entry-1 {"instance":"entry-1","id":"r-1","msg":"Request ended.","status":200,"server":"s-2","time":"2026-01-02T10:00:01.900Z"}
+not a log line
+`
+
+const otherLog = `{"instance":"agent-1","part":"weights","msg":"Load ordered.","server":"s-1","time":"2026-01-02T10:00:00.500Z"}
+{"instance":"entry-2","part":"watch","msg":"Server lapsed.","server":"s-1","time":"2026-01-02T10:00:00.600Z"}
+{"instance":"entry-2","msg":"Server lapsed.","server":"s-9","time":"2026-01-02T10:00:00.500Z"}
+{"instance":"entry-1","part":"entry","msg":"Pause of a server announced.","addr":"10.0.0.1:8000","time":"2026-01-02T10:00:00.900Z"}
+{"instance":"entry-2","msg":"Server new.","server":"s-1","time":"2026-01-02T09:59:00.000Z"}
+`
+
+func read(t *testing.T, files ...string) *Log {
+	t.Helper()
+	var log Log
+	for _, file := range files {
+		require.NoError(t, log.Read(strings.NewReader(file)))
+	}
+	return &log
+}
+
+func TestStoryHasTheRequestAndItsServersInOrder(t *testing.T) {
+	log := read(t, entryLog, otherLog)
+	require.Equal(t, 1, log.Skipped)
+	var out strings.Builder
+	require.NoError(t, Write(&out, log.Of("r-1")))
+	want := []string{
+		"  10:00:00.500  agent-1  Load ordered. server=s-1",
+		"  10:00:00.900  entry-1  Pause of a server announced. addr=10.0.0.1:8000",
+		"* 10:00:01.000  entry-1  Request placed. attempt=1 server=s-1 addr=10.0.0.1:8000",
+		"* 10:00:01.200  entry-1  Attempt failed. attempt=1 server=s-1 reason=broke off retries=true",
+		"* 10:00:01.201  entry-1  Request placed. attempt=2 server=s-2",
+		"* 10:00:01.900  entry-1  Request ended. server=s-2 status=200",
+	}
+	require.Equal(t, want, strings.Split(strings.TrimRight(out.String(), "\n"), "\n"))
+}
+
+func TestUnknownRequestHasNoStory(t *testing.T) {
+	require.Empty(t, read(t, entryLog).Of("r-7"))
+}
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -20,6 +20,7 @@
 		placer.Finish(x.config.Now(), agent.ID, placement.Abandoned, 0, 0)
 		return core.Fail(core.CodeInternal, core.WorkUnknown, "attempt %s would break a safety promise", id)
 	}
+	x.request.Trace.Placed(x.count, agent, x.among, x.output.sent)
 	// Until it is proven otherwise the attempt may have run.
 	x.unproven++
 	answer := newAssembly(x.request.ID)
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -147,9 +147,11 @@
 	// caller's attempts counts as a request of its own. Streams among them
 	// end when the caller leaves.
 	Unclaimed bool
-	// Handover lets resumable streams leave servers that are about to close; nil
-	// lets them end there.
-	Handover *Handover
+	// ClosesAt returns when a server takes no more requests for a moment, or the
+	// zero time. Resumable streams leave it then; nil lets them end there.
+	ClosesAt func(core.InstanceID) time.Time
+	// Trace is told of the decisions; nil when nobody follows them.
+	Trace Trace
 	// Sender replaces the dispatcher's for this request.
 	Sender Sender
 	// Candidates replaces the dispatcher's for this request.
@@ -201,6 +203,9 @@
 // the whole answer was written. Any other error carries a result code, what
 // happened to the work and, for refusals, when to come back.
 func (d *Dispatcher) Do(ctx context.Context, request Request, sink Sink) error {
+	if request.Trace == nil {
+		request.Trace = noTrace{}
+	}
 	if !d.config.Now().Before(request.Deadline) {
 		return core.Refuse(core.CodeDeadlineShort, d.queue(request).RetryAfter(request.Team), "the deadline has passed")
 	}
--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -32,6 +32,8 @@
 	used bool
 	// unproven counts attempts that may have run.
 	unproven int
+	// among is how many servers the last pick chose from.
+	among int
 	// next is the server that a handover picked.
 	next *placement.Candidate
 	// whole says that the checked answer is out.
@@ -137,18 +139,26 @@
 		if x.next != nil {
 			continue
 		}
-		if canWait(last) {
-			x.full++
-		}
-		if !x.mayRetry(ctx, last) {
-			return x.final(last, last)
-		}
-		if err := x.prepareRetry(ctx, placer, last); err != nil {
+		err = x.afterFailure(ctx, placer, last)
+		x.request.Trace.Failed(x.count, agent.ID, last, err == nil)
+		if err != nil {
 			return x.final(last, err)
 		}
 	}
 }
 
+// afterFailure prepares another attempt after one that failed, or returns why
+// there is none.
+func (x *exchange) afterFailure(ctx context.Context, placer *placement.Placer, last error) error {
+	if canWait(last) {
+		x.full++
+	}
+	if !x.mayRetry(ctx, last) {
+		return last
+	}
+	return x.prepareRetry(ctx, placer, last)
+}
+
 func (x *exchange) pick(ctx context.Context, placer *placement.Placer) (placement.Candidate, error) {
 	if ctx.Err() != nil {
 		return placement.Candidate{}, core.Wrap(ctx.Err(), core.CodeCancelled, core.WorkNotRun, "cancelled before dispatch")
@@ -159,7 +169,9 @@
 	}
 	x.chooseVersion()
 	wanted := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, Expected: x.request.Expected, Tried: x.tried}
-	return placer.Pick(now, wanted, x.candidates())
+	candidates := x.candidates()
+	x.among = len(candidates)
+	return placer.Pick(now, wanted, candidates)
 }
 
 func (x *exchange) candidates() []placement.Candidate {
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -12,24 +12,16 @@
 // handover: most of the rest of a stream fits into it.
 const minStay = time.Second
 
-// Handover lets a stream leave a server that is about to take no requests, so
-// that the server does not wait for the stream's end.
-type Handover struct {
-	// ClosesAt returns when a server takes no more requests, or the zero time.
-	ClosesAt func(core.InstanceID) time.Time
-	// Moved reports a stream that goes on at another server.
-	Moved func(from, to core.InstanceID)
-}
-
 // handOver picks the server at which a stream goes on when the one that makes
-// it closes, and reports whether there is one. The retry budget pays for it. It
+// it closes, which would wait for the stream's end, and reports whether there is
+// one. The retry budget pays for it. It
 // is asked after whole events only.
 func (x *exchange) handOver(ctx context.Context, placer *placement.Placer, from core.InstanceID) bool {
-	if x.request.Handover == nil || !x.output.canResume() || x.count >= x.maxAttempts() {
+	if x.request.ClosesAt == nil || !x.output.canResume() || x.count >= x.maxAttempts() {
 		return false
 	}
 	now := x.config.Now()
-	closes := x.request.Handover.ClosesAt(from)
+	closes := x.request.ClosesAt(from)
 	if closes.IsZero() || now.Before(closes) {
 		return false
 	}
@@ -42,7 +34,7 @@
 		return false
 	}
 	x.next = &next
-	x.request.Handover.Moved(from, next.ID)
+	x.request.Trace.Moved(from, next.ID)
 	return true
 }
 
@@ -57,6 +49,7 @@
 			lasting = append(lasting, c)
 		}
 	}
+	x.among = len(lasting)
 	wanted := placement.Request{Weights: x.request.Weights, Expected: minStay}
 	return placer.Pick(x.config.Now(), wanted, lasting)
 }
