--- a/daemon/deployed/day_test.go
+++ b/daemon/deployed/day_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"slices"
 	"strings"
 	"testing"
 	"time"
