--- a/requests/pace/pace_test.go
+++ b/requests/pace/pace_test.go
@@ -35,3 +35,14 @@
 	require.InDelta(t, 11.6, StartsPerSecond(published, 16), 0.3)
 	require.InDelta(t, 8.1, StartsPerSecond(published, 9), 0.2)
 }
+
+// An empty engine that takes as many prompts as it has slots misses the
+// objective of the last ones; a few at a time keep it.
+func TestPromptsThatComeTogetherWaitForEachOther(t *testing.T) {
+	const objective = 300 * time.Millisecond
+	last := func(together float64) time.Duration {
+		return First(published, Load{Unread: (together - 1) * published.UsualPrompt}, published.UsualPrompt)
+	}
+	require.Greater(t, last(16), objective)
+	require.Less(t, last(4), objective/2)
+}
