--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -236,19 +236,19 @@
 		}
 		limit := g.limit(now, service, server)
 		own := placer.InFlight(server.ID)
+		free := limit - loads.Own[server.ID] - loads.Others[server.ID]
 		list = append(list, placement.Candidate{
-			ID:          server.ID,
-			Addr:        server.Addr,
-			DataCentre:  server.DataCentre,
-			Region:      region,
-			Incarnation: core.Incarnation(max(server.Born.UnixMilli(), 0)),
-			Running:     loads.Others[server.ID] + own,
-			Limit:       limit,
-			ReportedAt:  loads.At,
-			Direct:      true,
-			ClosesAt:    closes,
-			Room: sharers.share(server.ID, region, limit-loads.Own[server.ID]-loads.Others[server.ID]) -
-				(own - loads.Own[server.ID]),
+			ID:            server.ID,
+			Addr:          server.Addr,
+			DataCentre:    server.DataCentre,
+			Region:        region,
+			Incarnation:   core.Incarnation(max(server.Born.UnixMilli(), 0)),
+			Running:       loads.Others[server.ID] + own,
+			Limit:         limit,
+			ReportedAt:    loads.At,
+			Direct:        true,
+			ClosesAt:      closes,
+			Room:          room(sharers.share(server.ID, region, free), free, own, loads.Own[server.ID], service.Engine != nil),
 			DataCentreOut: view.Out[server.DataCentre],
 			Leaving:       server.Leaving,
 		})
@@ -256,6 +256,19 @@
 	return list
 }
 
+// room is how many more requests this entry may start at a server of whose free
+// slots it may take its share. own are its requests there now, and ownThen those
+// at the last exchange. Requests of plain services end long before the next
+// exchange, so that an entry may always have one where slots were free: many
+// entries and few slots would leave most entries none.
+func room(share, free, own, ownThen int, isEngine bool) int {
+	left := share - (own - ownThen)
+	if !isEngine && free > 0 && own == 0 {
+		return max(left, 1)
+	}
+	return left
+}
+
 // limit is how many requests a server may run at once. An engine that comes
 // back from a pause is empty: as many prompts as it has slots would all wait for
 // each other, so that it takes them at the pace at which it reads.
--- a/daemon/gateway/sharers_test.go
+++ b/daemon/gateway/sharers_test.go
@@ -54,3 +54,20 @@
 	require.Negative(t, newSharers(alive, nil, "e-0").share("s-1", "north", -2))
 	require.LessOrEqual(t, newSharers(alive, nil, "e-1").share("s-1", "north", -2), 0)
 }
+
+// 45 entries before three servers with six slots: each must be able to send.
+func TestEveryEntryHasRoomAtPlainServers(t *testing.T) {
+	regions := make([]core.Region, 45)
+	for i := range regions {
+		regions[i] = []core.Region{"north", "south", "east"}[i%3]
+	}
+	alive := entriesOf(regions...)
+	const free = 6
+	for _, self := range alive {
+		share := newSharers(alive, nil, self.ID).share("s-1", "north", free)
+		require.Positive(t, room(share, free, 0, 0, false))
+		require.LessOrEqual(t, room(share, free, 1, 1, false), share)
+		require.LessOrEqual(t, room(0, 0, 0, 0, false), 0, "a full server has no room")
+		require.Equal(t, share, room(share, free, 0, 0, true), "engines hold requests for long")
+	}
+}
