--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -92,6 +92,7 @@
 		weightsCommand(),
 		reportCommand(),
 		explainCommand(),
+		checkCommand(),
 		keysCommand(),
 		demoCommand(),
 		benchCommand(),
--- a/cmd/currantusher/explain_test.go
+++ b/cmd/currantusher/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,3 +18,23 @@
 	require.Equal(t, exitFailed, run([]string{"explain", "r-2", file}), "no such request")
 	require.Equal(t, exitUsage, run([]string{"explain", "r-1", filepath.Join(dir, "none")}))
 }
+
+func TestCheckDeploy(t *testing.T) {
+	const own = "../../deploy/system.toml"
+	require.Equal(t, exitOK, run([]string{"check", "deploy", own}))
+	text, err := os.ReadFile(own)
+	require.NoError(t, err)
+	dir := t.TempDir()
+	for name, change := range map[string][2]string{
+		"command": {"currantusher gateway", "currantusher gatewy"},
+		"setting": {"CURRANTUSHER_METRICS_LISTEN", "CURRANTUSHER_METRIC_LISTEN"},
+		"value":   {`CURRANTUSHER_METRICS_LISTEN = "{{ip}}:7710"`, `CURRANTUSHER_DEADLINE = "soon"`},
+	} {
+		wrong := filepath.Join(dir, name+".toml")
+		require.NoError(t, os.WriteFile(wrong, []byte(strings.Replace(string(text), change[0], change[1], 1)), 0o600))
+		require.Equal(t, exitUsage, run([]string{"check", "deploy", wrong}), name)
+	}
+	node := filepath.Join(dir, "node.toml")
+	require.NoError(t, os.WriteFile(node, []byte("node = 1\n"), 0o600))
+	require.Equal(t, exitUsage, run([]string{"check", "deploy", own, "--node-file", node}))
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -32,6 +32,14 @@
 	bind  func(s *Setting, cmd *flaggy.Subcommand)
 }
 
+// Check reports whether a text is a value of the setting. The setting takes it.
+func (s *Setting) Check(text string) error {
+	if err := s.parse(text); err != nil {
+		return fmt.Errorf("%s %q: %w", s.Env, text, err)
+	}
+	return nil
+}
+
 // Set is the settings of one command.
 type Set struct {
 	settings []*Setting
