--- a/cmd/currantusher/status.go
+++ b/cmd/currantusher/status.go
@@ -17,9 +17,14 @@
 
 func statusCommand() *command {
 	var op operator
+	var store string
 	c := &command{name: "status", usage: "Prints daemons, revisions, versions and who is missing."}
 	op.define(&c.settings)
+	c.settings.String(&store, "store", "", storeUsage)
 	c.run = func(ctx context.Context) error {
+		if store != "" {
+			return printStoreStatus(ctx, store)
+		}
 		client, err := op.client()
 		if err != nil {
 			return err
--- a/cmd/currantusher/weights.go
+++ b/cmd/currantusher/weights.go
@@ -110,9 +110,14 @@
 
 func weightsStatus() *command {
 	var op operator
+	var store string
 	c := &command{name: "status", usage: "Prints the version and progress of each backend server."}
 	op.define(&c.settings)
+	c.settings.String(&store, "store", "", storeUsage)
 	c.run = func(ctx context.Context) error {
+		if store != "" {
+			return printStoreWeights(ctx, store)
+		}
 		client, err := op.client()
 		if err != nil {
 			return err
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -26,16 +26,16 @@
 
 func (s *State) applyConfig(row rowstore.Row) {
 	if row.Deleted {
-		s.note(row, "config", "ignored: the row was deleted")
+		s.ignore(row, "config", "the row was deleted")
 		return
 	}
 	config, err := records.Config(row.Value)
 	if err != nil {
-		s.note(row, "config", "ignored: "+err.Error())
+		s.ignore(row, "config", err.Error())
 		return
 	}
 	if s.config != nil && config.Version <= s.config.Config.Version {
-		s.note(row, "config", fmt.Sprintf("ignored: version %d is not above %d", config.Version, s.config.Config.Version))
+		s.ignore(row, "config", fmt.Sprintf("version %d is not above %d", config.Version, s.config.Config.Version))
 		return
 	}
 	s.config = fleet.Compile(config)
@@ -65,7 +65,7 @@
 	}
 	version, err := records.Version(row.Value)
 	if err != nil {
-		s.note(row, "weights", "ignored: "+err.Error())
+		s.ignore(row, "weights", err.Error())
 		return
 	}
 	list := s.targets[model]
@@ -93,11 +93,11 @@
 	if err != nil {
 		// A row from another writer names no server, also not the one before.
 		delete(s.servers, id)
-		s.note(row, "server", "ignored: "+err.Error())
+		s.ignore(row, "server", err.Error())
 		return
 	}
 	if old != nil && server.IsOlderThan(&old.server.Server) {
-		s.note(row, "server", "ignored: an older state of the server")
+		s.ignore(row, "server", "an older state of the server")
 		return
 	}
 	next := &known{server: Server{Server: server, ColdUntil: now.Add(server.ColdFor)}}
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -34,6 +34,8 @@
 	Detail  string
 	// Revision is the store's revision of the row.
 	Revision uint64
+	// Ignored says that the row changed nothing.
+	Ignored bool
 }
 
 // table is the rows of one table as last known.
@@ -196,6 +198,12 @@
 	s.applyOperator(now, row, first)
 }
 
+// ignore notes a row that changes nothing.
+func (s *State) ignore(row rowstore.Row, subject, reason string) {
+	s.note(row, subject, "ignored: "+reason)
+	s.events[len(s.events)-1].Ignored = true
+}
+
 func (s *State) note(row rowstore.Row, subject, detail string) {
 	s.events = append(s.events, Event{Subject: subject, Key: row.Key, Detail: detail, Revision: row.Revision})
 }
