--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -86,7 +86,7 @@
 	}
 	g.node.Store(&config.Node)
 	g.roster = roster.New[gossip.Member](g.store, roster.Entries, g.log)
-	g.conns = newCallerConns(g.limits)
+	g.conns = newCallerConns(g.limits, maxCallerConns(config.Node.MaxFiles))
 	g.follower = watch.NewFollower(watch.Config{
 		Store:  g.store,
 		Tables: []string{watch.OperatorTable, watch.ServersTable},
@@ -206,8 +206,12 @@
 
 func (g *Gateway) sweep(ctx context.Context) error {
 	idle := metrics.GetOrRegisterGauge("upstream.idle_connections", g.registry)
+	callers := metrics.GetOrRegisterGauge("callers.connections", g.registry)
+	evictions := metrics.GetOrRegisterGauge("callers.evictions", g.registry)
 	return every(ctx, sweepPeriod, func() {
 		idle.Update(int64(g.upstream.Sweep()))
+		callers.Update(int64(g.conns.count()))
+		evictions.Update(g.conns.evicted.Load())
 		now := time.Now()
 		g.cold.Sweep(now)
 		g.observed.sweep(now)
