--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"currantusher.dev/requests/cold"
 	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/pauses"
+	"currantusher.dev/requests/silence"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/tables/watch"
 )
@@ -53,6 +54,7 @@
 	cold        *cold.Ledger
 	observed    *observations
 	pauses      *pauses.Book
+	silence     *silence.Watch
 	conns       *callerConns
 	registry    metrics.Registry
 	leaving     atomic.Bool
@@ -80,6 +82,7 @@
 		cold:        cold.NewLedger(),
 		observed:    newObservations(),
 		pauses:      pauses.NewBook(),
+		silence:     silence.NewWatch(),
 		registry:    metrics.NewRegistry(),
 		log:         config.Log.Part("entry"),
 		requests:    config.Log.Part("request"),
@@ -200,6 +203,7 @@
 		g.followSettings,
 		g.conns.run,
 		g.watchReadiness,
+		g.watchSilence,
 		g.sweep,
 	}
 }
--- a/daemon/gateway/observed.go
+++ b/daemon/gateway/observed.go
@@ -6,6 +6,8 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/silence"
 	"currantusher.dev/tables/watch"
 )
 
@@ -90,6 +92,17 @@
 	o.gateway.observed.answered(time.Now(), server, model, version, coldFor)
 }
 
+// Open implements direct.Observer.
+func (o observer) Open(server core.InstanceID, cancel func()) direct.Line {
+	return line{o.gateway.silence.Open(time.Now(), server, cancel)}
+}
+
+// line implements direct.Line with the current time.
+type line struct{ *silence.Line }
+
+// Heard implements direct.Line.
+func (l line) Heard() { l.Line.Heard(time.Now()) }
+
 // Unreadable implements direct.Observer.
 func (o observer) Unreadable(server core.InstanceID, header string, err error) {
 	o.gateway.requests.WithError(err).WithField("server", server).WithField("header", header).Warn("Header not read; taken as missing.")
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -177,6 +177,15 @@
 	return loads
 }
 
+// eject leaves a server out for a while.
+func (s *serviceSet) eject(now time.Time, id core.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, parts := range s.parts {
+		parts.placer.Eject(now, id)
+	}
+}
+
 // demand is what a request needs of its backend server.
 type demand struct {
 	service fleet.ServiceName
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -29,10 +29,20 @@
 	// Answered reports the version of the weights that a server's answer
 	// names, or 0, and how long the server says it stays cold.
 	Answered(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
+	// Open notes a request that was sent to a server. cancel gives up the attempt;
+	// it is nil for requests that must not be sent again.
+	Open(server core.InstanceID, cancel func()) Line
 	// Unreadable reports a header of an answer that holds no figure.
 	Unreadable(server core.InstanceID, header string, err error)
 }
 
+// Line is told what happens to one attempt.
+type Line interface {
+	// Heard is called when a part of the answer came.
+	Heard()
+	Close()
+}
+
 // Request is what the caller sent, and what the system adds to it.
 type Request struct {
 	ID     string
@@ -133,7 +143,12 @@
 		conn.Close()
 		return nil, core.Wrap(err, core.CodeIncomplete, core.WorkUnknown, "the request may not have reached %s", server.ID)
 	}
-	return &stream{exchange: e, conn: conn, server: server.ID, release: release, digest: newDigest()}, nil
+	var cancel func()
+	if e.request.Repeatable {
+		cancel = conn.Close
+	}
+	line := e.observer.Open(server.ID, cancel)
+	return &stream{exchange: e, conn: conn, server: server.ID, release: release, line: line, digest: newDigest()}, nil
 }
 
 // Tombstone implements dispatch.Sender. A backend server can't bar a request
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -31,6 +31,7 @@
 	conn     *upstream.Conn
 	server   core.InstanceID
 	release  func() bool
+	line     Line
 
 	response *http.Response
 	events   events
@@ -61,6 +62,7 @@
 
 // Cancel implements dispatch.ReplyStream.
 func (s *stream) Cancel() {
+	s.line.Close()
 	s.release()
 	s.conn.Close()
 }
@@ -71,6 +73,7 @@
 	if err != nil {
 		return wire.Reply{}, err
 	}
+	s.line.Heard()
 	s.response = response
 	if err := s.checkID(); err != nil {
 		return wire.Reply{}, err
@@ -194,6 +197,7 @@
 	if err != nil && !s.atEnd {
 		return nil, fmt.Errorf("answer of %s broke off: %w", s.server, err)
 	}
+	s.line.Heard()
 	part := s.buffer[:n]
 	if !request.Resumable {
 		return part, nil
@@ -227,6 +231,7 @@
 
 // finish returns the connection.
 func (s *stream) finish() {
+	s.line.Close()
 	if s.release() {
 		s.conn.Release(s.response)
 		return
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -28,6 +28,14 @@
 
 type noObserver struct{}
 
+func (noObserver) Open(core.InstanceID, func()) Line { return noLine{} }
+
+type noLine struct{}
+
+func (noLine) Heard() {}
+
+func (noLine) Close() {}
+
 func (noObserver) Sent(core.InstanceID) {}
 
 func (noObserver) Answered(core.InstanceID, fleet.Model, fleet.WeightsVersion, time.Duration) {}
--- a/requests/placement/agent.go
+++ b/requests/placement/agent.go
@@ -72,7 +72,10 @@
 		}
 	case Failed:
 		a.failures++
-		if a.failures >= config.EjectAfter || a.isEjected() {
+		switch {
+		case a.isEjected() && now.Before(a.ejected):
+			// The attempt began before the ejection and says nothing new.
+		case a.isEjected() || a.failures >= config.EjectAfter:
 			a.eject(now, config, random)
 		}
 	}
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// Eject leaves an agent out for a while, as after failures.
+func (p *Placer) Eject(now time.Time, id core.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.agents[id]; a != nil && !(a.isEjected() && now.Before(a.ejected)) {
+		a.eject(now, p.config, p.random)
+	}
+}
+
 // Capacity is how many requests this entry may have in flight at the
 // candidates: their limits less the work of others.
 func (p *Placer) Capacity(now time.Time, weights core.Digest, candidates []Candidate) int {
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -280,3 +280,27 @@
 	require.True(t, p.Retry())
 	require.False(t, p.Retry())
 }
+
+// Requests that were at a server together fail together; they must not count as
+// failed probes, each of which doubles the time of ejection.
+func TestFailuresFromBeforeTheEjectionDoNotProlongIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{Entry: "e", EjectAfter: 2})
+	candidates := []Candidate{{ID: "a", Limit: 16, ReportedAt: now}}
+	const together = 10
+	for range together {
+		_, err := p.Pick(now, Request{}, candidates)
+		require.NoError(t, err)
+	}
+	for range together {
+		p.Finish(now, "a", Failed, 0, 0)
+	}
+	_, err := p.Pick(now, Request{}, candidates)
+	require.Error(t, err)
+	later := now.Add(DefaultEjectBase + DefaultEjectBase/2)
+	_, err = p.Pick(later, Request{}, candidates)
+	require.NoError(t, err, "it is probed after the first time of ejection")
+	p.Finish(later, "a", Failed, 0, 0)
+	_, err = p.Pick(later.Add(DefaultEjectBase+DefaultEjectBase/2), Request{}, candidates)
+	require.Error(t, err, "a failed probe doubles the time")
+}
