Two entries of a data centre read the store's rows for the others there

Where a data centre has four entries or more, two of them, which all choose alike, read from the store; the others and the agents ask them and fall back to the store when one does not answer or is cut off itself.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/silence"
 	"currantusher.dev/requests/upstream"
+	"currantusher.dev/tables/relay"
 	"currantusher.dev/tables/watch"
 )
 
@@ -45,19 +46,21 @@
 	node        atomic.Pointer[nodefile.Node]
 	incarnation core.Incarnation
 	store       *rowstore.Client
-	follower    *watch.Follower
-	roster      *roster.Roster[gossip.Member]
-	gossip      *gossip.Node
-	upstream    *upstream.Pool
-	services    *serviceSet
-	dispatcher  *dispatch.Dispatcher
-	cold        *cold.Ledger
-	observed    *observations
-	pauses      *pauses.Book
-	silence     *silence.Watch
-	conns       *callerConns
-	registry    metrics.Registry
-	leaving     atomic.Bool
+	// recorder holds the rows that this entry reads for others.
+	recorder   *relay.Recorder
+	follower   *watch.Follower
+	roster     *roster.Roster[gossip.Member]
+	gossip     *gossip.Node
+	upstream   *upstream.Pool
+	services   *serviceSet
+	dispatcher *dispatch.Dispatcher
+	cold       *cold.Ledger
+	observed   *observations
+	pauses     *pauses.Book
+	silence    *silence.Watch
+	conns      *callerConns
+	registry   metrics.Registry
+	leaving    atomic.Bool
 	// knowsEntries says that the rows of all entries were read.
 	knowsEntries atomic.Bool
 	started      time.Time
@@ -90,8 +93,11 @@
 	g.node.Store(&config.Node)
 	g.roster = roster.New[gossip.Member](g.store, roster.Entries, g.log)
 	g.conns = newCallerConns(g.limits, maxCallerConns(config.Node.MaxFiles))
+	g.recorder = relay.NewRecorder(g.store, nil)
 	g.follower = watch.NewFollower(watch.Config{
-		Store:  g.store,
+		Store: relay.NewStore(relay.Config{
+			Self: config.Node.Instance, Recorder: g.recorder, Relays: g.relays, Log: config.Log.Part("watch"),
+		}),
 		Tables: []string{watch.OperatorTable, watch.ServersTable},
 		// The node is made below and set before the follower runs.
 		OthersReach: func() bool { return g.gossip.OthersReachStore() },
@@ -144,6 +150,15 @@
 	}).Info("Pause of a server announced.")
 }
 
+// relays returns the entries that read the store's rows for this one.
+func (g *Gateway) relays(context.Context) []relay.Member {
+	var members []relay.Member
+	for _, m := range g.gossip.Alive() {
+		members = append(members, relay.Member{ID: m.ID, DataCentre: m.DataCentre, Addr: m.PeerAddr})
+	}
+	return relay.Relays(members, g.node.Load().DataCentre)
+}
+
 func (g *Gateway) revisions() map[string]uint64 {
 	view := g.follower.View()
 	return map[string]uint64{
--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -11,6 +11,7 @@
 
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/platform/doors"
+	"currantusher.dev/tables/relay"
 )
 
 // Bounds of the connections on addresses other than the callers'.
@@ -83,6 +84,7 @@
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathRows+"{table}", g.serveRows)
+	mux.Handle(relay.Path, relay.Handler(g.recorder, g.log))
 	return mux
 }
 
--- a/daemon/loader/announce.go
+++ b/daemon/loader/announce.go
@@ -8,13 +8,10 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core/fleet"
-	"currantusher.dev/daemon/roster"
 	"currantusher.dev/members/gossip"
 )
 
 const (
-	// entriesTTL is how long a read list of entries serves.
-	entriesTTL = 5 * time.Second
 	// repeats and repeatPause are how often and in which distance an
 	// announcement is sent, since datagrams are lost at times.
 	repeats     = 2
@@ -25,13 +22,10 @@
 
 // announcer tells the entries when the engine beside this agent pauses.
 type announcer struct {
-	engine string
-	roster *roster.Roster[gossip.Member]
-	log    *logrus.Entry
-	queue  chan queuedPause
-
-	entries []gossip.Member
-	readAt  time.Time
+	engine  string
+	entries *entryList
+	log     *logrus.Entry
+	queue   chan queuedPause
 	// number orders announcements, also over restarts of the agent.
 	number uint64
 }
@@ -41,9 +35,9 @@
 	at    time.Time
 }
 
-func newAnnouncer(engine string, entries *roster.Roster[gossip.Member], log *logrus.Entry) *announcer {
+func newAnnouncer(engine string, entries *entryList, log *logrus.Entry) *announcer {
 	return &announcer{
-		engine: engine, roster: entries, log: log,
+		engine: engine, entries: entries, log: log,
 		queue: make(chan queuedPause, queuedPauses), number: uint64(time.Now().UnixNano()),
 	}
 }
@@ -75,14 +69,14 @@
 }
 
 func (a *announcer) send(ctx context.Context, socket *net.UDPConn, next queuedPause) {
-	a.readEntries(ctx)
+	entries := a.entries.get(ctx)
 	a.number++
 	for range repeats {
 		announced := next.pause
 		announced.Addr = a.engine
 		announced.Number = a.number
 		announced.In = max(next.pause.In-time.Since(next.at), 0)
-		for _, entry := range a.entries {
+		for _, entry := range entries {
 			if err := gossip.Announce(socket, entry.PeerAddr, announced); err != nil {
 				a.log.WithError(err).WithField("entry", entry.ID).Info("Pause not announced to an entry.")
 			}
@@ -90,20 +84,6 @@
 		time.Sleep(repeatPause)
 	}
 	a.log.WithFields(logrus.Fields{
-		"version": next.pause.Version, "in_ms": next.pause.In.Milliseconds(), "over": next.pause.Over, "entries": len(a.entries),
+		"version": next.pause.Version, "in_ms": next.pause.In.Milliseconds(), "over": next.pause.Over, "entries": len(entries),
 	}).Info("Pause announced.")
 }
-
-// readEntries renews the list of entries; the last known ones serve while the
-// store does not answer.
-func (a *announcer) readEntries(ctx context.Context) {
-	if len(a.entries) > 0 && time.Since(a.readAt) < entriesTTL {
-		return
-	}
-	entries, err := a.roster.Read(ctx)
-	if err != nil {
-		a.log.WithError(err).WithField("known", len(a.entries)).Warn("Entries not read; the last known ones are told.")
-		return
-	}
-	a.entries, a.readAt = entries, time.Now()
-}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -22,6 +22,7 @@
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/platform/worker"
+	"currantusher.dev/tables/relay"
 	"currantusher.dev/tables/watch"
 	"currantusher.dev/weights/staging"
 )
@@ -98,9 +99,12 @@
 	}
 	l.roster = roster.New[staging.Agent](l.store, roster.Agents, l.log)
 	l.agents = &agentList{roster: l.roster, store: l.store, log: l.log}
-	l.announcer = newAnnouncer(n.BackendAddr, roster.New[gossip.Member](l.store, roster.Entries, l.log), l.log)
+	entries := &entryList{roster: roster.New[gossip.Member](l.store, roster.Entries, l.log), log: l.log}
+	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
 	l.follower = watch.NewFollower(watch.Config{
-		Store:  l.store,
+		Store: relay.NewStore(relay.Config{
+			Self: n.Instance, Recorder: relay.NewRecorder(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Part("watch"),
+		}),
 		Tables: []string{watch.OperatorTable},
 		Log:    config.Log.Part("watch"),
 	})
