Relays send large rows packed; an answer must begin soon, not end

Large answers are compressed once and kept for the next question; only the beginning of an answer is bound tightly.

--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,9 +28,15 @@
 	// maxWait bounds how long a question waits for changes. A silent relay is
 	// noticed a little later.
 	maxWait = time.Second
-	// answerTime is what a question may take beside its wait: a large
-	// configuration takes 0.1 s within a data centre.
+	// answerTime is what an answer may take to begin beside the question's wait.
 	answerTime = 600 * time.Millisecond
+	// bodyTime is what an answer may take in all: a dozen daemons ask a relay
+	// for a large configuration at once.
+	bodyTime = 3 * time.Second
+	// packedFrom is the length from which on answers are compressed;
+	// configurations shrink to a tenth.
+	packedFrom = 4 << 10
+	encoding   = "gzip"
 	// dialTimeout bounds the wait for a connection within a data centre.
 	dialTimeout = 300 * time.Millisecond
 	// maxAnswerBytes bounds an answer.
@@ -38,6 +47,7 @@
 // Handler serves what a Recorder holds to other daemons.
 func Handler(r *Recorder, log *logrus.Entry) http.Handler {
 	mux := http.NewServeMux()
+	encoded := &bodies{}
 	mux.HandleFunc("GET "+Path+"{table}", func(w http.ResponseWriter, request *http.Request) {
 		page, status := answer(r, request)
 		switch status {
@@ -48,14 +58,17 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		body, err := cbor.Marshal(page)
+		body, err := encoded.get(request.URL.RequestURI(), page)
 		if err != nil {
 			log.WithError(err).Error("Rows not encoded.")
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		if body.packed {
+			w.Header().Set("Content-Encoding", encoding)
+		}
 		// A failed write concerns the asking daemon, which asks again.
-		_, _ = w.Write(body)
+		_, _ = w.Write(body.bytes)
 	})
 	return mux
 }
@@ -83,21 +96,21 @@
 func newClient() *client {
 	return &client{http: &http.Client{Transport: &http.Transport{
 		DialContext: netdial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: idleConns, DisableCompression: true,
+		ResponseHeaderTimeout: maxWait + answerTime,
 	}}}
 }
 
 func (c *client) all(ctx context.Context, addr, table string) (rowstore.Page, error) {
-	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table), answerTime)
+	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table))
 }
 
 func (c *client) since(ctx context.Context, addr, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
-	wait = min(wait, maxWait)
-	query := url.Values{fieldSince: {strconv.FormatUint(since, 10)}, fieldWait: {wait.String()}}
-	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table)+"?"+query.Encode(), wait+answerTime)
+	query := url.Values{fieldSince: {strconv.FormatUint(since, 10)}, fieldWait: {min(wait, maxWait).String()}}
+	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table)+"?"+query.Encode())
 }
 
-func (c *client) get(ctx context.Context, address string, timeout time.Duration) (rowstore.Page, error) {
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+func (c *client) get(ctx context.Context, address string) (rowstore.Page, error) {
+	bounded, cancel := context.WithTimeout(ctx, maxWait+bodyTime)
 	defer cancel()
 	request, err := http.NewRequestWithContext(bounded, http.MethodGet, address, nil)
 	if err != nil {
@@ -115,7 +128,7 @@
 	default:
 		return rowstore.Page{}, fmt.Errorf("relay: status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := readBody(response)
 	if err != nil {
 		return rowstore.Page{}, err
 	}
@@ -125,3 +138,57 @@
 	}
 	return page, nil
 }
+
+func readBody(response *http.Response) ([]byte, error) {
+	var reader io.Reader = response.Body
+	if response.Header.Get("Content-Encoding") == encoding {
+		unpacked, err := gzip.NewReader(response.Body)
+		if err != nil {
+			return nil, err
+		}
+		reader = unpacked
+	}
+	return io.ReadAll(io.LimitReader(reader, maxAnswerBytes))
+}
+
+// body is an encoded answer.
+type body struct {
+	bytes  []byte
+	packed bool
+}
+
+// bodies keeps the last large answer, since most daemons ask for the same one.
+type bodies struct {
+	mu       sync.Mutex
+	question string
+	revision uint64
+	last     body
+}
+
+func (b *bodies) get(question string, page rowstore.Page) (body, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.last.packed && b.question == question && b.revision == page.Revision {
+		return b.last, nil
+	}
+	plain, err := cbor.Marshal(page)
+	if err != nil {
+		return body{}, err
+	}
+	if len(plain) < packedFrom {
+		return body{bytes: plain}, nil
+	}
+	var packed bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return body{}, err
+	}
+	if _, err := writer.Write(plain); err != nil {
+		return body{}, err
+	}
+	if err := writer.Close(); err != nil {
+		return body{}, err
+	}
+	b.question, b.revision, b.last = question, page.Revision, body{bytes: packed.Bytes(), packed: true}
+	return b.last, nil
+}
--- a/tables/relay/relay_test.go
+++ b/tables/relay/relay_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -244,3 +246,31 @@
 	require.Nil(t, Relays(members[:6], "a"))
 	require.Nil(t, Relays(members, "c"))
 }
+
+// A configuration of hundreds of kilobytes goes to a dozen daemons at once.
+func TestLargeRowsAreSentSmall(t *testing.T) {
+	s := newSource()
+	s.put("a", false)
+	recorder := NewRecorder(s, nil)
+	first := &reader{store: recorder}
+	require.NoError(t, first.read(t.Context()))
+	text := strings.Repeat("the same route again, ", 20000)
+	s.mu.Lock()
+	s.revision++
+	row := rowstore.Row{Table: table, Key: "large", Value: []byte(text), Revision: s.revision}
+	s.rows["large"] = row
+	s.changes = append(s.changes, row)
+	s.mu.Unlock()
+	require.NoError(t, first.read(t.Context()))
+	handler := Handler(recorder, quiet())
+	recorded := httptest.NewRecorder()
+	handler.ServeHTTP(recorded, httptest.NewRequest(http.MethodGet, Path+table+"?since=1&wait=1ms", nil))
+	require.Less(t, recorded.Body.Len(), len(text)/20)
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	for range 3 {
+		page, err := newClient().since(t.Context(), server.Listener.Addr().String(), table, 1, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, []rowstore.Row{row}, page.Rows)
+	}
+}
