New entries learn since when versions are named; slow servers come last

Entries tell each other since when they know of the newest version. - an engine behind a squeezed link answered after 0.8 s and got its part all the same. Servers whose mean time to the first event is 2.5 times the median and over 0.3 s get only what finds no room elsewhere, and are tried again after 1.5 s.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -111,6 +111,8 @@
 		Loads:        g.services.loads,
 		ReachesStore: g.follower.ReachesStore,
 		OnPause:      g.onPause,
+		Named:        g.named,
+		OnNamed:      g.onNamed,
 		Log:          config.Log.Part("gossip"),
 	})
 	if err != nil {
@@ -150,6 +152,27 @@
 	}).Info("Pause of a server announced.")
 }
 
+// named returns since when this entry knows of the newest weights.
+func (g *Gateway) named() []gossip.Named {
+	view := g.follower.View()
+	var list []gossip.Named
+	for model := range view.Targets {
+		if newest := view.Newest(model); !newest.Since.IsZero() {
+			list = append(list, gossip.Named{Model: model, Version: newest.Version, Age: time.Since(newest.Since)})
+		}
+	}
+	return list
+}
+
+// onNamed takes since when another entry knows of the newest weights. Without
+// it a new entry would hold that they must be in force everywhere already.
+func (g *Gateway) onNamed(list []gossip.Named) {
+	now := time.Now()
+	for _, n := range list {
+		g.follower.LearnSince(n.Model, n.Version, now.Add(-n.Age))
+	}
+}
+
 // relays returns the entries that read the store's rows for this one.
 func (g *Gateway) relays(context.Context) []relay.Member {
 	var members []relay.Member
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -27,6 +27,10 @@
 	ReachesStore func() bool
 	// Loads returns the requests in flight at each backend server.
 	Loads func() map[core.InstanceID]int
+	// Named returns what the entry knows of the newest weights, and OnNamed takes
+	// what another one knows.
+	Named   func() []Named
+	OnNamed func([]Named)
 	// OnPause takes what agents announce of their backend servers.
 	OnPause func(fleet.Pause)
 	Log     *logrus.Entry
@@ -62,6 +66,12 @@
 	if config.OnPause == nil {
 		config.OnPause = func(fleet.Pause) {}
 	}
+	if config.Named == nil {
+		config.Named = func() []Named { return nil }
+	}
+	if config.OnNamed == nil {
+		config.OnNamed = func([]Named) {}
+	}
 	addr, err := net.ResolveUDPAddr("udp", config.Self.PeerAddr)
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
@@ -128,10 +138,12 @@
 
 func (n *Node) round() {
 	revisions, loads, reaches := n.config.Revisions(), n.config.Loads(), n.config.ReachesStore()
+	named := n.config.Named()
 	n.mu.Lock()
 	n.state.SetReachesStore(reaches)
 	now := n.config.Now()
 	message, addrs := n.state.Round(now, revisions, loads)
+	message.Named = named
 	n.loads = Loads{At: now, Own: loads, Others: n.state.Loads(now)}
 	alive := len(n.state.Alive(now))
 	was := n.alive
@@ -171,6 +183,9 @@
 		n.config.OnPause(*message.Pause)
 		return
 	}
+	if len(message.Named) > 0 {
+		n.config.OnNamed(message.Named)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.state.Receive(n.config.Now(), message)
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -78,10 +78,21 @@
 	Loads map[core.InstanceID]int `cbor:"2,keyasint,omitempty"`
 	// Others are members that the sender heard of lately.
 	Others []Member `cbor:"3,keyasint,omitempty"`
+	// Named tells since when the sender knows of the newest weights, for entries
+	// that started later and can't tell from the rows.
+	Named []Named `cbor:"5,keyasint,omitempty"`
 	// Pause comes from an agent, alone in its message.
 	Pause *fleet.Pause `cbor:"4,keyasint,omitempty"`
 }
 
+// Named is a version of a model's weights that operators have named.
+type Named struct {
+	Model   fleet.Model          `cbor:"1,keyasint"`
+	Version fleet.WeightsVersion `cbor:"2,keyasint"`
+	// Age is how long before the message the sender learned of it.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
 type peer struct {
 	member Member
 	// heard is when the newest beat came, zero when none did.
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -85,6 +85,7 @@
 func (x *exchange) exchange(ctx context.Context, placer *placement.Placer, id string, agent placement.Candidate, answer *assembly) error {
 	call, cancel := x.callContext(ctx)
 	defer cancel()
+	sent := x.config.Now()
 	stream, err := x.sender().Send(call, agent, x.message(id, agent))
 	if isNotConnected(err) {
 		return core.Refuse(core.CodeAgentUnreachable, 0, "agent %s: %v", agent.ID, err)
@@ -94,7 +95,7 @@
 		if x.startTimeout() > 0 && !x.request.AtMostOnce {
 			abandon = time.AfterFunc(x.startTimeout(), cancel)
 		}
-		leave := func() bool { return x.handOver(ctx, placer, agent.ID) }
+		leave := x.leaver(ctx, placer, agent.ID, sent)
 		err = x.receive(stream, answer, abandon, leave)
 		if err != nil {
 			stream.Cancel()
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -38,6 +38,20 @@
 	return true
 }
 
+// leaver returns what is asked after each part of an answer: it notes when the
+// first one came, and says whether the answer goes on elsewhere.
+func (x *exchange) leaver(ctx context.Context, placer *placement.Placer, server core.InstanceID, sent time.Time) func() bool {
+	first := true
+	return func() bool {
+		if first && x.request.Stream {
+			now := x.config.Now()
+			placer.First(now, server, now.Sub(sent))
+		}
+		first = false
+		return x.handOver(ctx, placer, server)
+	}
+}
+
 // pickLasting picks another server that takes requests until a time.
 func (x *exchange) pickLasting(ctx context.Context, placer *placement.Placer, from core.InstanceID, until time.Time) (placement.Candidate, error) {
 	if ctx.Err() != nil {
--- a/requests/placement/agent.go
+++ b/requests/placement/agent.go
@@ -28,6 +28,7 @@
 	reported    time.Time
 	lastUsed    time.Time
 
+	first     first
 	failures  int
 	ejections int
 	ejected   time.Time
--- a/requests/placement/pick.go
+++ b/requests/placement/pick.go
@@ -110,6 +110,7 @@
 	if c.Incarnation > a.incarnation {
 		a.incarnation = c.Incarnation
 		a.failures = 0
+		a.first = first{}
 		a.ejections = 0
 		a.ejected = time.Time{}
 		a.unfit = time.Time{}
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -189,7 +189,8 @@
 	defer p.mu.Unlock()
 	p.sweep(now)
 	usable := p.usable(now, request, candidates)
-	for _, options := range [][]option{lasting(now, request, usable), usable} {
+	staying := lasting(now, request, usable)
+	for _, options := range [][]option{quick(now, staying), staying, usable} {
 		if chosen, ok := p.chooseNearest(request, options); ok {
 			chosen.agent.start(now)
 			return *chosen.candidate, nil
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -304,3 +304,46 @@
 	_, err = p.Pick(later.Add(DefaultEjectBase+DefaultEjectBase/2), Request{}, candidates)
 	require.Error(t, err, "a failed probe doubles the time")
 }
+
+// A server that is many times slower than the others, as behind a narrow link,
+// gets only what finds no room elsewhere, and is tried again after a while.
+func TestSlowServersComeLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{Entry: "e"})
+	room := func(n int) []Candidate {
+		var list []Candidate
+		for _, id := range []core.InstanceID{"a", "b", "slow"} {
+			list = append(list, Candidate{ID: id, Limit: 16, ReportedAt: now, Direct: true, Room: n})
+		}
+		return list
+	}
+	count := func(tries int, candidates []Candidate) int {
+		slow := 0
+		for range tries {
+			chosen, err := p.Pick(now, Request{}, candidates)
+			require.NoError(t, err)
+			if chosen.ID == "slow" {
+				slow++
+			}
+			p.Finish(now, chosen.ID, Answered, 0, 0)
+		}
+		return slow
+	}
+	require.Positive(t, count(50, room(4)), "nothing is known yet")
+	for _, id := range []core.InstanceID{"a", "b"} {
+		p.First(now, id, 130*time.Millisecond)
+	}
+	p.First(now, "slow", 800*time.Millisecond)
+	require.Zero(t, count(50, room(4)))
+	full := room(0)
+	full[2].Room = 1
+	require.Equal(t, 5, count(5, full), "it is better than none")
+	now = now.Add(slowMemory)
+	require.Positive(t, count(50, room(4)), "it is tried again")
+	p.First(now, "slow", 800*time.Millisecond)
+	require.Zero(t, count(50, room(4)))
+	for range 12 {
+		p.First(now, "slow", 130*time.Millisecond)
+	}
+	require.Positive(t, count(50, room(4)), "it is quick again")
+}
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
 )
@@ -267,6 +268,15 @@
 	return f.state.Export(name)
 }
 
+// LearnSince takes since when another daemon knows of a version that was named
+// before this one started.
+func (f *Follower) LearnSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
+	if target := f.View().Newest(model); target.Version != version || !target.Since.IsZero() {
+		return
+	}
+	f.update(func(time.Time) { f.state.LearnSince(model, version, since) })
+}
+
 // Import takes a peer's table when it is newer, and reports whether it was.
 func (f *Follower) Import(snapshot Snapshot) bool {
 	taken := false
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -225,6 +226,24 @@
 	return changed
 }
 
+// LearnSince takes since when another daemon knows of a version that was named
+// before this one started.
+func (s *State) LearnSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) bool {
+	for i, target := range s.targets[model] {
+		if target.Version != version || !target.Since.IsZero() {
+			continue
+		}
+		list := slices.Clone(s.targets[model])
+		list[i].Since = since
+		s.targets[model] = list
+		s.events = append(s.events, Event{
+			Subject: "weights", Key: string(model), Detail: fmt.Sprintf("a peer knows since when version %d is named", version),
+		})
+		return true
+	}
+	return false
+}
+
 // HasLapsed reports whether Expire has servers to look at.
 func (s *State) HasLapsed() bool {
 	for _, k := range s.servers {
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -154,3 +154,19 @@
 func TestRequiredOfUnknownModel(t *testing.T) {
 	require.Zero(t, loaded(t).View().Required(start, fleet.Model("x"), 0))
 }
+
+// An entry that starts while a version is on its way must not refuse servers
+// that need not have it yet.
+func TestNewDaemonLearnsSinceWhenAVersionIsNamed(t *testing.T) {
+	const inForce = 8 * time.Second
+	s := NewState()
+	s.Replace(start, OperatorTable, page(5, rowstore.Row{
+		Table: OperatorTable, Key: standin.VersionKey("m"), Revision: 5, Value: standin.VersionRow("m", 2),
+	}))
+	require.EqualValues(t, 2, s.View().Required(start, "m", inForce), "nothing is known of its time")
+	require.False(t, s.LearnSince("m", 3, start))
+	require.True(t, s.LearnSince("m", 2, start.Add(-3*time.Second)))
+	require.Zero(t, s.View().Required(start, "m", inForce))
+	require.EqualValues(t, 2, s.View().Required(start.Add(5*time.Second), "m", inForce))
+	require.False(t, s.LearnSince("m", 2, start), "what is known stays")
+}
