Questions for pieces grow with the neighbours; transfers are timed from their first byte

An agent asked for four pieces at a time, and with 18 neighbours each question waits 0.6 s for its turn at a sender; that wait counted as a slow link, so that agents halved their questions and declined their pieces (496 times).

--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxTransfers bounds the pieces that arrive side by side. Four at the
-	// usual size queue 0.14 s on the slowest sound link.
-	maxTransfers = 4
+	// fewTransfers bounds the pieces that an agent asks for side by side where it
+	// has few neighbours. Four at the usual size queue 0.14 s on the slowest
+	// sound link. With many neighbours most of these questions wait for their
+	// turn at the senders, so that there is one for each neighbour.
+	fewTransfers = 4
 	// slowTransfer is a time for one piece that shows a link narrower than
 	// expected: a piece that shares the slowest sound link with three others
 	// takes 0.14 s.
@@ -31,7 +33,9 @@
 // transfers are slow, as on a link that has become narrow, and widens it step
 // by step when they are not.
 type downlink struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// most is the widest bound.
+	most  float64
 	bound float64
 	used  int
 	// urgent counts the urgent transfers that wait; others let them go first.
@@ -46,7 +50,7 @@
 }
 
 func newDownlink() *downlink {
-	return &downlink{bound: maxTransfers, slow: map[core.InstanceID]bool{}, freed: make(chan struct{})}
+	return &downlink{bound: fewTransfers, most: fewTransfers, slow: map[core.InstanceID]bool{}, freed: make(chan struct{})}
 }
 
 // isNarrow reports whether the link itself is narrow: lately all transfers were
@@ -57,6 +61,19 @@
 	return len(d.slow) >= narrowSources && now.Sub(d.slowAt) < narrowFor
 }
 
+// widen sets the widest bound for an agent with so many neighbours.
+func (d *downlink) widen(neighbours int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	most := float64(max(fewTransfers, neighbours))
+	if d.bound == d.most {
+		d.bound = most
+	}
+	d.most = most
+	d.bound = min(d.bound, most)
+	d.wake()
+}
+
 // acquire waits for a place. Urgent transfers go before others.
 func (d *downlink) acquire(ctx context.Context, urgent bool) error {
 	if urgent {
@@ -107,7 +124,7 @@
 	}
 	switch {
 	case took < slowTransfer:
-		d.bound = min(maxTransfers, d.bound+widening)
+		d.bound = min(d.most, d.bound+widening)
 	case now.Sub(d.narrowed) > took:
 		// Transfers that ran side by side are slow for the same reason.
 		d.narrowed = now
--- a/weights/staging/downlink_test.go
+++ b/weights/staging/downlink_test.go
@@ -12,11 +12,11 @@
 	d := newDownlink()
 	now := time.Unix(100, 0)
 	ctx := context.Background()
-	for range maxTransfers {
+	for range fewTransfers {
 		require.NoError(t, d.acquire(ctx, false))
 	}
 	// All four were slow together: one halving.
-	for range maxTransfers {
+	for range fewTransfers {
 		now = now.Add(time.Millisecond)
 		d.release(now, "a-1", time.Second)
 	}
@@ -39,7 +39,7 @@
 		require.NoError(t, d.acquire(ctx, false))
 		d.release(now, "a-1", time.Millisecond)
 	}
-	require.InDelta(t, maxTransfers, d.bound, 0)
+	require.InDelta(t, fewTransfers, d.bound, 0)
 }
 
 // Slow senders do not make the receiver's link narrow.
@@ -54,3 +54,13 @@
 	d.release(now, "a-3", time.Millisecond)
 	require.False(t, d.isNarrow(now))
 }
+
+func TestDownlinkWidensWithNeighbours(t *testing.T) {
+	d := newDownlink()
+	d.widen(19)
+	for range 19 {
+		require.NoError(t, d.acquire(context.Background(), false))
+	}
+	d.widen(3)
+	require.InDelta(t, fewTransfers, d.bound, 0)
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -286,14 +286,11 @@
 	if err := f.manager.downlink.acquire(ctx, f.plan.Owns(num)); err != nil {
 		return nil, err
 	}
-	began := time.Now()
-	defer func() {
-		now := time.Now()
-		f.manager.downlink.release(now, peer.ID, now.Sub(began))
-	}()
 	sending, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
-	return peers.Piece(sending, peer, f.wanted.Key, num)
+	content, took, err := peers.Piece(sending, peer, f.wanted.Key, num)
+	f.manager.downlink.release(time.Now(), peer.ID, took)
+	return content, err
 }
 
 func (f *fetcher) fromOrigin(ctx context.Context, num int) ([]byte, error) {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -44,7 +44,9 @@
 	// Await returns when the peer has the piece, or an error with
 	// CodeUnknownEntity when it does not have it soon.
 	Await(ctx context.Context, peer Agent, key Key, piece int) error
-	Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error)
+	// Piece returns a piece and how long its bytes took, without the wait for
+	// the sender's turn.
+	Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, time.Duration, error)
 }
 
 // Wanted is a version that the engine must have.
@@ -263,6 +265,7 @@
 	agents := m.config.Agents(ctx)
 	plan := NewPlan(m.config.Self, wanted.Home, agents)
 	m.keepPlan(wanted.Key, plan)
+	m.downlink.widen(plan.local())
 	fetch := newFetcher(m, log, wanted, plan)
 	held, err := fetch.pieces(ctx)
 	if err != nil {
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -55,7 +55,7 @@
 
 // Manifest implements Peers.
 func (p *HTTPPeers) Manifest(ctx context.Context, peer Agent, key Key) ([][32]byte, error) {
-	body, err := p.get(ctx, peer, path(key, "manifest"))
+	body, _, err := p.get(ctx, peer, path(key, "manifest"))
 	if err != nil {
 		return nil, err
 	}
@@ -68,12 +68,12 @@
 
 // Await implements Peers.
 func (p *HTTPPeers) Await(ctx context.Context, peer Agent, key Key, piece int) error {
-	_, err := p.get(ctx, peer, path(key, strconv.Itoa(piece)+awaitSuffix))
+	_, _, err := p.get(ctx, peer, path(key, strconv.Itoa(piece)+awaitSuffix))
 	return err
 }
 
 // Piece implements Peers.
-func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, error) {
+func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key Key, piece int) ([]byte, time.Duration, error) {
 	return p.get(ctx, peer, path(key, strconv.Itoa(piece)))
 }
 
@@ -81,26 +81,28 @@
 	return fmt.Sprintf("/weights/%s/%d/%s", url.PathEscape(string(key.Model)), key.Version, what)
 }
 
-func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, error) {
+// get returns an answer's body and how long it took from its first byte on.
+func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, time.Duration, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Addr+path+p.query, nil)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	began := time.Now()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerBytes))
 	switch {
 	case err != nil:
-		return nil, fmt.Errorf("answer of %s: %w", peer.ID, err)
+		return nil, time.Since(began), fmt.Errorf("answer of %s: %w", peer.ID, err)
 	case response.StatusCode == http.StatusNotFound:
-		return nil, core.Refuse(core.CodeUnknownEntity, 0, "%s does not have it", peer.ID)
+		return nil, 0, core.Refuse(core.CodeUnknownEntity, 0, "%s does not have it", peer.ID)
 	case response.StatusCode != http.StatusOK:
-		return nil, fmt.Errorf("answer of %s: status %d", peer.ID, response.StatusCode)
+		return nil, 0, fmt.Errorf("answer of %s: status %d", peer.ID, response.StatusCode)
 	}
-	return body, nil
+	return body, time.Since(began), nil
 }
 
 // Handler serves other agents.
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -112,6 +112,9 @@
 // Owns reports whether the agent brings a piece into its region.
 func (p Plan) Owns(piece int) bool { return p.ranked(p.self.Region, piece)[0].ID == p.self.ID }
 
+// local counts the agents of the region.
+func (p Plan) local() int { return len(p.ranked(p.self.Region, 0)) }
+
 // before returns the agents that rank before this one.
 func (p Plan) before(ranked []Agent) []Agent {
 	for i, a := range ranked {
