--- a/requests/dispatch/exchange.go
+++ b/requests/dispatch/exchange.go
@@ -269,36 +269,6 @@
 	return x.requeue(ctx)
 }
 
-// requeue waits for another place and forgets which agents were tried.
-func (x *exchange) requeue(ctx context.Context) error {
-	bounded, cancel := context.WithDeadline(ctx, x.request.Deadline)
-	defer cancel()
-	if err := x.grant.Requeue(bounded); err != nil {
-		return err
-	}
-	clear(x.tried)
-	return nil
-}
-
-// mayRetake reports whether a failed pick is worth another place. Without
-// agents that admit, places are taken between the grant and the pick, and a
-// broken stream goes on when the next one is free.
-func (x *exchange) mayRetake(err error) bool {
-	return x.request.Candidates != nil && core.CodeOf(err) == core.CodeNoBackend
-}
-
-// retake waits for another place because no server could be picked for this one.
-func (x *exchange) retake(ctx context.Context) error {
-	deadline := x.request.queueDeadline()
-	if x.output.sent > 0 {
-		// The caller has the first event and waits for the rest.
-		deadline = x.request.Deadline
-	}
-	bounded, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	return x.grant.Retake(bounded, deadline)
-}
-
 // canWait reports whether an agent that refused may take the request soon: it
 // was full, or the entry and it learn of a change at different times.
 func canWait(err error) bool {
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -14,8 +14,7 @@
 
 // handOver picks the server at which a stream goes on when the one that makes
 // it closes, which would wait for the stream's end, and reports whether there is
-// one. The retry budget pays for it. It
-// is asked after whole events only.
+// one. The retry budget pays for it. It is asked after whole events only.
 func (x *exchange) handOver(ctx context.Context, placer *placement.Placer, from core.InstanceID) bool {
 	if x.request.ClosesAt == nil || !x.output.canResume() || x.count >= x.maxAttempts() {
 		return false
--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -111,6 +111,14 @@
 	d.freed = make(chan struct{})
 }
 
+// abandon returns a place after a transfer that did not begin.
+func (d *downlink) abandon() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used--
+	d.wake()
+}
+
 // release returns a place after a transfer from an agent that took so long.
 func (d *downlink) release(now time.Time, from core.InstanceID, took time.Duration) {
 	d.mu.Lock()
--- a/weights/staging/downlink_test.go
+++ b/weights/staging/downlink_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
 )
 
 func TestDownlinkNarrowsOnSlowTransfersAndWidensAgain(t *testing.T) {
@@ -64,3 +66,17 @@
 	d.widen(3)
 	require.InDelta(t, fewTransfers, d.bound, 0)
 }
+
+// A sender that never began must not pass for a fast transfer.
+func TestAbandonedTransferTellsNothing(t *testing.T) {
+	d := newDownlink()
+	now := time.Unix(100, 0)
+	for _, from := range []core.InstanceID{"a-1", "a-2"} {
+		require.NoError(t, d.acquire(context.Background(), false))
+		d.release(now, from, time.Second)
+	}
+	require.NoError(t, d.acquire(context.Background(), false))
+	d.abandon()
+	require.True(t, d.isNarrow(now))
+	require.Zero(t, d.used)
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -289,6 +289,11 @@
 	sending, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
 	content, took, err := peers.Piece(sending, peer, f.wanted.Key, num)
+	if err != nil && took == 0 {
+		// Nothing came, which tells nothing of the own link.
+		f.manager.downlink.abandon()
+		return nil, err
+	}
 	f.manager.downlink.release(time.Now(), peer.ID, took)
 	return content, err
 }
