--- a/daemon/deployed/day_test.go
+++ b/daemon/deployed/day_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -266,3 +270,51 @@
 	d.stops[0]()
 	d.eventually(isNamed(1, far), "a leaving entry is no longer named")
 }
+
+// An entry that is told to leave answers every request that it passes on, while
+// callers go on with the connections that they have.
+func TestLeavingEntryCutsNothing(t *testing.T) {
+	d := start(t)
+	const callers = 4
+	type lost struct {
+		body string
+		err  error
+	}
+	var mu sync.Mutex
+	var failed []lost
+	var served atomic.Int64
+	ended := make(chan struct{})
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			for i := 0; ; i++ {
+				body := fmt.Sprintf("leaving %d-%d", caller, i)
+				got := d.ask(0, plain, "POST", "/issue/x", body, nil)
+				if got.err == nil && got.status == http.StatusOK {
+					served.Add(1)
+					continue
+				}
+				mu.Lock()
+				failed = append(failed, lost{body, got.err})
+				mu.Unlock()
+				if errors.Is(got.err, syscall.ECONNREFUSED) {
+					return
+				}
+				select {
+				case <-ended:
+					return
+				default:
+				}
+			}
+		})
+	}
+	d.eventually(func() bool { return served.Load() > 100 }, "requests are served")
+	d.stops[0]()
+	wait.Wait()
+	close(ended)
+	for _, f := range failed {
+		for _, server := range d.plain {
+			require.False(t, hasRun(server, f.body), "%q was passed on and ended with %v", f.body, f.err)
+		}
+	}
+}
