--- a/bench/procs/procs.go
+++ b/bench/procs/procs.go
@@ -91,8 +91,15 @@
 	<-p.done
 }
 
-// Pause stops the process (SIGSTOP) until Resume.
-func (p *Process) Pause() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Pause stops the process (SIGSTOP) until Resume. It returns once no thread of
+// it runs any more: the signal takes hold thread by thread, and one that still
+// runs may answer a request meanwhile.
+func (p *Process) Pause() error {
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return awaitStopped(p.cmd.Process.Pid)
+}
 
 // Resume continues a paused process (SIGCONT).
 func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
