--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -175,11 +175,7 @@
 
 // relays returns the entries that read the store's rows for this one.
 func (g *Gateway) relays(context.Context) []relay.Member {
-	var members []relay.Member
-	for _, m := range g.gossip.Alive() {
-		members = append(members, relay.Member{ID: m.ID, DataCentre: m.DataCentre, Addr: m.PeerAddr})
-	}
-	return relay.Relays(members, g.node.Load().DataCentre)
+	return roster.Relays(g.gossip.Alive(), g.node.Load().DataCentre)
 }
 
 func (g *Gateway) revisions() map[string]uint64 {
--- a/daemon/loader/entries.go
+++ b/daemon/loader/entries.go
@@ -58,11 +58,5 @@
 // relays returns the entries that read the store's rows for the daemons of a
 // data centre.
 func (l *entryList) relays(centre core.DataCentre) func(context.Context) []relay.Member {
-	return func(ctx context.Context) []relay.Member {
-		var members []relay.Member
-		for _, entry := range l.get(ctx) {
-			members = append(members, relay.Member{ID: entry.ID, DataCentre: entry.DataCentre, Addr: entry.PeerAddr})
-		}
-		return relay.Relays(members, centre)
-	}
+	return func(ctx context.Context) []relay.Member { return roster.Relays(l.get(ctx), centre) }
 }
--- /dev/null
+++ b/daemon/roster/relays.go
@@ -0,0 +1,17 @@
+package roster
+
+import (
+	"currantusher.dev/core"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/tables/relay"
+)
+
+// Relays returns the entries that read the store's rows for the daemons of a
+// data centre; none where all read for themselves.
+func Relays(entries []gossip.Member, centre core.DataCentre) []relay.Member {
+	members := make([]relay.Member, 0, len(entries))
+	for _, entry := range entries {
+		members = append(members, relay.Member{ID: entry.ID, DataCentre: entry.DataCentre, Addr: entry.PeerAddr})
+	}
+	return relay.Relays(members, centre)
+}
--- a/requests/pauses/pauses.go
+++ b/requests/pauses/pauses.go
@@ -19,13 +19,13 @@
 // Book is safe for concurrent use.
 type Book struct {
 	mu sync.Mutex
-	// known holds the newest announcement of each server and version. What an
-	// announcement that a pause is over begins is the time that follows it.
+	// known holds the newest announcement of each server and version.
 	known map[string]map[fleet.WeightsVersion]announced
 }
 
 type announced struct {
-	pause  fleet.Pause
+	pause fleet.Pause
+	// begins is when the pause begins, or when it ended if it is over.
 	begins time.Time
 }
 
--- a/weights/staging/turn.go
+++ b/weights/staging/turn.go
@@ -21,8 +21,7 @@
 )
 
 // turn returns when the engine loads a version, or the zero time when at once:
-// engines that serve load one after the other. An engine that skipped an older
-// version loads before that one must be in force.
+// engines that serve load one after the other.
 func (m *Manager) turn(wanted Wanted, plan Plan, report worker.Report) time.Time {
 	if len(report.Loaded) == 0 || wanted.Since.IsZero() {
 		return time.Time{}
@@ -30,8 +29,8 @@
 	return wanted.Since.Add(plan.LoadDelay(wanted.Version, wanted.InForce))
 }
 
-// latestTurn is when an engine that skipped an older version loads a newer one
-// at the latest, or turn.
+// latestTurn returns the turn, or an earlier time for an engine that skipped an
+// older version: it loads before that one must be in force.
 func (m *Manager) latestTurn(wanted Wanted, turn time.Time) time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
