Streams of an engine in a long pass stay where they are

Cause: an engine at its limits sends nothing until a pass with prompts ends.

Change: the timeout follows the engine's published timing (1.25 longest passes); a stream is cancelled only if it may be sent again and a retry is in the budget; the last attempt of a stream has no idle timeout.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -53,7 +53,7 @@
 
 // forward dispatches an admitted request and writes the response.
 func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
-	exchange := direct.New(g.upstream, g.config.Headers, observer{g}, g.newDirectRequest(c, r), w)
+	exchange := direct.New(g.upstream, g.config.Headers, observer{g, c.service}, g.newDirectRequest(c, r), w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
@@ -93,6 +93,7 @@
 		HasBody:           c.hasBody,
 		Kind:              c.route.Kind,
 		Repeatable:        c.route.IsRepeatable(),
+		MaxAttempts:       c.route.MaxAttempts,
 		Resumable:         c.route.Kind == fleet.RouteStreaming && c.route.Resumable,
 		Model:             model,
 		Priority:          min(max(c.priority(), 0), maxEnginePriority),
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -85,7 +85,10 @@
 }
 
 // observer implements direct.Observer.
-type observer struct{ gateway *Gateway }
+type observer struct {
+	gateway *Gateway
+	service fleet.ServiceName
+}
 
 // BeforeSend implements direct.Observer.
 func (o observer) BeforeSend(server core.InstanceID) {
@@ -99,7 +102,7 @@
 
 // StartAttempt implements direct.Observer.
 func (o observer) StartAttempt(server core.InstanceID, cancel func()) direct.AttemptObserver {
-	return monitoredAttempt{o.gateway.stallDetector.Track(time.Now(), server, cancel)}
+	return monitoredAttempt{o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), cancel)}
 }
 
 // monitoredAttempt implements direct.AttemptObserver by adding the current time.
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -182,13 +182,18 @@
 	return loads
 }
 
-// eject temporarily excludes a server from placement.
-func (s *serviceSet) eject(now time.Time, id core.InstanceID) {
+// eject temporarily excludes a server from placement. It returns the number of its
+// requests that can be retried at other servers.
+func (s *serviceSet) eject(now time.Time, id core.InstanceID) (retries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, state := range s.states {
-		state.placer.Eject(now, id)
+		if state.placer.Knows(id) {
+			state.placer.Eject(now, id)
+			retries = state.placer.Retries()
+		}
 	}
+	return retries
 }
 
 // requirements are the conditions that a request sets for its backend server.
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -30,7 +30,7 @@
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
 	// StartAttempt is called after a request was written to a server. cancel
-	// aborts the attempt; it is nil for requests that must not be sent again.
+	// aborts the attempt; it is nil if the request must not be sent again.
 	StartAttempt(server core.InstanceID, cancel func()) AttemptObserver
 	// InvalidHeader reports an answer header whose value is not a number.
 	InvalidHeader(server core.InstanceID, header string, err error)
@@ -56,8 +56,10 @@
 	// HasBody is set if the request had a body, even an empty one.
 	HasBody bool
 	Kind    fleet.RouteKind
-	// Repeatable requests may run more than once.
-	Repeatable bool
+	// Repeatable requests may run more than once, at up to MaxAttempts servers; 0
+	// means no bound.
+	Repeatable  bool
+	MaxAttempts int
 	// Resumable streams can continue at another backend server after the last
 	// complete event.
 	Resumable bool
@@ -65,8 +67,8 @@
 	Team      core.Team
 	// Priority is 0 to 9; 0 is the most urgent.
 	Priority int
-	// StreamIdleTimeout bounds the wait for the next bytes of a resumable stream;
-	// 0 means no bound.
+	// StreamIdleTimeout bounds the wait for the next bytes of a resumable stream
+	// that may be sent again; 0 means no bound.
 	StreamIdleTimeout time.Duration
 	// Version returns the version of the weights with which a server must serve
 	// an attempt, or 0 for any.
@@ -149,13 +151,19 @@
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
 	}
 	var cancel func()
-	if e.request.Repeatable {
+	if e.maySendAgain() {
 		cancel = conn.Close
 	}
 	attemptObserver := e.observer.StartAttempt(server.ID, cancel)
 	return &replyStream{exchange: e, conn: conn, server: server.ID, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
 }
 
+// maySendAgain reports whether another server may get the request after the current
+// attempt.
+func (e *Exchange) maySendAgain() bool {
+	return e.request.Repeatable && (e.request.MaxAttempts <= 0 || e.attempts < e.request.MaxAttempts)
+}
+
 // Tombstone implements dispatch.Sender. A backend server does not support
 // tombstones, so the outcome of a request that was sent stays unknown.
 func (e *Exchange) Tombstone(context.Context, placement.Candidate, wire.Tombstone) (wire.TombstoneReply, error) {
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -197,7 +197,7 @@
 		s.buffer = make([]byte, readBufferBytes)
 	}
 	request := &s.exchange.request
-	if request.Resumable && request.StreamIdleTimeout > 0 {
+	if request.Resumable && request.StreamIdleTimeout > 0 && s.exchange.maySendAgain() {
 		if err := s.conn.SetReadDeadline(time.Now().Add(request.StreamIdleTimeout)); err != nil {
 			return nil, err
 		}
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -181,3 +181,46 @@
 		"X-Priority: 2", "X-Expect-Version: 7", "Content-Length: 4",
 	}, lines[1:])
 }
+
+// cancelObserver records whether each attempt may be cancelled.
+type cancelObserver struct {
+	nopObserver
+	cancellable []bool
+}
+
+func (o *cancelObserver) StartAttempt(_ core.InstanceID, cancel func()) AttemptObserver {
+	o.cancellable = append(o.cancellable, cancel != nil)
+	return nopAttempt{}
+}
+
+// A stream whose last attempt was cancelled because the server fell silent ended
+// without its caller getting the rest.
+func TestLastAttemptIsNotCutOff(t *testing.T) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.MaxAttempts, e.request.StreamIdleTimeout = 2, 20*time.Millisecond
+	observer := &cancelObserver{}
+	e.observer = observer
+	addr := serveSlowStream(t, 200*time.Millisecond)
+	_, _, err := receive(t, e, addr)
+	require.Error(t, err, "another server can continue the stream")
+	body, end, err := receive(t, e, addr)
+	require.NoError(t, err)
+	require.Equal(t, core.CodeOK, end.Code)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+	require.Equal(t, []bool{true, false}, observer.cancellable)
+}
+
+// serveSlowStream answers each connection with two events, the second after a pause.
+func serveSlowStream(t *testing.T, wait time.Duration) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", "r-1")
+		w.Header().Set("X-Seal", "s")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(wait)
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n")
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
--- a/requests/latency/latency.go
+++ b/requests/latency/latency.go
@@ -71,6 +71,17 @@
 	return TimeToFirstToken(timing, load, promptTokens) + time.Duration(answerTokens*float64(TimePerToken(timing, load)))
 }
 
+// LongestPass returns the longest time of a pass in which an engine reads prompts
+// beside the given number of active answers. None of the answers gets a token before
+// the pass ends.
+func LongestPass(timing fleet.EngineTiming, answers int) time.Duration {
+	step := DecodeStepTime(timing, Load{ActiveAnswers: answers, MeanContextTokens: timing.MeanPromptTokens})
+	if timing.PrefillChunkTokens > 0 && timing.PrefillTokensPerSecond > 0 {
+		step += PrefillTime(timing, float64(timing.PrefillChunkTokens))
+	}
+	return time.Duration(max(timing.StepsPerPass, 1)) * step
+}
+
 // MaxRequestsPerSecond returns the rate of requests of mean length that an
 // engine sustains with the given number of concurrent answers.
 func MaxRequestsPerSecond(timing fleet.EngineTiming, answers int) float64 {
--- a/requests/latency/latency_test.go
+++ b/requests/latency/latency_test.go
@@ -46,3 +46,14 @@
 	require.Greater(t, lastFirstToken(16), objective)
 	require.Less(t, lastFirstToken(4), objective/2)
 }
+
+// Engines of another deployment were silent on all streams for 0.49 s and were taken
+// to have failed.
+func TestLongestPassCoversSilentEngines(t *testing.T) {
+	slower := testTiming
+	slower.StepTime, slower.PrefillTokensPerSecond, slower.StepsPerPass = 8870*time.Microsecond, 19100, 5
+	require.InDelta(t, 0.6, LongestPass(slower, 16).Seconds(), 0.03)
+	require.InDelta(t, 0.45, LongestPass(testTiming, 16).Seconds(), 0.03)
+	unknown := fleet.EngineTiming{StepTime: 10 * time.Millisecond}
+	require.Equal(t, 10*time.Millisecond, LongestPass(unknown, 16))
+}
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -274,6 +274,20 @@
 	return true
 }
 
+// Retries returns the number of retries in the budget.
+func (p *Placer) Retries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(p.retryBudget)
+}
+
+// Knows reports whether the placer has picked an agent recently.
+func (p *Placer) Knows(id core.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.agents[id] != nil
+}
+
 // InFlight returns the number of this entry's attempts in flight at an agent.
 func (p *Placer) InFlight(id core.InstanceID) int {
 	p.mu.Lock()
--- a/requests/stall/stall.go
+++ b/requests/stall/stall.go
@@ -14,10 +14,9 @@
 	"currantusher.dev/core"
 )
 
-// Timeout is the time without data after which a server with active streams
-// counts as stalled. An engine at its limits sends an event on each stream every
-// 0.15 s.
-const Timeout = 450 * time.Millisecond
+// MinTimeout is the least time without data after which a server with active streams
+// counts as stalled.
+const MinTimeout = 450 * time.Millisecond
 
 // Detector tracks the requests at all servers. It is safe for concurrent use.
 type Detector struct {
@@ -28,6 +27,8 @@
 type serverActivity struct {
 	// lastActivity is when data last arrived on any request.
 	lastActivity time.Time
+	// timeout is the time without data after which the server counts as stalled.
+	timeout time.Duration
 	// activeStreams counts the requests that have received data.
 	activeStreams int
 	requests      map[*TrackedRequest]bool
@@ -54,9 +55,10 @@
 // NewDetector returns a Detector without requests.
 func NewDetector() *Detector { return &Detector{servers: map[core.InstanceID]*serverActivity{}} }
 
-// Track starts to track a request that was sent to a server. cancel cancels the
-// request when the server stalls; it is nil for requests that may run only once.
-func (d *Detector) Track(now time.Time, id core.InstanceID, cancel func()) *TrackedRequest {
+// Track starts to track a request that was sent to a server, which counts as stalled
+// after timeout, but at least MinTimeout, without data. cancel cancels the request when
+// the server stalls; it is nil for requests that cannot continue at another server.
+func (d *Detector) Track(now time.Time, id core.InstanceID, timeout time.Duration, cancel func()) *TrackedRequest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.servers[id]
@@ -64,6 +66,7 @@
 		s = &serverActivity{lastActivity: now, requests: map[*TrackedRequest]bool{}}
 		d.servers[id] = s
 	}
+	s.timeout = max(timeout, MinTimeout)
 	request := &TrackedRequest{detector: d, id: id, cancel: cancel}
 	s.requests[request] = true
 	return request
@@ -118,7 +121,7 @@
 	var found []StalledServer
 	for id, s := range d.servers {
 		idleTime := now.Sub(s.lastActivity)
-		if s.activeStreams == 0 || idleTime < Timeout {
+		if s.activeStreams == 0 || idleTime < s.timeout {
 			continue
 		}
 		stalled := StalledServer{Server: id, IdleTime: idleTime}
