Versions: pieces leave the origin in turn, lists of daemons come through relays

Cause: 18 to 31 agents of the origin's region requested all their pieces at once. The origin's link (1.7 s a copy) was shared by all, so that no piece was there to be passed on before the end, requests reached their timeout of 1.8 s and were repeated: 3.3 to 3.6 copies. Besides, each of 153 agents read two lists of about 60 KB from the store when a version was named, over links between regions.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -142,6 +142,8 @@
 	Origin string
 	// OriginDataCentre is the data centre of the origin.
 	OriginDataCentre core.DataCentre
+	// OriginBytesPerSecond is the bandwidth of the origin's link, 0 if unknown.
+	OriginBytesPerSecond float64
 }
 
 // Limits bounds the size and the duration of what callers send.
--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"currantusher.dev/daemon/obs"
+	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/endpoints"
 	"currantusher.dev/tables/relay"
 )
@@ -84,7 +85,8 @@
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+rowsPath+"{table}", g.serveRows)
-	mux.Handle(relay.Path, relay.Handler(g.relayCache, g.log))
+	snapshots := relay.NewSnapshots(g.store, nil, roster.EntriesTable, roster.AgentsTable)
+	mux.Handle(relay.Path, relay.Handler(g.relayCache, snapshots, g.log))
 	return mux
 }
 
--- a/daemon/loader/agents.go
+++ b/daemon/loader/agents.go
@@ -9,7 +9,6 @@
 
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/records"
-	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/tables/watch"
 	"currantusher.dev/weights/staging"
 )
@@ -21,7 +20,7 @@
 // use.
 type agentList struct {
 	roster *roster.Roster[staging.Agent]
-	store  *rowstore.Client
+	reader roster.Reader
 	log    *logrus.Entry
 
 	mu     sync.Mutex
@@ -51,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	page, err := l.store.ReadAll(ctx, watch.ServersTable)
+	page, err := l.reader.ReadAll(ctx, watch.ServersTable)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/loader/entries.go
+++ b/daemon/loader/entries.go
@@ -23,8 +23,13 @@
 
 // entryList caches the entries of the deployment. It is safe for concurrent use.
 type entryList struct {
-	roster *roster.Roster[gossip.Member]
-	log    *logrus.Entry
+	// stored reads the rows from the store, and relayed through the relays, which are
+	// entries themselves. The first read is from the store.
+	stored, relayed *roster.Roster[gossip.Member]
+	log             *logrus.Entry
+
+	// refreshMu is held while the rows are read.
+	refreshMu sync.Mutex
 
 	mu        sync.Mutex
 	cached    []gossip.Member
@@ -34,29 +39,56 @@
 // get returns the entries. If the store is unavailable, it returns the entries that
 // were read last.
 func (l *entryList) get(ctx context.Context) []gossip.Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	if now.Before(l.refreshAt) {
-		return l.cached
+	l.refreshMu.Lock()
+	defer l.refreshMu.Unlock()
+	cached, isFresh := l.lastRead()
+	if isFresh {
+		return cached
+	}
+	source := l.relayed
+	if len(cached) == 0 {
+		source = l.stored
 	}
-	entries, err := l.roster.Read(ctx)
+	entries, err := source.Read(ctx)
 	if err != nil {
-		l.refreshAt = now.Add(entriesRetryDelay)
-		l.log.WithError(err).WithField("known", len(l.cached)).Warn("Could not read the entries; using the last known ones.")
-		return l.cached
+		l.log.WithError(err).WithField("known", len(cached)).Warn("Could not read the entries; using the last known ones.")
+		l.store(cached, entriesRetryDelay)
+		return cached
 	}
-	l.cached = entries
-	l.refreshAt = now.Add(entriesTTL)
+	ttl := entriesTTL
 	if len(entries) == 0 {
 		// The entries may have just started and not have written their rows yet.
-		l.refreshAt = now.Add(entriesRetryDelay)
+		ttl = entriesRetryDelay
 	}
-	return l.cached
+	l.store(entries, ttl)
+	return entries
+}
+
+func (l *entryList) lastRead() (entries []gossip.Member, isFresh bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cached, time.Now().Before(l.refreshAt)
+}
+
+func (l *entryList) store(entries []gossip.Member, ttl time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cached, l.refreshAt = entries, time.Now().Add(ttl)
 }
 
 // relays returns a function that returns the entries through which the daemons of
-// a data centre read the store.
+// a data centre read the store. Except for the first time it does not wait for a
+// read, which may itself go through a relay.
 func (l *entryList) relays(centre core.DataCentre) func(context.Context) []relay.Member {
-	return func(ctx context.Context) []relay.Member { return roster.Relays(l.get(ctx), centre) }
+	return func(ctx context.Context) []relay.Member {
+		entries, isFresh := l.lastRead()
+		switch {
+		case len(entries) == 0:
+			entries = l.get(ctx)
+		case !isFresh && l.refreshMu.TryLock():
+			l.refreshMu.Unlock()
+			go l.get(context.WithoutCancel(ctx))
+		}
+		return roster.Relays(entries, centre)
+	}
 }
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -100,15 +100,22 @@
 		origins:  map[string]*worker.Client{},
 	}
 	l.roster = roster.New[staging.Agent](l.store, roster.AgentsTable, l.log)
-	l.agents = &agentList{roster: l.roster, store: l.store, log: l.log}
-	entries := &entryList{roster: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), log: l.log}
+	entries := &entryList{
+		stored: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), relayed: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), log: l.log,
+	}
 	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
+	relayed := relay.NewStore(relay.Config{
+		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"),
+	})
+	entries.relayed.ReadFrom(relayed)
+	l.roster.ReadFrom(relayed)
+	l.agents = &agentList{roster: l.roster, reader: relayed, log: l.log}
 	l.follower = watch.NewFollower(watch.Config{
-		Store: relay.NewStore(relay.Config{
-			Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"),
-		}),
+		Store:  relayed,
 		Tables: []string{watch.OperatorTable},
 		Log:    config.Log.Component("watch"),
+		// l.manager is assigned below, before the follower runs.
+		OnChange: func(*watch.View) { l.manager.CheckTargets() },
 	})
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
@@ -144,11 +151,22 @@
 			InForceWithin: l.config.Node.Bounds.VersionInForce,
 			Origin:        l.originClient(origin.Origin),
 			OriginRegion:  l.config.Node.Regions[origin.OriginDataCentre],
+
+			OriginPieceTime: originPieceTime(origin, service.Engine),
 		})
 	}
 	return list
 }
 
+// originPieceTime returns how long the origin's link takes to send a piece of an
+// engine's weights, or 0 if its bandwidth is unknown.
+func originPieceTime(origin *fleet.Service, engine *fleet.Engine) time.Duration {
+	if origin.OriginBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(engine.PieceBytes) / origin.OriginBytesPerSecond * float64(time.Second))
+}
+
 func (l *Loader) originClient(addr string) *worker.Client {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -24,18 +24,27 @@
 // retryDelay is the delay after a failed store call.
 const retryDelay = 500 * time.Millisecond
 
+// Reader reads whole tables.
+type Reader interface {
+	ReadAll(ctx context.Context, table string) (rowstore.Page, error)
+}
+
 // Roster reads and writes the rows of one role.
 type Roster[T any] struct {
-	store *rowstore.Client
-	table string
-	log   *logrus.Entry
+	store  *rowstore.Client
+	reader Reader
+	table  string
+	log    *logrus.Entry
 }
 
-// New returns the roster with the rows of a table.
+// New returns the roster with the rows of a table, which it reads from the store.
 func New[T any](store *rowstore.Client, table string, log *logrus.Entry) *Roster[T] {
-	return &Roster[T]{store: store, table: table, log: log.WithField("table", table)}
+	return &Roster[T]{store: store, reader: store, table: table, log: log.WithField("table", table)}
 }
 
+// ReadFrom makes the roster read the rows elsewhere.
+func (r *Roster[T]) ReadFrom(reader Reader) { r.reader = reader }
+
 // WriteWithRetry writes a daemon's row and retries until it succeeds or ctx ends. It
 // returns an error only if the row cannot be encoded.
 func (r *Roster[T]) WriteWithRetry(ctx context.Context, id string, daemon T) error {
@@ -56,7 +65,7 @@
 // Read returns the daemons with a row. It logs and ignores rows that cannot be
 // decoded.
 func (r *Roster[T]) Read(ctx context.Context) ([]T, error) {
-	page, err := r.store.ReadAll(ctx, r.table)
+	page, err := r.reader.ReadAll(ctx, r.table)
 	if err != nil {
 		return nil, err
 	}
--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -46,12 +46,13 @@
 	maxIdleConns     = 4
 )
 
-// Handler serves the rows of a Cache to other daemons.
-func Handler(cache *Cache, log *logrus.Entry) http.Handler {
+// Handler serves the rows of a Cache to other daemons, and snapshots of the tables
+// that the cache does not hold.
+func Handler(cache *Cache, snapshots *Snapshots, log *logrus.Entry) http.Handler {
 	mux := http.NewServeMux()
 	cachedBodies := &bodyCache{}
 	mux.HandleFunc("GET "+Path+"{table}", func(w http.ResponseWriter, request *http.Request) {
-		page, status := readPage(cache, request)
+		page, status := readPage(cache, snapshots, request)
 		switch status {
 		case StatusNotCurrent:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -75,12 +76,15 @@
 	return mux
 }
 
-func readPage(cache *Cache, request *http.Request) (rowstore.Page, Status) {
+func readPage(cache *Cache, snapshots *Snapshots, request *http.Request) (rowstore.Page, Status) {
 	table := request.PathValue("table")
 	query := request.URL.Query()
 	since, err := strconv.ParseUint(query.Get(paramSince), 10, 64)
 	if err != nil {
 		// A request without a revision is for all rows.
+		if page, ok := snapshots.read(request.Context(), table); ok {
+			return page, StatusServed
+		}
 		return cache.AllRows(table)
 	}
 	wait, err := time.ParseDuration(query.Get(paramWait))
--- a/tables/relay/relay_test.go
+++ b/tables/relay/relay_test.go
@@ -138,7 +138,7 @@
 		s := newFakeStore()
 		relays := []Member{}
 		cache := NewCache(s, nil)
-		server := httptest.NewServer(Handler(cache, discardLogger()))
+		server := httptest.NewServer(Handler(cache, NewSnapshots(cache, nil), discardLogger()))
 		self := Member{ID: "relay", Addr: server.Listener.Addr().String()}
 		relayReader := &tableReader{store: NewStore(Config{Self: self.ID, Cache: cache, Log: discardLogger(),
 			Relays: func(context.Context) []Member { return []Member{self} }})}
@@ -177,7 +177,7 @@
 	s := newFakeStore()
 	s.put("a", false)
 	cache := NewCache(s, nil)
-	server := httptest.NewServer(Handler(cache, discardLogger()))
+	server := httptest.NewServer(Handler(cache, NewSnapshots(cache, nil), discardLogger()))
 	defer server.Close()
 	relayReader := &tableReader{store: cache}
 	require.NoError(t, relayReader.read(t.Context()))
@@ -264,7 +264,7 @@
 	s.changes = append(s.changes, row)
 	s.mu.Unlock()
 	require.NoError(t, relayReader.read(t.Context()))
-	handler := Handler(cache, discardLogger())
+	handler := Handler(cache, NewSnapshots(cache, nil), discardLogger())
 	response := httptest.NewRecorder()
 	handler.ServeHTTP(response, httptest.NewRequest(http.MethodGet, Path+table+"?since=1&wait=1ms", nil))
 	require.Less(t, response.Body.Len(), len(text)/20)
@@ -276,3 +276,35 @@
 		require.Equal(t, []rowstore.Row{row}, page.Rows)
 	}
 }
+
+// All agents read the lists of daemons when a version of weights is configured. The
+// relay must read them from the store once, and again only after a while.
+func TestSnapshotsAreReadOnceForAllDaemons(t *testing.T) {
+	source := newFakeStore()
+	source.put("a-1", false)
+	now := time.Unix(1000, 0)
+	snapshots := NewSnapshots(source, func() time.Time { return now }, table)
+	server := httptest.NewServer(Handler(NewCache(source, nil), snapshots, discardLogger()))
+	defer server.Close()
+	read := func() int {
+		page, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table)
+		require.NoError(t, err)
+		return len(page.Rows)
+	}
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() { read() })
+	}
+	group.Wait()
+	require.Equal(t, 1, source.calls)
+	source.put("a-2", false)
+	require.Equal(t, 1, read())
+	now = now.Add(snapshotAge)
+	require.Equal(t, 2, read())
+	require.Equal(t, 2, source.calls)
+
+	now = now.Add(snapshotAge)
+	source.setDown(true)
+	_, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table)
+	require.Error(t, err, "the daemon reads from the store itself")
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -48,6 +48,7 @@
 	log         *logrus.Entry
 	target      TargetVersion
 	plan        FetchPlan
+	startedAt   time.Time
 	originSlots chan struct{}
 
 	mu            sync.Mutex
@@ -58,7 +59,7 @@
 
 func newFetcher(m *Manager, log *logrus.Entry, target TargetVersion, plan FetchPlan) *fetcher {
 	return &fetcher{
-		manager: m, log: log, target: target, plan: plan,
+		manager: m, log: log, target: target, plan: plan, startedAt: time.Now(),
 		originSlots:  make(chan struct{}, maxOriginFetches),
 		backoffUntil: map[core.InstanceID]time.Time{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
 	}
@@ -217,8 +218,12 @@
 // fetchPiece tries one source after another until the piece is verified and
 // held.
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
+	sources := f.plan.Sources(num)
+	if len(sources) == 0 {
+		pause.For(ctx, time.Until(f.startedAt.Add(f.target.originTurn(num))))
+	}
 	for ctx.Err() == nil {
-		for _, peer := range f.plan.Sources(num) {
+		for _, peer := range sources {
 			if f.isBackedOff(peer) {
 				continue
 			}
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -63,6 +63,9 @@
 	// Origin is the source of the version, and OriginRegion its region.
 	Origin       Origin
 	OriginRegion core.Region
+	// OriginPieceTime is how long the origin's link takes to send a piece, 0 if
+	// unknown.
+	OriginPieceTime time.Duration
 }
 
 // Config holds the settings and dependencies of a Manager.
@@ -103,6 +106,8 @@
 	// skippedLoadDeadlines holds the load deadlines of versions that were
 	// superseded before their load.
 	skippedLoadDeadlines map[VersionKey]time.Time
+	// targetsChanged has an item if TargetVersions may return something new.
+	targetsChanged chan struct{}
 	// loadSlot has capacity 1, as the engine accepts one order at a time.
 	loadSlot chan struct{}
 }
@@ -127,7 +132,7 @@
 // New returns a Manager without any pieces.
 func New(config Config) *Manager {
 	return &Manager{config: config, uplink: newUplink(config.LinkBytesPerSecond), downlink: newDownlink(), pieceSets: map[VersionKey]*pieceSet{}, jobs: map[VersionKey]*job{}, plans: map[VersionKey]FetchPlan{},
-		newestVersions: map[fleet.Model]fleet.WeightsVersion{}, skippedLoadDeadlines: map[VersionKey]time.Time{}, loadSlot: make(chan struct{}, 1)}
+		newestVersions: map[fleet.Model]fleet.WeightsVersion{}, skippedLoadDeadlines: map[VersionKey]time.Time{}, loadSlot: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1)}
 }
 
 // Run fetches and loads target versions until ctx is done.
@@ -144,10 +149,19 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-m.targetsChanged:
 		}
 	}
 }
 
+// CheckTargets makes Run read the target versions again immediately. It never blocks.
+func (m *Manager) CheckTargets() {
+	select {
+	case m.targetsChanged <- struct{}{}:
+	default:
+	}
+}
+
 // startJob starts the job of a new target version and cancels the jobs of older
 // versions of the model. An older job that has most of its pieces continues,
 // because the older version may have to be in force before the newer version
