Few entries of a data centre take its callers' requests; the others stand by

Cause: with 149 entries, an entry's part of the limits that all share was zero (26 requests a second to a cold server) or a guess (8 slots of a server before 30 entries, whose loads an entry heard every 2.8 s), and gossip took 0.5 GB of the links between regions.

Change: members/activeset selects the entries of a data centre that its callers are directed to, as few as the load needs; slots, cold starts and retries are divided among these. An entry uses its share only once the others know of it; one that is cut off gets none and halves its own. What an even division leaves over is given out by rank. In deployments of more than 17 entries, loads go between active entries only, and signs of life are relayed as heartbeats of a dozen bytes.

--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strconv"
 	"sync"
 	"testing"
@@ -45,6 +46,7 @@
 	engines        []*standin.Backend
 	plainServers   []*standin.Backend
 	entries        []nodefile.Node
+	metricsAddrs   []string
 	stopFuncs      []context.CancelFunc
 	runningDaemons sync.WaitGroup
 }
@@ -172,8 +174,11 @@
 func (d *deployment) runEntry(node nodefile.Node) {
 	node.CallerAddr, node.ReadyAddr, node.DirectoryAddr = loopbackAddr(freePort(d.t)), loopbackAddr(freePort(d.t)), loopbackAddr(freePort(d.t))
 	d.entries = append(d.entries, node)
+	metricsAddr := loopbackAddr(freePort(d.t))
+	d.metricsAddrs = append(d.metricsAddrs, metricsAddr)
 	daemon, err := gateway.New(gateway.Config{
-		Node: node, Headers: headers.Names(), AddressTTL: gateway.DefaultAddressTTL, QueueLength: gateway.DefaultQueueLength,
+		MetricsAddr: metricsAddr,
+		Node:        node, Headers: headers.Names(), AddressTTL: gateway.DefaultAddressTTL, QueueLength: gateway.DefaultQueueLength,
 		MaxAnswerBytes: gateway.DefaultMaxAnswerBytes, Deadline: gateway.DefaultDeadline, Log: obs.DiscardLogger(),
 	})
 	require.NoError(d.t, err)
@@ -205,6 +210,25 @@
 	}
 }
 
+// awaitRetries waits until an entry has a share of the retries, and lets it
+// accumulate a retry.
+func (d *deployment) awaitRetries(entry int) {
+	d.t.Helper()
+	noShare := regexp.MustCompile(`(?m)^currantusher_limits_retry_share 0$`)
+	d.eventually(func() bool {
+		response, err := http.Get("http://" + d.metricsAddrs[entry] + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && bytes.Contains(text, []byte("currantusher_limits_retry_share ")) && !noShare.Match(text)
+	}, "entry %d has no share of the retries", entry)
+	for range 2 {
+		require.Equal(d.t, http.StatusOK, d.sendRequest(entry, plainHost, "POST", "/look", "", nil).status)
+	}
+}
+
 func (d *deployment) eventually(condition func() bool, failure string, args ...any) {
 	d.t.Helper()
 	require.Eventually(d.t, condition, waitTimeout, 5*time.Millisecond, fmt.Sprintf(failure, args...))
--- a/daemon/deployed/end_to_end_test.go
+++ b/daemon/deployed/end_to_end_test.go
@@ -177,6 +177,7 @@
 
 func TestFailedSafeRequestIsRetriedAtAnotherServer(t *testing.T) {
 	d := startDeployment(t)
+	d.awaitRetries(0)
 	d.plainServers[0].FailNextRequests(1)
 	for i := range 4 {
 		body := fmt.Sprint("look ", i)
--- a/daemon/gateway/directory.go
+++ b/daemon/gateway/directory.go
@@ -15,10 +15,24 @@
 // resolve returns the caller addresses of entries for a directory request, and
 // how long the response may be cached.
 func (g *Gateway) resolve(q endpoints.ResolveRequest) ([]string, time.Duration) {
-	members := readyMembers(g.gossip.AliveMembers())
+	members := namedMembers(g.gossip.AliveMembers(), g.config.Node.DataCentre)
 	return selectAddresses(members, q, g.allowedRegions(q.Host)), g.config.AddressTTL
 }
 
+// namedMembers returns the ready members that callers are directed to: those that an
+// entry selects in its own data centre, and those of the others that report to be
+// active.
+func namedMembers(alive []gossip.Member, ownCentre core.DataCentre) []gossip.Member {
+	selected := selectedEntries(alive, ownCentre)
+	var list []gossip.Member
+	for _, m := range readyMembers(alive) {
+		if selected[m.ID] || m.DataCentre != ownCentre && m.Active {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 func readyMembers(members []gossip.Member) []gossip.Member {
 	var list []gossip.Member
 	for _, m := range members {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/lifecycle"
 	"currantusher.dev/daemon/roster"
+	"currantusher.dev/members/activeset"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/platform/rowstore"
@@ -61,8 +63,14 @@
 	pauses        *pauses.Set
 	stallDetector *stall.Detector
 	conns         *callerConns
-	registry      metrics.Registry
-	leaving       atomic.Bool
+	// activity tells whether this entry takes callers' requests; activityMu guards it.
+	activityMu  sync.Mutex
+	activity    activeset.Status
+	requestRate activeset.PeakRate
+	// slotDivision is how the slots of servers are divided now.
+	slotDivision atomic.Pointer[slotDivision]
+	registry     metrics.Registry
+	leaving      atomic.Bool
 	// entriesLoaded reports that the rows of all entries have been read from the
 	// store.
 	entriesLoaded atomic.Bool
@@ -121,6 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.updateSlotDivision()
 	g.dispatcher = dispatch.New(dispatch.Config{
 		Attempts:         attempt.NewGenerator(config.Node.Instance, g.incarnation),
 		Queue:            g.services.queue,
@@ -141,6 +150,7 @@
 		Region:      n.Region,
 		PeerAddr:    n.PeerAddr,
 		CallerAddr:  n.CallerAddr,
+		Cores:       n.Cores,
 	}
 }
 
@@ -242,6 +252,7 @@
 		g.watchSettingsFile,
 		g.conns.run,
 		g.watchReadiness,
+		g.updateActivity,
 		g.ejectStalledServers,
 		g.sweep,
 	}
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -47,9 +47,7 @@
 		return err
 	}
 	entries, ok := g.roster.ReadWithRetry(joinCtx)
-	for _, member := range entries {
-		g.gossip.AddPeerAddrs(member.PeerAddr)
-	}
+	g.gossip.Introduce(entries)
 	g.entriesLoaded.Store(ok)
 	return nil
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -55,6 +55,7 @@
 	defer g.inFlight.Add(-1)
 	c := &call{startedAt: time.Now(), view: g.follower.View(), id: r.Header.Get(g.config.Headers.RequestID)}
 	g.lastRequestNanos.Store(c.startedAt.UnixNano())
+	g.requestRate.Record(c.startedAt)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/members/gossip"
 	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
@@ -133,14 +136,15 @@
 // may accumulate.
 func (s *serviceSet) retryShare() int {
 	senders := s.gateway.senders()
-	if senders == 0 {
+	if senders.Count == 0 {
 		return 0
 	}
-	return int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack / float64(senders))
+	return int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack / float64(senders.Count))
 }
 
 // adjustRetryBudgets keeps the retry budgets adjusted to the number of entries.
 func (s *serviceSet) adjustRetryBudgets(ctx context.Context) error {
+	retryShare := metrics.GetOrRegisterGauge("limits.retry_share", s.gateway.registry)
 	return runPeriodically(ctx, retryAdjustPeriod, func() {
 		burst := s.retryShare()
 		s.mu.Lock()
@@ -148,19 +152,25 @@
 		for _, state := range s.states {
 			state.placer.SetRetryBurst(burst)
 		}
+		retryShare.Update(int64(burst))
 	})
 }
 
-// senders returns how many entries share the limits of backend servers, or 0
-// while a new entry has not discovered the other entries.
-func (g *Gateway) senders() int {
-	if g.entriesLoaded.Load() {
-		return g.gossip.SenderCount()
-	}
-	if time.Since(g.started) < discoveryTime {
-		return 0
+// senders describes the entries that share the limits of backend servers. Its Count
+// is 0 if this entry has no share: it is on standby, or has not discovered the others
+// yet.
+func (g *Gateway) senders() gossip.Senders {
+	switch {
+	case !g.holdsShares():
+		return gossip.Senders{}
+	case g.entriesLoaded.Load():
+		return g.gossip.Senders()
+	case time.Since(g.started) < discoveryTime:
+		return gossip.Senders{}
 	}
-	return max(assumedSenders, g.gossip.SenderCount())
+	senders := g.gossip.Senders()
+	senders.Count = max(assumedSenders, senders.Count)
+	return senders
 }
 
 func (s *serviceSet) queue(name core.PoolName) *fair.Queue { return s.get(name).queue }
@@ -237,9 +247,9 @@
 	}
 	now := time.Now()
 	node := g.node.Load()
-	coldShare := g.coldShare(service)
+	coldLimit, sharers := g.coldLimit(service), g.sharers()
 	loads := g.gossip.Loads()
-	division := newSlotDivision(g.gossip.AliveMembers(), node.Regions, node.Instance)
+	division := *g.slotDivision.Load()
 	minVersion := g.requiredVersion(now, view, r.model)
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
@@ -251,7 +261,7 @@
 		if !pauseStart.IsZero() && !now.Before(pauseStart) {
 			continue
 		}
-		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare) {
+		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
 			continue
 		}
 		limit := g.concurrencyLimit(now, service, server)
@@ -310,16 +320,29 @@
 	return min(limit, maxStartsAtPauseEnd+int(startsPerSecond*now.Sub(pauseEnd).Seconds()))
 }
 
-// coldShare returns how many requests per second this entry may send to a cold
-// server of a service.
-func (g *Gateway) coldShare(service *fleet.Service) int {
+// coldLimit returns the limit on requests to a cold server of a service.
+func (g *Gateway) coldLimit(service *fleet.Service) coldlimit.Limit {
 	bounds := g.node.Load().Bounds
-	limit := coldlimit.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
-	senders := g.senders()
-	if senders == 0 {
+	return coldlimit.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
+}
+
+// coldShare returns how many requests per second this entry may send to a cold server.
+func coldShare(limit coldlimit.Limit, server core.InstanceID, sharers *coldlimit.Sharers) int {
+	if sharers == nil {
 		return 0
 	}
-	return limit.PerEntry(senders)
+	return limit.Share(server, *sharers)
+}
+
+// sharers returns the entries that share the limits of cold servers, or nil if this
+// entry has no share.
+func (g *Gateway) sharers() *coldlimit.Sharers {
+	senders := g.senders()
+	if senders.Count == 0 {
+		return nil
+	}
+	sharers := coldlimit.NewSharers(g.node.Load().Instance, senders.Others, senders.Count)
+	return &sharers
 }
 
 // coldUntil returns when a server stops being cold, according to the platform's
--- a/daemon/gateway/services_test.go
+++ b/daemon/gateway/services_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/daemon/obs"
+	"currantusher.dev/members/activeset"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/coldlimit"
@@ -31,19 +32,29 @@
 	g.node.Store(&nodefile.Node{Bounds: nodefile.Bounds{ColdOvershoot: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 100}})
 	service := &fleet.Service{ColdPerSecond: 36}
 	services := &serviceSet{gateway: g}
-	require.Zero(t, g.senders())
-	require.Zero(t, g.coldShare(service))
+	share := func() int { return coldShare(g.coldLimit(service), "s-1", g.sharers()) }
+	timing := activityTiming(0, false)
+	g.activity.Update(time.Now(), true, false, timing)
+	g.entriesLoaded.Store(true)
+	require.Zero(t, g.senders().Count, "the other entries do not know of it yet")
+
+	g.activity = activeset.Status{}
+	g.activity.Update(time.Now().Add(-timing.Settle), true, false, timing)
+	g.activity.Update(time.Now(), true, false, timing)
+	g.entriesLoaded.Store(false)
+	require.Zero(t, g.senders().Count)
+	require.Zero(t, share())
 	require.Zero(t, services.retryShare())
 
 	g.started = time.Now().Add(-discoveryTime)
-	require.Equal(t, assumedSenders, g.senders(), "without the store, many other entries are assumed")
+	require.Equal(t, assumedSenders, g.senders().Count, "without the store, many other entries are assumed")
 
 	g.entriesLoaded.Store(true)
-	require.Equal(t, 1, g.senders())
-	shareOfOne := g.coldShare(service)
+	require.Equal(t, 1, g.senders().Count)
+	shareOfOne := share()
 	require.Positive(t, shareOfOne)
 	node.AddPeerAddrs("127.0.0.1:1", "127.0.0.1:2")
-	require.Equal(t, 3, g.senders(), "added entries count before they respond")
-	require.LessOrEqual(t, 3*g.coldShare(service), shareOfOne)
+	require.Equal(t, 3, g.senders().Count, "added entries count before they respond")
+	require.LessOrEqual(t, 3*share(), shareOfOne)
 	require.Equal(t, 26, services.retryShare(), "four fifths of 100, divided by three entries")
 }
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -95,12 +95,31 @@
 	}
 }
 
+// Introduce adds the descriptions of entries that may be running.
+func (n *Node) Introduce(members []Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range members {
+		n.state.Introduce(n.config.Now(), member)
+	}
+}
+
 // SetPhase changes the phase of this entry. If it differs from the previous
 // phase, a message is sent immediately.
 func (n *Node) SetPhase(phase Phase) {
 	n.mu.Lock()
-	changed := n.state.Self().Phase != phase
-	n.state.SetPhase(phase)
+	changed := n.state.SetPhase(phase)
+	n.mu.Unlock()
+	if changed {
+		n.sendRound()
+	}
+}
+
+// SetActivity sets whether this entry is active and its recent request rate. If it
+// became active or inactive, a message is sent immediately.
+func (n *Node) SetActivity(active bool, requestsPerSecond float64) {
+	n.mu.Lock()
+	changed := n.state.SetActivity(active, requestsPerSecond)
 	n.mu.Unlock()
 	if changed {
 		n.sendRound()
@@ -145,8 +164,7 @@
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
 	now := n.config.Now()
-	message, addrs := n.state.NextMessage(now, revisions, loads)
-	message.NewestWeights = newestWeights
+	round := n.state.NextRound(now, revisions, loads)
 	n.loads = Loads{At: now, Own: loads, Peers: n.state.Loads(now)}
 	aliveCount := len(n.state.AliveMembers(now))
 	previousCount := n.aliveCount
@@ -155,13 +173,16 @@
 	if aliveCount != previousCount {
 		n.config.Log.WithFields(logrus.Fields{"alive": aliveCount, "before": previousCount}).Info("The number of alive entries changed.")
 	}
-	datagram, err := cbor.Marshal(message)
-	if err != nil {
-		n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping this round.")
-		return
-	}
-	for _, addr := range addrs {
-		n.sendDatagram(datagram, addr)
+	for _, outgoing := range round {
+		outgoing.Message.NewestWeights = newestWeights
+		datagram, err := cbor.Marshal(outgoing.Message)
+		if err != nil {
+			n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
+			continue
+		}
+		for _, addr := range outgoing.Addrs {
+			n.sendDatagram(datagram, addr)
+		}
 	}
 }
 
@@ -216,12 +237,35 @@
 	return n.state.AliveMembers(n.config.Now())
 }
 
-// SenderCount returns the number of entries that may be sending requests to
+// AwaitedMembers returns the introduced members from which a first sign of life is
+// expected.
+func (n *Node) AwaitedMembers() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.AwaitedMembers(n.config.Now())
+}
+
+// Senders describes the entries that may be using their shares of the limits of
 // backend servers.
-func (n *Node) SenderCount() int {
+func (n *Node) Senders() Senders {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.Senders(n.config.Now())
+}
+
+// IsIsolated reports whether most of the active entries are silent.
+func (n *Node) IsIsolated() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.IsIsolated(n.config.Now())
+}
+
+// IsLarge reports whether the deployment has more entries than a round of messages
+// reaches.
+func (n *Node) IsLarge() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.SenderCount(n.config.Now())
+	return n.state.IsLarge()
 }
 
 // Loads returns the requests in flight as of the last round.
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"currantusher.dev/core"
-	"currantusher.dev/core/fleet"
 )
 
 const (
@@ -19,93 +18,39 @@
 	// have no effect, and is well below the time after which answers to callers
 	// must not contain the address of a failed entry.
 	AliveTimeout = 2500 * time.Millisecond
+	// relayedAliveTimeout applies in place of AliveTimeout if signs of life are
+	// relayed, which takes several rounds.
+	relayedAliveTimeout = 3 * time.Second
 	// SenderTimeout is the time for which a silent member still counts as a
 	// sender: it may be cut off from this entry but not from the backend
 	// servers.
 	SenderTimeout = 20 * time.Second
+	// isolatedSenderTimeout applies in place of SenderTimeout if most of the other
+	// senders are silent: then this entry is probably the one that is cut off,
+	// and the others use their shares.
+	isolatedSenderTimeout = time.Minute
+	// firstSignTimeout is the time after its introduction within which the first
+	// sign of life of a running entry arrives.
+	firstSignTimeout = 5 * time.Second
 	// peerRetention is the time after which a silent member is removed.
 	peerRetention = 10 * time.Minute
-	// fanout bounds the alive members that a round sends to.
-	fanout = 16
-	// relayedWithinFanout and relayedBeyondFanout bound the number of other
-	// members that a message describes: if a round reaches all alive members,
-	// and if there are more than fanout.
-	relayedWithinFanout = 1
-	relayedBeyondFanout = 6
-	// silentAddrsPerRound bounds the addresses without an alive member that a
-	// round sends to.
-	silentAddrsPerRound = 2
 )
 
-// Phase is the lifecycle phase of a member.
-type Phase uint8
-
-const (
-	// PhaseStarting members accept no requests yet.
-	PhaseStarting Phase = iota
-	// PhaseReady members accept requests.
-	PhaseReady
-	// PhaseLeaving members finish their requests and exit.
-	PhaseLeaving
-)
-
-// Member is the description of an entry process by itself.
-type Member struct {
-	ID          core.InstanceID  `cbor:"1,keyasint"`
-	Incarnation core.Incarnation `cbor:"2,keyasint"`
-	// Sequence grows with each message of an incarnation.
-	Sequence   uint64          `cbor:"3,keyasint"`
-	Phase      Phase           `cbor:"4,keyasint"`
-	DataCentre core.DataCentre `cbor:"5,keyasint"`
-	Region     core.Region     `cbor:"6,keyasint"`
-	PeerAddr   string          `cbor:"7,keyasint"`
-	// CallerAddr is the address that callers connect to.
-	CallerAddr string `cbor:"8,keyasint"`
-	// Revisions holds the latest revision of each of the platform's tables that
-	// the member has.
-	Revisions map[string]uint64 `cbor:"9,keyasint,omitempty"`
-	// ReachesStore reports whether the platform's store responds to the member.
-	ReachesStore bool `cbor:"10,keyasint"`
-}
-
-func (m *Member) isNewerThan(other *Member) bool {
-	if m.Incarnation != other.Incarnation {
-		return m.Incarnation > other.Incarnation
-	}
-	return m.Sequence > other.Sequence
-}
-
-// Message is the content of one datagram.
-type Message struct {
-	From Member `cbor:"1,keyasint"`
-	// Loads counts the sender's requests in flight by backend server.
-	Loads map[core.InstanceID]int `cbor:"2,keyasint,omitempty"`
-	// Relayed holds descriptions of other alive members.
-	Relayed []Member `cbor:"3,keyasint,omitempty"`
-	// NewestWeights holds the newest weights versions that the sender has
-	// learned of. An entry that started later cannot derive their age from the
-	// rows of the tables.
-	NewestWeights []NewestWeights `cbor:"5,keyasint,omitempty"`
-	// PauseNotice is sent by an agent. The other fields of its message are
-	// empty.
-	PauseNotice *fleet.PauseNotice `cbor:"4,keyasint,omitempty"`
-}
-
-// NewestWeights is a version of a model's weights that operators have
-// requested.
-type NewestWeights struct {
-	Model   fleet.Model          `cbor:"1,keyasint"`
-	Version fleet.WeightsVersion `cbor:"2,keyasint"`
-	// Age is the time since the sender learned of the version, as of the
-	// message.
-	Age time.Duration `cbor:"3,keyasint"`
-}
-
 type peer struct {
+	// member is the latest full description. Its Phase and Active are those of
+	// the latest sign of life, which may be newer.
 	member Member
-	// receivedAt is when the latest description was received.
-	receivedAt time.Time
-	loads      map[core.InstanceID]int
+	// key is that of the member's incarnation.
+	key uint32
+	// sequence is that of the latest sign of life, received at heardAt; heardAt
+	// is zero while there is none.
+	sequence uint64
+	heardAt  time.Time
+	// learnedAt is when the first description of the incarnation was received.
+	learnedAt time.Time
+	// loads were received at loadsAt.
+	loads   map[core.InstanceID]int
+	loadsAt time.Time
 }
 
 // State is the view that one entry has of the other entries. It is not safe for
@@ -113,10 +58,20 @@
 type State struct {
 	self  Member
 	peers map[core.InstanceID]*peer
+	// peersByKey finds the peer of a heartbeat.
+	peersByKey map[uint32]*peer
 	// discoveredAt maps each peer address at which an entry may be running to
 	// the time at which it was added.
 	discoveredAt map[string]time.Time
 	random       *rand.Rand
+	round        int
+	// changed is set until a change of this entry's phase or activity is sent.
+	changed bool
+	// wanted holds the keys of unknown members by the peer address that sent their
+	// heartbeats, and requested the keys that members at an address want to know.
+	// Both are sent in the next round.
+	wanted    map[string][]uint32
+	requested map[string][]uint32
 }
 
 // NewState returns the state of an entry that has no peers yet. seed is the
@@ -125,7 +80,10 @@
 	return &State{
 		self:         self,
 		peers:        map[core.InstanceID]*peer{},
+		peersByKey:   map[uint32]*peer{},
 		discoveredAt: map[string]time.Time{},
+		wanted:       map[string][]uint32{},
+		requested:    map[string][]uint32{},
 		random:       rand.New(rand.NewPCG(seed, 2)),
 	}
 }
@@ -137,8 +95,30 @@
 	}
 }
 
-// SetPhase changes the phase of this entry.
-func (s *State) SetPhase(phase Phase) { s.self.Phase = phase }
+// Introduce adds the description of an entry that may be running. The entry does
+// not count as alive until a sign of life arrives.
+func (s *State) Introduce(now time.Time, member Member) {
+	s.AddPeerAddr(now, member.PeerAddr)
+	s.describe(now, member)
+}
+
+// SetPhase changes the phase of this entry and reports whether it differs from the
+// previous one.
+func (s *State) SetPhase(phase Phase) bool {
+	changed := s.self.Phase != phase
+	s.self.Phase = phase
+	s.changed = s.changed || changed
+	return changed
+}
+
+// SetActivity sets whether this entry is active and its recent request rate. It
+// reports whether the entry became active or inactive.
+func (s *State) SetActivity(active bool, requestsPerSecond float64) bool {
+	changed := s.self.Active != active
+	s.self.Active, s.self.RequestsPerSecond = active, requestsPerSecond
+	s.changed = s.changed || changed
+	return changed
+}
 
 // Self returns the description of this entry.
 func (s *State) Self() Member { return s.self }
@@ -156,56 +136,6 @@
 	return false
 }
 
-// NextMessage starts a round. It returns the message and the addresses to send
-// it to.
-func (s *State) NextMessage(now time.Time, revisions map[string]uint64, loads map[core.InstanceID]int) (Message, []string) {
-	s.self.Sequence++
-	for id, p := range s.peers {
-		if now.Sub(p.receivedAt) > peerRetention {
-			delete(s.peers, id)
-		}
-	}
-	s.self.Revisions = revisions
-	message := Message{From: s.self, Loads: loads}
-	alive := s.alivePeers(now)
-	s.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	relayed := relayedWithinFanout
-	if len(alive) > fanout {
-		relayed = relayedBeyondFanout
-	}
-	var addrs []string
-	for _, p := range alive {
-		if len(addrs) < fanout {
-			addrs = append(addrs, p.member.PeerAddr)
-		}
-		if len(message.Relayed) < relayed {
-			message.Relayed = append(message.Relayed, p.member)
-		}
-	}
-	return message, append(addrs, s.silentAddrs(now)...)
-}
-
-// silentAddrs returns up to silentAddrsPerRound random addresses without an
-// alive member.
-func (s *State) silentAddrs(now time.Time) []string {
-	silentByAddr := map[string]bool{}
-	for addr := range s.discoveredAt {
-		silentByAddr[addr] = true
-	}
-	for _, p := range s.peers {
-		silentByAddr[p.member.PeerAddr] = !p.isAlive(now)
-	}
-	var addrs []string
-	for addr, silent := range silentByAddr {
-		if silent {
-			addrs = append(addrs, addr)
-		}
-	}
-	slices.Sort(addrs)
-	s.random.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(silentAddrsPerRound, len(addrs))]
-}
-
 // Receive applies a message. It reports whether the message was accepted:
 // messages that are not newer than the last description of their sender are
 // ignored.
@@ -213,43 +143,112 @@
 	if !s.updateMember(now, message.From) {
 		return false
 	}
-	s.peers[message.From.ID].loads = message.Loads
+	if !message.OmitsLoads {
+		p := s.peers[message.From.ID]
+		p.loads, p.loadsAt = message.Loads, now
+	}
 	for _, relayed := range message.Relayed {
 		s.updateMember(now, relayed)
 	}
+	s.receiveHeartbeats(now, message)
+	if len(message.Wanted) > 0 {
+		s.requested[message.From.PeerAddr] = message.Wanted
+	}
 	return true
 }
 
+func (s *State) receiveHeartbeats(now time.Time, message Message) {
+	var unknown []uint32
+	for _, h := range message.Heartbeats {
+		if p := s.peersByKey[h.Key]; p != nil {
+			p.recordSignOfLife(now, h.Sequence, h.Phase, h.Active)
+		} else if h.Key != s.self.key() {
+			unknown = append(unknown, h.Key)
+		}
+	}
+	if len(unknown) > 0 {
+		s.wanted[message.From.PeerAddr] = unknown
+	}
+}
+
+// updateMember applies a description that its member has sent recently.
 func (s *State) updateMember(now time.Time, member Member) bool {
+	if !s.describe(now, member) {
+		return false
+	}
+	s.peers[member.ID].recordSignOfLife(now, member.Sequence, member.Phase, member.Active)
+	return true
+}
+
+// describe stores a description if it is newer than the known one.
+func (s *State) describe(now time.Time, member Member) bool {
 	if member.ID == s.self.ID || member.PeerAddr == s.self.PeerAddr || !isHostPort(member.PeerAddr) {
 		return false
 	}
 	p := s.peers[member.ID]
-	if p == nil {
-		p = &peer{}
+	switch {
+	case p == nil:
+		p = &peer{learnedAt: now}
 		s.peers[member.ID] = p
-	} else if !member.isNewerThan(&p.member) {
+	case !member.isNewerThan(&p.member):
 		return false
+	case p.member.Incarnation != member.Incarnation:
+		delete(s.peersByKey, p.key)
+		*p = peer{learnedAt: now}
+	default:
+		// The latest sign of life decides on these, and may be newer.
+		member.Phase, member.Active = p.member.Phase, p.member.Active
 	}
-	if p.member.Incarnation != member.Incarnation {
-		p.loads = nil
-	}
-	p.member = member
-	p.receivedAt = now
+	p.member, p.key = member, member.key()
+	s.peersByKey[p.key] = p
 	return true
 }
 
+func (p *peer) recordSignOfLife(now time.Time, sequence uint64, phase Phase, active bool) {
+	if sequence <= p.sequence && !p.heardAt.IsZero() {
+		return
+	}
+	p.sequence, p.heardAt = sequence, now
+	p.member.Phase, p.member.Active = phase, active
+}
+
 func isHostPort(addr string) bool {
 	_, _, err := net.SplitHostPort(addr)
 	return err == nil
 }
 
-func (p *peer) isAlive(now time.Time) bool { return now.Sub(p.receivedAt) < AliveTimeout }
+// removeSilentPeers removes the peers that were silent for peerRetention.
+func (s *State) removeSilentPeers(now time.Time) {
+	for id, p := range s.peers {
+		if now.Sub(p.lastSignOrIntroduction()) > peerRetention {
+			delete(s.peers, id)
+			delete(s.peersByKey, p.key)
+		}
+	}
+}
+
+func (p *peer) lastSignOrIntroduction() time.Time {
+	if p.heardAt.IsZero() {
+		return p.learnedAt
+	}
+	return p.heardAt
+}
+
+// IsLarge reports whether more entries are known than a round of messages reaches.
+func (s *State) IsLarge() bool { return max(len(s.peers), len(s.discoveredAt)) > fanout }
+
+func (s *State) isAlive(now time.Time, p *peer) bool {
+	timeout := AliveTimeout
+	if s.IsLarge() {
+		timeout = relayedAliveTimeout
+	}
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) < timeout
+}
 
 func (s *State) alivePeers(now time.Time) []*peer {
 	var peers []*peer
 	for _, p := range s.peers {
-		if p.isAlive(now) {
+		if s.isAlive(now, p) {
 			peers = append(peers, p)
 		}
 	}
@@ -257,7 +256,9 @@
 	return peers
 }
 
-// AliveMembers returns this entry and the alive peers, ordered by ID.
+// AliveMembers returns this entry and the alive peers, ordered by ID. In a large
+// deployment, standby members of other data centres are mostly missing, because
+// their signs of life are not relayed.
 func (s *State) AliveMembers(now time.Time) []Member {
 	members := []Member{s.self}
 	for _, p := range s.alivePeers(now) {
@@ -267,25 +268,86 @@
 	return members
 }
 
-// SenderCount returns the number of entries that may be sending requests to
-// backend servers: this entry, the peers that were alive within SenderTimeout,
-// and the addresses added within SenderTimeout from which no message has
-// arrived.
-func (s *State) SenderCount(now time.Time) int {
-	count := 1
-	knownAddrs := map[string]bool{}
+// AwaitedMembers returns the introduced members from which a first sign of life is
+// expected.
+func (s *State) AwaitedMembers(now time.Time) []Member {
+	var members []Member
 	for _, p := range s.peers {
+		if p.heardAt.IsZero() && now.Sub(p.learnedAt) < firstSignTimeout {
+			members = append(members, p.member)
+		}
+	}
+	return members
+}
+
+// Senders describes the entries that may be using their shares of the limits of
+// backend servers.
+type Senders struct {
+	// Count is the number of these entries: this entry, the active peers that were
+	// alive within SenderTimeout, and the entries discovered within SenderTimeout
+	// from which no sign of life has arrived.
+	Count int
+	// Others holds the IDs of those other than this entry, if they are known.
+	Others []core.InstanceID
+}
+
+// Senders returns the entries that may be using their shares. An isolated entry
+// counts all of them twice: others may have become active that it cannot learn of.
+func (s *State) Senders(now time.Time) Senders {
+	timeout := SenderTimeout
+	if s.IsIsolated(now) {
+		timeout = isolatedSenderTimeout
+	}
+	senders := Senders{Count: 1}
+	knownAddrs := map[string]bool{}
+	for id, p := range s.peers {
 		knownAddrs[p.member.PeerAddr] = true
-		if now.Sub(p.receivedAt) < SenderTimeout {
-			count++
+		if !p.maySend(now, timeout) {
+			continue
 		}
+		senders.Count++
+		senders.Others = append(senders.Others, id)
 	}
 	for addr, since := range s.discoveredAt {
 		if !knownAddrs[addr] && now.Sub(since) < SenderTimeout {
-			count++
+			senders.Count++
+		}
+	}
+	if s.IsIsolated(now) {
+		senders.Count *= 2
+	}
+	return senders
+}
+
+// maySend reports whether a peer may be using its share: it was active within the
+// timeout, or its first sign of life is still awaited.
+func (p *peer) maySend(now time.Time, timeout time.Duration) bool {
+	if p.heardAt.IsZero() {
+		return now.Sub(p.learnedAt) < SenderTimeout
+	}
+	return p.member.Active && now.Sub(p.heardAt) < timeout
+}
+
+// IsIsolated reports whether this entry and the active peers that are alive are the
+// smaller part of those known within isolatedSenderTimeout. Of two equal parts, the
+// one without the lowest ID is isolated.
+func (s *State) IsIsolated(now time.Time) bool {
+	known, alive := 1, 1
+	lowest, isLowestAlive := s.self.ID, true
+	for id, p := range s.peers {
+		if !p.member.Active || now.Sub(p.heardAt) >= isolatedSenderTimeout {
+			continue
+		}
+		known++
+		isAlive := s.isAlive(now, p)
+		if isAlive {
+			alive++
+		}
+		if id < lowest {
+			lowest, isLowestAlive = id, isAlive
 		}
 	}
-	return count
+	return 2*alive < known || 2*alive == known && !isLowestAlive
 }
 
 // Loads returns the sum of the alive peers' requests in flight by backend
@@ -293,7 +355,7 @@
 func (s *State) Loads(now time.Time) map[core.InstanceID]int {
 	sum := map[core.InstanceID]int{}
 	for _, p := range s.peers {
-		if !p.isAlive(now) {
+		if now.Sub(p.loadsAt) >= AliveTimeout {
 			continue
 		}
 		for server, load := range p.loads {
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -17,6 +17,8 @@
 		Phase:       PhaseReady,
 		PeerAddr:    fmt.Sprintf("10.0.0.%d:7700", i),
 		CallerAddr:  fmt.Sprintf("10.0.0.%d:8005", i),
+		DataCentre:  "a",
+		Active:      true,
 	}
 }
 
@@ -26,8 +28,12 @@
 	now    time.Time
 	states []*State
 	down   map[int]bool
+	// cut holds the entries whose messages to and from others are lost.
+	cut map[int]bool
 }
 
+func (c *cluster) isCut(i, j int) bool { return c.cut[i] || c.cut[j] }
+
 func newCluster(size int) *cluster {
 	c := &cluster{now: time.Unix(1000, 0), down: map[int]bool{}}
 	for i := range size {
@@ -44,12 +50,17 @@
 		if c.down[i] {
 			continue
 		}
-		message, addrs := state.NextMessage(c.now, nil, map[core.InstanceID]int{"s-1": i})
-		for _, addr := range addrs {
-			for j, other := range c.states {
-				if other.self.PeerAddr == addr && !c.down[j] {
-					other.Receive(c.now, message)
-				}
+		for _, outgoing := range state.NextRound(c.now, nil, map[core.InstanceID]int{"s-1": i}) {
+			c.deliver(i, outgoing)
+		}
+	}
+}
+
+func (c *cluster) deliver(from int, outgoing Outgoing) {
+	for _, addr := range outgoing.Addrs {
+		for j, other := range c.states {
+			if other.self.PeerAddr == addr && !c.down[j] && !c.isCut(from, j) {
+				other.Receive(c.now, outgoing.Message)
 			}
 		}
 	}
@@ -64,16 +75,16 @@
 			}
 			for i, state := range c.states {
 				require.Len(t, state.AliveMembers(c.now), size, "entry %d", i)
-				require.Equal(t, size, state.SenderCount(c.now))
+				require.Equal(t, size, state.Senders(c.now).Count)
 			}
 			c.down[size-1] = true
 			stoppedAt := c.now
-			for c.now.Sub(stoppedAt) < AliveTimeout+2*time.Second {
+			for c.now.Sub(stoppedAt) < relayedAliveTimeout+2*time.Second {
 				c.runRound()
 			}
 			for i, state := range c.states[:size-1] {
 				require.Len(t, state.AliveMembers(c.now), size-1, "entry %d", i)
-				require.Equal(t, size, state.SenderCount(c.now), "a silent entry counts as a sender until SenderTimeout")
+				require.Equal(t, size, state.Senders(c.now).Count, "a silent entry counts as a sender until SenderTimeout")
 			}
 		})
 	}
@@ -131,11 +142,15 @@
 	for i := range 5 {
 		state.AddPeerAddr(now, testMember(i+1).PeerAddr)
 	}
-	require.Equal(t, 6, state.SenderCount(now))
+	require.Equal(t, 6, state.Senders(now).Count)
 	state.Receive(now, Message{From: testMember(1)})
-	require.Equal(t, 6, state.SenderCount(now))
+	require.Equal(t, 6, state.Senders(now).Count)
 	now = now.Add(SenderTimeout)
-	require.Equal(t, 1, state.SenderCount(now))
-	_, addrs := state.NextMessage(now, nil, nil)
-	require.Len(t, addrs, silentAddrsPerRound, "messages are still sent to silent addresses")
+	require.Equal(t, 1, state.Senders(now).Count)
+	var round []Outgoing
+	for range startRounds + 1 {
+		round = state.NextRound(now, nil, nil)
+	}
+	require.Len(t, round, 1)
+	require.Len(t, round[0].Addrs, silentAddrsPerRound, "messages are still sent to silent addresses")
 }
--- a/requests/coldlimit/coldlimit.go
+++ b/requests/coldlimit/coldlimit.go
@@ -4,12 +4,18 @@
 package coldlimit
 
 import (
+	"hash/fnv"
 	"sync"
 	"time"
 
 	"currantusher.dev/core"
 )
 
+// leftOverFraction is the fraction of the limit up to which the requests that an even
+// division leaves over are given out. The rest is for entries that disagree for a
+// moment on who gets them.
+const leftOverFraction = 0.9
+
 // window is the length of the sliding window in which the limit holds.
 const window = time.Second
 
@@ -21,10 +27,62 @@
 	Overshoot, Slack float64
 }
 
-// PerEntry returns how many requests one entry may send in any window when the
-// limit is divided evenly among the given number of entries.
-func (l Limit) PerEntry(entries int) int {
-	return int((l.PerSecond*l.Overshoot + l.Slack) / float64(max(entries, 1)))
+// Sharers are the entries that divide the limits of servers among them.
+type Sharers struct {
+	count  int
+	self   uint64
+	others []uint64
+}
+
+// NewSharers returns the sharers as seen by the entry self. count is their number,
+// which includes some whose IDs are not known.
+func NewSharers(self core.InstanceID, others []core.InstanceID, count int) Sharers {
+	s := Sharers{count: max(count, 1), self: hashID(self)}
+	for _, other := range others {
+		s.others = append(s.others, hashID(other))
+	}
+	return s
+}
+
+// Share returns how many requests this entry may send to a server in any window. What
+// an even division leaves over goes to those entries that have the lowest ranks for
+// the server, so that a limit below the number of entries can still be used. A rank
+// hardly depends on whether the entries agree on who shares the limit.
+func (l Limit) Share(server core.InstanceID, sharers Sharers) int {
+	limit := l.PerSecond*l.Overshoot + l.Slack
+	share := int(limit / float64(sharers.count))
+	leftOver := int(leftOverFraction*limit) - share*sharers.count
+	if leftOver > 0 && sharers.rank(server) < leftOver {
+		share++
+	}
+	return share
+}
+
+// rank returns the number of other sharers that come before this entry at a server.
+func (s Sharers) rank(server core.InstanceID) int {
+	serverHash := hashID(server)
+	own, rank := mix(s.self^serverHash), 0
+	for _, other := range s.others {
+		if mix(other^serverHash) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func hashID(id core.InstanceID) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	return hash.Sum64()
+}
+
+// mix is the finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // Counter counts the requests that this entry sent to each server within the
--- a/requests/coldlimit/coldlimit_test.go
+++ b/requests/coldlimit/coldlimit_test.go
@@ -1,17 +1,41 @@
 package coldlimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
 )
 
-func TestPerEntryDividesTheWidenedLimit(t *testing.T) {
+func TestShareDividesTheWidenedLimit(t *testing.T) {
 	limit := Limit{PerSecond: 36, Overshoot: 1.5, Slack: 5}
-	require.Equal(t, 59, limit.PerEntry(1))
-	require.Equal(t, 8, limit.PerEntry(7))
-	require.Equal(t, 59, limit.PerEntry(0))
+	require.Equal(t, 59, limit.Share("s-1", NewSharers("e-1", nil, 1)))
+	require.Equal(t, 8, limit.Share("s-1", NewSharers("e-1", nil, 7)))
+	require.Equal(t, 59, limit.Share("s-1", NewSharers("e-1", nil, 0)))
+}
+
+// A limit of 26 must stay usable with 45 or 149 entries.
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	limit := Limit{PerSecond: 14, Overshoot: 1.5, Slack: 5}
+	for _, entries := range []int{1, 2, 9, 15, 45, 149, 350} {
+		var ids []core.InstanceID
+		for i := range entries {
+			ids = append(ids, core.InstanceID(fmt.Sprintf("e-%d", i)))
+		}
+		for server := range 20 {
+			id := core.InstanceID(fmt.Sprintf("s-%d", server))
+			sum := 0
+			for i := range ids {
+				others := append(append([]core.InstanceID(nil), ids[:i]...), ids[i+1:]...)
+				sum += limit.Share(id, NewSharers(ids[i], others, entries))
+			}
+			require.LessOrEqual(t, sum, 26)
+			require.GreaterOrEqual(t, sum, 23, "%d entries", entries)
+		}
+	}
 }
 
 // No sliding window may contain more requests than the limit of the entry.
