Relays: the second reads from the first, the store is spared at the start and while it is down

Two relays of each data centre read the same feeds; at the start all 302 daemons followed the store until they knew the relays; while the store was down, each daemon called it about twice a second. Besides, a daemon that was no longer a relay served its old rows as current for up to 7 s.

Change: the second relay reads from the first and serves its rows; rows read from the store name the relays before gossip does; polls are a second apart in the first three seconds; the feed of servers is read every 0.4 s at most; daemons with relays call a store that fails after 0.5 to 4 s; a former relay drops its rows.

Tests: TestSecondRelayReadsFromTheFirst, TestDaemonsWithRelaysSpareAStoreThatIsDown, TestFormerRelayDoesNotServe.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -36,6 +36,10 @@
 	// readinessCheckPeriod is the interval of the entry's own readiness check, a
 	// small fraction of the second between the platform's checks.
 	readinessCheckPeriod = 50 * time.Millisecond
+	// serversReadInterval is the least time between two reads of the changes of backend
+	// servers from the store. Requests must stop within two seconds after a server
+	// leaves.
+	serversReadInterval = 400 * time.Millisecond
 	// settingsPollPeriod is how often the settings file is read again.
 	settingsPollPeriod = 2 * time.Second
 )
@@ -108,8 +112,10 @@
 	g.follower = watch.NewFollower(watch.Config{
 		Store: relay.NewStore(relay.Config{
 			Self: config.Node.Instance, Cache: g.relayCache, Relays: g.relays, Log: config.Log.Component("watch"),
+			MinIntervals: map[string]time.Duration{watch.ServersTable: serversReadInterval},
 		}),
-		Tables: []string{watch.OperatorTable, watch.ServersTable},
+		Tables:            []string{watch.OperatorTable, watch.ServersTable},
+		StartPollInterval: watch.DefaultStartPollInterval,
 		// g.gossip is assigned below, before the follower runs.
 		OthersReachStore: func() bool { return g.gossip.PeerReachesStore() },
 		Log:              config.Log.Component("watch"),
@@ -190,7 +196,7 @@
 
 // relays returns the entries through which this one reads the store.
 func (g *Gateway) relays(context.Context) []relay.Member {
-	return roster.Relays(g.gossip.AliveMembers(), g.node.Load().DataCentre)
+	return roster.Relays(append(g.gossip.AliveMembers(), g.gossip.AwaitedMembers()...), g.node.Load().DataCentre)
 }
 
 func (g *Gateway) revisions() map[string]uint64 {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -113,7 +113,9 @@
 	l.follower = watch.NewFollower(watch.Config{
 		Store:  relayed,
 		Tables: []string{watch.OperatorTable},
-		Log:    config.Log.Component("watch"),
+
+		StartPollInterval: watch.DefaultStartPollInterval,
+		Log:               config.Log.Component("watch"),
 		// l.manager is assigned below, before the follower runs.
 		OnChange: func(*watch.View) { l.manager.CheckTargets() },
 	})
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,8 +22,13 @@
 	AgentsTable  = "agents"
 )
 
-// retryDelay is the delay after a failed store call.
-const retryDelay = 500 * time.Millisecond
+// minRetryDelay and maxRetryDelay bound the delay after a failed store call, which
+// doubles with each failure. Together with the jitter this spares a store that is down
+// while a whole fleet starts.
+const (
+	minRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 4 * time.Second
+)
 
 // Reader reads whole tables.
 type Reader interface {
@@ -93,13 +99,15 @@
 }
 
 func (r *Roster[T]) retry(ctx context.Context, operation string, call func() error) bool {
+	delay := minRetryDelay
 	for ctx.Err() == nil {
 		err := call()
 		if err == nil {
 			return true
 		}
 		r.log.WithError(err).WithField("call", operation).Warn("Store call failed; retrying.")
-		pause.For(ctx, retryDelay)
+		pause.For(ctx, delay/2+rand.N(delay))
+		delay = min(2*delay, maxRetryDelay)
 	}
 	return false
 }
--- a/tables/relay/cache.go
+++ b/tables/relay/cache.go
@@ -69,13 +69,19 @@
 // ReadAll reads all rows of a table from the store, and caches them.
 func (c *Cache) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
 	page, err := c.source.ReadAll(ctx, table)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.table(table)
 	if err != nil {
-		t.markUnavailable()
+		c.markUnavailable(table)
 		return page, err
 	}
+	c.adoptAll(table, page)
+	return page, nil
+}
+
+// adoptAll caches all rows of a table, which were read from the store or a relay.
+func (c *Cache) adoptAll(table string, page rowstore.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table(table)
 	t.rows = make(map[string]rowstore.Row, len(page.Rows))
 	for _, row := range page.Rows {
 		t.rows[row.Key] = row
@@ -84,29 +90,52 @@
 	t.changes = nil
 	t.changesAfter = page.Revision
 	t.advance(page.Revision, c.now())
-	return page, nil
 }
 
 // Changes reads the changes of a table after a revision from the store, and
 // caches them. It waits up to wait for the first change.
 func (c *Cache) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
 	page, err := c.source.Changes(ctx, table, since, wait)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.table(table)
 	if err != nil {
-		t.markUnavailable()
+		c.markUnavailable(table)
 		return page, err
 	}
+	c.adoptChanges(table, since, page)
+	return page, nil
+}
+
+// adoptChanges caches the changes of a table after a revision, which were read from the
+// store or a relay.
+func (c *Cache) adoptChanges(table string, since uint64, page rowstore.Page) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table(table)
 	if since != t.cursor || t.rows == nil {
 		// The daemon has read from another source meanwhile, so that some
 		// changes are missing here.
 		t.rows = nil
-		return page, nil
+		return
 	}
 	t.appendChanges(page.Rows)
 	t.advance(max(page.Revision, since), c.now())
-	return page, nil
+}
+
+// drop removes the rows of a table, when this daemon no longer reads it from the store.
+// Daemons that still take this one for a relay would otherwise miss all later changes.
+func (c *Cache) drop(table string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.table(table); t.rows != nil {
+		t.rows = nil
+		t.markUnavailable()
+	}
+}
+
+// markUnavailable records that the store does not reply.
+func (c *Cache) markUnavailable(table string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table(table).markUnavailable()
 }
 
 // hasAllRowsAt reports whether the cache holds all rows of a table at exactly
--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -96,6 +97,9 @@
 	return cache.ChangesSince(ctx, table, since)
 }
 
+// errOutdated reports that the store does not reply to a relay.
+var errOutdated = errors.New("the relay has no recent reply from the store")
+
 // client reads from the Handlers of other daemons.
 type client struct{ http *http.Client }
 
@@ -131,6 +135,8 @@
 	case http.StatusOK:
 	case http.StatusGone:
 		return rowstore.Page{}, rowstore.ErrHistoryGone
+	case http.StatusServiceUnavailable:
+		return rowstore.Page{}, errOutdated
 	default:
 		return rowstore.Page{}, fmt.Errorf("relay returned status %d", response.StatusCode)
 	}
--- a/tables/relay/relay_test.go
+++ b/tables/relay/relay_test.go
@@ -137,14 +137,17 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		s := newFakeStore()
 		relays := []Member{}
+		now := time.Unix(1000, 0)
+		clock := func() time.Time { return now }
 		cache := NewCache(s, nil)
 		server := httptest.NewServer(Handler(cache, NewSnapshots(cache, nil), discardLogger()))
 		self := Member{ID: "relay", Addr: server.Listener.Addr().String()}
 		relayReader := &tableReader{store: NewStore(Config{Self: self.ID, Cache: cache, Log: discardLogger(),
 			Relays: func(context.Context) []Member { return []Member{self} }})}
-		follower := &tableReader{store: NewStore(Config{Self: "listener", Cache: NewCache(s, nil), Log: discardLogger(),
+		follower := &tableReader{store: NewStore(Config{Self: "listener", Cache: NewCache(s, nil), Log: discardLogger(), Now: clock,
 			Relays: func(context.Context) []Member { return relays }})}
 		for range 60 {
+			now = now.Add(100 * time.Millisecond)
 			switch random.IntN(8) {
 			case 0:
 				s.put(fmt.Sprint(random.IntN(6)), true)
@@ -163,6 +166,7 @@
 		}
 		s.setDown(false)
 		relays = []Member{self}
+		now = now.Add(2 * maxDirectDelay)
 		for range 3 {
 			require.NoError(t, relayReader.read(t.Context()))
 			require.NoError(t, follower.read(t.Context()))
@@ -308,3 +312,79 @@
 	_, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table)
 	require.Error(t, err, "the daemon reads from the store itself")
 }
+
+// While the store was down, every daemon of a large fleet called it several times a
+// second.
+func TestDaemonsWithRelaysSpareAStoreThatIsDown(t *testing.T) {
+	s := newFakeStore()
+	s.setDown(true)
+	now := time.Unix(1000, 0)
+	cache := NewCache(s, nil)
+	server := httptest.NewServer(Handler(cache, NewSnapshots(s, nil), discardLogger()))
+	defer server.Close()
+	member := Member{ID: "relay", Addr: server.Listener.Addr().String()}
+	follower := &tableReader{store: NewStore(Config{Self: "listener", Cache: NewCache(s, nil), Log: discardLogger(), Now: func() time.Time { return now },
+		Relays: func(context.Context) []Member { return []Member{member} }})}
+	for range 40 {
+		require.Error(t, follower.read(t.Context()))
+		now = now.Add(250 * time.Millisecond)
+	}
+	require.LessOrEqual(t, s.calls, 8, "in 10 s")
+	s.setDown(false)
+	_, err := cache.ReadAll(t.Context(), table)
+	require.NoError(t, err)
+	now = now.Add(outdatedRelayDelay)
+	require.NoError(t, follower.read(t.Context()), "the relay serves the rows at once")
+}
+
+// The second relay of a data centre reads from the first, and serves its rows.
+func TestSecondRelayReadsFromTheFirst(t *testing.T) {
+	s := newFakeStore()
+	s.put("a", false)
+	caches := []*Cache{NewCache(s, nil), NewCache(s, nil)}
+	var members []Member
+	for i, cache := range caches {
+		server := httptest.NewServer(Handler(cache, NewSnapshots(s, nil), discardLogger()))
+		defer server.Close()
+		members = append(members, Member{ID: core.InstanceID(fmt.Sprint("relay-", i)), Addr: server.Listener.Addr().String()})
+	}
+	readers := make([]*tableReader, len(caches))
+	for i, cache := range caches {
+		readers[i] = &tableReader{store: NewStore(Config{Self: members[i].ID, Cache: cache, Log: discardLogger(),
+			Relays: func(context.Context) []Member { return members }})}
+		require.NoError(t, readers[i].read(t.Context()))
+	}
+	calls := s.calls
+	for range 5 {
+		require.NoError(t, readers[1].read(t.Context()))
+	}
+	require.Equal(t, calls, s.calls)
+	s.put("b", false)
+	require.NoError(t, readers[0].read(t.Context()))
+	require.NoError(t, readers[1].read(t.Context()))
+	page, status := caches[1].AllRows(table)
+	require.Equal(t, StatusServed, status)
+	require.Len(t, page.Rows, 2)
+}
+
+// A daemon that is no longer a relay has rows that do not change any more. Daemons that
+// still asked it missed all changes for seconds.
+func TestFormerRelayDoesNotServe(t *testing.T) {
+	s := newFakeStore()
+	s.put("a", false)
+	former, current := NewCache(s, nil), NewCache(s, nil)
+	server := httptest.NewServer(Handler(current, NewSnapshots(s, nil), discardLogger()))
+	defer server.Close()
+	relays := []Member{{ID: "former"}}
+	store := NewStore(Config{Self: "former", Cache: former, Log: discardLogger(), Relays: func(context.Context) []Member { return relays }})
+	reader := &tableReader{store: store}
+	require.NoError(t, reader.read(t.Context()))
+	_, status := former.AllRows(table)
+	require.Equal(t, StatusServed, status)
+	_, err := current.ReadAll(t.Context(), table)
+	require.NoError(t, err)
+	relays = []Member{{ID: "current", Addr: server.Listener.Addr().String()}}
+	require.NoError(t, reader.read(t.Context()))
+	_, status = former.ChangesSince(t.Context(), table, 1)
+	require.Equal(t, StatusNotCurrent, status)
+}
--- a/tables/relay/store.go
+++ b/tables/relay/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
 )
 
@@ -22,8 +24,15 @@
 	// minEntriesForRelays is the number of entries from which a data centre has
 	// relays. With fewer entries, each reads from the store.
 	minEntriesForRelays = 4
-	// relayRetryDelay is the time for which a failed relay is not used.
-	relayRetryDelay = 3 * time.Second
+	// relayRetryDelay is the time for which a relay is not used that did not respond,
+	// and outdatedRelayDelay for one that itself has no reply from the store.
+	relayRetryDelay    = 3 * time.Second
+	outdatedRelayDelay = time.Second
+	// minDirectDelay and maxDirectDelay bound the time between two failed calls to the
+	// store of a daemon that has relays, which doubles with each failure: the relays
+	// notice first that the store replies again, and all others learn it from them.
+	minDirectDelay = 500 * time.Millisecond
+	maxDirectDelay = 4 * time.Second
 )
 
 // Member is an entry that may be a relay.
@@ -67,13 +76,17 @@
 	// Relays returns the relays of this daemon's data centre; none if it reads
 	// from the store itself.
 	Relays func(ctx context.Context) []Member
-	Log    *logrus.Entry
+	// MinIntervals is the least time between two calls to the store for the changes of
+	// a table, which batches them.
+	MinIntervals map[string]time.Duration
+	Log          *logrus.Entry
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
 
 // Store reads rows from a relay, or from the platform's store if there is no
-// relay or it fails. It is safe for concurrent use.
+// relay or it fails. Of the relays of a data centre, each reads from those before it.
+// It is safe for concurrent use.
 type Store struct {
 	config Config
 	client *client
@@ -81,63 +94,130 @@
 	mu         sync.Mutex
 	avoidUntil map[core.InstanceID]time.Time
 	lastRelay  core.InstanceID
+	// directDelay is the time between two calls to the store while they fail, and
+	// directAt when the next one is allowed.
+	directDelay time.Duration
+	directAt    time.Time
+	// lastChangesAt is when the changes of a table were last requested from the store.
+	lastChangesAt map[string]time.Time
 }
 
+// errAwaitingRelay reports that no relay replies, and that this daemon's own calls to
+// the store have failed recently.
+var errAwaitingRelay = errors.New("no relay replies, and the store did not reply recently")
+
 // NewStore returns a Store that reads from the platform's store through
 // config.Cache.
 func NewStore(config Config) *Store {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Store{config: config, client: newClient(), avoidUntil: map[core.InstanceID]time.Time{}}
+	return &Store{config: config, client: newClient(), avoidUntil: map[core.InstanceID]time.Time{}, lastChangesAt: map[string]time.Time{}}
 }
 
 // ReadAll returns all rows of a table.
 func (s *Store) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
-	page, err, attempted := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readAll(ctx, addr, table) })
-	if attempted && err == nil {
+	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readAll(ctx, addr, table) })
+	switch {
+	case err == nil && s.isRelay(ctx):
+		s.config.Cache.adoptAll(table, page)
+		return page, nil
+	case err == nil:
+		s.config.Cache.drop(table)
 		return page, nil
 	}
-	return s.config.Cache.ReadAll(ctx, table)
+	return s.readDirectly(ctx, func() (rowstore.Page, error) { return s.config.Cache.ReadAll(ctx, table) })
 }
 
 // Changes returns the rows of a table that changed after a revision. It waits up
 // to wait for the first change.
 func (s *Store) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
-	page, err, attempted := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readChanges(ctx, addr, table, since, wait) })
-	if attempted && (err == nil || errors.Is(err, rowstore.ErrHistoryGone)) {
-		return page, err
-	}
-	if s.isRelay(ctx) && !s.config.Cache.hasAllRowsAt(table, since) {
+	isRelay := s.isRelay(ctx)
+	if isRelay && !s.config.Cache.hasAllRowsAt(table, since) {
 		// A new relay must read all rows, because other daemons may request
 		// them.
 		return rowstore.Page{}, rowstore.ErrHistoryGone
 	}
-	return s.config.Cache.Changes(ctx, table, since, wait)
+	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readChanges(ctx, addr, table, since, wait) })
+	switch {
+	case err == nil && isRelay:
+		s.config.Cache.adoptChanges(table, since, page)
+	case err == nil:
+		s.config.Cache.drop(table)
+	}
+	if err == nil || errors.Is(err, rowstore.ErrHistoryGone) {
+		return page, err
+	}
+	s.awaitInterval(ctx, table)
+	return s.readDirectly(ctx, func() (rowstore.Page, error) { return s.config.Cache.Changes(ctx, table, since, wait) })
 }
 
-// readFromRelay reads from a relay. The last result is false if there is none.
-func (s *Store) readFromRelay(ctx context.Context, call func(addr string) (rowstore.Page, error)) (rowstore.Page, error, bool) {
+// errNoRelay reports that there is no relay to read from.
+var errNoRelay = errors.New("no relay")
+
+// readFromRelay reads from a relay.
+func (s *Store) readFromRelay(ctx context.Context, call func(addr string) (rowstore.Page, error)) (rowstore.Page, error) {
 	relay, ok := s.chooseRelay(ctx)
 	if !ok {
-		return rowstore.Page{}, nil, false
+		return rowstore.Page{}, errNoRelay
 	}
 	page, err := call(relay.Addr)
 	if err != nil && !errors.Is(err, rowstore.ErrHistoryGone) && ctx.Err() == nil {
-		s.config.Log.WithError(err).WithField("relay", relay.ID).Warn("Relay failed; reading from the store instead.")
+		s.config.Log.WithError(err).WithField("relay", relay.ID).Warn("Relay failed; reading from another one or from the store instead.")
+		delay := relayRetryDelay
+		if errors.Is(err, errOutdated) {
+			delay = outdatedRelayDelay
+		}
 		s.mu.Lock()
-		s.avoidUntil[relay.ID] = s.config.Now().Add(relayRetryDelay)
+		s.avoidUntil[relay.ID] = s.config.Now().Add(delay)
 		s.mu.Unlock()
 	}
-	return page, err, true
+	return page, err
+}
+
+// readDirectly reads from the store. A daemon with relays that is not one itself calls
+// the store less and less often while it does not reply.
+func (s *Store) readDirectly(ctx context.Context, call func() (rowstore.Page, error)) (rowstore.Page, error) {
+	if list := s.config.Relays(ctx); len(list) == 0 || s.isAmong(list) {
+		return call()
+	}
+	s.mu.Lock()
+	isAllowed := !s.config.Now().Before(s.directAt)
+	s.mu.Unlock()
+	if !isAllowed {
+		return rowstore.Page{}, errAwaitingRelay
+	}
+	page, err := call()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil || errors.Is(err, rowstore.ErrHistoryGone) || ctx.Err() != nil {
+		s.directDelay = 0
+		return page, err
+	}
+	s.directDelay = min(max(2*s.directDelay, minDirectDelay), maxDirectDelay)
+	s.directAt = s.config.Now().Add(s.directDelay/2 + rand.N(s.directDelay))
+	return page, err
+}
+
+// awaitInterval waits until the store may be called for the changes of a table again.
+func (s *Store) awaitInterval(ctx context.Context, table string) {
+	s.mu.Lock()
+	now := s.config.Now()
+	at := s.lastChangesAt[table].Add(s.config.MinIntervals[table])
+	if at.Before(now) {
+		at = now
+	}
+	s.lastChangesAt[table] = at
+	s.mu.Unlock()
+	pause.For(ctx, at.Sub(now))
 }
 
 // chooseRelay returns the relay to read from. The preferred relay depends on the
 // daemon's id, which distributes the load.
 func (s *Store) chooseRelay(ctx context.Context) (Member, bool) {
 	list := s.config.Relays(ctx)
-	if s.isAmong(list) {
-		list = nil
+	if own := slices.IndexFunc(list, func(m Member) bool { return m.ID == s.config.Self }); own >= 0 {
+		list = list[:own]
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -27,6 +27,10 @@
 	DefaultPollInterval = 200 * time.Millisecond
 	// DefaultRetryDelay is the mean pause after a failed call.
 	DefaultRetryDelay = 300 * time.Millisecond
+	// DefaultStartPollInterval applies within startTime after the start of a daemon. In
+	// a fleet that starts, all daemons read from the store until they know the relays.
+	DefaultStartPollInterval = time.Second
+	startTime                = 3 * time.Second
 	// expireInterval is the time between two checks for servers whose expired
 	// rows were not written again.
 	expireInterval = 100 * time.Millisecond
@@ -44,8 +48,10 @@
 	Tables          []string
 	LongPollTimeout time.Duration
 	PollInterval    time.Duration
-	RetryDelay      time.Duration
-	Log             *logrus.Entry
+	// StartPollInterval applies in place of a shorter PollInterval at the start.
+	StartPollInterval time.Duration
+	RetryDelay        time.Duration
+	Log               *logrus.Entry
 	// OthersReachStore reports whether the store replies to other daemons.
 	// While it does, a failed call is not treated as an outage of the store, and
 	// a server whose row is deleted is removed immediately. nil means that no
@@ -121,6 +127,7 @@
 
 func (f *Follower) follow(ctx context.Context, name string) error {
 	readAllRows := true
+	startedAt := f.config.Now()
 	for ctx.Err() == nil {
 		var err error
 		if readAllRows {
@@ -129,6 +136,9 @@
 			err = f.readChanges(ctx, name)
 		}
 		wait := f.config.PollInterval
+		if f.config.Now().Sub(startedAt) < startTime {
+			wait = max(wait, f.config.StartPollInterval)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return nil
