Versions: turns at the origin recur, an older version is completed before a newer one

After the outage all agents asked for all pieces at once, reached their timeout and asked again; agents that waited for the origin had moved on to sources that waited themselves.

Change: the turns of the pieces recur with the period of a whole copy; an agent keeps asking the source that fetches a piece while that one runs; only one other agent of the origin's region takes over. A version of which an eighth has arrived is completed before the newer one's pieces travel between agents, and loaded unless the newer one is expected in time.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -36,10 +36,6 @@
 	// readinessCheckPeriod is the interval of the entry's own readiness check, a
 	// small fraction of the second between the platform's checks.
 	readinessCheckPeriod = 50 * time.Millisecond
-	// serversReadInterval is the least time between two reads of the changes of backend
-	// servers from the store. Requests must stop within two seconds after a server
-	// leaves.
-	serversReadInterval = 400 * time.Millisecond
 	// settingsPollPeriod is how often the settings file is read again.
 	settingsPollPeriod = 2 * time.Second
 )
@@ -112,7 +108,7 @@
 	g.follower = watch.NewFollower(watch.Config{
 		Store: relay.NewStore(relay.Config{
 			Self: config.Node.Instance, Cache: g.relayCache, Relays: g.relays, Log: config.Log.Component("watch"),
-			MinIntervals: map[string]time.Duration{watch.ServersTable: serversReadInterval},
+			MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval, watch.ServersTable: watch.ServersReadInterval},
 		}),
 		Tables:            []string{watch.OperatorTable, watch.ServersTable},
 		StartPollInterval: watch.DefaultStartPollInterval,
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -21,10 +21,14 @@
 	// DefaultLongPollTimeout is how long a call waits for changes. It also
 	// bounds the time until a connection that does not respond is detected.
 	DefaultLongPollTimeout = 5 * time.Second
-	// DefaultPollInterval is the pause between two calls, which batches changes.
-	// It is a small part of the two seconds within which a change must be in
-	// force.
-	DefaultPollInterval = 200 * time.Millisecond
+	// DefaultPollInterval is the pause between two calls. Calls to the store are
+	// batched by their own intervals.
+	DefaultPollInterval = 20 * time.Millisecond
+	// OperatorReadInterval and ServersReadInterval are the least times between two
+	// reads of the changes of a table from the store. Changes must be in force, and
+	// requests to a leaving server stop, within two seconds.
+	OperatorReadInterval = 200 * time.Millisecond
+	ServersReadInterval  = 400 * time.Millisecond
 	// DefaultRetryDelay is the mean pause after a failed call.
 	DefaultRetryDelay = 300 * time.Millisecond
 	// DefaultStartPollInterval applies within startTime after the start of a daemon. In
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -23,9 +23,17 @@
 	// the source itself waits for the piece. A piece takes 35 ms alone on the
 	// slowest link, and shares it with up to ten others.
 	sourceTimeout = 1800 * time.Millisecond
-	// maxNotFoundRetries bounds the retries at a source that does not have the
-	// piece yet. The next source waits for the piece from the same source.
-	maxNotFoundRetries = 2
+	// maxNotFoundRetries bounds the retries at the first source while it does not have
+	// the piece. Each takes about a second. An outage of the origin lasts a few
+	// seconds, and other sources wait for the piece as well.
+	maxNotFoundRetries = 5
+	// maxWaitingSources bounds the sources of a region that are tried although they
+	// do not have the piece: the agent that fetches it into the region and the one
+	// that takes over.
+	maxWaitingSources = 2
+	// recheckTimeout bounds the question whether a source of this region has a piece by
+	// now.
+	recheckTimeout = 100 * time.Millisecond
 	// failedSourceBackoff is how long no request is sent to a source that
 	// failed.
 	failedSourceBackoff = 2 * time.Second
@@ -50,6 +58,9 @@
 	plan        FetchPlan
 	startedAt   time.Time
 	originSlots chan struct{}
+	// awaitPeersTurn waits until pieces may be fetched from peers. The links between
+	// agents bring the pieces of an older version first.
+	awaitPeersTurn func(context.Context)
 
 	mu            sync.Mutex
 	backoffUntil  map[core.InstanceID]time.Time
@@ -60,8 +71,10 @@
 func newFetcher(m *Manager, log *logrus.Entry, target TargetVersion, plan FetchPlan) *fetcher {
 	return &fetcher{
 		manager: m, log: log, target: target, plan: plan, startedAt: time.Now(),
-		originSlots:  make(chan struct{}, maxOriginFetches),
-		backoffUntil: map[core.InstanceID]time.Time{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
+		originSlots: make(chan struct{}, maxOriginFetches),
+
+		awaitPeersTurn: func(context.Context) {},
+		backoffUntil:   map[core.InstanceID]time.Time{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
 	}
 }
 
@@ -218,26 +231,18 @@
 // fetchPiece tries one source after another until the piece is verified and
 // held.
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
-	sources := f.plan.Sources(num)
-	if len(sources) == 0 {
-		pause.For(ctx, time.Until(f.startedAt.Add(f.target.originTurn(num))))
-	}
 	for ctx.Err() == nil {
-		for _, peer := range sources {
-			if f.isBackedOff(peer) {
-				continue
-			}
-			content, err := f.fetchFromPeer(ctx, peer, num)
-			for retry := 0; retry < maxNotFoundRetries && isNotFound(err); retry++ {
-				content, err = f.fetchFromPeer(ctx, peer, num)
-			}
-			if err != nil {
-				f.backOff(peer, err)
-				continue
-			}
-			if f.acceptPiece(ctx, pieces, num, content, sourceKind(f.plan, peer)) {
-				return nil
-			}
+		held, awaited := f.fetchFromPeers(ctx, pieces, num)
+		if held {
+			return nil
+		}
+		if awaited && !f.takesOver(num) {
+			pause.For(ctx, retryDelay)
+			continue
+		}
+		f.awaitOriginTurn(ctx, num)
+		if awaited && f.isHeldByFirstSource(ctx, num) {
+			continue
 		}
 		content, err := f.fetchFromOrigin(ctx, num)
 		if core.CodeOf(err) == core.CodeSuperseded {
@@ -257,6 +262,71 @@
 	return ctx.Err()
 }
 
+// awaitOriginTurn waits until the piece may be requested from the origin. The agent that
+// takes over has its turn half a period after the one that should fetch the piece.
+func (f *fetcher) awaitOriginTurn(ctx context.Context, num int) {
+	sinceStart := time.Since(f.startedAt)
+	if f.plan.rank(num) > 0 {
+		sinceStart += f.target.originPeriod() / 2
+	}
+	pause.For(ctx, f.target.originTurn(num, sinceStart))
+}
+
+// isHeldByFirstSource reports whether the piece has arrived at the first source.
+func (f *fetcher) isHeldByFirstSource(ctx context.Context, num int) bool {
+	sources := f.plan.Sources(num)
+	if len(sources) == 0 || f.isBackedOff(sources[0]) {
+		return false
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
+	defer cancel()
+	return f.manager.config.Peers.AwaitPiece(waitCtx, sources[0], f.target.VersionKey, num) == nil
+}
+
+// takesOver reports whether this agent fetches a piece from the origin if the agent
+// that should do so runs, but does not get it.
+func (f *fetcher) takesOver(num int) bool {
+	return f.plan.self.Region == f.plan.originRegion && f.plan.rank(num) == 1
+}
+
+// fetchFromPeers tries the sources of a piece once. awaited reports whether a source
+// runs that does not have the piece yet. Other regions are then tried only by the
+// agents that fetch the piece into this one.
+func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int) (held, awaited bool) {
+	if len(f.plan.Sources(num)) > 0 {
+		f.awaitPeersTurn(ctx)
+	}
+	isFirst := true
+	for _, group := range f.plan.sourceGroups(num) {
+		waiting := 0
+		for _, peer := range group {
+			if f.isBackedOff(peer) {
+				continue
+			}
+			content, err := f.fetchFromPeer(ctx, peer, num)
+			for retry := 0; isFirst && retry < maxNotFoundRetries && isNotFound(err); retry++ {
+				content, err = f.fetchFromPeer(ctx, peer, num)
+			}
+			isFirst = false
+			f.backOff(peer, err)
+			if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(f.plan, peer)) {
+				return true, awaited
+			}
+			if isNotFound(err) {
+				waiting++
+			}
+			if waiting == maxWaitingSources {
+				break
+			}
+		}
+		awaited = awaited || waiting > 0
+		if awaited && f.plan.rank(num) > 1 {
+			break
+		}
+	}
+	return false, awaited
+}
+
 func sourceKind(plan FetchPlan, peer Agent) string {
 	if peer.Region == plan.self.Region {
 		return "region"
--- /dev/null
+++ b/weights/staging/fleet_test.go
@@ -0,0 +1,329 @@
+package staging
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/worker"
+)
+
+const (
+	fleetPieces     = 64
+	fleetPieceBytes = 32 << 10
+	linkSliceBytes  = 8 << 10
+	megabitPerS     = 1e6 / 8
+)
+
+// simulatedLink is a link that its transfers share slice by slice.
+type simulatedLink struct {
+	bytesPerSecond float64
+	turn           chan struct{}
+}
+
+func newSimulatedLink(megabits float64) *simulatedLink {
+	return &simulatedLink{bytesPerSecond: megabits * megabitPerS, turn: make(chan struct{}, 1)}
+}
+
+// transfer sends bytes over links in sequence, as pipelined slices of one stream.
+func transfer(ctx context.Context, bytes int, links ...*simulatedLink) error {
+	for sent := 0; sent < bytes; sent += linkSliceBytes {
+		for _, l := range links {
+			select {
+			case l.turn <- struct{}{}:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			time.Sleep(time.Duration(linkSliceBytes / l.bytesPerSecond * float64(time.Second)))
+			<-l.turn
+		}
+	}
+	return nil
+}
+
+// weightsFleet runs the managers of many agents in simulated time.
+type weightsFleet struct {
+	t        *testing.T
+	started  time.Time
+	agents   []Agent
+	managers map[core.InstanceID]*Manager
+	engines  map[core.InstanceID]*simulatedEngine
+	uplinks  map[core.InstanceID]*simulatedLink
+	origin   *simulatedOrigin
+
+	mu      sync.Mutex
+	targets []TargetVersion
+}
+
+func pieceContent(version fleet.WeightsVersion, piece int) []byte {
+	content := make([]byte, fleetPieceBytes)
+	copy(content, fmt.Sprintf("piece %d of version %d", piece, version))
+	return content
+}
+
+type simulatedOrigin struct {
+	fleet *weightsFleet
+	link  *simulatedLink
+	// downFrom and downUntil bound an outage, in time since the start.
+	downFrom, downUntil time.Duration
+	conns               chan struct{}
+	sentPieces          int
+}
+
+var errOriginDown = errors.New("connection refused")
+
+func (o *simulatedOrigin) isDown() bool {
+	since := time.Since(o.fleet.started)
+	return since >= o.downFrom && since < o.downUntil
+}
+
+func (o *simulatedOrigin) Manifest(_ context.Context, _ fleet.Model, version fleet.WeightsVersion) ([][32]byte, error) {
+	if o.isDown() {
+		return nil, errOriginDown
+	}
+	digests := make([][32]byte, fleetPieces)
+	for piece := range digests {
+		digests[piece] = sha256.Sum256(pieceContent(version, piece))
+	}
+	return digests, nil
+}
+
+func (o *simulatedOrigin) Piece(ctx context.Context, _ fleet.Model, version fleet.WeightsVersion, piece int) ([]byte, error) {
+	if o.isDown() {
+		return nil, errOriginDown
+	}
+	select {
+	case o.conns <- struct{}{}:
+	default:
+		return nil, errors.New("connection reset: too many connections")
+	}
+	defer func() { <-o.conns }()
+	if err := transfer(ctx, fleetPieceBytes, o.link); err != nil {
+		return nil, err
+	}
+	if o.isDown() {
+		return nil, errOriginDown
+	}
+	o.fleet.mu.Lock()
+	o.sentPieces++
+	o.fleet.mu.Unlock()
+	return pieceContent(version, piece), nil
+}
+
+// simulatedPeers implements Peers for an agent in a region.
+type simulatedPeers struct {
+	fleet  *weightsFleet
+	region core.Region
+}
+
+func (f simulatedPeers) Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error) {
+	waitCtx, cancel := context.WithTimeout(ctx, pieceWaitTimeout)
+	defer cancel()
+	pieces := f.fleet.managers[peer.ID].awaitManifest(waitCtx, key)
+	if pieces == nil {
+		return nil, core.NewRefusal(core.CodeUnknownEntity, 0, "no manifest")
+	}
+	return pieces.digests, nil
+}
+
+func (f simulatedPeers) AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error {
+	waitCtx, cancel := context.WithTimeout(ctx, pieceWaitTimeout)
+	defer cancel()
+	pieces := f.fleet.managers[peer.ID].awaitManifest(waitCtx, key)
+	if pieces == nil || pieces.await(waitCtx, piece) == nil {
+		return core.NewRefusal(core.CodeUnknownEntity, 0, "no piece")
+	}
+	return nil
+}
+
+func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
+	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
+	start := time.Now()
+	slots := f.fleet.managers[peer.ID].uplink.sendSlots
+	if err := slots.acquire(ctx, peer.Region != f.region); err != nil {
+		return nil, 0, err
+	}
+	defer slots.release()
+	err := transfer(ctx, fleetPieceBytes, f.fleet.uplinks[peer.ID])
+	return content, time.Since(start), err
+}
+
+// simulatedEngine is an engine that loads staged weights.
+type simulatedEngine struct {
+	mu        sync.Mutex
+	loaded    fleet.WeightsVersion
+	loading   fleet.WeightsVersion
+	readyAt   time.Time
+	loadedAt  map[fleet.WeightsVersion]time.Time
+	staged    map[int][]byte
+	orders    int64
+	startedAt time.Time
+}
+
+func (e *simulatedEngine) Report(context.Context) (worker.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loading > 0 && !time.Now().Before(e.readyAt) {
+		e.loaded, e.loadedAt[e.loading], e.loading = e.loading, e.readyAt, 0
+	}
+	return worker.Report{Loaded: map[fleet.Model]fleet.WeightsVersion{"m": e.loaded}, Busy: e.loading > 0, AcceptedOrders: e.orders}, nil
+}
+
+func (e *simulatedEngine) LoadAfterRunning(_ context.Context, _ fleet.Model, version fleet.WeightsVersion, _ int64) (worker.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	e.loading, e.readyAt = version, time.Now().Add(700*time.Millisecond)
+	return worker.OrderAccepted, nil
+}
+
+func (e *simulatedEngine) Stage(_ context.Context, _ fleet.Model, piece int, content []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[piece] = content
+	return nil
+}
+
+func (e *simulatedEngine) Staged(_ context.Context, _ fleet.Model, piece int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.staged[piece] == nil {
+		return nil, core.NewRefusal(core.CodeUnknownEntity, 0, "not staged")
+	}
+	return e.staged[piece], nil
+}
+
+// newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
+// origin of 9.9 Mbit/s.
+func newWeightsFleet(t *testing.T, agentsPerRegion, regions int) *weightsFleet {
+	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{}}
+	f.origin = &simulatedOrigin{fleet: f, link: newSimulatedLink(9.9), conns: make(chan struct{}, 48)}
+	for region := range regions {
+		for i := range agentsPerRegion {
+			f.agents = append(f.agents, Agent{
+				ID: core.InstanceID(fmt.Sprintf("a-%d-%02d", region, i)), Region: core.Region(fmt.Sprint("region-", region)), Service: "llm",
+			})
+		}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, a := range f.agents {
+		f.engines[a.ID] = &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}}
+		f.uplinks[a.ID] = newSimulatedLink(7.6 * uplinkFraction)
+		f.managers[a.ID] = New(Config{
+			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f, a.Region}, TargetVersions: f.currentTargets, LinkBytesPerSecond: 7.6 * megabitPerS,
+			ListAgents: func(context.Context) []Agent { return f.agents }, Log: logrus.NewEntry(log),
+		})
+	}
+	return f
+}
+
+func (f *weightsFleet) currentTargets() []TargetVersion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.targets) == 0 {
+		return nil
+	}
+	return f.targets[len(f.targets)-1:]
+}
+
+func (f *weightsFleet) nameVersion(version fleet.WeightsVersion) {
+	f.mu.Lock()
+	f.targets = append(f.targets, TargetVersion{
+		VersionKey: VersionKey{Model: "m", Version: version}, Pieces: fleetPieces, RequestedAt: time.Now(), InForceWithin: inForceWithin,
+		Origin: f.origin, OriginRegion: "region-0", OriginPieceTime: 26 * time.Millisecond,
+	})
+	f.mu.Unlock()
+	for _, m := range f.managers {
+		m.CheckTargets()
+	}
+}
+
+// run runs all managers for a time, with the events at their times.
+func (f *weightsFleet) run(length time.Duration, events map[time.Duration]func()) {
+	ctx, stop := context.WithTimeout(f.t.Context(), length)
+	defer stop()
+	var wait sync.WaitGroup
+	for _, m := range f.managers {
+		wait.Go(func() { _ = m.Run(ctx) })
+	}
+	for at, event := range events {
+		wait.Go(func() {
+			time.Sleep(at)
+			event()
+		})
+	}
+	wait.Wait()
+}
+
+// lastLoad returns when the last engine had loaded a version or a newer one, in time
+// since the start. All engines must have loaded one.
+func (f *weightsFleet) lastLoad(version fleet.WeightsVersion) time.Duration {
+	var last time.Duration
+	for id, e := range f.engines {
+		earliest := time.Duration(-1)
+		for loaded, at := range e.loadedAt {
+			if since := at.Sub(f.started); loaded >= version && (earliest < 0 || since < earliest) {
+				earliest = since
+			}
+		}
+		require.GreaterOrEqual(f.t, earliest, time.Duration(0), "engine of %s did not load version %d", id, version)
+		last = max(last, earliest)
+	}
+	return last
+}
+
+// copies returns how many copies of a version the origin has sent.
+func (f *weightsFleet) copies() float64 { return float64(f.origin.sentPieces) / fleetPieces }
+
+const (
+	testRegions         = 3
+	testAgentsPerRegion = 20
+)
+
+func TestFleetLoadsAVersionInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f.run(12*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		require.InDelta(t, 1, f.copies(), 0.1)
+	})
+}
+
+// After an outage of the origin all agents requested the missing pieces at once, and
+// most requests reached their timeout; the last engine loaded the version 7.4 s after
+// the origin's return.
+func TestFleetRecoversFromAnOutageOfTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f.origin.downFrom, f.origin.downUntil = 500*time.Millisecond, 6500*time.Millisecond
+		f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+		// The pieces arrive within 45% of the time in which the version must be in force;
+		// half of the time is left for those that are loaded meanwhile.
+		require.Less(t, f.lastLoad(2)-f.origin.downUntil, inForceWithin*3/4)
+		require.Less(t, f.copies(), 1.5)
+	})
+}
+
+// A newer version used to replace one of which less than half had arrived. When the
+// origin failed right after, no engine had a version that may serve for seconds.
+func TestOlderVersionIsLoadedWhenTheNewerOneCannotBeFetched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f.origin.downFrom, f.origin.downUntil = 2500*time.Millisecond, 8500*time.Millisecond
+		f.run(25*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }, 2 * time.Second: func() { f.nameVersion(3) }})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		require.Less(t, f.lastLoad(3)-f.origin.downUntil, inForceWithin*3/4)
+	})
+}
--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -121,7 +121,7 @@
 	if newer == nil {
 		return time.Time{}
 	}
-	return newer.target.RequestedAt.Add(scaleDuration(expectedArrivalFraction, newer.target.InForceWithin))
+	return newer.expectedArrival(time.Now())
 }
 
 // hasCompleteNewerVersion reports whether all pieces of a newer version are held,
@@ -136,3 +136,5 @@
 	}
 	return false
 }
+
+func scaleCount(fraction float64, count int) int { return int(fraction * float64(count)) }
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,9 @@
 	retryDelay = 200 * time.Millisecond
 	// engineTimeout bounds a call to the agent's engine.
 	engineTimeout = 2 * time.Second
+	// minProgressToContinue is the fraction of the pieces from which on the fetch of a
+	// version continues after a newer one is configured.
+	minProgressToContinue = 0.125
 )
 
 // Engine is the client of the agent's engine, on the same instance.
@@ -119,6 +123,42 @@
 	// piecesRequested has an item if another agent has requested pieces of the
 	// version while they are not held here.
 	piecesRequested chan struct{}
+	// fetched is closed when all pieces are held, or when the job ends.
+	fetched     chan struct{}
+	markFetched func()
+	// older holds the jobs of older versions that were in progress at the start.
+	older []*job
+	// peersTurnAt is when pieces could first be fetched from peers, in Unix
+	// nanoseconds; 0 before.
+	peersTurnAt atomic.Int64
+}
+
+// awaitOlderVersions waits until the pieces of older versions are held, or until they
+// are overdue. The older version must be in force earlier, and in an outage of the
+// origin it may be the only one whose pieces can be fetched.
+func (j *job) awaitOlderVersions(ctx context.Context) {
+	for _, older := range j.older {
+		overdueAt := older.target.RequestedAt.Add(scaleDuration(expectedArrivalFraction, older.target.InForceWithin))
+		timer := time.NewTimer(time.Until(overdueAt))
+		select {
+		case <-older.fetched:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	j.peersTurnAt.CompareAndSwap(0, time.Now().UnixNano())
+}
+
+// expectedArrival returns when all pieces are expected to be held.
+func (j *job) expectedArrival(now time.Time) time.Time {
+	start := j.target.RequestedAt
+	if at := j.peersTurnAt.Load(); at > 0 && len(j.older) > 0 {
+		start = time.Unix(0, at)
+	} else if len(j.older) > 0 {
+		start = now
+	}
+	return start.Add(scaleDuration(expectedArrivalFraction, j.target.InForceWithin))
 }
 
 // requestPieces makes the job hold the version's pieces for other agents.
@@ -162,10 +202,9 @@
 	}
 }
 
-// startJob starts the job of a new target version and cancels the jobs of older
-// versions of the model. An older job that has most of its pieces continues,
-// because the older version may have to be in force before the newer version
-// has arrived.
+// startJob starts the job of a new target version. The jobs of older versions of the
+// model that have some of their pieces continue, because the older version may have to
+// be in force before the newer version has arrived; the others are cancelled.
 func (m *Manager) startJob(ctx context.Context, wait *sync.WaitGroup, target TargetVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -173,13 +212,18 @@
 		return
 	}
 	m.newestVersions[target.Model] = target.Version
+	var continued []*job
 	for key, older := range m.jobs {
-		if key.Model == target.Model && !m.hasMostPieces(key) {
+		switch {
+		case key.Model != target.Model:
+		case m.hasSomePieces(key):
+			continued = append(continued, older)
+		default:
 			older.cancel()
 		}
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
-	next := &job{target: target, cancel: cancel, piecesRequested: make(chan struct{}, 1)}
+	next := newJob(target, cancel, continued)
 	m.jobs[target.VersionKey] = next
 	wait.Go(func() {
 		defer m.removeJob(next)
@@ -187,15 +231,22 @@
 	})
 }
 
-// hasMostPieces reports whether at least half of a version's pieces are held.
-// The caller holds the lock.
-func (m *Manager) hasMostPieces(key VersionKey) bool {
+func newJob(target TargetVersion, cancel context.CancelFunc, older []*job) *job {
+	j := &job{target: target, cancel: cancel, piecesRequested: make(chan struct{}, 1), fetched: make(chan struct{}), older: older}
+	j.markFetched = sync.OnceFunc(func() { close(j.fetched) })
+	return j
+}
+
+// hasSomePieces reports whether a version's fetch has made enough progress to be worth
+// completing. The caller holds the lock.
+func (m *Manager) hasSomePieces(key VersionKey) bool {
 	pieces := m.pieceSets[key]
-	return pieces != nil && 2*pieces.missingCount() <= len(pieces.digests)
+	return pieces != nil && len(pieces.digests)-pieces.missingCount() >= scaleCount(minProgressToContinue, len(pieces.digests))
 }
 
 func (m *Manager) removeJob(j *job) {
 	j.cancel()
+	j.markFetched()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.jobs, j.target.VersionKey)
@@ -230,7 +281,7 @@
 		default:
 			// Fetch the version even while the engine is loading an older one.
 			log.WithField("report", report.Raw).Info("Engine does not have the version; fetching and loading it.")
-			err := m.fetchAndLoad(ctx, log, target, report)
+			err := m.fetchAndLoad(ctx, log, j, report)
 			switch {
 			case errors.Is(err, errSuperseded):
 				pause.For(ctx, checkPeriod)
@@ -282,17 +333,20 @@
 var errSuperseded = errors.New("superseded: a newer version is loaded instead")
 
 // fetchAndLoad fetches a version, waits for its load time and loads it.
-func (m *Manager) fetchAndLoad(ctx context.Context, log *logrus.Entry, target TargetVersion, report worker.Report) error {
+func (m *Manager) fetchAndLoad(ctx context.Context, log *logrus.Entry, j *job, report worker.Report) error {
+	target := j.target
 	start := time.Now()
 	agents := m.config.ListAgents(ctx)
 	plan := NewFetchPlan(m.config.Self, target.OriginRegion, agents)
 	m.setPlan(target.VersionKey, plan)
 	m.downlink.setNeighbours(plan.localAgentCount())
 	versionFetcher := newFetcher(m, log, target, plan)
+	versionFetcher.awaitPeersTurn = j.awaitOlderVersions
 	pieces, err := versionFetcher.fetchVersion(ctx)
 	if err != nil {
 		return err
 	}
+	j.markFetched()
 	log.WithFields(logrus.Fields{
 		"ms": time.Since(start).Milliseconds(), "agents": len(agents), "from": versionFetcher.sourceCounts(),
 	}).Info("Holding all pieces of the version.")
--- a/weights/staging/origin_turn_test.go
+++ b/weights/staging/origin_turn_test.go
@@ -42,7 +42,7 @@
 	target := TargetVersion{Pieces: pieces, OriginPieceTime: 26 * time.Millisecond}
 	turns := make([]time.Duration, pieces)
 	for piece := range turns {
-		turns[piece] = target.originTurn(piece)
+		turns[piece] = target.originTurn(piece, 0)
 	}
 	arrivedAt := arrivals(turns, target.OriginPieceTime)
 	whole := time.Duration(pieces) * target.OriginPieceTime
@@ -57,7 +57,20 @@
 	require.Greater(t, slices.Min(atOnce), whole*9/10, "without turns all pieces arrive at the end")
 }
 
+// After an outage the pieces must not be requested together either.
+func TestTurnsRecur(t *testing.T) {
+	target := TargetVersion{Pieces: 64, OriginPieceTime: 26 * time.Millisecond}
+	period := target.originTurn(63, 0) * 64 / 63
+	for piece := range target.Pieces {
+		first := target.originTurn(piece, 0)
+		again := 5*time.Second + target.originTurn(piece, 5*time.Second)
+		periods := float64(again-first) / float64(period)
+		require.InDelta(t, math.Round(periods), periods, 0.001)
+		require.Less(t, target.originTurn(piece, 5*time.Second), period)
+	}
+}
+
 func TestOriginOfUnknownBandwidthIsAskedAtOnce(t *testing.T) {
-	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63))
-	require.False(t, math.Signbit(float64(TargetVersion{OriginPieceTime: time.Millisecond}.originTurn(0))))
+	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, 0))
+	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, time.Minute))
 }
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -69,12 +69,22 @@
 // Sources returns the agents from which to fetch a piece, in order of preference.
 // The origin is the last resort after them, and the only source of the agent
 // that fetches the piece into the origin's region.
-func (p FetchPlan) Sources(piece int) []Agent {
-	sources := p.rankedBeforeSelf(p.rankedAgents(p.self.Region, piece))
+func (p FetchPlan) Sources(piece int) []Agent { return slices.Concat(p.sourceGroups(piece)...) }
+
+// sourceGroups returns the sources of a piece by region: the agents of this region that
+// precede this one, then those of the regions from which it is fetched into this one.
+func (p FetchPlan) sourceGroups(piece int) [][]Agent {
+	groups := [][]Agent{p.rankedBeforeSelf(p.rankedAgents(p.self.Region, piece))}
 	for _, region := range p.upstreamRegions(piece) {
-		sources = append(sources, p.rankedAgents(region, piece)...)
+		groups = append(groups, p.rankedAgents(region, piece))
 	}
-	return sources
+	return groups
+}
+
+// rank returns this agent's position among those of its region that fetch the piece
+// into it: 0 fetches it, and 1 takes over if that one does not get it.
+func (p FetchPlan) rank(piece int) int {
+	return len(p.rankedBeforeSelf(p.rankedAgents(p.self.Region, piece)))
 }
 
 // upstreamRegions returns the regions from which a piece is fetched into this
