Callers that cannot be served on time come back later, and leave room for those who can

Load answered: more requests than the engines bear, or no engine at all for seconds (power loss, a version that cannot be loaded). Callers wait for up to a third of the time they have left, and come back once.

Cause: Retry-After was the time in which the queue drains, 0.1 to 1.5 s.

Change: a caller that has missed its objective is told to come back in the later half of the time for which it waits; a tenth of the slots is kept for requests that can meet their objective.

--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -46,6 +46,10 @@
 	// maxRetryAfter bounds the Retry-After of refusals; servers that refuse
 	// because they load weights are available again in about two seconds.
 	maxRetryAfter = time.Second
+	// maxWaitFraction is the fraction of the time that they have left for which callers
+	// wait before they send a refused request again. The platform's protocol defines
+	// it.
+	maxWaitFraction = 1.0 / 3
 	// maxOutageWait is how long requests wait while all servers refuse. A server
 	// that loads weights is available again once its running requests have ended,
 	// in about two seconds.
@@ -123,8 +127,10 @@
 		MaxQueue:      g.config.QueueLength,
 		MaxRetryAfter: maxRetryAfter,
 		OutageWait:    maxOutageWait,
-		UpdatePeriod:  queueCheckPeriod,
-		Seed:          uint64(g.incarnation),
+
+		MaxWaitFraction: maxWaitFraction,
+		UpdatePeriod:    queueCheckPeriod,
+		Seed:            uint64(g.incarnation),
 	})
 	state.placer.SetRetryBurst(s.retryShare())
 	s.states[name] = state
--- a/requests/fair/estimate.go
+++ b/requests/fair/estimate.go
@@ -1,11 +1,19 @@
 package fair
 
 import (
+	"math"
 	"time"
 
 	"currantusher.dev/core"
 )
 
+// onTimeReserve is the fraction of the slots that late requests may not use.
+const onTimeReserve = 0.1
+
+// earliestReturnFraction is the part of the time for which callers wait after which
+// refused requests come back that can no longer meet their objective.
+const earliestReturnFraction = 0.5
+
 func (s *state) setCapacity(now time.Time, capacity int) {
 	switch {
 	case capacity > 0:
@@ -38,6 +46,13 @@
 	return max(1, min(int(s.window), s.capacity))
 }
 
+// lateLimit is the number of requests at which a late one gets no slot. The rest of
+// the slots is for requests that arrive next and can meet their objective.
+func (s *state) lateLimit() int {
+	limit := s.limit()
+	return limit - int(math.Round(onTimeReserve*float64(limit)))
+}
+
 // shrinkWindow reduces the window after a refusal, at most once per mean run
 // time.
 func (s *state) shrinkWindow(now time.Time) {
@@ -131,6 +146,22 @@
 	return remaining <= 0 || s.waiting > 0 && float64(remaining) <= startMargin*float64(s.meanRunTime)
 }
 
+// retryAfterFor returns when the caller of a refused request should send it again. A
+// request that can no longer meet its objective is worth the same whenever it is served
+// before its deadline. Its return is therefore spread over the later part of the time
+// for which callers wait: an overload or outage is then more likely over, and the
+// callers refused in it do not come back together.
+func (s *state) retryAfterFor(now time.Time, request Request) time.Duration {
+	delay := s.retryAfter(request.Team)
+	longest := time.Duration(s.config.MaxWaitFraction * float64(request.Deadline.Sub(now)))
+	missesObjective := request.Late || !request.StartBy.IsZero() && now.Add(delay).After(request.StartBy)
+	if !missesObjective || longest <= delay {
+		return delay
+	}
+	earliest := max(delay, time.Duration(earliestReturnFraction*float64(longest)))
+	return earliest + time.Duration(s.random.Float64()*float64(longest-earliest))
+}
+
 // retryAfter estimates the time until the team's queue is drained, with jitter.
 func (s *state) retryAfter(name core.Team) time.Duration {
 	owner := s.team(name)
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -38,6 +38,9 @@
 	// MinRetryAfter and MaxRetryAfter bound the retry delay of refusals before
 	// jitter.
 	MinRetryAfter, MaxRetryAfter time.Duration
+	// MaxWaitFraction is the fraction of the time to its deadline for which the caller
+	// of a refused request waits before it sends the request again; 0 if unknown.
+	MaxWaitFraction float64
 	// MaxRequeues bounds how often one request may return to the queue.
 	MaxRequeues int
 	// OutageWait is how long requests wait while there is no capacity, since
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -101,26 +101,26 @@
 	request.Cost = max(request.Cost, 1)
 	owner := s.team(request.Team)
 	if s.isUnavailable(now) {
-		return nil, core.NewRefusal(core.CodeNoBackend, s.retryAfter(request.Team), "no backend server accepts requests")
+		return nil, core.NewRefusal(core.CodeNoBackend, s.retryAfterFor(now, request), "no backend server accepts requests")
 	}
 	if len(owner.waiting) >= s.config.MaxQueue {
-		return nil, core.NewRefusal(core.CodeQueueFull, s.retryAfter(request.Team), "queue of team %q is full", request.Team)
+		return nil, core.NewRefusal(core.CodeQueueFull, s.retryAfterFor(now, request), "queue of team %q is full", request.Team)
 	}
 	t := &ticket{request: request, arrivalOrder: s.arrivals, result: make(chan error, 1)}
 	s.arrivals++
 	position := owner.position(t)
 	if s.missesDeadline(now, owner, request, position, arrivalMargin) {
-		return nil, s.refuseDeadlineShort(request.Team)
+		return nil, s.refuseDeadlineShort(now, request)
 	}
 	if s.missesObjective(now, request) {
-		return nil, core.NewRefusal(core.CodeDeadlineShort, s.retryAfter(request.Team), "queue of team %q cannot serve the request within its latency objective", request.Team)
+		return nil, core.NewRefusal(core.CodeDeadlineShort, s.retryAfterFor(now, request), "queue of team %q cannot serve the request within its latency objective", request.Team)
 	}
 	s.insert(owner, t, position)
 	return t, nil
 }
 
-func (s *state) refuseDeadlineShort(name core.Team) error {
-	return core.NewRefusal(core.CodeDeadlineShort, s.retryAfter(name), "queue of team %q cannot serve the request before its deadline", name)
+func (s *state) refuseDeadlineShort(now time.Time, request Request) error {
+	return core.NewRefusal(core.CodeDeadlineShort, s.retryAfterFor(now, request), "queue of team %q cannot serve the request before its deadline", request.Team)
 }
 
 func (s *state) team(name core.Team) *team {
@@ -192,7 +192,7 @@
 				continue
 			}
 			t := s.remove(owner, at)
-			s.reject(t, s.refuseWaiting(now, owner.name))
+			s.reject(t, s.refuseWaiting(now, t.request))
 		}
 	}
 }
@@ -221,11 +221,11 @@
 	}
 }
 
-func (s *state) refuseWaiting(now time.Time, name core.Team) error {
+func (s *state) refuseWaiting(now time.Time, request Request) error {
 	if s.isUnavailable(now) {
-		return core.NewRefusal(core.CodeNoBackend, s.retryAfter(name), "no backend server accepts requests")
+		return core.NewRefusal(core.CodeNoBackend, s.retryAfterFor(now, request), "no backend server accepts requests")
 	}
-	return s.refuseDeadlineShort(name)
+	return s.refuseDeadlineShort(now, request)
 }
 
 func (s *state) reject(t *ticket, err error) {
@@ -237,9 +237,12 @@
 func (s *state) grantSlots(now time.Time) {
 	for s.canGrant(now) {
 		owner := s.nextTeam()
+		if owner.waiting[0].request.Late && s.running >= s.lateLimit() {
+			return
+		}
 		t := s.remove(owner, 0)
 		if s.cannotFinish(now, t.request) {
-			s.reject(t, s.refuseDeadlineShort(owner.name))
+			s.reject(t, s.refuseDeadlineShort(now, t.request))
 			continue
 		}
 		s.charge(owner, t)
@@ -358,10 +361,10 @@
 	owner := s.team(name)
 	t.requeues++
 	if t.requeues > s.config.MaxRequeues {
-		return core.NewRefusal(core.CodeLimitReached, s.retryAfter(name), "backend servers are at their limits")
+		return core.NewRefusal(core.CodeLimitReached, s.retryAfterFor(now, t.request), "backend servers are at their limits")
 	}
 	if s.missesDeadline(now, owner, t.request, 0, waitingMargin) || s.isUnavailable(now) {
-		return s.refuseWaiting(now, name)
+		return s.refuseWaiting(now, t.request)
 	}
 	s.insert(owner, t, 0)
 	return nil
