--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -9,6 +9,7 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/placement"
 )
 
@@ -38,10 +39,13 @@
 	// must be dispatched; the remainder is for reading the prompt and producing
 	// the first event.
 	dispatchFraction = 0.5
-	// firstTokenTime and tokenInterval are the usual times to the first token and
-	// between tokens of an engine with half of its slots in use.
-	firstTokenTime = 130 * time.Millisecond
-	tokenInterval  = 10 * time.Millisecond
+	// defaultFirstTokenTime and defaultTokenInterval are the times to the first token
+	// and between tokens of an engine whose timing is unknown.
+	defaultFirstTokenTime = 130 * time.Millisecond
+	defaultTokenInterval  = 10 * time.Millisecond
+	// forwardingTime is the time for the network and the wait for an engine's pass, in
+	// addition to the time to the first token.
+	forwardingTime = 50 * time.Millisecond
 	// lengthHintMargin covers five of six length hints; in a third of the requests
 	// they are off by a factor of 1.6.
 	lengthHintMargin = 1.6
@@ -130,7 +134,19 @@
 		g.requestLog.WithField("id", c.id).WithField("hint", text).Info("Invalid length hint; treating the length as unknown.")
 		return 0
 	}
-	return firstTokenTime + time.Duration(lengthHintMargin*tokens*float64(tokenInterval))
+	firstToken, interval := usualPace(c.view.Table.Service(c.service))
+	return firstToken + time.Duration(lengthHintMargin*tokens*float64(interval))
+}
+
+// usualPace returns the time to the first token and between tokens at an engine of a
+// service with half of its slots in use.
+func usualPace(service *fleet.Service) (firstToken, interval time.Duration) {
+	if service == nil || service.Engine == nil || !service.Engine.Timing.IsKnown() {
+		return defaultFirstTokenTime, defaultTokenInterval
+	}
+	timing := service.Engine.Timing
+	load := latency.Load{ActiveAnswers: service.Engine.Slots / 2, MeanContextTokens: timing.MeanPromptTokens}
+	return forwardingTime + latency.TimeToFirstToken(timing, load, timing.MeanPromptTokens), latency.TimePerToken(timing, load)
 }
 
 // pauseStarts returns a function that returns when a server pauses in order to
