Agents do not wait for pieces from agents whose engines are gone

Change: an agent whose engine does not reply says so at once for pieces that it does not hold; a source that did not get one piece in time is asked once for each further piece.

Test: TestFleetDoesNotWaitForAgentsWithoutEngines.

--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -62,10 +62,12 @@
 	// agents bring the pieces of an older version first.
 	awaitPeersTurn func(context.Context)
 
-	mu            sync.Mutex
-	backoffUntil  map[core.InstanceID]time.Time
-	countBySource map[string]int
-	corruptCopies map[int]int
+	mu           sync.Mutex
+	backoffUntil map[core.InstanceID]time.Time
+	// overdueSources holds the sources that did not get a piece for all retries.
+	overdueSources map[core.InstanceID]bool
+	countBySource  map[string]int
+	corruptCopies  map[int]int
 }
 
 func newFetcher(m *Manager, log *logrus.Entry, target TargetVersion, plan FetchPlan) *fetcher {
@@ -74,7 +76,7 @@
 		originSlots: make(chan struct{}, maxOriginFetches),
 
 		awaitPeersTurn: func(context.Context) {},
-		backoffUntil:   map[core.InstanceID]time.Time{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
+		backoffUntil:   map[core.InstanceID]time.Time{}, overdueSources: map[core.InstanceID]bool{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
 	}
 }
 
@@ -304,9 +306,12 @@
 				continue
 			}
 			content, err := f.fetchFromPeer(ctx, peer, num)
-			for retry := 0; isFirst && retry < maxNotFoundRetries && isNotFound(err); retry++ {
+			for retry := 0; isFirst && retry < maxNotFoundRetries && isNotFound(err) && !f.isOverdue(peer); retry++ {
 				content, err = f.fetchFromPeer(ctx, peer, num)
 			}
+			if isFirst {
+				f.setOverdue(peer, isNotFound(err))
+			}
 			isFirst = false
 			f.backOff(peer, err)
 			if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(f.plan, peer)) {
@@ -393,6 +398,20 @@
 	return f.target.Origin.Piece(callCtx, f.target.Model, f.target.Version, num)
 }
 
+// isOverdue reports whether the last piece requested from a source did not arrive there
+// for all retries.
+func (f *fetcher) isOverdue(peer Agent) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.overdueSources[peer.ID]
+}
+
+func (f *fetcher) setOverdue(peer Agent, overdue bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.overdueSources[peer.ID] = overdue
+}
+
 func (f *fetcher) isBackedOff(peer Agent) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -128,6 +128,9 @@
 }
 
 func (f simulatedPeers) Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error) {
+	if f.fleet.isIdle(peer, key) {
+		return nil, errEngineUnreachable
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, pieceWaitTimeout)
 	defer cancel()
 	pieces := f.fleet.managers[peer.ID].awaitManifest(waitCtx, key)
@@ -138,6 +141,9 @@
 }
 
 func (f simulatedPeers) AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error {
+	if f.fleet.isIdle(peer, key) {
+		return errEngineUnreachable
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, pieceWaitTimeout)
 	defer cancel()
 	pieces := f.fleet.managers[peer.ID].awaitManifest(waitCtx, key)
@@ -159,9 +165,17 @@
 	return content, time.Since(start), err
 }
 
+var errEngineUnreachable = errors.New("the agent's engine does not reply")
+
+// isIdle reports whether an agent answers that it fetches nothing.
+func (f *weightsFleet) isIdle(peer Agent, key VersionKey) bool {
+	return f.managers[peer.ID].piecesOf(key) == nil && f.managers[peer.ID].engineUnreachable.Load()
+}
+
 // simulatedEngine is an engine that loads staged weights.
 type simulatedEngine struct {
 	mu        sync.Mutex
+	isGone    bool
 	loaded    fleet.WeightsVersion
 	loading   fleet.WeightsVersion
 	readyAt   time.Time
@@ -174,6 +188,9 @@
 func (e *simulatedEngine) Report(context.Context) (worker.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.isGone {
+		return worker.Report{}, errors.New("connection refused")
+	}
 	if e.loading > 0 && !time.Now().Before(e.readyAt) {
 		e.loaded, e.loadedAt[e.loading], e.loading = e.loading, e.readyAt, 0
 	}
@@ -272,6 +289,9 @@
 func (f *weightsFleet) lastLoad(version fleet.WeightsVersion) time.Duration {
 	var last time.Duration
 	for id, e := range f.engines {
+		if e.isGone {
+			continue
+		}
 		earliest := time.Duration(-1)
 		for loaded, at := range e.loadedAt {
 			if since := at.Sub(f.started); loaded >= version && (earliest < 0 || since < earliest) {
@@ -327,3 +347,16 @@
 		require.Less(t, f.lastLoad(3)-f.origin.downUntil, inForceWithin*3/4)
 	})
 }
+
+// Agents whose engines are gone still run. All others waited for the pieces that such
+// an agent should fetch into their region, each piece for seconds.
+func TestFleetDoesNotWaitForAgentsWithoutEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		for i, a := range f.agents {
+			f.engines[a.ID].isGone = i%4 == 0
+		}
+		f.run(16*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+	})
+}
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -110,6 +110,9 @@
 	// skippedLoadDeadlines holds the load deadlines of versions that were
 	// superseded before their load.
 	skippedLoadDeadlines map[VersionKey]time.Time
+	// engineUnreachable is set while the engine does not reply. The agent then fetches
+	// nothing, and other agents must not wait for it.
+	engineUnreachable atomic.Bool
 	// targetsChanged has an item if TargetVersions may return something new.
 	targetsChanged chan struct{}
 	// loadSlot has capacity 1, as the engine accepts one order at a time.
@@ -326,7 +329,11 @@
 func (m *Manager) engineReport(ctx context.Context) (worker.Report, error) {
 	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	return m.config.Engine.Report(callCtx)
+	report, err := m.config.Engine.Report(callCtx)
+	if ctx.Err() == nil {
+		m.engineUnreachable.Store(err != nil)
+	}
+	return report, err
 }
 
 // errSuperseded reports that a newer version is loaded instead of this one.
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -124,6 +124,10 @@
 	key := VersionKey{Model: fleet.Model(r.PathValue("model")), Version: fleet.WeightsVersion(version)}
 	ctx, cancel := context.WithTimeout(r.Context(), pieceWaitTimeout)
 	defer cancel()
+	if m.piecesOf(key) == nil && m.engineUnreachable.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	pieces := m.awaitManifest(ctx, key)
 	if pieces == nil {
 		w.WriteHeader(http.StatusNotFound)
@@ -162,6 +166,9 @@
 	if content == nil && m.shouldDecline(pieces.key, num) {
 		return nil, http.StatusTooManyRequests
 	}
+	if content == nil && m.engineUnreachable.Load() {
+		return nil, http.StatusServiceUnavailable
+	}
 	content = pieces.await(ctx, num)
 	switch {
 	case content == nil:
