A piece that queues at its source is no slow transfer

Cause: on the large fleet 31 agents of a region request the same piece of one agent, and each sends about one whole copy, 2.6 s.

Change: the header is sent when the transfer begins; a receiver waits 1.8 s for that and then asks the next source, which may have the piece by then.

--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -19,9 +19,9 @@
 	transfersPerSource = 2
 	// maxOriginFetches bounds the concurrent requests of an agent to the origin.
 	maxOriginFetches = 3
-	// sourceTimeout bounds one attempt at one source, including the time that
-	// the source itself waits for the piece. A piece takes 35 ms alone on the
-	// slowest link, and shares it with up to ten others.
+	// sourceTimeout bounds the wait at one source: until it has the piece, and then
+	// until the transfer begins. With many agents in a region pieces queue at the
+	// links of their sources, and others have them by then.
 	sourceTimeout = 1800 * time.Millisecond
 	// maxNotFoundRetries bounds the retries at the first source while it does not have
 	// the piece. Each takes about a second. An outage of the origin lasts a few
@@ -292,7 +292,7 @@
 }
 
 // fetchFromPeers tries the sources of a piece once. awaited reports whether a source
-// runs that does not have the piece yet. Other regions are then tried only by the
+// runs that does not have the piece yet or is busy. Other regions are then tried only by the
 // agents that fetch the piece into this one.
 func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int) (held, awaited bool) {
 	if len(f.plan.Sources(num)) > 0 {
@@ -320,11 +320,11 @@
 			if isNotFound(err) {
 				waiting++
 			}
+			awaited = awaited || isNotFound(err) || errors.Is(err, errSourceBusy)
 			if waiting == maxWaitingSources {
 				break
 			}
 		}
-		awaited = awaited || waiting > 0
 		if awaited && f.plan.rank(num) > 1 {
 			break
 		}
@@ -374,9 +374,7 @@
 	if err := f.manager.downlink.acquire(ctx, f.plan.IsRegionFetcher(num)); err != nil {
 		return nil, err
 	}
-	sendCtx, cancel := context.WithTimeout(ctx, sourceTimeout)
-	defer cancel()
-	content, transferTime, err := peers.Piece(sendCtx, peer, f.target.VersionKey, num)
+	content, transferTime, err := peers.Piece(ctx, peer, f.target.VersionKey, num)
 	if err != nil && transferTime == 0 {
 		// No data arrived, so the attempt says nothing about this agent's link.
 		f.manager.downlink.releaseUnused()
@@ -419,9 +417,9 @@
 }
 
 // backOff excludes a source for failedSourceBackoff, unless the source only
-// lacks the piece or the request was cancelled.
+// lacks the piece or is busy, or the request was cancelled.
 func (f *fetcher) backOff(peer Agent, err error) {
-	if err == nil || isNotFound(err) || errors.Is(err, context.Canceled) {
+	if err == nil || isNotFound(err) || errors.Is(err, errSourceBusy) || errors.Is(err, context.Canceled) {
 		return
 	}
 	f.mu.Lock()
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -24,6 +24,10 @@
 	fleetPieceBytes = 32 << 10
 	linkSliceBytes  = 8 << 10
 	megabitPerS     = 1e6 / 8
+	// agentLink is the width of an agent's link in megabits per second, of which the
+	// answers of a busy engine take answersFraction.
+	agentLink       = 7.6
+	answersFraction = 0.3
 )
 
 // simulatedLink is a link that its transfers share slice by slice.
@@ -64,6 +68,8 @@
 
 	mu      sync.Mutex
 	targets []TargetVersion
+	// wastedTransfers counts the transfers between agents that were not completed.
+	wastedTransfers int
 }
 
 func pieceContent(version fleet.WeightsVersion, piece int) []byte {
@@ -155,13 +161,22 @@
 
 func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
 	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
-	start := time.Now()
 	slots := f.fleet.managers[peer.ID].uplink.sendSlots
-	if err := slots.acquire(ctx, peer.Region != f.region); err != nil {
-		return nil, 0, err
+	waitCtx, cancel := context.WithTimeout(ctx, sourceTimeout)
+	defer cancel()
+	if slots.acquire(waitCtx, peer.Region != f.region) != nil {
+		return nil, 0, errSourceBusy
 	}
 	defer slots.release()
-	err := transfer(ctx, fleetPieceBytes, f.fleet.uplinks[peer.ID])
+	start := time.Now()
+	sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	err := transfer(sendCtx, fleetPieceBytes, f.fleet.uplinks[peer.ID])
+	if err != nil {
+		f.fleet.mu.Lock()
+		f.fleet.wastedTransfers++
+		f.fleet.mu.Unlock()
+	}
 	return content, time.Since(start), err
 }
 
@@ -222,8 +237,8 @@
 }
 
 // newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
-// origin of 9.9 Mbit/s.
-func newWeightsFleet(t *testing.T, agentsPerRegion, regions int) *weightsFleet {
+// origin of 9.9 Mbit/s. answersFraction is the part of the links that answers take.
+func newWeightsFleet(t *testing.T, agentsPerRegion, regions int, answersFraction float64) *weightsFleet {
 	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{}}
 	f.origin = &simulatedOrigin{fleet: f, link: newSimulatedLink(9.9), conns: make(chan struct{}, 48)}
 	for region := range regions {
@@ -237,9 +252,9 @@
 	log.SetOutput(io.Discard)
 	for _, a := range f.agents {
 		f.engines[a.ID] = &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}}
-		f.uplinks[a.ID] = newSimulatedLink(7.6 * uplinkFraction)
+		f.uplinks[a.ID] = newSimulatedLink(agentLink * uplinkFraction * (1 - answersFraction))
 		f.managers[a.ID] = New(Config{
-			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f, a.Region}, TargetVersions: f.currentTargets, LinkBytesPerSecond: 7.6 * megabitPerS,
+			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f, a.Region}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
 			ListAgents: func(context.Context) []Agent { return f.agents }, Log: logrus.NewEntry(log),
 		})
 	}
@@ -312,13 +327,20 @@
 	testAgentsPerRegion = 20
 )
 
+// With 32 agents in a region pieces queue for seconds at the links of their sources.
+// Transfers that reached their timeout there were repeated.
 func TestFleetLoadsAVersionInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
-		f.run(12*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
-		require.Less(t, f.lastLoad(2), inForceWithin)
-		require.InDelta(t, 1, f.copies(), 0.1)
-	})
+	for _, agentsPerRegion := range []int{2, testAgentsPerRegion, 32} {
+		t.Run(fmt.Sprint(agentsPerRegion), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, agentsPerRegion, testRegions, answersFraction)
+				f.run(12*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+				require.Less(t, f.lastLoad(2), inForceWithin)
+				require.InDelta(t, 1, f.copies(), 0.1)
+				require.Zero(t, f.wastedTransfers)
+			})
+		})
+	}
 }
 
 // After an outage of the origin all agents requested the missing pieces at once, and
@@ -326,7 +348,7 @@
 // the origin's return.
 func TestFleetRecoversFromAnOutageOfTheOrigin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
 		f.origin.downFrom, f.origin.downUntil = 500*time.Millisecond, 6500*time.Millisecond
 		f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
 		// The pieces arrive within 45% of the time in which the version must be in force;
@@ -340,7 +362,7 @@
 // origin failed right after, no engine had a version that may serve for seconds.
 func TestOlderVersionIsLoadedWhenTheNewerOneCannotBeFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
 		f.origin.downFrom, f.origin.downUntil = 2500*time.Millisecond, 8500*time.Millisecond
 		f.run(25*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }, 2 * time.Second: func() { f.nameVersion(3) }})
 		require.Less(t, f.lastLoad(2), inForceWithin)
@@ -352,7 +374,7 @@
 // an agent should fetch into their region, each piece for seconds.
 func TestFleetDoesNotWaitForAgentsWithoutEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newWeightsFleet(t, testAgentsPerRegion, testRegions)
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
 		for i, a := range f.agents {
 			f.engines[a.ID].isGone = i%4 == 0
 		}
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -50,7 +50,8 @@
 	// time.
 	AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error
 	// Piece returns a piece and its transfer time, from the first byte to the
-	// last. The transfer time is 0 if no content arrived.
+	// last. It waits up to sourceTimeout for the transfer to begin. The transfer time
+	// is 0 if it did not.
 	Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error)
 }
 
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,6 +40,14 @@
 	maxPeerResponseBytes = 4 << 20
 )
 
+var (
+	// errNoResponse reports that an agent did not respond within sourceTimeout.
+	errNoResponse = errors.New("the agent did not respond in time")
+	// errSourceBusy reports that an agent has a piece, but that the transfer did not
+	// begin within sourceTimeout because others queue at its link.
+	errSourceBusy = errors.New("the agent is busy with other transfers")
+)
+
 // HTTPPeers implements Peers over HTTP.
 type HTTPPeers struct {
 	client *http.Client
@@ -75,7 +84,11 @@
 
 // Piece implements Peers.
 func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
-	return p.get(ctx, peer, weightsPath(key, strconv.Itoa(piece)))
+	content, transferTime, err := p.get(ctx, peer, weightsPath(key, strconv.Itoa(piece)))
+	if errors.Is(err, errNoResponse) {
+		return nil, 0, errSourceBusy
+	}
+	return content, transferTime, err
 }
 
 func weightsPath(key VersionKey, item string) string {
@@ -83,17 +96,25 @@
 }
 
 // get returns the body of a response and its transfer time, which starts when
-// the response header has arrived.
+// the response header has arrived. A piece's header is sent when its transfer begins.
 func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, time.Duration, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.Addr+path+p.query, nil)
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := time.AfterFunc(sourceTimeout, cancel)
+	defer timeout.Stop()
+	request, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+peer.Addr+path+p.query, nil)
 	if err != nil {
 		return nil, 0, err
 	}
 	response, err := p.client.Do(request)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return nil, 0, errNoResponse
+	}
 	if err != nil {
 		return nil, 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	timeout.Reset(sendTimeout)
 	start := time.Now()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerResponseBytes))
 	switch {
@@ -135,8 +156,7 @@
 	}
 	body, status := m.weightsResponse(ctx, pieces, r.PathValue("what"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	if err := m.uplink.send(r.Context(), w, body, m.isFromOtherRegion(r)); err != nil {
+	if err := m.uplink.send(r.Context(), w, status, body, m.isFromOtherRegion(r)); err != nil {
 		m.config.Log.WithError(err).WithField("piece", r.PathValue("what")).Info("Sending a piece to another agent failed before its end.")
 	}
 }
--- a/weights/staging/uplink.go
+++ b/weights/staging/uplink.go
@@ -40,16 +40,19 @@
 	return &uplink{limiter: rate.NewLimiter(limit, writeSliceBytes), sendSlots: newPrioritySemaphore(maxConcurrentSends)}
 }
 
-// send writes a body in slices at the limited rate. Urgent bodies precede others;
-// an empty body is not queued.
-func (u *uplink) send(ctx context.Context, w http.ResponseWriter, body []byte, urgent bool) error {
+// send writes a response, its body in slices at the limited rate. Urgent bodies precede
+// others; a response without a body is not queued. The header is sent when the transfer
+// begins, so that the receiver can tell the queue from a slow link.
+func (u *uplink) send(ctx context.Context, w http.ResponseWriter, status int, body []byte, urgent bool) error {
 	if len(body) == 0 {
+		w.WriteHeader(status)
 		return nil
 	}
 	if err := u.sendSlots.acquire(ctx, urgent); err != nil {
 		return err
 	}
 	defer u.sendSlots.release()
+	w.WriteHeader(status)
 	controller := http.NewResponseController(w)
 	if err := controller.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
