Entries that restart learn of superseded versions; pieces that come late do not wait a turn

Two causes met. With six agents in the origin's region a piece whose turn had passed waited for the next one, 1.5 s later, and the origin failed at 20.5 s before version 2 (named at 18.0) had left it. Entries that restarted (23 to 26 s) read only version 3 from the rows and got only its age from their peers, so they sent requests to version 1 until version 3 was due, 3 s after version 2 was.

Change: entries tell each other the ages of the last four versions; the first request of a piece does not wait if it is late, only retries take turns.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// readinessCheckPeriod is the interval of the entry's own readiness check, a
 	// small fraction of the second between the platform's checks.
 	readinessCheckPeriod = 50 * time.Millisecond
+	// maxGossipedVersions bounds the versions of a model that are sent to other entries.
+	// Older ones have been in force for long.
+	maxGossipedVersions = 4
 	// settingsPollPeriod is how often the settings file is read again.
 	settingsPollPeriod = 2 * time.Second
 )
@@ -167,14 +170,16 @@
 	}).Info("Pause of a server announced.")
 }
 
-// newestWeights returns the newest version of each model and its age at this
-// entry, for gossip.
+// newestWeights returns the newest versions of each model and their ages at this entry,
+// for gossip: a version must be in force at its own time although a newer one has been
+// configured since.
 func (g *Gateway) newestWeights() []gossip.NewestWeights {
-	view := g.follower.View()
 	var list []gossip.NewestWeights
-	for model := range view.Targets {
-		if newest := view.NewestTarget(model); !newest.Since.IsZero() {
-			list = append(list, gossip.NewestWeights{Model: model, Version: newest.Version, Age: time.Since(newest.Since)})
+	for model, targets := range g.follower.View().Targets {
+		for _, target := range targets[max(0, len(targets)-maxGossipedVersions):] {
+			if !target.Since.IsZero() {
+				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: time.Since(target.Since)})
+			}
 		}
 	}
 	return list
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -289,10 +289,10 @@
 }
 
 // SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. It has no effect unless the version is the model's newest and
-// was configured before this daemon started.
+// another daemon. It has no effect unless the version was configured before this
+// daemon started.
 func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
-	if target := f.View().NewestTarget(model); target.Version != version || !target.Since.IsZero() {
+	if f.View().knowsSince(model, version) {
 		return
 	}
 	f.update(func(time.Time) { f.state.SetVersionSince(model, version, since) })
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -228,22 +228,26 @@
 }
 
 // SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. It reports false, and has no effect, unless the version was
-// configured before this daemon started.
+// another daemon. This includes versions that were superseded before this daemon
+// started, which no row tells and which may have to be in force before the newest one.
+// It reports false, and has no effect, for versions that this daemon knows itself and
+// for those after its newest one.
 func (s *State) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) bool {
-	for i, target := range s.targets[model] {
-		if target.Version != version || !target.Since.IsZero() {
-			continue
-		}
-		list := slices.Clone(s.targets[model])
-		list[i].Since = since
-		s.targets[model] = list
-		s.events = append(s.events, Event{
-			Subject: "weights", Key: string(model), Detail: fmt.Sprintf("a peer reported since when version %d has been configured", version),
-		})
-		return true
+	list := slices.Clone(s.targets[model])
+	at, known := slices.BinarySearchFunc(list, version, func(t TargetVersion, v fleet.WeightsVersion) int { return cmp.Compare(t.Version, v) })
+	switch {
+	case at == len(list), known && !list[at].Since.IsZero():
+		return false
+	case known:
+		list[at].Since = since
+	default:
+		list = slices.Insert(list, at, TargetVersion{Version: version, Since: since})
 	}
-	return false
+	s.targets[model] = list
+	s.events = append(s.events, Event{
+		Subject: "weights", Key: string(model), Detail: fmt.Sprintf("a peer reported since when version %d has been configured", version),
+	})
+	return true
 }
 
 // HasLapsedServers reports whether there are servers that Expire may remove.
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -170,3 +170,22 @@
 	require.EqualValues(t, 2, s.View().RequiredVersion(start.Add(5*time.Second), "m", inForceWithin))
 	require.False(t, s.SetVersionSince("m", 2, start), "a known time is not replaced")
 }
+
+// An entry that restarts reads only the newest version from the rows. It sent requests to
+// engines with a version that the one before the newest should have replaced.
+func TestSupersededVersionsAreLearnedFromPeers(t *testing.T) {
+	s := NewState()
+	s.Replace(start, OperatorTable, newPage(9, rowstore.Row{
+		Table: OperatorTable, Key: standin.VersionKey("m"), Revision: 9, Value: standin.VersionRow("m", 3),
+	}))
+	require.True(t, s.SetVersionSince("m", 3, start.Add(-3*time.Second)))
+	require.True(t, s.SetVersionSince("m", 2, start.Add(-6*time.Second)))
+	require.False(t, s.SetVersionSince("m", 2, start), "a known time is not replaced")
+	require.False(t, s.SetVersionSince("m", 4, start), "the rows tell of newer versions")
+	view := s.View()
+	require.EqualValues(t, 2, view.RequiredVersion(start.Add(time.Second), "m", 7*time.Second))
+	require.EqualValues(t, 3, view.RequiredVersion(start.Add(4*time.Second), "m", 7*time.Second))
+	require.EqualValues(t, 3, view.NewestTarget("m").Version)
+	require.True(t, view.knowsSince("m", 2))
+	require.False(t, view.knowsSince("m", 1))
+}
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -76,3 +76,17 @@
 	}
 	return required
 }
+
+// knowsSince reports whether the view tells since when a version has been configured, or
+// does not have it yet.
+func (v *View) knowsSince(model fleet.Model, version fleet.WeightsVersion) bool {
+	if version > v.NewestTarget(model).Version {
+		return true
+	}
+	for _, target := range v.Targets[model] {
+		if target.Version == version {
+			return !target.Since.IsZero()
+		}
+	}
+	return false
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -233,7 +233,7 @@
 // fetchPiece tries one source after another until the piece is verified and
 // held.
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
-	for ctx.Err() == nil {
+	for isRetry := false; ctx.Err() == nil; isRetry = true {
 		held, awaited := f.fetchFromPeers(ctx, pieces, num)
 		if held {
 			return nil
@@ -242,7 +242,7 @@
 			pause.For(ctx, retryDelay)
 			continue
 		}
-		f.awaitOriginTurn(ctx, num)
+		f.awaitOriginTurn(ctx, num, isRetry)
 		if awaited && f.isHeldByFirstSource(ctx, num) {
 			continue
 		}
@@ -266,12 +266,12 @@
 
 // awaitOriginTurn waits until the piece may be requested from the origin. The agent that
 // takes over has its turn half a period after the one that should fetch the piece.
-func (f *fetcher) awaitOriginTurn(ctx context.Context, num int) {
+func (f *fetcher) awaitOriginTurn(ctx context.Context, num int, isRetry bool) {
 	sinceStart := time.Since(f.startedAt)
 	if f.plan.rank(num) > 0 {
 		sinceStart += f.target.originPeriod() / 2
 	}
-	pause.For(ctx, f.target.originTurn(num, sinceStart))
+	pause.For(ctx, f.target.originTurn(num, sinceStart, isRetry || f.plan.rank(num) > 0))
 }
 
 // isHeldByFirstSource reports whether the piece has arrived at the first source.
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -85,6 +85,8 @@
 	downFrom, downUntil time.Duration
 	conns               chan struct{}
 	sentPieces          int
+	// lastSentAt is when the last piece was sent, in time since the start.
+	lastSentAt time.Duration
 }
 
 var errOriginDown = errors.New("connection refused")
@@ -123,6 +125,7 @@
 	}
 	o.fleet.mu.Lock()
 	o.sentPieces++
+	o.lastSentAt = time.Since(o.fleet.started)
 	o.fleet.mu.Unlock()
 	return pieceContent(version, piece), nil
 }
@@ -274,7 +277,7 @@
 	f.mu.Lock()
 	f.targets = append(f.targets, TargetVersion{
 		VersionKey: VersionKey{Model: "m", Version: version}, Pieces: fleetPieces, RequestedAt: time.Now(), InForceWithin: inForceWithin,
-		Origin: f.origin, OriginRegion: "region-0", OriginPieceTime: 26 * time.Millisecond,
+		Origin: f.origin, OriginRegion: "region-0", OriginPieceTime: originPieceTime,
 	})
 	f.mu.Unlock()
 	for _, m := range f.managers {
@@ -323,6 +326,7 @@
 func (f *weightsFleet) copies() float64 { return float64(f.origin.sentPieces) / fleetPieces }
 
 const (
+	originPieceTime     = 26 * time.Millisecond
 	testRegions         = 3
 	testAgentsPerRegion = 20
 )
@@ -330,7 +334,7 @@
 // With 32 agents in a region pieces queue for seconds at the links of their sources.
 // Transfers that reached their timeout there were repeated.
 func TestFleetLoadsAVersionInTime(t *testing.T) {
-	for _, agentsPerRegion := range []int{2, testAgentsPerRegion, 32} {
+	for _, agentsPerRegion := range []int{2, 6, testAgentsPerRegion, 32} {
 		t.Run(fmt.Sprint(agentsPerRegion), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newWeightsFleet(t, agentsPerRegion, testRegions, answersFraction)
@@ -338,6 +342,9 @@
 				require.Less(t, f.lastLoad(2), inForceWithin)
 				require.InDelta(t, 1, f.copies(), 0.1)
 				require.Zero(t, f.wastedTransfers)
+				// A few agents request their pieces later than in turn, and must not wait
+				// for the next one: the origin may fail.
+				require.Less(t, f.origin.lastSentAt, fleetPieces*originPieceTime*5/4)
 			})
 		})
 	}
--- a/weights/staging/origin_turn.go
+++ b/weights/staging/origin_turn.go
@@ -9,21 +9,21 @@
 
 // originTurn returns how long to wait before a piece is requested from the origin.
 // sinceStart is the time since the start of the fetch. The turns of all pieces are
-// spread over the time that the origin takes to send them all, and recur with that
-// period. If all agents of the origin's region requested their pieces at once, at the
+// spread over the time that the origin takes to send them all. The first request of a
+// piece that comes late does not wait; for retries the turns recur with that period. If all agents of the origin's region requested their pieces at once, at the
 // start or after an outage, all pieces would arrive together at the end of the whole
 // transfer, and no agent could pass a piece on until then. In a large region the
 // requests would also time out, and be repeated.
-func (t TargetVersion) originTurn(piece int, sinceStart time.Duration) time.Duration {
+func (t TargetVersion) originTurn(piece int, sinceStart time.Duration, isRetry bool) time.Duration {
 	period := t.originPeriod()
 	if period <= 0 {
 		return 0
 	}
 	wait := time.Duration(piece)*period/time.Duration(t.Pieces) - sinceStart
-	if wait < 0 {
+	if wait < 0 && isRetry {
 		wait = (wait%period + period) % period
 	}
-	return wait
+	return max(wait, 0)
 }
 
 // originPeriod returns the time between two turns of a piece, or 0 if the bandwidth of
--- a/weights/staging/origin_turn_test.go
+++ b/weights/staging/origin_turn_test.go
@@ -42,7 +42,7 @@
 	target := TargetVersion{Pieces: pieces, OriginPieceTime: 26 * time.Millisecond}
 	turns := make([]time.Duration, pieces)
 	for piece := range turns {
-		turns[piece] = target.originTurn(piece, 0)
+		turns[piece] = target.originTurn(piece, 0, false)
 	}
 	arrivedAt := arrivals(turns, target.OriginPieceTime)
 	whole := time.Duration(pieces) * target.OriginPieceTime
@@ -60,17 +60,18 @@
 // After an outage the pieces must not be requested together either.
 func TestTurnsRecur(t *testing.T) {
 	target := TargetVersion{Pieces: 64, OriginPieceTime: 26 * time.Millisecond}
-	period := target.originTurn(63, 0) * 64 / 63
+	period := target.originTurn(63, 0, false) * 64 / 63
 	for piece := range target.Pieces {
-		first := target.originTurn(piece, 0)
-		again := 5*time.Second + target.originTurn(piece, 5*time.Second)
+		first := target.originTurn(piece, 0, false)
+		again := 5*time.Second + target.originTurn(piece, 5*time.Second, true)
 		periods := float64(again-first) / float64(period)
 		require.InDelta(t, math.Round(periods), periods, 0.001)
-		require.Less(t, target.originTurn(piece, 5*time.Second), period)
+		require.Less(t, target.originTurn(piece, 5*time.Second, true), period)
+		require.Zero(t, target.originTurn(piece, 5*time.Second, false), "the first request is late already")
 	}
 }
 
 func TestOriginOfUnknownBandwidthIsAskedAtOnce(t *testing.T) {
-	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, 0))
-	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, time.Minute))
+	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, 0, false))
+	require.Zero(t, TargetVersion{Pieces: 64}.originTurn(63, time.Minute, true))
 }
