--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -233,7 +233,8 @@
 // fetchPiece tries one source after another until the piece is verified and
 // held.
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
-	for isRetry := false; ctx.Err() == nil; isRetry = true {
+	hasTriedOrigin := false
+	for ctx.Err() == nil {
 		held, awaited := f.fetchFromPeers(ctx, pieces, num)
 		if held {
 			return nil
@@ -242,10 +243,11 @@
 			pause.For(ctx, retryDelay)
 			continue
 		}
-		f.awaitOriginTurn(ctx, num, isRetry)
+		f.awaitOriginTurn(ctx, num, awaited, hasTriedOrigin)
 		if awaited && f.isHeldByFirstSource(ctx, num) {
 			continue
 		}
+		hasTriedOrigin = true
 		content, err := f.fetchFromOrigin(ctx, num)
 		if core.CodeOf(err) == core.CodeSuperseded {
 			return err
@@ -265,13 +267,14 @@
 }
 
 // awaitOriginTurn waits until the piece may be requested from the origin. The agent that
-// takes over has its turn half a period after the one that should fetch the piece.
-func (f *fetcher) awaitOriginTurn(ctx context.Context, num int, isRetry bool) {
+// takes over from one that runs has its turn half a period later. If the sources are
+// gone, the first request of a piece is late and does not wait.
+func (f *fetcher) awaitOriginTurn(ctx context.Context, num int, awaited, isRetry bool) {
 	sinceStart := time.Since(f.startedAt)
-	if f.plan.rank(num) > 0 {
+	if awaited {
 		sinceStart += f.target.originPeriod() / 2
 	}
-	pause.For(ctx, f.target.originTurn(num, sinceStart, isRetry || f.plan.rank(num) > 0))
+	pause.For(ctx, f.target.originTurn(num, sinceStart, awaited || isRetry))
 }
 
 // isHeldByFirstSource reports whether the piece has arrived at the first source.
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -68,6 +68,9 @@
 
 	mu      sync.Mutex
 	targets []TargetVersion
+	// lost holds the agents whose processes have ended, and stops ends one.
+	lost  map[core.InstanceID]bool
+	stops map[core.InstanceID]context.CancelFunc
 	// wastedTransfers counts the transfers between agents that were not completed.
 	wastedTransfers int
 }
@@ -187,7 +190,9 @@
 
 // isIdle reports whether an agent answers that it fetches nothing.
 func (f *weightsFleet) isIdle(peer Agent, key VersionKey) bool {
-	return f.managers[peer.ID].piecesOf(key) == nil && f.managers[peer.ID].engineUnreachable.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost[peer.ID] || f.managers[peer.ID].piecesOf(key) == nil && f.managers[peer.ID].engineUnreachable.Load()
 }
 
 // simulatedEngine is an engine that loads staged weights.
@@ -242,7 +247,8 @@
 // newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
 // origin of 9.9 Mbit/s. answersFraction is the part of the links that answers take.
 func newWeightsFleet(t *testing.T, agentsPerRegion, regions int, answersFraction float64) *weightsFleet {
-	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{}}
+	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{},
+		lost: map[core.InstanceID]bool{}, stops: map[core.InstanceID]context.CancelFunc{}}
 	f.origin = &simulatedOrigin{fleet: f, link: newSimulatedLink(9.9), conns: make(chan struct{}, 48)}
 	for region := range regions {
 		for i := range agentsPerRegion {
@@ -285,13 +291,27 @@
 	}
 }
 
+// lose ends the processes of agents, whose engines go with them.
+func (f *weightsFleet) lose(agents ...Agent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range agents {
+		f.lost[a.ID] = true
+		f.engines[a.ID].isGone = true
+		f.stops[a.ID]()
+	}
+}
+
 // run runs all managers for a time, with the events at their times.
 func (f *weightsFleet) run(length time.Duration, events map[time.Duration]func()) {
 	ctx, stop := context.WithTimeout(f.t.Context(), length)
 	defer stop()
 	var wait sync.WaitGroup
-	for _, m := range f.managers {
-		wait.Go(func() { _ = m.Run(ctx) })
+	for id, m := range f.managers {
+		agentCtx, stop := context.WithCancel(ctx)
+		defer stop()
+		f.stops[id] = stop
+		wait.Go(func() { _ = m.Run(agentCtx) })
 	}
 	for at, event := range events {
 		wait.Go(func() {
@@ -389,3 +409,18 @@
 		require.Less(t, f.lastLoad(2), inForceWithin)
 	})
 }
+
+// Agents that leave while a version travels leave pieces to the agents after them, which
+// request them at once. The origin may fail soon.
+func TestPiecesOfLostAgentsAreFetchedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, 5, testRegions, 0)
+		lostAt := 600 * time.Millisecond
+		f.run(12*time.Second, map[time.Duration]func(){
+			0:      func() { f.nameVersion(2) },
+			lostAt: func() { f.lose(f.agents[1], f.agents[4]) },
+		})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		require.Less(t, f.origin.lastSentAt, fleetPieces*originPieceTime*3/2)
+	})
+}
