--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -167,6 +167,9 @@
 
 func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
 	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
+	if content == nil {
+		return nil, 0, errors.New("the piece is gone")
+	}
 	slots := f.fleet.managers[peer.ID].uplink.sendSlots
 	waitCtx, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
@@ -424,3 +427,15 @@
 		require.Less(t, f.origin.lastSentAt, fleetPieces*originPieceTime*3/2)
 	})
 }
+
+// A source on a narrow link has its pieces, but sends them slowly. The others must get
+// them from each other.
+func TestFleetLeavesSourcesOnNarrowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, 5, testRegions, 0)
+		f.uplinks[f.agents[1].ID] = newSimulatedLink(0.95)
+		f.run(16*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		require.Less(t, f.copies(), 1.25)
+	})
+}
