--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -200,15 +200,14 @@
 
 // simulatedEngine is an engine that loads staged weights.
 type simulatedEngine struct {
-	mu        sync.Mutex
-	isGone    bool
-	loaded    fleet.WeightsVersion
-	loading   fleet.WeightsVersion
-	readyAt   time.Time
-	loadedAt  map[fleet.WeightsVersion]time.Time
-	staged    map[int][]byte
-	orders    int64
-	startedAt time.Time
+	mu       sync.Mutex
+	isGone   bool
+	loaded   fleet.WeightsVersion
+	loading  fleet.WeightsVersion
+	readyAt  time.Time
+	loadedAt map[fleet.WeightsVersion]time.Time
+	staged   map[int][]byte
+	orders   int64
 }
 
 func (e *simulatedEngine) Report(context.Context) (worker.Report, error) {
