--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -123,11 +123,10 @@
 		Seed:               uint64(g.incarnation),
 	})}
 	state.queue = fair.New(fair.Config{
-		Capacity:      func() int { return g.capacity(fleet.ServiceName(name), state.placer) },
-		MaxQueue:      g.config.QueueLength,
-		MaxRetryAfter: maxRetryAfter,
-		OutageWait:    maxOutageWait,
-
+		Capacity:        func() int { return g.capacity(fleet.ServiceName(name), state.placer) },
+		MaxQueue:        g.config.QueueLength,
+		MaxRetryAfter:   maxRetryAfter,
+		OutageWait:      maxOutageWait,
 		MaxWaitFraction: maxWaitFraction,
 		UpdatePeriod:    queueCheckPeriod,
 		Seed:            uint64(g.incarnation),
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -148,13 +148,12 @@
 	for _, model := range service.Engine.Models {
 		target := view.NewestTarget(model)
 		list = append(list, staging.TargetVersion{
-			VersionKey:    staging.VersionKey{Model: model, Version: max(target.Version, firstVersion)},
-			Pieces:        service.Engine.Pieces,
-			RequestedAt:   target.Since,
-			InForceWithin: l.config.Node.Bounds.VersionInForce,
-			Origin:        l.originClient(origin.Origin),
-			OriginRegion:  l.config.Node.Regions[origin.OriginDataCentre],
-
+			VersionKey:      staging.VersionKey{Model: model, Version: max(target.Version, firstVersion)},
+			Pieces:          service.Engine.Pieces,
+			RequestedAt:     target.Since,
+			InForceWithin:   l.config.Node.Bounds.VersionInForce,
+			Origin:          l.originClient(origin.Origin),
+			OriginRegion:    l.config.Node.Regions[origin.OriginDataCentre],
 			OriginPieceTime: originPieceTime(origin, service.Engine),
 		})
 	}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -72,11 +72,17 @@
 
 func newFetcher(m *Manager, log *logrus.Entry, target TargetVersion, plan FetchPlan) *fetcher {
 	return &fetcher{
-		manager: m, log: log, target: target, plan: plan, startedAt: time.Now(),
-		originSlots: make(chan struct{}, maxOriginFetches),
-
+		manager:        m,
+		log:            log,
+		target:         target,
+		plan:           plan,
+		startedAt:      time.Now(),
+		originSlots:    make(chan struct{}, maxOriginFetches),
 		awaitPeersTurn: func(context.Context) {},
-		backoffUntil:   map[core.InstanceID]time.Time{}, overdueSources: map[core.InstanceID]bool{}, countBySource: map[string]int{}, corruptCopies: map[int]int{},
+		backoffUntil:   map[core.InstanceID]time.Time{},
+		overdueSources: map[core.InstanceID]bool{},
+		countBySource:  map[string]int{},
+		corruptCopies:  map[int]int{},
 	}
 }
 
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -175,8 +175,18 @@
 
 // New returns a Manager without any pieces.
 func New(config Config) *Manager {
-	return &Manager{config: config, uplink: newUplink(config.LinkBytesPerSecond), downlink: newDownlink(), pieceSets: map[VersionKey]*pieceSet{}, jobs: map[VersionKey]*job{}, plans: map[VersionKey]FetchPlan{},
-		newestVersions: map[fleet.Model]fleet.WeightsVersion{}, skippedLoadDeadlines: map[VersionKey]time.Time{}, loadSlot: make(chan struct{}, 1), targetsChanged: make(chan struct{}, 1)}
+	return &Manager{
+		config:               config,
+		uplink:               newUplink(config.LinkBytesPerSecond),
+		downlink:             newDownlink(),
+		pieceSets:            map[VersionKey]*pieceSet{},
+		jobs:                 map[VersionKey]*job{},
+		plans:                map[VersionKey]FetchPlan{},
+		newestVersions:       map[fleet.Model]fleet.WeightsVersion{},
+		skippedLoadDeadlines: map[VersionKey]time.Time{},
+		targetsChanged:       make(chan struct{}, 1),
+		loadSlot:             make(chan struct{}, 1),
+	}
 }
 
 // Run fetches and loads target versions until ctx is done.
