--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -79,7 +79,11 @@
 			}
 			c.down[size-1] = true
 			stoppedAt := c.now
-			for c.now.Sub(stoppedAt) < relayedAliveTimeout+2*time.Second {
+			timeout := AliveTimeout
+			if size > fanout+1 {
+				timeout = relayedAliveTimeout
+			}
+			for c.now.Sub(stoppedAt) < timeout+2*time.Second {
 				c.runRound()
 			}
 			for i, state := range c.states[:size-1] {
