--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -438,3 +438,26 @@
 		require.Less(t, f.copies(), 1.25)
 	})
 }
+
+// As TestFleetRecoversFromAnOutageOfTheOrigin, while answers take a part of the links.
+func TestFleetRecoversFromAnOutageBesideAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, answersFraction)
+		f.origin.downFrom, f.origin.downUntil = 500*time.Millisecond, 6500*time.Millisecond
+		f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+		require.Less(t, f.lastLoad(2)-f.origin.downUntil, inForceWithin*3/4)
+		require.Less(t, f.copies(), 1.5)
+	})
+}
+
+// As TestOlderVersionIsLoadedWhenTheNewerOneCannotBeFetched, while answers take a part of
+// the links.
+func TestOlderVersionIsLoadedBesideAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, answersFraction)
+		f.origin.downFrom, f.origin.downUntil = 2500*time.Millisecond, 8500*time.Millisecond
+		f.run(25*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }, 2 * time.Second: func() { f.nameVersion(3) }})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		require.Less(t, f.lastLoad(3)-f.origin.downUntil, inForceWithin*3/4)
+	})
+}
