An entry that hears of no other entry gets no shares

Cause: an entry that is cut off right after a restart knows the others only from their rows. It had heard from none, so none counted as lost, it did not take itself for isolated, became active, and 4 s later used a share of the limits while the others, which never heard of its activity, divided all of it among them.

--- a/daemon/gateway/limits_test.go
+++ b/daemon/gateway/limits_test.go
@@ -147,10 +147,19 @@
 	limit := int(simulatedColdLimit.PerSecond*simulatedColdLimit.Overshoot + simulatedColdLimit.Slack)
 	for _, fleet := range []struct {
 		size, centres, rounds int
-		seeds                 uint64
-	}{{2, 1, 400, 3}, {9, 3, 400, 3}, {20, 1, 300, 3}, {45, 3, 200, 2}, {149, 5, 60, 1}, {350, 7, 42, 1}} {
-		for seed := range fleet.seeds {
+		seeds                 []uint64
+	}{
+		{2, 1, 400, []uint64{0, 1, 2}},
+		{9, 3, 400, []uint64{0, 1, 2}},
+		// In 41 an entry is cut off right after a restart, before it has heard of others.
+		{20, 1, 300, []uint64{0, 1, 2, 41}},
+		{45, 3, 200, []uint64{0, 1}},
+		{149, 5, 60, []uint64{0}},
+		{350, 7, 42, []uint64{0}},
+	} {
+		for _, seed := range fleet.seeds {
 			t.Run(fmt.Sprintf("%d entries, seed %d", fleet.size, seed), func(t *testing.T) {
+				t.Parallel()
 				f := newSimulatedFleet(fleet.size, fleet.centres, seed)
 				used := 0
 				for round := range fleet.rounds {
--- a/members/gossip/round.go
+++ b/members/gossip/round.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -67,15 +68,15 @@
 // the responses to such requests of other members.
 func (s *State) descriptionExchanges() []Outgoing {
 	var list []Outgoing
-	for addr, keys := range s.wanted {
-		keys = slices.DeleteFunc(keys, func(key uint32) bool { return s.peersByKey[key] != nil })
+	for _, addr := range slices.Sorted(maps.Keys(s.wanted)) {
+		keys := slices.DeleteFunc(s.wanted[addr], func(key uint32) bool { return s.peersByKey[key] != nil })
 		keys = keys[:min(maxRequestedDescriptions, len(keys))]
 		if len(keys) > 0 && len(list) < maxDescriptionRequests {
 			list = append(list, Outgoing{Message: Message{From: s.nextSelf(), OmitsLoads: true, Wanted: keys}, Addrs: []string{addr}})
 		}
 	}
-	for addr, keys := range s.requested {
-		message := Message{From: s.nextSelf(), OmitsLoads: true}
+	for _, addr := range slices.Sorted(maps.Keys(s.requested)) {
+		keys, message := s.requested[addr], Message{From: s.nextSelf(), OmitsLoads: true}
 		for _, key := range keys[:min(maxRequestedDescriptions, len(keys))] {
 			if p := s.peersByKey[key]; p != nil {
 				message.Relayed = append(message.Relayed, p.member)
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -330,11 +330,15 @@
 
 // IsIsolated reports whether this entry and the active peers that are alive are the
 // smaller part of those known within isolatedSenderTimeout. Of two equal parts, the
-// one without the lowest ID is isolated.
+// one without the lowest ID is isolated. An entry that was started recently is isolated
+// while it hears none of the peers that were introduced to it.
 func (s *State) IsIsolated(now time.Time) bool {
 	known, alive := 1, 1
 	lowest, isLowestAlive := s.self.ID, true
+	hearsAny, isAwaiting := false, false
 	for id, p := range s.peers {
+		hearsAny = hearsAny || s.isAlive(now, p)
+		isAwaiting = isAwaiting || p.heardAt.IsZero() && now.Sub(p.learnedAt) < SenderTimeout
 		if !p.member.Active || now.Sub(p.heardAt) >= isolatedSenderTimeout {
 			continue
 		}
@@ -347,7 +351,7 @@
 			lowest, isLowestAlive = id, isAlive
 		}
 	}
-	return 2*alive < known || 2*alive == known && !isLowestAlive
+	return isAwaiting && !hearsAny || 2*alive < known || 2*alive == known && !isLowestAlive
 }
 
 // Loads returns the sum of the alive peers' requests in flight by backend
