Pieces avoid slow sources; every agent sends its share of a version

Cause of the known red test of narrow links: a source whose link narrows holds its pieces, so that the agent after it does not take over, and all others queue for them. Change: a source whose transfers are slow while those of others are fast is left out for 2 s; once the origin has failed as well, it is tried again.

Cause of the known red test of an older version beside answers: pieces are assigned to agents round-robin, so with 64 pieces and 20 agents in a region four agents send 4 pieces and the others 3, and the busiest link decides. With more agents than pieces it is worse: with 200 in a region 64 of them send each piece 199 times. Change: the pieces that an even division leaves over are sent by several agents in proportion, one hop later; they come first. Pieces for agents that pass them on precede others (the region parameter of the request is replaced by an urgent flag).

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -123,7 +123,7 @@
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
 		Engine:             worker.New(n.BackendAddr, maxEngineConns),
-		Peers:              staging.NewHTTPPeers(n.Region),
+		Peers:              staging.NewHTTPPeers(),
 		TargetVersions:     l.targetVersions,
 		AnnouncePause:      l.announcer.announce,
 		ListAgents:         l.agents.get,
--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -48,12 +48,16 @@
 	// transfer, and lastSlowAt the end of the latest slow transfer.
 	slowSources map[core.InstanceID]bool
 	lastSlowAt  time.Time
+	lastFastAt  time.Time
+	// slowUntil holds the agents whose own links are slow: their transfers were slow
+	// while others were fast.
+	slowUntil map[core.InstanceID]time.Time
 	// changed is closed and replaced whenever a waiting transfer may start.
 	changed chan struct{}
 }
 
 func newDownlink() *downlink {
-	return &downlink{limit: baseMaxTransfers, maxLimit: baseMaxTransfers, slowSources: map[core.InstanceID]bool{}, changed: make(chan struct{})}
+	return &downlink{limit: baseMaxTransfers, maxLimit: baseMaxTransfers, slowSources: map[core.InstanceID]bool{}, slowUntil: map[core.InstanceID]time.Time{}, changed: make(chan struct{})}
 }
 
 // isLinkSlow reports whether this agent's own link is slow, that is, whether all
@@ -64,6 +68,15 @@
 	return len(d.slowSources) >= slowLinkMinSources && now.Sub(d.lastSlowAt) < slowLinkWindow
 }
 
+// isSourceSlow reports whether the link of an agent is slow, while this agent's own link
+// is not. It expires after slowLinkWindow, and the next transfer shows whether the link
+// still is.
+func (d *downlink) isSourceSlow(now time.Time, source core.InstanceID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.slowUntil[source])
+}
+
 // setNeighbours sets the upper bound of the limit from the number of agents in
 // the region.
 func (d *downlink) setNeighbours(neighbours int) {
@@ -129,12 +142,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active--
-	if took < slowTransferTime {
-		clear(d.slowSources)
-	} else {
-		d.slowSources[from] = true
-		d.lastSlowAt = now
-	}
+	d.noteTransfer(now, from, took)
 	switch {
 	case took < slowTransferTime:
 		d.limit = min(d.maxLimit, d.limit+limitIncrease)
@@ -146,3 +154,23 @@
 	}
 	d.notify()
 }
+
+// noteTransfer tells slow links of other agents from a slow link of this one. The caller
+// holds the lock.
+func (d *downlink) noteTransfer(now time.Time, from core.InstanceID, took time.Duration) {
+	if took < slowTransferTime {
+		delete(d.slowSources, from)
+		delete(d.slowUntil, from)
+		for source := range d.slowSources {
+			d.slowUntil[source] = now.Add(slowLinkWindow)
+		}
+		clear(d.slowSources)
+		d.lastFastAt = now
+		return
+	}
+	d.slowSources[from] = true
+	d.lastSlowAt = now
+	if now.Sub(d.lastFastAt) < slowLinkWindow {
+		d.slowUntil[from] = now.Add(slowLinkWindow)
+	}
+}
--- a/weights/staging/downlink_test.go
+++ b/weights/staging/downlink_test.go
@@ -82,3 +82,18 @@
 	require.True(t, d.isLinkSlow(now))
 	require.Zero(t, d.active)
 }
+
+func TestSourceIsSlowWhileOthersAreFast(t *testing.T) {
+	now := time.Unix(100, 0)
+	d := newDownlink()
+	d.release(now, "a-1", time.Second)
+	require.False(t, d.isSourceSlow(now, "a-1"), "this agent's link may be the slow one")
+	d.release(now, "a-2", time.Millisecond)
+	require.True(t, d.isSourceSlow(now, "a-1"))
+	require.False(t, d.isSourceSlow(now, "a-2"))
+	require.False(t, d.isSourceSlow(now.Add(slowLinkWindow), "a-1"), "the next transfer shows whether the link has recovered")
+	d.release(now, "a-3", time.Second)
+	require.True(t, d.isSourceSlow(now, "a-3"))
+	d.release(now, "a-1", time.Millisecond)
+	require.False(t, d.isSourceSlow(now, "a-1"))
+}
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -241,7 +241,7 @@
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
 	hasTriedOrigin := false
 	for ctx.Err() == nil {
-		held, awaited := f.fetchFromPeers(ctx, pieces, num)
+		held, awaited := f.fetchFromPeers(ctx, pieces, num, hasTriedOrigin)
 		if held {
 			return nil
 		}
@@ -286,7 +286,7 @@
 // isHeldByFirstSource reports whether the piece has arrived at the first source.
 func (f *fetcher) isHeldByFirstSource(ctx context.Context, num int) bool {
 	sources := f.plan.Sources(num)
-	if len(sources) == 0 || f.isBackedOff(sources[0]) {
+	if len(sources) == 0 || f.isBackedOff(sources[0]) || f.isSlow(sources[0]) {
 		return false
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
@@ -294,6 +294,12 @@
 	return f.manager.config.Peers.AwaitPiece(waitCtx, sources[0], f.target.VersionKey, num) == nil
 }
 
+// isForwarder reports whether a peer of this region gets a piece from the agent that
+// fetches it into the region, to send it to others.
+func (f *fetcher) isForwarder(peer Agent, num int) bool {
+	return peer.Region == f.plan.self.Region && f.plan.rankedAgents(peer.Region, num)[0].ID != peer.ID
+}
+
 // takesOver reports whether this agent fetches a piece from the origin if the agent
 // that should do so runs, but does not get it.
 func (f *fetcher) takesOver(num int) bool {
@@ -302,8 +308,9 @@
 
 // fetchFromPeers tries the sources of a piece once. awaited reports whether a source
 // runs that does not have the piece yet or is busy. Other regions are then tried only by the
-// agents that fetch the piece into this one.
-func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int) (held, awaited bool) {
+// agents that fetch the piece into this one. Sources on slow links are tried only if
+// includeSlow is set, which is when the origin has failed.
+func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int, includeSlow bool) (held, awaited bool) {
 	if len(f.plan.Sources(num)) > 0 {
 		f.awaitPeersTurn(ctx)
 	}
@@ -311,17 +318,18 @@
 	for _, group := range f.plan.sourceGroups(num) {
 		waiting := 0
 		for _, peer := range group {
-			if f.isBackedOff(peer) {
+			if f.isBackedOff(peer) || !includeSlow && f.isSlow(peer) {
 				continue
 			}
 			content, err := f.fetchFromPeer(ctx, peer, num)
-			for retry := 0; isFirst && retry < maxNotFoundRetries && isNotFound(err) && !f.isOverdue(peer); retry++ {
+			mayRetry := isFirst && !f.isForwarder(peer, num)
+			for retry := 0; mayRetry && retry < maxNotFoundRetries && isNotFound(err) && !f.isOverdue(peer); retry++ {
 				content, err = f.fetchFromPeer(ctx, peer, num)
 			}
-			if isFirst {
+			if mayRetry {
 				f.setOverdue(peer, isNotFound(err))
+				isFirst = false
 			}
-			isFirst = false
 			f.backOff(peer, err)
 			if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(f.plan, peer)) {
 				return true, awaited
@@ -378,12 +386,11 @@
 	if err := peers.AwaitPiece(waitCtx, peer, f.target.VersionKey, num); err != nil {
 		return nil, err
 	}
-	// The region's other agents wait for the pieces that this agent fetches
-	// into the region.
-	if err := f.manager.downlink.acquire(ctx, f.plan.IsRegionFetcher(num)); err != nil {
+	urgent := f.plan.SendsToOthers(num)
+	if err := f.manager.downlink.acquire(ctx, urgent); err != nil {
 		return nil, err
 	}
-	content, transferTime, err := peers.Piece(ctx, peer, f.target.VersionKey, num)
+	content, transferTime, err := peers.Piece(ctx, peer, f.target.VersionKey, num, urgent)
 	if err != nil && transferTime == 0 {
 		// No data arrived, so the attempt says nothing about this agent's link.
 		f.manager.downlink.releaseUnused()
@@ -425,6 +432,11 @@
 	return time.Now().Before(f.backoffUntil[peer.ID])
 }
 
+// isSlow reports whether a source is on a slow link. Others get its pieces sooner.
+func (f *fetcher) isSlow(peer Agent) bool {
+	return f.manager.downlink.isSourceSlow(time.Now(), peer.ID)
+}
+
 // backOff excludes a source for failedSourceBackoff, unless the source only
 // lacks the piece or is busy, or the request was cancelled.
 func (f *fetcher) backOff(peer Agent, err error) {
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -133,10 +134,9 @@
 	return pieceContent(version, piece), nil
 }
 
-// simulatedPeers implements Peers for an agent in a region.
+// simulatedPeers implements Peers.
 type simulatedPeers struct {
-	fleet  *weightsFleet
-	region core.Region
+	fleet *weightsFleet
 }
 
 func (f simulatedPeers) Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error) {
@@ -165,7 +165,7 @@
 	return nil
 }
 
-func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
+func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int, urgent bool) ([]byte, time.Duration, error) {
 	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
 	if content == nil {
 		return nil, 0, errors.New("the piece is gone")
@@ -173,7 +173,7 @@
 	slots := f.fleet.managers[peer.ID].uplink.sendSlots
 	waitCtx, cancel := context.WithTimeout(ctx, sourceTimeout)
 	defer cancel()
-	if slots.acquire(waitCtx, peer.Region != f.region) != nil {
+	if slots.acquire(waitCtx, urgent) != nil {
 		return nil, 0, errSourceBusy
 	}
 	defer slots.release()
@@ -249,6 +249,10 @@
 // newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
 // origin of 9.9 Mbit/s. answersFraction is the part of the links that answers take.
 func newWeightsFleet(t *testing.T, agentsPerRegion, regions int, answersFraction float64) *weightsFleet {
+	// Thousands of concurrent goroutines make the race detector fail, and the order in
+	// which they run vary.
+	processors := runtime.GOMAXPROCS(1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(processors) })
 	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{},
 		lost: map[core.InstanceID]bool{}, stops: map[core.InstanceID]context.CancelFunc{}}
 	f.origin = &simulatedOrigin{fleet: f, link: newSimulatedLink(9.9), conns: make(chan struct{}, 48)}
@@ -265,7 +269,7 @@
 		f.engines[a.ID] = &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}}
 		f.uplinks[a.ID] = newSimulatedLink(agentLink * uplinkFraction * (1 - answersFraction))
 		f.managers[a.ID] = New(Config{
-			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f, a.Region}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
+			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
 			ListAgents: func(context.Context) []Agent { return f.agents }, Log: logrus.NewEntry(log),
 		})
 	}
--- a/weights/staging/load_schedule_test.go
+++ b/weights/staging/load_schedule_test.go
@@ -48,7 +48,7 @@
 		m := newTestManager(func(p fleet.PauseNotice) { announced = append(announced, p) })
 		target := TargetVersion{VersionKey: olderKey, RequestedAt: time.Now(), InForceWithin: inForceWithin}
 		m.addTestJob(target, 4)
-		plan := NewFetchPlan(m.config.Self, "north", agentsInRegions("north", "north", "north"))
+		plan := NewFetchPlan(m.config.Self, "north", 64, agentsInRegions("north", "north", "north"))
 		loadTime := m.scheduledLoadTime(target, plan, reportWithLoaded(1))
 		require.Empty(t, announced, "no pause is announced before the agent holds all pieces")
 		require.NoError(t, m.awaitLoadTime(t.Context(), target, loadTime))
@@ -113,7 +113,7 @@
 func TestAgentOnSlowLinkDeclinesMissingPieces(t *testing.T) {
 	m := newTestManager(nil)
 	agents := agentsInRegions("north", "north", "north")
-	plan := NewFetchPlan(agents[0], "north", agents)
+	plan := NewFetchPlan(agents[0], "north", 6, agents)
 	m.addTestJob(TargetVersion{VersionKey: olderKey}, 1)
 	m.setPlan(olderKey, plan)
 	pieces := m.piecesOf(olderKey)
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -51,8 +51,8 @@
 	AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error
 	// Piece returns a piece and its transfer time, from the first byte to the
 	// last. It waits up to sourceTimeout for the transfer to begin. The transfer time
-	// is 0 if it did not.
-	Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error)
+	// is 0 if it did not. Urgent pieces precede others at the peer.
+	Piece(ctx context.Context, peer Agent, key VersionKey, piece int, urgent bool) ([]byte, time.Duration, error)
 }
 
 // TargetVersion is a version that the engine must load.
@@ -320,7 +320,7 @@
 		if m.piecesOf(target.VersionKey) != nil {
 			return
 		}
-		versionFetcher := newFetcher(m, log, target, NewFetchPlan(m.config.Self, target.OriginRegion, m.config.ListAgents(ctx)))
+		versionFetcher := newFetcher(m, log, target, NewFetchPlan(m.config.Self, target.OriginRegion, target.Pieces, m.config.ListAgents(ctx)))
 		if _, err := versionFetcher.fetchVersion(ctx); err != nil && ctx.Err() == nil {
 			log.WithError(err).Warn("Reading pieces for other agents failed.")
 			return
@@ -355,7 +355,7 @@
 	target := j.target
 	start := time.Now()
 	agents := m.config.ListAgents(ctx)
-	plan := NewFetchPlan(m.config.Self, target.OriginRegion, agents)
+	plan := NewFetchPlan(m.config.Self, target.OriginRegion, target.Pieces, agents)
 	m.setPlan(target.VersionKey, plan)
 	m.downlink.setNeighbours(plan.localAgentCount())
 	versionFetcher := newFetcher(m, log, target, plan)
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -33,9 +33,8 @@
 	manifestPollPeriod = 20 * time.Millisecond
 	// readySuffix marks a request that waits for a piece without fetching it.
 	readySuffix = ".ready"
-	// regionParam is the query parameter with the region of the requesting
-	// agent.
-	regionParam = "region"
+	// urgentQuery marks a request whose sender passes the piece on to others.
+	urgentQuery = "urgent=1"
 	// maxPeerResponseBytes bounds the size of a response.
 	maxPeerResponseBytes = 4 << 20
 )
@@ -51,14 +50,11 @@
 // HTTPPeers implements Peers over HTTP.
 type HTTPPeers struct {
 	client *http.Client
-	query  string
 }
 
-// NewHTTPPeers returns the client of an agent in region. It keeps a few idle
-// connections to each agent.
-func NewHTTPPeers(region core.Region) *HTTPPeers {
-	query := url.Values{regionParam: {string(region)}}
-	return &HTTPPeers{query: "?" + query.Encode(), client: &http.Client{Transport: &http.Transport{
+// NewHTTPPeers returns a client that keeps a few idle connections to each agent.
+func NewHTTPPeers() *HTTPPeers {
+	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
 		DialContext: netdial.New(peerDialTimeout).DialContext, MaxIdleConnsPerHost: 2 * transfersPerSource, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 	}}}
 }
@@ -83,8 +79,12 @@
 }
 
 // Piece implements Peers.
-func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int) ([]byte, time.Duration, error) {
-	content, transferTime, err := p.get(ctx, peer, weightsPath(key, strconv.Itoa(piece)))
+func (p *HTTPPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int, urgent bool) ([]byte, time.Duration, error) {
+	path := weightsPath(key, strconv.Itoa(piece))
+	if urgent {
+		path += "?" + urgentQuery
+	}
+	content, transferTime, err := p.get(ctx, peer, path)
 	if errors.Is(err, errNoResponse) {
 		return nil, 0, errSourceBusy
 	}
@@ -102,7 +102,7 @@
 	defer cancel()
 	timeout := time.AfterFunc(sourceTimeout, cancel)
 	defer timeout.Stop()
-	request, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+peer.Addr+path+p.query, nil)
+	request, err := http.NewRequestWithContext(callCtx, http.MethodGet, "http://"+peer.Addr+path, nil)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -156,18 +156,11 @@
 	}
 	body, status := m.weightsResponse(ctx, pieces, r.PathValue("what"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if err := m.uplink.send(r.Context(), w, status, body, m.isFromOtherRegion(r)); err != nil {
+	if err := m.uplink.send(r.Context(), w, status, body, r.URL.RawQuery == urgentQuery); err != nil {
 		m.config.Log.WithError(err).WithField("piece", r.PathValue("what")).Info("Sending a piece to another agent failed before its end.")
 	}
 }
 
-// isFromOtherRegion reports whether the requesting agent is in another region.
-// The other agents of that region wait for the piece too.
-func (m *Manager) isFromOtherRegion(r *http.Request) bool {
-	region := r.URL.Query().Get(regionParam)
-	return region != "" && core.Region(region) != m.config.Self.Region
-}
-
 func (m *Manager) weightsResponse(ctx context.Context, pieces *pieceSet, item string) ([]byte, int) {
 	if item == "manifest" {
 		body, err := cbor.Marshal(pieces.digests)
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -51,13 +51,15 @@
 type FetchPlan struct {
 	self         Agent
 	originRegion core.Region
+	pieces       int
 	agents       []Agent
 }
 
-// NewFetchPlan returns the plan of the agent self. agents lists the agents of all
-// services and may include self; agents of other services are ignored.
-func NewFetchPlan(self Agent, originRegion core.Region, agents []Agent) FetchPlan {
-	p := FetchPlan{self: self, originRegion: originRegion, agents: []Agent{self}}
+// NewFetchPlan returns the plan of the agent self for a version with some number of
+// pieces. agents lists the agents of all services and may include self; agents of other
+// services are ignored.
+func NewFetchPlan(self Agent, originRegion core.Region, pieces int, agents []Agent) FetchPlan {
+	p := FetchPlan{self: self, originRegion: originRegion, pieces: pieces, agents: []Agent{self}}
 	for _, a := range agents {
 		if a.ID != self.ID && a.Service == self.Service {
 			p.agents = append(p.agents, a)
@@ -72,9 +74,16 @@
 func (p FetchPlan) Sources(piece int) []Agent { return slices.Concat(p.sourceGroups(piece)...) }
 
 // sourceGroups returns the sources of a piece by region: the agents of this region that
-// precede this one, then those of the regions from which it is fetched into this one.
+// precede this one, its sender first, then those of the regions from which it is fetched
+// into this one.
 func (p FetchPlan) sourceGroups(piece int) [][]Agent {
-	groups := [][]Agent{p.rankedBeforeSelf(p.rankedAgents(p.self.Region, piece))}
+	local := p.rankedAgents(p.self.Region, piece)
+	preceding := p.rankedBeforeSelf(local)
+	if rank := len(preceding); rank > 0 {
+		sender := p.distribution(len(local), piece).senderOf(rank)
+		preceding = slices.Concat(preceding[sender:sender+1], preceding[:sender], preceding[sender+1:])
+	}
+	groups := [][]Agent{preceding}
 	for _, region := range p.upstreamRegions(piece) {
 		groups = append(groups, p.rankedAgents(region, piece))
 	}
@@ -129,6 +138,15 @@
 	return p.rankedAgents(p.self.Region, piece)[0].ID == p.self.ID
 }
 
+// SendsToOthers reports whether other agents wait for the piece from this agent.
+func (p FetchPlan) SendsToOthers(piece int) bool {
+	return p.rank(piece) < p.distribution(p.localAgentCount(), piece).senders
+}
+
+func (p FetchPlan) distribution(agents, piece int) distribution {
+	return newDistribution(p.pieces, agents, piece)
+}
+
 // localAgentCount returns the number of agents in the region, this one included.
 func (p FetchPlan) localAgentCount() int { return len(p.rankedAgents(p.self.Region, 0)) }
 
@@ -143,8 +161,7 @@
 }
 
 // rankedAgents returns the agents of a region in the order of preference for a
-// piece. Pieces are assigned round-robin, so that each agent fetches the same
-// number of pieces into the region and the load on their links is even.
+// piece, beginning with the one that fetches it into the region.
 func (p FetchPlan) rankedAgents(region core.Region, piece int) []Agent {
 	var list []Agent
 	for _, a := range p.agents {
@@ -156,7 +173,7 @@
 		return nil
 	}
 	slices.SortFunc(list, func(a, b Agent) int { return cmp.Compare(a.ID, b.ID) })
-	first := (piece%len(list) + len(list)) % len(list)
+	first := p.distribution(len(list), piece).first
 	return append(list[first:len(list):len(list)], list[:first]...)
 }
 
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	const pieces = 64
 	fromOrigin, crossings, uploadsByAgent := 0, 0, map[core.InstanceID]int{}
 	for _, self := range agents {
-		plan := NewFetchPlan(self, "north", agents)
+		plan := NewFetchPlan(self, "north", 64, agents)
 		for piece := range pieces {
 			sources := plan.Sources(piece)
 			if len(sources) == 0 {
@@ -50,7 +51,7 @@
 	agents := agentsInRegions("north", "north", "north", "north", "north")
 	assignedCounts := map[core.InstanceID]int{}
 	for _, self := range agents {
-		plan := NewFetchPlan(self, "north", agents)
+		plan := NewFetchPlan(self, "north", 64, agents)
 		for piece := range 64 {
 			if plan.IsRegionFetcher(piece) {
 				assignedCounts[self.ID]++
@@ -73,7 +74,7 @@
 		regionOf[self.ID] = self.Region
 	}
 	for _, self := range agents {
-		plan := NewFetchPlan(self, "north", agents)
+		plan := NewFetchPlan(self, "north", 64, agents)
 		for piece := range pieces {
 			if sources := plan.Sources(piece); len(sources) > 0 {
 				byRegion[regionOf[sources[0].ID]]++
@@ -84,9 +85,35 @@
 	require.Equal(t, 2*2*pieces+pieces, byRegion["south"]+byRegion["east"])
 }
 
+// With 200 agents in a region, 64 of them sent all pieces to all others, one copy of the
+// version took three times as long as a link needs for it, and a version missed its bound.
+func TestEveryAgentSendsItsShare(t *testing.T) {
+	for _, pieces := range []int{48, 64} {
+		for agents := 2; agents <= 300; agents++ {
+			sent := make([]int, agents)
+			fetched := make([]int, agents)
+			for piece := range pieces {
+				d := newDistribution(pieces, agents, piece)
+				fetched[d.first]++
+				for rank := 1; rank < agents; rank++ {
+					sender := d.senderOf(rank)
+					require.Less(t, sender, rank)
+					require.Less(t, sender, d.senders)
+					require.True(t, rank >= d.senders || sender == 0, "senders get the piece from the first one")
+					sent[(d.first+sender)%agents]++
+				}
+			}
+			// A sender may send to each other sender of one piece in addition.
+			mostSenders := newDistribution(pieces, agents, 0).senders
+			require.LessOrEqual(t, slices.Max(sent), pieces+2*mostSenders, "%d pieces, %d agents", pieces, agents)
+			require.LessOrEqual(t, slices.Max(fetched)-slices.Min(fetched), 1, "%d pieces, %d agents", pieces, agents)
+		}
+	}
+}
+
 func TestPlanWithoutAgentsInTheOriginsRegion(t *testing.T) {
 	agents := agentsInRegions("south", "south")
-	plan := NewFetchPlan(agents[0], "north", agents)
+	plan := NewFetchPlan(agents[0], "north", 64, agents)
 	for piece := range 8 {
 		if plan.IsRegionFetcher(piece) {
 			require.Empty(t, plan.Sources(piece), "the origin is the only source")
@@ -100,7 +127,7 @@
 	agents := agentsInRegions("n", "n", "n", "s", "s", "s", "e", "e", "e")
 	seen := map[time.Duration]bool{}
 	for _, self := range agents {
-		delay := NewFetchPlan(self, "n", agents).LoadDelay(2, 8*time.Second)
+		delay := NewFetchPlan(self, "n", 64, agents).LoadDelay(2, 8*time.Second)
 		require.GreaterOrEqual(t, delay, time.Duration(loadWindowStartFraction*float64(8*time.Second)))
 		require.Less(t, delay, time.Duration(loadWindowEndFraction*float64(8*time.Second)))
 		seen[delay] = true
