A restarted agent waits for its first list of agents

Cause: after a restart of the whole fleet the rows cannot be read for some seconds. Change: while no list was read the agent retries, up to 10 s.

--- a/daemon/loader/agents.go
+++ b/daemon/loader/agents.go
@@ -2,19 +2,28 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"currantusher.dev/core/pause"
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/records"
 	"currantusher.dev/tables/watch"
 	"currantusher.dev/weights/staging"
 )
 
-// agentsTTL is how long the list of agents is cached.
-const agentsTTL = 5 * time.Second
+const (
+	// agentsTTL is how long the list of agents is cached.
+	agentsTTL = 5 * time.Second
+	// firstReadTimeout bounds the wait for the first list. After it the agent fetches
+	// weights on its own.
+	firstReadTimeout = 10 * time.Second
+	// firstReadRetryDelay is the mean delay after a failed first read.
+	firstReadRetryDelay = 300 * time.Millisecond
+)
 
 // agentList caches the agents that distribute weights. It is safe for concurrent
 // use.
@@ -29,7 +38,9 @@
 }
 
 // get returns the agents whose engines are in the store. If the store is
-// unavailable, it returns the agents that were read last.
+// unavailable, it returns the agents that were read last. While none were read, it
+// retries: an agent that knows no other one fetches all pieces from the origin, and
+// after a restart of the whole fleet all agents would do so.
 func (l *agentList) get(ctx context.Context) []staging.Agent {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -37,6 +48,11 @@
 		return l.cached
 	}
 	agents, err := l.read(ctx)
+	for started := time.Now(); err != nil && len(l.cached) == 0 && time.Since(started) < firstReadTimeout && ctx.Err() == nil; {
+		l.log.WithError(err).Info("Could not read the agents; retrying.")
+		pause.For(ctx, firstReadRetryDelay/2+rand.N(firstReadRetryDelay))
+		agents, err = l.read(ctx)
+	}
 	if err != nil {
 		l.log.WithError(err).WithField("known", len(l.cached)).Warn("Could not read the agents; using the last known ones.")
 		return l.cached
