Weights spread also while agents' lists of each other differ

Cause: an agent's share of the pieces followed from its position in the list of agents whose engines are listed. Lists that differ by one engine assign all pieces differently, and a fetch kept its first list. Change: the positions on the ring are those of all agents, and the pieces of one without an engine pass to the next with room for them; a fetch reads the list again each second; an agent that waits for a piece itself says so (409), which ends the wait for it; after 2 s about two more agents of a region may fetch a piece into it. Result: TestFleetLoadsAVersionWhileListsDiffer (lists that differ for 3 s, and always) failed, engines without version 2 after 20 s, and passes within 8 s and 4 copies. Tried and dropped: taking over in order of rank, one agent each 1.5 s (not loaded in 20 s).

--- a/daemon/loader/agents.go
+++ b/daemon/loader/agents.go
@@ -17,7 +17,7 @@
 
 const (
 	// agentsTTL is how long the list of agents is cached.
-	agentsTTL = 5 * time.Second
+	agentsTTL = 2 * time.Second
 	// firstReadTimeout bounds the wait for the first list. After it the agent fetches
 	// weights on its own.
 	firstReadTimeout = 10 * time.Second
@@ -37,7 +37,7 @@
 	readAt time.Time
 }
 
-// get returns the agents whose engines are in the store. If the store is
+// get returns the agents and marks those whose engines are not in the store. If the store is
 // unavailable, it returns the agents that were read last. While none were read, it
 // retries: an agent that knows no other one fetches all pieces from the origin, and
 // after a restart of the whole fleet all agents would do so.
@@ -77,9 +77,9 @@
 			engineAddrs[server.Addr] = true
 		}
 	}
-	alive := staging.LiveAgents(agents, engineAddrs)
-	if len(alive) < len(agents) {
-		l.log.WithFields(logrus.Fields{"agents": len(agents), "living": len(alive)}).Info("Ignoring agents whose engines are not listed.")
+	marked, unlisted := staging.MarkUnlisted(agents, engineAddrs)
+	if unlisted > 0 {
+		l.log.WithFields(logrus.Fields{"agents": len(agents), "unlisted": unlisted}).Info("Some agents' engines are not listed; others fetch their pieces.")
 	}
-	return alive, nil
+	return marked, nil
 }
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,13 @@
 	// maxCorruptCopies is the number of copies of a piece with a wrong digest
 	// after which the manifest itself is taken to be wrong.
 	maxCorruptCopies = 3
+	// takeOverDelay is the time after which agents other than the first two of a region
+	// may fetch a piece into it, and takeOverAgents how many of them do so at once.
+	takeOverDelay  = 2 * time.Second
+	takeOverAgents = 2
+	// planRefreshPeriod is the interval at which a fetch reads the list of agents again.
+	// Agents with different lists assign the pieces to different agents.
+	planRefreshPeriod = time.Second
 	// manifestPieceNum is the piece number under which sources of the manifest
 	// are selected.
 	manifestPieceNum = -1
@@ -55,7 +63,6 @@
 	manager     *Manager
 	log         *logrus.Entry
 	target      TargetVersion
-	plan        FetchPlan
 	startedAt   time.Time
 	originSlots chan struct{}
 	// awaitPeersTurn waits until pieces may be fetched from peers. The links between
@@ -63,6 +70,7 @@
 	awaitPeersTurn func(context.Context)
 
 	mu           sync.Mutex
+	plan         FetchPlan
 	backoffUntil map[core.InstanceID]time.Time
 	// overdueSources holds the sources that did not get a piece for all retries.
 	overdueSources map[core.InstanceID]bool
@@ -86,6 +94,29 @@
 	}
 }
 
+func (f *fetcher) currentPlan() FetchPlan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan
+}
+
+// refreshPlan follows the list of agents until ctx is done.
+func (f *fetcher) refreshPlan(ctx context.Context) {
+	ticker := time.NewTicker(planRefreshPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		plan := f.manager.newPlan(ctx, f.target)
+		f.mu.Lock()
+		f.plan = plan
+		f.mu.Unlock()
+	}
+}
+
 // sourceCounts returns the number of pieces by kind of source: "stage" (staged
 // at the engine already), "region" (an agent of this region), "home" (an agent
 // of another region) or "origin".
@@ -129,7 +160,7 @@
 // sources, after an earlier manifest was wrong.
 func (f *fetcher) fetchManifest(ctx context.Context, originOnly bool) ([][32]byte, error) {
 	if !originOnly {
-		for _, peer := range f.plan.Sources(manifestPieceNum) {
+		for _, peer := range f.currentPlan().Sources(manifestPieceNum) {
 			digests, err := f.fetchPeerManifest(ctx, peer)
 			if err == nil && len(digests) == f.target.Pieces {
 				return digests, nil
@@ -193,8 +224,10 @@
 // fetchMissing fetches the missing pieces, from all sources concurrently.
 func (f *fetcher) fetchMissing(ctx context.Context, pieces *pieceSet) error {
 	fetchCtx, cancel := context.WithCancelCause(ctx)
+	var wait, refresh sync.WaitGroup
+	refresh.Go(func() { f.refreshPlan(fetchCtx) })
+	defer refresh.Wait()
 	defer cancel(nil)
-	var wait sync.WaitGroup
 	for _, nums := range f.missingBySource(pieces) {
 		queue := make(chan int, len(nums))
 		for _, num := range nums {
@@ -228,7 +261,7 @@
 			continue
 		}
 		var first core.InstanceID
-		if sources := f.plan.Sources(num); len(sources) > 0 {
+		if sources := f.currentPlan().Sources(num); len(sources) > 0 {
 			first = sources[0].ID
 		}
 		bySource[first] = append(bySource[first], num)
@@ -240,12 +273,14 @@
 // held.
 func (f *fetcher) fetchPiece(ctx context.Context, pieces *pieceSet, num int) error {
 	hasTriedOrigin := false
-	for ctx.Err() == nil {
-		held, awaited := f.fetchFromPeers(ctx, pieces, num, hasTriedOrigin)
+	startedAt := time.Now()
+	for round := 0; ctx.Err() == nil; round++ {
+		takesOver := f.takesOver(num, round, time.Since(startedAt))
+		held, awaited := f.fetchFromPeers(ctx, pieces, num, hasTriedOrigin, takesOver)
 		if held {
 			return nil
 		}
-		if awaited && !f.takesOver(num) {
+		if awaited && !(takesOver && f.isInOriginRegion()) {
 			pause.For(ctx, retryDelay)
 			continue
 		}
@@ -285,7 +320,7 @@
 
 // isHeldByFirstSource reports whether the piece has arrived at the first source.
 func (f *fetcher) isHeldByFirstSource(ctx context.Context, num int) bool {
-	sources := f.plan.Sources(num)
+	sources := f.currentPlan().Sources(num)
 	if len(sources) == 0 || f.isBackedOff(sources[0]) || f.isSlow(sources[0]) {
 		return false
 	}
@@ -294,28 +329,47 @@
 	return f.manager.config.Peers.AwaitPiece(waitCtx, sources[0], f.target.VersionKey, num) == nil
 }
 
+// isFirstSource reports whether the current plan names a peer as the first source of a
+// piece, or as the one that its sender gets it from.
+func (f *fetcher) isFirstSource(peer Agent, num int) bool {
+	sources := f.currentPlan().Sources(num)
+	return slices.ContainsFunc(sources[:min(2, len(sources))], func(a Agent) bool { return a.ID == peer.ID })
+}
+
 // isForwarder reports whether a peer of this region gets a piece from the agent that
 // fetches it into the region, to send it to others.
 func (f *fetcher) isForwarder(peer Agent, num int) bool {
-	return peer.Region == f.plan.self.Region && f.plan.rankedAgents(peer.Region, num)[0].ID != peer.ID
+	return peer.Region == f.currentPlan().self.Region && f.currentPlan().rankedAgents(peer.Region, num)[0].ID != peer.ID
+}
+
+// takesOver reports whether this agent fetches a piece into its region if the agent that
+// should do so runs, but does not get it. If that takes long, about two random agents of
+// the region do so in each round: agents with different lists may wait for each other.
+func (f *fetcher) takesOver(num, round int, waited time.Duration) bool {
+	plan := f.currentPlan()
+	if plan.rank(num) <= 1 {
+		return true
+	}
+	draw := rankHash(plan.self.ID, num+round*f.target.Pieces) % uint64(plan.localAgentCount())
+	return waited > takeOverDelay && draw < takeOverAgents
 }
 
-// takesOver reports whether this agent fetches a piece from the origin if the agent
-// that should do so runs, but does not get it.
-func (f *fetcher) takesOver(num int) bool {
-	return f.plan.self.Region == f.plan.originRegion && f.plan.rank(num) == 1
+func (f *fetcher) isInOriginRegion() bool {
+	plan := f.currentPlan()
+	return plan.self.Region == plan.originRegion
 }
 
 // fetchFromPeers tries the sources of a piece once. awaited reports whether a source
-// runs that does not have the piece yet or is busy. Other regions are then tried only by the
-// agents that fetch the piece into this one. Sources on slow links are tried only if
-// includeSlow is set, which is when the origin has failed.
-func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int, includeSlow bool) (held, awaited bool) {
-	if len(f.plan.Sources(num)) > 0 {
+// runs that does not have the piece yet or is busy. Other regions are then tried only if
+// this agent takes over. Sources on slow links are tried only if includeSlow is set, which
+// is when the origin has failed.
+func (f *fetcher) fetchFromPeers(ctx context.Context, pieces *pieceSet, num int, includeSlow, takesOver bool) (held, awaited bool) {
+	if len(f.currentPlan().Sources(num)) > 0 {
 		f.awaitPeersTurn(ctx)
 	}
 	isFirst := true
-	for _, group := range f.plan.sourceGroups(num) {
+	plan := f.currentPlan()
+	for _, group := range plan.sourceGroups(num) {
 		waiting := 0
 		for _, peer := range group {
 			if f.isBackedOff(peer) || !includeSlow && f.isSlow(peer) {
@@ -323,7 +377,7 @@
 			}
 			content, err := f.fetchFromPeer(ctx, peer, num)
 			mayRetry := isFirst && !f.isForwarder(peer, num)
-			for retry := 0; mayRetry && retry < maxNotFoundRetries && isNotFound(err) && !f.isOverdue(peer); retry++ {
+			for retry := 0; mayRetry && retry < maxNotFoundRetries && isNotFound(err) && !f.isOverdue(peer) && f.isFirstSource(peer, num); retry++ {
 				content, err = f.fetchFromPeer(ctx, peer, num)
 			}
 			if mayRetry {
@@ -331,18 +385,19 @@
 				isFirst = false
 			}
 			f.backOff(peer, err)
-			if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(f.plan, peer)) {
+			if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(plan, peer)) {
 				return true, awaited
 			}
-			if isNotFound(err) {
+			lacksPiece := isNotFound(err) || errors.Is(err, errNotAssigned)
+			if lacksPiece {
 				waiting++
 			}
-			awaited = awaited || isNotFound(err) || errors.Is(err, errSourceBusy)
+			awaited = awaited || lacksPiece || errors.Is(err, errSourceBusy)
 			if waiting == maxWaitingSources {
 				break
 			}
 		}
-		if awaited && f.plan.rank(num) > 1 {
+		if awaited && !takesOver {
 			break
 		}
 	}
@@ -386,7 +441,7 @@
 	if err := peers.AwaitPiece(waitCtx, peer, f.target.VersionKey, num); err != nil {
 		return nil, err
 	}
-	urgent := f.plan.SendsToOthers(num)
+	urgent := f.currentPlan().SendsToOthers(num)
 	if err := f.manager.downlink.acquire(ctx, urgent); err != nil {
 		return nil, err
 	}
@@ -440,7 +495,7 @@
 // backOff excludes a source for failedSourceBackoff, unless the source only
 // lacks the piece or is busy, or the request was cancelled.
 func (f *fetcher) backOff(peer Agent, err error) {
-	if err == nil || isNotFound(err) || errors.Is(err, errSourceBusy) || errors.Is(err, context.Canceled) {
+	if err == nil || isNotFound(err) || errors.Is(err, errNotAssigned) || errors.Is(err, errSourceBusy) || errors.Is(err, context.Canceled) {
 		return
 	}
 	f.mu.Lock()
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -67,6 +69,9 @@
 	uplinks  map[core.InstanceID]*simulatedLink
 	origin   *simulatedOrigin
 
+	// listedBy returns the agents that an agent lists.
+	listedBy func(self Agent) []Agent
+
 	mu      sync.Mutex
 	targets []TargetVersion
 	// lost holds the agents whose processes have ended, and stops ends one.
@@ -159,6 +164,11 @@
 	waitCtx, cancel := context.WithTimeout(ctx, pieceWaitTimeout)
 	defer cancel()
 	pieces := f.fleet.managers[peer.ID].awaitManifest(waitCtx, key)
+	if pieces != nil {
+		if content, _ := pieces.get(piece); content == nil && !f.fleet.managers[peer.ID].isAssigned(key, piece) {
+			return errNotAssigned
+		}
+	}
 	if pieces == nil || pieces.await(waitCtx, piece) == nil {
 		return core.NewRefusal(core.CodeUnknownEntity, 0, "no piece")
 	}
@@ -263,6 +273,7 @@
 			})
 		}
 	}
+	f.listedBy = func(Agent) []Agent { return f.agents }
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for _, a := range f.agents {
@@ -270,7 +281,7 @@
 		f.uplinks[a.ID] = newSimulatedLink(agentLink * uplinkFraction * (1 - answersFraction))
 		f.managers[a.ID] = New(Config{
 			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
-			ListAgents: func(context.Context) []Agent { return f.agents }, Log: logrus.NewEntry(log),
+			ListAgents: func(context.Context) []Agent { return f.listedBy(a) }, Log: logrus.NewEntry(log),
 		})
 	}
 	return f
@@ -416,6 +427,44 @@
 	})
 }
 
+// Agents read the list of agents at different times while instances leave. Each then
+// assigns the pieces to other agents, and agents that waited for each other fetched a
+// piece only after the lists agreed, or never.
+func TestFleetLoadsAVersionWhileListsDiffer(t *testing.T) {
+	for name, agreeAt := range map[string]time.Duration{"for 3 s": 3 * time.Second, "always": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
+				for i, a := range f.agents {
+					f.engines[a.ID].isGone = i%4 == 0
+				}
+				random := rand.New(rand.NewPCG(1, 1))
+				lists := map[core.InstanceID][]Agent{}
+				for _, self := range f.agents {
+					share := random.Float64()
+					for _, a := range f.agents {
+						a.Unlisted = f.engines[a.ID].isGone && random.Float64() > share
+						lists[self.ID] = append(lists[self.ID], a)
+					}
+				}
+				f.listedBy = func(self Agent) []Agent {
+					if time.Since(f.started) < agreeAt {
+						return lists[self.ID]
+					}
+					list := slices.Clone(f.agents)
+					for i, a := range list {
+						list[i].Unlisted = f.engines[a.ID].isGone
+					}
+					return list
+				}
+				f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+				require.Less(t, f.lastLoad(2), inForceWithin)
+				require.Less(t, f.copies(), 4.0)
+			})
+		})
+	}
+}
+
 // Agents that leave while a version travels leave pieces to the agents after them, which
 // request them at once. The origin may fail soon.
 func TestPiecesOfLostAgentsAreFetchedAtOnce(t *testing.T) {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -47,7 +47,7 @@
 	Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error)
 	// AwaitPiece waits until the peer has the piece. The error has
 	// CodeUnknownEntity if the peer does not get the piece within a short
-	// time.
+	// time, and is errNotAssigned if the peer waits for another one to get it.
 	AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error
 	// Piece returns a piece and its transfer time, from the first byte to the
 	// last. It waits up to sourceTimeout for the transfer to begin. The transfer time
@@ -320,7 +320,7 @@
 		if m.piecesOf(target.VersionKey) != nil {
 			return
 		}
-		versionFetcher := newFetcher(m, log, target, NewFetchPlan(m.config.Self, target.OriginRegion, target.Pieces, m.config.ListAgents(ctx)))
+		versionFetcher := newFetcher(m, log, target, m.newPlan(ctx, target))
 		if _, err := versionFetcher.fetchVersion(ctx); err != nil && ctx.Err() == nil {
 			log.WithError(err).Warn("Reading pieces for other agents failed.")
 			return
@@ -354,10 +354,7 @@
 func (m *Manager) fetchAndLoad(ctx context.Context, log *logrus.Entry, j *job, report worker.Report) error {
 	target := j.target
 	start := time.Now()
-	agents := m.config.ListAgents(ctx)
-	plan := NewFetchPlan(m.config.Self, target.OriginRegion, target.Pieces, agents)
-	m.setPlan(target.VersionKey, plan)
-	m.downlink.setNeighbours(plan.localAgentCount())
+	plan := m.newPlan(ctx, target)
 	versionFetcher := newFetcher(m, log, target, plan)
 	versionFetcher.awaitPeersTurn = j.awaitOlderVersions
 	pieces, err := versionFetcher.fetchVersion(ctx)
@@ -366,7 +363,7 @@
 	}
 	j.markFetched()
 	log.WithFields(logrus.Fields{
-		"ms": time.Since(start).Milliseconds(), "agents": len(agents), "from": versionFetcher.sourceCounts(),
+		"ms": time.Since(start).Milliseconds(), "agents": len(versionFetcher.currentPlan().agents), "from": versionFetcher.sourceCounts(),
 	}).Info("Holding all pieces of the version.")
 	if err := m.awaitLoadTime(ctx, target, m.scheduledLoadTime(target, plan, report)); err != nil {
 		return err
@@ -380,6 +377,15 @@
 	return m.load(ctx, log, target, pieces)
 }
 
+// newPlan returns the plan of a version with the current list of agents, which applies
+// to requests of other agents from now on.
+func (m *Manager) newPlan(ctx context.Context, target TargetVersion) FetchPlan {
+	plan := NewFetchPlan(m.config.Self, target.OriginRegion, target.Pieces, m.config.ListAgents(ctx))
+	m.setPlan(target.VersionKey, plan)
+	m.downlink.setNeighbours(plan.localAgentCount())
+	return plan
+}
+
 func (m *Manager) setPlan(key VersionKey, plan FetchPlan) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -397,6 +403,15 @@
 	return ok && plan.IsRegionFetcher(num) && m.downlink.isLinkSlow(time.Now())
 }
 
+// isAssigned reports whether other agents may wait for a piece here: this agent fetches
+// it into the region, takes over, or passes it on. It is true while there is no plan.
+func (m *Manager) isAssigned(key VersionKey, num int) bool {
+	m.mu.Lock()
+	plan, ok := m.plans[key]
+	m.mu.Unlock()
+	return !ok || plan.rank(num) <= 1 || plan.SendsToOthers(num)
+}
+
 // piecesOf returns the piece set of a version, or nil.
 func (m *Manager) piecesOf(key VersionKey) *pieceSet {
 	m.mu.Lock()
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -45,6 +45,9 @@
 	// errSourceBusy reports that an agent has a piece, but that the transfer did not
 	// begin within sourceTimeout because others queue at its link.
 	errSourceBusy = errors.New("the agent is busy with other transfers")
+	// errNotAssigned reports that an agent does not have a piece and waits for another
+	// one to fetch it, because its list of agents differs.
+	errNotAssigned = errors.New("the agent does not fetch the piece for others")
 )
 
 // HTTPPeers implements Peers over HTTP.
@@ -122,6 +125,8 @@
 		return nil, time.Since(start), fmt.Errorf("read response of agent %s: %w", peer.ID, err)
 	case response.StatusCode == http.StatusNotFound:
 		return nil, 0, core.NewRefusal(core.CodeUnknownEntity, 0, "agent %s does not have the requested item", peer.ID)
+	case response.StatusCode == http.StatusConflict:
+		return nil, 0, errNotAssigned
 	case response.StatusCode != http.StatusOK:
 		return nil, 0, fmt.Errorf("response of agent %s: unexpected status %d", peer.ID, response.StatusCode)
 	}
@@ -182,6 +187,9 @@
 	if content == nil && m.engineUnreachable.Load() {
 		return nil, http.StatusServiceUnavailable
 	}
+	if content == nil && !m.isAssigned(pieces.key, num) {
+		return nil, http.StatusConflict
+	}
 	content = pieces.await(ctx, num)
 	switch {
 	case content == nil:
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -20,23 +20,26 @@
 	Service    fleet.ServiceName `cbor:"5,keyasint"`
 	// EngineAddr is the address of the agent's engine.
 	EngineAddr string `cbor:"6,keyasint,omitempty"`
+	// Unlisted is set if the engine is not listed. The agent then fetches nothing.
+	Unlisted bool `cbor:"-"`
 }
 
-// LiveAgents returns the agents whose engines are listed, because the row of an
-// agent remains when its instance is lost. If most engines are missing, the list
-// itself is taken to be incomplete, as after an outage of the store, and all
-// agents are returned.
-func LiveAgents(agents []Agent, listed map[string]bool) []Agent {
-	live := make([]Agent, 0, len(agents))
-	for _, a := range agents {
-		if listed[a.EngineAddr] {
-			live = append(live, a)
+// MarkUnlisted returns the agents and marks those whose engines are not listed, because
+// the row of an agent remains when its instance is lost. If most engines are missing, the
+// list itself is taken to be incomplete, as after an outage of the store, and none is
+// marked.
+func MarkUnlisted(agents []Agent, listed map[string]bool) (marked []Agent, unlisted int) {
+	marked = slices.Clone(agents)
+	for i := range marked {
+		marked[i].Unlisted = !listed[marked[i].EngineAddr]
+		if marked[i].Unlisted {
+			unlisted++
 		}
 	}
-	if 2*len(live) < len(agents) {
-		return agents
+	if 2*unlisted > len(agents) {
+		return agents, 0
 	}
-	return live
+	return marked, unlisted
 }
 
 // The engines load a version one after the other between these fractions of the
@@ -52,19 +55,30 @@
 	self         Agent
 	originRegion core.Region
 	pieces       int
-	agents       []Agent
+	// agents holds this agent and the listed ones of its service, and rings those of
+	// each region.
+	agents []Agent
+	rings  map[core.Region]*ring
 }
 
 // NewFetchPlan returns the plan of the agent self for a version with some number of
 // pieces. agents lists the agents of all services and may include self; agents of other
 // services are ignored.
 func NewFetchPlan(self Agent, originRegion core.Region, pieces int, agents []Agent) FetchPlan {
-	p := FetchPlan{self: self, originRegion: originRegion, pieces: pieces, agents: []Agent{self}}
+	p := FetchPlan{self: self, originRegion: originRegion, pieces: pieces, agents: []Agent{self}, rings: map[core.Region]*ring{}}
+	byRegion := map[core.Region][]Agent{self.Region: {self}}
 	for _, a := range agents {
-		if a.ID != self.ID && a.Service == self.Service {
+		if a.ID == self.ID || a.Service != self.Service {
+			continue
+		}
+		byRegion[a.Region] = append(byRegion[a.Region], a)
+		if !a.Unlisted {
 			p.agents = append(p.agents, a)
 		}
 	}
+	for region, members := range byRegion {
+		p.rings[region] = newRing(pieces, members)
+	}
 	return p
 }
 
@@ -160,21 +174,13 @@
 	return ranked
 }
 
-// rankedAgents returns the agents of a region in the order of preference for a
+// rankedAgents returns the listed agents of a region in the order of preference for a
 // piece, beginning with the one that fetches it into the region.
 func (p FetchPlan) rankedAgents(region core.Region, piece int) []Agent {
-	var list []Agent
-	for _, a := range p.agents {
-		if a.Region == region {
-			list = append(list, a)
-		}
-	}
-	if len(list) == 0 {
-		return nil
+	if r := p.rings[region]; r != nil {
+		return r.rankedFor(piece)
 	}
-	slices.SortFunc(list, func(a, b Agent) int { return cmp.Compare(a.ID, b.ID) })
-	first := p.distribution(len(list), piece).first
-	return append(list[first:len(list):len(list)], list[:first]...)
+	return nil
 }
 
 func rankHash(id core.InstanceID, piece int) uint64 {
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -137,16 +137,54 @@
 
 // Guards against plans with agents of lost instances: each piece assigned to such
 // an agent delays the other agents by seconds.
-func TestLiveAgentsExcludesLostInstances(t *testing.T) {
+func TestAgentsOfLostInstancesAreMarked(t *testing.T) {
 	agents := agentsInRegions("north", "north", "south")
 	listed := map[string]bool{}
 	for i := range agents {
 		agents[i].EngineAddr = fmt.Sprintf("10.0.0.%d:8000", i)
 		listed[agents[i].EngineAddr] = true
 	}
-	require.Len(t, LiveAgents(agents, listed), 3)
+	marked, unlisted := MarkUnlisted(agents, listed)
+	require.Zero(t, unlisted)
+	require.Equal(t, agents, marked)
 	delete(listed, agents[1].EngineAddr)
-	require.Equal(t, []Agent{agents[0], agents[2]}, LiveAgents(agents, listed))
+	marked, unlisted = MarkUnlisted(agents, listed)
+	require.Equal(t, 1, unlisted)
+	require.Equal(t, []bool{false, true, false}, []bool{marked[0].Unlisted, marked[1].Unlisted, marked[2].Unlisted})
+	require.False(t, agents[1].Unlisted)
+	for piece := range 8 {
+		require.Equal(t, []Agent{agents[0]}, NewFetchPlan(marked[2], "north", 8, marked).Sources(piece), "an unlisted agent is no source")
+	}
 	delete(listed, agents[2].EngineAddr)
-	require.Len(t, LiveAgents(agents, listed), 3, "a list without most engines counts as incomplete")
+	_, unlisted = MarkUnlisted(agents, listed)
+	require.Zero(t, unlisted, "a list without most engines counts as incomplete")
+}
+
+// Agents that disagree on a few engines must agree on most pieces, and no agent may get
+// many more pieces than the others.
+func TestRingsWithDifferentListsAgree(t *testing.T) {
+	const pieces = 64
+	for _, count := range []int{9, 18, 31, 100} {
+		var agents []Agent
+		for i := range count {
+			agents = append(agents, Agent{ID: core.InstanceID(fmt.Sprintf("a-%03d", i)), Unlisted: i%4 == 0})
+		}
+		fresh := newRing(pieces, agents)
+		agents[0].Unlisted, agents[8].Unlisted = false, false
+		stale := newRing(pieces, agents)
+		loads, agreed := map[core.InstanceID]int{}, 0
+		for piece := range pieces {
+			first := fresh.rankedFor(piece)[0].ID
+			loads[first]++
+			// An agent without an engine refuses, and the next one is asked.
+			ranked := slices.DeleteFunc(stale.rankedFor(piece), func(a Agent) bool { return a.ID == agents[0].ID || a.ID == agents[8].ID })
+			if ranked[0].ID == first {
+				agreed++
+			}
+		}
+		require.Greater(t, agreed, pieces/3, "%d agents", count)
+		for id, load := range loads {
+			require.LessOrEqual(t, load, (pieces+len(fresh.listed)-1)/len(fresh.listed), "%d agents, %s", count, id)
+		}
+	}
 }
