Rings: assignments of listed agents stay when others leave

Cause: pieces were assigned in one pass with a cap, so that one agent that left moved the pieces of all after it; agents in the order of hashes stand in clumps, and one that follows several lost ones sent up to four times its share (without engines, in the same list: 8.2 s, bound 8 s). Change: listed agents keep their own pieces, and only those of unlisted ones pass on, in the order of IDs. Result: with a quarter of the agents unlisted and two of them still listed by others more than half of the pieces are assigned alike (9 to 100 agents). Tried and dropped: counting agents that reply without an engine as unlisted at once, which regrouped running fetches (last piece from the origin at 2.6-2.9 s after two agents were lost, bound 2.5 s).

--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -182,7 +182,7 @@
 				agreed++
 			}
 		}
-		require.Greater(t, agreed, pieces/3, "%d agents", count)
+		require.Greater(t, agreed, pieces/2, "%d agents", count)
 		for id, load := range loads {
 			require.LessOrEqual(t, load, (pieces+len(fresh.listed)-1)/len(fresh.listed), "%d agents, %s", count, id)
 		}
--- a/weights/staging/ring.go
+++ b/weights/staging/ring.go
@@ -19,9 +19,7 @@
 // newRing returns the ring of a region's agents.
 func newRing(pieces int, agents []Agent) *ring {
 	agents = slices.Clone(agents)
-	slices.SortFunc(agents, func(a, b Agent) int {
-		return cmp.Or(cmp.Compare(rankHash(a.ID, 0), rankHash(b.ID, 0)), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortFunc(agents, func(a, b Agent) int { return cmp.Compare(a.ID, b.ID) })
 	r := &ring{first: make([]int, pieces)}
 	// next holds the index of the first listed agent at or after each position.
 	next := make([]int, len(agents))
@@ -35,14 +33,22 @@
 		return r
 	}
 	assigned := make([]int, len(r.listed))
-	most := (pieces + len(r.listed) - 1) / len(r.listed)
+	var orphans []int
 	for piece := range pieces {
-		at := next[newDistribution(pieces, len(agents), piece).first] % len(r.listed)
-		for assigned[at] == most {
-			at = (at + 1) % len(r.listed)
+		position := newDistribution(pieces, len(agents), piece).first
+		r.first[piece] = next[position] % len(r.listed)
+		if agents[position].Unlisted {
+			orphans = append(orphans, piece)
+		} else {
+			assigned[r.first[piece]]++
+		}
+	}
+	most := (pieces + len(r.listed) - 1) / len(r.listed)
+	for _, piece := range orphans {
+		for assigned[r.first[piece]] >= most {
+			r.first[piece] = (r.first[piece] + 1) % len(r.listed)
 		}
-		assigned[at]++
-		r.first[piece] = at
+		assigned[r.first[piece]]++
 	}
 	return r
 }
@@ -53,5 +59,5 @@
 	if piece >= 0 && piece < len(r.first) {
 		first = r.first[piece]
 	}
-	return append(r.listed[first:len(r.listed):len(r.listed)], r.listed[:first]...)
+	return slices.Concat(r.listed[first:], r.listed[:first])
 }
