--- a/members/gossip/round.go
+++ b/members/gossip/round.go
@@ -133,8 +133,9 @@
 	return list
 }
 
-// silentAddrs returns some random addresses without an alive member. In a large deployment it omits standby members of other data
-// centres, whose signs of life are not relayed to this entry.
+// silentAddrs returns some random addresses without an alive member. In a large deployment
+// it omits standby members of other data centres, whose signs of life are not relayed to
+// this entry.
 func (s *State) silentAddrs(now time.Time, alive []*peer) []string {
 	silentByAddr := map[string]bool{}
 	for addr := range s.discoveredAt {
--- a/weights/staging/origin_turn.go
+++ b/weights/staging/origin_turn.go
@@ -10,10 +10,11 @@
 // originTurn returns how long to wait before a piece is requested from the origin.
 // sinceStart is the time since the start of the fetch. The turns of all pieces are
 // spread over the time that the origin takes to send them all. The first request of a
-// piece that comes late does not wait; for retries the turns recur with that period. If all agents of the origin's region requested their pieces at once, at the
-// start or after an outage, all pieces would arrive together at the end of the whole
-// transfer, and no agent could pass a piece on until then. In a large region the
-// requests would also time out, and be repeated.
+// piece that comes late does not wait; for retries the turns recur with that period. If
+// all agents of the origin's region requested their pieces at once, at the start or after
+// an outage, all pieces would arrive together at the end of the whole transfer, and no
+// agent could pass a piece on until then. In a large region the requests would also time
+// out, and be repeated.
 func (t TargetVersion) originTurn(piece int, sinceStart time.Duration, isRetry bool) time.Duration {
 	period := t.originPeriod()
 	if period <= 0 {
