--- a/daemon/gateway/limits_test.go
+++ b/daemon/gateway/limits_test.go
@@ -151,7 +151,7 @@
 	}{
 		{2, 1, 400, []uint64{0, 1, 2}},
 		{9, 3, 400, []uint64{0, 1, 2}},
-		// In 41 an entry is cut off right after a restart, before it has heard of others.
+		// Seed 41 cuts an entry off right after a restart, before any message reached it.
 		{20, 1, 300, []uint64{0, 1, 2, 41}},
 		{45, 3, 200, []uint64{0, 1}},
 		{149, 5, 60, []uint64{0}},
--- a/members/activeset/activeset.go
+++ b/members/activeset/activeset.go
@@ -2,8 +2,8 @@
 // requests. The limits of backend servers are divided among these entries, and
 // their loads are exchanged among them, so that both depend on the load and not on
 // the size of the fleet. The other entries are on standby: they are ready, and
-// replace an active entry as soon as it is no longer alive. The package has no clock
-// and does no I/O.
+// replace an active entry once it no longer counts as alive. Times are passed in as
+// arguments, and the package does no I/O.
 package activeset
 
 import (
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -79,11 +79,7 @@
 			}
 			c.down[size-1] = true
 			stoppedAt := c.now
-			timeout := AliveTimeout
-			if size > fanout+1 {
-				timeout = relayedAliveTimeout
-			}
-			for c.now.Sub(stoppedAt) < timeout+2*time.Second {
+			for c.now.Sub(stoppedAt) < AliveTimeout+2*time.Second {
 				c.runRound()
 			}
 			for i, state := range c.states[:size-1] {
--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -98,8 +98,8 @@
 	return f.plan
 }
 
-// refreshPlan follows the list of agents until ctx is done.
-func (f *fetcher) refreshPlan(ctx context.Context) {
+// followAgents renews the plan from the list of agents until ctx is done.
+func (f *fetcher) followAgents(ctx context.Context) {
 	ticker := time.NewTicker(planRefreshPeriod)
 	defer ticker.Stop()
 	for {
@@ -223,7 +223,7 @@
 func (f *fetcher) fetchMissing(ctx context.Context, pieces *pieceSet) error {
 	fetchCtx, cancel := context.WithCancelCause(ctx)
 	var wait, refresh sync.WaitGroup
-	refresh.Go(func() { f.refreshPlan(fetchCtx) })
+	refresh.Go(func() { f.followAgents(fetchCtx) })
 	defer refresh.Wait()
 	defer cancel(nil)
 	for _, nums := range f.missingBySource(pieces) {
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -55,8 +55,8 @@
 	self         Agent
 	originRegion core.Region
 	pieces       int
-	// agents holds this agent and the listed ones of its service, and rings those of
-	// each region.
+	// agents holds this agent and the other agents of its service whose engines are
+	// listed. rings assigns the pieces within each region.
 	agents []Agent
 	rings  map[core.Region]*ring
 }
--- a/weights/staging/plan_test.go
+++ b/weights/staging/plan_test.go
@@ -85,8 +85,8 @@
 	require.Equal(t, 2*2*pieces+pieces, byRegion["south"]+byRegion["east"])
 }
 
-// With 200 agents in a region, 64 of them sent all pieces to all others, one copy of the
-// version took three times as long as a link needs for it, and a version missed its bound.
+// Guards against plans in which a few agents send most of the pieces: with 200 agents in a
+// region and 64 pieces, each sent by one agent to all others, 136 agents would send none.
 func TestEveryAgentSendsItsShare(t *testing.T) {
 	for _, pieces := range []int{48, 64} {
 		for agents := 2; agents <= 300; agents++ {
