Log when a process did not run, by two clocks

The record of the incident cannot tell a process that was stopped from a machine whose steady clock was suspended. The follower of each daemon now logs a gap of a second or more between its checks, on the clock that counts suspensions and on the steady one.

--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
@@ -38,6 +39,9 @@
 	// expireInterval is the time between two checks for servers whose expired
 	// rows were not written again.
 	expireInterval = 100 * time.Millisecond
+	// standstillThreshold is the time between two of these checks above which the
+	// process did not run in between.
+	standstillThreshold = 10 * expireInterval
 )
 
 // Store is the part of the platform's store that a Follower uses.
@@ -96,13 +100,18 @@
 	state *State
 	// failing is true for each table whose last call failed.
 	failing map[string]bool
+	// lastCheck is the time of the last check for a standstill, and lastCheckSteady
+	// that time on the steady clock.
+	lastCheck, lastCheckSteady time.Time
+	machineClock               *clock.Clock
 }
 
 // NewFollower returns a Follower with an empty View.
 func NewFollower(config Config) *Follower {
 	config.applyDefaults()
-	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}}
+	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}, machineClock: clock.New()}
 	f.view.Store(f.state.View())
+	f.lastCheck, f.lastCheckSteady = f.machineClock.Now(), time.Now()
 	return f
 }
 
@@ -199,6 +208,7 @@
 func (f *Follower) update(change func(now time.Time)) {
 	f.mu.Lock()
 	now := f.config.Now()
+	f.checkStandstill()
 	wasLoaded := f.view.Load().Loaded
 	change(now)
 	events := f.state.TakeEvents()
@@ -219,6 +229,19 @@
 	}
 }
 
+// checkStandstill detects that the process did not run for some time: it was stopped, or
+// its machine was suspended, which the steady clock does not count. The caller holds mu.
+func (f *Follower) checkStandstill() {
+	now, last, lastSteady := f.machineClock.Now(), f.lastCheck, f.lastCheckSteady
+	f.lastCheck, f.lastCheckSteady = now, time.Now()
+	if now.Sub(last) < standstillThreshold {
+		return
+	}
+	f.config.Log.WithFields(logrus.Fields{
+		"ms": now.Sub(last).Milliseconds(), "steady_clock_ms": f.lastCheckSteady.Sub(lastSteady).Milliseconds(),
+	}).Warn("This process did not run for some time.")
+}
+
 // hasNewRows reports whether rows have changed since the view was published.
 // This includes changes without an event, such as a server's count of orders.
 func (f *Follower) hasNewRows() bool {
@@ -273,6 +296,7 @@
 		case <-ticker.C:
 		}
 		f.mu.Lock()
+		f.checkStandstill()
 		pending := f.state.HasLapsedServers()
 		f.mu.Unlock()
 		if pending {
