Versions are in force by the earliest age that any daemon knows

What callers saw: requests ran on version 1 of the weights up to 8.25 s after version 2 was accepted, at a bound of 8 s.

Cause: an entry took the time of its own first read for the time of the acceptance. One that stood still meanwhile, or got the row late in another way, allowed the older version for as much longer, and ignored the ages that other entries sent, because it had one of its own.

Why this works: no daemon reads a version before the store accepts it, so that of all known ages the greatest is the closest, and none is too great. An entry now takes over every age that is greater than its own. Where no other one knows, a daemon that did not run when the version was accepted counts from the beginning of its standstill; agents, which get no ages, load the version so much earlier.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -177,7 +177,7 @@
 	var list []gossip.NewestWeights
 	for model, targets := range g.follower.View().Targets {
 		for _, target := range targets[max(0, len(targets)-maxGossipedVersions):] {
-			if !target.Since.IsZero() {
+			if !target.Since.IsZero() && !target.IsEstimate {
 				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: time.Since(target.Since)})
 			}
 		}
@@ -187,7 +187,8 @@
 
 // onNewestWeights handles the ages of the newest versions at another entry.
 // Without them, a new entry would require versions that do not have to be in force
-// yet.
+// yet, and one that read a version late would send requests to older weights for too
+// long.
 func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
 	now := time.Now()
 	for _, n := range list {
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -72,10 +72,7 @@
 	if len(list) > 0 && version <= list[len(list)-1].Version {
 		return
 	}
-	target := TargetVersion{Version: version, Since: now}
-	if isFirstRead {
-		target.Since = time.Time{}
-	}
+	target := s.newTarget(now, version, isFirstRead)
 	// Views refer to the old list, so that the new one must be a copy.
 	list = append(slices.Clone(list), target)
 	s.targets[model] = list[max(0, len(list)-maxTargets):]
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
@@ -103,15 +102,14 @@
 	// lastCheck is the time of the last check for a standstill, and lastCheckSteady
 	// that time on the steady clock.
 	lastCheck, lastCheckSteady time.Time
-	machineClock               *clock.Clock
 }
 
 // NewFollower returns a Follower with an empty View.
 func NewFollower(config Config) *Follower {
 	config.applyDefaults()
-	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}, machineClock: clock.New()}
+	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}}
 	f.view.Store(f.state.View())
-	f.lastCheck, f.lastCheckSteady = f.machineClock.Now(), time.Now()
+	f.lastCheck, f.lastCheckSteady = config.Now(), time.Now()
 	return f
 }
 
@@ -208,7 +206,7 @@
 func (f *Follower) update(change func(now time.Time)) {
 	f.mu.Lock()
 	now := f.config.Now()
-	f.checkStandstill()
+	f.checkStandstill(now)
 	wasLoaded := f.view.Load().Loaded
 	change(now)
 	events := f.state.TakeEvents()
@@ -231,12 +229,13 @@
 
 // checkStandstill detects that the process did not run for some time: it was stopped, or
 // its machine was suspended, which the steady clock does not count. The caller holds mu.
-func (f *Follower) checkStandstill() {
-	now, last, lastSteady := f.machineClock.Now(), f.lastCheck, f.lastCheckSteady
+func (f *Follower) checkStandstill(now time.Time) {
+	last, lastSteady := f.lastCheck, f.lastCheckSteady
 	f.lastCheck, f.lastCheckSteady = now, time.Now()
 	if now.Sub(last) < standstillThreshold {
 		return
 	}
+	f.state.MarkStandstill(last, now)
 	f.config.Log.WithFields(logrus.Fields{
 		"ms": now.Sub(last).Milliseconds(), "steady_clock_ms": f.lastCheckSteady.Sub(lastSteady).Milliseconds(),
 	}).Warn("This process did not run for some time.")
@@ -296,7 +295,7 @@
 		case <-ticker.C:
 		}
 		f.mu.Lock()
-		f.checkStandstill()
+		f.checkStandstill(f.config.Now())
 		pending := f.state.HasLapsedServers()
 		f.mu.Unlock()
 		if pending {
@@ -313,10 +312,9 @@
 }
 
 // SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. It has no effect unless the version was configured before this
-// daemon started.
+// another daemon. It has no effect if this daemon knows an earlier time.
 func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
-	if f.View().knowsSince(model, version) {
+	if !improvesSince(f.View().Targets[model], version, since) {
 		return
 	}
 	f.update(func(time.Time) { f.state.SetVersionSince(model, version, since) })
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -77,7 +76,9 @@
 	// is set during an outage.
 	storeUpAt time.Time
 	storeDown bool
-	events    []Event
+	// standstill is the last time span in which the process did not run.
+	standstill timeSpan
+	events     []Event
 }
 
 // NewState returns an empty State.
@@ -227,29 +228,6 @@
 	return changed
 }
 
-// SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. This includes versions that were superseded before this daemon
-// started, which no row tells and which may have to be in force before the newest one.
-// It reports false, and has no effect, for versions that this daemon knows itself and
-// for those after its newest one.
-func (s *State) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) bool {
-	list := slices.Clone(s.targets[model])
-	at, known := slices.BinarySearchFunc(list, version, func(t TargetVersion, v fleet.WeightsVersion) int { return cmp.Compare(t.Version, v) })
-	switch {
-	case at == len(list), known && !list[at].Since.IsZero():
-		return false
-	case known:
-		list[at].Since = since
-	default:
-		list = slices.Insert(list, at, TargetVersion{Version: version, Since: since})
-	}
-	s.targets[model] = list
-	s.events = append(s.events, Event{
-		Subject: "weights", Key: string(model), Detail: fmt.Sprintf("a peer reported since when version %d has been configured", version),
-	})
-	return true
-}
-
 // HasLapsedServers reports whether there are servers that Expire may remove.
 func (s *State) HasLapsedServers() bool {
 	for _, state := range s.servers {
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -186,6 +186,6 @@
 	require.EqualValues(t, 2, view.RequiredVersion(start.Add(time.Second), "m", 7*time.Second))
 	require.EqualValues(t, 3, view.RequiredVersion(start.Add(4*time.Second), "m", 7*time.Second))
 	require.EqualValues(t, 3, view.NewestTarget("m").Version)
-	require.True(t, view.knowsSince("m", 2))
-	require.False(t, view.knowsSince("m", 1))
+	require.False(t, improvesSince(view.Targets["m"], 2, start))
+	require.True(t, improvesSince(view.Targets["m"], 1, start))
 }
--- /dev/null
+++ b/tables/watch/version_age.go
@@ -0,0 +1,85 @@
+package watch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"currantusher.dev/core/fleet"
+)
+
+const (
+	// minSinceCorrection is the least correction of the time since when a version has
+	// been configured. Reports of peers differ by the time that datagrams take.
+	minSinceCorrection = 50 * time.Millisecond
+	// catchUpTime is the time after a standstill of the process within which rows
+	// arrive that were accepted during it.
+	catchUpTime = time.Second
+)
+
+type timeSpan struct{ from, until time.Time }
+
+// MarkStandstill records that the process did not run between two times.
+func (s *State) MarkStandstill(from, until time.Time) {
+	s.standstill = timeSpan{from: from, until: until}
+}
+
+// newTarget returns a version that was read at now, with the time since when it has been
+// configured as far as this daemon can tell.
+func (s *State) newTarget(now time.Time, version fleet.WeightsVersion, isFirstRead bool) TargetVersion {
+	switch {
+	case isFirstRead:
+		return TargetVersion{Version: version}
+	case !s.standstill.until.IsZero() && now.Sub(s.standstill.until) < catchUpTime:
+		return TargetVersion{Version: version, Since: s.standstill.from, IsEstimate: true}
+	default:
+		return TargetVersion{Version: version, Since: now}
+	}
+}
+
+// SetVersionSince sets since when a version has been configured, as reported by
+// another daemon. The earliest report is the best one, because no daemon reads a version
+// before the store accepts it: this one may have read it late. Reports include versions
+// that were superseded before this daemon started, which no row tells and which may have
+// to be in force before the newest one. It reports false, and has no effect, if this
+// daemon knows an earlier time, and for versions after its newest one.
+func (s *State) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) bool {
+	if !improvesSince(s.targets[model], version, since) {
+		return false
+	}
+	// Views refer to the old list, so that the new one must be a copy.
+	list := slices.Clone(s.targets[model])
+	at, known := findTarget(list, version)
+	detail := fmt.Sprintf("a peer reported since when version %d has been configured", version)
+	if known && !list[at].Since.IsZero() && !list[at].IsEstimate {
+		detail += fmt.Sprintf(", %d ms earlier than known", list[at].Since.Sub(since).Milliseconds())
+	}
+	s.events = append(s.events, Event{Subject: "weights", Key: string(model), Detail: detail})
+	target := TargetVersion{Version: version, Since: since}
+	if known {
+		list[at] = target
+	} else {
+		list = slices.Insert(list, at, target)
+	}
+	s.targets[model] = list
+	return true
+}
+
+// improvesSince reports whether a report of the time since when a version has been
+// configured is better than what a list of versions tells.
+func improvesSince(list []TargetVersion, version fleet.WeightsVersion, since time.Time) bool {
+	at, known := findTarget(list, version)
+	switch {
+	case at == len(list):
+		return false
+	case !known || list[at].Since.IsZero() || list[at].IsEstimate:
+		return true
+	default:
+		return list[at].Since.Sub(since) >= minSinceCorrection
+	}
+}
+
+func findTarget(list []TargetVersion, version fleet.WeightsVersion) (at int, known bool) {
+	return slices.BinarySearchFunc(list, version, func(t TargetVersion, v fleet.WeightsVersion) int { return cmp.Compare(t.Version, v) })
+}
--- a/tables/watch/version_age_test.go
+++ b/tables/watch/version_age_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -62,3 +63,91 @@
 	require.EqualValues(t, 1, f.View().RequiredVersion(start.Add(9*time.Second), "m", testInForceWithin), "a peer that was running knows the time better")
 	require.EqualValues(t, 2, f.View().RequiredVersion(start.Add(11*time.Second), "m", testInForceWithin))
 }
+
+// TestRandomVersionAges checks that daemons which learn of versions at random times, stand
+// still at random times and exchange ages through lost and late messages never assume an
+// age above the true one, and agree on the age at the first reader within a few rounds.
+func TestRandomVersionAges(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 25))
+		f := newAgeFleet(t, random, 2+random.IntN(20))
+		accepted := f.now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)
+		firstRead := f.runUntilRead(accepted)
+		const rounds = 12
+		for range rounds {
+			f.exchange()
+		}
+		for i, s := range f.states {
+			since := s.targets["m"][len(s.targets["m"])-1].Since
+			require.False(t, since.Before(accepted), "seed %d: entry %d assumes an age above the true one", seed, i)
+			require.Less(t, since.Sub(firstRead), minSinceCorrection+maxMessageTime, "seed %d: entry %d assumes a younger version than the first reader", seed, i)
+		}
+	}
+}
+
+const maxMessageTime = 20 * time.Millisecond
+
+type ageFleet struct {
+	random *rand.Rand
+	now    time.Time
+	states []*State
+}
+
+func newAgeFleet(t *testing.T, random *rand.Rand, size int) *ageFleet {
+	t.Helper()
+	f := &ageFleet{random: random, now: start}
+	for range size {
+		s := NewState()
+		require.True(t, s.Replace(start, OperatorTable, newPage(5, versionRow(1, 5))))
+		f.states = append(f.states, s)
+	}
+	return f
+}
+
+// runUntilRead lets all entries read version 2: most at once, some late, some after a
+// standstill that includes the acceptance. At least one was running at the acceptance. It
+// returns when the first one read it.
+func (f *ageFleet) runUntilRead(accepted time.Time) time.Time {
+	for i, s := range f.states {
+		readAt := accepted.Add(time.Duration(f.random.IntN(5)) * time.Millisecond)
+		switch {
+		case i > 0 && f.random.IntN(3) == 0:
+			readAt = accepted.Add(time.Duration(f.random.IntN(6000)) * time.Millisecond)
+			s.MarkStandstill(accepted.Add(-time.Duration(f.random.IntN(2000))*time.Millisecond), readAt)
+		case i > 0 && f.random.IntN(3) == 0:
+			readAt = accepted.Add(time.Duration(f.random.IntN(6000)) * time.Millisecond)
+		}
+		s.Apply(readAt, OperatorTable, newPage(6, versionRow(2, 6)))
+	}
+	f.now = accepted.Add(6 * time.Second)
+	return f.earliestRead()
+}
+
+func (f *ageFleet) earliestRead() time.Time {
+	earliest := f.now
+	for _, s := range f.states {
+		target := s.targets["m"][len(s.targets["m"])-1]
+		if !target.IsEstimate && target.Since.Before(earliest) {
+			earliest = target.Since
+		}
+	}
+	return earliest
+}
+
+// exchange lets every entry send the ages that it knows to half of the others.
+func (f *ageFleet) exchange() {
+	f.now = f.now.Add(300 * time.Millisecond)
+	for _, from := range f.states {
+		for _, target := range from.targets["m"] {
+			if target.Since.IsZero() || target.IsEstimate {
+				continue
+			}
+			for _, to := range f.states {
+				if to != from && f.random.IntN(2) == 0 {
+					transfer := time.Duration(f.random.Int64N(int64(maxMessageTime)))
+					to.SetVersionSince("m", target.Version, target.Since.Add(transfer))
+				}
+			}
+		}
+	}
+}
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -18,10 +18,13 @@
 // configured.
 type TargetVersion struct {
 	Version fleet.WeightsVersion
-	// Since is when this daemon first read the version. It is zero if the
-	// version was configured before the daemon started and no peer has reported
-	// the time.
+	// Since is when the first of the known daemons read the version, which is never
+	// before the store accepted it. It is zero if the version was configured before
+	// this daemon started and no peer has reported the time.
 	Since time.Time
+	// IsEstimate is true if this daemon did not run when the version was accepted and
+	// no peer has reported the time. Since is then the earliest possible time.
+	IsEstimate bool
 }
 
 // View is a daemon's state at one point in time. It is immutable.
@@ -76,17 +79,3 @@
 	}
 	return required
 }
-
-// knowsSince reports whether the view tells since when a version has been configured, or
-// does not have it yet.
-func (v *View) knowsSince(model fleet.Model, version fleet.WeightsVersion) bool {
-	if version > v.NewestTarget(model).Version {
-		return true
-	}
-	for _, target := range v.Targets[model] {
-		if target.Version == version {
-			return !target.Since.IsZero()
-		}
-	}
-	return false
-}
