Ages of versions count suspensions of the machine

CLOCK_BOOTTIME counts suspensions. The view of the platform's tables, and what answers reveal of servers, now use it.

Test: TestAgesIncludeTheTimeOfASuspension.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/lifecycle"
 	"currantusher.dev/daemon/roster"
@@ -73,7 +74,9 @@
 	// slotDivision is how the slots of servers are divided now.
 	slotDivision atomic.Pointer[slotDivision]
 	registry     metrics.Registry
-	leaving      atomic.Bool
+	// clock is that of the follower's view and of what servers' answers reveal.
+	clock   *clock.Clock
+	leaving atomic.Bool
 	// entriesLoaded reports that the rows of all entries have been read from the
 	// store.
 	entriesLoaded atomic.Bool
@@ -101,6 +104,7 @@
 		pauses:        pauses.NewSet(),
 		stallDetector: stall.NewDetector(),
 		registry:      metrics.NewRegistry(),
+		clock:         clock.New(),
 		log:           config.Log.Component("entry"),
 		requestLog:    config.Log.Component("request"),
 	}
@@ -117,6 +121,7 @@
 		StartPollInterval: watch.DefaultStartPollInterval,
 		// g.gossip is assigned below, before the follower runs.
 		OthersReachStore: func() bool { return g.gossip.PeerReachesStore() },
+		Now:              g.clock.Now,
 		Log:              config.Log.Component("watch"),
 	})
 	g.services = newServiceSet(g)
@@ -178,7 +183,7 @@
 	for model, targets := range g.follower.View().Targets {
 		for _, target := range targets[max(0, len(targets)-maxGossipedVersions):] {
 			if !target.Since.IsZero() && !target.IsEstimate {
-				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: time.Since(target.Since)})
+				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: g.clock.Since(target.Since)})
 			}
 		}
 	}
@@ -190,7 +195,7 @@
 // yet, and one that read a version late would send requests to older weights for too
 // long.
 func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
-	now := time.Now()
+	now := g.clock.Now()
 	for _, n := range list {
 		g.follower.SetVersionSince(n.Model, n.Version, now.Add(-n.Age))
 	}
@@ -276,7 +281,7 @@
 		evictions.Update(g.conns.evictions.Load())
 		now := time.Now()
 		g.coldCounter.Sweep(now)
-		g.observations.sweep(now)
+		g.observations.sweep(g.clock.Now())
 		g.pauses.Sweep(now)
 	})
 }
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -66,11 +66,11 @@
 }
 
 // version returns the version in a response within observationTTL, or 0.
-func (o *serverObservations) version(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
+func (o *serverObservations) version(now time.Time, server *watch.Server, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	observed, ok := o.servers[server.ID]
-	if !ok || time.Since(observed.updatedAt) > observationTTL {
+	if !ok || now.Sub(observed.updatedAt) > observationTTL {
 		return 0
 	}
 	return observed.versions[model]
@@ -97,7 +97,7 @@
 
 // AnswerReceived implements direct.Observer.
 func (o observer) AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
-	o.gateway.observations.record(time.Now(), server, model, version, coldFor)
+	o.gateway.observations.record(o.gateway.clock.Now(), server, model, version, coldFor)
 }
 
 // StartAttempt implements direct.Observer.
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -250,12 +250,12 @@
 	if service == nil {
 		return nil
 	}
-	now := time.Now()
+	now, viewNow := time.Now(), g.clock.Now()
 	node := g.node.Load()
 	coldLimit, sharers := g.coldLimit(service), g.sharers()
 	loads := g.gossip.Loads()
 	division := *g.slotDivision.Load()
-	minVersion := g.requiredVersion(now, view, r.model)
+	minVersion := g.requiredVersion(viewNow, view, r.model)
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
@@ -266,7 +266,7 @@
 		if !pauseStart.IsZero() && !now.Before(pauseStart) {
 			continue
 		}
-		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
+		if service.ColdPerSecond > 0 && viewNow.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
 			continue
 		}
 		limit := g.concurrencyLimit(now, service, server)
@@ -350,8 +350,8 @@
 	return &sharers
 }
 
-// coldUntil returns when a server stops being cold, according to the platform's
-// list or to its responses.
+// coldUntil returns when a server stops being cold, a time of g.clock, according to the
+// platform's list or to its responses.
 func (g *Gateway) coldUntil(server *watch.Server) time.Time {
 	if observed := g.observations.coldUntil(server.ID); observed.After(server.ColdUntil) {
 		return observed
@@ -381,7 +381,7 @@
 }
 
 // requiredVersion returns the oldest weights version on which a request may start
-// now, or 0 for any.
+// at now, a time of g.clock, or 0 for any.
 func (g *Gateway) requiredVersion(now time.Time, view *watch.View, model fleet.Model) fleet.WeightsVersion {
 	if model == "" {
 		return 0
@@ -394,7 +394,7 @@
 // loaded, so that a server that actually has an older one refuses the request.
 func (g *Gateway) expectedVersion(service fleet.ServiceName, id core.InstanceID, model fleet.Model) fleet.WeightsVersion {
 	view := g.follower.View()
-	required := g.requiredVersion(time.Now(), view, model)
+	required := g.requiredVersion(g.clock.Now(), view, model)
 	if required == 0 {
 		return 0
 	}
@@ -408,7 +408,7 @@
 // knownVersion returns the newest version that the server has loaded according to
 // the platform's list, its responses or its agent.
 func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
-	return max(server.Weights[model], g.observations.version(server, model), g.pauses.LoadedVersion(server.Addr, model))
+	return max(server.Weights[model], g.observations.version(g.clock.Now(), server, model), g.pauses.LoadedVersion(server.Addr, model))
 }
 
 // pauseStart returns when a server pauses in order to load weights, or the zero
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/daemon/roster"
@@ -72,9 +73,11 @@
 	// announcer announces the engine's pauses to the entries.
 	announcer *announcer
 	follower  *watch.Follower
-	manager   *staging.Manager
-	registry  metrics.Registry
-	log       *logrus.Entry
+	// clock is that of the follower's view.
+	clock    *clock.Clock
+	manager  *staging.Manager
+	registry metrics.Registry
+	log      *logrus.Entry
 
 	agents *agentList
 	mu     sync.Mutex
@@ -96,6 +99,7 @@
 		},
 		store:    rowstore.New(n.StoreAddr),
 		registry: metrics.NewRegistry(),
+		clock:    clock.New(),
 		log:      config.Log.Component("agent").WithField("addr", n.BackendAddr),
 		origins:  map[string]*worker.Client{},
 	}
@@ -117,6 +121,7 @@
 
 		StartPollInterval: watch.DefaultStartPollInterval,
 		Log:               config.Log.Component("watch"),
+		Now:               l.clock.Now,
 		// l.manager is assigned below, before the follower runs.
 		OnChange: func(*watch.View) { l.manager.CheckTargets() },
 	})
@@ -150,7 +155,7 @@
 		list = append(list, staging.TargetVersion{
 			VersionKey:      staging.VersionKey{Model: model, Version: max(target.Version, firstVersion)},
 			Pieces:          service.Engine.Pieces,
-			RequestedAt:     target.Since,
+			RequestedAt:     l.steadyTime(target.Since),
 			InForceWithin:   l.config.Node.Bounds.VersionInForce,
 			Origin:          l.originClient(origin.Origin),
 			OriginRegion:    l.config.Node.Regions[origin.OriginDataCentre],
@@ -160,6 +165,15 @@
 	return list
 }
 
+// steadyTime converts a time of the follower's view to the steady clock, on which loads
+// are scheduled. The zero time remains zero.
+func (l *Loader) steadyTime(t time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return time.Now().Add(-l.clock.Since(t))
+}
+
 // originPieceTime returns how long the origin's link takes to send a piece of an
 // engine's weights, or 0 if its bandwidth is unknown.
 func originPieceTime(origin *fleet.Service, engine *fleet.Engine) time.Duration {
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
@@ -66,7 +67,8 @@
 	OthersReachStore func() bool
 	// OnChange is called with the new view after each change.
 	OnChange func(*View)
-	// Now is the clock; nil means time.Now.
+	// Now is the clock of all times in the View; nil means that of clock.New. It must
+	// count suspensions of the machine: ages of versions are bounded.
 	Now func() time.Time
 }
 
@@ -84,7 +86,7 @@
 		c.OnChange = func(*View) {}
 	}
 	if c.Now == nil {
-		c.Now = time.Now
+		c.Now = clock.New().Now
 	}
 }
 
