A connection with an abandoned request is reset

Cause: after the caller leaves, the connection to the server was closed normally, so that the bytes of the request which still waited in buffers were delivered afterwards. A reset discards them, and the server drops a request that it has queued.

Test: TestAbandonedRequestIsNotDeliveredAfterClose, failed before.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -42,7 +42,10 @@
 
 	// requestWritten is set when the last request was written completely.
 	requestWritten atomic.Bool
-	closeOnce      sync.Once
+	// awaitsAnswer is set from when a request is sent until its answer was read
+	// completely.
+	awaitsAnswer atomic.Bool
+	closeOnce    sync.Once
 }
 
 func newConn(pool *Pool, addr string, netConn net.Conn) *Conn {
@@ -80,6 +83,7 @@
 		return ErrUnsolicitedData
 	}
 	c.requestWritten.Store(false)
+	c.awaitsAnswer.Store(true)
 	if len(request) > maxInlineRequestBytes {
 		go c.write(request)
 		return nil
@@ -120,6 +124,7 @@
 // Release returns the connection to the pool after its answer was read
 // completely, or closes it if it cannot be reused.
 func (c *Conn) Release(response *http.Response) {
+	c.awaitsAnswer.Store(false)
 	reuseFor, ok := c.reuseTime(response)
 	if !ok || c.netConn.SetReadDeadline(time.Time{}) != nil {
 		c.Close()
@@ -159,7 +164,15 @@
 	return 0, false
 }
 
-// Close closes the connection. Further calls do nothing.
+// Close closes the connection. Further calls do nothing. A connection that awaits an
+// answer is reset, so that a request which is still on its way is not run for a caller
+// that has left.
 func (c *Conn) Close() {
-	c.closeOnce.Do(func() { _ = c.netConn.Close() })
+	c.closeOnce.Do(func() {
+		if tcpConn, ok := c.netConn.(*net.TCPConn); ok && c.awaitsAnswer.Load() {
+			// Without the reset the close is a normal one.
+			_ = tcpConn.SetLinger(0)
+		}
+		_ = c.netConn.Close()
+	})
 }
--- a/requests/upstream/pool_test.go
+++ b/requests/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,3 +154,34 @@
 	_, err = NewPool(Config{}).Get(context.Background(), addr, time.Second)
 	require.Error(t, err)
 }
+
+// An abandoned request that is still on its way must not reach the server later.
+func TestAbandonedRequestIsNotDeliveredAfterClose(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, err := NewPool(Config{}).Get(context.Background(), listener.Addr().String(), time.Second)
+	require.NoError(t, err)
+	serverConn, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = serverConn.Close() })
+
+	require.NoError(t, conn.Send([]byte(getRequest)))
+	conn.Close()
+	_, err = io.Copy(io.Discard, serverConn)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "a normal close delivers all bytes first")
+}
+
+func TestIdleConnectionIsClosedNormally(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conn, err := NewPool(Config{}).Get(context.Background(), listener.Addr().String(), time.Second)
+	require.NoError(t, err)
+	serverConn, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = serverConn.Close() })
+	conn.Close()
+	_, err = io.Copy(io.Discard, serverConn)
+	require.NoError(t, err)
+}
