A relay with a silent store stops serving after three seconds

Cause: from 0.75 s on the store did not reply to the first relay of each data centre, nor refuse it. The relay's call waits 5 s for changes and 2 s for the reply, and served its rows as current for 7 s meanwhile; the second relay reads from the first one, and all others from these two. They read the change at 7.8 to 9.0 s (accepted at 2.73 s), though the store replied to the first one that asked.

Change: a relay's call waits 1 s for changes, so that the silence shows after 3 s at most, and rows count as current for 3.5 s after the last reply.

--- a/tables/relay/cache.go
+++ b/tables/relay/cache.go
@@ -22,8 +22,8 @@
 	// further behind reads all rows.
 	maxCachedChanges = 512
 	// maxReplyAge is the time after the store's last reply for which rows are
-	// served. It is longer than the 5 s for which a call waits for changes.
-	maxReplyAge = 7 * time.Second
+	// served. It is longer than a relay's call that waits for changes.
+	maxReplyAge = relayPollTimeout + rowstore.CallTimeout + 500*time.Millisecond
 )
 
 // Source is the platform's store.
--- a/tables/relay/store.go
+++ b/tables/relay/store.go
@@ -24,6 +24,10 @@
 	// minEntriesForRelays is the number of entries from which a data centre has
 	// relays. With fewer entries, each reads from the store.
 	minEntriesForRelays = 4
+	// relayPollTimeout is how long a relay's call to the store waits for changes. While
+	// the store is silent for the relay alone, all daemons that read from it are behind,
+	// although the store would reply to them.
+	relayPollTimeout = time.Second
 	// relayRetryDelay is the time for which a relay is not used that did not respond,
 	// and outdatedRelayDelay for one that itself has no reply from the store.
 	relayRetryDelay    = 3 * time.Second
@@ -149,6 +153,9 @@
 		return page, err
 	}
 	s.awaitInterval(ctx, table)
+	if isRelay {
+		wait = min(wait, relayPollTimeout)
+	}
 	return s.readDirectly(ctx, func() (rowstore.Page, error) { return s.config.Cache.Changes(ctx, table, since, wait) })
 }
 
