--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -59,13 +59,14 @@
 		return fmt.Errorf("encode row of this daemon: %w", err)
 	}
 	row := rowstore.Row{Table: r.table, Key: id, Value: value}
-	r.retry(ctx, "write row", func() error { return r.store.Put(ctx, row) })
+	r.retry(ctx, "write row", func() error { _, err := r.store.Put(ctx, row); return err })
 	return nil
 }
 
 // Remove deletes a daemon's row.
 func (r *Roster[T]) Remove(ctx context.Context, id string) error {
-	return r.store.Remove(ctx, rowstore.Row{Table: r.table, Key: id})
+	_, err := r.store.Remove(ctx, rowstore.Row{Table: r.table, Key: id})
+	return err
 }
 
 // Read returns the daemons with a row. It logs and ignores rows that cannot be
