watch, relay: positions in the store are pairs of era and revision

Cause: after a loss the store gives revisions out again. A follower kept the rows of the lost seconds until the store's revisions had passed its own, rows that only the lost past had stayed for good, and a relay served a compressed response cached under a revision that had been given out again. Change: a page of a later era replaces all rows of a table, compared by value alone; one of an earlier era than any already seen is ignored, from the store, a relay or a peer. Relays pass the era on with pages and long polls; a reader that knows a later era waits at the relay for it, and a relay that must read all rows no longer sends its readers to the store.

--- a/cmd/currantusher/store.go
+++ b/cmd/currantusher/store.go
@@ -50,7 +50,7 @@
 	} else {
 		c := s.View.Table.Config
 		_, _ = fmt.Fprintf(w, "configuration %d at revision %d: %d routes, %d services, %d teams\n",
-			c.Version, s.View.OperatorRevision, len(c.Routes), len(c.Services), len(c.Teams))
+			c.Version, s.View.OperatorPosition.Revision, len(c.Routes), len(c.Services), len(c.Teams))
 	}
 	_, _ = fmt.Fprintf(w, "%d entries and %d agents have written a row\n", len(s.Entries), len(s.Agents))
 	if out := dataCentresOut(s.View); len(out) > 0 {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -203,8 +203,8 @@
 func (g *Gateway) revisions() map[string]uint64 {
 	view := g.follower.View()
 	return map[string]uint64{
-		watch.OperatorTable: view.OperatorRevision,
-		watch.ServersTable:  view.ServerRevision,
+		watch.OperatorTable: view.OperatorPosition.Revision,
+		watch.ServersTable:  view.ServersPosition.Revision,
 	}
 }
 
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -64,7 +64,7 @@
 	duration := time.Since(c.startedAt)
 	fields := logrus.Fields{
 		"id": c.id, "status": c.outcome.status, "code": core.CodeOf(c.outcome.err).String(),
-		"attempts": c.outcome.attempts, "ms": duration.Milliseconds(), "revision": c.view.OperatorRevision,
+		"attempts": c.outcome.attempts, "ms": duration.Milliseconds(), "revision": c.view.OperatorPosition.Revision,
 		"store_age_ms": g.follower.SinceLastReply().Milliseconds(),
 	}
 	if c.route != nil {
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -22,7 +22,7 @@
 	fields := logrus.Fields{
 		"id": t.call.id, "attempt": attempt, "server": server.ID, "addr": server.Addr, "data_centre": server.DataCentre,
 		"among": candidates, "running": server.Running, "limit": server.Limit, "room": server.FreeSlots,
-		"loads_age_ms": now.Sub(server.ReportedAt).Milliseconds(), "revision": t.gateway.follower.View().ServerRevision,
+		"loads_age_ms": now.Sub(server.ReportedAt).Milliseconds(), "revision": t.gateway.follower.View().ServersPosition.Revision,
 		"after_ms": now.Sub(t.call.startedAt).Milliseconds(),
 	}
 	if !server.PauseStart.IsZero() {
--- a/tables/relay/cache.go
+++ b/tables/relay/cache.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -29,7 +30,7 @@
 // Source is the platform's store.
 type Source interface {
 	ReadAll(ctx context.Context, table string) (rowstore.Page, error)
-	Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error)
+	Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error)
 }
 
 // Cache reads from the store and keeps the rows it has read. It is safe for
@@ -48,7 +49,8 @@
 	// changes holds the changes after the revision changesAfter, in order.
 	changes      []rowstore.Row
 	changesAfter uint64
-	cursor       uint64
+	// cursor is the position up to which the table was read.
+	cursor rowstore.Position
 	// lastReplyAt is the time of the store's last reply, or zero after a failed
 	// call.
 	lastReplyAt time.Time
@@ -82,6 +84,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
+	if page.Era < t.cursor.Era {
+		return
+	}
 	t.rows = make(map[string]rowstore.Row, len(page.Rows))
 	for _, row := range page.Rows {
 		t.rows[row.Key] = row
@@ -89,24 +94,26 @@
 	// The order of the changes since the last read is unknown.
 	t.changes = nil
 	t.changesAfter = page.Revision
-	t.advance(page.Revision, c.now())
+	t.advance(page.Position(), c.now())
 }
 
-// Changes reads the changes of a table after a revision from the store, and
+// Changes reads the changes of a table after a position from the store, and
 // caches them. It waits up to wait for the first change.
-func (c *Cache) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
+func (c *Cache) Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error) {
 	page, err := c.source.Changes(ctx, table, since, wait)
 	if err != nil {
-		c.markUnavailable(table)
+		if !errors.Is(err, rowstore.ErrHistoryGone) {
+			c.markUnavailable(table)
+		}
 		return page, err
 	}
 	c.adoptChanges(table, since, page)
 	return page, nil
 }
 
-// adoptChanges caches the changes of a table after a revision, which were read from the
+// adoptChanges caches the changes of a table after a position, which were read from the
 // store or a relay.
-func (c *Cache) adoptChanges(table string, since uint64, page rowstore.Page) {
+func (c *Cache) adoptChanges(table string, since rowstore.Position, page rowstore.Page) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
@@ -117,7 +124,7 @@
 		return
 	}
 	t.appendChanges(page.Rows)
-	t.advance(max(page.Revision, since), c.now())
+	t.advance(rowstore.Position{Era: since.Era, Revision: max(page.Revision, since.Revision)}, c.now())
 }
 
 // drop removes the rows of a table, when this daemon no longer reads it from the store.
@@ -139,12 +146,12 @@
 }
 
 // hasAllRowsAt reports whether the cache holds all rows of a table at exactly
-// this revision.
-func (c *Cache) hasAllRowsAt(table string, revision uint64) bool {
+// this position.
+func (c *Cache) hasAllRowsAt(table string, position rowstore.Position) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
-	return t.rows != nil && t.cursor == revision
+	return t.rows != nil && t.cursor == position
 }
 
 func (c *Cache) table(name string) *cachedTable {
@@ -171,7 +178,7 @@
 	}
 }
 
-func (t *cachedTable) advance(cursor uint64, now time.Time) {
+func (t *cachedTable) advance(cursor rowstore.Position, now time.Time) {
 	t.lastReplyAt = now
 	if cursor == t.cursor {
 		return
@@ -202,55 +209,81 @@
 const (
 	// StatusServed means that the page holds the requested rows.
 	StatusServed Status = iota
-	// StatusNotCurrent means that the daemon does not read from the store, or
-	// that the store does not reply.
+	// StatusNotCurrent means that the daemon does not read from the store, that
+	// the store does not reply, or that the cache is in an earlier era than requested.
 	StatusNotCurrent
-	// StatusTooOld means that the changes since the requested revision are no
-	// longer kept.
+	// StatusTooOld means that the changes since the requested position are no
+	// longer kept, or that it belongs to an earlier era.
 	StatusTooOld
 )
 
-// AllRows returns all rows of a table.
-func (c *Cache) AllRows(table string) (rowstore.Page, Status) {
+// AllRows returns all rows of a table in an era of at least minEra. It waits for that
+// era until ctx ends.
+func (c *Cache) AllRows(ctx context.Context, table string, minEra uint64) (rowstore.Page, Status) {
+	for {
+		page, status, updated := c.allRows(table, minEra)
+		if updated == nil {
+			return page, status
+		}
+		select {
+		case <-ctx.Done():
+			return page, status
+		case <-updated:
+		}
+	}
+}
+
+// allRows returns the channel that reports the next update if the cache is in an earlier
+// era than minEra.
+func (c *Cache) allRows(table string, minEra uint64) (rowstore.Page, Status, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
-	if !t.isCurrent(c.now()) {
-		return rowstore.Page{}, StatusNotCurrent
+	switch {
+	case !t.isCurrent(c.now()):
+		return rowstore.Page{}, StatusNotCurrent, nil
+	case t.cursor.Era < minEra:
+		return rowstore.Page{}, StatusNotCurrent, t.updated
 	}
 	byKey := func(a, b rowstore.Row) int { return cmp.Compare(a.Key, b.Key) }
-	return rowstore.Page{Rows: slices.SortedFunc(maps.Values(t.rows), byKey), Revision: t.cursor}, StatusServed
+	rows := slices.SortedFunc(maps.Values(t.rows), byKey)
+	return rowstore.Page{Rows: rows, Revision: t.cursor.Revision, Era: t.cursor.Era}, StatusServed, nil
 }
 
-// ChangesSince returns the changes of a table after a revision. It waits until
-// there are any or ctx ends.
-func (c *Cache) ChangesSince(ctx context.Context, table string, since uint64) (rowstore.Page, Status) {
+// ChangesSince returns the changes of a table after a position. It waits until
+// there are any or ctx ends. If the cache is in an earlier era than the position, it
+// waits for that era.
+func (c *Cache) ChangesSince(ctx context.Context, table string, since rowstore.Position) (rowstore.Page, Status) {
 	for {
 		page, status, updated := c.cachedChanges(table, since)
-		if status != StatusServed || page.Revision > since {
+		if updated == nil || page.Revision > since.Revision {
 			return page, status
 		}
 		select {
 		case <-ctx.Done():
-			return page, StatusServed
+			return page, status
 		case <-updated:
 		}
 	}
 }
 
-func (c *Cache) cachedChanges(table string, since uint64) (rowstore.Page, Status, <-chan struct{}) {
+// cachedChanges returns the channel that reports the next update if waiting for it may
+// give another result.
+func (c *Cache) cachedChanges(table string, since rowstore.Position) (rowstore.Page, Status, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
 	switch {
 	case !t.isCurrent(c.now()):
 		return rowstore.Page{}, StatusNotCurrent, nil
-	case since < t.changesAfter:
+	case since.Era > t.cursor.Era:
+		return rowstore.Page{}, StatusNotCurrent, t.updated
+	case since.Era < t.cursor.Era, since.Revision < t.changesAfter:
 		return rowstore.Page{}, StatusTooOld, nil
 	}
-	page := rowstore.Page{Revision: max(t.cursor, since)}
+	page := rowstore.Page{Revision: max(t.cursor.Revision, since.Revision), Era: t.cursor.Era}
 	for _, row := range t.changes {
-		if row.Revision > since {
+		if row.Revision > since.Revision {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -26,6 +26,8 @@
 const (
 	paramSince = "since"
 	paramWait  = "wait"
+	// paramEra is the era of paramSince, or the least era of a request for all rows.
+	paramEra = "era"
 	// maxWait bounds the wait of a request for changes. The client detects a
 	// relay that does not respond after headerTimeout more.
 	maxWait = time.Second
@@ -80,24 +82,27 @@
 func readPage(cache *Cache, snapshots *Snapshots, request *http.Request) (rowstore.Page, Status) {
 	table := request.PathValue("table")
 	query := request.URL.Query()
-	since, err := strconv.ParseUint(query.Get(paramSince), 10, 64)
-	if err != nil {
-		// A request without a revision is for all rows.
-		if page, ok := snapshots.read(request.Context(), table); ok {
-			return page, StatusServed
-		}
-		return cache.AllRows(table)
-	}
+	// A request without an era is from a daemon that has seen none.
+	era, _ := strconv.ParseUint(query.Get(paramEra), 10, 64)
 	wait, err := time.ParseDuration(query.Get(paramWait))
 	if err != nil || wait > maxWait {
 		wait = maxWait
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), wait)
 	defer cancel()
-	return cache.ChangesSince(ctx, table, since)
+	since, err := strconv.ParseUint(query.Get(paramSince), 10, 64)
+	if err != nil {
+		// A request without a revision is for all rows.
+		if page, ok := snapshots.read(request.Context(), table, era); ok {
+			return page, StatusServed
+		}
+		return cache.AllRows(ctx, table, era)
+	}
+	return cache.ChangesSince(ctx, table, rowstore.Position{Era: era, Revision: since})
 }
 
-// errOutdated reports that the store does not reply to a relay.
+// errOutdated reports that the store does not reply to a relay, or that the relay is in
+// an earlier era than this daemon.
 var errOutdated = errors.New("the relay has no recent reply from the store")
 
 // client reads from the Handlers of other daemons.
@@ -110,16 +115,27 @@
 	}}}
 }
 
-func (c *client) readAll(ctx context.Context, addr, table string) (rowstore.Page, error) {
-	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table))
+// readAll returns all rows of a table in an era of at least minEra.
+func (c *client) readAll(ctx context.Context, addr, table string, minEra uint64) (rowstore.Page, error) {
+	page, err := c.get(ctx, addr, table, url.Values{paramEra: {strconv.FormatUint(minEra, 10)}})
+	if err == nil && page.Era < minEra {
+		return rowstore.Page{}, errOutdated
+	}
+	return page, err
 }
 
-func (c *client) readChanges(ctx context.Context, addr, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
-	query := url.Values{paramSince: {strconv.FormatUint(since, 10)}, paramWait: {min(wait, maxWait).String()}}
-	return c.get(ctx, "http://"+addr+Path+url.PathEscape(table)+"?"+query.Encode())
+func (c *client) readChanges(ctx context.Context, addr, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error) {
+	page, err := c.get(ctx, addr, table, url.Values{
+		paramSince: {strconv.FormatUint(since.Revision, 10)}, paramEra: {strconv.FormatUint(since.Era, 10)}, paramWait: {min(wait, maxWait).String()},
+	})
+	if err == nil && page.Era != since.Era {
+		return rowstore.Page{}, errOutdated
+	}
+	return page, err
 }
 
-func (c *client) get(ctx context.Context, address string) (rowstore.Page, error) {
+func (c *client) get(ctx context.Context, addr, table string, query url.Values) (rowstore.Page, error) {
+	address := "http://" + addr + Path + url.PathEscape(table) + "?" + query.Encode()
 	callCtx, cancel := context.WithTimeout(ctx, maxWait+bodyTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(callCtx, http.MethodGet, address, nil)
@@ -174,14 +190,14 @@
 type bodyCache struct {
 	mu       sync.Mutex
 	uri      string
-	revision uint64
+	position rowstore.Position
 	lastBody body
 }
 
 func (b *bodyCache) get(uri string, page rowstore.Page) (body, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.lastBody.compressed && b.uri == uri && b.revision == page.Revision {
+	if b.lastBody.compressed && b.uri == uri && b.position == page.Position() {
 		return b.lastBody, nil
 	}
 	plain, err := cbor.Marshal(page)
@@ -202,6 +218,6 @@
 	if err := writer.Close(); err != nil {
 		return body{}, err
 	}
-	b.uri, b.revision, b.lastBody = uri, page.Revision, body{bytes: compressed.Bytes(), compressed: true}
+	b.uri, b.position, b.lastBody = uri, page.Position(), body{bytes: compressed.Bytes(), compressed: true}
 	return b.lastBody, nil
 }
--- a/tables/relay/relay_test.go
+++ b/tables/relay/relay_test.go
@@ -28,6 +28,7 @@
 	rows     map[string]rowstore.Row
 	changes  []rowstore.Row
 	revision uint64
+	era      uint64
 	down     bool
 	calls    int
 }
@@ -48,6 +49,21 @@
 	s.changes = append(s.changes, row)
 }
 
+// lose undoes the last changes and begins a new era.
+func (s *fakeStore) lose(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.changes = s.changes[:max(0, len(s.changes)-count)]
+	s.rows, s.revision = map[string]rowstore.Row{}, 0
+	for _, row := range s.changes {
+		s.revision = row.Revision
+		if s.rows[row.Key] = row; row.Deleted {
+			delete(s.rows, row.Key)
+		}
+	}
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,23 +77,26 @@
 	if s.down {
 		return rowstore.Page{}, errors.New("down")
 	}
-	page := rowstore.Page{Revision: s.revision}
+	page := rowstore.Page{Revision: s.revision, Era: s.era}
 	for _, row := range s.rows {
 		page.Rows = append(page.Rows, row)
 	}
 	return page, nil
 }
 
-func (s *fakeStore) Changes(_ context.Context, _ string, since uint64, _ time.Duration) (rowstore.Page, error) {
+func (s *fakeStore) Changes(_ context.Context, _ string, since rowstore.Position, _ time.Duration) (rowstore.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return rowstore.Page{}, errors.New("down")
 	}
-	page := rowstore.Page{Revision: s.revision}
+	if since.Era != s.era || since.Revision > s.revision {
+		return rowstore.Page{}, rowstore.ErrHistoryGone
+	}
+	page := rowstore.Page{Revision: s.revision, Era: s.era}
 	for _, row := range s.changes {
-		if row.Revision > since {
+		if row.Revision > since.Revision {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -94,7 +113,7 @@
 type tableReader struct {
 	store  Source
 	rows   map[string]rowstore.Row
-	cursor uint64
+	cursor rowstore.Position
 	loaded bool
 }
 
@@ -108,7 +127,7 @@
 		for _, row := range page.Rows {
 			r.rows[row.Key] = row
 		}
-		r.cursor, r.loaded = page.Revision, true
+		r.cursor, r.loaded = page.Position(), true
 		return nil
 	}
 	page, err := r.store.Changes(ctx, table, r.cursor, time.Millisecond)
@@ -126,12 +145,12 @@
 			r.rows[row.Key] = row
 		}
 	}
-	r.cursor = max(r.cursor, page.Revision)
+	r.cursor.Revision = max(r.cursor.Revision, page.Revision)
 	return nil
 }
 
-// Readers must end with the store's rows after random changes, store outages and
-// switches between the store and a relay.
+// Readers must end with the store's rows after random changes, store outages, losses
+// of the latest changes and switches between the store and a relay.
 func TestReadersConvergeToStoreRows(t *testing.T) {
 	for seed := range uint64(40) {
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -148,7 +167,7 @@
 			Relays: func(context.Context) []Member { return relays }})}
 		for range 60 {
 			now = now.Add(100 * time.Millisecond)
-			switch random.IntN(8) {
+			switch random.IntN(9) {
 			case 0:
 				s.put(fmt.Sprint(random.IntN(6)), true)
 			case 1, 2, 3:
@@ -159,6 +178,8 @@
 				if relays = []Member{self}; random.IntN(2) == 0 {
 					relays = nil
 				}
+			case 6:
+				s.lose(random.IntN(4))
 			default:
 				_ = relayReader.read(t.Context())
 				_ = follower.read(t.Context())
@@ -204,21 +225,21 @@
 	s := newFakeStore()
 	now := time.Unix(1000, 0)
 	cache := NewCache(s, func() time.Time { return now })
-	_, status := cache.AllRows(table)
+	_, status := cache.AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusNotCurrent, status)
 	_, err := cache.ReadAll(t.Context(), table)
 	require.NoError(t, err)
-	_, status = cache.AllRows(table)
+	_, status = cache.AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusServed, status)
 	now = now.Add(maxReplyAge)
-	_, status = cache.AllRows(table)
+	_, status = cache.AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusNotCurrent, status, "the process may have been suspended")
-	_, err = cache.Changes(t.Context(), table, 0, 0)
+	_, err = cache.Changes(t.Context(), table, rowstore.Position{}, 0)
 	require.NoError(t, err)
 	s.setDown(true)
-	_, err = cache.Changes(t.Context(), table, 0, 0)
+	_, err = cache.Changes(t.Context(), table, rowstore.Position{}, 0)
 	require.Error(t, err)
-	_, status = cache.ChangesSince(t.Context(), table, 0)
+	_, status = cache.ChangesSince(t.Context(), table, rowstore.Position{})
 	require.Equal(t, StatusNotCurrent, status)
 }
 
@@ -231,9 +252,9 @@
 		s.put(fmt.Sprint(i%7), false)
 	}
 	require.NoError(t, relayReader.read(t.Context()))
-	_, status := cache.ChangesSince(t.Context(), table, 1)
+	_, status := cache.ChangesSince(t.Context(), table, rowstore.Position{Revision: 1})
 	require.Equal(t, StatusTooOld, status)
-	page, status := cache.ChangesSince(t.Context(), table, uint64(maxCachedChanges))
+	page, status := cache.ChangesSince(t.Context(), table, rowstore.Position{Revision: maxCachedChanges})
 	require.Equal(t, StatusServed, status)
 	require.Len(t, page.Rows, 10)
 }
@@ -275,7 +296,7 @@
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	for range 3 {
-		page, err := newClient().readChanges(t.Context(), server.Listener.Addr().String(), table, 1, time.Second)
+		page, err := newClient().readChanges(t.Context(), server.Listener.Addr().String(), table, rowstore.Position{Revision: 1}, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, []rowstore.Row{row}, page.Rows)
 	}
@@ -291,7 +312,7 @@
 	server := httptest.NewServer(Handler(NewCache(source, nil), snapshots, discardLogger()))
 	defer server.Close()
 	read := func() int {
-		page, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table)
+		page, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
 		require.NoError(t, err)
 		return len(page.Rows)
 	}
@@ -309,7 +330,7 @@
 
 	now = now.Add(snapshotAge)
 	source.setDown(true)
-	_, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table)
+	_, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
 	require.Error(t, err, "the daemon reads from the store itself")
 }
 
@@ -362,7 +383,7 @@
 	s.put("b", false)
 	require.NoError(t, readers[0].read(t.Context()))
 	require.NoError(t, readers[1].read(t.Context()))
-	page, status := caches[1].AllRows(table)
+	page, status := caches[1].AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusServed, status)
 	require.Len(t, page.Rows, 2)
 }
@@ -379,12 +400,12 @@
 	store := NewStore(Config{Self: "former", Cache: former, Log: discardLogger(), Relays: func(context.Context) []Member { return relays }})
 	reader := &tableReader{store: store}
 	require.NoError(t, reader.read(t.Context()))
-	_, status := former.AllRows(table)
+	_, status := former.AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusServed, status)
 	_, err := current.ReadAll(t.Context(), table)
 	require.NoError(t, err)
 	relays = []Member{{ID: "current", Addr: server.Listener.Addr().String()}}
 	require.NoError(t, reader.read(t.Context()))
-	_, status = former.ChangesSince(t.Context(), table, 1)
+	_, status = former.ChangesSince(t.Context(), table, rowstore.Position{Revision: 1})
 	require.Equal(t, StatusNotCurrent, status)
 }
--- a/tables/relay/snapshots.go
+++ b/tables/relay/snapshots.go
@@ -44,20 +44,20 @@
 	return s
 }
 
-// read returns the rows of a table. The second result is false if the table is not one
-// of those that are served, or if the store does not reply.
-func (s *Snapshots) read(ctx context.Context, table string) (rowstore.Page, bool) {
+// read returns the rows of a table in an era of at least minEra. The second result is
+// false if the table is not one of those that are served, or if the store does not reply.
+func (s *Snapshots) read(ctx context.Context, table string, minEra uint64) (rowstore.Page, bool) {
 	t := s.tables[table]
 	if t == nil {
 		return rowstore.Page{}, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.readAt.IsZero() && s.now().Sub(t.readAt) < snapshotAge {
+	if !t.readAt.IsZero() && s.now().Sub(t.readAt) < snapshotAge && t.page.Era >= minEra {
 		return t.page, true
 	}
 	page, err := s.source.ReadAll(ctx, table)
-	if err != nil {
+	if err != nil || page.Era < max(minEra, t.page.Era) {
 		return rowstore.Page{}, false
 	}
 	t.page, t.readAt = page, s.now()
--- a/tables/relay/store.go
+++ b/tables/relay/store.go
@@ -91,7 +91,9 @@
 	config Config
 	client *client
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// era is the latest era of the store in any page. Pages of earlier ones are refused.
+	era        uint64
 	avoidUntil map[core.InstanceID]time.Time
 	lastRelay  core.InstanceID
 	// directDelay is the time between two calls to the store while they fail, and
@@ -117,7 +119,7 @@
 
 // ReadAll returns all rows of a table.
 func (s *Store) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
-	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readAll(ctx, addr, table) })
+	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readAll(ctx, addr, table, s.latestEra()) })
 	switch {
 	case err == nil && s.isRelay(ctx):
 		s.config.Cache.adoptAll(table, page)
@@ -126,12 +128,37 @@
 		s.config.Cache.drop(table)
 		return page, nil
 	}
-	return s.readDirectly(ctx, func() (rowstore.Page, error) { return s.config.Cache.ReadAll(ctx, table) })
+	page, err = s.readDirectly(ctx, func() (rowstore.Page, error) { return s.config.Cache.ReadAll(ctx, table) })
+	if err == nil {
+		err = s.noteEra(page.Era)
+	}
+	return page, err
+}
+
+// latestEra returns the latest era of the store that this daemon has seen.
+func (s *Store) latestEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// noteEra records the era of rows, and refuses earlier ones than the latest.
+func (s *Store) noteEra(era uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era < s.era {
+		return rowstore.ErrEarlierEra
+	}
+	s.era = era
+	return nil
 }
 
-// Changes returns the rows of a table that changed after a revision. It waits up
+// Changes returns the rows of a table that changed after a position. It waits up
 // to wait for the first change.
-func (s *Store) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
+func (s *Store) Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error) {
+	if err := s.noteEra(since.Era); err != nil {
+		return rowstore.Page{}, rowstore.ErrHistoryGone
+	}
 	isRelay := s.isRelay(ctx)
 	if isRelay && !s.config.Cache.hasAllRowsAt(table, since) {
 		// A new relay must read all rows, because other daemons may request
@@ -162,6 +189,9 @@
 		return rowstore.Page{}, errNoRelay
 	}
 	page, err := call(relay.Addr)
+	if err == nil {
+		err = s.noteEra(page.Era)
+	}
 	if err != nil && !errors.Is(err, rowstore.ErrHistoryGone) && ctx.Err() == nil {
 		s.config.Log.WithError(err).WithField("relay", relay.ID).Warn("Relay failed; reading from another one or from the store instead.")
 		delay := relayRetryDelay
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -46,11 +46,18 @@
 func (s *State) applyEvacuation(now time.Time, row rowstore.Row, centre core.DataCentre) {
 	if !row.Deleted {
 		s.outDataCentres[centre] = true
+		delete(s.lapsedEvacuations, centre)
 		s.addEvent(row, "data-centre", "out")
 		return
 	}
-	delete(s.outDataCentres, centre)
+	s.bringIn(now, centre)
 	s.addEvent(row, "data-centre", "in")
+}
+
+// bringIn puts a data centre back into service.
+func (s *State) bringIn(now time.Time, centre core.DataCentre) {
+	delete(s.outDataCentres, centre)
+	delete(s.lapsedEvacuations, centre)
 	// The servers may have become cold while they received no requests.
 	for _, state := range s.servers {
 		if state.server.DataCentre == centre {
@@ -98,6 +105,7 @@
 		return
 	}
 	if old != nil && server.IsOlderThan(&old.server.Server) {
+		old.lapsedAt = time.Time{}
 		s.addIgnoredEvent(row, "server", "the row has an older state of the server than the known one")
 		return
 	}
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -43,7 +43,7 @@
 // Store is the part of the platform's store that a Follower uses.
 type Store interface {
 	ReadAll(ctx context.Context, table string) (rowstore.Page, error)
-	Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error)
+	Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error)
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -183,15 +183,24 @@
 func (f *Follower) readChanges(ctx context.Context, name string) error {
 	f.mu.Lock()
 	since, _ := f.state.Cursor(name)
+	era := f.state.Era()
 	f.mu.Unlock()
+	if since.Era < era {
+		// The other table, or a peer, has rows of a later era.
+		return rowstore.ErrHistoryGone
+	}
 	page, err := f.config.Store.Changes(ctx, name, since, f.config.LongPollTimeout)
 	if err != nil {
 		return err
 	}
+	applied := true
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
-		f.state.Apply(now, name, page)
+		applied = f.state.Apply(now, name, page)
 	})
+	if !applied {
+		return rowstore.ErrHistoryGone
+	}
 	return nil
 }
 
@@ -210,20 +219,30 @@
 	}
 	f.mu.Unlock()
 	for _, event := range events {
-		f.config.Log.WithFields(logrus.Fields{
-			"subject": event.Subject, "key": event.Key, "revision": event.Revision,
-		}).Info(event.Detail)
+		f.logEvent(event)
 	}
 	if view != nil {
 		f.config.OnChange(view)
 	}
 }
 
+func (f *Follower) logEvent(event Event) {
+	if change := event.EraChange; change != nil {
+		f.config.Log.WithFields(logrus.Fields{
+			"from": change.From, "to": change.To, "dropped": change.Dropped, "replaced": change.Replaced,
+		}).Warn(event.Detail)
+		return
+	}
+	f.config.Log.WithFields(logrus.Fields{
+		"subject": event.Subject, "key": event.Key, "revision": event.Revision,
+	}).Info(event.Detail)
+}
+
 // hasNewRows reports whether rows have changed since the view was published.
 // This includes changes without an event, such as a server's count of orders.
 func (f *Follower) hasNewRows() bool {
 	view := f.view.Load()
-	return f.state.NewestRevision(OperatorTable) != view.OperatorRevision || f.state.NewestRevision(ServersTable) != view.ServerRevision
+	return f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
 }
 
 func (f *Follower) handleFailure(name string, err error) {
@@ -273,7 +292,7 @@
 		case <-ticker.C:
 		}
 		f.mu.Lock()
-		pending := f.state.HasLapsedServers()
+		pending := f.state.HasLapsedRows()
 		f.mu.Unlock()
 		if pending {
 			f.update(func(now time.Time) { f.state.Expire(now) })
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -37,11 +37,15 @@
 	Revision uint64
 	// Ignored means that the row is invalid or outdated and was not applied.
 	Ignored bool
+	// EraChange is set if the event is a transition to a later era.
+	EraChange *EraChange
 }
 
 // table holds the last known rows of a table.
 type table struct {
 	rows map[string]rowstore.Row
+	// era is the store's era to which rows, newestRevision and cursor belong.
+	era uint64
 	// newestRevision is the revision of the newest known change.
 	newestRevision uint64
 	// cursor is the revision up to which the store was read.
@@ -55,6 +59,7 @@
 	NewestRevision uint64         `cbor:"2,keyasint"`
 	Cursor         uint64         `cbor:"3,keyasint"`
 	Rows           []rowstore.Row `cbor:"4,keyasint"`
+	Era            uint64         `cbor:"5,keyasint,omitempty"`
 }
 
 // serverState is the state of one backend server.
@@ -72,7 +77,15 @@
 	config         *fleet.Table
 	servers        map[core.InstanceID]*serverState
 	outDataCentres map[core.DataCentre]bool
-	targets        map[fleet.Model][]TargetVersion
+	// lapsedEvacuations holds those of outDataCentres whose rows the store has lost.
+	lapsedEvacuations map[core.DataCentre]bool
+	targets           map[fleet.Model][]TargetVersion
+	// era is the latest era in any table. Rows of earlier eras are ignored.
+	era uint64
+	// eraChange is the transition to era while not all tables were read in it.
+	eraChange *EraChange
+	// eraChanges and droppedRows count the transitions and the rows that they dropped.
+	eraChanges, droppedRows uint64
 	// storeUpAt is when the store last replied again after an outage; storeDown
 	// is set during an outage.
 	storeUpAt time.Time
@@ -87,9 +100,10 @@
 			OperatorTable: {rows: map[string]rowstore.Row{}},
 			ServersTable:  {rows: map[string]rowstore.Row{}},
 		},
-		servers:        map[core.InstanceID]*serverState{},
-		outDataCentres: map[core.DataCentre]bool{},
-		targets:        map[fleet.Model][]TargetVersion{},
+		servers:           map[core.InstanceID]*serverState{},
+		outDataCentres:    map[core.DataCentre]bool{},
+		lapsedEvacuations: map[core.DataCentre]bool{},
+		targets:           map[fleet.Model][]TargetVersion{},
 	}
 }
 
@@ -100,15 +114,18 @@
 	return events
 }
 
-// Cursor returns the revision up to which a table was read, and whether it was
+// Cursor returns the position up to which a table was read, and whether it was
 // read from the store or a peer at all.
-func (s *State) Cursor(name string) (uint64, bool) {
+func (s *State) Cursor(name string) (rowstore.Position, bool) {
 	t := s.tables[name]
-	return t.cursor, t.loaded
+	return rowstore.Position{Era: t.era, Revision: t.cursor}, t.loaded
 }
 
-// NewestRevision returns the revision of the newest known change of a table.
-func (s *State) NewestRevision(name string) uint64 { return s.tables[name].newestRevision }
+// NewestChange returns the position of the newest known change of a table.
+func (s *State) NewestChange(name string) rowstore.Position {
+	t := s.tables[name]
+	return rowstore.Position{Era: t.era, Revision: t.newestRevision}
+}
 
 // MarkStoreDown records that the store replies neither to this daemon nor, as
 // far as known, to any other.
@@ -122,13 +139,21 @@
 	}
 }
 
-// Replace replaces all rows of a table by those read at a revision. It ignores a
+// Replace replaces all rows of a table by those read at a position. It ignores a
 // page that is older than the known rows, and reports whether it applied it.
 func (s *State) Replace(now time.Time, name string, page rowstore.Page) bool {
 	t := s.tables[name]
-	if t.loaded && page.Revision < t.cursor {
+	cursor, _ := s.Cursor(name)
+	if page.Era < s.era || t.loaded && page.Position().Compare(cursor) < 0 {
 		return false
 	}
+	if page.Era > s.era {
+		s.beginEra(now, page.Era)
+	}
+	if t.loaded && page.Era > t.era {
+		s.replaceInLaterEra(now, name, page)
+		return true
+	}
 	isFirstRead := !t.loaded
 	seen := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
@@ -140,18 +165,24 @@
 			s.apply(now, t, rowstore.Row{Table: name, Key: key, Revision: row.Revision, Deleted: true}, isFirstRead)
 		}
 	}
+	t.era = page.Era
 	t.cursor = page.Revision
 	t.loaded = true
 	return true
 }
 
-// Apply applies changed rows in order.
-func (s *State) Apply(now time.Time, name string, page rowstore.Page) {
+// Apply applies changed rows in order. It ignores changes in another era than that of
+// the known rows, and reports whether it applied them.
+func (s *State) Apply(now time.Time, name string, page rowstore.Page) bool {
 	t := s.tables[name]
+	if page.Era != t.era || page.Era < s.era {
+		return false
+	}
 	for _, row := range page.Rows {
 		s.apply(now, t, row, false)
 	}
 	t.cursor = max(t.cursor, page.Revision)
+	return true
 }
 
 // Export returns a table's rows for a peer.
@@ -161,6 +192,7 @@
 		Table:          name,
 		NewestRevision: t.newestRevision,
 		Cursor:         t.cursor,
+		Era:            t.era,
 		Rows:           slices.SortedFunc(maps.Values(t.rows), func(a, b rowstore.Row) int { return cmp.Compare(a.Key, b.Key) }),
 	}
 }
@@ -169,11 +201,17 @@
 // reports whether it did.
 func (s *State) Import(now time.Time, snapshot Snapshot) bool {
 	t := s.tables[snapshot.Table]
-	if t == nil || snapshot.NewestRevision <= t.newestRevision {
+	newest := rowstore.Position{Era: snapshot.Era, Revision: snapshot.NewestRevision}
+	if t == nil || newest.Compare(s.NewestChange(snapshot.Table)) <= 0 {
+		return false
+	}
+	page := rowstore.Page{Rows: snapshot.Rows, Revision: snapshot.Cursor, Era: snapshot.Era}
+	if snapshot.Era == t.era {
+		page.Revision = max(snapshot.Cursor, t.cursor)
+	}
+	if !s.Replace(now, snapshot.Table, page) {
 		return false
 	}
-	revision := max(snapshot.Cursor, t.cursor)
-	s.Replace(now, snapshot.Table, rowstore.Page{Rows: snapshot.Rows, Revision: revision})
 	t.newestRevision = max(t.newestRevision, snapshot.NewestRevision)
 	return true
 }
@@ -193,6 +231,11 @@
 		t.rows[row.Key] = row
 	}
 	t.newestRevision = max(t.newestRevision, row.Revision)
+	s.applyRow(now, row, isFirstRead)
+}
+
+// applyRow changes what is derived from a row.
+func (s *State) applyRow(now time.Time, row rowstore.Row, isFirstRead bool) {
 	if row.Table == ServersTable {
 		s.applyServer(now, row, isFirstRead)
 		return
@@ -211,12 +254,13 @@
 }
 
 // Expire removes backend servers whose rows were not written again within
-// lapsedRowGrace after an outage of the store. It reports whether it removed any.
+// lapsedRowGrace after an outage or a loss of the store, and lost evacuations after
+// lapsedEvacuationGrace. It reports whether it removed any.
 func (s *State) Expire(now time.Time) bool {
 	if s.storeDown {
 		return false
 	}
-	changed := false
+	changed := s.expireEvacuations(now)
 	for id, state := range s.servers {
 		if !state.lapsedAt.IsZero() && now.Sub(s.storeUpAt) >= lapsedRowGrace {
 			delete(s.servers, id)
@@ -250,8 +294,12 @@
 	return true
 }
 
-// HasLapsedServers reports whether there are servers that Expire may remove.
-func (s *State) HasLapsedServers() bool {
+// HasLapsedRows reports whether there are servers or evacuations that Expire may
+// remove.
+func (s *State) HasLapsedRows() bool {
+	if len(s.lapsedEvacuations) > 0 {
+		return true
+	}
 	for _, state := range s.servers {
 		if !state.lapsedAt.IsZero() {
 			return true
@@ -267,8 +315,11 @@
 		Servers:          map[fleet.ServiceName][]*Server{},
 		OutDataCentres:   maps.Clone(s.outDataCentres),
 		Targets:          maps.Clone(s.targets),
-		OperatorRevision: s.tables[OperatorTable].newestRevision,
-		ServerRevision:   s.tables[ServersTable].newestRevision,
+		OperatorPosition: s.NewestChange(OperatorTable),
+		ServersPosition:  s.NewestChange(ServersTable),
+		Era:              s.era,
+		EraChanges:       s.eraChanges,
+		DroppedRows:      s.droppedRows,
 		Loaded:           s.tables[OperatorTable].loaded && s.tables[ServersTable].loaded,
 	}
 	for _, state := range s.servers {
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -148,7 +148,7 @@
 	require.True(t, behind.View().OutDataCentres[core.DataCentre("a")])
 	require.False(t, behind.Import(start, ahead.Export(OperatorTable)), "the rows are not newer any more")
 	require.False(t, ahead.Import(start, newLoadedState(t).Export(OperatorTable)), "older rows have no effect")
-	require.EqualValues(t, ahead.NewestRevision(OperatorTable), behind.NewestRevision(OperatorTable))
+	require.EqualValues(t, ahead.NewestChange(OperatorTable), behind.NewestChange(OperatorTable))
 }
 
 func TestRequiredVersionOfUnknownModel(t *testing.T) {
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -5,6 +5,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/rowstore"
 )
 
 // Server is a backend server with the state derived from its rows.
@@ -36,10 +37,15 @@
 	// Each has its own deadline to be in force, so that a newer version does not
 	// postpone the deadline of an older one.
 	Targets map[fleet.Model][]TargetVersion
-	// OperatorRevision and ServerRevision are the store's revisions of the
-	// last known changes of the two tables.
-	OperatorRevision uint64
-	ServerRevision   uint64
+	// OperatorPosition and ServersPosition are the positions of the last known
+	// changes of the two tables.
+	OperatorPosition rowstore.Position
+	ServersPosition  rowstore.Position
+	// Era is the latest known era of the store.
+	Era uint64
+	// EraChanges counts the transitions to a later era, and DroppedRows the known
+	// rows that the later eras did not have.
+	EraChanges, DroppedRows uint64
 	// Loaded is true if both tables have been read.
 	Loaded bool
 }
