gossip: descriptions of entries have the store's era beside the revisions

Cause: an entry fetched a table from whichever peer had the highest revision. After a loss that is one that is cut off and still has the lost rows. Change: Member has the era, its revisions are those of tables read in that era, and PeerWithNewerRevision compares the era first; syncFromPeers passes the position of its own rows. Result: TestPeerOfALaterEraIsNewer fails when only revisions are compared, and passes with the change, as do the other tests of gossip and gateway.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -200,11 +200,23 @@
 	return roster.Relays(append(g.gossip.AliveMembers(), g.gossip.AwaitedMembers()...), g.node.Load().DataCentre)
 }
 
-func (g *Gateway) revisions() map[string]uint64 {
+// revisions returns the latest known era of the store and the revisions of the tables
+// that this entry has read in it.
+func (g *Gateway) revisions() (era uint64, revisions map[string]uint64) {
 	view := g.follower.View()
-	return map[string]uint64{
-		watch.OperatorTable: view.OperatorPosition.Revision,
-		watch.ServersTable:  view.ServersPosition.Revision,
+	revisions = map[string]uint64{}
+	for table, position := range positions(view) {
+		if position.Era == view.Era {
+			revisions[table] = position.Revision
+		}
+	}
+	return view.Era, revisions
+}
+
+func positions(view *watch.View) map[string]rowstore.Position {
+	return map[string]rowstore.Position{
+		watch.OperatorTable: view.OperatorPosition,
+		watch.ServersTable:  view.ServersPosition,
 	}
 }
 
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/tables/watch"
 )
@@ -58,8 +59,8 @@
 	client := &http.Client{Timeout: peerTimeout}
 	checksBehind := map[string]int{}
 	return runPeriodically(ctx, peerSyncPeriod, func() {
-		for table, revision := range g.revisions() {
-			addr := g.gossip.PeerWithNewerRevision(table, revision)
+		for table, position := range positions(g.follower.View()) {
+			addr := g.gossip.PeerWithNewerRevision(table, position.Era, position.Revision)
 			if addr == "" {
 				checksBehind[table] = 0
 				continue
@@ -97,7 +98,7 @@
 		return fmt.Errorf("decode snapshot from peer: %w", err)
 	}
 	if g.follower.Import(snapshot) {
-		g.log.WithField("peer", addr).WithField("table", table).WithField("revision", snapshot.NewestRevision).Info("Fetched rows from a peer.")
+		g.log.WithFields(logrus.Fields{"peer": addr, "table": table, "era": snapshot.Era, "revision": snapshot.NewestRevision}).Info("Fetched rows from a peer.")
 	}
 	return nil
 }
--- a/daemon/gateway/services_test.go
+++ b/daemon/gateway/services_test.go
@@ -22,7 +22,7 @@
 func TestNewEntryUsesNoSharedLimitsBeforeDiscovery(t *testing.T) {
 	node, err := gossip.Listen(gossip.Config{
 		Self:         gossip.Member{ID: "e-1", PeerAddr: "127.0.0.1:0"},
-		Revisions:    func() map[string]uint64 { return nil },
+		Revisions:    func() (uint64, map[string]uint64) { return 0, nil },
 		Loads:        func() map[core.InstanceID]int { return nil },
 		ReachesStore: func() bool { return true },
 		Log:          obs.DiscardLogger().Component("gossip"),
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -34,7 +34,7 @@
 	// CallerAddr is the address that callers connect to.
 	CallerAddr string `cbor:"8,keyasint"`
 	// Revisions holds the latest revision of each of the platform's tables that
-	// the member has.
+	// the member has. It omits tables that the member has not read in Era.
 	Revisions map[string]uint64 `cbor:"9,keyasint,omitempty"`
 	// ReachesStore reports whether the platform's store responds to the member.
 	ReachesStore bool `cbor:"10,keyasint"`
@@ -45,6 +45,8 @@
 	Cores float64 `cbor:"12,keyasint,omitempty"`
 	// RequestsPerSecond is the recent peak of the member's request rate.
 	RequestsPerSecond float64 `cbor:"13,keyasint,omitempty"`
+	// Era is the store's era to which Revisions belong.
+	Era uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 func (m *Member) isNewerThan(other *Member) bool {
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -21,8 +21,9 @@
 // Config configures a Node.
 type Config struct {
 	Self Member
-	// Revisions returns the latest revision of each table that this entry has.
-	Revisions func() map[string]uint64
+	// Revisions returns the store's latest known era and the latest revision in it of
+	// each table that this entry has read in that era.
+	Revisions func() (era uint64, revisions map[string]uint64)
 	// ReachesStore reports whether the platform's store responds to this entry.
 	ReachesStore func() bool
 	// Loads returns this entry's requests in flight by backend server.
@@ -159,10 +160,12 @@
 }
 
 func (n *Node) sendRound() {
-	revisions, loads, reachesStore := n.config.Revisions(), n.config.Loads(), n.config.ReachesStore()
+	era, revisions := n.config.Revisions()
+	loads, reachesStore := n.config.Loads(), n.config.ReachesStore()
 	newestWeights := n.config.NewestWeights()
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
+	n.state.SetEra(era)
 	now := n.config.Now()
 	round := n.state.NextRound(now, revisions, loads)
 	n.loads = Loads{At: now, Own: loads, Peers: n.state.Loads(now)}
@@ -283,9 +286,9 @@
 }
 
 // PeerWithNewerRevision returns the address of the alive peer with the latest
-// revision of table, or "" if no alive peer has a later revision than revision.
-func (n *Node) PeerWithNewerRevision(table string, revision uint64) string {
+// revision of table, or "" if no alive peer has a later one than revision in era.
+func (n *Node) PeerWithNewerRevision(table string, era, revision uint64) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.PeerWithNewerRevision(n.config.Now(), table, revision)
+	return n.state.PeerWithNewerRevision(n.config.Now(), table, era, revision)
 }
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -126,6 +126,9 @@
 // SetReachesStore sets whether the store responds to this entry.
 func (s *State) SetReachesStore(reaches bool) { s.self.ReachesStore = reaches }
 
+// SetEra sets the store's era of the revisions in this entry's description.
+func (s *State) SetEra(era uint64) { s.self.Era = era }
+
 // PeerReachesStore reports whether the store responds to any alive peer.
 func (s *State) PeerReachesStore(now time.Time) bool {
 	for _, p := range s.alivePeers(now) {
@@ -370,12 +373,14 @@
 }
 
 // PeerWithNewerRevision returns the address of the alive peer with the latest
-// revision of table, or "" if no alive peer has a later revision than revision.
-func (s *State) PeerWithNewerRevision(now time.Time, table string, revision uint64) string {
-	newest, addr := revision, ""
+// revision of table, or "" if no alive peer has a later one than revision in era.
+// Revisions of a later era are later, even if they are lower.
+func (s *State) PeerWithNewerRevision(now time.Time, table string, era, revision uint64) string {
+	addr := ""
 	for _, p := range s.alivePeers(now) {
-		if r := p.member.Revisions[table]; r > newest {
-			newest, addr = r, p.member.PeerAddr
+		r, ok := p.member.Revisions[table]
+		if ok && cmp.Or(cmp.Compare(p.member.Era, era), cmp.Compare(r, revision)) > 0 {
+			era, revision, addr = p.member.Era, r, p.member.PeerAddr
 		}
 	}
 	return addr
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -115,9 +115,32 @@
 		m.Revisions = map[string]uint64{"t": revision}
 		state.Receive(now, Message{From: m})
 	}
-	require.Equal(t, testMember(2).PeerAddr, state.PeerWithNewerRevision(now, "t", 5))
-	require.Empty(t, state.PeerWithNewerRevision(now, "t", 9))
-	require.Empty(t, state.PeerWithNewerRevision(now.Add(AliveTimeout), "t", 5))
+	require.Equal(t, testMember(2).PeerAddr, state.PeerWithNewerRevision(now, "t", 0, 5))
+	require.Empty(t, state.PeerWithNewerRevision(now, "t", 0, 9))
+	require.Empty(t, state.PeerWithNewerRevision(now.Add(AliveTimeout), "t", 0, 5))
+}
+
+// After a loss of the store, a peer that is cut off has higher revisions, of rows that no
+// longer exist.
+func TestPeerOfALaterEraIsNewer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := NewState(testMember(0), 1)
+	for i, m := range []Member{{Era: 1, Revisions: map[string]uint64{"t": 90}}, {Era: 2, Revisions: map[string]uint64{"t": 4}}, {Era: 3}} {
+		m.ID, m.PeerAddr, m.Incarnation = testMember(i+1).ID, testMember(i+1).PeerAddr, testMember(i+1).Incarnation
+		state.Receive(now, Message{From: m})
+	}
+	require.Equal(t, testMember(2).PeerAddr, state.PeerWithNewerRevision(now, "t", 1, 100))
+	require.Equal(t, testMember(2).PeerAddr, state.PeerWithNewerRevision(now, "t", 2, 3))
+	require.Empty(t, state.PeerWithNewerRevision(now, "t", 2, 4), "the peer with era 3 has not read the table in it")
+}
+
+func TestEraIsPartOfTheDescription(t *testing.T) {
+	state := NewState(testMember(0), 1)
+	state.Receive(time.Unix(1000, 0), Message{From: testMember(1)})
+	state.SetEra(7)
+	for _, outgoing := range state.NextRound(time.Unix(1000, 0), map[string]uint64{"t": 1}, nil) {
+		require.EqualValues(t, 7, outgoing.Message.From.Era)
+	}
 }
 
 func TestLoadsExcludeFailedPeers(t *testing.T) {
