roster: daemons write their rows again after a loss of the store

Cause: an entry or agent wrote its row once, at its start. A row that the store lost never came back, and the row of a daemon that had left did. Change: a daemon whose row was accepted in an earlier era writes it, or removes it, again at a random time within three seconds; a failed write is repeated within one and a half to four and a half. Readers count lost rows for ten seconds, so that lists are not incomplete meanwhile.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -267,6 +267,7 @@
 		g.services.run,
 		g.services.adjustRetryBudgets,
 		g.join,
+		g.keepRow,
 		g.syncFromPeers,
 		g.watchSettingsFile,
 		g.conns.run,
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -53,6 +53,11 @@
 	return nil
 }
 
+// keepRow writes this entry's row again after losses of the store.
+func (g *Gateway) keepRow(ctx context.Context) error {
+	return g.roster.Keep(ctx, func() uint64 { return g.follower.View().Era })
+}
+
 // syncFromPeers fetches tables from entries with a later revision, which happens
 // while this entry cannot reach the store.
 func (g *Gateway) syncFromPeers(ctx context.Context) error {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -188,6 +188,7 @@
 	group.Go(func() error { return l.follower.Run(ctx) })
 	group.Go(func() error { return l.manager.Run(ctx) })
 	group.Go(func() error { return l.roster.WriteWithRetry(ctx, string(l.self.ID), l.self) })
+	group.Go(func() error { return l.roster.Keep(ctx, func() uint64 { return l.follower.View().Era }) })
 	group.Go(func() error { return l.announcer.run(ctx) })
 	group.Go(func() error { return serveHTTP(ctx, l.self.Addr, l.manager.Handler()) })
 	if l.config.MetricsAddr != "" {
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,12 +37,28 @@
 	ReadAll(ctx context.Context, table string) (rowstore.Page, error)
 }
 
-// Roster reads and writes the rows of one role.
+// keepPollPeriod is how often a daemon checks whether the store has lost rows.
+const keepPollPeriod = 200 * time.Millisecond
+
+// Roster reads and writes the rows of one role. It is safe for concurrent use.
 type Roster[T any] struct {
 	store  *rowstore.Client
 	reader Reader
 	table  string
 	log    *logrus.Entry
+
+	// writeMu is held during a write, so that the last write of this daemon's row is the
+	// last one in the store.
+	writeMu sync.Mutex
+
+	mu sync.Mutex
+	// own is this daemon's row as it is to be in the store, deleted after Remove.
+	own    rowstore.Row
+	keeper keeper
+	// lost holds rows that the store has lost.
+	lost lostRows
+
+	rewrites atomic.Int64
 }
 
 // New returns the roster with the rows of a table, which it reads from the store.
@@ -58,26 +76,102 @@
 	if err != nil {
 		return fmt.Errorf("encode row of this daemon: %w", err)
 	}
-	row := rowstore.Row{Table: r.table, Key: id, Value: value}
-	r.retry(ctx, "write row", func() error { _, err := r.store.Put(ctx, row); return err })
+	if !r.setOwn(rowstore.Row{Table: r.table, Key: id, Value: value}) {
+		return nil
+	}
+	r.retry(ctx, "write row", func() error { return r.writeOwn(ctx) })
 	return nil
 }
 
-// Remove deletes a daemon's row.
+// Remove deletes this daemon's row, which is then not written any more.
 func (r *Roster[T]) Remove(ctx context.Context, id string) error {
-	_, err := r.store.Remove(ctx, rowstore.Row{Table: r.table, Key: id})
-	return err
+	r.setOwn(rowstore.Row{Table: r.table, Key: id, Deleted: true})
+	return r.writeOwn(ctx)
+}
+
+// Keep writes this daemon's row, or its removal, again after each loss of the store,
+// until ctx ends. era returns the store's latest known era.
+func (r *Roster[T]) Keep(ctx context.Context, era func() uint64) error {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		now := time.Now()
+		r.keeper.see(now, era(), rand.N(rewriteSpread))
+		isDue := r.keeper.isDue(now)
+		r.mu.Unlock()
+		if isDue {
+			r.rewriteOwn(ctx)
+		}
+		pause.For(ctx, keepPollPeriod)
+	}
+	return nil
+}
+
+// Rewrites returns how often this daemon's row was written again after a loss.
+func (r *Roster[T]) Rewrites() int64 { return r.rewrites.Load() }
+
+func (r *Roster[T]) rewriteOwn(ctx context.Context) {
+	if err := r.writeOwn(ctx); err != nil {
+		r.mu.Lock()
+		r.keeper.failed(time.Now(), rewriteSpread/2+rand.N(rewriteSpread))
+		r.mu.Unlock()
+		r.log.WithError(err).Warn("Could not write this daemon's row again after a loss of the store; retrying.")
+		return
+	}
+	r.rewrites.Add(1)
+	r.mu.Lock()
+	era := r.keeper.writtenIn
+	r.mu.Unlock()
+	r.log.WithField("era", era).Info("Wrote this daemon's row again after a loss of the store.")
+}
+
+// setOwn sets this daemon's row as it is to be in the store. It returns false if the row
+// was removed before.
+func (r *Roster[T]) setOwn(row rowstore.Row) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.own.Deleted {
+		return false
+	}
+	r.own = row
+	return true
+}
+
+// writeOwn writes this daemon's row as it is to be in the store.
+func (r *Roster[T]) writeOwn(ctx context.Context) error {
+	r.writeMu.Lock()
+	defer r.writeMu.Unlock()
+	r.mu.Lock()
+	row, knownBefore := r.own, r.keeper.seen
+	r.mu.Unlock()
+	var era uint64
+	var err error
+	if row.Deleted {
+		era, err = r.store.Remove(ctx, rowstore.Row{Table: row.Table, Key: row.Key})
+	} else {
+		era, err = r.store.Put(ctx, row)
+	}
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.keeper.accepted(era, knownBefore)
+	r.mu.Unlock()
+	return nil
 }
 
-// Read returns the daemons with a row. It logs and ignores rows that cannot be
+// Read returns the daemons with a row, including rows that the store has lost and that
+// their daemons are about to write again. It logs and ignores rows that cannot be
 // decoded.
 func (r *Roster[T]) Read(ctx context.Context) ([]T, error) {
 	page, err := r.reader.ReadAll(ctx, r.table)
 	if err != nil {
 		return nil, err
 	}
-	daemons := make([]T, 0, len(page.Rows))
-	for _, row := range page.Rows {
+	r.mu.Lock()
+	rows := r.lost.merge(time.Now(), page)
+	r.mu.Unlock()
+	daemons := make([]T, 0, len(rows))
+	for _, row := range rows {
 		var daemon T
 		if err := cbor.Unmarshal(row.Value, &daemon); err != nil {
 			r.log.WithError(err).WithField("key", row.Key).Warn("Ignoring an invalid row of a daemon.")
