--- a/cmd/currantusher/store.go
+++ b/cmd/currantusher/store.go
@@ -52,6 +52,9 @@
 		_, _ = fmt.Fprintf(w, "configuration %d at revision %d: %d routes, %d services, %d teams\n",
 			c.Version, s.View.OperatorPosition.Revision, len(c.Routes), len(c.Services), len(c.Teams))
 	}
+	if s.View.Era > 0 {
+		_, _ = fmt.Fprintf(w, "era %d of the store; each daemon's is in its gauge store_era\n", s.View.Era)
+	}
 	_, _ = fmt.Fprintf(w, "%d entries and %d agents have written a row\n", len(s.Entries), len(s.Agents))
 	if out := dataCentresOut(s.View); len(out) > 0 {
 		_, _ = fmt.Fprintln(w, "data centres out:", strings.Join(out, ", "))
--- a/cmd/currantusher/store_test.go
+++ b/cmd/currantusher/store_test.go
@@ -42,7 +42,7 @@
 	var out strings.Builder
 	require.NoError(t, writeStoreStatus(&out, s))
 	text := out.String()
-	for _, want := range []string{"configuration 7", "data centres out: b", "row ignored: broken", "s-0", "m:1", "m:2", storeStatusNote} {
+	for _, want := range []string{"configuration 7", "era 1 of the store", "data centres out: b", "row ignored: broken", "s-0", "m:1", "m:2", storeStatusNote} {
 		require.Contains(t, text, want)
 	}
 	out.Reset()
--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/platform/headers"
 	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/platform/standin"
 )
 
@@ -42,6 +44,7 @@
 type deployment struct {
 	t              *testing.T
 	store          *standin.Store
+	storeAddr      string
 	origin         *standin.Origin
 	engines        []*standin.Backend
 	plainServers   []*standin.Backend
@@ -55,6 +58,7 @@
 	t.Helper()
 	d := &deployment{t: t, store: standin.NewStore(), origin: standin.NewOrigin(8, 512)}
 	storeAddr := d.startHTTPServer(d.store)
+	d.storeAddr = storeAddr
 	originAddr := d.startHTTPServer(d.origin)
 	for i, dataCentre := range []string{"a", "b"} {
 		d.engines = append(d.engines, d.startBackend("llm", modelName, dataCentre, i))
@@ -216,19 +220,36 @@
 	d.t.Helper()
 	noShare := regexp.MustCompile(`(?m)^currantusher_limits_retry_share 0$`)
 	d.eventually(func() bool {
-		response, err := http.Get("http://" + d.metricsAddrs[entry] + "/metrics")
-		if err != nil {
-			return false
-		}
-		defer func() { _ = response.Body.Close() }()
-		text, err := io.ReadAll(response.Body)
-		return err == nil && bytes.Contains(text, []byte("currantusher_limits_retry_share ")) && !noShare.Match(text)
+		text := d.metrics(entry)
+		return strings.Contains(text, "currantusher_limits_retry_share ") && !noShare.MatchString(text)
 	}, "entry %d has no share of the retries", entry)
 	for range 2 {
 		require.Equal(d.t, http.StatusOK, d.sendRequest(entry, plainHost, "POST", "/look", "", nil).status)
 	}
 }
 
+// metrics returns the metrics page of an entry, or "" if it does not reply.
+func (d *deployment) metrics(entry int) string {
+	response, err := http.Get("http://" + d.metricsAddrs[entry] + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// readRows returns all rows of a table in the store.
+func (d *deployment) readRows(table string) []rowstore.Row {
+	d.t.Helper()
+	page, err := rowstore.New(d.storeAddr).ReadAll(d.t.Context(), table)
+	require.NoError(d.t, err)
+	return page.Rows
+}
+
 func (d *deployment) eventually(condition func() bool, failure string, args ...any) {
 	d.t.Helper()
 	require.Eventually(d.t, condition, waitTimeout, 5*time.Millisecond, fmt.Sprintf(failure, args...))
--- a/daemon/deployed/end_to_end_test.go
+++ b/daemon/deployed/end_to_end_test.go
@@ -17,8 +17,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/headers"
 	"currantusher.dev/platform/standin"
+	"currantusher.dev/tables/watch"
 )
 
 func TestRequestForwardingAndRejection(t *testing.T) {
@@ -126,6 +128,33 @@
 	}, "requests are not served from version 2")
 }
 
+// Rows that only the lost past had stayed in force, and daemons did not write their own
+// again.
+func TestStoreComesBackWithoutItsLatestRows(t *testing.T) {
+	d := startDeployment(t)
+	d.eventually(func() bool {
+		return len(d.readRows(roster.EntriesTable)) == 2 && len(d.readRows(roster.AgentsTable)) == 2
+	}, "the daemons have no rows")
+	written := append(d.readRows(watch.OperatorTable), d.readRows(watch.ServersTable)...)
+	d.store.Put(watch.ServersTable, "lost", []byte("?"))
+	d.store.SetDown(true)
+	d.store.Lose(time.Minute)
+	require.Equal(t, http.StatusOK, d.sendRequest(0, plainHost, "POST", "/issue/1", "during the outage", nil).status)
+	d.store.SetDown(false)
+	for _, row := range written {
+		d.store.Put(row.Table, row.Key, row.Value)
+	}
+	d.eventually(func() bool {
+		return len(d.readRows(roster.EntriesTable)) == 2 && len(d.readRows(roster.AgentsTable)) == 2
+	}, "the daemons did not write their rows again")
+	for entry := range d.entries {
+		d.eventually(func() bool { return strings.Contains(d.metrics(entry), "currantusher_store_era 2\n") }, "entry %d did not notice the loss", entry)
+		d.eventually(func() bool {
+			return d.sendRequest(entry, streamHost, "POST", "/s/x", "after the loss", nil).status == http.StatusOK
+		}, "requests to entry %d do not succeed", entry)
+	}
+}
+
 func TestRestartedEngineLoadsWeightsAgain(t *testing.T) {
 	d := startDeployment(t)
 	d.engines[1].Start(0)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -119,6 +119,7 @@
 		OthersReachStore: func() bool { return g.gossip.PeerReachesStore() },
 		Log:              config.Log.Component("watch"),
 	})
+	roster.RegisterStoreGauges(g.registry, g.follower.View, g.roster.Rewrites)
 	g.services = newServiceSet(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -120,6 +120,7 @@
 		// l.manager is assigned below, before the follower runs.
 		OnChange: func(*watch.View) { l.manager.CheckTargets() },
 	})
+	roster.RegisterStoreGauges(l.registry, l.follower.View, l.roster.Rewrites)
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
 		Engine:             worker.New(n.BackendAddr, maxEngineConns),
