--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -124,6 +124,7 @@
 		Now:              g.clock.Now,
 		Log:              config.Log.Component("watch"),
 	})
+	roster.RegisterStoreGauges(g.registry, g.follower.View, g.roster.Rewrites)
 	g.services = newServiceSet(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
@@ -206,11 +207,23 @@
 	return roster.Relays(append(g.gossip.AliveMembers(), g.gossip.AwaitedMembers()...), g.node.Load().DataCentre)
 }
 
-func (g *Gateway) revisions() map[string]uint64 {
+// revisions returns the latest known era of the store and the revisions of the tables
+// that this entry has read in it.
+func (g *Gateway) revisions() (era uint64, revisions map[string]uint64) {
 	view := g.follower.View()
-	return map[string]uint64{
-		watch.OperatorTable: view.OperatorRevision,
-		watch.ServersTable:  view.ServerRevision,
+	revisions = map[string]uint64{}
+	for table, position := range positions(view) {
+		if position.Era == view.Era {
+			revisions[table] = position.Revision
+		}
+	}
+	return view.Era, revisions
+}
+
+func positions(view *watch.View) map[string]rowstore.Position {
+	return map[string]rowstore.Position{
+		watch.OperatorTable: view.OperatorPosition,
+		watch.ServersTable:  view.ServersPosition,
 	}
 }
 
@@ -261,6 +274,7 @@
 		g.services.run,
 		g.services.adjustRetryBudgets,
 		g.join,
+		g.keepRow,
 		g.syncFromPeers,
 		g.watchSettingsFile,
 		g.conns.run,
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -125,6 +125,7 @@
 		// l.manager is assigned below, before the follower runs.
 		OnChange: func(*watch.View) { l.manager.CheckTargets() },
 	})
+	roster.RegisterStoreGauges(l.registry, l.follower.View, l.roster.Rewrites)
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
 		Engine:             worker.New(n.BackendAddr, maxEngineConns),
@@ -202,6 +203,7 @@
 	group.Go(func() error { return l.follower.Run(ctx) })
 	group.Go(func() error { return l.manager.Run(ctx) })
 	group.Go(func() error { return l.roster.WriteWithRetry(ctx, string(l.self.ID), l.self) })
+	group.Go(func() error { return l.roster.Keep(ctx, func() uint64 { return l.follower.View().Era }) })
 	group.Go(func() error { return l.announcer.run(ctx) })
 	group.Go(func() error { return serveHTTP(ctx, l.self.Addr, l.manager.Handler()) })
 	if l.config.MetricsAddr != "" {
--- a/tables/relay/silence_test.go
+++ b/tables/relay/silence_test.go
@@ -15,7 +15,7 @@
 // which platform/rowstore adds to the wait for changes.
 type silentStore struct{ *fakeStore }
 
-func (s silentStore) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) (rowstore.Page, error) {
+func (s silentStore) Changes(ctx context.Context, _ string, _ rowstore.Position, wait time.Duration) (rowstore.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+rowstore.CallTimeout)
 	defer cancel()
 	<-ctx.Done()
@@ -35,10 +35,10 @@
 		page, err := store.ReadAll(t.Context(), table)
 		require.NoError(t, err)
 		silentSince := time.Now()
-		_, err = store.Changes(t.Context(), table, page.Revision, 5*time.Second)
+		_, err = store.Changes(t.Context(), table, page.Position(), 5*time.Second)
 		require.Error(t, err)
 		require.LessOrEqual(t, time.Since(silentSince), maxSilence)
-		_, status := cache.AllRows(table)
+		_, status := cache.AllRows(t.Context(), table, 0)
 		require.Equal(t, StatusNotCurrent, status)
 	})
 }
