--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -205,10 +205,13 @@
 	if t == nil || newest.Compare(s.NewestChange(snapshot.Table)) <= 0 {
 		return false
 	}
-	page := rowstore.Page{Rows: snapshot.Rows, Revision: snapshot.Cursor, Era: snapshot.Era}
-	if snapshot.Era == t.era {
-		page.Revision = max(snapshot.Cursor, t.cursor)
+	if snapshot.Era == t.era && snapshot.Cursor < t.cursor {
+		// The known rows are later although the revision of their newest change is not
+		// known: a page with all rows does not tell of deletions.
+		t.newestRevision = snapshot.NewestRevision
+		return false
 	}
+	page := rowstore.Page{Rows: snapshot.Rows, Revision: snapshot.Cursor, Era: snapshot.Era}
 	if !s.Replace(now, snapshot.Table, page) {
 		return false
 	}
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -189,3 +189,14 @@
 	require.True(t, view.knowsSince("m", 2))
 	require.False(t, view.knowsSince("m", 1))
 }
+
+// A daemon that has read all rows does not know the revision of a deletion. It took a
+// snapshot from before the deletion for a newer one, and kept the deleted row for good.
+func TestSnapshotFromBeforeADeletionIsNotImported(t *testing.T) {
+	behind, ahead := newLoadedState(t), NewState()
+	behind.Apply(start, ServersTable, newPage(9, serverRow("s-2", 9, nil)))
+	require.True(t, ahead.Replace(start, ServersTable, newPage(10, serverRow("s-1", 6, nil))))
+	require.False(t, ahead.Import(start, behind.Export(ServersTable)))
+	require.Equal(t, []string{"s-1"}, serverIDs(ahead.View()))
+	require.EqualValues(t, 9, ahead.NewestChange(ServersTable).Revision, "the daemon does not fetch the rows again")
+}
