--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -193,12 +193,13 @@
 	f.mu.Lock()
 	since, _ := f.state.Cursor(name)
 	era := f.state.Era()
+	wait := f.longPollTimeout(name)
 	f.mu.Unlock()
 	if since.Era < era {
 		// The other table, or a peer, has rows of a later era.
 		return rowstore.ErrHistoryGone
 	}
-	page, err := f.config.Store.Changes(ctx, name, since, f.config.LongPollTimeout)
+	page, err := f.config.Store.Changes(ctx, name, since, wait)
 	if err != nil {
 		return err
 	}
@@ -213,6 +214,17 @@
 	return nil
 }
 
+// longPollTimeout returns how long the next call for the changes of a table waits for
+// them. After a failed call it does not: times are counted from the
+// store's first reply, which a long poll would delay until the next change. The caller
+// holds mu.
+func (f *Follower) longPollTimeout(name string) time.Duration {
+	if f.failing[name] {
+		return 0
+	}
+	return f.config.LongPollTimeout
+}
+
 // update changes the state, publishes the new view and logs the changes.
 func (f *Follower) update(change func(now time.Time)) {
 	f.mu.Lock()
--- a/tables/watch/outage_end_test.go
+++ b/tables/watch/outage_end_test.go
@@ -55,10 +55,10 @@
 	return page, nil
 }
 
-func (s *outageStore) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (rowstore.Page, error) {
+func (s *outageStore) Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error) {
 	const step = 10 * time.Millisecond
 	for end := time.Now().Add(wait); ; time.Sleep(step) {
-		page, down := s.read(table, since)
+		page, down := s.read(table, since.Revision)
 		switch {
 		case ctx.Err() != nil:
 			return rowstore.Page{}, ctx.Err()
