A standstill lasts until the store has been read after it

Cause: the estimate of the time since when a version has been configured applied for one second after a standstill, and to the last standstill only.

Change: standstills add up until a call for the operators' table that began after them has a reply; that call does not wait for changes.

--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -174,6 +174,7 @@
 var errStaleReply = errors.New("the store returned an older revision of the table than before")
 
 func (f *Follower) readAll(ctx context.Context, name string) error {
+	calledAt := f.config.Now()
 	page, err := f.config.Store.ReadAll(ctx, name)
 	if err != nil {
 		return err
@@ -182,6 +183,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Replace(now, name, page)
+		f.state.markRead(name, calledAt)
 	})
 	if !applied {
 		return errStaleReply
@@ -199,6 +201,7 @@
 		// The other table, or a peer, has rows of a later era.
 		return rowstore.ErrHistoryGone
 	}
+	calledAt := f.config.Now()
 	page, err := f.config.Store.Changes(ctx, name, since, wait)
 	if err != nil {
 		return err
@@ -207,6 +210,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Apply(now, name, page)
+		f.state.markRead(name, calledAt)
 	})
 	if !applied {
 		return rowstore.ErrHistoryGone
@@ -215,11 +219,11 @@
 }
 
 // longPollTimeout returns how long the next call for the changes of a table waits for
-// them. After a failed call it does not: times are counted from the
+// them. After a failed call or a standstill it does not: times are counted from the
 // store's first reply, which a long poll would delay until the next change. The caller
 // holds mu.
 func (f *Follower) longPollTimeout(name string) time.Duration {
-	if f.failing[name] {
+	if f.failing[name] || f.state.isCatchingUp() {
 		return 0
 	}
 	return f.config.LongPollTimeout
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -89,7 +89,8 @@
 	// is set during an outage.
 	storeUpAt time.Time
 	storeDown bool
-	// standstill is the last time span in which the process did not run.
+	// standstill is the time span of the standstills after which the operators' table
+	// has not been read yet; zero if there is none.
 	standstill timeSpan
 	events     []Event
 }
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -9,29 +9,39 @@
 	"currantusher.dev/core/fleet"
 )
 
-const (
-	// minSinceCorrection is the least correction of the time since when a version has
-	// been configured. Reports of peers differ by the time that datagrams take.
-	minSinceCorrection = 50 * time.Millisecond
-	// catchUpTime is the time after a standstill of the process within which rows
-	// arrive that were accepted during it.
-	catchUpTime = time.Second
-)
+// minSinceCorrection is the least correction of the time since when a version has
+// been configured. Reports of peers differ by the time that datagrams take.
+const minSinceCorrection = 50 * time.Millisecond
 
 type timeSpan struct{ from, until time.Time }
 
-// MarkStandstill records that the process did not run between two times.
+// MarkStandstill records that the process did not run between two times. If the store
+// was not read since an earlier standstill, both count as one.
 func (s *State) MarkStandstill(from, until time.Time) {
+	if s.isCatchingUp() {
+		from = s.standstill.from
+	}
 	s.standstill = timeSpan{from: from, until: until}
 }
 
+// isCatchingUp reports whether versions may have been accepted during a standstill that
+// this daemon has not read yet.
+func (s *State) isCatchingUp() bool { return !s.standstill.until.IsZero() }
+
+// markRead records that a call for a table that began at calledAt got a reply.
+func (s *State) markRead(name string, calledAt time.Time) {
+	if name == OperatorTable && !calledAt.Before(s.standstill.until) {
+		s.standstill = timeSpan{}
+	}
+}
+
 // newTarget returns a version that was read at now, with the time since when it has been
 // configured as far as this daemon can tell.
 func (s *State) newTarget(now time.Time, version fleet.WeightsVersion, isFirstRead bool) TargetVersion {
 	switch {
 	case isFirstRead:
 		return TargetVersion{Version: version}
-	case !s.standstill.until.IsZero() && now.Sub(s.standstill.until) < catchUpTime:
+	case s.isCatchingUp():
 		return TargetVersion{Version: version, Since: s.standstill.from, IsEstimate: true}
 	default:
 		return TargetVersion{Version: version, Since: now}
