Failing test: the late failure of a call is taken for another outage

Fault: calls that hang in an outage of the store fail up to 5 s after its end, when other calls have had replies since. Their failure marks the store as down again, until the next reply, which takes up to 5 s more where nothing changes. Rows that are removed meanwhile count as expired in an outage, and lapsed ones do not expire at all.

--- a/tables/watch/outage_end_test.go
+++ b/tables/watch/outage_end_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	changes map[string][]rowstore.Row
 	down    bool
+	// hangingTable is the table whose calls during an outage fail long after its end.
+	hangingTable string
 }
 
 func (s *outageStore) setDown(down bool) {
@@ -62,6 +64,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return rowstore.Page{}, ctx.Err()
+		case down && table == s.hangingTable:
+			time.Sleep(wait + 2*time.Second)
+			return rowstore.Page{}, errStoreDown
 		case down:
 			return rowstore.Page{}, errStoreDown
 		case len(page.Rows) > 0 || time.Now().After(end):
@@ -70,6 +75,24 @@
 	}
 }
 
+// runFollower runs a Follower of both tables. The function that it returns ends it.
+func runFollower(t *testing.T, store Store) (f *Follower, stop func()) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	f = NewFollower(Config{Store: store, Tables: []string{OperatorTable, ServersTable}, Log: log.WithField("test", t.Name()), Now: time.Now})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	return f, func() {
+		cancel()
+		<-done
+	}
+}
+
 // Guards against an entry that takes a row for one that expired in an outage of the
 // store, because its calls to the store were quiet since the end of that outage.
 func TestRowRemovedLongAfterAnOutageIsThatOfAGoneServer(t *testing.T) {
@@ -77,19 +100,8 @@
 		store := &outageStore{changes: map[string][]rowstore.Row{}}
 		store.add(configRow(3, 5))
 		store.add(serverRow("s-1", 6, nil))
-		log := logrus.New()
-		log.SetOutput(t.Output())
-		f := NewFollower(Config{Store: store, Tables: []string{OperatorTable, ServersTable}, Log: log.WithField("test", t.Name()), Now: time.Now})
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = f.Run(ctx)
-		}()
-		defer func() {
-			stop()
-			<-done
-		}()
+		f, stop := runFollower(t, store)
+		defer stop()
 		time.Sleep(startTime + time.Second)
 		require.Equal(t, []string{"s-1"}, serverIDs(f.View()))
 		store.setDown(true)
@@ -101,3 +113,26 @@
 		require.Empty(t, serverIDs(f.View()), "a server whose row is removed so long after an outage has left")
 	})
 }
+
+// Guards against an entry that takes the late failure of a call that began in an outage
+// for another outage.
+func TestCallThatFailsAfterAnOutageIsNotAnotherOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &outageStore{changes: map[string][]rowstore.Row{}, hangingTable: OperatorTable}
+		store.add(configRow(3, 5))
+		store.add(serverRow("s-1", 6, nil))
+		f, stop := runFollower(t, store)
+		defer stop()
+		time.Sleep(startTime + time.Second)
+		store.setDown(true)
+		time.Sleep(5 * time.Second)
+		store.setDown(false)
+		time.Sleep(time.Second)
+		store.add(serverRow("s-2", 7, nil))
+		time.Sleep(lapsedRowGrace)
+		require.Equal(t, []string{"s-1", "s-2"}, serverIDs(f.View()))
+		store.add(rowstore.Row{Table: ServersTable, Key: "s-1", Revision: 8, Deleted: true})
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"s-2"}, serverIDs(f.View()), "the store has replied since the outage")
+	})
+}
