Only a call that began after the store's last reply tells of an outage

Change: a failure counts if the store has not replied, and the process has run, since the call began.

--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -104,6 +104,8 @@
 	// lastCheck is the time of the last check for a standstill, and lastCheckSteady
 	// that time on the steady clock.
 	lastCheck, lastCheckSteady time.Time
+	// runningSince is the end of the last standstill.
+	runningSince time.Time
 }
 
 // NewFollower returns a Follower with an empty View.
@@ -143,6 +145,7 @@
 	startedAt := f.config.Now()
 	for ctx.Err() == nil {
 		var err error
+		calledAt := f.config.Now()
 		if readAllRows {
 			err = f.readAll(ctx, name)
 		} else {
@@ -160,7 +163,7 @@
 			readAllRows = true
 			wait = 0
 		case err != nil:
-			f.handleFailure(name, err)
+			f.handleFailure(name, calledAt, err)
 			wait = f.config.RetryDelay/2 + rand.N(f.config.RetryDelay)
 		default:
 			f.handleReply(name)
@@ -261,6 +264,7 @@
 		return
 	}
 	f.state.MarkStandstill(last, now)
+	f.runningSince = now
 	f.config.Log.WithFields(logrus.Fields{
 		"ms": now.Sub(last).Milliseconds(), "steady_clock_ms": f.lastCheckSteady.Sub(lastSteady).Milliseconds(),
 	}).Warn("This process did not run for some time.")
@@ -285,11 +289,13 @@
 	return f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
 }
 
-func (f *Follower) handleFailure(name string, err error) {
+func (f *Follower) handleFailure(name string, calledAt time.Time, err error) {
 	f.mu.Lock()
+	f.checkStandstill(f.config.Now())
 	isFirst := !f.failing[name]
 	f.failing[name] = true
-	if f.config.OthersReachStore == nil || !f.config.OthersReachStore() {
+	othersReachStore := f.config.OthersReachStore != nil && f.config.OthersReachStore()
+	if !othersReachStore && f.indicatesOutage(calledAt) {
 		f.state.MarkStoreDown()
 	}
 	f.mu.Unlock()
@@ -298,6 +304,14 @@
 	}
 }
 
+// indicatesOutage reports whether the failure of a call that began at calledAt indicates an
+// outage of the store. It does not if the store has replied to another call since, or if
+// the call expired during a standstill of this process; the next call tells then. The
+// caller holds mu.
+func (f *Follower) indicatesOutage(calledAt time.Time) bool {
+	return f.lastReply.Load() <= calledAt.UnixNano() && !calledAt.Before(f.runningSince)
+}
+
 // ReachesStore reports whether the store replied to the last call for each
 // table.
 func (f *Follower) ReachesStore() bool {
--- a/tables/watch/outage_end_test.go
+++ b/tables/watch/outage_end_test.go
@@ -136,3 +136,18 @@
 		require.Equal(t, []string{"s-2"}, serverIDs(f.View()), "the store has replied since the outage")
 	})
 }
+
+// Guards against an entry that keeps servers which left during its standstill, because its
+// own calls expired meanwhile.
+func TestCallThatExpiresInAStandstillIsNoOutage(t *testing.T) {
+	f, now := newTestFollower(t)
+	require.True(t, f.Import(Snapshot{Table: ServersTable, NewestRevision: 6, Cursor: 6, Rows: []rowstore.Row{serverRow("s-1", 6, nil)}}))
+	calledAt := *now
+	*now = now.Add(8 * time.Second)
+	f.handleFailure(ServersTable, calledAt, errStoreDown)
+	f.update(func(now time.Time) {
+		f.state.MarkStoreUp(now)
+		f.state.Apply(now, ServersTable, newPage(7, rowstore.Row{Table: ServersTable, Key: "s-1", Revision: 7, Deleted: true}))
+	})
+	require.Empty(t, f.View().Servers)
+}
