--- a/daemon/loader/agents.go
+++ b/daemon/loader/agents.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core/pause"
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/records"
+	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/tables/watch"
 	"currantusher.dev/weights/staging"
 )
@@ -62,12 +64,19 @@
 }
 
 func (l *agentList) read(ctx context.Context) ([]staging.Agent, error) {
-	agents, err := l.roster.Read(ctx)
-	if err != nil {
-		return nil, err
-	}
-	page, err := l.reader.ReadAll(ctx, watch.ServersTable)
-	if err != nil {
+	var agents []staging.Agent
+	var page rowstore.Page
+	// Each of the two reads may have to wait until a relay is found to be unresponsive.
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		agents, err = l.roster.Read(groupCtx)
+		return err
+	})
+	group.Go(func() (err error) {
+		page, err = l.reader.ReadAll(groupCtx, watch.ServersTable)
+		return err
+	})
+	if err := group.Wait(); err != nil {
 		return nil, err
 	}
 	engineAddrs := map[string]bool{}
