watch: changes up to the cursor are not applied again

State forgets deleted rows, so that a row that was deleted in between came back for good. Change: Apply skips rows up to the cursor, which the known rows reflect. Result: TestChangesBeforeTheCursorAreNotApplied fails before and passes now.

--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -179,7 +179,10 @@
 		return false
 	}
 	for _, row := range page.Rows {
-		s.apply(now, t, row, false)
+		// Deleted rows are forgotten, so that an earlier change would bring them back.
+		if row.Revision > t.cursor {
+			s.apply(now, t, row, false)
+		}
 	}
 	t.cursor = max(t.cursor, page.Revision)
 	return true
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -200,3 +200,16 @@
 	require.Equal(t, []string{"s-1"}, serverIDs(ahead.View()))
 	require.EqualValues(t, 9, ahead.NewestChange(ServersTable).Revision, "the daemon does not fetch the rows again")
 }
+
+// The response to a call for changes may arrive after a peer's snapshot with later rows.
+// A row that was deleted in between came back for good.
+func TestChangesBeforeTheCursorAreNotApplied(t *testing.T) {
+	s := newLoadedState(t)
+	peer := newLoadedState(t)
+	changes := newPage(9, serverRow("s-2", 9, nil))
+	peer.Apply(start, ServersTable, changes)
+	peer.Apply(start, ServersTable, newPage(10, rowstore.Row{Table: ServersTable, Key: "s-2", Revision: 10, Deleted: true}))
+	require.True(t, s.Import(start, peer.Export(ServersTable)))
+	s.Apply(start, ServersTable, changes)
+	require.Equal(t, []string{"s-1"}, serverIDs(s.View()))
+}
