watch: a lost evacuation ends only when operators' rows are read

Cause: a daemon without contact brought a data centre in five seconds after a loss, although operators may have written the evacuation again. Change: lost evacuations expire with a page of the operators' rows. Result: TestLostEvacuationHoldsUntilItIsWrittenAgain has the case; it failed when Expire ended evacuations.

--- a/tables/watch/era.go
+++ b/tables/watch/era.go
@@ -107,14 +107,15 @@
 	s.addEvent(row, "data-centre", "the store has lost the row; the data centre stays out for now")
 }
 
-// expireEvacuations brings data centres in whose rows were not written again.
-func (s *State) expireEvacuations(now time.Time) bool {
-	if len(s.lapsedEvacuations) == 0 || now.Sub(s.storeUpAt) < lapsedEvacuationGrace {
-		return false
+// expireEvacuations brings data centres in whose rows were not written again. It is
+// called when the operators' rows were read: a daemon that cannot read them does not
+// know whether they were written again.
+func (s *State) expireEvacuations(now time.Time) {
+	if now.Sub(s.storeUpAt) < lapsedEvacuationGrace {
+		return
 	}
 	for _, centre := range slices.Sorted(maps.Keys(s.lapsedEvacuations)) {
 		s.bringIn(now, centre)
 		s.events = append(s.events, Event{Subject: "data-centre", Key: string(centre), Detail: "in: the lost row was not written again"})
 	}
-	return true
 }
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -292,7 +292,7 @@
 		case <-ticker.C:
 		}
 		f.mu.Lock()
-		pending := f.state.HasLapsedRows()
+		pending := f.state.HasLapsedServers()
 		f.mu.Unlock()
 		if pending {
 			f.update(func(now time.Time) { f.state.Expire(now) })
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -168,6 +168,9 @@
 	t.era = page.Era
 	t.cursor = page.Revision
 	t.loaded = true
+	if name == OperatorTable {
+		s.expireEvacuations(now)
+	}
 	return true
 }
 
@@ -185,6 +188,9 @@
 		}
 	}
 	t.cursor = max(t.cursor, page.Revision)
+	if name == OperatorTable {
+		s.expireEvacuations(now)
+	}
 	return true
 }
 
@@ -260,13 +266,13 @@
 }
 
 // Expire removes backend servers whose rows were not written again within
-// lapsedRowGrace after an outage or a loss of the store, and lost evacuations after
-// lapsedEvacuationGrace. It reports whether it removed any.
+// lapsedRowGrace after an outage or a loss of the store. It reports whether it removed
+// any.
 func (s *State) Expire(now time.Time) bool {
 	if s.storeDown {
 		return false
 	}
-	changed := s.expireEvacuations(now)
+	changed := false
 	for id, state := range s.servers {
 		if !state.lapsedAt.IsZero() && now.Sub(s.storeUpAt) >= lapsedRowGrace {
 			delete(s.servers, id)
@@ -300,12 +306,8 @@
 	return true
 }
 
-// HasLapsedRows reports whether there are servers or evacuations that Expire may
-// remove.
-func (s *State) HasLapsedRows() bool {
-	if len(s.lapsedEvacuations) > 0 {
-		return true
-	}
+// HasLapsedServers reports whether there are servers that Expire may remove.
+func (s *State) HasLapsedServers() bool {
 	for _, state := range s.servers {
 		if !state.lapsedAt.IsZero() {
 			return true
