--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -347,7 +347,7 @@
 		}
 		f.mu.Lock()
 		f.checkStandstill(f.config.Now())
-		pending := f.state.HasLapsedRows()
+		pending := f.state.HasLapsedServers()
 		f.mu.Unlock()
 		if pending {
 			f.update(func(now time.Time) { f.state.Expire(now) })
