--- a/core/fleet/headers.go
+++ b/core/fleet/headers.go
@@ -24,6 +24,8 @@
 	// ColdRemaining is how much longer the backend server is cold, in
 	// milliseconds.
 	ColdRemaining string
+	// Leaving says that the backend server is leaving and wants no new requests.
+	Leaving string
 	// Model names the model that a request needs.
 	Model string
 	// TokenCounts holds the number of prompt tokens and the maximum number of
