fair, dispatch: refuse at once while all servers are closed by their own word

Cause: requests waited for up to 1.5 s in the queue although every server had asked for a pause, and then got a Retry-After that had nothing to do with the end of the pauses.

Change: code 217 server-closed. A Closure (time of the first opening, slots, detail) refuses arriving and waiting requests; their callers return one after the other at the rate of the slots that open, or spread over their wait if that is shorter. An attempt that the sender ends before anything is sent, because the server has closed since it was picked, costs no attempt, no retry and no ejection. A stream that has begun waits for the opening. The time of a closure does not count as an outage afterwards.

--- a/core/code.go
+++ b/core/code.go
@@ -65,6 +65,7 @@
 	CodeEngineNotServing  Code = 214
 	CodeTombstoned        Code = 215
 	CodeAlreadyDispatched Code = 216
+	CodeServerClosed      Code = 217
 
 	CodeIncomplete       Code = 300
 	CodeEngineFailed     Code = 301
@@ -138,6 +139,7 @@
 	{CodeEngineNotServing, "engine-not-serving", 503, "The engine is not serving."},
 	{CodeTombstoned, "tombstoned", 503, "The attempt was cancelled before it started."},
 	{CodeAlreadyDispatched, "already-dispatched", 409, "The agent has already received this attempt."},
+	{CodeServerClosed, "server-closed", 503, "The backend server has announced that it is leaving or that it wants no requests for some time."},
 	{CodeIncomplete, "incomplete", 502, "The answer ended without an end frame."},
 	{CodeEngineFailed, "engine-failed", 502, "The backend server answered with an error."},
 	{CodeCrossedAnswer, "crossed-answer", 502, "The backend server returned the answer to another request."},
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -52,6 +52,8 @@
 		return placement.Inconclusive
 	case core.CodeOf(err) == core.CodeEngineFailed:
 		return placement.Failed
+	case answer.end == nil && core.CodeOf(err) == core.CodeServerClosed:
+		return placement.Inconclusive
 	case answer.end != nil && isAgentUnavailable(err):
 		return placement.Unavailable
 	case answer.end != nil && core.ExecutionOf(err) == core.ExecutionNotRun:
@@ -90,10 +92,15 @@
 	callCtx, cancel := x.attemptContext(ctx)
 	defer cancel()
 	sent := x.config.Now()
+	x.unsent = false
 	stream, err := x.sender().Send(callCtx, agent, x.dispatchMessage(id, agent))
 	if isNotConnected(err) {
 		return core.NewRefusal(core.CodeAgentUnreachable, 0, "agent %s: %v", agent.ID, err)
 	}
+	if err != nil && core.ExecutionOf(err) == core.ExecutionNotRun {
+		x.unsent = true
+		return err
+	}
 	if err == nil {
 		var startTimer *time.Timer
 		if x.startTimeout() > 0 && !x.request.AtMostOnce {
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -37,7 +37,9 @@
 }
 
 // Sender sends messages to agents. An error of Send that wraps
-// wire.ErrNotConnected means that nothing was sent.
+// wire.ErrNotConnected means that nothing was sent. One that carries
+// core.ExecutionNotRun means that nothing was sent because the agent has been closed
+// since it was picked; another one is then picked.
 type Sender interface {
 	Send(ctx context.Context, agent placement.Candidate, message wire.Dispatch) (ReplyStream, error)
 	Tombstone(ctx context.Context, agent placement.Candidate, message wire.Tombstone) (wire.TombstoneReply, error)
@@ -164,6 +166,9 @@
 	Sender Sender
 	// Candidates, if set, overrides Config.Candidates for this request.
 	Candidates func() []placement.Candidate
+	// Closure, if set, returns the closure of all servers that could serve the request,
+	// or nil. The request is then refused immediately.
+	Closure func() *fair.Closure
 	// MaxAttempts overrides Config.MaxAttempts when above 0.
 	MaxAttempts int
 	// StartTimeout overrides Config.StartTimeout when above 0.
@@ -225,13 +230,10 @@
 			return err
 		}
 	}
-	grant, err := d.queue(request).Acquire(ctx, fair.Request{
-		Team:     request.Team,
-		Priority: request.Priority,
-		Deadline: request.queueDeadline(),
-		StartBy:  request.StartBy,
-		Late:     request.ObjectiveMissed,
-	})
+	if err := d.refuseClosed(request); err != nil {
+		return err
+	}
+	grant, err := d.queue(request).Acquire(ctx, request.queueRequest())
 	if err != nil {
 		return err
 	}
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"currantusher.dev/core"
@@ -31,6 +30,9 @@
 	temporaryRefusals int
 	// mayHaveRun is set when an attempt is not proven not to have run.
 	mayHaveRun bool
+	// unsent is set when the last attempt ended before anything was sent because the
+	// picked agent had been closed meanwhile.
+	unsent bool
 	// unprovenAttempts counts the attempts that may have run.
 	unprovenAttempts int
 	// candidateCount is the number of servers that the last pick chose from.
@@ -118,6 +120,14 @@
 		if !handedOver {
 			agent, err = x.pickAgent(ctx, placer)
 		}
+		if err != nil {
+			if x.waitForOpening(ctx) {
+				continue
+			}
+			if closedErr := x.refuseClosed(x.request); closedErr != nil {
+				return x.finalError(lastErr, closedErr)
+			}
+		}
 		if err != nil && isTemporaryRefusal(lastErr) {
 			// Every agent was tried; the last one may accept the request soon.
 			if err = x.requeue(ctx); err == nil {
@@ -153,12 +163,16 @@
 // afterFailure prepares another attempt after a failed one, or returns the
 // reason why there is none.
 func (x *execution) afterFailure(ctx context.Context, placer *placement.Placer, lastErr error) error {
-	if isTemporaryRefusal(lastErr) {
+	if isTemporaryRefusal(lastErr) || x.unsent {
 		x.temporaryRefusals++
 	}
 	if !x.mayRetry(ctx, lastErr) {
 		return lastErr
 	}
+	if x.unsent {
+		// No server has worked on the attempt, so it takes no retry from the budget.
+		return nil
+	}
 	return x.prepareRetry(ctx, placer, lastErr)
 }
 
@@ -321,19 +335,6 @@
 	return x.withRetryAfter(err)
 }
 
-// withRetryAfter adds the retry delay to a refusal, unless retrying the same
-// request cannot succeed.
-func (x *execution) withRetryAfter(err error) error {
-	code := core.CodeOf(err)
-	if core.ExecutionOf(err) != core.ExecutionNotRun || core.RetryAfterOf(err) > 0 {
-		return err
-	}
-	if code.Info().HTTPStatus < http.StatusTooManyRequests || code == core.CodeCancelled {
-		return err
-	}
-	return core.NewRefusal(code, x.queue(x.request).RetryAfter(x.request.Team), "%s", core.DetailOf(err))
-}
-
 // tombstoneReserve returns the time to reserve before the deadline for a
 // tombstone.
 func (x *execution) tombstoneReserve() time.Duration {
--- a/requests/fair/estimate.go
+++ b/requests/fair/estimate.go
@@ -27,12 +27,15 @@
 	s.capacity = capacity
 }
 
-// isUnavailable reports whether there has been no capacity for OutageWait, so
-// that requests are refused instead of queued.
+// isUnavailable reports whether requests are refused instead of queued: all servers
+// have announced that they accept none, or there has been no capacity for OutageWait.
 func (s *state) isUnavailable(now time.Time) bool {
 	if s.limit() > 0 {
 		return false
 	}
+	if s.closure != nil {
+		return true
+	}
 	return s.config.OutageWait <= 0 || s.noCapacitySince.IsZero() || now.Sub(s.noCapacitySince) >= s.config.OutageWait
 }
 
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -29,6 +29,9 @@
 	// Capacity returns how many requests this entry may run at once. It is
 	// called at most once per UpdatePeriod.
 	Capacity func() int
+	// Closure returns the closure of all servers, or nil; it is called with Capacity.
+	// During a closure requests are refused immediately.
+	Closure func() *Closure
 	// MaxQueue bounds the waiting requests of each team.
 	MaxQueue int
 	// ExpectedRunTime is the initial estimate of the mean run time of a request.
@@ -60,6 +63,9 @@
 	if c.Capacity == nil {
 		c.Capacity = func() int { return 1 }
 	}
+	if c.Closure == nil {
+		c.Closure = func() *Closure { return nil }
+	}
 	if c.MaxQueue <= 0 {
 		c.MaxQueue = DefaultMaxQueue
 	}
@@ -147,6 +153,7 @@
 	if q.lastUpdate.IsZero() || now.Sub(q.lastUpdate) >= q.config.UpdatePeriod {
 		q.lastUpdate = now
 		q.state.setCapacity(now, q.config.Capacity())
+		q.state.setClosure(now, q.config.Closure())
 		q.state.sweep(now)
 	}
 	change(now)
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -76,8 +76,12 @@
 	capacity     int
 	// noCapacitySince is when the capacity became 0; zero while it is positive.
 	noCapacitySince time.Time
-	window          float64
-	lastShrink      time.Time
+	// closure is set while all servers have announced that they accept no requests.
+	closure *Closure
+	// nextReturn is the next free turn of the callers that return after a closure.
+	nextReturn time.Time
+	window     float64
+	lastShrink time.Time
 	// grantsResumeAt is the time until which no slots are granted after a requeue.
 	grantsResumeAt time.Time
 	running        int
@@ -101,7 +105,7 @@
 	request.Cost = max(request.Cost, 1)
 	owner := s.team(request.Team)
 	if s.isUnavailable(now) {
-		return nil, core.NewRefusal(core.CodeNoBackend, s.retryAfterFor(now, request), "no backend server accepts requests")
+		return nil, s.refuseUnavailable(now, request)
 	}
 	if len(owner.waiting) >= s.config.MaxQueue {
 		return nil, core.NewRefusal(core.CodeQueueFull, s.retryAfterFor(now, request), "queue of team %q is full", request.Team)
@@ -223,11 +227,18 @@
 
 func (s *state) refuseWaiting(now time.Time, request Request) error {
 	if s.isUnavailable(now) {
-		return core.NewRefusal(core.CodeNoBackend, s.retryAfterFor(now, request), "no backend server accepts requests")
+		return s.refuseUnavailable(now, request)
 	}
 	return s.refuseDeadlineShort(now, request)
 }
 
+func (s *state) refuseUnavailable(now time.Time, request Request) error {
+	if s.closure != nil {
+		return s.refuseClosed(now, *s.closure, request)
+	}
+	return core.NewRefusal(core.CodeNoBackend, s.retryAfterFor(now, request), "no backend server accepts requests")
+}
+
 func (s *state) reject(t *ticket, err error) {
 	t.phase = phaseClosed
 	s.decisions = append(s.decisions, decision{ticket: t, err: err})
