Entries heed what servers announce in their answers

Cause: an entry went on sending requests to a server whose answers announce that it is leaving, and to one that had refused with Retry-After; the server's Retry-After reached the caller, also as NaN or a huge number.

Change: the entry reads both headers from the head of every answer, leaves such servers out when it picks, and checks once more before it writes a request. The limit of a server grows gradually after its pause. The server's Retry-After no longer reaches callers.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -9,6 +9,7 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/placement"
 )
@@ -221,6 +222,7 @@
 		Stream:            c.route.Kind == fleet.RouteStreaming,
 		Sender:            exchange,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
+		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
 		StartTimeout:      max(startTimeoutObjectives*c.route.LatencyObjective, minStartTimeout),
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"currantusher.dev/requests/attempt"
 	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/stall"
 	"currantusher.dev/requests/upstream"
@@ -64,6 +65,7 @@
 	coldCounter   *coldlimit.Counter
 	observations  *serverObservations
 	pauses        *pauses.Set
+	notices       *notices.Set
 	stallDetector *stall.Detector
 	conns         *callerConns
 	// activity tells whether this entry takes callers' requests; activityMu guards it.
@@ -99,6 +101,7 @@
 		coldCounter:   coldlimit.NewCounter(),
 		observations:  newServerObservations(),
 		pauses:        pauses.NewSet(),
+		notices:       notices.NewSet(),
 		stallDetector: stall.NewDetector(),
 		registry:      metrics.NewRegistry(),
 		log:           config.Log.Component("entry"),
@@ -277,6 +280,7 @@
 		g.coldCounter.Sweep(now)
 		g.observations.sweep(now)
 		g.pauses.Sweep(now)
+		g.sweepNotices(now)
 	})
 }
 
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -13,6 +13,7 @@
 	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/tables/watch"
 )
@@ -129,6 +130,7 @@
 		OutageWait:      maxOutageWait,
 		MaxWaitFraction: maxWaitFraction,
 		UpdatePeriod:    queueCheckPeriod,
+		Closure:         func() *fair.Closure { return g.closure(requirements{service: fleet.ServiceName(name)}) },
 		Seed:            uint64(g.incarnation),
 	})
 	state.placer.SetRetryBurst(s.retryShare())
@@ -259,7 +261,7 @@
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
-		if !isAllowedByAll(r.regions, region) || !g.hasWeights(server, r.model, minVersion) {
+		if !isAllowedByAll(r.regions, region) || !g.hasWeights(server, r.model, minVersion) || g.isClosed(now, server) {
 			continue
 		}
 		pauseStart := g.pauseStart(now, server, r.model)
@@ -305,19 +307,20 @@
 	return remaining
 }
 
-// concurrencyLimit returns how many requests a server may run at once. After a
-// pause an engine is empty: if all of its slots were filled at once, the prompts
-// would delay each other. So the limit grows at the rate at which the engine can
-// complete requests.
+// concurrencyLimit returns how many requests a server may run at once. It grows
+// gradually after a pause. An engine is empty then: if all of its slots were filled at
+// once, the prompts would delay each other. So its limit grows at the rate at which it
+// can complete requests.
 func (g *Gateway) concurrencyLimit(now time.Time, service *fleet.Service, server *watch.Server) int {
-	limit := server.Slots
-	if limit <= 0 {
-		limit = defaultSlots
-	}
+	limit := slotsOf(server)
+	askedPauseEnd := g.notices.PauseEnd(lifetimeOf(server))
 	if service.Engine == nil || !service.Engine.Timing.IsKnown() {
-		return limit
+		return notices.RampLimit(now, askedPauseEnd, limit)
 	}
 	pauseEnd := g.pauses.LastPauseEnd(server.Addr)
+	if askedPauseEnd.After(pauseEnd) {
+		pauseEnd = askedPauseEnd
+	}
 	if pauseEnd.IsZero() {
 		return limit
 	}
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -28,6 +28,9 @@
 	if !server.PauseStart.IsZero() {
 		fields["closes_in_ms"] = server.PauseStart.Sub(now).Milliseconds()
 	}
+	if closed := t.gateway.closedServers(now, t.call.service); len(closed) > 0 {
+		fields["closed"] = closed
+	}
 	if sentBytes > 0 {
 		fields["resumed_after_bytes"] = sentBytes
 	}
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -9,6 +9,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
@@ -24,6 +25,12 @@
 
 // Observer receives events about requests to backend servers.
 type Observer interface {
+	// CheckOpen returns a refusal if the server accepts no requests from this entry. It
+	// is called after the connection was made and before the request is written, since
+	// the server may have closed while the request waited.
+	CheckOpen(server notices.Lifetime) error
+	// NoticeReceived reports what an answer of the server announces.
+	NoticeReceived(server notices.Lifetime, notice notices.Notice)
 	// BeforeSend is called before a request is written to a server.
 	BeforeSend(server core.InstanceID)
 	// AnswerReceived reports two header fields of a server's answer: the version
@@ -32,7 +39,7 @@
 	// StartAttempt is called after a request was written to a server. cancel
 	// aborts the attempt; it is nil if the request must not be sent again.
 	StartAttempt(server core.InstanceID, cancel func()) AttemptObserver
-	// InvalidHeader reports an answer header whose value is not a number.
+	// InvalidHeader reports an answer header whose value is ignored.
 	InvalidHeader(server core.InstanceID, header string, err error)
 }
 
@@ -137,6 +144,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", wire.ErrNotConnected, err)
 	}
+	lifetime := notices.Lifetime{Server: server.ID, Incarnation: server.Incarnation}
+	if err := e.observer.CheckOpen(lifetime); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	stopCloseOnDone := context.AfterFunc(ctx, conn.Close)
 	if e.attempts == 0 {
 		e.firstSentAt = time.Now()
@@ -155,7 +167,7 @@
 		cancel = conn.Close
 	}
 	attemptObserver := e.observer.StartAttempt(server.ID, cancel)
-	return &replyStream{exchange: e, conn: conn, server: server.ID, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
+	return &replyStream{exchange: e, conn: conn, server: server.ID, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
 }
 
 // maySendAgain reports whether another server may get the request after the current
@@ -198,6 +210,8 @@
 func (e *Exchange) WriteFailure(f *Failure) error {
 	header := e.writer.Header()
 	copyAnswerHeader(header, f.Header)
+	// The time is for the entry's requests to this server, not for the caller's.
+	header.Del(notices.RetryAfterHeader)
 	header.Set("Content-Length", fmt.Sprint(len(f.Body)))
 	e.writer.WriteHeader(f.Status)
 	_, err := e.writer.Write(f.Body)
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -12,6 +12,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
 )
@@ -31,6 +32,8 @@
 	exchange *Exchange
 	conn     *upstream.Conn
 	server   core.InstanceID
+	// lifetime is the server's process as listed when the request was sent.
+	lifetime notices.Lifetime
 	// stopCloseOnDone stops closing the connection when the context ends. It
 	// returns false if the connection is already being closed.
 	stopCloseOnDone func() bool
@@ -83,9 +86,10 @@
 		return wire.AnswerFrame{}, err
 	}
 	s.reportAnswer()
+	notice := s.readNotice()
 	switch {
 	case s.isNotRun():
-		return s.endRefused()
+		return s.endRefused(notice)
 	case response.StatusCode >= http.StatusInternalServerError:
 		return s.endFailed()
 	}
@@ -141,22 +145,25 @@
 
 // endRefused returns the end frame of an attempt that the backend server did not
 // run.
-func (s *replyStream) endRefused() (wire.AnswerFrame, error) {
+func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
 		s.Cancel()
 	} else {
 		s.releaseConn()
 	}
-	seconds := s.numericHeader("Retry-After")
+	// The entry never exceeds a server's slots. A refusal therefore means that the
+	// server is loading weights, is leaving, or is not the server that the request was
+	// meant for, unless it says that it wants a pause.
+	code, detail := core.CodeEngineNotServing, fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode)
+	if notice.Pause > 0 {
+		code = core.CodeServerClosed
+		detail += fmt.Sprintf(" and wants no requests for %v", notice.Pause)
+	}
 	return wire.AnswerFrame{End: &wire.AnswerEnd{
 		RequestID: s.exchange.request.ID,
-		// The entry never exceeds a server's slots. A refusal therefore means
-		// that the server is loading weights, is leaving, or is not the server
-		// that the request was meant for.
-		Code:             core.CodeEngineNotServing,
-		Execution:        core.ExecutionNotRun,
-		Detail:           fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode),
-		RetryAfterMillis: int64(seconds * 1000),
+		Code:      code,
+		Execution: core.ExecutionNotRun,
+		Detail:    detail,
 	}}, nil
 }
 
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -15,6 +15,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
@@ -23,7 +24,7 @@
 var testHeaderNames = fleet.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", Signature: "X-Seal", Team: "X-Team",
 	ExpectServer: "X-Expect", ServerID: "X-Server", NotExecuted: "X-Not-Run", ColdRemaining: "X-Cold", Model: "X-Model",
-	Priority: "X-Priority", WeightsVersion: "X-Version", ExpectedVersion: "X-Expect-Version", EnginePath: "X-Path", APIKey: "X-Key",
+	Priority: "X-Priority", WeightsVersion: "X-Version", ExpectedVersion: "X-Expect-Version", EnginePath: "X-Path", APIKey: "X-Key", Leaving: "X-Leaving",
 }
 
 type nopObserver struct{}
@@ -36,6 +37,10 @@
 
 func (nopAttempt) Close() {}
 
+func (nopObserver) CheckOpen(notices.Lifetime) error { return nil }
+
+func (nopObserver) NoticeReceived(notices.Lifetime, notices.Notice) {}
+
 func (nopObserver) BeforeSend(core.InstanceID) {}
 
 func (nopObserver) AnswerReceived(core.InstanceID, fleet.Model, fleet.WeightsVersion, time.Duration) {
