Tests of announcements: running streams, short pauses, log lines; look no further than the first open server

Change: tests that a stream of a leaving server goes on while new ones go elsewhere, that random pauses of all servers are kept to the millisecond, and that the log and the counters name the announcements. The entry stops to look for a closure at the first server that is open.

--- a/daemon/deployed/notices_test.go
+++ b/daemon/deployed/notices_test.go
@@ -1,13 +1,17 @@
 package deployed
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/platform/headers"
 	"currantusher.dev/platform/standin"
 )
 
@@ -57,6 +61,50 @@
 	}, "the restarted server gets no requests")
 }
 
+// openStream sends a request for a stream to entry 0 and returns after the head of the
+// answer has arrived.
+func (d *deployment) openStream(body string) *http.Response {
+	d.t.Helper()
+	request, err := http.NewRequest("POST", "http://"+d.entries[0].CallerAddr+"/s/x", strings.NewReader(body))
+	require.NoError(d.t, err)
+	names := headers.Names()
+	request.Host = streamHost
+	request.Header.Set(names.RequestID, nextRequestID())
+	request.Header.Set(names.APIKey, apiKey)
+	request.Header.Set(names.Model, modelName)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func TestStreamsOfAServerThatAnnouncesItsLeavingGoOn(t *testing.T) {
+	const eventCount = 6
+	d := startDeployment(t)
+	for _, engine := range d.engines {
+		engine.EventCount, engine.EventInterval = eventCount, 200*time.Millisecond
+	}
+	streams := []*http.Response{d.openStream("long")}
+	leaving := d.engines[0]
+	if hasExecuted(d.engines[1], "long") {
+		leaving = d.engines[1]
+	}
+	leaving.AnnounceLeaving()
+	for i := 0; countLeavingAnswers(leaving) == 0; i++ {
+		require.Less(t, i, requestsForNotices, "no request reaches %s", leaving.ID)
+		streams = append(streams, d.openStream("short"))
+	}
+	for range 8 {
+		streams = append(streams, d.openStream("short"))
+	}
+	require.Equal(t, 1, countLeavingAnswers(leaving))
+	for _, stream := range streams {
+		body, err := io.ReadAll(stream.Body)
+		require.NoError(t, err)
+		require.Equal(t, completeStream(eventCount), string(body))
+	}
+}
+
 func TestServerThatAsksForAPauseGetsNoRequestDuringIt(t *testing.T) {
 	d := startDeployment(t)
 	d.awaitRetries(0)
@@ -68,6 +116,37 @@
 	require.Zero(t, countArrivalsAfterRefusal(paused))
 }
 
+// Callers send one request after the other, so that the entry has received each
+// refusal before it sends the next request.
+func TestShortPausesOfAllServersAreKept(t *testing.T) {
+	const pause = 30 * time.Millisecond
+	d := startDeployment(t)
+	for i, server := range d.plainServers {
+		server.RefuseRandomRequests(uint64(i), 0.3, fmt.Sprint(pause.Seconds()))
+	}
+	served, refused := 0, 0
+	d.eventually(func() bool {
+		switch got := d.sendRequest(0, plainHost, "POST", "/issue/1", "", nil); got.status {
+		case http.StatusOK:
+			served++
+		case http.StatusServiceUnavailable:
+			refused++
+		default:
+			t.Fatalf("got status %d", got.status)
+		}
+		return served >= 100 && refused >= 50
+	}, "served or refused too few requests")
+	for _, server := range d.plainServers {
+		var pausedUntil time.Time
+		for _, arrival := range server.Arrivals() {
+			require.False(t, arrival.At.Before(pausedUntil), "%s got a request before the end of its pause", server.ID)
+			if arrival.RetryAfter != "" {
+				pausedUntil = arrival.At.Add(pause)
+			}
+		}
+	}
+}
+
 func TestPauseOfAllServersRefusesCallersWithTheTimeOfTheFirstThatOpens(t *testing.T) {
 	d := startDeployment(t)
 	d.plainServers[0].RefuseNextRequests(1, "500.25")
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -36,7 +36,11 @@
 		return nil
 	}
 	now := time.Now()
-	closure, ok := g.notices.Closure(now, g.capableServers(now, r))
+	servers, ok := g.closedCapableServers(now, r)
+	if !ok {
+		return nil
+	}
+	closure, ok := g.notices.Closure(now, servers)
 	if !ok {
 		return nil
 	}
@@ -47,9 +51,10 @@
 	}
 }
 
-// capableServers returns the servers that meet the conditions of a request and are
-// neither leaving nor taken out according to the platform's list.
-func (g *Gateway) capableServers(now time.Time, r requirements) []notices.Server {
+// closedCapableServers returns the servers that meet the conditions of a request and
+// are neither leaving nor taken out according to the platform's list. It returns false
+// if one of them is open.
+func (g *Gateway) closedCapableServers(now time.Time, r requirements) ([]notices.Server, bool) {
 	view := g.follower.View()
 	regions := g.node.Load().Regions
 	minVersion := g.requiredVersion(now, view, r.model)
@@ -58,11 +63,15 @@
 		if server.Leaving || view.OutDataCentres[server.DataCentre] {
 			continue
 		}
-		if isAllowedByAll(r.regions, regions[server.DataCentre]) && g.hasWeights(server, r.model, minVersion) {
-			list = append(list, notices.Server{Lifetime: lifetimeOf(server), Slots: slotsOf(server)})
+		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.hasWeights(server, r.model, minVersion) {
+			continue
+		}
+		if !g.isClosed(now, server) {
+			return nil, false
 		}
+		list = append(list, notices.Server{Lifetime: lifetimeOf(server), Slots: slotsOf(server)})
 	}
-	return list
+	return list, true
 }
 
 // slotsOf returns how many requests a server may run at once.
--- a/daemon/gateway/notices_test.go
+++ b/daemon/gateway/notices_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
@@ -16,6 +18,7 @@
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/platform/standin"
 	"currantusher.dev/requests/notices"
+	"currantusher.dev/requests/placement"
 	"currantusher.dev/tables/watch"
 )
 
@@ -113,6 +116,29 @@
 	require.Equal(t, []core.InstanceID{"s-0", "s-2"}, l.candidateIDs())
 }
 
+// The log must name the reason of a placement, which explain prints.
+func TestLogNamesTheAnnouncements(t *testing.T) {
+	l := newListedGateway(t, "a", "a", "b")
+	hook := logtest.NewLocal(l.log.Logger)
+	for range 2 {
+		l.announce(0, notices.Notice{Leaving: true})
+		l.announce(1, notices.Notice{Pause: time.Minute})
+	}
+	require.Len(t, hook.AllEntries(), 2, "an announcement is logged once")
+	require.Equal(t, core.InstanceID("s-0"), hook.AllEntries()[0].Data["server"])
+	require.EqualValues(t, 60000, hook.AllEntries()[1].Data["pause_ms"])
+	for name, want := range map[string]int64{"servers.leaving_notices": 1, "servers.pause_notices": 2} {
+		require.Equal(t, want, metrics.GetOrRegisterCounter(name, l.registry).Count(), name)
+	}
+
+	hook.Reset()
+	trace := callTrace{gateway: l.Gateway, call: &call{id: "r-1", service: testService}}
+	trace.Placed(1, placement.Candidate{ID: "s-2"}, 1, 0)
+	require.Len(t, hook.LastEntry().Data["closed"], 2)
+	l.sweepNotices(time.Now())
+	require.EqualValues(t, 2, metrics.GetOrRegisterGauge("servers.closed", l.registry).Value())
+}
+
 // Another server at a reused address must not inherit the announcement.
 func TestServerAtAReusedAddressIsOpen(t *testing.T) {
 	l := newListedGateway(t, "a", "a")
