fair: half of the slots for callers that return after a pause of all servers

Cause: callers that were refused in a pause returned at the full rate of the slots that opened, beside the new callers, and some were refused again.

Change: they return at half of that rate.

--- a/requests/fair/closure.go
+++ b/requests/fair/closure.go
@@ -6,6 +6,10 @@
 	"currantusher.dev/core"
 )
 
+// returnFraction is the fraction of the slots that callers who return after a closure
+// may use; the rest is for new callers.
+const returnFraction = 0.5
+
 // Closure says that all backend servers that could serve a request have announced
 // that they accept none.
 type Closure struct {
@@ -39,8 +43,8 @@
 }
 
 // returnDelay returns when the caller of a request that is refused because of a
-// closure should send it again. Callers return one after the other, at the rate at
-// which the servers can start requests. One that waits less long returns at a random
+// closure should send it again. Callers return one after the other, at a fraction
+// of the rate at which the servers can start requests. One that waits less long returns at a random
 // time between the opening and the end of its wait. One that returns before the
 // opening in any case takes no turn.
 func (s *state) returnDelay(now time.Time, closure Closure, request Request) time.Duration {
@@ -61,6 +65,7 @@
 	if !request.Deadline.IsZero() && s.config.MaxWaitFraction > 0 && delay > longest {
 		return opensIn + time.Duration(s.random.Float64()*float64(longest-opensIn))
 	}
-	s.nextReturn = turn.Add(s.meanRunTime / time.Duration(max(closure.Slots, 1)))
+	interval := float64(s.meanRunTime) / (returnFraction * float64(max(closure.Slots, 1)))
+	s.nextReturn = turn.Add(time.Duration(interval))
 	return delay
 }
--- a/requests/fair/closure_test.go
+++ b/requests/fair/closure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -91,7 +92,7 @@
 	_, err := s.enqueue(testEpoch, Request{Team: "a", Deadline: testEpoch.Add(20 * time.Second)})
 	require.Equal(t, 2*time.Second, requireClosed(t, err))
 	_, err = s.enqueue(testEpoch, Request{Team: "a", Deadline: testEpoch.Add(20 * time.Second)})
-	require.Equal(t, 2200*time.Millisecond, requireClosed(t, err))
+	require.Equal(t, 2400*time.Millisecond, requireClosed(t, err))
 }
 
 func TestClosureWithoutAnOpeningNamesTheUsualDelay(t *testing.T) {
@@ -114,3 +115,39 @@
 	s.grantSlots(reopened.Add(time.Second))
 	require.Len(t, s.takeDecisions(), 1)
 }
+
+// pauseAllServers plays callers while all servers are paused for some time and then
+// take up requests gradually. The queue knows the end of the pause if isAnnounced.
+func pauseAllServers(t *testing.T, pause time.Duration, isAnnounced bool) (result *loadTest) {
+	const start, ramp, slots = 4 * time.Second, time.Second, 130
+	end := start + pause
+	synctest.Test(t, func(t *testing.T) {
+		result = &loadTest{runTime: time.Second, budget: 6 * time.Second, aim: 200 * time.Millisecond, arrivalsPerSecond: 100, length: 15 * time.Second}
+		result.capacity = func(at time.Duration) int {
+			if at < start || at > end+ramp {
+				return slots
+			}
+			return int(slots * max(at-end, 0) / ramp)
+		}
+		if isAnnounced {
+			result.closure = func(startedAt time.Time) *Closure {
+				if at := time.Since(startedAt); at < start || at >= end {
+					return nil
+				}
+				return &Closure{OpensAt: startedAt.Add(end), Slots: slots}
+			}
+		}
+		result.run(t.Context())
+		t.Logf("pause of %v, announced %v: %d on time, %d late, %d refused twice", pause, isAnnounced, result.onTime, result.late, result.refused)
+	})
+	return result
+}
+
+// Refusing at once must cost few callers that would have been served after a wait.
+func TestRefusalsInAnAnnouncedPauseCostFewCallers(t *testing.T) {
+	const callers = 1466
+	for _, pause := range []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second} {
+		announced, unannounced := pauseAllServers(t, pause, true), pauseAllServers(t, pause, false)
+		require.LessOrEqual(t, announced.refused, unannounced.refused+callers/100, "pause of %v", pause)
+	}
+}
--- a/requests/fair/returns_test.go
+++ b/requests/fair/returns_test.go
@@ -23,6 +23,7 @@
 	onTime, late, refused int
 	runTime, budget, aim  time.Duration
 	capacity              func(time.Duration) int
+	closure               func(time.Time) *Closure
 	arrivalsPerSecond     float64
 	length                time.Duration
 	startedAt             time.Time
@@ -37,6 +38,9 @@
 		Capacity: func() int { return l.capacity(time.Since(l.startedAt)) }, MaxRetryAfter: time.Second, ExpectedRunTime: l.runTime,
 		OutageWait: 1500 * time.Millisecond, UpdatePeriod: 50 * time.Millisecond, MaxWaitFraction: callerWaitFraction,
 	})
+	if l.closure != nil {
+		l.queue.config.Closure = func() *Closure { return l.closure(l.startedAt) }
+	}
 	queueCtx, stop := context.WithCancel(ctx)
 	go func() { _ = l.queue.Run(queueCtx) }()
 	random := rand.New(rand.NewPCG(7, 7))
