fair, dispatch: the end of a closure counts at once

Cause: callers that returned at the time that they had been told were refused again, because the queue reads closures every 50 ms; and a broken stream that had waited for the first server could not use it if it had been tried before.

Change: the queue reads capacity and closure again once the opening has come; a stream that has waited may use all servers.

--- a/requests/dispatch/closure_test.go
+++ b/requests/dispatch/closure_test.go
@@ -130,14 +130,15 @@
 	})
 }
 
+// The servers that were tried before the pause are tried again after it.
 func TestBrokenStreamContinuesWhenAServerOpens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		opensAt := time.Now().Add(400 * time.Millisecond)
 		s := &closingSender{}
-		s.attempts = [][]wire.AnswerFrame{{header(), data(0, "abc")}, {header(), data(0, "def"), end("def")}}
+		s.attempts = [][]wire.AnswerFrame{{header(), data(0, "abc")}, {refusal(core.CodeServerClosed)}, {header(), data(0, "def"), end("def")}}
 		d, _ := newClosureDispatcher(s, "ab", 4)
 		d.config.Candidates = func(core.PoolName) []placement.Candidate {
-			if len(s.sentDispatches) == 1 && time.Now().Before(opensAt) {
+			if len(s.sentDispatches) == 2 && time.Now().Before(opensAt) {
 				return nil
 			}
 			return []placement.Candidate{{ID: "a", Limit: 4}, {ID: "b", Limit: 4}}
@@ -145,7 +146,7 @@
 		request := testRequest()
 		request.Stream = true
 		request.Closure = func() *fair.Closure {
-			if len(s.sentDispatches) == 1 && time.Now().Before(opensAt) {
+			if len(s.sentDispatches) == 2 && time.Now().Before(opensAt) {
 				return &fair.Closure{OpensAt: opensAt, Slots: 1}
 			}
 			return nil
--- a/requests/dispatch/refusal.go
+++ b/requests/dispatch/refusal.go
@@ -33,8 +33,9 @@
 }
 
 // waitForOpening waits until the first server opens if all are closed and a broken
-// stream can then continue. It reports whether it waited. Other requests are refused
-// instead, so that their callers decide whether to wait.
+// stream can then continue, also at a server that was tried before. It reports whether
+// it waited. Other requests are refused instead, so that their callers decide whether
+// to wait.
 func (x *execution) waitForOpening(ctx context.Context) bool {
 	if x.request.Closure == nil || x.output.sentBytes == 0 {
 		return false
@@ -43,6 +44,7 @@
 	if closure == nil || closure.OpensAt.IsZero() || !closure.OpensAt.Before(x.request.Deadline) {
 		return false
 	}
+	clear(x.triedAgents)
 	pause.For(ctx, closure.OpensAt.Sub(x.config.Now()))
 	return ctx.Err() == nil
 }
--- a/requests/fair/closure.go
+++ b/requests/fair/closure.go
@@ -42,11 +42,16 @@
 	s.closure = closure
 }
 
+// hasReopened reports whether the first server has opened since the closure was set.
+func (s *state) hasReopened(now time.Time) bool {
+	return s.closure != nil && !s.closure.OpensAt.IsZero() && !now.Before(s.closure.OpensAt)
+}
+
 // returnDelay returns when the caller of a request that is refused because of a
-// closure should send it again. Callers return one after the other, at a fraction
-// of the rate at which the servers can start requests. One that waits less long returns at a random
-// time between the opening and the end of its wait. One that returns before the
-// opening in any case takes no turn.
+// closure should send it again. Callers return one after the other, at a fraction of
+// the rate at which the servers can start requests. One that waits less long returns at
+// a random time between the opening and the end of its wait. One that returns before
+// the opening in any case takes no turn.
 func (s *state) returnDelay(now time.Time, closure Closure, request Request) time.Duration {
 	opensAt := closure.OpensAt
 	if !opensAt.After(now) {
--- a/requests/fair/closure_test.go
+++ b/requests/fair/closure_test.go
@@ -116,6 +116,40 @@
 	require.Len(t, s.takeDecisions(), 1)
 }
 
+// Callers that returned at the time that they had been told were refused once more,
+// because the queue had read the closure less than an update period before.
+func TestQueueNoticesTheEndOfAClosureAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opensAt := time.Now().Add(time.Second)
+		isClosed := func() bool { return time.Now().Before(opensAt) }
+		queue := New(Config{
+			UpdatePeriod: 50 * time.Millisecond, OutageWait: 100 * time.Millisecond,
+			Capacity: func() int {
+				if isClosed() {
+					return 0
+				}
+				return 1
+			},
+			Closure: func() *Closure {
+				if isClosed() {
+					return &Closure{OpensAt: opensAt, Slots: 1}
+				}
+				return nil
+			},
+		})
+		request := Request{Team: "a", Deadline: time.Now().Add(time.Minute)}
+		for _, before := range []time.Duration{time.Second, time.Millisecond} {
+			time.Sleep(time.Until(opensAt.Add(-before)))
+			_, err := queue.Acquire(t.Context(), request)
+			requireClosed(t, err)
+		}
+		time.Sleep(time.Until(opensAt))
+		grant, err := queue.Acquire(t.Context(), request)
+		require.NoError(t, err)
+		grant.Release(true)
+	})
+}
+
 // pauseAllServers plays callers while all servers are paused for some time and then
 // take up requests gradually. The queue knows the end of the pause if isAnnounced.
 func pauseAllServers(t *testing.T, pause time.Duration, isAnnounced bool) (result *loadTest) {
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -27,7 +27,7 @@
 	// Weights returns a team's share relative to other teams, at least 1.
 	Weights func(core.Team) int
 	// Capacity returns how many requests this entry may run at once. It is
-	// called at most once per UpdatePeriod.
+	// called at most once per UpdatePeriod and at the end of a closure.
 	Capacity func() int
 	// Closure returns the closure of all servers, or nil; it is called with Capacity.
 	// During a closure requests are refused immediately.
@@ -150,7 +150,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
-	if q.lastUpdate.IsZero() || now.Sub(q.lastUpdate) >= q.config.UpdatePeriod {
+	if q.lastUpdate.IsZero() || now.Sub(q.lastUpdate) >= q.config.UpdatePeriod || q.state.hasReopened(now) {
 		q.lastUpdate = now
 		q.state.setCapacity(now, q.config.Capacity())
 		q.state.setClosure(now, q.config.Closure())
