Stand-in servers leave at random by seed

A test in daemon/deployed restarts servers that have left at a random request and checks that no process of a server answers a second request after the first announcement.

--- a/daemon/deployed/notices_test.go
+++ b/daemon/deployed/notices_test.go
@@ -61,6 +61,38 @@
 	}, "the restarted server gets no requests")
 }
 
+// Each process of a server that leaves at a random moment and restarts some requests
+// later may announce its leaving once.
+func TestServersThatLeaveAtRandomAnnounceItOnceInALifetime(t *testing.T) {
+	const lifetimes, requestsAfterLeaving = 6, 5
+	d := startDeployment(t)
+	seed := uint64(0)
+	ended, waited := map[string]int{}, map[string]int{}
+	for _, server := range d.plainServers {
+		server.AnnounceLeavingAtRandom(seed, 0.05)
+		seed++
+	}
+	d.eventually(func() bool {
+		status := d.sendRequest(0, plainHost, "POST", "/issue/1", "", nil).status
+		require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, status)
+		for _, server := range d.plainServers {
+			answers := countLeavingAnswers(server)
+			require.LessOrEqual(t, answers, ended[server.ID]+1, "%s announced its leaving twice", server.ID)
+			if answers == ended[server.ID] {
+				continue
+			}
+			if waited[server.ID]++; waited[server.ID] > requestsAfterLeaving {
+				ended[server.ID]++
+				waited[server.ID] = 0
+				server.Start(1)
+				server.AnnounceLeavingAtRandom(seed, 0.05)
+				seed++
+			}
+		}
+		return ended[d.plainServers[0].ID]+ended[d.plainServers[1].ID] >= lifetimes
+	}, "too few servers left")
+}
+
 // openStream sends a request for a stream to entry 0 and returns after the head of the
 // answer has arrived.
 func (d *deployment) openStream(body string) *http.Response {
