--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"currantusher.dev/requests/attempt"
 	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/stall"
 	"currantusher.dev/requests/upstream"
@@ -65,6 +66,7 @@
 	coldCounter   *coldlimit.Counter
 	observations  *serverObservations
 	pauses        *pauses.Set
+	notices       *notices.Set
 	stallDetector *stall.Detector
 	conns         *callerConns
 	// activity tells whether this entry takes callers' requests; activityMu guards it.
@@ -102,6 +104,7 @@
 		coldCounter:   coldlimit.NewCounter(),
 		observations:  newServerObservations(),
 		pauses:        pauses.NewSet(),
+		notices:       notices.NewSet(),
 		stallDetector: stall.NewDetector(),
 		registry:      metrics.NewRegistry(),
 		clock:         clock.New(),
@@ -297,6 +300,7 @@
 		g.coldCounter.Sweep(now)
 		g.observations.sweep(g.clock.Now())
 		g.pauses.Sweep(now)
+		g.sweepNotices(now)
 	})
 }
 
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -27,8 +27,11 @@
 	// Weights returns a team's share relative to other teams, at least 1.
 	Weights func(core.Team) int
 	// Capacity returns how many requests this entry may run at once. It is
-	// called at most once per UpdatePeriod.
+	// called at most once per UpdatePeriod and at the end of a closure.
 	Capacity func() int
+	// Closure returns the closure of all servers, or nil; it is called with Capacity.
+	// During a closure requests are refused immediately.
+	Closure func() *Closure
 	// MaxQueue bounds the waiting requests of each team.
 	MaxQueue int
 	// ExpectedRunTime is the initial estimate of the mean run time of a request.
@@ -60,6 +63,9 @@
 	if c.Capacity == nil {
 		c.Capacity = func() int { return 1 }
 	}
+	if c.Closure == nil {
+		c.Closure = func() *Closure { return nil }
+	}
 	if c.MaxQueue <= 0 {
 		c.MaxQueue = DefaultMaxQueue
 	}
@@ -144,9 +150,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
-	if q.lastUpdate.IsZero() || now.Sub(q.lastUpdate) >= q.config.UpdatePeriod {
+	if q.lastUpdate.IsZero() || now.Sub(q.lastUpdate) >= q.config.UpdatePeriod || q.state.hasReopened(now) {
 		q.lastUpdate = now
 		q.state.setCapacity(now, q.config.Capacity())
+		q.state.setClosure(now, q.config.Closure())
 		q.state.sweep(now)
 	}
 	change(now)
