--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -57,7 +57,7 @@
 func (g *Gateway) closedCapableServers(now time.Time, r requirements) ([]notices.Server, bool) {
 	view := g.follower.View()
 	regions := g.node.Load().Regions
-	minVersion := g.requiredVersion(now, view, r.model)
+	minVersion := g.requiredVersion(g.clock.Now(), view, r.model)
 	var list []notices.Server
 	for _, server := range view.Servers[r.service] {
 		if server.Leaving || view.OutDataCentres[server.DataCentre] {
