gossip: entries send the paces of slow servers with their loads

Cause: in a larger fleet an entry has few requests at each server and does not see that it is slow.

Result: TestPacesAreTheLargestOfAlivePeers.

--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -73,6 +73,9 @@
 	// OmitsLoads reports that Loads is empty because the message does not carry
 	// loads.
 	OmitsLoads bool `cbor:"6,keyasint,omitempty"`
+	// Paces holds the backend servers that the sender observes to be slower than usual,
+	// with the factor. It is sent with Loads.
+	Paces map[core.InstanceID]float64 `cbor:"9,keyasint,omitempty"`
 	// Relayed holds descriptions of other alive members.
 	Relayed []Member `cbor:"3,keyasint,omitempty"`
 	// Heartbeats holds the latest sign of life of other alive members.
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -27,6 +27,9 @@
 	ReachesStore func() bool
 	// Loads returns this entry's requests in flight by backend server.
 	Loads func() map[core.InstanceID]int
+	// Paces returns the backend servers that this entry observes to be slower than
+	// usual, with the factor.
+	Paces func() map[core.InstanceID]float64
 	// NewestWeights returns the newest weights versions that this entry has
 	// learned of. OnNewestWeights is called with those of another entry.
 	NewestWeights   func() []NewestWeights
@@ -47,6 +50,9 @@
 	// entries.
 	Own   map[core.InstanceID]int
 	Peers map[core.InstanceID]int
+	// PeerPaces holds the servers that other alive entries observe to be slower than
+	// usual, with the largest factor.
+	PeerPaces map[core.InstanceID]float64
 }
 
 // Node exchanges messages with other entries. It is safe for concurrent use.
@@ -68,6 +74,9 @@
 	if config.OnPauseNotice == nil {
 		config.OnPauseNotice = func(fleet.PauseNotice) {}
 	}
+	if config.Paces == nil {
+		config.Paces = func() map[core.InstanceID]float64 { return nil }
+	}
 	if config.NewestWeights == nil {
 		config.NewestWeights = func() []NewestWeights { return nil }
 	}
@@ -160,12 +169,12 @@
 
 func (n *Node) sendRound() {
 	revisions, loads, reachesStore := n.config.Revisions(), n.config.Loads(), n.config.ReachesStore()
-	newestWeights := n.config.NewestWeights()
+	newestWeights, paces := n.config.NewestWeights(), n.config.Paces()
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
 	now := n.config.Now()
 	round := n.state.NextRound(now, revisions, loads)
-	n.loads = Loads{At: now, Own: loads, Peers: n.state.Loads(now)}
+	n.loads = Loads{At: now, Own: loads, Peers: n.state.Loads(now), PeerPaces: n.state.Paces(now)}
 	aliveCount := len(n.state.AliveMembers(now))
 	previousCount := n.aliveCount
 	n.aliveCount = aliveCount
@@ -175,6 +184,9 @@
 	}
 	for _, outgoing := range round {
 		outgoing.Message.NewestWeights = newestWeights
+		if !outgoing.Message.OmitsLoads {
+			outgoing.Message.Paces = paces
+		}
 		datagram, err := cbor.Marshal(outgoing.Message)
 		if err != nil {
 			n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -48,8 +48,9 @@
 	heardAt  time.Time
 	// learnedAt is when the first description of the incarnation was received.
 	learnedAt time.Time
-	// loads were received at loadsAt.
+	// loads and paces were received at loadsAt.
 	loads   map[core.InstanceID]int
+	paces   map[core.InstanceID]float64
 	loadsAt time.Time
 }
 
@@ -145,7 +146,7 @@
 	}
 	if !message.OmitsLoads {
 		p := s.peers[message.From.ID]
-		p.loads, p.loadsAt = message.Loads, now
+		p.loads, p.paces, p.loadsAt = message.Loads, message.Paces, now
 	}
 	for _, relayed := range message.Relayed {
 		s.updateMember(now, relayed)
@@ -369,6 +370,21 @@
 	return sum
 }
 
+// Paces returns the largest pace of each backend server that the alive peers observe to
+// be slower than usual.
+func (s *State) Paces(now time.Time) map[core.InstanceID]float64 {
+	slowest := map[core.InstanceID]float64{}
+	for _, p := range s.peers {
+		if now.Sub(p.loadsAt) >= AliveTimeout {
+			continue
+		}
+		for server, pace := range p.paces {
+			slowest[server] = max(slowest[server], pace)
+		}
+	}
+	return slowest
+}
+
 // PeerWithNewerRevision returns the address of the alive peer with the latest
 // revision of table, or "" if no alive peer has a later revision than revision.
 func (s *State) PeerWithNewerRevision(now time.Time, table string, revision uint64) string {
--- a/members/gossip/state_test.go
+++ b/members/gossip/state_test.go
@@ -154,3 +154,12 @@
 	require.Len(t, round, 1)
 	require.Len(t, round[0].Addrs, silentAddrsPerRound, "messages are still sent to silent addresses")
 }
+
+func TestPacesAreTheLargestOfAlivePeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	state := NewState(testMember(0), 1)
+	state.Receive(now, Message{From: testMember(1), Paces: map[core.InstanceID]float64{"s-1": 2, "s-2": 3}})
+	state.Receive(now, Message{From: testMember(2), Paces: map[core.InstanceID]float64{"s-1": 7}})
+	require.Equal(t, map[core.InstanceID]float64{"s-1": 7, "s-2": 3}, state.Paces(now))
+	require.Empty(t, state.Paces(now.Add(AliveTimeout)))
+}
