Entry: send to older weights only what begins in time, and recall what does not

Cause: versionMargin, 1,200 ms, stood for the wait in every server's queue.

Change: for a server whose weights are behind, the version that must be in force is looked up at the latest moment at which a request sent now begins there, by the bound of its service's estimator. 100 ms before a version must be in force, requests that older weights have not begun and that may run again are recalled and go elsewhere within the retry budget.

Result: TestNoSendToOlderWeightsBesideAQueue fails with the constant.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -57,7 +57,8 @@
 
 // forward dispatches an admitted request and writes the response.
 func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
-	exchange := direct.New(g.upstream, g.config.Headers, observer{g, c.service}, g.newDirectRequest(c, r), w)
+	request := g.newDirectRequest(c, r)
+	exchange := direct.New(g.upstream, g.config.Headers, observer{g, c.service, request.Model}, request, w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -64,6 +64,7 @@
 	coldCounter   *coldlimit.Counter
 	observations  *serverObservations
 	pauses        *pauses.Set
+	queueWaits    *queueWaits
 	stallDetector *stall.Detector
 	conns         *callerConns
 	// activity tells whether this entry takes callers' requests; activityMu guards it.
@@ -120,11 +121,13 @@
 		Log:              config.Log.Component("watch"),
 	})
 	g.services = newServiceSet(g)
+	g.queueWaits = newQueueWaits(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
 		Self:            g.selfMember(),
 		Revisions:       g.revisions,
 		Loads:           g.services.loads,
+		Paces:           g.queueWaits.paces,
 		ReachesStore:    g.follower.ReachesStore,
 		OnPauseNotice:   g.onPause,
 		NewestWeights:   g.newestWeights,
@@ -261,6 +264,7 @@
 		g.watchReadiness,
 		g.updateActivity,
 		g.ejectStalledServers,
+		g.recallLateRequests,
 		g.sweep,
 	}
 }
@@ -277,6 +281,7 @@
 		g.coldCounter.Sweep(now)
 		g.observations.sweep(now)
 		g.pauses.Sweep(now)
+		g.queueWaits.sweep(now)
 	})
 }
 
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -88,6 +88,7 @@
 type observer struct {
 	gateway *Gateway
 	service fleet.ServiceName
+	model   fleet.Model
 }
 
 // BeforeSend implements direct.Observer.
@@ -102,14 +103,34 @@
 
 // StartAttempt implements direct.Observer.
 func (o observer) StartAttempt(server core.InstanceID, cancel func()) direct.AttemptObserver {
-	return monitoredAttempt{o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), cancel)}
+	now := time.Now()
+	return &monitoredAttempt{
+		TrackedRequest: o.gateway.stallDetector.Track(now, server, o.gateway.stallTimeout(o.service), cancel),
+		wait:           o.gateway.queueWaits.track(now, o, server, cancel),
+	}
 }
 
 // monitoredAttempt implements direct.AttemptObserver by adding the current time.
-type monitoredAttempt struct{ *stall.TrackedRequest }
+type monitoredAttempt struct {
+	*stall.TrackedRequest
+	wait *trackedWait
+}
 
 // DataReceived implements direct.AttemptObserver.
-func (m monitoredAttempt) DataReceived() { m.TrackedRequest.RecordActivity(time.Now()) }
+func (m *monitoredAttempt) DataReceived() {
+	now := time.Now()
+	m.TrackedRequest.RecordActivity(now)
+	m.wait.dataReceived(now)
+}
+
+// Completed implements direct.AttemptObserver.
+func (m *monitoredAttempt) Completed() { m.wait.close(true) }
+
+// Close implements direct.AttemptObserver.
+func (m *monitoredAttempt) Close() {
+	m.TrackedRequest.Close()
+	m.wait.close(false)
+}
 
 // InvalidHeader implements direct.Observer.
 func (o observer) InvalidHeader(server core.InstanceID, header string, err error) {
--- /dev/null
+++ b/daemon/gateway/queuewaits.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/requests/queuewait"
+	"currantusher.dev/tables/watch"
+)
+
+// minSlowPace is the pace from which the other entries learn that a server is slower
+// than usual.
+const minSlowPace = 1.5
+
+// queueWaits holds the estimator of the waits at the engines of each service, and the
+// requests that no engine has begun.
+type queueWaits struct {
+	gateway *Gateway
+
+	mu         sync.Mutex
+	estimators map[fleet.ServiceName]*queuewait.Estimator
+	pending    map[*trackedWait]bool
+	// exchanges holds the time of the last exchange of loads that was observed.
+	exchanges map[fleet.ServiceName]time.Time
+}
+
+// trackedWait is an attempt at an engine. A nil trackedWait ignores all calls.
+type trackedWait struct {
+	waits   *queueWaits
+	request *queuewait.Request
+	service fleet.ServiceName
+	server  core.InstanceID
+	model   fleet.Model
+	sentAt  time.Time
+	// cancel aborts the attempt so that another server gets the request; nil if it
+	// must not be sent again.
+	cancel func()
+	// hasHead is set once the head of the answer was received.
+	hasHead bool
+}
+
+func newQueueWaits(g *Gateway) *queueWaits {
+	return &queueWaits{
+		gateway: g, estimators: map[fleet.ServiceName]*queuewait.Estimator{},
+		pending: map[*trackedWait]bool{}, exchanges: map[fleet.ServiceName]time.Time{},
+	}
+}
+
+func (q *queueWaits) estimator(name fleet.ServiceName) *queuewait.Estimator {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.estimators[name]
+	if e == nil {
+		e = queuewait.NewEstimator()
+		q.estimators[name] = e
+	}
+	return e
+}
+
+// queueLoad returns what is known of a server's work apart from this entry's requests.
+func queueLoad(service *fleet.Service, slots int, server core.InstanceID, loads gossip.Loads) queuewait.Load {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return queuewait.Load{Slots: slots, Peers: loads.Peers[server], PeerPace: loads.PeerPaces[server], Timing: service.Engine.Timing}
+}
+
+// bound returns the longest time until a request begins that is sent to a server now.
+func (q *queueWaits) bound(now time.Time, service *fleet.Service, server *watch.Server, loads gossip.Loads) time.Duration {
+	return q.estimator(service.Name).Bound(now, server.ID, queueLoad(service, server.Slots, server.ID, loads))
+}
+
+// observeExchange records the other entries' loads at the servers of a service once for
+// each exchange.
+func (q *queueWaits) observeExchange(now time.Time, service *fleet.Service, servers []*watch.Server, loads gossip.Loads) {
+	if service.Engine == nil || !q.isNewExchange(service.Name, loads.At) {
+		return
+	}
+	estimator := q.estimator(service.Name)
+	for _, server := range servers {
+		estimator.ObservePeers(now, server.ID, loads.Peers[server.ID])
+	}
+}
+
+func (q *queueWaits) isNewExchange(name fleet.ServiceName, at time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	isNew := q.exchanges[name] != at
+	q.exchanges[name] = at
+	return isNew
+}
+
+// track starts to observe an attempt at a server. It returns nil for services without
+// engines.
+func (q *queueWaits) track(now time.Time, o observer, id core.InstanceID, cancel func()) *trackedWait {
+	view := q.gateway.follower.View()
+	if view.Table == nil {
+		return nil
+	}
+	service, server := view.Table.Service(o.service), view.Server(o.service, id)
+	if service == nil || service.Engine == nil || server == nil {
+		return nil
+	}
+	load := queueLoad(service, server.Slots, id, q.gateway.gossip.Loads())
+	t := &trackedWait{
+		waits: q, request: q.estimator(o.service).Sent(now, id, load),
+		service: o.service, server: id, model: o.model, sentAt: now, cancel: cancel,
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending[t] = true
+	return t
+}
+
+// dataReceived records a part of the answer. An engine sends the first part of the body
+// with the first token; the head may precede it.
+func (t *trackedWait) dataReceived(now time.Time) {
+	if t == nil {
+		return
+	}
+	if !t.hasHead {
+		t.hasHead = true
+		return
+	}
+	wait, bound, first := t.request.Event(now)
+	if !first {
+		return
+	}
+	t.waits.remove(t)
+	registry := t.waits.gateway.registry
+	t.waits.gateway.histogram("queue_wait.bound_excess_millis." + string(t.service)).Update((bound - wait).Milliseconds())
+	if wait > bound {
+		metrics.GetOrRegisterCounter("queue_wait.bound_exceeded."+string(t.service), registry).Inc(1)
+	}
+}
+
+func (t *trackedWait) close(complete bool) {
+	if t == nil {
+		return
+	}
+	t.request.Close(complete)
+	t.waits.remove(t)
+}
+
+func (q *queueWaits) remove(t *trackedWait) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pending, t)
+}
+
+// takePending removes and returns the attempts that no engine has begun and that match.
+func (q *queueWaits) takePending(match func(*trackedWait) bool) []*trackedWait {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var taken []*trackedWait
+	for t := range q.pending {
+		if match(t) {
+			delete(q.pending, t)
+			taken = append(taken, t)
+		}
+	}
+	return taken
+}
+
+// paces returns the servers that this entry observes to be slower than usual.
+func (q *queueWaits) paces() map[core.InstanceID]float64 {
+	view := q.gateway.follower.View()
+	if view.Table == nil {
+		return nil
+	}
+	now := time.Now()
+	var slow map[core.InstanceID]float64
+	for name, servers := range view.Servers {
+		service := view.Table.Service(name)
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		estimator := q.estimator(name)
+		for _, server := range servers {
+			pace := estimator.Pace(now, server.ID, queueLoad(service, server.Slots, server.ID, gossip.Loads{}))
+			if pace < minSlowPace {
+				continue
+			}
+			if slow == nil {
+				slow = map[core.InstanceID]float64{}
+			}
+			slow[server.ID] = pace
+		}
+	}
+	return slow
+}
+
+func (q *queueWaits) sweep(now time.Time) {
+	q.mu.Lock()
+	estimators := make([]*queuewait.Estimator, 0, len(q.estimators))
+	for _, e := range q.estimators {
+		estimators = append(estimators, e)
+	}
+	q.mu.Unlock()
+	for _, e := range estimators {
+		e.Sweep(now)
+	}
+}
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -40,9 +40,6 @@
 	// retryAdjustPeriod is how often the retry budgets are adjusted to the number
 	// of entries.
 	retryAdjustPeriod = 500 * time.Millisecond
-	// versionMargin is how long before a new version must be in force requests
-	// stop going to older weights, because a request may wait in a server's queue.
-	versionMargin = 1200 * time.Millisecond
 	// maxRetryAfter bounds the Retry-After of refusals; servers that refuse
 	// because they load weights are available again in about two seconds.
 	maxRetryAfter = time.Second
@@ -254,12 +251,12 @@
 	node := g.node.Load()
 	coldLimit, sharers := g.coldLimit(service), g.sharers()
 	loads := g.gossip.Loads()
+	g.queueWaits.observeExchange(now, service, view.Servers[r.service], loads)
 	division := *g.slotDivision.Load()
-	minVersion := g.requiredVersion(now, view, r.model)
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
-		if !isAllowedByAll(r.regions, region) || !g.hasWeights(server, r.model, minVersion) {
+		if !isAllowedByAll(r.regions, region) || !g.beginsInTime(now, view, service, server, r.model, loads) {
 			continue
 		}
 		pauseStart := g.pauseStart(now, server, r.model)
@@ -380,31 +377,6 @@
 	return len(list) == 0
 }
 
-// requiredVersion returns the oldest weights version on which a request may start
-// now, or 0 for any.
-func (g *Gateway) requiredVersion(now time.Time, view *watch.View, model fleet.Model) fleet.WeightsVersion {
-	if model == "" {
-		return 0
-	}
-	return view.RequiredVersion(now, model, g.node.Load().Bounds.VersionInForce-versionMargin)
-}
-
-// expectedVersion returns the weights version that a server must have to accept a
-// request, or 0 for any. It is the newest version that the server is known to have
-// loaded, so that a server that actually has an older one refuses the request.
-func (g *Gateway) expectedVersion(service fleet.ServiceName, id core.InstanceID, model fleet.Model) fleet.WeightsVersion {
-	view := g.follower.View()
-	required := g.requiredVersion(time.Now(), view, model)
-	if required == 0 {
-		return 0
-	}
-	server := view.Server(service, id)
-	if server == nil {
-		return required
-	}
-	return max(required, g.knownVersion(server, model))
-}
-
 // knownVersion returns the newest version that the server has loaded according to
 // the platform's list, its responses or its agent.
 func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
@@ -419,13 +391,3 @@
 	}
 	return g.pauses.PauseStart(now, server.Addr, g.knownVersion(server, model))
 }
-
-// hasWeights reports whether a server has loaded the model in at least a minimum
-// version; 0 accepts any version.
-func (g *Gateway) hasWeights(server *watch.Server, model fleet.Model, minVersion fleet.WeightsVersion) bool {
-	if model == "" {
-		return true
-	}
-	version := g.knownVersion(server, model)
-	return version > 0 && version >= minVersion
-}
--- /dev/null
+++ b/daemon/gateway/versions.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/requests/queuewait"
+	"currantusher.dev/tables/watch"
+)
+
+const (
+	// recallPeriod is how often the entry checks for requests that an engine must not
+	// begin any more.
+	recallPeriod = 25 * time.Millisecond
+	// recallLead is how long before a version must be in force a request is recalled
+	// that an engine with older weights has not begun. It covers recallPeriod and the
+	// way to the server.
+	recallLead = 100 * time.Millisecond
+)
+
+// requiredVersion returns the oldest weights version on which a request may begin that
+// is sent to a server now, or 0 for any.
+func (g *Gateway) requiredVersion(now time.Time, view *watch.View, service *fleet.Service, server *watch.Server, model fleet.Model, loads gossip.Loads) fleet.WeightsVersion {
+	if model == "" || service.Engine == nil {
+		return 0
+	}
+	begin := now.Add(g.queueWaits.bound(now, service, server, loads))
+	return view.RequiredVersion(begin, model, g.node.Load().Bounds.VersionInForce)
+}
+
+// beginsInTime reports whether a request that is sent to a server now begins while the
+// server's weights may still serve it.
+func (g *Gateway) beginsInTime(now time.Time, view *watch.View, service *fleet.Service, server *watch.Server, model fleet.Model, loads gossip.Loads) bool {
+	if model == "" {
+		return true
+	}
+	version := g.knownVersion(server, model)
+	if version == 0 || version >= view.NewestTarget(model).Version {
+		return version > 0
+	}
+	return version >= g.requiredVersion(now, view, service, server, model, loads)
+}
+
+// expectedVersion returns the weights version that a server must have to accept a
+// request, or 0 for any. It is the newest version that the server is known to have
+// loaded, so that a server that actually has an older one refuses the request.
+func (g *Gateway) expectedVersion(name fleet.ServiceName, id core.InstanceID, model fleet.Model) fleet.WeightsVersion {
+	view := g.follower.View()
+	if view.Table == nil {
+		return 0
+	}
+	service, server := view.Table.Service(name), view.Server(name, id)
+	if service == nil || server == nil {
+		return view.RequiredVersion(time.Now().Add(queuewait.UnknownBound), model, g.node.Load().Bounds.VersionInForce)
+	}
+	required := g.requiredVersion(time.Now(), view, service, server, model, g.gossip.Loads())
+	if required == 0 {
+		return 0
+	}
+	return max(required, g.knownVersion(server, model))
+}
+
+// recallLateRequests cancels the requests that no engine has begun shortly before its
+// weights may no longer serve them. Most servers drop a request when its connection is
+// closed. Only requests that may run more than once are recalled: the server does not
+// confirm that it dropped a request.
+func (g *Gateway) recallLateRequests(ctx context.Context) error {
+	return runPeriodically(ctx, recallPeriod, func() {
+		now, view := time.Now(), g.follower.View()
+		for _, t := range g.queueWaits.takePending(func(t *trackedWait) bool { return g.isLate(now, view, t) }) {
+			g.log.WithFields(logrus.Fields{
+				"server": t.server, "model": t.model, "waiting_ms": now.Sub(t.sentAt).Milliseconds(),
+			}).Warn("Recalling a request that would begin on weights that are out of date.")
+			t.cancel()
+		}
+	})
+}
+
+// isLate reports whether a request must not begin any more at its server.
+func (g *Gateway) isLate(now time.Time, view *watch.View, t *trackedWait) bool {
+	if t.cancel == nil || t.model == "" {
+		return false
+	}
+	required := view.RequiredVersion(now.Add(recallLead), t.model, g.node.Load().Bounds.VersionInForce)
+	if required == 0 {
+		return false
+	}
+	server := view.Server(t.service, t.server)
+	return server != nil && g.knownVersion(server, t.model) < required
+}
--- /dev/null
+++ b/daemon/gateway/versions_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/requests/pauses"
+	"currantusher.dev/requests/queuewait"
+	"currantusher.dev/tables/watch"
+)
+
+const testInForceWithin = 8 * time.Second
+
+// versionFixture has one server with version 1 of a model whose version 2 was
+// configured at a given time.
+func versionFixture(since time.Time) (*Gateway, *watch.View, *fleet.Service, *watch.Server) {
+	g := &Gateway{observations: newServerObservations(), pauses: pauses.NewSet(), registry: metrics.NewRegistry()}
+	g.queueWaits = newQueueWaits(g)
+	g.node.Store(&nodefile.Node{Bounds: nodefile.Bounds{VersionInForce: testInForceWithin}})
+	service := engineService(16, 7400*time.Microsecond, 31900, 6)
+	service.Name = "llm"
+	server := &watch.Server{Server: fleet.Server{ID: "s-1", Slots: 16, Weights: map[fleet.Model]fleet.WeightsVersion{"m": 1}}}
+	view := &watch.View{
+		Servers: map[fleet.ServiceName][]*watch.Server{"llm": {server}},
+		Targets: map[fleet.Model][]watch.TargetVersion{"m": {{Version: 1, Since: since.Add(-time.Hour)}, {Version: 2, Since: since}}},
+	}
+	return g, view, service, server
+}
+
+// A request that was sent 1.3 s before its weights were out of date waited 1.4 s in the
+// server's queue.
+func TestNoSendToOlderWeightsBesideAQueue(t *testing.T) {
+	now := time.Now()
+	g, view, service, server := versionFixture(now.Add(-testInForceWithin + 1300*time.Millisecond))
+	g.queueWaits.estimator("llm").Sent(now.Add(-1400*time.Millisecond), "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))
+	require.False(t, g.beginsInTime(now, view, service, server, "m", gossip.Loads{}))
+	require.EqualValues(t, 2, g.requiredVersion(now, view, service, server, "m", gossip.Loads{}))
+
+	server.Weights["m"] = 2
+	require.True(t, g.beginsInTime(now, view, service, server, "m", gossip.Loads{}))
+}
+
+func TestServerWithOlderWeightsIsUsedUntilItsBound(t *testing.T) {
+	now := time.Now()
+	g, view, service, server := versionFixture(now.Add(-testInForceWithin + 3*time.Second))
+	require.True(t, g.beginsInTime(now, view, service, server, "m", gossip.Loads{}))
+	require.False(t, g.beginsInTime(now.Add(2*time.Second), view, service, server, "m", gossip.Loads{}))
+
+	slow := gossip.Loads{PeerPaces: map[core.InstanceID]float64{"s-1": 7}}
+	require.False(t, g.beginsInTime(now, view, service, server, "m", slow), "another entry observed that the server is slow")
+}
+
+func TestServerWithoutTheModelGetsNoRequest(t *testing.T) {
+	g, view, service, server := versionFixture(time.Now())
+	require.False(t, g.beginsInTime(time.Now(), view, service, server, "other", gossip.Loads{}))
+	require.True(t, g.beginsInTime(time.Now(), view, service, server, "", gossip.Loads{}))
+}
+
+// A server that becomes slow after the send holds the request for longer than estimated.
+func TestWaitingRequestIsRecalledBeforeAVersionIsInForce(t *testing.T) {
+	sentAt := time.Now()
+	g, view, service, _ := versionFixture(sentAt.Add(-testInForceWithin + 3*time.Second))
+	load := queueLoad(service, 16, "s-1", gossip.Loads{})
+	track := func(cancel func()) *trackedWait {
+		w := &trackedWait{waits: g.queueWaits, request: g.queueWaits.estimator("llm").Sent(sentAt, "s-1", load),
+			service: "llm", server: "s-1", model: "m", sentAt: sentAt, cancel: cancel}
+		g.queueWaits.pending[w] = true
+		return w
+	}
+	waiting, begun, once := track(func() {}), track(func() {}), track(nil)
+	begun.dataReceived(sentAt.Add(time.Second))
+	begun.dataReceived(sentAt.Add(time.Second))
+	late := func(now time.Time) []*trackedWait {
+		return g.queueWaits.takePending(func(w *trackedWait) bool { return g.isLate(now, view, w) })
+	}
+	require.Empty(t, late(sentAt.Add(2*time.Second)))
+	require.Equal(t, []*trackedWait{waiting}, late(sentAt.Add(3*time.Second-recallLead)))
+	require.Empty(t, late(sentAt.Add(4*time.Second)), "a request that must not run twice stays")
+	once.close(false)
+	require.Empty(t, g.queueWaits.pending)
+}
+
+func TestExcessOfTheWaitBoundIsMeasured(t *testing.T) {
+	now := time.Now()
+	g, _, service, _ := versionFixture(now)
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1",
+		request: g.queueWaits.estimator("llm").Sent(now, "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))}
+	w.dataReceived(now)
+	w.dataReceived(now.Add(2 * queuewait.UnknownBound))
+	require.EqualValues(t, 1, g.histogram("queue_wait.bound_excess_millis.llm").Count())
+	require.EqualValues(t, 1, metrics.GetOrRegisterCounter("queue_wait.bound_exceeded.llm", g.registry).Count())
+}
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -40,6 +40,8 @@
 type AttemptObserver interface {
 	// DataReceived is called after each read of a part of the answer.
 	DataReceived()
+	// Completed is called when the answer was read to its end, before Close.
+	Completed()
 	// Close is called when the attempt ends; it may be called more than once.
 	Close()
 }
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -233,6 +233,7 @@
 // endFrame returns the end frame of an answer that was read completely.
 func (s *replyStream) endFrame() (wire.AnswerFrame, error) {
 	s.exchange.answerLength = s.length
+	s.attemptObserver.Completed()
 	s.releaseConn()
 	end := &wire.AnswerEnd{RequestID: s.exchange.request.ID, Code: core.CodeOK, Execution: core.ExecutionRan, Length: s.length}
 	copy(end.Checksum[:], s.hasher.Sum(nil))
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -34,6 +34,8 @@
 
 func (nopAttempt) DataReceived() {}
 
+func (nopAttempt) Completed() {}
+
 func (nopAttempt) Close() {}
 
 func (nopObserver) BeforeSend(core.InstanceID) {}
