--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -66,11 +66,11 @@
 }
 
 // version returns the version in a response within observationTTL, or 0.
-func (o *serverObservations) version(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
+func (o *serverObservations) version(now time.Time, server *watch.Server, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	observed, ok := o.servers[server.ID]
-	if !ok || time.Since(observed.updatedAt) > observationTTL {
+	if !ok || now.Sub(observed.updatedAt) > observationTTL {
 		return 0
 	}
 	return observed.versions[model]
@@ -98,15 +98,14 @@
 
 // AnswerReceived implements direct.Observer.
 func (o observer) AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
-	o.gateway.observations.record(time.Now(), server, model, version, coldFor)
+	o.gateway.observations.record(o.gateway.clock.Now(), server, model, version, coldFor)
 }
 
 // StartAttempt implements direct.Observer.
 func (o observer) StartAttempt(server core.InstanceID, cancel func()) direct.AttemptObserver {
-	now := time.Now()
 	return &monitoredAttempt{
-		TrackedRequest: o.gateway.stallDetector.Track(now, server, o.gateway.stallTimeout(o.service), cancel),
-		wait:           o.gateway.queueWaits.track(now, o, server, cancel),
+		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), cancel),
+		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, server, cancel),
 	}
 }
 
@@ -118,9 +117,8 @@
 
 // DataReceived implements direct.AttemptObserver.
 func (m *monitoredAttempt) DataReceived() {
-	now := time.Now()
-	m.TrackedRequest.RecordActivity(now)
-	m.wait.dataReceived(now)
+	m.TrackedRequest.RecordActivity(time.Now())
+	m.wait.dataReceived()
 }
 
 // Completed implements direct.AttemptObserver.
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -18,7 +18,7 @@
 const minSlowPace = 1.5
 
 // queueWaits holds the estimator of the waits at the engines of each service, and the
-// requests that no engine has begun.
+// requests that no engine has begun. Its times are those of the gateway's clock.
 type queueWaits struct {
 	gateway *Gateway
 
@@ -119,10 +119,11 @@
 
 // dataReceived records a part of the answer. An engine sends the first part of the body
 // with the first token; the head may precede it.
-func (t *trackedWait) dataReceived(now time.Time) {
+func (t *trackedWait) dataReceived() {
 	if t == nil {
 		return
 	}
+	now := t.waits.gateway.clock.Now()
 	if !t.hasHead {
 		t.hasHead = true
 		return
@@ -173,7 +174,7 @@
 	if view.Table == nil {
 		return nil
 	}
-	now := time.Now()
+	now := q.gateway.clock.Now()
 	var slow map[core.InstanceID]float64
 	for name, servers := range view.Servers {
 		service := view.Table.Service(name)
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -247,23 +247,23 @@
 	if service == nil {
 		return nil
 	}
-	now := time.Now()
+	now, viewNow := time.Now(), g.clock.Now()
 	node := g.node.Load()
 	coldLimit, sharers := g.coldLimit(service), g.sharers()
 	loads := g.gossip.Loads()
-	g.queueWaits.observeExchange(now, service, view.Servers[r.service], loads)
+	g.queueWaits.observeExchange(viewNow, service, view.Servers[r.service], loads)
 	division := *g.slotDivision.Load()
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
-		if !isAllowedByAll(r.regions, region) || !g.beginsInTime(now, view, service, server, r.model, loads) {
+		if !isAllowedByAll(r.regions, region) || !g.beginsInTime(viewNow, view, service, server, r.model, loads) {
 			continue
 		}
 		pauseStart := g.pauseStart(now, server, r.model)
 		if !pauseStart.IsZero() && !now.Before(pauseStart) {
 			continue
 		}
-		if service.ColdPerSecond > 0 && now.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
+		if service.ColdPerSecond > 0 && viewNow.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
 			continue
 		}
 		limit := g.concurrencyLimit(now, service, server)
@@ -347,8 +347,8 @@
 	return &sharers
 }
 
-// coldUntil returns when a server stops being cold, according to the platform's
-// list or to its responses.
+// coldUntil returns when a server stops being cold, a time of g.clock, according to the
+// platform's list or to its responses.
 func (g *Gateway) coldUntil(server *watch.Server) time.Time {
 	if observed := g.observations.coldUntil(server.ID); observed.After(server.ColdUntil) {
 		return observed
@@ -380,7 +380,7 @@
 // knownVersion returns the newest version that the server has loaded according to
 // the platform's list, its responses or its agent.
 func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
-	return max(server.Weights[model], g.observations.version(server, model), g.pauses.LoadedVersion(server.Addr, model))
+	return max(server.Weights[model], g.observations.version(g.clock.Now(), server, model), g.pauses.LoadedVersion(server.Addr, model))
 }
 
 // pauseStart returns when a server pauses in order to load weights, or the zero
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -24,7 +24,7 @@
 )
 
 // requiredVersion returns the oldest weights version on which a request may begin that
-// is sent to a server now, or 0 for any.
+// is sent to a server now, a time of g.clock, or 0 for any.
 func (g *Gateway) requiredVersion(now time.Time, view *watch.View, service *fleet.Service, server *watch.Server, model fleet.Model, loads gossip.Loads) fleet.WeightsVersion {
 	if model == "" || service.Engine == nil {
 		return 0
@@ -56,9 +56,9 @@
 	}
 	service, server := view.Table.Service(name), view.Server(name, id)
 	if service == nil || server == nil {
-		return view.RequiredVersion(time.Now().Add(queuewait.UnknownBound), model, g.node.Load().Bounds.VersionInForce)
+		return view.RequiredVersion(g.clock.Now().Add(queuewait.UnknownBound), model, g.node.Load().Bounds.VersionInForce)
 	}
-	required := g.requiredVersion(time.Now(), view, service, server, model, g.gossip.Loads())
+	required := g.requiredVersion(g.clock.Now(), view, service, server, model, g.gossip.Loads())
 	if required == 0 {
 		return 0
 	}
@@ -71,7 +71,7 @@
 // confirm that it dropped a request.
 func (g *Gateway) recallLateRequests(ctx context.Context) error {
 	return runPeriodically(ctx, recallPeriod, func() {
-		now, view := time.Now(), g.follower.View()
+		now, view := g.clock.Now(), g.follower.View()
 		for _, t := range g.queueWaits.takePending(func(t *trackedWait) bool { return g.isLate(now, view, t) }) {
 			g.log.WithFields(logrus.Fields{
 				"server": t.server, "model": t.model, "waiting_ms": now.Sub(t.sentAt).Milliseconds(),
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -8,11 +8,11 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/pauses"
-	"currantusher.dev/requests/queuewait"
 	"currantusher.dev/tables/watch"
 )
 
@@ -21,7 +21,7 @@
 // versionFixture has one server with version 1 of a model whose version 2 was
 // configured at a given time.
 func versionFixture(since time.Time) (*Gateway, *watch.View, *fleet.Service, *watch.Server) {
-	g := &Gateway{observations: newServerObservations(), pauses: pauses.NewSet(), registry: metrics.NewRegistry()}
+	g := &Gateway{clock: clock.New(), observations: newServerObservations(), pauses: pauses.NewSet(), registry: metrics.NewRegistry()}
 	g.queueWaits = newQueueWaits(g)
 	g.node.Store(&nodefile.Node{Bounds: nodefile.Bounds{VersionInForce: testInForceWithin}})
 	service := engineService(16, 7400*time.Microsecond, 31900, 6)
@@ -75,8 +75,8 @@
 		return w
 	}
 	waiting, begun, once := track(func() {}), track(func() {}), track(nil)
-	begun.dataReceived(sentAt.Add(time.Second))
-	begun.dataReceived(sentAt.Add(time.Second))
+	begun.dataReceived()
+	begun.dataReceived()
 	late := func(now time.Time) []*trackedWait {
 		return g.queueWaits.takePending(func(w *trackedWait) bool { return g.isLate(now, view, w) })
 	}
@@ -88,12 +88,12 @@
 }
 
 func TestExcessOfTheWaitBoundIsMeasured(t *testing.T) {
-	now := time.Now()
-	g, _, service, _ := versionFixture(now)
+	g, _, service, _ := versionFixture(time.Now())
+	sentAt := g.clock.Now().Add(-2 * time.Minute)
 	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1",
-		request: g.queueWaits.estimator("llm").Sent(now, "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))}
-	w.dataReceived(now)
-	w.dataReceived(now.Add(2 * queuewait.UnknownBound))
+		request: g.queueWaits.estimator("llm").Sent(sentAt, "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))}
+	w.dataReceived()
+	w.dataReceived()
 	require.EqualValues(t, 1, g.histogram("queue_wait.bound_excess_millis.llm").Count())
 	require.EqualValues(t, 1, metrics.GetOrRegisterCounter("queue_wait.bound_exceeded.llm", g.registry).Count())
 }
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -148,7 +148,7 @@
 	require.True(t, behind.View().OutDataCentres[core.DataCentre("a")])
 	require.False(t, behind.Import(start, ahead.Export(OperatorTable)), "the rows are not newer any more")
 	require.False(t, ahead.Import(start, newLoadedState(t).Export(OperatorTable)), "older rows have no effect")
-	require.EqualValues(t, ahead.NewestRevision(OperatorTable), behind.NewestRevision(OperatorTable))
+	require.EqualValues(t, ahead.NewestChange(OperatorTable), behind.NewestChange(OperatorTable))
 }
 
 func TestRequiredVersionOfUnknownModel(t *testing.T) {
@@ -186,6 +186,17 @@
 	require.EqualValues(t, 2, view.RequiredVersion(start.Add(time.Second), "m", 7*time.Second))
 	require.EqualValues(t, 3, view.RequiredVersion(start.Add(4*time.Second), "m", 7*time.Second))
 	require.EqualValues(t, 3, view.NewestTarget("m").Version)
-	require.True(t, view.knowsSince("m", 2))
-	require.False(t, view.knowsSince("m", 1))
+	require.False(t, improvesSince(view.Targets["m"], 2, start))
+	require.True(t, improvesSince(view.Targets["m"], 1, start))
+}
+
+// A daemon that has read all rows does not know the revision of a deletion. It took a
+// snapshot from before the deletion for a newer one, and kept the deleted row for good.
+func TestSnapshotFromBeforeADeletionIsNotImported(t *testing.T) {
+	behind, ahead := newLoadedState(t), NewState()
+	behind.Apply(start, ServersTable, newPage(9, serverRow("s-2", 9, nil)))
+	require.True(t, ahead.Replace(start, ServersTable, newPage(10, serverRow("s-1", 6, nil))))
+	require.False(t, ahead.Import(start, behind.Export(ServersTable)))
+	require.Equal(t, []string{"s-1"}, serverIDs(ahead.View()))
+	require.EqualValues(t, 9, ahead.NewestChange(ServersTable).Revision, "the daemon does not fetch the rows again")
 }
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -5,6 +5,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/rowstore"
 )
 
 // Server is a backend server with the state derived from its rows.
@@ -18,10 +19,13 @@
 // configured.
 type TargetVersion struct {
 	Version fleet.WeightsVersion
-	// Since is when this daemon first read the version. It is zero if the
-	// version was configured before the daemon started and no peer has reported
-	// the time.
+	// Since is when the first of the known daemons read the version, which is never
+	// before the store accepted it. It is zero if the version was configured before
+	// this daemon started and no peer has reported the time.
 	Since time.Time
+	// IsEstimate is true if this daemon did not run when the version was accepted and
+	// no peer has reported the time. Since is then the earliest possible time.
+	IsEstimate bool
 }
 
 // View is a daemon's state at one point in time. It is immutable.
@@ -36,10 +40,15 @@
 	// Each has its own deadline to be in force, so that a newer version does not
 	// postpone the deadline of an older one.
 	Targets map[fleet.Model][]TargetVersion
-	// OperatorRevision and ServerRevision are the store's revisions of the
-	// last known changes of the two tables.
-	OperatorRevision uint64
-	ServerRevision   uint64
+	// OperatorPosition and ServersPosition are the positions of the last known
+	// changes of the two tables.
+	OperatorPosition rowstore.Position
+	ServersPosition  rowstore.Position
+	// Era is the latest known era of the store.
+	Era uint64
+	// EraChanges counts the transitions to a later era, and DroppedRows the known
+	// rows that the later eras did not have.
+	EraChanges, DroppedRows uint64
 	// Loaded is true if both tables have been read.
 	Loaded bool
 }
@@ -76,17 +85,3 @@
 	}
 	return required
 }
-
-// knowsSince reports whether the view tells since when a version has been configured, or
-// does not have it yet.
-func (v *View) knowsSince(model fleet.Model, version fleet.WeightsVersion) bool {
-	if version > v.NewestTarget(model).Version {
-		return true
-	}
-	for _, target := range v.Targets[model] {
-		if target.Version == version {
-			return !target.Since.IsZero()
-		}
-	}
-	return false
-}
