--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -67,6 +67,7 @@
 	observations  *serverObservations
 	pauses        *pauses.Set
 	notices       *notices.Set
+	queueWaits    *queueWaits
 	stallDetector *stall.Detector
 	conns         *callerConns
 	// activity tells whether this entry takes callers' requests; activityMu guards it.
@@ -129,11 +130,13 @@
 	})
 	roster.RegisterStoreGauges(g.registry, g.follower.View, g.roster.Rewrites)
 	g.services = newServiceSet(g)
+	g.queueWaits = newQueueWaits(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
 		Self:            g.selfMember(),
 		Revisions:       g.revisions,
 		Loads:           g.services.loads,
+		Paces:           g.queueWaits.paces,
 		ReachesStore:    g.follower.ReachesStore,
 		OnPauseNotice:   g.onPause,
 		NewestWeights:   g.newestWeights,
@@ -284,6 +287,7 @@
 		g.watchReadiness,
 		g.updateActivity,
 		g.ejectStalledServers,
+		g.recallLateRequests,
 		g.sweep,
 	}
 }
@@ -301,6 +305,7 @@
 		g.observations.sweep(g.clock.Now())
 		g.pauses.Sweep(now)
 		g.sweepNotices(now)
+		g.queueWaits.sweep(g.clock.Now())
 	})
 }
 
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -56,14 +56,21 @@
 // if one of them is open.
 func (g *Gateway) closedCapableServers(now time.Time, r requirements) ([]notices.Server, bool) {
 	view := g.follower.View()
+	if view.Table == nil {
+		return nil, false
+	}
+	service := view.Table.Service(r.service)
+	if service == nil {
+		return nil, false
+	}
+	viewNow, loads := g.clock.Now(), g.gossip.Loads()
 	regions := g.node.Load().Regions
-	minVersion := g.requiredVersion(g.clock.Now(), view, r.model)
 	var list []notices.Server
 	for _, server := range view.Servers[r.service] {
 		if server.Leaving || view.OutDataCentres[server.DataCentre] {
 			continue
 		}
-		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.hasWeights(server, r.model, minVersion) {
+		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.beginsInTime(viewNow, view, service, server, r.model, loads) {
 			continue
 		}
 		if !g.isClosed(now, server) {
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -35,6 +35,8 @@
 
 func (nopAttempt) DataReceived() {}
 
+func (nopAttempt) Completed() {}
+
 func (nopAttempt) Close() {}
 
 func (nopObserver) CheckOpen(notices.Lifetime) error { return nil }
