Swarm tests: the faulty peer reads the request before it replies

TestInvariantChunkCheck failed beside load with outcomeFailed (0x4) in place of outcomeCorrupt or outcomeDelivered. The faulty peer replied without reading the request and then stopped reading. A client that got no processor time between sending the kind of the call and the request got a write error and dropped the reply; the time limits had no part in it (one failure ended after 0.09 s).

No assertion changes.

--- a/weights/swarm/matrix_test.go
+++ b/weights/swarm/matrix_test.go
@@ -161,6 +161,11 @@
 			<-ctx.Done()
 			return nil
 		}
+		// A reply before the request has arrived makes the sending of the request fail.
+		var request wire.ChunkRequest
+		if err := stream.Recv(&request); err != nil {
+			return err
+		}
 		reply := wire.ChunkReply{BudgetLeftBytes: 1 << 40}
 		modifyReply(&reply)
 		return stream.Send(reply)
