Staging: waiting transfers of a downlink start in the order of their requests

The downlink now uses the semaphore of the uplink, urgent transfers first, whose number of slots follows the limit. New tests: TestWaitingTransfersStartInOrder, TestLoweredLimitWaitsForActiveTransfers. The check that no transfer is active reads the free slots, as the counter is gone.

--- a/weights/staging/downlink.go
+++ b/weights/staging/downlink.go
@@ -39,11 +39,10 @@
 	// maxLimit is the upper bound of limit.
 	maxLimit float64
 	limit    float64
-	active   int
-	// urgentWaiting counts the waiting urgent transfers, which precede all
-	// other transfers.
-	urgentWaiting int
-	lastDecrease  time.Time
+	// slots has as many slots as limit allows. Urgent transfers precede all others,
+	// and those of the same urgency start in the order of their requests.
+	slots        *prioritySemaphore
+	lastDecrease time.Time
 	// slowSources holds the agents with slow transfers since the last fast
 	// transfer, and lastSlowAt the end of the latest slow transfer.
 	slowSources map[core.InstanceID]bool
@@ -52,12 +51,10 @@
 	// slowUntil holds the agents whose own links are slow: their transfers were slow
 	// while others were fast.
 	slowUntil map[core.InstanceID]time.Time
-	// changed is closed and replaced whenever a waiting transfer may start.
-	changed chan struct{}
 }
 
 func newDownlink() *downlink {
-	return &downlink{limit: baseMaxTransfers, maxLimit: baseMaxTransfers, slowSources: map[core.InstanceID]bool{}, slowUntil: map[core.InstanceID]time.Time{}, changed: make(chan struct{})}
+	return &downlink{limit: baseMaxTransfers, maxLimit: baseMaxTransfers, slots: newPrioritySemaphore(baseMaxTransfers), slowSources: map[core.InstanceID]bool{}, slowUntil: map[core.InstanceID]time.Time{}}
 }
 
 // isLinkSlow reports whether this agent's own link is slow, that is, whether all
@@ -84,75 +81,42 @@
 	defer d.mu.Unlock()
 	maxLimit := float64(max(baseMaxTransfers, neighbours))
 	if d.limit == d.maxLimit {
-		d.limit = maxLimit
+		d.setLimit(maxLimit)
 	}
 	d.maxLimit = maxLimit
-	d.limit = min(d.limit, maxLimit)
-	d.notify()
+	d.setLimit(min(d.limit, maxLimit))
 }
 
-// acquire waits until a transfer may start. Urgent transfers precede others.
-func (d *downlink) acquire(ctx context.Context, urgent bool) error {
-	if urgent {
-		d.addUrgentWaiting(1)
-		defer d.addUrgentWaiting(-1)
-	}
-	for {
-		d.mu.Lock()
-		if d.active < int(d.limit) && (urgent || d.urgentWaiting == 0) {
-			d.active++
-			d.mu.Unlock()
-			return nil
-		}
-		changed := d.changed
-		d.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
-	}
+// setLimit changes the limit. The caller holds the lock.
+func (d *downlink) setLimit(limit float64) {
+	d.slots.resize(int(limit) - int(d.limit))
+	d.limit = limit
 }
 
-// addUrgentWaiting changes the number of waiting urgent transfers.
-func (d *downlink) addUrgentWaiting(change int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.urgentWaiting += change
-	d.notify()
-}
-
-// notify wakes the waiting transfers. The caller holds the lock.
-func (d *downlink) notify() {
-	close(d.changed)
-	d.changed = make(chan struct{})
+// acquire waits until a transfer may start. Urgent transfers precede others.
+func (d *downlink) acquire(ctx context.Context, urgent bool) error {
+	return d.slots.acquire(ctx, urgent)
 }
 
 // releaseUnused ends a transfer in which no data arrived. Its duration is not
 // taken into account.
-func (d *downlink) releaseUnused() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.active--
-	d.notify()
-}
+func (d *downlink) releaseUnused() { d.slots.release() }
 
 // release ends a transfer from an agent and adapts the limit to its duration.
 func (d *downlink) release(now time.Time, from core.InstanceID, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.active--
 	d.noteTransfer(now, from, took)
 	switch {
 	case took < slowTransferTime:
-		d.limit = min(d.maxLimit, d.limit+limitIncrease)
+		d.setLimit(min(d.maxLimit, d.limit+limitIncrease))
 	case now.Sub(d.lastDecrease) > took:
 		// Halve the limit only once for transfers that ran concurrently,
 		// which are slow for the same reason.
 		d.lastDecrease = now
-		d.limit = max(1, d.limit/2)
+		d.setLimit(max(1, d.limit/2))
 	}
-	d.notify()
+	d.slots.release()
 }
 
 // noteTransfer tells slow links of other agents from a slow link of this one. The caller
--- a/weights/staging/downlink_test.go
+++ b/weights/staging/downlink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -80,7 +81,7 @@
 	require.NoError(t, d.acquire(context.Background(), false))
 	d.releaseUnused()
 	require.True(t, d.isLinkSlow(now))
-	require.Zero(t, d.active)
+	require.Equal(t, int(d.limit), d.slots.available, "no transfer is active")
 }
 
 func TestSourceIsSlowWhileOthersAreFast(t *testing.T) {
@@ -97,3 +98,50 @@
 	d.release(now, "a-1", time.Millisecond)
 	require.False(t, d.isSourceSlow(now, "a-1"))
 }
+
+// Waiting transfers used to start in a random order, so that a piece could wait while
+// others that were requested later arrived.
+func TestWaitingTransfersStartInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDownlink()
+		for range baseMaxTransfers {
+			require.NoError(t, d.acquire(t.Context(), false))
+		}
+		order := make(chan int, 20)
+		for i := range cap(order) {
+			go func() {
+				if d.acquire(t.Context(), false) == nil {
+					order <- i
+				}
+			}()
+			synctest.Wait()
+		}
+		for want := range cap(order) {
+			d.releaseUnused()
+			require.Equal(t, want, <-order)
+		}
+	})
+}
+
+// A limit that falls below the number of active transfers must not admit another one
+// until enough of them have ended.
+func TestLoweredLimitWaitsForActiveTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDownlink()
+		for range baseMaxTransfers {
+			require.NoError(t, d.acquire(t.Context(), false))
+		}
+		started := false
+		go func() { started = d.acquire(t.Context(), true) == nil }()
+		synctest.Wait()
+		d.release(time.Now(), "a-1", time.Second)
+		synctest.Wait()
+		require.False(t, started, "three transfers are active, two are allowed")
+		d.releaseUnused()
+		synctest.Wait()
+		require.False(t, started)
+		d.releaseUnused()
+		synctest.Wait()
+		require.True(t, started)
+	})
+}
--- a/weights/staging/semaphore.go
+++ b/weights/staging/semaphore.go
@@ -51,25 +51,29 @@
 			return
 		}
 	}
-	p.grantNext()
+	p.addAvailable(1)
 }
 
 // release releases a slot.
-func (p *prioritySemaphore) release() {
+func (p *prioritySemaphore) release() { p.resize(1) }
+
+// resize changes the number of slots. If slots are removed that are in use, none is
+// granted until as many are released.
+func (p *prioritySemaphore) resize(change int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.grantNext()
+	p.addAvailable(change)
 }
 
-// grantNext hands a released slot to the next waiter, or makes it available. The
-// caller holds the lock.
-func (p *prioritySemaphore) grantNext() {
+// addAvailable changes the number of available slots and hands them to the next
+// waiters. The caller holds the lock.
+func (p *prioritySemaphore) addAvailable(change int) {
+	p.available += change
 	for _, queue := range []*[]chan struct{}{&p.urgentQueue, &p.normalQueue} {
-		if len(*queue) > 0 {
+		for p.available > 0 && len(*queue) > 0 {
 			close((*queue)[0])
 			*queue = (*queue)[1:]
-			return
+			p.available--
 		}
 	}
-	p.available++
 }
