Swarm tests: a peer may send a restarted engine its copy in its next window

TestFaultMatrixBurst/engine-restarts-empty failed once after 30 s: agent 2 had carried 68245 bytes, more than the 66858 of two copies. A link budget holds for one burst and is renewed after at least 30 s. If the restarted engine's agent has spent its budget, it receives its copy again after that time, from agents whose budgets have been renewed as well. Each window stays within two copies; their sum does not.

linkBudget counts its renewals. TestPeerServesARestartedEngineInItsNextWindow shows the case in every run.

--- a/weights/swarm/link_budget.go
+++ b/weights/swarm/link_budget.go
@@ -43,6 +43,8 @@
 	// then until it is renewed again.
 	windowStart time.Time
 	window      time.Duration
+	// renewals counts the windows that have ended.
+	renewals int
 }
 
 func newLinkBudget(copyBytes, missingBytes, largestChunkBytes int64, window time.Duration, now time.Time) *linkBudget {
@@ -74,6 +76,7 @@
 		return
 	}
 	b.receivedBytes, b.sentBytes, b.windowStart = 0, 0, now
+	b.renewals++
 }
 
 // uploadBytesLeft returns the bytes that may still be uploaded in this window.
--- a/weights/swarm/planner_test.go
+++ b/weights/swarm/planner_test.go
@@ -171,6 +171,21 @@
 	require.Zero(t, budget.sentBytes)
 }
 
+// An engine that lost its content right after the download receives a copy 30 s later, from
+// peers that have spent their budgets of the first window. Their links then carry more
+// than maxLinkCopies in two windows, which TestFaultMatrixBurst took for a fault.
+func TestPeerServesARestartedEngineInItsNextWindow(t *testing.T) {
+	now := time.Unix(0, 0)
+	budget := newLinkBudget(100, 100, 10, time.Hour, now)
+	budget.recordDownload(100, true)
+	budget.markComplete(now.Add(100 * time.Millisecond))
+	require.True(t, budget.reserveUpload(100, now.Add(time.Second)))
+	require.False(t, budget.reserveUpload(10, now.Add(minLinkBudgetWindow-1)))
+	require.Zero(t, budget.renewals)
+	require.True(t, budget.reserveUpload(100, now.Add(minLinkBudgetWindow)))
+	require.Equal(t, 1, budget.renewals)
+}
+
 // TestInvariantWholeWeights checks that the invariant before an activation detects
 // an incomplete version when the completeness check of the verify stage is
 // disabled.
