Staging: an agent whose sources wait themselves asks other agents for a piece

Calls took no simulated time, so that many events fell on the same instant and the scheduler decided their order.

Simulated calls now take a time that depends on -fleet.seed, which is logged, and agents start and learn of a version at different instants. Two runs of a seed give the same times of all loads, with and without the race detector (TestFleetRunsAreRepeatable). The seed also draws the lists, which were the same in all runs.

Cause: an agent whose list differs asked its first two sources of a piece in each round. Both answered that they wait for another agent themselves, or their engines were gone.

After such a round the agent now asks two more agents of its region whether they hold the piece, others in each round. Bounds are unchanged.

--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -30,6 +30,9 @@
 	// do not have the piece: the agent that fetches it into the region and the one
 	// that takes over.
 	maxWaitingSources = 2
+	// maxHolderProbes bounds the further agents of the region that are asked in a round
+	// whether they hold a piece.
+	maxHolderProbes = 2
 	// recheckTimeout bounds the question whether a source of this region has a piece by
 	// now.
 	recheckTimeout = 100 * time.Millisecond
--- a/weights/staging/fetch_piece.go
+++ b/weights/staging/fetch_piece.go
@@ -20,7 +20,7 @@
 	for round := 0; ctx.Err() == nil; round++ {
 		takesOver := f.takesOver(num, round, time.Since(startedAt))
 		held, awaited := f.fetchFromPeers(ctx, pieces, num, hasTriedOrigin, takesOver)
-		if held {
+		if held || awaited && f.fetchFromOtherHolder(ctx, pieces, num, round) {
 			return nil
 		}
 		if awaited && !(takesOver && f.isInOriginRegion()) {
@@ -67,9 +67,7 @@
 	if len(sources) == 0 || f.isBackedOff(sources[0]) || f.isSlow(sources[0]) {
 		return false
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
-	defer cancel()
-	return f.manager.config.Peers.AwaitPiece(waitCtx, sources[0], f.target.VersionKey, num) == nil
+	return f.holdsPiece(ctx, sources[0], num)
 }
 
 // isFirstSource reports whether the current plan names a peer as the first source of a
@@ -147,6 +145,41 @@
 	return false, awaited
 }
 
+// fetchFromOtherHolder asks a few more agents of the region whether they hold a piece,
+// others in each round. The first sources of an agent with an outdated list wait for the
+// piece themselves, while others have it.
+func (f *fetcher) fetchFromOtherHolder(ctx context.Context, pieces *pieceSet, num, round int) bool {
+	plan := f.currentPlan()
+	preceding := plan.sourceGroups(num)[0]
+	asked := preceding[:min(maxWaitingSources, len(preceding))]
+	others := slices.DeleteFunc(plan.rankedAgents(plan.self.Region, num), func(a Agent) bool {
+		return a.ID == plan.self.ID || slices.ContainsFunc(asked, func(b Agent) bool { return a.ID == b.ID })
+	})
+	if len(others) == 0 {
+		return false
+	}
+	start := rankHash(plan.self.ID, num) % uint64(len(others))
+	for i := range min(maxHolderProbes, len(others)) {
+		peer := others[(int(start)+round*maxHolderProbes+i)%len(others)]
+		if f.isBackedOff(peer) || f.isSlow(peer) || !f.holdsPiece(ctx, peer, num) {
+			continue
+		}
+		content, err := f.fetchFromPeer(ctx, peer, num)
+		f.backOff(peer, err)
+		if err == nil && f.acceptPiece(ctx, pieces, num, content, sourceKind(plan, peer)) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsPiece reports whether a source of this region has a piece by now.
+func (f *fetcher) holdsPiece(ctx context.Context, peer Agent, num int) bool {
+	waitCtx, cancel := context.WithTimeout(ctx, recheckTimeout)
+	defer cancel()
+	return f.manager.config.Peers.AwaitPiece(waitCtx, peer, f.target.VersionKey, num) == nil
+}
+
 func sourceKind(plan FetchPlan, peer Agent) string {
 	if peer.Region == plan.self.Region {
 		return "region"
--- a/weights/staging/fleet_harness_test.go
+++ b/weights/staging/fleet_harness_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"flag"
 	"fmt"
+	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"runtime"
 	"sync"
 	"testing"
@@ -16,6 +19,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/worker"
 )
 
@@ -30,6 +34,13 @@
 	answersFraction = 0.3
 )
 
+// fleetSeed determines the latencies of calls and the lists of agents in simulated fleets,
+// and fleetSeeds is the number of seeds from it that are tried.
+var (
+	fleetSeed  = flag.Uint64("fleet.seed", 1, "seed of the simulated fleets of agents")
+	fleetSeeds = flag.Uint64("fleet.seeds", 10, "number of seeds of the fleets with differing lists")
+)
+
 // simulatedLink is a link that its transfers share slice by slice.
 type simulatedLink struct {
 	bytesPerSecond float64
@@ -57,8 +68,12 @@
 }
 
 // weightsFleet runs the managers of many agents in simulated time.
+//
+// Each call takes a time that depends on the seed, so that hardly any two events fall on
+// the same instant, at which the scheduler would decide their order.
 type weightsFleet struct {
 	t        *testing.T
+	seed     uint64
 	started  time.Time
 	agents   []Agent
 	managers map[core.InstanceID]*Manager
@@ -78,6 +93,20 @@
 	wastedTransfers int
 }
 
+// minLatency and latencyRange bound the time of a call in one direction.
+const (
+	minLatency   = time.Millisecond
+	latencyRange = time.Millisecond
+)
+
+// takeLatency waits for the latency of a call, which is the same in each run with a seed.
+func (f *weightsFleet) takeLatency(ctx context.Context, call string, from, to core.InstanceID, piece int) {
+	hash := fnv.New64a()
+	_, _ = fmt.Fprint(hash, f.seed, call, from, to, piece, time.Since(f.started))
+	random := rand.New(rand.NewPCG(f.seed, hash.Sum64()))
+	pause.For(ctx, minLatency+time.Duration(random.Int64N(int64(latencyRange))))
+}
+
 func pieceContent(version fleet.WeightsVersion, piece int) []byte {
 	content := make([]byte, fleetPieceBytes)
 	copy(content, fmt.Sprintf("piece %d of version %d", piece, version))
@@ -139,9 +168,11 @@
 // simulatedPeers implements Peers.
 type simulatedPeers struct {
 	fleet *weightsFleet
+	self  core.InstanceID
 }
 
 func (f simulatedPeers) Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error) {
+	f.fleet.takeLatency(ctx, "manifest", f.self, peer.ID, manifestPieceNum)
 	if f.fleet.isIdle(peer, key) {
 		return nil, errEngineUnreachable
 	}
@@ -155,6 +186,8 @@
 }
 
 func (f simulatedPeers) AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error {
+	f.fleet.takeLatency(ctx, "await", f.self, peer.ID, piece)
+	defer f.fleet.takeLatency(ctx, "reply", f.self, peer.ID, piece)
 	if f.fleet.isIdle(peer, key) {
 		return errEngineUnreachable
 	}
@@ -173,6 +206,7 @@
 }
 
 func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int, urgent bool) ([]byte, time.Duration, error) {
+	f.fleet.takeLatency(ctx, "piece", f.self, peer.ID, piece)
 	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
 	if content == nil {
 		return nil, 0, errors.New("the piece is gone")
@@ -256,11 +290,11 @@
 // newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
 // origin of 9.9 Mbit/s. answersFraction is the part of the links that answers take.
 func newWeightsFleet(t *testing.T, agentsPerRegion, regions int, answersFraction float64) *weightsFleet {
-	// Thousands of concurrent goroutines make the race detector fail, and the order in
-	// which they run vary.
+	// Thousands of concurrent goroutines make the race detector fail.
 	processors := runtime.GOMAXPROCS(1)
 	t.Cleanup(func() { runtime.GOMAXPROCS(processors) })
-	f := &weightsFleet{t: t, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{},
+	t.Logf("-fleet.seed %d", *fleetSeed)
+	f := &weightsFleet{t: t, seed: *fleetSeed, started: time.Now(), managers: map[core.InstanceID]*Manager{}, engines: map[core.InstanceID]*simulatedEngine{}, uplinks: map[core.InstanceID]*simulatedLink{},
 		lost: map[core.InstanceID]bool{}, stops: map[core.InstanceID]context.CancelFunc{}}
 	f.origin = &simulatedOrigin{fleet: f, link: newSimulatedLink(9.9), conns: make(chan struct{}, 48)}
 	for region := range regions {
@@ -277,7 +311,7 @@
 		f.engines[a.ID] = &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}}
 		f.uplinks[a.ID] = newSimulatedLink(agentLink * uplinkFraction * (1 - answersFraction))
 		f.managers[a.ID] = New(Config{
-			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{f}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
+			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{fleet: f, self: a.ID}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
 			ListAgents: func(context.Context) []Agent { return f.listedBy(a) }, Log: logrus.NewEntry(log),
 		})
 	}
@@ -300,8 +334,11 @@
 		Origin: f.origin, OriginRegion: "region-0", OriginPieceTime: originPieceTime,
 	})
 	f.mu.Unlock()
-	for _, m := range f.managers {
-		m.CheckTargets()
+	for id, m := range f.managers {
+		go func() {
+			f.takeLatency(f.t.Context(), "target", id, id, 0)
+			m.CheckTargets()
+		}()
 	}
 }
 
@@ -325,7 +362,10 @@
 		agentCtx, stop := context.WithCancel(ctx)
 		defer stop()
 		f.stops[id] = stop
-		wait.Go(func() { _ = m.Run(agentCtx) })
+		wait.Go(func() {
+			f.takeLatency(agentCtx, "start", id, id, 0)
+			_ = m.Run(agentCtx)
+		})
 	}
 	for at, event := range events {
 		wait.Go(func() {
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -82,38 +82,78 @@
 // assigns the pieces to other agents, and agents that waited for each other fetched a
 // piece only after the lists agreed, or never.
 func TestFleetLoadsAVersionWhileListsDiffer(t *testing.T) {
-	for name, agreeAt := range map[string]time.Duration{"for 3 s": 3 * time.Second, "always": time.Hour} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
-				for i, a := range f.agents {
-					f.engines[a.ID].isGone = i%4 == 0
-				}
-				random := rand.New(rand.NewPCG(1, 1))
-				lists := map[core.InstanceID][]Agent{}
-				for _, self := range f.agents {
-					share := random.Float64()
-					for _, a := range f.agents {
-						a.Unlisted = f.engines[a.ID].isGone && random.Float64() > share
-						lists[self.ID] = append(lists[self.ID], a)
-					}
+	for seed := *fleetSeed; seed < *fleetSeed+*fleetSeeds; seed++ {
+		runWhileListsDiffer(t, seed, time.Hour)
+	}
+	runWhileListsDiffer(t, *fleetSeed, 3*time.Second)
+}
+
+// An agent asked the same two agents for a piece, which waited for it themselves, until
+// it took over by chance; others of the region had the piece for seconds.
+func TestAgentWithOutdatedListFindsHolders(t *testing.T) {
+	for _, seed := range []uint64{25, 26, 41, 88, 106, 169, 184, 197} {
+		runWhileListsDiffer(t, seed, time.Hour)
+	}
+}
+
+// runWhileListsDiffer checks a fleet whose agents do not all list those without engines,
+// until agreeAt after the start.
+func runWhileListsDiffer(t *testing.T, seed uint64, agreeAt time.Duration) {
+	t.Run(fmt.Sprintf("seed %d until %v", seed, agreeAt), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newWeightsFleet(t, testAgentsPerRegion, testRegions, 0)
+			f.seed = seed
+			for i, a := range f.agents {
+				f.engines[a.ID].isGone = i%4 == 0
+			}
+			lists := f.drawLists()
+			f.listedBy = func(self Agent) []Agent {
+				if time.Since(f.started) < agreeAt {
+					return lists[self.ID]
 				}
-				f.listedBy = func(self Agent) []Agent {
-					if time.Since(f.started) < agreeAt {
-						return lists[self.ID]
-					}
-					list := slices.Clone(f.agents)
-					for i, a := range list {
-						list[i].Unlisted = f.engines[a.ID].isGone
-					}
-					return list
+				list := slices.Clone(f.agents)
+				for i, a := range list {
+					list[i].Unlisted = f.engines[a.ID].isGone
 				}
-				f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
-				require.Less(t, f.lastLoad(2), inForceWithin)
-				require.Less(t, f.copies(), 4.0)
-			})
+				return list
+			}
+			f.run(20*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+			t.Logf("last load after %v, %.2f copies from the origin", f.lastLoad(2), f.copies())
+			require.Less(t, f.lastLoad(2), inForceWithin)
+			require.Less(t, f.copies(), 4.0)
+		})
+	})
+}
+
+// drawLists returns for each agent a list that lacks some of the agents without engines.
+func (f *weightsFleet) drawLists() map[core.InstanceID][]Agent {
+	random := rand.New(rand.NewPCG(f.seed, 1))
+	lists := map[core.InstanceID][]Agent{}
+	for _, self := range f.agents {
+		share := random.Float64()
+		for _, a := range f.agents {
+			a.Unlisted = f.engines[a.ID].isGone && random.Float64() > share
+			lists[self.ID] = append(lists[self.ID], a)
+		}
+	}
+	return lists
+}
+
+// Two runs of one seed must not differ, so that a failure can be repeated.
+func TestFleetRunsAreRepeatable(t *testing.T) {
+	var loads [2][]time.Duration
+	for run := range loads {
+		synctest.Test(t, func(t *testing.T) {
+			f := newWeightsFleet(t, testAgentsPerRegion, testRegions, answersFraction)
+			f.origin.downFrom, f.origin.downUntil = 500*time.Millisecond, 2*time.Second
+			f.run(12*time.Second, map[time.Duration]func(){0: func() { f.nameVersion(2) }})
+			for _, a := range f.agents {
+				loads[run] = append(loads[run], f.engines[a.ID].loadedAt[2].Sub(f.started))
+			}
+			loads[run] = append(loads[run], f.origin.lastSentAt, time.Duration(f.origin.sentPieces))
 		})
 	}
+	require.Equal(t, loads[0], loads[1])
 }
 
 // Agents that leave while a version travels leave pieces to the agents after them, which
