--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
@@ -38,6 +39,9 @@
 	// expireInterval is the time between two checks for servers whose expired
 	// rows were not written again.
 	expireInterval = 100 * time.Millisecond
+	// standstillThreshold is the time between two of these checks above which the
+	// process did not run in between.
+	standstillThreshold = 10 * expireInterval
 )
 
 // Store is the part of the platform's store that a Follower uses.
@@ -63,7 +67,8 @@
 	OthersReachStore func() bool
 	// OnChange is called with the new view after each change.
 	OnChange func(*View)
-	// Now is the clock; nil means time.Now.
+	// Now is the clock of all times in the View; nil means that of clock.New. It must
+	// count suspensions of the machine: ages of versions are bounded.
 	Now func() time.Time
 }
 
@@ -81,7 +86,7 @@
 		c.OnChange = func(*View) {}
 	}
 	if c.Now == nil {
-		c.Now = time.Now
+		c.Now = clock.New().Now
 	}
 }
 
@@ -96,6 +101,11 @@
 	state *State
 	// failing is true for each table whose last call failed.
 	failing map[string]bool
+	// lastCheck is the time of the last check for a standstill, and lastCheckSteady
+	// that time on the steady clock.
+	lastCheck, lastCheckSteady time.Time
+	// runningSince is the end of the last standstill.
+	runningSince time.Time
 }
 
 // NewFollower returns a Follower with an empty View.
@@ -103,6 +113,7 @@
 	config.applyDefaults()
 	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}}
 	f.view.Store(f.state.View())
+	f.lastCheck, f.lastCheckSteady = config.Now(), time.Now()
 	return f
 }
 
@@ -134,6 +145,7 @@
 	startedAt := f.config.Now()
 	for ctx.Err() == nil {
 		var err error
+		calledAt := f.config.Now()
 		if readAllRows {
 			err = f.readAll(ctx, name)
 		} else {
@@ -151,7 +163,7 @@
 			readAllRows = true
 			wait = 0
 		case err != nil:
-			f.handleFailure(name, err)
+			f.handleFailure(name, calledAt, err)
 			wait = f.config.RetryDelay/2 + rand.N(f.config.RetryDelay)
 		default:
 			f.handleReply(name)
@@ -165,6 +177,7 @@
 var errStaleReply = errors.New("the store returned an older revision of the table than before")
 
 func (f *Follower) readAll(ctx context.Context, name string) error {
+	calledAt := f.config.Now()
 	page, err := f.config.Store.ReadAll(ctx, name)
 	if err != nil {
 		return err
@@ -173,6 +186,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Replace(now, name, page)
+		f.state.markRead(name, calledAt)
 	})
 	if !applied {
 		return errStaleReply
@@ -184,12 +198,14 @@
 	f.mu.Lock()
 	since, _ := f.state.Cursor(name)
 	era := f.state.Era()
+	wait := f.longPollTimeout(name)
 	f.mu.Unlock()
 	if since.Era < era {
 		// The other table, or a peer, has rows of a later era.
 		return rowstore.ErrHistoryGone
 	}
-	page, err := f.config.Store.Changes(ctx, name, since, f.config.LongPollTimeout)
+	calledAt := f.config.Now()
+	page, err := f.config.Store.Changes(ctx, name, since, wait)
 	if err != nil {
 		return err
 	}
@@ -197,6 +213,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Apply(now, name, page)
+		f.state.markRead(name, calledAt)
 	})
 	if !applied {
 		return rowstore.ErrHistoryGone
@@ -204,10 +221,22 @@
 	return nil
 }
 
+// longPollTimeout returns how long the next call for the changes of a table waits for
+// them. After a failed call or a standstill it does not: times are counted from the
+// store's first reply, which a long poll would delay until the next change. The caller
+// holds mu.
+func (f *Follower) longPollTimeout(name string) time.Duration {
+	if f.failing[name] || f.state.isCatchingUp() {
+		return 0
+	}
+	return f.config.LongPollTimeout
+}
+
 // update changes the state, publishes the new view and logs the changes.
 func (f *Follower) update(change func(now time.Time)) {
 	f.mu.Lock()
 	now := f.config.Now()
+	f.checkStandstill(now)
 	wasLoaded := f.view.Load().Loaded
 	change(now)
 	events := f.state.TakeEvents()
@@ -226,6 +255,21 @@
 	}
 }
 
+// checkStandstill detects that the process did not run for some time: it was stopped, or
+// its machine was suspended, which the steady clock does not count. The caller holds mu.
+func (f *Follower) checkStandstill(now time.Time) {
+	last, lastSteady := f.lastCheck, f.lastCheckSteady
+	f.lastCheck, f.lastCheckSteady = now, time.Now()
+	if now.Sub(last) < standstillThreshold {
+		return
+	}
+	f.state.MarkStandstill(last, now)
+	f.runningSince = now
+	f.config.Log.WithFields(logrus.Fields{
+		"ms": now.Sub(last).Milliseconds(), "steady_clock_ms": f.lastCheckSteady.Sub(lastSteady).Milliseconds(),
+	}).Warn("This process did not run for some time.")
+}
+
 func (f *Follower) logEvent(event Event) {
 	if change := event.EraChange; change != nil {
 		f.config.Log.WithFields(logrus.Fields{
@@ -245,11 +289,13 @@
 	return f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
 }
 
-func (f *Follower) handleFailure(name string, err error) {
+func (f *Follower) handleFailure(name string, calledAt time.Time, err error) {
 	f.mu.Lock()
+	f.checkStandstill(f.config.Now())
 	isFirst := !f.failing[name]
 	f.failing[name] = true
-	if f.config.OthersReachStore == nil || !f.config.OthersReachStore() {
+	othersReachStore := f.config.OthersReachStore != nil && f.config.OthersReachStore()
+	if !othersReachStore && f.indicatesOutage(calledAt) {
 		f.state.MarkStoreDown()
 	}
 	f.mu.Unlock()
@@ -258,6 +304,14 @@
 	}
 }
 
+// indicatesOutage reports whether the failure of a call that began at calledAt indicates an
+// outage of the store. It does not if the store has replied to another call since, or if
+// the call expired during a standstill of this process; the next call tells then. The
+// caller holds mu.
+func (f *Follower) indicatesOutage(calledAt time.Time) bool {
+	return f.lastReply.Load() <= calledAt.UnixNano() && !calledAt.Before(f.runningSince)
+}
+
 // ReachesStore reports whether the store replied to the last call for each
 // table.
 func (f *Follower) ReachesStore() bool {
@@ -292,6 +346,7 @@
 		case <-ticker.C:
 		}
 		f.mu.Lock()
+		f.checkStandstill(f.config.Now())
 		pending := f.state.HasLapsedServers()
 		f.mu.Unlock()
 		if pending {
@@ -308,10 +363,9 @@
 }
 
 // SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. It has no effect unless the version was configured before this
-// daemon started.
+// another daemon. It has no effect if this daemon knows an earlier time.
 func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
-	if f.View().knowsSince(model, version) {
+	if !improvesSince(f.View().Targets[model], version, since) {
 		return
 	}
 	f.update(func(time.Time) { f.state.SetVersionSince(model, version, since) })
