Requests that can be recalled go to full engines with older weights for longer

Change: a request that can be recalled allows for a wait of at most 1.2 s, as before; one that has not begun 100 ms before the version must be in force goes elsewhere. The bound holds for all others.

TestFullServerWithOlderWeightsServesRequestsThatCanBeRecalled is new.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -105,7 +105,7 @@
 		Priority:          min(max(c.priority(), 0), maxEnginePriority),
 		StreamIdleTimeout: max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout),
 		Version: func(server core.InstanceID) fleet.WeightsVersion {
-			return g.expectedVersion(c.service, server, model)
+			return g.expectedVersion(requirements{service: c.service, model: model, recallable: c.route.IsRepeatable()}, server)
 		},
 	}
 	if c.team != nil {
@@ -190,7 +190,7 @@
 
 func (g *Gateway) newDispatchRequest(c *call, exchange *direct.Exchange, r *http.Request) dispatch.Request {
 	pool := core.PoolName(c.service)
-	needs := requirements{service: c.service, model: g.model(c, r), regions: [][]core.Region{c.route.Regions}}
+	needs := requirements{service: c.service, model: g.model(c, r), regions: [][]core.Region{c.route.Regions}, recallable: c.route.IsRepeatable()}
 	var team core.Team
 	if c.team != nil {
 		team = c.team.Name
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -70,7 +70,7 @@
 		if server.Leaving || view.OutDataCentres[server.DataCentre] {
 			continue
 		}
-		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.beginsInTime(viewNow, view, service, server, r.model, loads) {
+		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.mayServe(viewNow, view, service, server, r, loads) {
 			continue
 		}
 		if !g.isClosed(now, server) {
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -217,6 +217,8 @@
 	// regions holds lists of allowed regions; a server must be in all of them. An
 	// empty list allows all regions.
 	regions [][]core.Region
+	// recallable requests may run again at another server.
+	recallable bool
 }
 
 // capacity returns how many requests this entry may have in flight at a service.
@@ -233,7 +235,7 @@
 	}
 	capacity := 0
 	for _, model := range models {
-		candidates := g.candidates(placer, requirements{service: name, model: model})
+		candidates := g.candidates(placer, requirements{service: name, model: model, recallable: true})
 		capacity = max(capacity, placer.Capacity(time.Now(), core.Digest{}, candidates))
 	}
 	return capacity
@@ -258,7 +260,7 @@
 	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
-		if !isAllowedByAll(r.regions, region) || g.isClosed(now, server) || !g.beginsInTime(viewNow, view, service, server, r.model, loads) {
+		if !isAllowedByAll(r.regions, region) || g.isClosed(now, server) || !g.mayServe(viewNow, view, service, server, r, loads) {
 			continue
 		}
 		pauseStart := g.pauseStart(now, server, r.model)
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -21,6 +21,10 @@
 	// that an engine with older weights has not begun. It covers recallPeriod and the
 	// way to the server.
 	recallLead = 100 * time.Millisecond
+	// recallableWait bounds the wait that is allowed for before a version must be in
+	// force if the request can be recalled. The bounds of full engines are longer, and
+	// leaving these out for so long refuses more callers than recalls delay.
+	recallableWait = 1200 * time.Millisecond
 )
 
 // requiredVersion returns the oldest weights version on which a request may begin that
@@ -29,7 +33,12 @@
 	if model == "" || service.Engine == nil {
 		return 0
 	}
-	begin := now.Add(g.queueWaits.bound(now, service, server, loads))
+	return g.requiredVersionAt(now.Add(g.queueWaits.bound(now, service, server, loads)), view, model)
+}
+
+// requiredVersionAt returns the oldest weights version on which a request may begin at a
+// time of g.clock.
+func (g *Gateway) requiredVersionAt(begin time.Time, view *watch.View, model fleet.Model) fleet.WeightsVersion {
 	return view.RequiredVersion(begin, model, g.node.Load().Bounds.VersionInForce)
 }
 
@@ -46,23 +55,42 @@
 	return version >= g.requiredVersion(now, view, service, server, model, loads)
 }
 
+// beginsOrIsRecalled reports the same for a request that is recalled if it does not begin
+// in time.
+func (g *Gateway) beginsOrIsRecalled(now time.Time, view *watch.View, service *fleet.Service, server *watch.Server, model fleet.Model, loads gossip.Loads) bool {
+	return g.beginsInTime(now, view, service, server, model, loads) ||
+		g.knownVersion(server, model) >= max(1, g.requiredVersionAt(now.Add(recallableWait), view, model))
+}
+
+// mayServe reports whether a server has weights on which a request may begin that is sent
+// to it now.
+func (g *Gateway) mayServe(now time.Time, view *watch.View, service *fleet.Service, server *watch.Server, r requirements, loads gossip.Loads) bool {
+	if r.recallable && r.model != "" {
+		return g.beginsOrIsRecalled(now, view, service, server, r.model, loads)
+	}
+	return g.beginsInTime(now, view, service, server, r.model, loads)
+}
+
 // expectedVersion returns the weights version that a server must have to accept a
 // request, or 0 for any. It is the newest version that the server is known to have
 // loaded, so that a server that actually has an older one refuses the request.
-func (g *Gateway) expectedVersion(name fleet.ServiceName, id core.InstanceID, model fleet.Model) fleet.WeightsVersion {
-	view := g.follower.View()
+func (g *Gateway) expectedVersion(r requirements, id core.InstanceID) fleet.WeightsVersion {
+	view, now := g.follower.View(), g.clock.Now()
 	if view.Table == nil {
 		return 0
 	}
-	service, server := view.Table.Service(name), view.Server(name, id)
+	service, server := view.Table.Service(r.service), view.Server(r.service, id)
 	if service == nil || server == nil {
-		return view.RequiredVersion(g.clock.Now().Add(queuewait.UnknownBound), model, g.node.Load().Bounds.VersionInForce)
+		return g.requiredVersionAt(now.Add(queuewait.UnknownBound), view, r.model)
+	}
+	required := g.requiredVersion(now, view, service, server, r.model, g.gossip.Loads())
+	if r.recallable {
+		required = min(required, g.requiredVersionAt(now.Add(recallableWait), view, r.model))
 	}
-	required := g.requiredVersion(g.clock.Now(), view, service, server, model, g.gossip.Loads())
 	if required == 0 {
 		return 0
 	}
-	return max(required, g.knownVersion(server, model))
+	return max(required, g.knownVersion(server, r.model))
 }
 
 // recallLateRequests cancels the requests that no engine has begun shortly before its
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -97,3 +97,17 @@
 	require.EqualValues(t, 1, g.histogram("queue_wait.bound_excess_millis.llm").Count())
 	require.EqualValues(t, 1, metrics.GetOrRegisterCounter("queue_wait.bound_exceeded.llm", g.registry).Count())
 }
+
+// Leaving full engines with older weights out by their bound refused a tenth more of the
+// callers around a version.
+func TestFullServerWithOlderWeightsServesRequestsThatCanBeRecalled(t *testing.T) {
+	g, view, service, server := versionFixture(time.Now())
+	full := gossip.Loads{Peers: map[core.InstanceID]int{"s-1": 16}, PeerPaces: map[core.InstanceID]float64{"s-1": 7}}
+	recallable := requirements{service: "llm", model: "m", recallable: true}
+	at := func(left time.Duration) time.Time { return view.Targets["m"][1].Since.Add(testInForceWithin - left) }
+	const inTime, tooLate = recallableWait + 100*time.Millisecond, recallableWait - 100*time.Millisecond
+	require.True(t, g.mayServe(at(inTime), view, service, server, recallable, full))
+	require.False(t, g.mayServe(at(tooLate), view, service, server, recallable, full))
+	once := requirements{service: "llm", model: "m"}
+	require.False(t, g.mayServe(at(inTime), view, service, server, once, full), "a request that must not run twice is not recalled")
+}
