--- a/requests/upstream/pool_test.go
+++ b/requests/upstream/pool_test.go
@@ -155,8 +155,9 @@
 	require.Error(t, err)
 }
 
-// An abandoned request that is still on its way must not reach the server later.
-func TestAbandonedRequestIsNotDeliveredAfterClose(t *testing.T) {
+// connectedPair returns a new connection of a pool and the server's end of it.
+func connectedPair(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -165,23 +166,22 @@
 	serverConn, err := listener.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = serverConn.Close() })
+	return conn, serverConn
+}
+
+// An abandoned request that is still on its way must not reach the server later.
+func TestAbandonedRequestIsNotDeliveredAfterClose(t *testing.T) {
+	conn, serverConn := connectedPair(t)
 
 	require.NoError(t, conn.Send([]byte(getRequest)))
 	conn.Close()
-	_, err = io.Copy(io.Discard, serverConn)
+	_, err := io.Copy(io.Discard, serverConn)
 	require.ErrorIs(t, err, syscall.ECONNRESET, "a normal close delivers all bytes first")
 }
 
 func TestIdleConnectionIsClosedNormally(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	conn, err := NewPool(Config{}).Get(context.Background(), listener.Addr().String(), time.Second)
-	require.NoError(t, err)
-	serverConn, err := listener.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = serverConn.Close() })
+	conn, serverConn := connectedPair(t)
 	conn.Close()
-	_, err = io.Copy(io.Discard, serverConn)
+	_, err := io.Copy(io.Discard, serverConn)
 	require.NoError(t, err)
 }
--- a/tables/watch/version_age_test.go
+++ b/tables/watch/version_age_test.go
@@ -64,6 +64,25 @@
 	require.EqualValues(t, 2, f.View().RequiredVersion(start.Add(11*time.Second), "m", testInForceWithin))
 }
 
+func TestVersionReadSomeTimeAfterAStandstillIsRequiredFromItsBeginning(t *testing.T) {
+	f, now := newTestFollower(t)
+	advance(f, now, time.Second)
+	*now = now.Add(4 * time.Second)
+	advance(f, now, 1100*time.Millisecond)
+	importVersion(t, f, 2, 6)
+	require.EqualValues(t, 2, f.View().RequiredVersion(start.Add(9*time.Second), "m", testInForceWithin), "no call of the store has ended since the standstill began")
+}
+
+func TestVersionReadAfterTwoStandstillsIsRequiredFromTheBeginningOfTheFirst(t *testing.T) {
+	f, now := newTestFollower(t)
+	advance(f, now, time.Second)
+	*now = now.Add(2500 * time.Millisecond)
+	advance(f, now, 200*time.Millisecond)
+	*now = now.Add(1600 * time.Millisecond)
+	importVersion(t, f, 2, 6)
+	require.EqualValues(t, 2, f.View().RequiredVersion(start.Add(9*time.Second+300*time.Millisecond), "m", testInForceWithin), "no call of the store has ended since the first standstill began")
+}
+
 // TestRandomVersionAges checks that daemons which learn of versions at random times, stand
 // still at random times and exchange ages through lost and late messages never assume an
 // age above the true one, and agree on the age at the first reader within a few rounds.
