--- /dev/null
+++ b/core/fleet/evidence.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"time"
+
+	"currantusher.dev/core"
+)
+
+// PromptPart identifies a part of the prompts for a model that several requests may
+// share.
+type PromptPart struct {
+	_     struct{} `cbor:",toarray"`
+	Model Model
+	ID    string
+}
+
+// CrashEvidence is what an entry tells the others about the prompt parts that crash
+// backend servers. Ages are times before the message was sent.
+type CrashEvidence struct {
+	Crashes     []CrashReport `cbor:"1,keyasint,omitempty"`
+	Starts      []PartStart   `cbor:"2,keyasint,omitempty"`
+	Quarantines []Quarantine  `cbor:"3,keyasint,omitempty"`
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (e *CrashEvidence) IsEmpty() bool {
+	return len(e.Crashes)+len(e.Starts)+len(e.Quarantines) == 0
+}
+
+// CrashReport describes the crash of one process of a backend server.
+type CrashReport struct {
+	_           struct{} `cbor:",toarray"`
+	Server      core.InstanceID
+	Incarnation core.Incarnation
+	Age         time.Duration
+	// Suspects are the shared prompt parts of the requests that were waiting there for
+	// the begin of their answers.
+	Suspects []Suspect
+}
+
+// Suspect is a prompt part of a request that waited at a server when the server
+// crashed.
+type Suspect struct {
+	_    struct{} `cbor:",toarray"`
+	Part PromptPart
+	// Request is a hash of the request's ID.
+	Request uint32
+}
+
+// PartStart reports that an answer to a prompt with this part has begun.
+type PartStart struct {
+	_    struct{} `cbor:",toarray"`
+	Part PromptPart
+	// Age is the time since the last such answer began.
+	Age time.Duration
+}
+
+// Quarantine reports that requests with a prompt part are refused, or no longer.
+type Quarantine struct {
+	_    struct{} `cbor:",toarray"`
+	Part PromptPart
+	// Generation counts how often the part has been quarantined.
+	Generation uint32
+	// Age is the time since the decision to quarantine the part.
+	Age time.Duration
+	// Crashes is the number of crashes that led to the decision.
+	Crashes int
+	// Released means that the part proved not to be the cause.
+	Released bool
+}
--- /dev/null
+++ b/requests/quarantine/confirm.go
@@ -0,0 +1,94 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/pause"
+	"currantusher.dev/requests/notices"
+)
+
+// confirmDelay is the time from the loss of a connection to the check of the server, in
+// which a process that ends closes its listener too.
+const confirmDelay = 20 * time.Millisecond
+
+// Confirmer tells crashes from lost connections: it connects to the server again. One
+// that refuses has ended; one that accepts has only dropped a connection. One that does
+// not respond may be cut off, which says nothing.
+type Confirmer struct {
+	dial   func(ctx context.Context, addr string) error
+	report func(server notices.Lifetime, at time.Time, waiting []fleet.Suspect)
+
+	mu      sync.Mutex
+	checks  map[notices.Lifetime]*check
+	crashed map[notices.Lifetime]time.Time
+}
+
+// check is a running check of a server.
+type check struct {
+	at      time.Time
+	waiting []fleet.Suspect
+}
+
+// NewConfirmer returns a Confirmer that connects with dial and calls report with the
+// requests that waited at a crashed server, more than once if their connections end one
+// after the other.
+func NewConfirmer(dial func(ctx context.Context, addr string) error, report func(server notices.Lifetime, at time.Time, waiting []fleet.Suspect)) *Confirmer {
+	return &Confirmer{dial: dial, report: report, checks: map[notices.Lifetime]*check{}, crashed: map[notices.Lifetime]time.Time{}}
+}
+
+// Lost handles the end of a connection by a server before the answer to a request with
+// these parts began.
+func (c *Confirmer) Lost(ctx context.Context, now time.Time, server notices.Lifetime, addr, requestID string, parts []fleet.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	waiting := suspects(requestID, parts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOldCrashes(now)
+	if at, ok := c.crashed[server]; ok {
+		c.report(server, at, waiting)
+		return
+	}
+	if running := c.checks[server]; running != nil {
+		running.waiting = append(running.waiting, waiting...)
+		return
+	}
+	c.checks[server] = &check{at: now, waiting: waiting}
+	go c.check(context.WithoutCancel(ctx), server, addr)
+}
+
+func suspects(requestID string, parts []fleet.PromptPart) []fleet.Suspect {
+	list := make([]fleet.Suspect, len(parts))
+	for i, p := range parts {
+		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID)}
+	}
+	return list
+}
+
+func (c *Confirmer) dropOldCrashes(now time.Time) {
+	for server, at := range c.crashed {
+		if now.Sub(at) > mergePeriod {
+			delete(c.crashed, server)
+		}
+	}
+}
+
+func (c *Confirmer) check(ctx context.Context, server notices.Lifetime, addr string) {
+	pause.For(ctx, confirmDelay)
+	err := c.dial(ctx, addr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	done := c.checks[server]
+	delete(c.checks, server)
+	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+		return
+	}
+	c.crashed[server] = done.at
+	c.report(server, done.at, done.waiting)
+}
--- /dev/null
+++ b/requests/quarantine/decide.go
@@ -0,0 +1,254 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantusher.dev/core/fleet"
+)
+
+const (
+	// minMoments is the number of moments of crashes that a part must explain to be
+	// quarantined. Two faults of another kind at about the same time are not rare.
+	minMoments = 3
+	// minRequests is the number of requests that must have held the part then. A
+	// request that is sent again may be near several crashes by chance.
+	minRequests = 2
+	// momentGap is the least time between two moments. Servers that share a rack or a
+	// link may fail at the same one.
+	momentGap = 50 * time.Millisecond
+	// soundPeriod is how long before a crash an answer must have begun that proves a
+	// part sound.
+	soundPeriod = 5 * time.Second
+)
+
+// Reason is why the state of a part changed.
+type Reason uint8
+
+// Values of Reason.
+const (
+	// Decided means that this entry has quarantined the part.
+	Decided Reason = iota
+	// Adopted means that another entry has quarantined the part.
+	Adopted
+	// ProvedSound means that an answer with the part has begun.
+	ProvedSound
+	// ExplainedOtherwise means that another part explains all of the part's crashes.
+	ExplainedOtherwise
+	// ReleasedElsewhere means that another entry has released the part.
+	ReleasedElsewhere
+	// Ended means that the time of the quarantine has passed.
+	Ended
+)
+
+// String returns the reason in words.
+func (r Reason) String() string {
+	return [...]string{
+		"decided here", "decided by another entry", "an answer with it has begun",
+		"another part explains the crashes", "released by another entry", "its time has passed",
+	}[r]
+}
+
+// Change is a change of the state of a part.
+type Change struct {
+	Part   fleet.PromptPart
+	Reason Reason
+	// Until is the end of the quarantine that begins, or the zero time.
+	Until time.Time
+	// Crashes is the number of crashes for which the part was quarantined.
+	Crashes int
+}
+
+// Decide quarantines and releases parts according to the evidence, and drops what has
+// expired. settle is how long the evidence that a part is sound takes to arrive here
+// from any entry. Decide is to be called often.
+func (s *Set) Decide(now time.Time, settle time.Duration) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.expire(now)
+	changes := s.endQuarantines(now)
+	s.quarantines.expire(now)
+	if s.undecided {
+		changes = append(changes, s.decide(now, settle)...)
+	}
+	s.quarantined.Store(s.quarantines.countActive(now))
+	return changes
+}
+
+func (s *Set) endQuarantines(now time.Time) []Change {
+	var changes []Change
+	for part, q := range s.quarantines {
+		if !q.released && !q.endReported && !q.isActive(now) {
+			q.endReported = true
+			changes = append(changes, Change{Part: part, Reason: Ended, Crashes: q.crashes})
+		}
+	}
+	return changes
+}
+
+func (s *Set) decide(now time.Time, settle time.Duration) []Change {
+	s.undecided = false
+	changes := s.releaseSound(now)
+	candidates := s.candidates()
+	causes := map[fleet.PromptPart]bool{}
+	explained := map[*crash]bool{}
+	for {
+		best := strongest(candidates, explained)
+		if best == nil {
+			break
+		}
+		for _, c := range best.crashes {
+			explained[c] = true
+		}
+		causes[best.part] = true
+		if q := s.quarantines[best.part]; q != nil && q.isActive(now) {
+			continue
+		}
+		if now.Sub(best.crashes[0].at) < settle && !best.isRepeat {
+			s.undecided = true
+			continue
+		}
+		changes = append(changes, s.quarantine(now, best))
+	}
+	return append(changes, s.releaseExplained(now, candidates, causes, explained)...)
+}
+
+func (s *Set) quarantine(now time.Time, cause *candidate) Change {
+	q := &quarantine{generation: 1, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
+	if previous := s.quarantines[cause.part]; previous != nil {
+		q.generation = previous.generation + 1
+	}
+	s.quarantines.put(cause.part, q)
+	return Change{Part: cause.part, Reason: Decided, Until: q.end(), Crashes: q.crashes}
+}
+
+// releaseSound releases the parts with which an answer began shortly before the decision
+// or later, also those whose quarantine has ended.
+func (s *Set) releaseSound(now time.Time) []Change {
+	var changes []Change
+	for part, q := range s.quarantines {
+		if !q.released && s.isSound(part, q.decidedAt) {
+			changes = append(changes, release(now, part, q, ProvedSound))
+		}
+	}
+	return changes
+}
+
+// releaseExplained releases the quarantined parts of which all known crashes are
+// explained by other parts.
+func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.PromptPart]bool, explained map[*crash]bool) []Change {
+	var changes []Change
+	for _, c := range candidates {
+		q := s.quarantines[c.part]
+		if q == nil || !q.isActive(now) || causes[c.part] {
+			continue
+		}
+		if !slices.ContainsFunc(c.crashes, func(c *crash) bool { return !explained[c] }) {
+			changes = append(changes, release(now, c.part, q, ExplainedOtherwise))
+		}
+	}
+	return changes
+}
+
+func release(now time.Time, part fleet.PromptPart, q *quarantine, reason Reason) Change {
+	q.released, q.releasedAt, q.changedAt = true, now, now
+	return Change{Part: part, Reason: reason, Crashes: q.crashes}
+}
+
+// candidate is a part that may be the cause of crashes.
+type candidate struct {
+	part     fleet.PromptPart
+	isRepeat bool
+	// hasStarted is set if an answer with the part is known to have begun at any time.
+	hasStarted bool
+	// crashes are those in which the part is suspect, in the order of time.
+	crashes []*crash
+}
+
+// candidates returns the parts that are suspect in enough crashes, by name.
+func (s *Set) candidates() []*candidate {
+	byPart := map[fleet.PromptPart]*candidate{}
+	for _, c := range s.crashes.byTime() {
+		for p := range c.suspects {
+			if s.isSound(p, c.at) {
+				continue
+			}
+			if byPart[p] == nil {
+				byPart[p] = &candidate{part: p, isRepeat: s.quarantines[p].isRepeat(), hasStarted: !s.starts.last(p).IsZero()}
+			}
+			byPart[p].crashes = append(byPart[p].crashes, c)
+		}
+	}
+	var list []*candidate
+	for _, c := range byPart {
+		if c.isRepeat || len(c.crashes) >= minMoments {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(a.part.Model, b.part.Model), cmp.Compare(a.part.ID, b.part.ID))
+	})
+	return list
+}
+
+// strongest returns the candidate that explains most of the crashes that are not
+// explained yet, reduced to these crashes, or nil if none explains enough.
+func strongest(candidates []*candidate, explained map[*crash]bool) *candidate {
+	var best *candidate
+	var bestMoments, bestRequests int
+	for _, c := range candidates {
+		rest := *c
+		rest.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(c *crash) bool { return explained[c] })
+		moments, requests := rest.moments(), rest.requests()
+		if !isEnough(&rest, moments, requests) {
+			continue
+		}
+		if best == nil || isStronger(&rest, moments, requests, best, bestMoments, bestRequests) {
+			best, bestMoments, bestRequests = &rest, moments, requests
+		}
+	}
+	return best
+}
+
+func isEnough(c *candidate, moments, requests int) bool {
+	if c.isRepeat {
+		return moments > 0
+	}
+	return moments >= minMoments && requests >= minRequests
+}
+
+// isStronger orders two candidates. Of two that explain equally much, a part with which
+// no answer is known to have begun is the likelier cause.
+func isStronger(a *candidate, momentsA, requestsA int, b *candidate, momentsB, requestsB int) bool {
+	if momentsA != momentsB {
+		return momentsA > momentsB
+	}
+	if a.hasStarted != b.hasStarted {
+		return !a.hasStarted
+	}
+	return requestsA > requestsB
+}
+
+// moments returns the number of different times of the crashes.
+func (c *candidate) moments() int {
+	count := 0
+	var last time.Time
+	for _, crash := range c.crashes {
+		if count == 0 || crash.at.Sub(last) >= momentGap {
+			count, last = count+1, crash.at
+		}
+	}
+	return count
+}
+
+// requests returns the number of different requests that held the part.
+func (c *candidate) requests() int {
+	seen := map[uint32]bool{}
+	for _, crash := range c.crashes {
+		for _, request := range crash.suspects[c.part] {
+			seen[request] = true
+		}
+	}
+	return len(seen)
+}
--- /dev/null
+++ b/requests/quarantine/exchange.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
+)
+
+const (
+	// relayPeriod is how long news is sent to other entries after it became known here.
+	// News that is relayed by four messages a round reaches 350 entries within it.
+	relayPeriod = 3 * time.Second
+	// maxSentCrashes, maxSentSuspects and maxSentStarts bound the news in one message.
+	maxSentCrashes  = 8
+	maxSentSuspects = 64
+	maxSentStarts   = 32
+	// maxSentNews bounds the quarantines that changed lately in one message, and
+	// maxSentKnown the others, which are for entries that have just started.
+	maxSentNews  = 16
+	maxSentKnown = 2
+)
+
+// Evidence returns what to tell other entries in the next message.
+func (s *Set) Evidence(now time.Time) fleet.CrashEvidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now)}
+	starts := map[fleet.PromptPart]bool{}
+	suspects := 0
+	for _, c := range slices.Backward(s.crashes.byTime()) {
+		if now.Sub(c.changedAt) >= relayPeriod {
+			continue
+		}
+		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
+			break
+		}
+		report := s.report(now, c, starts)
+		if len(report.Suspects) > 0 {
+			suspects += len(report.Suspects)
+			e.Crashes = append(e.Crashes, report)
+		}
+	}
+	for part := range starts {
+		if len(e.Starts) < maxSentStarts {
+			e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
+		}
+	}
+	return e
+}
+
+// report returns a crash with the parts that are still suspect. It adds the sound ones
+// to starts.
+func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool) fleet.CrashReport {
+	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
+	for part, requests := range c.suspects {
+		if s.isSound(part, c.at) {
+			starts[part] = true
+			continue
+		}
+		for _, request := range requests {
+			report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request})
+		}
+	}
+	return report
+}
+
+// sentQuarantines returns those that changed lately, and the others in turn: with the
+// least recently sent first.
+func (s *Set) sentQuarantines(now time.Time) []fleet.Quarantine {
+	var news, known []fleet.PromptPart
+	for part, q := range s.quarantines {
+		switch {
+		case now.Sub(q.changedAt) < relayPeriod:
+			news = append(news, part)
+		case q.isActive(now):
+			known = append(known, part)
+		}
+	}
+	bySending := func(a, b fleet.PromptPart) int {
+		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), cmp.Compare(a.ID, b.ID))
+	}
+	slices.SortFunc(news, bySending)
+	slices.SortFunc(known, bySending)
+	var list []fleet.Quarantine
+	for _, part := range append(news[:min(len(news), maxSentNews)], known[:min(len(known), maxSentKnown)]...) {
+		q := s.quarantines[part]
+		q.sentAt = now
+		list = append(list, fleet.Quarantine{
+			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released,
+		})
+	}
+	return list
+}
+
+// Merge adds what another entry tells. It returns the changes of quarantines, and
+// whether there is news that should be passed on soon.
+func (s *Set) Merge(now time.Time, e fleet.CrashEvidence) (changes []Change, isNews bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, start := range e.Starts {
+		isNews = s.recordStart(now, start.Part, now.Add(-max(start.Age, 0))) || isNews
+	}
+	for _, c := range e.Crashes {
+		lifetime := notices.Lifetime{Server: c.Server, Incarnation: c.Incarnation}
+		if s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects) {
+			s.undecided, isNews = true, true
+		}
+	}
+	for _, q := range e.Quarantines {
+		if change, ok := s.adopt(now, q); ok {
+			changes, isNews = append(changes, change), true
+		}
+	}
+	s.quarantined.Store(s.quarantines.countActive(now))
+	return changes, isNews
+}
+
+// adopt applies the quarantine of a part that another entry knows, and reports whether
+// that changed whether the part is quarantined here.
+func (s *Set) adopt(now time.Time, other fleet.Quarantine) (Change, bool) {
+	decidedAt := now.Add(-max(other.Age, 0))
+	known := s.quarantines[other.Part]
+	if other.Generation == 0 || known != nil && !known.isSupersededBy(other, decidedAt) {
+		return Change{}, false
+	}
+	q := &quarantine{generation: other.Generation, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now}
+	wasActive := known != nil && known.isActive(now)
+	if q.released {
+		q.releasedAt = now
+	}
+	if !q.released && !q.isActive(now) {
+		q.endReported = true
+	}
+	if known != nil && known.generation == q.generation && known.released == q.released {
+		// Only the age differs, which is no news.
+		q.changedAt, q.endReported = known.changedAt, known.endReported
+	}
+	s.quarantines.put(other.Part, q)
+	s.undecided = true
+	switch change := (Change{Part: other.Part, Crashes: q.crashes}); {
+	case q.isActive(now) && !wasActive:
+		change.Reason, change.Until = Adopted, q.end()
+		return change, true
+	case wasActive && q.released:
+		change.Reason = ReleasedElsewhere
+		return change, true
+	default:
+		return Change{}, false
+	}
+}
--- /dev/null
+++ b/requests/quarantine/starts.go
@@ -0,0 +1,46 @@
+package quarantine
+
+import (
+	"time"
+
+	"currantusher.dev/core/fleet"
+)
+
+const (
+	// startRetention is the least time for which the begin of an answer is known.
+	startRetention = 20 * time.Second
+	// maxStarts bounds each of the two generations of startTimes, in parts.
+	maxStarts = 4096
+)
+
+// startTimes holds when an answer to a prompt with a part last began. It keeps two
+// generations and drops the older one when the newer one is full or old enough.
+type startTimes struct {
+	newer, older map[fleet.PromptPart]time.Time
+	newerSince   time.Time
+}
+
+func newStartTimes() startTimes {
+	return startTimes{newer: map[fleet.PromptPart]time.Time{}, older: map[fleet.PromptPart]time.Time{}}
+}
+
+// record stores the begin of an answer unless a later one is known. It reports whether
+// it stored the begin.
+func (s *startTimes) record(now time.Time, part fleet.PromptPart, at time.Time) bool {
+	if !at.After(s.last(part)) {
+		return false
+	}
+	if len(s.newer) >= maxStarts || now.Sub(s.newerSince) > startRetention {
+		s.older, s.newer, s.newerSince = s.newer, map[fleet.PromptPart]time.Time{}, now
+	}
+	s.newer[part] = at
+	return true
+}
+
+// last returns when an answer with the part last began, or the zero time.
+func (s *startTimes) last(part fleet.PromptPart) time.Time {
+	if at, ok := s.newer[part]; ok {
+		return at
+	}
+	return s.older[part]
+}
--- /dev/null
+++ b/requests/quarantine/table.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"time"
+
+	"currantusher.dev/core/fleet"
+)
+
+const (
+	// basePeriod is how long the first quarantine of a part lasts. Each following one
+	// lasts twice as long, up to maxPeriod.
+	basePeriod = 5 * time.Minute
+	maxPeriod  = time.Hour
+	// strikeRetention is how long an ended quarantine is known: until then one crash
+	// suffices for another one.
+	strikeRetention = time.Hour
+	// releaseRetention is how long a release is known, so that other entries learn of
+	// it. It is longer than any entry is cut off from all others and keeps serving.
+	releaseRetention = 10 * time.Minute
+	// maxQuarantines bounds the parts with a current, ended or released quarantine.
+	maxQuarantines = 256
+)
+
+// quarantine is the last quarantine of a part.
+type quarantine struct {
+	generation uint32
+	decidedAt  time.Time
+	crashes    int
+	released   bool
+	releasedAt time.Time
+	// changedAt is when this state became known here.
+	changedAt time.Time
+	// sentAt is when it was last sent to other entries.
+	sentAt time.Time
+	// endReported is set once the end has been reported as a Change.
+	endReported bool
+}
+
+func (q *quarantine) end() time.Time {
+	period := basePeriod
+	for range min(q.generation-1, 16) {
+		period = min(2*period, maxPeriod)
+	}
+	return q.decidedAt.Add(period)
+}
+
+func (q *quarantine) isActive(now time.Time) bool { return !q.released && now.Before(q.end()) }
+
+// isRepeat reports whether the part has been quarantined before and rightly so.
+func (q *quarantine) isRepeat() bool { return q != nil && !q.released }
+
+func (q *quarantine) isExpired(now time.Time) bool {
+	if q.released {
+		return now.Sub(q.releasedAt) >= releaseRetention
+	}
+	return now.Sub(q.end()) >= strikeRetention
+}
+
+// isSupersededBy reports whether a quarantine that another entry knows replaces this one:
+// it is a later one of the same part, or the same one released, or decided earlier.
+func (q *quarantine) isSupersededBy(other fleet.Quarantine, decidedAt time.Time) bool {
+	switch {
+	case other.Generation != q.generation:
+		return other.Generation > q.generation
+	case other.Released != q.released:
+		return other.Released
+	default:
+		return !q.released && decidedAt.Before(q.decidedAt)
+	}
+}
+
+// quarantineTable holds the last quarantine of each part.
+type quarantineTable map[fleet.PromptPart]*quarantine
+
+func (t quarantineTable) expire(now time.Time) {
+	for part, q := range t {
+		if q.isExpired(now) {
+			delete(t, part)
+		}
+	}
+}
+
+// put stores a quarantine. When the table is full, it replaces the one that changed
+// least recently.
+func (t quarantineTable) put(part fleet.PromptPart, q *quarantine) {
+	if t[part] == nil && len(t) >= maxQuarantines {
+		var oldest fleet.PromptPart
+		for p := range t {
+			if t[oldest] == nil || t[p].changedAt.Before(t[oldest].changedAt) {
+				oldest = p
+			}
+		}
+		delete(t, oldest)
+	}
+	t[part] = q
+}
+
+func (t quarantineTable) countActive(now time.Time) int64 {
+	count := int64(0)
+	for _, q := range t {
+		if q.isActive(now) {
+			count++
+		}
+	}
+	return count
+}
