Requests with a prompt part that crashes engines are refused at all entries

Cause: the entries took each crash for a fault of the engine. They sent the request that had caused it to the next one, and the next request with the same part to a third. No entry kept what the requests that waited at a crash had in common.

Change: entries record the shared prompt parts of requests whose server ended the connection before the answer began and then refuses connections, and with which parts answers have begun. They tell each other (gossip carries the news, at once and then for three seconds), so that crashes of which each entry has seen one count together. A part that explains three crashes and with which no answer began is quarantined: requests with it get 503 part-quarantined with Retry-After at once, requests on their way are recalled. `explain` shows the crashes behind such a refusal.

--- a/core/code.go
+++ b/core/code.go
@@ -66,6 +66,7 @@
 	CodeTombstoned        Code = 215
 	CodeAlreadyDispatched Code = 216
 	CodeServerClosed      Code = 217
+	CodePartQuarantined   Code = 218
 
 	CodeIncomplete       Code = 300
 	CodeEngineFailed     Code = 301
@@ -140,6 +141,7 @@
 	{CodeTombstoned, "tombstoned", 503, "The attempt was cancelled before it started."},
 	{CodeAlreadyDispatched, "already-dispatched", 409, "The agent has already received this attempt."},
 	{CodeServerClosed, "server-closed", 503, "The backend server has announced that it is leaving or that it wants no requests for some time."},
+	{CodePartQuarantined, "part-quarantined", 503, "A part of the prompt has crashed backend servers; requests with it are refused for some time."},
 	{CodeIncomplete, "incomplete", 502, "The answer ended without an end frame."},
 	{CodeEngineFailed, "engine-failed", 502, "The backend server answered with an error."},
 	{CodeCrossedAnswer, "crossed-answer", 502, "The backend server returned the answer to another request."},
--- a/core/fleet/headers.go
+++ b/core/fleet/headers.go
@@ -28,6 +28,8 @@
 	Leaving string
 	// Model names the model that a request needs.
 	Model string
+	// PromptParts lists the parts of a request's prompt in order.
+	PromptParts string
 	// TokenCounts holds the number of prompt tokens and the maximum number of
 	// output tokens.
 	TokenCounts string
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -108,6 +108,9 @@
 // CheckOpen implements direct.Observer.
 func (o observer) CheckOpen(server notices.Lifetime) error {
 	now := time.Now()
+	if err := o.gateway.promptGuard.check(o.parts); err != nil {
+		return err
+	}
 	switch state := o.gateway.notices.State(now, server); state.Reason {
 	case notices.Leaving:
 		return core.NewRefusal(core.CodeServerClosed, 0, "%s has announced that it is leaving; nothing was sent", server.Server)
--- a/daemon/gateway/notices_test.go
+++ b/daemon/gateway/notices_test.go
@@ -77,7 +77,7 @@
 }
 
 func (l *listedGateway) announce(server int, notice notices.Notice) {
-	observer{l.Gateway, testService, ""}.NoticeReceived(l.lifetime(server), notice)
+	observer{gateway: l.Gateway, service: testService}.NoticeReceived(l.lifetime(server), notice)
 }
 
 func (l *listedGateway) candidateIDs() []core.InstanceID {
@@ -94,7 +94,7 @@
 	l.announce(0, notices.Notice{Leaving: true})
 	l.announce(1, notices.Notice{Pause: time.Hour})
 	require.Equal(t, []core.InstanceID{"s-2"}, l.candidateIDs())
-	check := observer{l.Gateway, testService, ""}.CheckOpen
+	check := observer{gateway: l.Gateway, service: testService}.CheckOpen
 	for server := range 2 {
 		err := check(l.lifetime(server))
 		require.Equal(t, core.CodeServerClosed, core.CodeOf(err))
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -89,6 +89,9 @@
 	gateway *Gateway
 	service fleet.ServiceName
 	model   fleet.Model
+	// requestID and parts are the id of the request and the shared parts of its prompt.
+	requestID string
+	parts     []fleet.PromptPart
 }
 
 // BeforeSend implements direct.Observer.
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	service fleet.ServiceName
 	server  core.InstanceID
 	model   fleet.Model
+	parts   []fleet.PromptPart
 	sentAt  time.Time
 	// cancel aborts the attempt so that another server gets the request; nil if it
 	// must not be sent again.
@@ -109,7 +111,7 @@
 	load := queueLoad(service, server.Slots, id, q.gateway.gossip.Loads())
 	t := &trackedWait{
 		waits: q, request: q.estimator(o.service).Sent(now, id, load),
-		service: o.service, server: id, model: o.model, sentAt: now, cancel: cancel,
+		service: o.service, server: id, model: o.model, parts: o.parts, sentAt: now, cancel: cancel,
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -140,6 +142,9 @@
 	}
 }
 
+// hasPart reports whether the request's prompt has a part that others may share.
+func (t *trackedWait) hasPart(part fleet.PromptPart) bool { return slices.Contains(t.parts, part) }
+
 func (t *trackedWait) close(complete bool) {
 	if t == nil {
 		return
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -31,6 +31,8 @@
 	service   fleet.ServiceName
 	body      []byte
 	hasBody   bool
+	// parts are those of the prompt that other requests may share.
+	parts []fleet.PromptPart
 	// deadline is when the response must be complete.
 	deadline time.Time
 	outcome  outcome
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -89,6 +89,8 @@
 	// learned of. An entry that started later cannot derive their age from the
 	// rows of the tables.
 	NewestWeights []NewestWeights `cbor:"5,keyasint,omitempty"`
+	// Evidence is what the sender knows of prompt parts that crash backend servers.
+	Evidence *fleet.CrashEvidence `cbor:"10,keyasint,omitempty"`
 	// PauseNotice is sent by an agent. The other fields of its message are
 	// empty.
 	PauseNotice *fleet.PauseNotice `cbor:"4,keyasint,omitempty"`
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -13,10 +13,15 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/pause"
 )
 
-// maxDatagramBytes bounds the size of a received message.
-const maxDatagramBytes = 32 << 10
+const (
+	// maxDatagramBytes bounds the size of a received message.
+	maxDatagramBytes = 32 << 10
+	// urgentDelay is the least time between two rounds, in which more news can arrive.
+	urgentDelay = 50 * time.Millisecond
+)
 
 // Config configures a Node.
 type Config struct {
@@ -35,6 +40,10 @@
 	// learned of. OnNewestWeights is called with those of another entry.
 	NewestWeights   func() []NewestWeights
 	OnNewestWeights func([]NewestWeights)
+	// Evidence returns what this entry knows of prompt parts that crash backend
+	// servers. OnEvidence is called with what another entry knows.
+	Evidence   func() fleet.CrashEvidence
+	OnEvidence func(fleet.CrashEvidence)
 	// OnPauseNotice is called with each pause notice that an agent sends about
 	// its backend server.
 	OnPauseNotice func(fleet.PauseNotice)
@@ -60,6 +69,8 @@
 type Node struct {
 	config Config
 	socket *net.UDPConn
+	// urgent asks for a round before the next one is due.
+	urgent chan struct{}
 
 	mu         sync.Mutex
 	state      *State
@@ -78,6 +89,12 @@
 	if config.Paces == nil {
 		config.Paces = func() map[core.InstanceID]float64 { return nil }
 	}
+	if config.Evidence == nil {
+		config.Evidence = func() fleet.CrashEvidence { return fleet.CrashEvidence{} }
+	}
+	if config.OnEvidence == nil {
+		config.OnEvidence = func(fleet.CrashEvidence) {}
+	}
 	if config.NewestWeights == nil {
 		config.NewestWeights = func() []NewestWeights { return nil }
 	}
@@ -93,7 +110,7 @@
 		return nil, fmt.Errorf("listen on peer address: %w", err)
 	}
 	state := NewState(config.Self, uint64(config.Self.Incarnation))
-	return &Node{config: config, socket: socket, state: state}, nil
+	return &Node{config: config, socket: socket, state: state, urgent: make(chan struct{}, 1)}, nil
 }
 
 // AddPeerAddrs adds peer addresses at which entries may be running.
@@ -164,14 +181,29 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-n.urgent:
+			pause.For(ctx, urgentDelay)
 		}
 	}
 }
 
+// SendSoon sends a round within urgentDelay instead of waiting for the next one.
+func (n *Node) SendSoon() {
+	n.mu.Lock()
+	n.state.RequireMessage()
+	n.mu.Unlock()
+	select {
+	case n.urgent <- struct{}{}:
+	default:
+		// A round has been asked for already.
+	}
+}
+
 func (n *Node) sendRound() {
 	era, revisions := n.config.Revisions()
 	loads, reachesStore := n.config.Loads(), n.config.ReachesStore()
 	newestWeights, paces := n.config.NewestWeights(), n.config.Paces()
+	evidence := n.config.Evidence()
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
 	n.state.SetEra(era)
@@ -187,6 +219,9 @@
 	}
 	for _, outgoing := range round {
 		outgoing.Message.NewestWeights = newestWeights
+		if !evidence.IsEmpty() {
+			outgoing.Message.Evidence = &evidence
+		}
 		if !outgoing.Message.OmitsLoads {
 			outgoing.Message.Paces = paces
 		}
@@ -225,6 +260,9 @@
 	if len(message.NewestWeights) > 0 {
 		n.config.OnNewestWeights(message.NewestWeights)
 	}
+	if message.Evidence != nil {
+		n.config.OnEvidence(*message.Evidence)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.state.Receive(n.config.Now(), message)
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -121,6 +121,10 @@
 	return changed
 }
 
+// RequireMessage makes the next round include a message of this entry to others of its
+// data centre, also if none is due.
+func (s *State) RequireMessage() { s.changed = true }
+
 // Self returns the description of this entry.
 func (s *State) Self() Member { return s.self }
 
--- a/report/trace/trace.go
+++ b/report/trace/trace.go
@@ -36,6 +36,11 @@
 	// server's ID as its key.
 	fieldKey  = "key"
 	fieldPart = "part"
+	// fieldPromptPart names the part of prompts that a quarantine concerns, and
+	// fieldPromptParts those of a refused request or of the requests that waited at a
+	// server when it crashed.
+	fieldPromptPart  = "prompt_part"
+	fieldPromptParts = "prompt_parts"
 	// partWatch marks changes of a process's view of the deployment.
 	partWatch = "watch"
 )
@@ -110,7 +115,9 @@
 // EventsOf returns the events of the requests with these IDs in the order of time:
 // the events that carry one of the IDs, and, from lookback before the first of
 // them to the last, events about the servers that the requests were sent to and
-// changes of the views of the processes that handled the requests.
+// changes of the views of the processes that handled the requests. For a request that
+// was refused because of a part of its prompt, it also returns the quarantine of the
+// part and the crashes that led to it, of all processes and without a bound in time.
 func (l *Log) EventsOf(ids ...string) []Event {
 	var requestEvents []Event
 	servers, handlers := map[string]bool{}, map[string]bool{}
@@ -133,8 +140,16 @@
 	sortByTime(requestEvents)
 	from, until := requestEvents[0].At.Add(-lookback), requestEvents[len(requestEvents)-1].At
 	all := requestEvents
+	quarantined := l.quarantinedParts(requestEvents)
 	for _, event := range l.events {
-		if stringOf(event.Fields[fieldID]) != "" || event.At.Before(from) || event.At.After(until) {
+		if stringOf(event.Fields[fieldID]) != "" || event.At.After(until) {
+			continue
+		}
+		if concernsPart(event, quarantined) {
+			all = append(all, event)
+			continue
+		}
+		if event.At.Before(from) {
 			continue
 		}
 		part := stringOf(event.Fields[fieldPart])
@@ -149,6 +164,43 @@
 	return all
 }
 
+// quarantinedParts returns the prompt parts of refused requests that have been
+// quarantined by any process.
+func (l *Log) quarantinedParts(requestEvents []Event) map[string]bool {
+	ofRequests := map[string]bool{}
+	for _, event := range requestEvents {
+		for _, part := range promptParts(event) {
+			ofRequests[part] = true
+		}
+	}
+	quarantined := map[string]bool{}
+	if len(ofRequests) == 0 {
+		return quarantined
+	}
+	for _, event := range l.events {
+		if part := stringOf(event.Fields[fieldPromptPart]); ofRequests[part] {
+			quarantined[part] = true
+		}
+	}
+	return quarantined
+}
+
+// concernsPart reports whether the event is about one of the prompt parts.
+func concernsPart(event Event, parts map[string]bool) bool {
+	return parts[stringOf(event.Fields[fieldPromptPart])] ||
+		slices.ContainsFunc(promptParts(event), func(part string) bool { return parts[part] })
+}
+
+// promptParts returns the prompt parts in a list field of the event.
+func promptParts(event Event) []string {
+	list, _ := event.Fields[fieldPromptParts].([]any)
+	parts := make([]string, 0, len(list))
+	for _, part := range list {
+		parts = append(parts, stringOf(part))
+	}
+	return parts
+}
+
 // mentionsServer reports whether a field of the event names one of the servers, by
 // ID or address.
 func mentionsServer(event Event, servers map[string]bool) bool {
--- a/report/trace/trace_test.go
+++ b/report/trace/trace_test.go
@@ -50,3 +50,22 @@
 func TestUnknownRequestHasNoEvents(t *testing.T) {
 	require.Empty(t, readLogs(t, entryLog).EventsOf("r-7"))
 }
+
+const quarantineLog = `{"instance":"entry-2","part":"quarantine","msg":"A server crashed while requests waited for their answers.","server":"s-4","prompt_parts":["p-1","p-2"],"time":"2026-01-02T09:50:00.000Z"}
+{"instance":"entry-3","part":"quarantine","msg":"A server crashed while requests waited for their answers.","server":"s-5","prompt_parts":["p-1"],"time":"2026-01-02T09:50:01.000Z"}
+{"instance":"entry-2","part":"quarantine","msg":"A prompt part is quarantined: requests with it are refused.","prompt_part":"p-2","time":"2026-01-02T09:50:02.000Z"}
+{"instance":"entry-1","id":"r-2","part":"request","msg":"Request ended.","status":503,"prompt_parts":["p-1","p-2"],"time":"2026-01-02T10:00:00.000Z"}
+`
+
+func TestRefusalForAPromptPartIsExplainedByTheCrashesOfOtherEntriesMinutesBefore(t *testing.T) {
+	events := readLogs(t, quarantineLog).EventsOf("r-2")
+	var seen []string
+	for _, event := range events {
+		seen = append(seen, event.Instance+" "+event.Message)
+	}
+	require.Equal(t, []string{
+		"entry-2 A server crashed while requests waited for their answers.",
+		"entry-2 A prompt part is quarantined: requests with it are refused.",
+		"entry-1 Request ended.",
+	}, seen, "p-1, which is not quarantined, explains nothing")
+}
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -39,6 +39,12 @@
 	// StartAttempt is called after a request was written to a server. cancel
 	// aborts the attempt; it is nil if the request must not be sent again.
 	StartAttempt(server core.InstanceID, cancel func()) AttemptObserver
+	// AnswerBegan is called when the first data of an answer with a success status was
+	// received.
+	AnswerBegan(server notices.Lifetime)
+	// ConnectionEnded is called when the server ended the connection before the answer
+	// began.
+	ConnectionEnded(server notices.Lifetime, addr string)
 	// InvalidHeader reports an answer header whose value is ignored.
 	InvalidHeader(server core.InstanceID, header string, err error)
 }
@@ -169,7 +175,7 @@
 		cancel = conn.Close
 	}
 	attemptObserver := e.observer.StartAttempt(server.ID, cancel)
-	return &replyStream{exchange: e, conn: conn, server: server.ID, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
+	return &replyStream{exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
 }
 
 // maySendAgain reports whether another server may get the request after the current
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -32,6 +33,7 @@
 	exchange *Exchange
 	conn     *upstream.Conn
 	server   core.InstanceID
+	addr     string
 	// lifetime is the server's process as listed when the request was sent.
 	lifetime notices.Lifetime
 	// stopCloseOnDone stops closing the connection when the context ends. It
@@ -45,12 +47,32 @@
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
+	// begun is set when the first data of the answer was received.
+	begun bool
 	// bodyComplete is set when the body was read to its end.
 	bodyComplete bool
 }
 
 // Recv implements dispatch.ReplyStream.
 func (s *replyStream) Recv() (wire.AnswerFrame, error) {
+	frame, err := s.receive()
+	switch {
+	case err != nil && !s.begun && isEndedByServer(err):
+		s.exchange.observer.ConnectionEnded(s.lifetime, s.addr)
+	case frame.Data != nil && !s.begun && s.response.StatusCode < http.StatusMultipleChoices:
+		s.begun = true
+		s.exchange.observer.AnswerBegan(s.lifetime)
+	}
+	return frame, err
+}
+
+// isEndedByServer reports whether err shows that the server closed or reset the
+// connection. A connection that this process closes gives another error.
+func isEndedByServer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+func (s *replyStream) receive() (wire.AnswerFrame, error) {
 	if s.response == nil {
 		return s.readHead()
 	}
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -30,6 +30,8 @@
 type nopObserver struct{}
 
 func (nopObserver) StartAttempt(core.InstanceID, func()) AttemptObserver { return nopAttempt{} }
+func (nopObserver) AnswerBegan(notices.Lifetime)                         {}
+func (nopObserver) ConnectionEnded(notices.Lifetime, string)             {}
 
 type nopAttempt struct{}
 
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -254,7 +254,7 @@
 // was refused with code.
 func isRetryableElsewhere(code core.Code) bool {
 	switch code {
-	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge:
+	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge, core.CodePartQuarantined:
 		return false
 	default:
 		return true
