Refused attempts do not use up a route's attempts

Callers saw: a stream that had begun was cut in the middle after a single refusal. In the incident a stream left its server at a pause, the next server answered 421 and did not run it, and the connection to the caller was closed 7 ms later.

Cause: MaxAttempts (2 on that route) counted sends. Only refusals that say the agent is full, or has another revision, were left out; 421 and refusals with the not-executed header counted. The same count in requests/direct made the attempt after a refusal the last one, so that it was neither moved off a silent server nor recalled.

Fix: MaxAttempts counts attempts that may have run, which the dispatcher already tracks for its proofs. The servers that were tried, the deadline and the retry budget bound the others; each refusal that reached a server still takes one retry. Refusals after which the same agent may be picked again (other weights) go on counting, since no set of tried agents bounds them.

--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -66,7 +66,7 @@
 	HasBody bool
 	Kind    fleet.RouteKind
 	// Repeatable requests may run more than once, at up to MaxAttempts servers; 0
-	// means no bound.
+	// means no bound. Servers that refused the request do not count.
 	Repeatable  bool
 	MaxAttempts int
 	// Resumable streams can continue at another backend server after the last
@@ -102,6 +102,8 @@
 	// lastEventID is the id of the last complete event that was read.
 	lastEventID string
 	attempts    int
+	// refusals counts the attempts that the server provably did not run.
+	refusals    int
 	firstSentAt time.Time
 	firstByteAt time.Time
 	lastServer  core.InstanceID
@@ -175,7 +177,7 @@
 // maySendAgain reports whether another server may get the request after the current
 // attempt.
 func (e *Exchange) maySendAgain() bool {
-	return e.request.Repeatable && (e.request.MaxAttempts <= 0 || e.attempts < e.request.MaxAttempts)
+	return e.request.Repeatable && (e.request.MaxAttempts <= 0 || e.attempts-e.refusals < e.request.MaxAttempts)
 }
 
 // Tombstone implements dispatch.Sender. A backend server does not support
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -146,6 +146,7 @@
 // endRefused returns the end frame of an attempt that the backend server did not
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
+	s.exchange.refusals++
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
 		s.Cancel()
 	} else {
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -231,3 +231,20 @@
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
 }
+
+// The stream after a refused attempt counted as the last one and was not moved off a
+// silent server.
+func TestRefusedAttemptIsNotTheLastOne(t *testing.T) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.MaxAttempts = 2
+	observer := &cancelObserver{}
+	e.observer = observer
+	_, end, err := receive(t, e, serveRawAnswer(t, "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, end.Execution)
+	for range 2 {
+		_, _, err = receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 1\ndata: a\n\nid: 2\nda"))
+		require.Error(t, err)
+	}
+	require.Equal(t, []bool{true, true, false}, observer.cancellable)
+}
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -86,8 +86,8 @@
 	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is buffered until it is verified.
 	MaxAnswerBytes int
-	// MaxAttempts bounds the dispatches of one request. Dispatches refused by an
-	// agent that may accept the request soon, such as a full one, do not count.
+	// MaxAttempts bounds the dispatches of one request that may have run. Dispatches
+	// that provably did not run do not count.
 	MaxAttempts int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -25,9 +25,9 @@
 	firstAttemptID string
 	triedAgents    map[core.InstanceID]bool
 	attemptCount   int
-	// temporaryRefusals counts attempts refused by agents that may accept the
-	// request soon.
-	temporaryRefusals int
+	// weightsRefusals counts the attempts refused by agents with other weights that may
+	// be picked again.
+	weightsRefusals int
 	// mayHaveRun is set when an attempt is not proven not to have run.
 	mayHaveRun bool
 	// unsent is set when the last attempt ended before anything was sent because the
@@ -146,9 +146,7 @@
 		if lastErr == nil {
 			return nil
 		}
-		// After a digest mismatch the same agent may serve the request with the
-		// weights that ChooseWeights returns for the next attempt.
-		x.triedAgents[agent.ID] = x.request.ChooseWeights == nil || core.CodeOf(lastErr) != core.CodeDigestMismatch
+		x.markTried(agent.ID, lastErr)
 		if x.handoverTarget != nil {
 			continue
 		}
@@ -160,12 +158,27 @@
 	}
 }
 
+// markTried excludes an agent from further attempts after err. After a digest mismatch
+// the same agent may serve the request with the weights that ChooseWeights returns for
+// the next attempt.
+func (x *execution) markTried(agent core.InstanceID, err error) {
+	mayPickAgain := x.request.ChooseWeights != nil && core.CodeOf(err) == core.CodeDigestMismatch
+	x.triedAgents[agent] = !mayPickAgain
+	if mayPickAgain && core.ExecutionOf(err) == core.ExecutionNotRun {
+		x.weightsRefusals++
+	}
+}
+
+// hasAttemptsLeft reports whether MaxAttempts permits another attempt. Attempts that
+// provably did not run do not count: the tried agents, the deadline and the retry budget
+// bound them.
+func (x *execution) hasAttemptsLeft() bool {
+	return x.unprovenAttempts+x.weightsRefusals < x.maxAttempts()
+}
+
 // afterFailure prepares another attempt after a failed one, or returns the
 // reason why there is none.
 func (x *execution) afterFailure(ctx context.Context, placer *placement.Placer, lastErr error) error {
-	if isTemporaryRefusal(lastErr) || x.unsent {
-		x.temporaryRefusals++
-	}
 	if !x.mayRetry(ctx, lastErr) {
 		return lastErr
 	}
@@ -235,7 +248,7 @@
 
 // mayRetry reports whether another dispatch is permitted after err.
 func (x *execution) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.attemptCount-x.temporaryRefusals >= x.maxAttempts() || x.output.sinkErr != nil {
+	if ctx.Err() != nil || !x.hasAttemptsLeft() || x.output.sinkErr != nil {
 		return false
 	}
 	if !x.config.Now().Before(x.request.Deadline.Add(-x.tombstoneReserve())) {
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -18,7 +18,7 @@
 // handover takes one retry from the retry budget. It must be called only between
 // complete events.
 func (x *execution) handOver(ctx context.Context, placer *placement.Placer, from core.InstanceID) bool {
-	if x.request.PauseStart == nil || !x.output.canResume() || x.attemptCount >= x.maxAttempts() {
+	if x.request.PauseStart == nil || !x.output.canResume() || !x.hasAttemptsLeft() {
 		return false
 	}
 	now := x.config.Now()
