upstream: bound the head of an answer

Callers saw requests hang until their deadline, and an entry could run out of memory, when a server sent bytes without end where an answer was due.

Cause: http.ReadResponse reads the status line and the header lines of a connection without any limit; only the number of informational answers was bounded, not their size.

Fix: a reader between the connection and its buffer ends with ErrHeadTooLarge after 16 KiB of head, informational answers included, and an answer may have 256 header fields. The limit is lifted for the body. The error ends the attempt as any other garbled answer does; the connection awaits an answer and is reset.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -20,6 +20,12 @@
 	// answer is read. Longer ones are written concurrently, because a server may
 	// answer early and not read the whole request.
 	maxInlineRequestBytes = 8 << 10
+	// maxHeadBytes bounds the head of an answer together with the informational
+	// answers before it, in bytes.
+	maxHeadBytes = 16 << 10
+	// maxHeaderFields bounds the header lines of an answer, whose decoded form takes
+	// many times the bytes of a short line.
+	maxHeaderFields = 256
 	// maxInformationalAnswers bounds the 1xx answers before the final one.
 	maxInformationalAnswers = 8
 	// keepAliveMargin is subtracted from the Keep-Alive timeout of a server, so
@@ -30,11 +36,16 @@
 // ErrUnsolicitedData means that data arrived before the request was sent.
 var ErrUnsolicitedData = errors.New("data received before the request was sent")
 
+// ErrHeadTooLarge means that the head of an answer exceeded maxHeadBytes or
+// maxHeaderFields.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Conn is one connection to a backend server, for one request at a time.
 type Conn struct {
 	pool    *Pool
 	addr    string
 	netConn net.Conn
+	source  *limitedReader
 	reader  *bufio.Reader
 
 	idleSince time.Time
@@ -49,7 +60,8 @@
 }
 
 func newConn(pool *Pool, addr string, netConn net.Conn) *Conn {
-	return &Conn{pool: pool, addr: addr, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	source := &limitedReader{source: netConn}
+	return &Conn{pool: pool, addr: addr, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // isReusable reports whether an idle connection is open and has no unread data.
@@ -100,14 +112,20 @@
 }
 
 // Receive reads the status and headers of the final answer to a request with the
-// given method. The body must be read from the response.
+// given method. The body must be read from the response. After an error the
+// connection must be closed.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.source.limit(maxHeadBytes)
+	defer c.source.unlimit()
 	request := &http.Request{Method: method}
 	for range maxInformationalAnswers {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
 		}
+		if countFields(response.Header) > maxHeaderFields {
+			return nil, fmt.Errorf("read answer of %s: %w", c.addr, ErrHeadTooLarge)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -118,6 +136,14 @@
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
+func countFields(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // SetReadDeadline sets the deadline of reads; the zero time means none.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.netConn.SetReadDeadline(at) }
 
--- /dev/null
+++ b/requests/upstream/limit.go
@@ -0,0 +1,28 @@
+package upstream
+
+import "io"
+
+// limitedReader bounds the bytes that are read from source while a limit is set.
+type limitedReader struct {
+	source io.Reader
+	// remaining is the number of bytes that may still be read if isLimited is set.
+	remaining int
+	isLimited bool
+}
+
+// Read implements io.Reader. It returns ErrHeadTooLarge at the limit.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.isLimited {
+		return r.source.Read(p)
+	}
+	if r.remaining == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+func (r *limitedReader) limit(bytes int) { r.remaining, r.isLimited = bytes, true }
+
+func (r *limitedReader) unlimit() { r.isLimited = false }
