upstream: reject heads with an invalid status or protocol version

Callers could get a status such as 700 that is none of HTTP, and a status below 100 was skipped like an informational answer.

Cause: http.ReadResponse accepts any three digits and any major version.

Evidence: TestBytesThatAreNoAnswerAreRejected on the code before: "An error is expected but got nil" for "HTTP/2.0 200", status 700 and status 099.

Fix: the head of each answer, informational ones included, is checked; such an attempt fails as a garbled one does. Result: the test passes.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -26,6 +26,9 @@
 	// maxHeaderFields bounds the header lines of an answer, whose decoded form takes
 	// many times the bytes of a short line.
 	maxHeaderFields = 256
+	// minStatus and maxStatus are the least and the greatest status of HTTP.
+	minStatus = 100
+	maxStatus = 599
 	// maxInformationalAnswers bounds the 1xx answers before the final one.
 	maxInformationalAnswers = 8
 	// keepAliveMargin is subtracted from the Keep-Alive timeout of a server, so
@@ -123,19 +126,33 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
 		}
-		if countFields(response.Header) > maxHeaderFields {
-			return nil, fmt.Errorf("read answer of %s: %w", c.addr, ErrHeadTooLarge)
+		if err := checkHead(response); err != nil {
+			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("answer of %s: unexpected status 101 (switching protocols)", c.addr)
-		}
 	}
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
+// checkHead rejects what http.ReadResponse accepts although it is no answer to an
+// HTTP/1.1 request.
+func checkHead(response *http.Response) error {
+	switch {
+	case countFields(response.Header) > maxHeaderFields:
+		return ErrHeadTooLarge
+	case response.ProtoMajor != 1:
+		return fmt.Errorf("unexpected protocol version %d.%d", response.ProtoMajor, response.ProtoMinor)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("unexpected status 101 (switching protocols)")
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return fmt.Errorf("invalid status %d", response.StatusCode)
+	default:
+		return nil
+	}
+}
+
 func countFields(header http.Header) int {
 	count := 0
 	for _, values := range header {
