upstream: abbreviate errors that quote malformed bytes

A server that sends bytes that are no answer put up to a whole line of them, now bounded only by the head, into each log line and result detail of the requests.

Cause: the errors of net/http and net/textproto quote the whole line.

Evidence: TestErrorsQuoteOnlyTheStartOfBytesThatAreNoAnswer on the code before: errors of 8250 and 8264 bytes. Fix: texts are cut at 200 bytes. Result: the test passes.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -29,6 +29,8 @@
 	// minStatus and maxStatus are the least and the greatest status of HTTP.
 	minStatus = 100
 	maxStatus = 599
+	// maxQuotedBytes bounds the text of an error that may quote received bytes.
+	maxQuotedBytes = 200
 	// maxInformationalAnswers bounds the 1xx answers before the final one.
 	maxInformationalAnswers = 8
 	// keepAliveMargin is subtracted from the Keep-Alive timeout of a server, so
@@ -124,7 +126,7 @@
 	for range maxInformationalAnswers {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
+			return nil, fmt.Errorf("read answer of %s: %w", c.addr, abbreviate(err))
 		}
 		if err := checkHead(response); err != nil {
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
@@ -136,6 +138,15 @@
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
+// abbreviate shortens the text of an error that quotes a long malformed line. Errors of
+// the connection are short and keep their type.
+func abbreviate(err error) error {
+	if text := err.Error(); len(text) > maxQuotedBytes {
+		return errors.New(text[:maxQuotedBytes] + "...")
+	}
+	return err
+}
+
 // checkHead rejects what http.ReadResponse accepts although it is no answer to an
 // HTTP/1.1 request.
 func checkHead(response *http.Response) error {
--- a/requests/upstream/malformed_test.go
+++ b/requests/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,3 +28,18 @@
 		})
 	}
 }
+
+// A log line contains the error.
+func TestErrorsQuoteOnlyTheStartOfBytesThatAreNoAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status line": strings.Repeat("x", maxHeadBytes/2) + "\r\n\r\n",
+		"header":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", maxHeadBytes/2) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := rawServer(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, answer) })
+			_, _, _, err := roundTrip(t, NewPool(Config{}), addr)
+			require.Error(t, err)
+			require.Less(t, len(err.Error()), 1000)
+		})
+	}
+}
