upstream: an answer without a length is not complete after a reset

Callers could get the start of an answer as a whole one with status 200: an answer with neither a length nor chunks, to a request of more than 8 KiB, whose connection was reset on the way.

Cause: the operating system reports a reset to one call only. Long requests are written in the background; if that write got ECONNRESET, the read of the answer got the end of the connection, which ends such a body.

Fix: at the end of such a body the write is ended and its error decides. It is read only after the write's end, and the connection cannot be reused anyway, so nothing is lost when the server reads slowly; an answer that the server ends with its side of the connection before it has read the request stays complete.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -56,6 +56,10 @@
 	idleSince time.Time
 	idleUntil time.Time
 
+	// writeEnded is closed when the write in the background has ended; it is nil if the
+	// last request was not written in the background. writeErr is the error of that write.
+	writeEnded chan struct{}
+	writeErr   error
 	// requestWritten is set when the last request was written completely.
 	requestWritten atomic.Bool
 	// awaitsAnswer is set from when a request is sent until its answer was read
@@ -101,11 +105,17 @@
 	}
 	c.requestWritten.Store(false)
 	c.awaitsAnswer.Store(true)
-	if len(request) > maxInlineRequestBytes {
-		go c.write(request)
-		return nil
+	c.writeEnded, c.writeErr = nil, nil
+	if len(request) <= maxInlineRequestBytes {
+		return c.write(request)
 	}
-	return c.write(request)
+	ended := make(chan struct{})
+	c.writeEnded = ended
+	go func() {
+		defer close(ended)
+		c.writeErr = c.write(request)
+	}()
+	return nil
 }
 
 func (c *Conn) write(request []byte) error {
@@ -132,6 +142,9 @@
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
+			if endsWithConnection(response) {
+				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+			}
 			return response, nil
 		}
 	}
@@ -172,6 +185,24 @@
 	return count
 }
 
+// endsWithConnection reports whether the end of the connection is the end of the body.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// wasReset reports whether a write in the background, which it ends, found the
+// connection reset.
+func (c *Conn) wasReset() bool {
+	if c.writeEnded == nil {
+		return false
+	}
+	if err := c.netConn.SetWriteDeadline(time.Now()); err != nil {
+		return true
+	}
+	<-c.writeEnded
+	return errors.Is(c.writeErr, syscall.ECONNRESET)
+}
+
 // SetReadDeadline sets the deadline of reads; the zero time means none.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.netConn.SetReadDeadline(at) }
 
@@ -193,8 +224,7 @@
 	if response.Close || !response.ProtoAtLeast(1, 1) || !c.requestWritten.Load() || c.reader.Buffered() > 0 {
 		return 0, false
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		// The end of the body is the end of the connection.
+	if endsWithConnection(response) {
 		return 0, false
 	}
 	reuseFor := c.pool.config.IdleTimeout
