direct: a stream that ends within an event is broken off

Callers could get a stream as complete that had ended in the middle of an event: where it could not be resumed, bytes were handed on unseen and any end of the body counted. Streams with CR as line end were held until their end and then broken.

Cause: only resumable streams were split into events, and only LF and CR LF counted as line ends. The split also treated the body of a client error on a streaming route as events, so that callers of resumable routes got a failure instead of a 4xx answer with a body.

Fix: every successful answer on a streaming route is split at blank lines (CR LF, LF or CR), whole events are handed on at once, and an end with a part of an event left fails the attempt: a resumable stream goes on elsewhere after its last whole event, the connection of any other caller is cut, and one that got nothing yet gets a 502.

--- a/requests/direct/events.go
+++ b/requests/direct/events.go
@@ -1,50 +1,63 @@
 package direct
 
-import (
-	"bytes"
-)
+import "bytes"
+
+const lineEnds = "\r\n"
+
+var idField = []byte("id:")
 
 // eventSplitter splits a server-sent event stream at event boundaries.
 type eventSplitter struct {
+	scanner eventScanner
 	// buffered is the start of an event whose end was not received yet.
 	buffered []byte
-	id       string
 }
 
-var (
-	idField   = []byte("id:")
-	lineBreak = []byte("\n")
-)
-
-// feed adds the next bytes and returns all pending bytes up to the end of the
-// last complete event, or nil. The result is valid until the next call.
+// feed adds the next bytes and returns all pending bytes up to the end of the last
+// complete event, or nil.
 func (e *eventSplitter) feed(part []byte) []byte {
-	e.buffered = append(e.buffered, part...)
-	end := lastEventEnd(e.buffered)
+	end := e.scanner.scan(part)
 	if end == 0 {
+		e.buffered = append(e.buffered, part...)
 		return nil
 	}
-	complete := bytes.Clone(e.buffered[:end])
-	e.buffered = append(e.buffered[:0], e.buffered[end:]...)
-	if id := lastIDField(complete); id != "" {
-		e.id = id
-	}
+	complete := make([]byte, 0, len(e.buffered)+end)
+	complete = append(append(complete, e.buffered...), part[:end]...)
+	e.buffered = append(e.buffered[:0], part[end:]...)
 	return complete
 }
 
 // pendingBytes returns the number of buffered bytes of an incomplete event.
 func (e *eventSplitter) pendingBytes() int { return len(e.buffered) }
 
-// lastEventID returns the id of the last complete event that had one, or "".
-func (e *eventSplitter) lastEventID() string { return e.id }
+// eventScanner finds the ends of events. An event ends with a blank line. A line ends
+// with CR LF, LF or CR.
+type eventScanner struct {
+	// lineHasText is set when the current line is not empty.
+	lineHasText bool
+	// afterCR is set when the last byte was a CR, so that an LF belongs to it.
+	afterCR bool
+	// afterBlankLine is set when the last line was blank.
+	afterBlankLine bool
+}
 
-// lastEventEnd returns the index after the last blank line, which ends an event,
-// or 0 if there is none.
-func lastEventEnd(text []byte) int {
+// scan reads the next bytes of the stream and returns the index after the last event
+// that ends in them, or 0.
+func (s *eventScanner) scan(part []byte) int {
 	end := 0
-	for _, terminator := range []string{"\n\n", "\n\r\n"} {
-		if index := bytes.LastIndex(text, []byte(terminator)); index >= 0 {
-			end = max(end, index+len(terminator))
+	for i, b := range part {
+		switch {
+		case b == '\n' && s.afterCR:
+			s.afterCR = false
+		case b == '\n' || b == '\r':
+			s.afterBlankLine = !s.lineHasText
+			s.lineHasText = false
+			s.afterCR = b == '\r'
+		default:
+			s.lineHasText, s.afterCR, s.afterBlankLine = true, false, false
+		}
+		if s.afterBlankLine {
+			end = i + 1
 		}
 	}
 	return end
@@ -57,9 +70,12 @@
 		if index < 0 {
 			return ""
 		}
-		if index == 0 || text[index-1] == '\n' {
-			line, _, _ := bytes.Cut(text[index+len(idField):], lineBreak)
-			return string(bytes.TrimSpace(line))
+		if index == 0 || text[index-1] == '\n' || text[index-1] == '\r' {
+			value := text[index+len(idField):]
+			if end := bytes.IndexAny(value, lineEnds); end >= 0 {
+				value = value[:end]
+			}
+			return string(bytes.TrimSpace(value))
 		}
 		text = text[:index]
 	}
--- a/requests/direct/events_test.go
+++ b/requests/direct/events_test.go
@@ -18,6 +18,11 @@
 		{"incomplete event", "id: 1\ndata: a\n", "", "", 14},
 		{"one and an incomplete event", "id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "1", 8},
 		{"CRLF line endings", "id: 7\r\ndata: a\r\n\r\n", "id: 7\r\ndata: a\r\n\r\n", "7", 0},
+		{"CR line endings", "id: 7\rdata: a\r\rid: 8\r", "id: 7\rdata: a\r\r", "7", 6},
+		{"mixed line endings", "id: 7\ndata: a\r\n\ndata: b\r\ndata: c\n\rid: 8\r\n", "id: 7\ndata: a\r\n\ndata: b\r\ndata: c\n\r", "7", 7},
+		{"blank line ends with the next byte", "data: a\r\n\r", "data: a\r\n\r", "", 0},
+		{"one CR and LF", "data: a\r\n", "", "", 9},
+		{"line breaks only", "\r\n\r\n", "\r\n\r\n", "", 0},
 		{"id in the data", "id: 1\ndata: id: 9\n\n", "id: 1\ndata: id: 9\n\n", "1", 0},
 		{"no id", "data: a\n\n", "data: a\n\n", "", 0},
 		{"field before the id", "versions: 3\nid: 4\ndata: a\n\n", "versions: 3\nid: 4\ndata: a\n\n", "4", 0},
@@ -25,8 +30,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var splitter eventSplitter
-			require.Equal(t, c.whole, string(splitter.feed([]byte(c.text))))
-			require.Equal(t, c.id, splitter.lastEventID())
+			events := splitter.feed([]byte(c.text))
+			require.Equal(t, c.whole, string(events))
+			require.Equal(t, c.id, lastIDField(events))
 			require.Equal(t, c.pendingBytes, splitter.pendingBytes())
 		})
 	}
@@ -44,17 +50,19 @@
 	for range 200 {
 		var splitter eventSplitter
 		var out strings.Builder
+		id := ""
 		for remaining := text; remaining != ""; {
 			n := min(len(remaining), 1+random.IntN(40))
 			part := splitter.feed([]byte(remaining[:n]))
 			if len(part) > 0 {
 				require.True(t, strings.HasSuffix(string(part), "\n\n"))
+				id = lastIDField(part)
 			}
 			out.Write(part)
 			remaining = remaining[n:]
 		}
 		require.Equal(t, text, out.String())
-		require.Equal(t, "50", splitter.lastEventID())
+		require.Equal(t, "50", id)
 		require.Zero(t, splitter.pendingBytes())
 	}
 }
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -191,7 +191,7 @@
 	if encoding := header.Get("Content-Encoding"); encoding != "" {
 		return fmt.Errorf("%s answered with content encoding %q, want none", s.server, encoding)
 	}
-	if s.response.StatusCode < http.StatusMultipleChoices && header.Get(s.exchange.headerNames.Signature) == "" {
+	if isSuccess(s.response) && header.Get(s.exchange.headerNames.Signature) == "" {
 		return fmt.Errorf("%s answered %d without the signature header", s.server, s.response.StatusCode)
 	}
 	return nil
@@ -215,20 +215,25 @@
 		return nil, fmt.Errorf("reading the answer of %s failed: %w", s.server, err)
 	}
 	s.attemptObserver.DataReceived()
-	part := s.buffer[:n]
-	if !request.Resumable {
-		return part, nil
+	if !s.isEventStream() {
+		return s.buffer[:n], nil
 	}
-	events := s.splitter.feed(part)
-	if s.bodyComplete && s.splitter.pendingBytes() > 0 {
-		return nil, fmt.Errorf("answer of %s ended within an event", s.server)
-	}
-	if id := s.splitter.lastEventID(); id != "" {
+	events := s.splitter.feed(s.buffer[:n])
+	if id := lastIDField(events); id != "" && request.Resumable {
 		s.exchange.lastEventID = id
 	}
 	return events, nil
 }
 
+// isEventStream reports whether the body is a series of events.
+func (s *replyStream) isEventStream() bool {
+	return s.exchange.request.Kind == fleet.RouteStreaming && isSuccess(s.response)
+}
+
+func isSuccess(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+}
+
 func (s *replyStream) dataFrame(part []byte) wire.AnswerFrame {
 	s.length += int64(len(part))
 	_, _ = s.hasher.Write(part)
@@ -239,6 +244,9 @@
 
 // endFrame returns the end frame of an answer that was read completely.
 func (s *replyStream) endFrame() (wire.AnswerFrame, error) {
+	if s.splitter.pendingBytes() > 0 {
+		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event", s.server)
+	}
 	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
 	s.releaseConn()
