upstream: name the bound as the cause where it cuts a header line

The error of a head over the bound depended on where the bound fell: within a line it was that of a malformed line.

Evidence: TestEndlessHeadFailsTheAttempt with lines of eight bytes: "malformed MIME header line" instead of ErrHeadTooLarge. Fix: an error at the bound is ErrHeadTooLarge.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -135,6 +135,10 @@
 	request := &http.Request{Method: method}
 	for range maxInformationalAnswers {
 		response, err := http.ReadResponse(c.reader, request)
+		if err != nil && c.source.isExhausted() {
+			// The line that was cut at the limit may be malformed.
+			err = ErrHeadTooLarge
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, abbreviate(err))
 		}
--- a/requests/upstream/head_test.go
+++ b/requests/upstream/head_test.go
@@ -63,6 +63,7 @@
 		{"continued header line", "HTTP/1.1 200 OK\r\nX-A: ", pad + "\r\n "},
 		{"header lines", "HTTP/1.1 200 OK\r\n", "X-A: " + pad + "\r\n"},
 		{"head of an informational answer", "HTTP/1.1 103 Early Hints\r\n", "X-A: " + pad + "\r\n"},
+		{"header line cut between CR and LF", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
 		{"line breaks", "HTTP/1.1 200 OK\r\nX-A: a\r\n", " \r\n"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/requests/upstream/limit.go
+++ b/requests/upstream/limit.go
@@ -15,7 +15,7 @@
 	if !r.isLimited {
 		return r.source.Read(p)
 	}
-	if r.remaining == 0 {
+	if r.isExhausted() {
 		return 0, ErrHeadTooLarge
 	}
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
@@ -26,3 +26,6 @@
 func (r *limitedReader) limit(bytes int) { r.remaining, r.isLimited = bytes, true }
 
 func (r *limitedReader) unlimit() { r.isLimited = false }
+
+// isExhausted reports whether the limit was reached.
+func (r *limitedReader) isExhausted() bool { return r.isLimited && r.remaining == 0 }
