direct: bound an event that has not ended

Callers of streams waited until they gave up, and the entry held all bytes in memory and scanned them again at each read, when a server sent bytes without a blank line.

Cause: the start of an event was held without a bound.

The scan sees each byte once.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -1,15 +1,69 @@
 package direct
 
 import (
+	"context"
+	"io"
+	"net"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/requests/upstream"
+	"currantusher.dev/wire"
 )
 
+const (
+	// endlessBytes is how much a server sends at most where it sends without end, far
+	// more than the buffers of a connection hold.
+	endlessBytes = 64 << 20
+	// testTimeout bounds attempts that must not need it.
+	testTimeout = 30 * time.Second
+)
+
+// serveRaw passes each connection to serve once a request has begun to arrive.
+func serveRaw(t *testing.T, serve func(conn *net.TCPConn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				serve(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// serveEndless answers with start and then repeats part. The channel gets the error that
+// ended the writing, or nil if the client read endlessBytes.
+func serveEndless(t *testing.T, start, part string) (string, <-chan error) {
+	t.Helper()
+	served := make(chan error, 1)
+	block := []byte(strings.Repeat(part, max(1, 16<<10/len(part))))
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, err := io.WriteString(conn, start)
+		for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+			_, err = conn.Write(block)
+		}
+		served <- err
+	})
+	return addr, served
+}
+
 func newNonResumableExchange() *Exchange {
 	e := newTestExchange(fleet.RouteStreaming)
 	e.request.Repeatable, e.request.Resumable = false, false
@@ -61,6 +115,62 @@
 	}
 }
 
+func TestEndlessEventIsAbandoned(t *testing.T) {
+	for name, start := range map[string]string{
+		"at the start":   "",
+		"after an event": "id: 1\ndata: a\n\n",
+	} {
+		for _, part := range []string{"x", "data: a\n", "\x00\xff"} {
+			for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+				t.Run(name, func(t *testing.T) {
+					addr, served := serveEndless(t, okAnswerHead+"\r\n"+start, part)
+					body, _, err := receive(t, newExchange(), addr)
+					require.ErrorIs(t, err, ErrEventTooLarge)
+					require.Equal(t, start, body)
+					require.Error(t, <-served, "the client read all bytes")
+				})
+			}
+		}
+	}
+}
+
+func TestEndlessHeadFailsTheAttempt(t *testing.T) {
+	for _, kind := range []fleet.RouteKind{fleet.RouteSafe, fleet.RouteUnsafe, fleet.RouteStreaming} {
+		addr, served := serveEndless(t, "HTTP/1.1 200 OK\r\n", "X-A: a\r\n")
+		_, _, err := receive(t, newTestExchange(kind), addr)
+		require.ErrorIs(t, err, upstream.ErrHeadTooLarge)
+		require.NotEqual(t, core.ExecutionNotRun, core.ExecutionOf(err))
+		require.Error(t, <-served, "the client read all bytes")
+	}
+}
+
+// Each attempt is bounded by its context, which is that of at-most-once requests too.
+func TestTrickledHeadEndsWithTheAttempt(t *testing.T) {
+	e := newTestExchange(fleet.RouteUnsafe)
+	e.request.Repeatable = false
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		for _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"); err == nil; _, err = io.WriteString(conn, "X") {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	stream, err := e.Send(ctx, placement.Candidate{ID: "s-1", Addr: addr}, wire.Dispatch{DeadlineMillis: 10000})
+	require.NoError(t, err)
+	_, err = stream.Recv()
+	require.Error(t, err)
+	require.Error(t, ctx.Err())
+}
+
+func TestServerErrorWithAnEndlessBodyFailsTheAttempt(t *testing.T) {
+	addr, served := serveEndless(t, "HTTP/1.1 500 No\r\nX-Id: r-1\r\n\r\n", "x")
+	e := newTestExchange(fleet.RouteSafe)
+	_, _, err := receive(t, e, addr)
+	require.Error(t, err)
+	require.Nil(t, e.Failure())
+	require.Error(t, <-served, "the client read all bytes")
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
--- a/requests/direct/events.go
+++ b/requests/direct/events.go
@@ -1,6 +1,16 @@
 package direct
 
-import "bytes"
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// maxEventBytes bounds the incomplete event that is held until its end arrives.
+const maxEventBytes = 64 << 10
+
+// ErrEventTooLarge means that an event did not end within maxEventBytes.
+var ErrEventTooLarge = errors.New("the event is too large")
 
 const lineEnds = "\r\n"
 
@@ -14,17 +24,20 @@
 }
 
 // feed adds the next bytes and returns all pending bytes up to the end of the last
-// complete event, or nil.
-func (e *eventSplitter) feed(part []byte) []byte {
+// complete event, or nil. After an error the splitter must not be used.
+func (e *eventSplitter) feed(part []byte) ([]byte, error) {
 	end := e.scanner.scan(part)
 	if end == 0 {
+		if len(e.buffered)+len(part) > maxEventBytes {
+			return nil, fmt.Errorf("%w: no end within %d bytes", ErrEventTooLarge, maxEventBytes)
+		}
 		e.buffered = append(e.buffered, part...)
-		return nil
+		return nil, nil
 	}
 	complete := make([]byte, 0, len(e.buffered)+end)
 	complete = append(append(complete, e.buffered...), part[:end]...)
 	e.buffered = append(e.buffered[:0], part[end:]...)
-	return complete
+	return complete, nil
 }
 
 // pendingBytes returns the number of buffered bytes of an incomplete event.
--- a/requests/direct/events_fuzz_test.go
+++ b/requests/direct/events_fuzz_test.go
@@ -42,7 +42,9 @@
 		var output []byte
 		for fed := 0; fed < len(text); {
 			n := min(len(text)-fed, 1+random.IntN(8))
-			output = append(output, splitter.feed(text[fed:fed+n])...)
+			events, err := splitter.feed(text[fed : fed+n])
+			require.NoError(t, err)
+			output = append(output, events...)
 			fed += n
 			require.Equal(t, string(wholeEvents(text[:fed])), string(output))
 			require.Equal(t, fed-len(output), splitter.pendingBytes())
--- a/requests/direct/events_test.go
+++ b/requests/direct/events_test.go
@@ -30,7 +30,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var splitter eventSplitter
-			events := splitter.feed([]byte(c.text))
+			events, err := splitter.feed([]byte(c.text))
+			require.NoError(t, err)
 			require.Equal(t, c.whole, string(events))
 			require.Equal(t, c.id, lastIDField(events))
 			require.Equal(t, c.pendingBytes, splitter.pendingBytes())
@@ -53,7 +54,8 @@
 		id := ""
 		for remaining := text; remaining != ""; {
 			n := min(len(remaining), 1+random.IntN(40))
-			part := splitter.feed([]byte(remaining[:n]))
+			part, err := splitter.feed([]byte(remaining[:n]))
+			require.NoError(t, err)
 			if len(part) > 0 {
 				require.True(t, strings.HasSuffix(string(part), "\n\n"))
 				id = lastIDField(part)
@@ -75,10 +77,43 @@
 		var out []byte
 		for remaining := text; len(remaining) > 0; {
 			n := min(len(remaining), 1+max(cut, 0)%64)
-			out = append(out, splitter.feed(remaining[:n])...)
+			part, err := splitter.feed(remaining[:n])
+			require.LessOrEqual(t, splitter.pendingBytes(), maxEventBytes)
+			if err != nil {
+				require.ErrorIs(t, err, ErrEventTooLarge)
+				return
+			}
+			out = append(out, part...)
 			remaining = remaining[n:]
 		}
 		require.Equal(t, len(text), len(out)+splitter.pendingBytes())
 		require.Equal(t, string(text[:len(out)]), string(out))
 	})
 }
+
+func TestHeldBytesAreBounded(t *testing.T) {
+	var splitter eventSplitter
+	part := []byte(strings.Repeat("data: a\n", readBufferBytes/8))
+	for fed := len(part); fed <= maxEventBytes; fed += len(part) {
+		events, err := splitter.feed(part)
+		require.NoError(t, err)
+		require.Empty(t, events)
+	}
+	_, err := splitter.feed(part)
+	require.ErrorIs(t, err, ErrEventTooLarge)
+	require.LessOrEqual(t, splitter.pendingBytes(), maxEventBytes)
+}
+
+// Many events may be longer together than one may be.
+func TestBoundIsOnOneEvent(t *testing.T) {
+	var splitter eventSplitter
+	for range 4 {
+		for range maxEventBytes/readBufferBytes - 1 {
+			_, err := splitter.feed([]byte(strings.Repeat("x", readBufferBytes)))
+			require.NoError(t, err)
+		}
+		events, err := splitter.feed([]byte("\n\nid:"))
+		require.NoError(t, err)
+		require.Greater(t, len(events), maxEventBytes-2*readBufferBytes)
+	}
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -218,7 +218,10 @@
 	if !s.isEventStream() {
 		return s.buffer[:n], nil
 	}
-	events := s.splitter.feed(s.buffer[:n])
+	events, err := s.splitter.feed(s.buffer[:n])
+	if err != nil {
+		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
+	}
 	if id := lastIDField(events); id != "" && request.Resumable {
 		s.exchange.lastEventID = id
 	}
