--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -20,6 +20,17 @@
 	// answer is read. Longer ones are written concurrently, because a server may
 	// answer early and not read the whole request.
 	maxInlineRequestBytes = 8 << 10
+	// maxHeadBytes bounds the head of an answer together with the informational
+	// answers before it, in bytes.
+	maxHeadBytes = 16 << 10
+	// maxHeaderFields bounds the header lines of an answer, whose decoded form takes
+	// many times the bytes of a short line.
+	maxHeaderFields = 256
+	// minStatus and maxStatus are the least and the greatest status of HTTP.
+	minStatus = 100
+	maxStatus = 599
+	// maxQuotedBytes bounds the text of an error that may quote received bytes.
+	maxQuotedBytes = 200
 	// maxInformationalAnswers bounds the 1xx answers before the final one.
 	maxInformationalAnswers = 8
 	// keepAliveMargin is subtracted from the Keep-Alive timeout of a server, so
@@ -30,16 +41,25 @@
 // ErrUnsolicitedData means that data arrived before the request was sent.
 var ErrUnsolicitedData = errors.New("data received before the request was sent")
 
+// ErrHeadTooLarge means that the head of an answer exceeded maxHeadBytes or
+// maxHeaderFields.
+var ErrHeadTooLarge = errors.New("the head of the answer is too large")
+
 // Conn is one connection to a backend server, for one request at a time.
 type Conn struct {
 	pool    *Pool
 	addr    string
 	netConn net.Conn
+	source  *limitedReader
 	reader  *bufio.Reader
 
 	idleSince time.Time
 	idleUntil time.Time
 
+	// writeEnded is closed when the write in the background has ended; it is nil if the
+	// last request was not written in the background. writeErr is the error of that write.
+	writeEnded chan struct{}
+	writeErr   error
 	// requestWritten is set when the last request was written completely.
 	requestWritten atomic.Bool
 	// awaitsAnswer is set from when a request is sent until its answer was read
@@ -49,7 +69,8 @@
 }
 
 func newConn(pool *Pool, addr string, netConn net.Conn) *Conn {
-	return &Conn{pool: pool, addr: addr, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferBytes)}
+	source := &limitedReader{source: netConn}
+	return &Conn{pool: pool, addr: addr, netConn: netConn, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // isReusable reports whether an idle connection is open and has no unread data.
@@ -84,11 +105,17 @@
 	}
 	c.requestWritten.Store(false)
 	c.awaitsAnswer.Store(true)
-	if len(request) > maxInlineRequestBytes {
-		go c.write(request)
-		return nil
+	c.writeEnded, c.writeErr = nil, nil
+	if len(request) <= maxInlineRequestBytes {
+		return c.write(request)
 	}
-	return c.write(request)
+	ended := make(chan struct{})
+	c.writeEnded = ended
+	go func() {
+		defer close(ended)
+		c.writeErr = c.write(request)
+	}()
+	return nil
 }
 
 func (c *Conn) write(request []byte) error {
@@ -100,24 +127,86 @@
 }
 
 // Receive reads the status and headers of the final answer to a request with the
-// given method. The body must be read from the response.
+// given method. The body must be read from the response. After an error the
+// connection must be closed.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.source.limit(maxHeadBytes)
+	defer c.source.unlimit()
 	request := &http.Request{Method: method}
 	for range maxInformationalAnswers {
 		response, err := http.ReadResponse(c.reader, request)
+		if err != nil && c.source.isExhausted() {
+			// The line that was cut at the limit may be malformed.
+			err = ErrHeadTooLarge
+		}
 		if err != nil {
-			return nil, fmt.Errorf("read answer of %s: %w", c.addr, err)
+			return nil, fmt.Errorf("read answer of %s: %w", c.addr, abbreviate(err))
+		}
+		if err := checkHead(response); err != nil {
+			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
+			if endsWithConnection(response) {
+				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
+			}
 			return response, nil
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("answer of %s: unexpected status 101 (switching protocols)", c.addr)
-		}
 	}
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
+// abbreviate shortens the text of an error that quotes a long malformed line. Errors of
+// the connection are short and keep their type.
+func abbreviate(err error) error {
+	if text := err.Error(); len(text) > maxQuotedBytes {
+		return errors.New(text[:maxQuotedBytes] + "...")
+	}
+	return err
+}
+
+// checkHead rejects what http.ReadResponse accepts although it is no answer to an
+// HTTP/1.1 request.
+func checkHead(response *http.Response) error {
+	switch {
+	case countFields(response.Header) > maxHeaderFields:
+		return ErrHeadTooLarge
+	case response.ProtoMajor != 1:
+		return fmt.Errorf("unexpected protocol version %d.%d", response.ProtoMajor, response.ProtoMinor)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("unexpected status 101 (switching protocols)")
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return fmt.Errorf("invalid status %d", response.StatusCode)
+	default:
+		return nil
+	}
+}
+
+func countFields(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
+// endsWithConnection reports whether the end of the connection is the end of the body.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// wasReset reports whether a write in the background, which it ends, found the
+// connection reset.
+func (c *Conn) wasReset() bool {
+	if c.writeEnded == nil {
+		return false
+	}
+	if err := c.netConn.SetWriteDeadline(time.Now()); err != nil {
+		return true
+	}
+	<-c.writeEnded
+	return errors.Is(c.writeErr, syscall.ECONNRESET)
+}
+
 // SetReadDeadline sets the deadline of reads; the zero time means none.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.netConn.SetReadDeadline(at) }
 
@@ -139,8 +228,7 @@
 	if response.Close || !response.ProtoAtLeast(1, 1) || !c.requestWritten.Load() || c.reader.Buffered() > 0 {
 		return 0, false
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		// The end of the body is the end of the connection.
+	if endsWithConnection(response) {
 		return 0, false
 	}
 	reuseFor := c.pool.config.IdleTimeout
