Logs: what an entry knows of a server's weights, and which entries an agent announces to

The logs showed the move and the refusal, but not whether the entry had missed the agent's announcement or had older evidence that counted more.

No logic changes.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -207,7 +207,7 @@
 	}
 	return dispatch.Request{
 		PauseStart:        g.pauseStarts(c, needs.model),
-		Trace:             callTrace{gateway: g, call: c},
+		Trace:             callTrace{gateway: g, call: c, model: needs.model},
 		ExpectedDuration:  g.expectedDuration(c, r),
 		FirstByteDeadline: firstByteDeadline,
 		StartBy:           startBy,
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/placement"
 )
 
@@ -14,6 +15,8 @@
 type callTrace struct {
 	gateway *Gateway
 	call    *call
+	// model is the model that the call needs, or "".
+	model fleet.Model
 }
 
 // Placed implements dispatch.Trace.
@@ -34,9 +37,22 @@
 	if sentBytes > 0 {
 		fields["resumed_after_bytes"] = sentBytes
 	}
+	t.addKnownWeights(fields, server.ID)
 	t.gateway.requestLog.WithFields(fields).Info("Request placed.")
 }
 
+// addKnownWeights adds the version of the weights that a server has according to each
+// source, 0 if the source has none. A server refuses a request that expects another one.
+func (t callTrace) addKnownWeights(fields logrus.Fields, id core.InstanceID) {
+	server := t.gateway.follower.View().Server(t.call.service, id)
+	if t.model == "" || server == nil {
+		return
+	}
+	fields["listed_version"] = server.Weights[t.model]
+	fields["answered_version"] = t.gateway.observations.version(t.gateway.clock.Now(), server, t.model)
+	fields["announced_version"] = t.gateway.pauses.LoadedVersion(server.Addr, t.model)
+}
+
 // Failed implements dispatch.Trace.
 func (t callTrace) Failed(attempt int, server core.InstanceID, err error, willRetry bool) {
 	t.gateway.requestLog.WithFields(logrus.Fields{
--- a/daemon/loader/entries.go
+++ b/daemon/loader/entries.go
@@ -19,6 +19,8 @@
 	entriesTTL = 20 * time.Second
 	// entriesRetryDelay is the delay after a failed or empty read.
 	entriesRetryDelay = 2 * time.Second
+	// maxLoggedEntries bounds the entries that a log line names.
+	maxLoggedEntries = 8
 )
 
 // entryList caches the entries of the deployment. It is safe for concurrent use.
@@ -60,10 +62,39 @@
 		// The entries may have just started and not have written their rows yet.
 		ttl = entriesRetryDelay
 	}
+	l.logChange(cached, entries)
 	l.store(entries, ttl)
 	return entries
 }
 
+// logChange logs which entries a read added and removed. Entries that are not on the
+// list get no announcements.
+func (l *entryList) logChange(before, after []gossip.Member) {
+	added, removed := missingIDs(after, before), missingIDs(before, after)
+	if len(added)+len(removed) == 0 {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"entries": len(after), "added": len(added), "removed": len(removed),
+		"added_ids": added[:min(len(added), maxLoggedEntries)], "removed_ids": removed[:min(len(removed), maxLoggedEntries)],
+	}).Info("The list of entries changed.")
+}
+
+// missingIDs returns the ids of the entries of list that are not in other.
+func missingIDs(list, other []gossip.Member) []core.InstanceID {
+	known := map[core.InstanceID]bool{}
+	for _, entry := range other {
+		known[entry.ID] = true
+	}
+	var missing []core.InstanceID
+	for _, entry := range list {
+		if !known[entry.ID] {
+			missing = append(missing, entry.ID)
+		}
+	}
+	return missing
+}
+
 func (l *entryList) lastRead() (entries []gossip.Member, isFresh bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
