--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -39,9 +39,7 @@
 	stopCloseOnDone func() bool
 	attemptObserver AttemptObserver
 
-	response *http.Response
-	// version is the version of the weights that the answer names, or 0.
-	version      fleet.WeightsVersion
+	response     *http.Response
 	splitter     eventSplitter
 	buffer       []byte
 	nextSequence uint64
@@ -119,10 +117,10 @@
 
 func (s *replyStream) reportAnswer() {
 	names := s.exchange.headerNames
-	s.version = fleet.WeightsVersion(s.numericHeader(names.WeightsVersion))
+	version := s.numericHeader(names.WeightsVersion)
 	coldMillis := s.numericHeader(names.ColdRemaining)
 	s.exchange.observer.AnswerReceived(s.server, s.exchange.request.Model,
-		s.version, time.Duration(coldMillis)*time.Millisecond)
+		fleet.WeightsVersion(version), time.Duration(coldMillis)*time.Millisecond)
 }
 
 // numericHeader returns the numeric value of a header, or 0 if it is missing. An
@@ -157,9 +155,6 @@
 	// server is loading weights, is leaving, or is not the server that the request was
 	// meant for, unless it says that it wants a pause.
 	code, detail := core.CodeEngineNotServing, fmt.Sprintf("%s answered %d", s.server, s.response.StatusCode)
-	if s.version > 0 {
-		detail += fmt.Sprintf(" with version %d of the weights", s.version)
-	}
 	if notice.Pause > 0 {
 		code = core.CodeServerClosed
 		detail += fmt.Sprintf(" and wants no requests for %v", notice.Pause)
