Edit: a conflict with the edit's own late commit is not a refusal

Callers saw: the answer to an edit was lost (404 edit-unknown); the repeat with the same edit id was refused with 400 revision-conflict, "nothing was changed", although the first commit had taken effect. Cause: if the lost commit takes effect between the repeat's last read and its commit, the repeat's commit fails on the head row or on the edit id. With no attempt left the editor took every conflict for one with other operators' edits. Evidence: TestConflictWithItsOwnLateCommitIsNoRefusal failed before: 'edit "e1" conflicts with concurrent edits, cause: config-head "head" has version 2, not 1'. Found by reading while tracing TestRandomEdits; not the failure seen there. Why it works: an edit that has used all attempts reads its id once more. If the id is there, its first result is the answer; if not, the head row has moved on and the lost commit never takes effect.

--- a/tables/edit/edit.go
+++ b/tables/edit/edit.go
@@ -185,7 +185,7 @@
 		}
 		a.lastErr = err
 	}
-	return Result{}, a.finalError(a.lastErr)
+	return a.lookUpAfterConflicts(ctx)
 }
 
 // waitBackoff waits for an exponential backoff with full jitter. It does not
@@ -252,6 +252,24 @@
 	return planned.result, nil
 }
 
+// lookUpAfterConflicts returns the outcome of an operation that has used all its
+// attempts. The last conflict may come from a late commit of an earlier call with
+// the same id.
+func (a *applyOperation) lookUpAfterConflicts(ctx context.Context) (Result, error) {
+	v, err := a.editor.scanForEdit(ctx, a.request.ID)
+	switch {
+	case err != nil && a.outcomeUnknown:
+		return Result{}, a.finalError(a.lastErr)
+	case err != nil:
+		return Result{}, a.finalError(err)
+	case v.firstRecord != nil:
+		a.outcomeUnknown = false
+		return a.firstResult(v)
+	}
+	a.outcomeUnknown = a.outcomeUnknown && v.headVersion == a.unknownHeadVersion
+	return Result{}, a.finalError(a.lastErr)
+}
+
 // firstResult returns the result of the earlier edit with the same id.
 func (a *applyOperation) firstResult(v view) (Result, error) {
 	digest, err := a.request.digest()
--- a/tables/edit/edit_test.go
+++ b/tables/edit/edit_test.go
@@ -232,6 +232,29 @@
 	require.Equal(t, core.CodeStoreConflict, core.CodeOf(memory.Commit(t.Context(), *lateTransaction)))
 }
 
+// TestConflictWithItsOwnLateCommitIsNoRefusal makes the lost commit of a first call
+// take effect between the read and the commit of the repeat's only attempt.
+func TestConflictWithItsOwnLateCommitIsNoRefusal(t *testing.T) {
+	memory, _ := newEditor(t)
+	var lateTransaction *platform.Transaction
+	editor := edit.New(edit.Config{MaxAttempts: 1, Tables: failingTables{
+		Tables: memory,
+		commit: func(ctx context.Context, txn platform.Transaction) error {
+			if lateTransaction == nil {
+				lateTransaction = &txn
+				return core.NewFailure(core.CodeStoreOutcomeLost, core.ExecutionUnknown, "lost")
+			}
+			require.NoError(t, memory.Commit(ctx, *lateTransaction))
+			return memory.Commit(ctx, txn)
+		},
+	}})
+	_, err := editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.Equal(t, core.CodeEditUnknown, core.CodeOf(err))
+	result, err := editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.NoError(t, err)
+	require.Equal(t, core.Revision(2), result.Revision)
+}
+
 func TestOutcomeStaysUnknownWhileTheStoreIsDown(t *testing.T) {
 	memory, _ := newEditor(t)
 	down := false
