Test processes: no two choose the same port

Seen: TestAtMostOnceThroughKills/server_killed failed once in `go test -race -count=3 -run TestAtMostOnceThroughKills ./bench/e2e` beside tests of other work trees: "entry answers: condition not met in time" after 90 s. The log of entry-1: "listen tcp 127.0.0.1:17826: bind: address already in use". Cause: a port was free when it was checked, and each test process began at 101 times its process id. Processes with close ids went through the same ports, and an address is used only later. A daemon or stand-in whose port is taken ends, and its deployment waits for it or reaches that of another test. Change: each process locks blocks of 100 ports (flock) for its life.

--- a/bench/procs/procs_test.go
+++ b/bench/procs/procs_test.go
@@ -18,9 +18,12 @@
 	childExitStatus = 7
 )
 
-// TestMain runs the child process when childListenEnv is set, and the tests
-// otherwise.
+// TestMain runs a child process when childListenEnv or childPortsEnv is set, and
+// the tests otherwise.
 func TestMain(m *testing.M) {
+	if os.Getenv(childPortsEnv) != "" {
+		runPortsChild()
+	}
 	if listen := os.Getenv(childListenEnv); listen != "" {
 		runChild(listen)
 	}
