e2e tests: the set-up waits until the store answers

Seen: in 1 of 3 runs of `go test -race -count=3 -run TestAtMostOnceThroughKills ./bench/e2e` the set-up failed: entry-1 refused the first edit with 600, "dial tcp 127.0.0.1:14194: connect: connection refused", 0.2 s after it had started. Cause: the set-up waited for the entries only; the store is a process of its own and listened later. The entry's refusal is right. Change: the daemons start once the store answers.

--- a/bench/e2e/deployment_test.go
+++ b/bench/e2e/deployment_test.go
@@ -96,6 +96,7 @@
 	d.originURL = "http://" + freeAddress(t)
 	d.store = startProcess(t, "store", "standin", "store", "--listen", store, "--list-lag", "200ms")
 	startProcess(t, "origin", "standin", "origin", "--listen", strings.TrimPrefix(d.originURL, "http://"))
+	d.waitUntil("the store answers", func() bool { return statusCode("http://"+store+"/stats") == http.StatusOK })
 	for i, dataCentre := range []string{"bern-west", "lausanne-nord"} {
 		region := []string{"mittelland", "romandie"}[i]
 		number := i + 1
