--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -12,6 +12,7 @@
 	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/placement"
+	"currantusher.dev/requests/stall"
 )
 
 const (
@@ -25,6 +26,12 @@
 	// Callers give up after a little more than two seconds.
 	streamIdleGaps       = 4
 	minStreamIdleTimeout = 1500 * time.Millisecond
+	// handoverGapFraction is the fraction of the route's gap objective for which a
+	// handover may hold up a stream; the remainder is for the way to the caller.
+	handoverGapFraction = 0.75
+	// maxHandoverTimeout leaves a server whose stream is not read during a handover
+	// below the time after which it counts as stalled.
+	maxHandoverTimeout = stall.MinTimeout / 2
 	// minCallerTimeout, callerTimeoutObjectives and callerTimeoutGaps give the time
 	// for which callers wait for an event before they disconnect: the maximum of a
 	// fixed time and of multiples of the route's objective and gap objective. The
@@ -167,6 +174,14 @@
 	}
 }
 
+// handoverTimeout returns for how long a handover may hold up a stream.
+func handoverTimeout(route *fleet.Route) time.Duration {
+	if route.GapObjective <= 0 {
+		return maxHandoverTimeout
+	}
+	return min(time.Duration(handoverGapFraction*float64(route.GapObjective)), maxHandoverTimeout)
+}
+
 // callerEventTimeout returns how long callers wait for the first event of a stream.
 func callerEventTimeout(route *fleet.Route) time.Duration {
 	return max(minCallerTimeout, callerTimeoutObjectives*route.LatencyObjective, callerTimeoutGaps*route.GapObjective)
@@ -207,6 +222,7 @@
 	}
 	return dispatch.Request{
 		PauseStart:        g.pauseStarts(c, needs.model),
+		HandoverTimeout:   handoverTimeout(c.route),
 		Trace:             callTrace{gateway: g, call: c},
 		ExpectedDuration:  g.expectedDuration(c, r),
 		FirstByteDeadline: firstByteDeadline,
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -52,3 +52,12 @@
 		"id": t.call.id, "server": from, "to": to, "after_ms": time.Since(t.call.startedAt).Milliseconds(),
 	}).Info("Moving a stream away from a server that is about to load weights.")
 }
+
+// HandoverFailed implements dispatch.Trace.
+func (t callTrace) HandoverFailed(attempt int, from, to core.InstanceID, err error) {
+	t.gateway.requestLog.WithFields(logrus.Fields{
+		"id": t.call.id, "attempt": attempt, "server": from, "to": to, "code": core.CodeOf(err).String(),
+		"work": core.ExecutionOf(err).String(), "reason": core.DetailWithCausesOf(err),
+		"after_ms": time.Since(t.call.startedAt).Milliseconds(),
+	}).Info("Handover failed; the stream goes on at its server.")
+}
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"currantusher.dev/core"
@@ -99,14 +100,20 @@
 	answerLength int64
 	// lastFailure is the last answer with a server error, or nil.
 	lastFailure *Failure
-	// lastEventID is the id of the last complete event that was read.
-	lastEventID string
-	attempts    int
-	// refusals counts the attempts that the server provably did not run.
-	refusals    int
+	// reading is the attempt whose answer was read last. During a handover two attempts
+	// are open; the events of the one that does not continue the stream do not count.
+	reading     *replyStream
 	firstSentAt time.Time
 	firstByteAt time.Time
 	lastServer  core.InstanceID
+
+	// mu guards the fields that the cancel functions of attempts read.
+	mu       sync.Mutex
+	attempts int
+	// refusals counts the attempts that the server provably did not run.
+	refusals int
+	// openAttempts counts the attempts whose connections are in use.
+	openAttempts int
 }
 
 // Failure is an answer with a 5xx status from a backend server.
@@ -129,7 +136,8 @@
 // or the zero time.
 func (e *Exchange) FirstSentAt() time.Time { return e.firstSentAt }
 
-// LastServer returns the backend server of the last attempt.
+// LastServer returns the backend server whose answer was read last, or the one of the
+// last attempt if that was not sent.
 func (e *Exchange) LastServer() core.InstanceID { return e.lastServer }
 
 // FirstByteAt returns when the answer to the caller began, or the zero time.
@@ -157,7 +165,7 @@
 	if e.attempts == 0 {
 		e.firstSentAt = time.Now()
 	}
-	e.attempts++
+	e.countAttempt()
 	e.lastServer = server.ID
 	e.observer.BeforeSend(server.ID)
 	timeLeft := time.Duration(message.DeadlineMillis) * time.Millisecond
@@ -166,17 +174,41 @@
 		conn.Close()
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
 	}
+	s := &replyStream{exchange: e, conn: conn, server: server.ID, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, hasher: newHasher(), lastEventID: e.lastEventID()}
+	s.open()
 	var cancel func()
-	if e.maySendAgain() {
-		cancel = conn.Close
+	if s.mayAbort() {
+		cancel = s.abort
+	}
+	s.attemptObserver = e.observer.StartAttempt(server.ID, cancel)
+	return s, nil
+}
+
+// lastEventID returns the id of the last complete event that was passed on, or "".
+func (e *Exchange) lastEventID() string {
+	if e.reading == nil {
+		return ""
 	}
-	attemptObserver := e.observer.StartAttempt(server.ID, cancel)
-	return &replyStream{exchange: e, conn: conn, server: server.ID, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, attemptObserver: attemptObserver, hasher: newHasher()}, nil
+	return e.reading.lastEventID
+}
+
+func (e *Exchange) countAttempt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts++
+}
+
+func (e *Exchange) countRefusal() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusals++
 }
 
 // maySendAgain reports whether another server may get the request after the current
 // attempt.
 func (e *Exchange) maySendAgain() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return e.request.Repeatable && (e.request.MaxAttempts <= 0 || e.attempts-e.refusals < e.request.MaxAttempts)
 }
 
--- /dev/null
+++ b/requests/direct/handover_test.go
@@ -0,0 +1,165 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// abortObserver keeps the cancel function of each attempt.
+type abortObserver struct {
+	nopObserver
+	cancels []func()
+}
+
+func (o *abortObserver) StartAttempt(_ core.InstanceID, cancel func()) AttemptObserver {
+	o.cancels = append(o.cancels, cancel)
+	return nopAttempt{}
+}
+
+const firstEvent, secondEvent = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+
+// serveUntilClosed answers each connection with the first event, and with the second one
+// once more is closed. It returns the address.
+func serveUntilClosed(t *testing.T, more <-chan struct{}) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", "r-1")
+		w.Header().Set("X-Seal", "s")
+		_, _ = io.WriteString(w, firstEvent)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-more:
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, secondEvent)
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// serveNothing accepts connections and never answers. It returns the address.
+func serveNothing(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func startAttempt(t *testing.T, e *Exchange, server core.InstanceID, addr string) dispatch.ReplyStream {
+	t.Helper()
+	stream, err := e.Send(context.Background(), placement.Candidate{ID: server, Addr: addr}, wire.Dispatch{DeadlineMillis: 10000})
+	require.NoError(t, err)
+	t.Cleanup(stream.Cancel)
+	return stream
+}
+
+func requireEvent(t *testing.T, stream dispatch.ReplyStream, want string) {
+	t.Helper()
+	for {
+		reply, err := stream.Recv()
+		require.NoError(t, err)
+		if reply.Header != nil {
+			continue
+		}
+		require.NotNil(t, reply.Data)
+		require.Equal(t, want, string(reply.Data.Bytes))
+		return
+	}
+}
+
+// newHandover returns an exchange with MaxAttempts 2 whose first attempt, at s-1, has
+// sent its first event.
+func newHandover(t *testing.T, addr string) (*Exchange, *abortObserver, dispatch.ReplyStream) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.MaxAttempts, e.request.StreamIdleTimeout = 2, 20*time.Millisecond
+	observer := &abortObserver{}
+	e.observer = observer
+	old := startAttempt(t, e, "s-1", addr)
+	requireEvent(t, old, firstEvent)
+	return e, observer, old
+}
+
+// A stream that was resumed after a failed handover would have skipped the events that
+// only the target had sent.
+func TestEventsOfAnAbandonedTargetDoNotCountAsPassedOn(t *testing.T) {
+	e, _, old := newHandover(t, serveRawAnswer(t, okAnswerHead+"\r\n"+firstEvent+"id: 2\nda"))
+	target := startAttempt(t, e, "s-2", serveRawAnswer(t, okAnswerHead+"\r\n"+secondEvent))
+	requireEvent(t, target, secondEvent)
+	require.EqualValues(t, "s-2", e.LastServer())
+	target.Cancel()
+	_, err := old.Recv()
+	require.Error(t, err)
+	require.EqualValues(t, "s-1", e.LastServer())
+	require.Contains(t, string(e.encodeRequest("s-3", time.Second)), "Last-Event-Id: 1\r\n")
+}
+
+func TestTargetResumesAfterTheLastEventThatWasPassedOn(t *testing.T) {
+	e, _, _ := newHandover(t, serveUntilClosed(t, nil))
+	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 1\r\n")
+	target := startAttempt(t, e, "s-2", serveRawAnswer(t, okAnswerHead+"\r\n"+secondEvent))
+	requireEvent(t, target, secondEvent)
+	_, err := target.Recv()
+	require.NoError(t, err)
+	require.Contains(t, string(e.encodeRequest("s-3", time.Second)), "Last-Event-Id: 2\r\n")
+}
+
+// The recall and the stall detector may abort the target, since the old attempt goes on,
+// but not the old attempt, since the target may not continue it.
+func TestOnlyTheTargetIsAbortedDuringAHandover(t *testing.T) {
+	more := make(chan struct{})
+	e, observer, old := newHandover(t, serveUntilClosed(t, more))
+	target := startAttempt(t, e, "s-2", serveNothing(t))
+	observer.cancels[0]()
+	require.NotNil(t, observer.cancels[1])
+	observer.cancels[1]()
+	_, err := target.Recv()
+	require.Error(t, err)
+	target.Cancel()
+	observer.cancels[0]()
+	close(more)
+	requireEvent(t, old, secondEvent)
+}
+
+func TestTargetThatContinuesTheStreamIsNotAbortedAsItsLastAttempt(t *testing.T) {
+	more := make(chan struct{})
+	e, observer, old := newHandover(t, serveUntilClosed(t, nil))
+	target := startAttempt(t, e, "s-2", serveUntilClosed(t, more))
+	requireEvent(t, target, firstEvent)
+	old.Cancel()
+	observer.cancels[1]()
+	close(more)
+	requireEvent(t, target, secondEvent)
+}
+
+func TestOldAttemptMayBeAbortedAfterARefusedHandover(t *testing.T) {
+	e, observer, old := newHandover(t, serveUntilClosed(t, nil))
+	target := startAttempt(t, e, "s-2", serveRawAnswer(t, "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"))
+	reply, err := target.Recv()
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, reply.End.Execution)
+	observer.cancels[0]()
+	_, err = old.Recv()
+	require.Error(t, err)
+}
+
+// The time since before the handover counted towards the longest gap of an attempt that
+// must not be cut off.
+func TestFailedHandoverEndsTheIdleTimeoutOfTheLastAttempt(t *testing.T) {
+	more := make(chan struct{})
+	e, _, old := newHandover(t, serveUntilClosed(t, more))
+	startAttempt(t, e, "s-2", serveNothing(t)).Cancel()
+	time.AfterFunc(5*e.request.StreamIdleTimeout, func() { close(more) })
+	requireEvent(t, old, secondEvent)
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -38,6 +38,13 @@
 	// returns false if the connection is already being closed.
 	stopCloseOnDone func() bool
 	attemptObserver AttemptObserver
+	// lastEventID is the id of the last complete event that Recv returned, or of the one
+	// after which the stream was resumed.
+	lastEventID string
+	// isHandover is set if another attempt was open when this one was sent.
+	isHandover bool
+	// isClosed is set once the connection is not in use any more.
+	isClosed bool
 
 	response     *http.Response
 	splitter     eventSplitter
@@ -51,6 +58,8 @@
 
 // Recv implements dispatch.ReplyStream.
 func (s *replyStream) Recv() (wire.AnswerFrame, error) {
+	s.exchange.reading = s
+	s.exchange.lastServer = s.server
 	if s.response == nil {
 		return s.readHead()
 	}
@@ -68,11 +77,50 @@
 
 // Cancel implements dispatch.ReplyStream.
 func (s *replyStream) Cancel() {
+	s.markClosed()
 	s.attemptObserver.Close()
 	s.stopCloseOnDone()
 	s.conn.Close()
 }
 
+// open counts the attempt as open.
+func (s *replyStream) open() {
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.isHandover = e.openAttempts > 0
+	e.openAttempts++
+}
+
+func (s *replyStream) markClosed() {
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.isClosed {
+		s.isClosed = true
+		e.openAttempts--
+	}
+}
+
+// mayAbort reports whether the request can continue elsewhere if this attempt is
+// aborted: at another server, or at the one that it would leave in a handover.
+func (s *replyStream) mayAbort() bool {
+	e := s.exchange
+	if e.maySendAgain() {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.isHandover && e.openAttempts > 1
+}
+
+// abort closes the connection unless the attempt has become the last one since.
+func (s *replyStream) abort() {
+	if s.mayAbort() {
+		s.conn.Close()
+	}
+}
+
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
@@ -146,7 +194,7 @@
 // endRefused returns the end frame of an attempt that the backend server did not
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
-	s.exchange.refusals++
+	s.exchange.countRefusal()
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
 		s.Cancel()
 	} else {
@@ -205,8 +253,13 @@
 		s.buffer = make([]byte, readBufferBytes)
 	}
 	request := &s.exchange.request
-	if request.Resumable && request.StreamIdleTimeout > 0 && s.exchange.maySendAgain() {
-		if err := s.conn.SetReadDeadline(time.Now().Add(request.StreamIdleTimeout)); err != nil {
+	if request.Resumable && request.StreamIdleTimeout > 0 {
+		// A failed handover can make this attempt the last one.
+		var deadline time.Time
+		if s.exchange.maySendAgain() {
+			deadline = time.Now().Add(request.StreamIdleTimeout)
+		}
+		if err := s.conn.SetReadDeadline(deadline); err != nil {
 			return nil, err
 		}
 	}
@@ -225,7 +278,7 @@
 		return nil, fmt.Errorf("answer of %s ended within an event", s.server)
 	}
 	if id := s.splitter.lastEventID(); id != "" {
-		s.exchange.lastEventID = id
+		s.lastEventID = id
 	}
 	return events, nil
 }
@@ -251,6 +304,7 @@
 // releaseConn returns the connection to the pool, or closes it if the attempt's
 // context has ended.
 func (s *replyStream) releaseConn() {
+	s.markClosed()
 	s.attemptObserver.Close()
 	if s.stopCloseOnDone() {
 		s.conn.Release(s.response)
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -12,36 +12,80 @@
 	"currantusher.dev/wire"
 )
 
-// runAttempt dispatches the request once. A nil error means that the complete
-// answer was written to the sink. Any other error carries core.ExecutionNotRun
-// only if this attempt provably did not run.
-func (x *execution) runAttempt(ctx context.Context, placer *placement.Placer, agent placement.Candidate) error {
-	id := x.nextAttemptID()
-	if !x.mayDispatch(id) {
-		placer.Finish(x.config.Now(), agent.ID, placement.Inconclusive, 0, 0)
-		return core.NewFailure(core.CodeInternal, core.ExecutionUnknown, "attempt %s was not dispatched: it would violate the at-most-once invariant", id)
-	}
-	x.request.Trace.Placed(x.attemptCount, agent, x.candidateCount, x.output.sentBytes)
-	// The attempt counts as possibly run until its outcome proves otherwise.
+// agentAttempt is one dispatch of the request to an agent.
+type agentAttempt struct {
+	id string
+	// number counts the attempts of the request from 1.
+	number int
+	agent  placement.Candidate
+	answer *answerValidator
+	// unsent is set if nothing was sent because the agent had been closed since it was
+	// picked.
+	unsent bool
+
+	// ctx ends when the attempt must be abandoned.
+	ctx    context.Context
+	cancel context.CancelFunc
+	sentAt time.Time
+	stream ReplyStream
+	// held are the checked frames that were received before the attempt took over the
+	// stream of another one.
+	held []wire.AnswerFrame
+	// firstDataSeen is set once the time to the first data was recorded.
+	firstDataSeen bool
+}
+
+// newAttempt returns the next attempt, at an agent that the placer picked.
+func (x *execution) newAttempt(agent placement.Candidate) *agentAttempt {
+	a := &agentAttempt{id: x.nextAttemptID(), agent: agent, answer: newAnswerValidator(x.request.ID)}
+	a.number = x.attemptCount
+	a.answer.skipEndCheck = x.disabledGuard == guardAnswer
+	return a
+}
+
+// runAttempt dispatches the request once, or goes on with an attempt that has begun
+// during a handover. A nil error means that the complete answer was written to the
+// sink. Any other error carries core.ExecutionNotRun only if this attempt provably did
+// not run.
+func (x *execution) runAttempt(ctx context.Context, placer *placement.Placer, a *agentAttempt) error {
+	var err error
+	switch {
+	case a.stream != nil:
+		err = x.receiveAnswer(ctx, placer, a)
+	case x.mayDispatch(a.id):
+		x.beginAttempt(a)
+		err = x.sendAndReceive(ctx, placer, a)
+	default:
+		placer.Finish(x.config.Now(), a.agent.ID, placement.Inconclusive, 0, 0)
+		return core.NewFailure(core.CodeInternal, core.ExecutionUnknown, "attempt %s was not dispatched: it would violate the at-most-once invariant", a.id)
+	}
+	outcome := outcomeOf(ctx, err, a.answer)
+	if x.successor != nil {
+		outcome = placement.Inconclusive
+	}
+	x.endAttempt(placer, a, err, outcome)
+	return err
+}
+
+// beginAttempt counts an attempt that is about to be sent. It counts as possibly run
+// until its outcome proves otherwise.
+func (x *execution) beginAttempt(a *agentAttempt) {
+	x.request.Trace.Placed(a.number, a.agent, x.candidateCount, x.output.sentBytes)
 	x.unprovenAttempts++
-	answer := newAnswerValidator(x.request.ID)
-	answer.skipEndCheck = x.disabledGuard == guardAnswer
-	err := x.sendAndReceive(ctx, placer, id, agent, answer)
+}
+
+// endAttempt records the outcome of an attempt that beginAttempt counted.
+func (x *execution) endAttempt(placer *placement.Placer, a *agentAttempt, err error, outcome placement.Outcome) {
 	if core.ExecutionOf(err) == core.ExecutionNotRun {
 		x.unprovenAttempts--
 	} else {
 		x.mayHaveRun = true
 	}
 	running, limit := 0, 0
-	if answer.end != nil {
-		running, limit = answer.end.Running, answer.end.Limit
+	if a.answer.end != nil {
+		running, limit = a.answer.end.Running, a.answer.end.Limit
 	}
-	outcome := outcomeOf(ctx, err, answer)
-	if x.handoverTarget != nil {
-		outcome = placement.Inconclusive
-	}
-	placer.Finish(x.config.Now(), agent.ID, outcome, running, limit)
-	return err
+	placer.Finish(x.config.Now(), a.agent.ID, outcome, running, limit)
 }
 
 func outcomeOf(ctx context.Context, err error, answer *answerValidator) placement.Outcome {
@@ -86,55 +130,64 @@
 	return context.WithTimeout(ctx, remaining)
 }
 
-// sendAndReceive dispatches the request to the agent and receives the answer.
-// If the attempt ends without an end frame, it determines whether it ran.
-func (x *execution) sendAndReceive(ctx context.Context, placer *placement.Placer, id string, agent placement.Candidate, answer *answerValidator) error {
-	callCtx, cancel := x.attemptContext(ctx)
-	defer cancel()
-	sent := x.config.Now()
-	x.unsent = false
-	stream, err := x.sender().Send(callCtx, agent, x.dispatchMessage(id, agent))
+// send dispatches the request to the agent of an attempt.
+func (x *execution) send(a *agentAttempt) error {
+	a.sentAt = x.config.Now()
+	stream, err := x.sender().Send(a.ctx, a.agent, x.dispatchMessage(a.id, a.agent))
 	if isNotConnected(err) {
-		return core.NewRefusal(core.CodeAgentUnreachable, 0, "agent %s: %v", agent.ID, err)
+		return core.NewRefusal(core.CodeAgentUnreachable, 0, "agent %s: %v", a.agent.ID, err)
 	}
-	if err != nil && core.ExecutionOf(err) == core.ExecutionNotRun {
-		x.unsent = true
+	a.unsent = err != nil && core.ExecutionOf(err) == core.ExecutionNotRun
+	a.stream = stream
+	return err
+}
+
+// sendAndReceive dispatches the request to the agent and receives the answer.
+// If the attempt ends without an end frame, it determines whether it ran.
+func (x *execution) sendAndReceive(ctx context.Context, placer *placement.Placer, a *agentAttempt) error {
+	a.ctx, a.cancel = x.attemptContext(ctx)
+	defer a.cancel()
+	err := x.send(a)
+	if core.ExecutionOf(err) == core.ExecutionNotRun {
 		return err
 	}
-	if err == nil {
-		var startTimer *time.Timer
-		if x.startTimeout() > 0 && !x.request.AtMostOnce {
-			startTimer = time.AfterFunc(x.startTimeout(), cancel)
-		}
-		shouldHandOver := x.handoverCheck(ctx, placer, agent.ID, sent)
-		err = x.receive(stream, answer, startTimer, shouldHandOver)
-		if err != nil {
-			stream.Cancel()
-		}
+	if err != nil {
+		return x.resolveOutcome(ctx, a, err)
 	}
-	if err == nil || answer.end != nil {
+	return x.receiveAnswer(ctx, placer, a)
+}
+
+// receiveAnswer receives the answer of an attempt that was sent. If the attempt ends
+// without an end frame, it determines whether it ran.
+func (x *execution) receiveAnswer(ctx context.Context, placer *placement.Placer, a *agentAttempt) error {
+	defer a.cancel()
+	var startTimer *time.Timer
+	if x.startTimeout() > 0 && !x.request.AtMostOnce && len(a.held) == 0 {
+		startTimer = time.AfterFunc(x.startTimeout(), a.cancel)
+	}
+	err := x.receive(ctx, placer, a, startTimer)
+	if err != nil {
+		a.stream.Cancel()
+	}
+	if err == nil || a.answer.end != nil {
 		return err
 	}
-	return x.resolveOutcome(ctx, callCtx, id, agent, answer, err)
+	return x.resolveOutcome(ctx, a, err)
 }
 
-// receive reads frames until the end frame, or until shouldHandOver returns true
-// after a data frame. startTimer, if not nil, is stopped by the first frame.
+// receive reads frames until the end frame, or until another attempt has taken over
+// the stream after a data frame. startTimer, if not nil, is stopped by the first frame.
 // answer.end stays unset if the error is not the result in the end frame.
-func (x *execution) receive(stream ReplyStream, answer *answerValidator, startTimer *time.Timer, shouldHandOver func() bool) error {
+func (x *execution) receive(ctx context.Context, placer *placement.Placer, a *agentAttempt, startTimer *time.Timer) error {
 	if startTimer != nil {
 		defer startTimer.Stop()
 	}
 	for {
-		reply, err := stream.Recv()
-		if errors.Is(err, io.EOF) {
-			return incompleteError("the answer stream closed before its end frame")
-		}
+		reply, err := a.next()
 		if err != nil {
-			return core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "reading the answer failed")
-		}
-		if err := answer.accept(reply); err != nil {
-			x.output.corruptSent = x.output.sentBytes > 0 && core.CodeOf(err) == core.CodeChecksumMismatch
+			if core.CodeOf(err) == core.CodeChecksumMismatch {
+				x.output.corruptSent = x.output.sentBytes > 0
+			}
 			return err
 		}
 		if startTimer != nil {
@@ -144,14 +197,50 @@
 			return err
 		}
 		if reply.End != nil {
-			return x.finishAttempt(answer)
+			return x.finishAttempt(a.answer)
+		}
+		if reply.Data == nil {
+			continue
 		}
-		if reply.Data != nil && shouldHandOver() {
-			return incompleteError("the stream is handed over to another server because of a pause of this server")
+		x.observeFirstData(placer, a)
+		if x.handOver(ctx, placer, a) {
+			return incompleteError("%s continues the stream because of a pause of this server", x.successor.agent.ID)
 		}
 	}
 }
 
+// next returns the next checked frame of the answer.
+func (a *agentAttempt) next() (wire.AnswerFrame, error) {
+	if len(a.held) > 0 {
+		reply := a.held[0]
+		a.held = a.held[1:]
+		return reply, nil
+	}
+	return a.readFrame()
+}
+
+// readFrame reads and checks a frame of the stream.
+func (a *agentAttempt) readFrame() (wire.AnswerFrame, error) {
+	reply, err := a.stream.Recv()
+	if errors.Is(err, io.EOF) {
+		return wire.AnswerFrame{}, incompleteError("the answer stream closed before its end frame")
+	}
+	if err != nil {
+		return wire.AnswerFrame{}, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "reading the answer failed")
+	}
+	return reply, a.answer.accept(reply)
+}
+
+// observeFirstData records the time to the first data of a stream.
+func (x *execution) observeFirstData(placer *placement.Placer, a *agentAttempt) {
+	if a.firstDataSeen || !x.request.Stream {
+		return
+	}
+	a.firstDataSeen = true
+	now := x.config.Now()
+	placer.ObserveFirstEvent(now, a.agent.ID, now.Sub(a.sentAt))
+}
+
 // forward passes a checked frame to the output.
 func (x *execution) forward(reply wire.AnswerFrame) error {
 	switch {
@@ -174,6 +263,12 @@
 		}
 		return x.output.close()
 	}
+	return endError(answer)
+}
+
+// endError converts an end frame without a complete answer into an error.
+func endError(answer *answerValidator) error {
+	end := answer.end
 	executionState := end.Execution
 	if executionState == core.ExecutionNotRun && answer.header != nil {
 		executionState = core.ExecutionUnknown
@@ -188,16 +283,16 @@
 // resolveOutcome determines the outcome of an attempt without an end frame. A
 // tombstone confirmed by the agent proves that the attempt did not run and will
 // not run.
-func (x *execution) resolveOutcome(ctx, callCtx context.Context, id string, agent placement.Candidate, answer *answerValidator, cause error) error {
-	if answer.header != nil {
-		return x.unknownOutcomeError(ctx, callCtx, cause)
+func (x *execution) resolveOutcome(ctx context.Context, a *agentAttempt, cause error) error {
+	if a.answer.header != nil {
+		return x.unknownOutcomeError(ctx, a.ctx, cause)
 	}
 	remaining := x.request.Deadline.Sub(x.config.Now())
 	boundedCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(x.config.TombstoneTimeout, remaining))
 	defer cancel()
-	reply, err := x.sender().Tombstone(boundedCtx, agent, wire.Tombstone{AttemptID: id, Incarnation: agent.Incarnation})
+	reply, err := x.sender().Tombstone(boundedCtx, a.agent, wire.Tombstone{AttemptID: a.id, Incarnation: a.agent.Incarnation})
 	if err != nil || reply.Execution != core.ExecutionNotRun {
-		return x.unknownOutcomeError(ctx, callCtx, cause)
+		return x.unknownOutcomeError(ctx, a.ctx, cause)
 	}
 	return core.NewRefusal(core.CodeTombstoned, x.queue(x.request).RetryAfter(x.request.Team), "the attempt was cancelled by a tombstone before it started: %s", core.DetailOf(cause))
 }
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -24,6 +24,9 @@
 	DefaultMaxAttempts      = 4
 )
 
+// DefaultHandoverTimeout is the default of Request.HandoverTimeout.
+const DefaultHandoverTimeout = 200 * time.Millisecond
+
 // tombstoneReserveDivisor limits the time reserved for a tombstone to this
 // fraction (1/n) of the time left before the deadline.
 const tombstoneReserveDivisor = 5
@@ -160,6 +163,9 @@
 	// handed over to another server; if PauseStart is nil, they finish at the
 	// server that pauses.
 	PauseStart func(core.InstanceID) time.Time
+	// HandoverTimeout bounds the time for which a handover holds up the stream until
+	// the target sends its first data; 0 means DefaultHandoverTimeout.
+	HandoverTimeout time.Duration
 	// Trace receives the decisions on the request; nil means no tracing.
 	Trace Trace
 	// Sender, if set, overrides Config.Sender for this request.
@@ -183,6 +189,13 @@
 	return r.Deadline
 }
 
+func (r *Request) handoverTimeout() time.Duration {
+	if r.HandoverTimeout > 0 {
+		return r.HandoverTimeout
+	}
+	return DefaultHandoverTimeout
+}
+
 // needsClaim reports whether the request must be claimed in the ledger before
 // it is dispatched.
 func (r *Request) needsClaim() bool { return r.AtMostOnce && !r.Unclaimed }
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -30,15 +30,16 @@
 	weightsRefusals int
 	// mayHaveRun is set when an attempt is not proven not to have run.
 	mayHaveRun bool
-	// unsent is set when the last attempt ended before anything was sent because the
-	// picked agent had been closed meanwhile.
-	unsent bool
 	// unprovenAttempts counts the attempts that may have run.
 	unprovenAttempts int
 	// candidateCount is the number of servers that the last pick chose from.
 	candidateCount int
-	// handoverTarget is the server picked to continue a handed-over stream, or nil.
-	handoverTarget *placement.Candidate
+	// successor is the attempt that has taken over the stream of the current one, or nil.
+	successor *agentAttempt
+	// refusedHandovers holds the servers that refused to continue the stream.
+	refusedHandovers map[core.InstanceID]bool
+	// nextHandoverAt is the earliest time of the next handover after a failed one.
+	nextHandoverAt time.Time
 	// answerComplete is set when the answer was verified to be complete.
 	answerComplete bool
 }
@@ -51,6 +52,8 @@
 		output:         newOutput(request, sink, d.config.MaxAnswerBytes),
 		firstAttemptID: d.config.Attempts.Next(),
 		triedAgents:    map[core.InstanceID]bool{},
+
+		refusedHandovers: map[core.InstanceID]bool{},
 	}
 }
 
@@ -115,11 +118,7 @@
 	placer.DepositRetry()
 	var lastErr error
 	for {
-		agent, handedOver := x.takeHandoverTarget()
-		var err error
-		if !handedOver {
-			agent, err = x.pickAgent(ctx, placer)
-		}
+		a, err := x.nextAttempt(ctx, placer)
 		if err != nil {
 			if x.waitForOpening(ctx) {
 				continue
@@ -142,51 +141,34 @@
 		if err != nil {
 			return x.finalError(lastErr, err)
 		}
-		lastErr = x.runAttempt(ctx, placer, agent)
+		lastErr = x.runAttempt(ctx, placer, a)
 		if lastErr == nil {
 			return nil
 		}
-		x.markTried(agent.ID, lastErr)
-		if x.handoverTarget != nil {
+		x.markTried(a.agent.ID, lastErr)
+		if x.successor != nil {
 			continue
 		}
-		err = x.afterFailure(ctx, placer, lastErr)
-		x.request.Trace.Failed(x.attemptCount, agent.ID, lastErr, err == nil)
+		err = x.afterFailure(ctx, placer, a, lastErr)
+		x.request.Trace.Failed(a.number, a.agent.ID, lastErr, err == nil)
 		if err != nil {
 			return x.finalError(lastErr, err)
 		}
 	}
 }
 
-// markTried excludes an agent from further attempts after err. After a digest mismatch
-// the same agent may serve the request with the weights that ChooseWeights returns for
-// the next attempt.
-func (x *execution) markTried(agent core.InstanceID, err error) {
-	mayPickAgain := x.request.ChooseWeights != nil && core.CodeOf(err) == core.CodeDigestMismatch
-	x.triedAgents[agent] = !mayPickAgain
-	if mayPickAgain && core.ExecutionOf(err) == core.ExecutionNotRun {
-		x.weightsRefusals++
+// nextAttempt returns the attempt that has taken over the stream, if there is one, or a
+// new one at the agent that the placer picks.
+func (x *execution) nextAttempt(ctx context.Context, placer *placement.Placer) (*agentAttempt, error) {
+	if a := x.successor; a != nil {
+		x.successor = nil
+		return a, nil
 	}
-}
-
-// hasAttemptsLeft reports whether MaxAttempts permits another attempt. Attempts that
-// provably did not run do not count: the tried agents, the deadline and the retry budget
-// bound them.
-func (x *execution) hasAttemptsLeft() bool {
-	return x.unprovenAttempts+x.weightsRefusals < x.maxAttempts()
-}
-
-// afterFailure prepares another attempt after a failed one, or returns the
-// reason why there is none.
-func (x *execution) afterFailure(ctx context.Context, placer *placement.Placer, lastErr error) error {
-	if !x.mayRetry(ctx, lastErr) {
-		return lastErr
-	}
-	if x.unsent {
-		// No server has worked on the attempt, so it takes no retry from the budget.
-		return nil
+	agent, err := x.pickAgent(ctx, placer)
+	if err != nil {
+		return nil, err
 	}
-	return x.prepareRetry(ctx, placer, lastErr)
+	return x.newAttempt(agent), nil
 }
 
 func (x *execution) pickAgent(ctx context.Context, placer *placement.Placer) (placement.Candidate, error) {
@@ -246,72 +228,6 @@
 	return core.NewRefusal(core.CodeDeadlineShort, x.queue(x.request).RetryAfter(x.request.Team), "the deadline passed before dispatch")
 }
 
-// mayRetry reports whether another dispatch is permitted after err.
-func (x *execution) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || !x.hasAttemptsLeft() || x.output.sinkErr != nil {
-		return false
-	}
-	if !x.config.Now().Before(x.request.Deadline.Add(-x.tombstoneReserve())) {
-		return false
-	}
-	if core.ExecutionOf(err) == core.ExecutionNotRun {
-		return isRetryableElsewhere(core.CodeOf(err))
-	}
-	if x.request.AtMostOnce && x.disabledGuard != guardClaim {
-		return false
-	}
-	return isTransient(core.CodeOf(err))
-}
-
-// isRetryableElsewhere reports whether another agent may accept a request that
-// was refused with code.
-func isRetryableElsewhere(code core.Code) bool {
-	switch code {
-	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge:
-		return false
-	default:
-		return true
-	}
-}
-
-// isTransient reports whether a repeatable request may be run again after code.
-func isTransient(code core.Code) bool {
-	switch code {
-	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
-		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed, core.CodeDigestMismatch:
-		return true
-	default:
-		return false
-	}
-}
-
-// prepareRetry takes a retry from the retry budget. If the budget is spent, the
-// request returns to the queue after a temporary refusal and fails otherwise.
-func (x *execution) prepareRetry(ctx context.Context, placer *placement.Placer, lastErr error) error {
-	if x.output.sentBytes > 0 && !x.output.canResume() {
-		return core.NewFailure(core.CodeStreamBroken, core.ExecutionUnknown, "the stream broke after %d bytes: %s", x.output.sentBytes, core.DetailOf(lastErr))
-	}
-	if placer.WithdrawRetry() {
-		return nil
-	}
-	if !isTemporaryRefusal(lastErr) {
-		return core.NewRefusal(core.CodeRetryBudget, x.queue(x.request).RetryAfter(x.request.Team), "the retry budget is spent: %s", core.DetailOf(lastErr))
-	}
-	return x.requeue(ctx)
-}
-
-// isTemporaryRefusal reports whether the agent that refused may accept the
-// request soon: it was full, or the entry and the agent have not yet applied the
-// same configuration or incarnation change.
-func isTemporaryRefusal(err error) bool {
-	switch core.CodeOf(err) {
-	case core.CodeLimitReached, core.CodeRevisionTooLow, core.CodeStaleIncarnation:
-		return true
-	default:
-		return false
-	}
-}
-
 // finalError returns the error for the caller. It carries core.ExecutionNotRun
 // only if every attempt provably did not run.
 func (x *execution) finalError(lastErr, err error) error {
--- /dev/null
+++ b/requests/dispatch/fleet_test.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/attempt"
+	"currantusher.dev/requests/fair"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+// streamEventBytes is the length of each event of a fakeFleet's streams.
+const streamEventBytes = 3
+
+// serverBehaviour says how a server of a fakeFleet handles an attempt.
+type serverBehaviour struct {
+	isUnreachable bool
+	isClosed      bool
+	// refusal refuses the attempt; 0 accepts it.
+	refusal core.Code
+	// isSilent servers accept the attempt and send nothing.
+	isSilent bool
+	// firstEventAfter is the time until the first event, eventInterval the one between
+	// events. The header arrives at once if hasEarlyHeader is set.
+	firstEventAfter, eventInterval time.Duration
+	hasEarlyHeader                 bool
+	// breaksAfter is the number of events before the stream breaks; 0 means never, and
+	// below 0 before the header.
+	breaksAfter int
+}
+
+// fakeFleet is a Sender to servers that stream the rest of text, one event after the
+// other. Events that are not read wait.
+type fakeFleet struct {
+	text    string
+	handles func(core.InstanceID) serverBehaviour
+
+	mu sync.Mutex
+	// sent counts the attempts that reached a server, mayHaveRun those that were not
+	// refused, by server, and open those in progress.
+	sent       int
+	mayHaveRun map[core.InstanceID]int
+	open       int
+	maxOpen    int
+	// hasCutStream is set once a stream that had sent data broke.
+	hasCutStream bool
+}
+
+func (f *fakeFleet) Send(ctx context.Context, agent placement.Candidate, m wire.Dispatch) (ReplyStream, error) {
+	behaviour := f.handles(agent.ID)
+	switch {
+	case behaviour.isUnreachable:
+		return nil, wire.ErrNotConnected
+	case behaviour.isClosed:
+		return nil, core.NewRefusal(core.CodeServerClosed, 0, "%s is leaving", agent.ID)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	f.open++
+	f.maxOpen = max(f.maxOpen, f.open)
+	if behaviour.refusal == core.CodeOK {
+		f.mayHaveRun[agent.ID]++
+	}
+	s := &fakeStream{fleet: f, ctx: ctx, startedAt: time.Now(), cancelled: make(chan struct{})}
+	s.schedule(m, behaviour)
+	return s, nil
+}
+
+func (f *fakeFleet) Tombstone(context.Context, placement.Candidate, wire.Tombstone) (wire.TombstoneReply, error) {
+	return wire.TombstoneReply{Execution: core.ExecutionUnknown}, nil
+}
+
+func (f *fakeFleet) closed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open--
+}
+
+// fakeStream is an attempt at a server of a fakeFleet.
+type fakeStream struct {
+	fleet     *fakeFleet
+	ctx       context.Context
+	startedAt time.Time
+	cancelled chan struct{}
+	closeOnce sync.Once
+	frames    []timedFrame
+	hasData   bool
+}
+
+// timedFrame is a frame, or a broken connection, that arrives after a time.
+type timedFrame struct {
+	after  time.Duration
+	frame  wire.AnswerFrame
+	breaks bool
+}
+
+func (s *fakeStream) schedule(m wire.Dispatch, b serverBehaviour) {
+	switch {
+	case b.refusal != core.CodeOK:
+		s.frames = []timedFrame{{after: b.firstEventAfter, frame: refusal(b.refusal)}}
+		return
+	case b.isSilent:
+		return
+	case b.breaksAfter < 0:
+		s.frames = []timedFrame{{after: b.firstEventAfter, breaks: true}}
+		return
+	}
+	head := timedFrame{after: b.firstEventAfter, frame: header()}
+	if b.hasEarlyHeader {
+		head.after = 0
+	}
+	s.frames = append(s.frames, head)
+	rest, at := s.fleet.text[m.ResumeOffset:], b.firstEventAfter
+	for i := 0; i*streamEventBytes < len(rest); i++ {
+		if b.breaksAfter > 0 && i == b.breaksAfter {
+			s.frames = append(s.frames, timedFrame{after: at, breaks: true})
+			return
+		}
+		event := rest[i*streamEventBytes : (i+1)*streamEventBytes]
+		s.frames = append(s.frames, timedFrame{after: at, frame: data(uint64(i), event)})
+		at += b.eventInterval
+	}
+	s.frames = append(s.frames, timedFrame{after: at, frame: end(rest)})
+}
+
+func (s *fakeStream) Recv() (wire.AnswerFrame, error) {
+	if s.ctx.Err() != nil {
+		return wire.AnswerFrame{}, s.ctx.Err()
+	}
+	var arrival <-chan time.Time
+	if len(s.frames) > 0 {
+		timer := time.NewTimer(time.Until(s.startedAt.Add(s.frames[0].after)))
+		defer timer.Stop()
+		arrival = timer.C
+	}
+	select {
+	case <-s.ctx.Done():
+		return wire.AnswerFrame{}, s.ctx.Err()
+	case <-s.cancelled:
+		return wire.AnswerFrame{}, errors.New("cancelled")
+	case <-arrival:
+	}
+	next := s.frames[0]
+	s.frames = s.frames[1:]
+	if next.breaks {
+		s.frames = nil
+		s.fleet.hasCutStream = s.fleet.hasCutStream || s.hasData
+		return wire.AnswerFrame{}, errors.New("connection reset")
+	}
+	s.hasData = s.hasData || next.frame.Data != nil
+	if next.frame.End != nil {
+		s.close()
+	}
+	return next.frame, nil
+}
+
+func (s *fakeStream) Cancel() { s.close() }
+
+func (s *fakeStream) close() {
+	s.closeOnce.Do(func() {
+		close(s.cancelled)
+		s.fleet.closed()
+	})
+}
+
+// gapSink records the answer and the longest time between two parts of it.
+type gapSink struct {
+	testSink
+	lastPartAt time.Time
+	longestGap time.Duration
+}
+
+func (s *gapSink) Write(p []byte) (int, error) {
+	now := time.Now()
+	if !s.lastPartAt.IsZero() {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastPartAt))
+	}
+	s.lastPartAt = now
+	return s.testSink.Write(p)
+}
+
+// fleetRun is a dispatcher of streams before a fakeFleet.
+type fleetRun struct {
+	*Dispatcher
+	fleet   *fakeFleet
+	placer  *placement.Placer
+	servers []placement.Candidate
+}
+
+// newFleetRun returns a run with a server for each letter of servers. One request of
+// another caller is in flight at each.
+func newFleetRun(t *testing.T, servers string, retryBurst int, handles func(core.InstanceID) serverBehaviour) *fleetRun {
+	r := &fleetRun{
+		fleet:  &fakeFleet{text: "aaabbbcccdddeeefffggghhhiiijjjkkklllmmmnnnooopppqqqrrrssstttuuuvvvwwwxxxyyyzzz", handles: handles, mayHaveRun: map[core.InstanceID]int{}},
+		placer: placement.New(placement.Config{Entry: "e", EjectAfterFailures: 1}),
+	}
+	r.placer.SetRetryBurst(retryBurst)
+	for _, id := range servers {
+		server := placement.Candidate{ID: core.InstanceID(id), Limit: 4}
+		_, err := r.placer.Pick(time.Now(), placement.Request{}, []placement.Candidate{server})
+		require.NoError(t, err)
+		r.servers = append(r.servers, server)
+	}
+	queue := fair.New(fair.Config{Capacity: func() int { return 4 }})
+	r.Dispatcher = New(Config{
+		Attempts:   attempt.NewGenerator("e", 1),
+		Queue:      func(core.PoolName) *fair.Queue { return queue },
+		Placer:     func(core.PoolName) *placement.Placer { return r.placer },
+		Candidates: func(core.PoolName) []placement.Candidate { return r.servers },
+		Sender:     r.fleet,
+	})
+	return r
+}
+
+// requireNothingLeaks checks that no attempt is open and that the placer counts each
+// attempt as ended once.
+func (r *fleetRun) requireNothingLeaks(t *testing.T) {
+	t.Helper()
+	require.Zero(t, r.fleet.open, "attempts that are still open")
+	for _, server := range r.servers {
+		require.Equal(t, 1, r.placer.InFlight(server.ID), "requests in flight at %s besides the other caller's", server.ID)
+	}
+}
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -12,48 +12,114 @@
 // streams finish within it after a handover.
 const minTimeToPause = time.Second
 
-// handOver picks another server to continue a stream whose server pauses. A server
-// that pauses loads its weights only after its running streams have ended, so the
-// stream would prolong the pause. handOver reports whether it picked a server. A
-// handover takes one retry from the retry budget. It must be called only between
-// complete events.
-func (x *execution) handOver(ctx context.Context, placer *placement.Placer, from core.InstanceID) bool {
-	if x.request.PauseStart == nil || !x.output.canResume() || !x.hasAttemptsLeft() {
-		return false
-	}
+// handoverRetryDelay is the time after a failed handover until the next one. Each one
+// holds up the caller's stream and takes a retry.
+const handoverRetryDelay = 500 * time.Millisecond
+
+// handOver moves a stream to another server if its server pauses. A server that pauses
+// loads its weights only after its running streams have ended, so the stream would
+// prolong the pause. The attempt at the target is sent while the attempt from stays
+// open, unread, and takes over with its first data. If it refuses, fails or does not
+// begin in time, from goes on where it was. handOver must be called only between
+// complete events. It reports whether x.successor continues the stream. A handover takes
+// one retry from the retry budget.
+func (x *execution) handOver(ctx context.Context, placer *placement.Placer, from *agentAttempt) bool {
 	now := x.config.Now()
-	pauseStart := x.request.PauseStart(from)
-	if pauseStart.IsZero() || now.Before(pauseStart) {
+	if !x.mayHandOver(now, from.agent.ID) {
 		return false
 	}
-	next, err := x.pickHandoverTarget(ctx, placer, from, now.Add(minTimeToPause))
+	target, err := x.pickHandoverTarget(ctx, placer, from.agent.ID, now.Add(minTimeToPause))
 	if err != nil {
 		return false
 	}
 	if !placer.WithdrawRetry() {
-		placer.Finish(now, next.ID, placement.Inconclusive, 0, 0)
+		placer.Finish(now, target.ID, placement.Inconclusive, 0, 0)
 		return false
 	}
-	x.handoverTarget = &next
-	x.request.Trace.HandedOver(from, next.ID)
+	a := x.newAttempt(target)
+	x.beginAttempt(a)
+	if err := x.awaitFirstData(ctx, a); err != nil {
+		x.abandonHandover(ctx, placer, from, a, err)
+		return false
+	}
+	x.successor = a
+	x.request.Trace.HandedOver(from.agent.ID, target.ID)
 	return true
 }
 
-// handoverCheck returns a function to call after each data frame. It reports
-// whether the stream must be handed over. On the first call it also records the
-// time to the first data of a stream.
-func (x *execution) handoverCheck(ctx context.Context, placer *placement.Placer, server core.InstanceID, sent time.Time) func() bool {
-	first := true
-	return func() bool {
-		if first && x.request.Stream {
-			now := x.config.Now()
-			placer.ObserveFirstEvent(now, server, now.Sub(sent))
+// mayHandOver reports whether the stream should leave its server now and may do so.
+func (x *execution) mayHandOver(now time.Time, from core.InstanceID) bool {
+	if x.request.PauseStart == nil || !x.output.canResume() || !x.hasAttemptsLeft() || now.Before(x.nextHandoverAt) {
+		return false
+	}
+	pauseStart := x.request.PauseStart(from)
+	return !pauseStart.IsZero() && !now.Before(pauseStart)
+}
+
+// awaitFirstData sends the request and receives the answer up to its first data, or up
+// to its end if no data is left. It returns an error if that takes longer than the
+// handover timeout.
+func (x *execution) awaitFirstData(ctx context.Context, a *agentAttempt) error {
+	a.ctx, a.cancel = x.attemptContext(ctx)
+	timer := time.AfterFunc(x.request.handoverTimeout(), a.cancel)
+	err := x.send(a)
+	if err == nil {
+		err = x.holdFirstData(a)
+	}
+	isLate := !timer.Stop()
+	if err == nil && !isLate {
+		return nil
+	}
+	if a.stream != nil {
+		a.stream.Cancel()
+	}
+	a.cancel()
+	if isLate && core.ExecutionOf(err) != core.ExecutionNotRun {
+		return core.NewFailure(core.CodeTimeout, core.ExecutionUnknown, "%s did not continue the stream within %v", a.agent.ID, x.request.handoverTimeout())
+	}
+	return err
+}
+
+// holdFirstData receives frames up to the first data or the end and keeps them.
+func (x *execution) holdFirstData(a *agentAttempt) error {
+	for {
+		reply, err := a.readFrame()
+		if err != nil {
+			return err
+		}
+		a.held = append(a.held, reply)
+		switch {
+		case reply.Header != nil:
+			if err := x.output.checkWeights(reply.Header); err != nil {
+				return err
+			}
+		case reply.Data != nil:
+			return nil
+		case reply.End != nil && reply.End.Code != core.CodeOK:
+			return endError(a.answer)
+		case reply.End != nil:
+			return nil
 		}
-		first = false
-		return x.handOver(ctx, placer, server)
 	}
 }
 
+// abandonHandover ends an attempt that did not take over the stream of from. A server
+// that did not begin within the short timeout may be healthy.
+func (x *execution) abandonHandover(ctx context.Context, placer *placement.Placer, from, a *agentAttempt, err error) {
+	outcome := outcomeOf(ctx, err, a.answer)
+	if core.CodeOf(err) == core.CodeTimeout {
+		outcome = placement.Inconclusive
+	}
+	x.endAttempt(placer, a, err, outcome)
+	if core.ExecutionOf(err) == core.ExecutionNotRun {
+		x.refusedHandovers[a.agent.ID] = true
+	} else {
+		x.triedAgents[a.agent.ID] = true
+	}
+	x.nextHandoverAt = x.config.Now().Add(handoverRetryDelay)
+	x.request.Trace.HandoverFailed(a.number, from.agent.ID, a.agent.ID, err)
+}
+
 // pickHandoverTarget picks a server other than from that does not pause before
 // until.
 func (x *execution) pickHandoverTarget(ctx context.Context, placer *placement.Placer, from core.InstanceID, until time.Time) (placement.Candidate, error) {
@@ -62,7 +128,7 @@
 	}
 	var targets []placement.Candidate
 	for _, c := range x.candidates() {
-		if c.ID != from && !x.triedAgents[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
+		if c.ID != from && !x.triedAgents[c.ID] && !x.refusedHandovers[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
 			targets = append(targets, c)
 		}
 	}
@@ -70,14 +136,3 @@
 	placementRequest := placement.Request{Weights: x.request.Weights, ExpectedDuration: minTimeToPause}
 	return placer.Pick(x.config.Now(), placementRequest, targets)
 }
-
-// takeHandoverTarget returns and clears the server picked by a handover, if
-// there is one.
-func (x *execution) takeHandoverTarget() (placement.Candidate, bool) {
-	if x.handoverTarget == nil {
-		return placement.Candidate{}, false
-	}
-	next := *x.handoverTarget
-	x.handoverTarget = nil
-	return next, true
-}
--- a/requests/dispatch/invariant_test.go
+++ b/requests/dispatch/invariant_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,6 +200,87 @@
 	}
 }
 
+// randomServer returns a server that refuses, fails, is silent, slow or sound.
+func randomServer(random *rand.Rand) serverBehaviour {
+	b := serverBehaviour{
+		firstEventAfter: time.Duration(random.IntN(400)) * time.Millisecond,
+		eventInterval:   time.Duration(random.IntN(120)) * time.Millisecond,
+		hasEarlyHeader:  random.IntN(2) == 0,
+	}
+	switch random.IntN(9) {
+	case 0:
+		b.isUnreachable = true
+	case 1:
+		b.isClosed = true
+	case 2:
+		b.refusal = core.CodeEngineNotServing
+	case 3:
+		b.isSilent = true
+	case 4:
+		b.breaksAfter = random.IntN(8) - 1
+	}
+	return b
+}
+
+// Streams at random servers, each of which may pause at any time: the caller gets each
+// event once and in order, no attempt is left behind, and at most MaxAttempts of them may
+// have run. A stream is cut only if a server that continued it broke it off.
+func TestRandomHandovers(t *testing.T) {
+	handedOver, cut := 0, 0
+	for seed := range uint64(3000) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			burst := random.IntN(7)
+			r := newFleetRun(t, "abcde"[:2+random.IntN(4)], burst, func(core.InstanceID) serverBehaviour { return randomServer(random) })
+			pauseStarts := map[core.InstanceID]time.Time{}
+			for _, server := range r.servers {
+				if random.IntN(2) == 0 {
+					pauseStarts[server.ID] = time.Now().Add(time.Duration(random.IntN(600)) * time.Millisecond)
+				}
+			}
+			trace := &handoverTrace{}
+			request := testRequest()
+			request.Stream, request.Trace = true, trace
+			request.AtMostOnce = random.IntN(8) == 0
+			request.Unclaimed = request.AtMostOnce
+			request.MaxAttempts, request.StartTimeout = 1+random.IntN(3), time.Second
+			request.Deadline = time.Now().Add(time.Minute)
+			request.PauseStart = func(id core.InstanceID) time.Time { return pauseStarts[id] }
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			callerLeaves := random.IntN(6) == 0
+			if callerLeaves {
+				time.AfterFunc(time.Duration(random.IntN(900))*time.Millisecond, cancel)
+			}
+			var out testSink
+			err := r.Do(ctx, request, &out)
+
+			require.True(t, strings.HasPrefix(r.fleet.text, out.String()), "seed %d: %q", seed, out.String())
+			if err == nil {
+				require.Equal(t, r.fleet.text, out.String(), "seed %d", seed)
+			} else if out.Len() > 0 && !callerLeaves {
+				require.True(t, r.fleet.hasCutStream, "seed %d: %v", seed, err)
+				cut++
+			}
+			attempts := 0
+			for _, n := range r.fleet.mayHaveRun {
+				attempts += n
+			}
+			require.LessOrEqual(t, attempts, request.MaxAttempts, "seed %d", seed)
+			require.LessOrEqual(t, r.fleet.maxOpen, 2, "seed %d", seed)
+			if request.AtMostOnce {
+				require.LessOrEqual(t, attempts, 1, "seed %d", seed)
+				require.Empty(t, trace.to, "seed %d", seed)
+			}
+			require.LessOrEqual(t, r.fleet.sent-1, burst-r.placer.Retries(), "seed %d: each further send takes a retry", seed)
+			r.requireNothingLeaks(t)
+			handedOver += len(trace.to)
+		})
+	}
+	require.NotZero(t, handedOver)
+	require.NotZero(t, cut)
+}
+
 // BenchmarkDo measures the cost of one request at an entry, without the time of
 // the agent and the network.
 func BenchmarkDo(b *testing.B) {
--- a/requests/dispatch/output.go
+++ b/requests/dispatch/output.go
@@ -42,12 +42,20 @@
 	return o.request.Stream && !o.request.AtMostOnce && !o.corruptSent
 }
 
-// acceptHeader processes the header frame of an attempt. The weights must be those
-// of the request, so that a resumed stream continues with the same weights.
-func (o *output) acceptHeader(header *wire.AnswerHeader) error {
+// checkWeights returns an error if the weights are not those of the request, so that a
+// resumed stream continues with the same weights.
+func (o *output) checkWeights(header *wire.AnswerHeader) error {
 	if header.Weights != o.request.Weights {
 		return core.NewFailure(core.CodeDigestMismatch, core.ExecutionUnknown, "the answer was made with weights %s, want %s", header.Weights.Short(), o.request.Weights.Short())
 	}
+	return nil
+}
+
+// acceptHeader processes the header frame of an attempt.
+func (o *output) acceptHeader(header *wire.AnswerHeader) error {
+	if err := o.checkWeights(header); err != nil {
+		return err
+	}
 	if o.sentBytes == 0 {
 		o.buffered = nil
 	}
--- /dev/null
+++ b/requests/dispatch/retry.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"context"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/placement"
+)
+
+// markTried excludes an agent from further attempts after err. After a digest mismatch
+// the same agent may serve the request with the weights that ChooseWeights returns for
+// the next attempt.
+func (x *execution) markTried(agent core.InstanceID, err error) {
+	mayPickAgain := x.request.ChooseWeights != nil && core.CodeOf(err) == core.CodeDigestMismatch
+	x.triedAgents[agent] = !mayPickAgain
+	if mayPickAgain && core.ExecutionOf(err) == core.ExecutionNotRun {
+		x.weightsRefusals++
+	}
+}
+
+// hasAttemptsLeft reports whether MaxAttempts permits another attempt. Attempts that
+// provably did not run do not count: the tried agents, the deadline and the retry budget
+// bound them.
+func (x *execution) hasAttemptsLeft() bool {
+	return x.unprovenAttempts+x.weightsRefusals < x.maxAttempts()
+}
+
+// afterFailure prepares another attempt after a failed one, or returns the
+// reason why there is none.
+func (x *execution) afterFailure(ctx context.Context, placer *placement.Placer, a *agentAttempt, lastErr error) error {
+	if !x.mayRetry(ctx, lastErr) {
+		return lastErr
+	}
+	if a.unsent {
+		// No server has worked on the attempt, so it takes no retry from the budget.
+		return nil
+	}
+	return x.prepareRetry(ctx, placer, lastErr)
+}
+
+// mayRetry reports whether another dispatch is permitted after err.
+func (x *execution) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || !x.hasAttemptsLeft() || x.output.sinkErr != nil {
+		return false
+	}
+	if !x.config.Now().Before(x.request.Deadline.Add(-x.tombstoneReserve())) {
+		return false
+	}
+	if core.ExecutionOf(err) == core.ExecutionNotRun {
+		return isRetryableElsewhere(core.CodeOf(err))
+	}
+	if x.request.AtMostOnce && x.disabledGuard != guardClaim {
+		return false
+	}
+	return isTransient(core.CodeOf(err))
+}
+
+// isRetryableElsewhere reports whether another agent may accept a request that
+// was refused with code.
+func isRetryableElsewhere(code core.Code) bool {
+	switch code {
+	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge:
+		return false
+	default:
+		return true
+	}
+}
+
+// isTransient reports whether a repeatable request may be run again after code.
+func isTransient(code core.Code) bool {
+	switch code {
+	case core.CodeIncomplete, core.CodeCrossedAnswer, core.CodeChecksumMismatch,
+		core.CodeAgentUnreachable, core.CodeAlreadyDispatched, core.CodeTimeout, core.CodeEngineFailed, core.CodeDigestMismatch:
+		return true
+	default:
+		return false
+	}
+}
+
+// prepareRetry takes a retry from the retry budget. If the budget is spent, the
+// request returns to the queue after a temporary refusal and fails otherwise.
+func (x *execution) prepareRetry(ctx context.Context, placer *placement.Placer, lastErr error) error {
+	if x.output.sentBytes > 0 && !x.output.canResume() {
+		return core.NewFailure(core.CodeStreamBroken, core.ExecutionUnknown, "the stream broke after %d bytes: %s", x.output.sentBytes, core.DetailOf(lastErr))
+	}
+	if placer.WithdrawRetry() {
+		return nil
+	}
+	if !isTemporaryRefusal(lastErr) {
+		return core.NewRefusal(core.CodeRetryBudget, x.queue(x.request).RetryAfter(x.request.Team), "the retry budget is spent: %s", core.DetailOf(lastErr))
+	}
+	return x.requeue(ctx)
+}
+
+// isTemporaryRefusal reports whether the agent that refused may accept the
+// request soon: it was full, or the entry and the agent have not yet applied the
+// same configuration or incarnation change.
+func isTemporaryRefusal(err error) bool {
+	switch core.CodeOf(err) {
+	case core.CodeLimitReached, core.CodeRevisionTooLow, core.CodeStaleIncarnation:
+		return true
+	default:
+		return false
+	}
+}
