direct: bound the body of a refusal in bytes and time

A request could get bytes of an earlier refusal where its answer was due, and failed or, if they formed a refusal without an id, was taken as refused. A request that must not run twice and whose refusal had a body that did not end waited until its deadline for a refusal that its head had stated at once.

Cause: at most 64 KiB of the body of a refusal were read, and the connection was then kept although more of the body was to come. The read had no time of its own. Both have one remedy: reading one byte more than the bound needs the bound in time.

Evidence: on the code before, TestConnectionWithAnUnreadRefusalBodyIsNotKept (with a length and with chunks) and TestRefusalBodyLongerThanTheBoundDoesNotReachTheNextAnswer found one kept connection, want none, and TestRefusalDoesNotWaitForTheEndOfItsBody got the refusal only at the end of its attempt (30 s).

Fix: the body may have 64 KiB and take 50 ms; the connection is reset otherwise. Result: the tests pass; a short body still keeps the connection.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -13,6 +13,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
@@ -64,12 +65,32 @@
 	return addr, served
 }
 
+// serveStalled answers with text and then waits until the client closes the connection.
+func serveStalled(t *testing.T, text string) string {
+	t.Helper()
+	return serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, text)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
 func newNonResumableExchange() *Exchange {
 	e := newTestExchange(fleet.RouteStreaming)
 	e.request.Repeatable, e.request.Resumable = false, false
 	return e
 }
 
+// send starts an attempt whose time is bounded by testTimeout.
+func send(t *testing.T, e *Exchange, addr string) (context.Context, dispatch.ReplyStream) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	stream, err := e.Send(ctx, placement.Candidate{ID: "s-1", Addr: addr}, wire.Dispatch{DeadlineMillis: 10000})
+	require.NoError(t, err)
+	t.Cleanup(stream.Cancel)
+	return ctx, stream
+}
+
 func TestStreamThatEndsWithinAnEventIsBroken(t *testing.T) {
 	const whole = "id: 1\ndata: a\n\n"
 	framings := map[string]func(body string) string{
@@ -162,6 +183,68 @@
 	require.Error(t, ctx.Err())
 }
 
+func TestConnectionWithAnUnreadRefusalBodyIsNotKept(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n"
+	for name, head := range map[string]string{
+		"with a length":    "Content-Length: 100000000\r\n\r\n",
+		"without a length": "\r\n",
+		"with chunks":      "Transfer-Encoding: chunked\r\n\r\n5f5e100\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, served := serveEndless(t, refusal+head, "x")
+			e := newTestExchange(fleet.RouteUnsafe)
+			_, end, err := receive(t, e, addr)
+			require.NoError(t, err)
+			require.Equal(t, core.ExecutionNotRun, end.Execution)
+			require.Zero(t, e.pool.CloseExpired())
+			require.Error(t, <-served, "the client read all bytes")
+		})
+	}
+	e := newTestExchange(fleet.RouteUnsafe)
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, refusal+"Content-Length: 2\r\n\r\nno")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	_, end, err := receive(t, e, addr)
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, end.Execution)
+	require.Equal(t, 1, e.pool.CloseExpired(), "a short body is read")
+}
+
+// The rest of a long refusal came where the answer to the next request was due.
+func TestRefusalBodyLongerThanTheBoundDoesNotReachTheNextAnswer(t *testing.T) {
+	body := strings.Repeat("x", maxFailureBytes)
+	rest := make(chan struct{})
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: "+decimal(len(body)+1)+"\r\n\r\n"+body)
+		<-rest
+	})
+	defer close(rest)
+	e := newTestExchange(fleet.RouteUnsafe)
+	_, end, err := receive(t, e, addr)
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, end.Execution)
+	require.Zero(t, e.pool.CloseExpired(), "a byte of the body is still to come")
+}
+
+func TestRefusalDoesNotWaitForTheEndOfItsBody(t *testing.T) {
+	for name, rest := range map[string]string{
+		"with a length":    "Content-Length: 10\r\n\r\nx",
+		"without a length": "\r\nx",
+		"with chunks":      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteUnsafe)
+			ctx, stream := send(t, e, serveStalled(t, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n"+rest))
+			reply, err := stream.Recv()
+			require.NoError(t, err)
+			require.Equal(t, core.ExecutionNotRun, reply.End.Execution)
+			require.NoError(t, ctx.Err(), "the refusal came only at the end of the attempt")
+			require.Zero(t, e.pool.CloseExpired())
+		})
+	}
+}
+
 func TestServerErrorWithAnEndlessBodyFailsTheAttempt(t *testing.T) {
 	addr, served := serveEndless(t, "HTTP/1.1 500 No\r\nX-Id: r-1\r\n\r\n", "x")
 	e := newTestExchange(fleet.RouteSafe)
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -22,6 +22,8 @@
 	// maxFailureBytes bounds the body of an error answer that is kept for the
 	// caller.
 	maxFailureBytes = 64 << 10
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which nobody needs.
+	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 func newHasher() *blake3.Hasher { return blake3.New() }
@@ -146,10 +148,10 @@
 // endRefused returns the end frame of an attempt that the backend server did not
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
-		s.Cancel()
-	} else {
+	if s.discardBody() {
 		s.releaseConn()
+	} else {
+		s.Cancel()
 	}
 	// The entry never exceeds a server's slots. A refusal therefore means that the
 	// server is loading weights, is leaving, or is not the server that the request was
@@ -167,6 +169,16 @@
 	}}, nil
 }
 
+// discardBody reads the body of a refusal, so that the connection can be kept. It
+// reports whether it read the whole body.
+func (s *replyStream) discardBody() bool {
+	if err := s.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes+1))
+	return err == nil && n <= maxFailureBytes
+}
+
 // endFailed returns the end frame of an attempt that the backend server ran and
 // answered with a server error.
 func (s *replyStream) endFailed() (wire.AnswerFrame, error) {
