--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -254,6 +254,21 @@
 	require.Error(t, <-served, "the client read all bytes")
 }
 
+// The caller already has the head and the first events of another answer.
+func TestClientErrorDoesNotEndAResumedStream(t *testing.T) {
+	for name, rest := range map[string]string{"empty": "Content-Length: 0\r\n\r\n", "with a body": "Content-Length: 2\r\n\r\nno"} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 1\ndata: a\n\nid: 2\nda"))
+			require.Error(t, err)
+			require.NoError(t, e.Begin("", core.Digest{}))
+			body, _, err := receive(t, e, serveRawAnswer(t, "HTTP/1.1 404 No\r\nX-Id: r-1\r\n"+rest))
+			require.Error(t, err)
+			require.Empty(t, body)
+		})
+	}
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
