direct: reject event ids that fit in no header

A server's event id went unchecked into a header of the request that resumes the stream: control characters, and up to the whole of an event.

Evidence: TestEventIDsThatFitInNoHeaderAreNotSent on the code before: no error for an id with a control character and one of 257 bytes.

Fix: such an id ends the attempt; the stream goes on elsewhere after the event before. Result: the test passes.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -269,6 +269,27 @@
 	}
 }
 
+func TestEventIDsThatFitInNoHeaderAreNotSent(t *testing.T) {
+	for name, id := range map[string]string{
+		"control character": "5\x00",
+		"too long":          strings.Repeat("5", maxEventIDBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			body, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: "+id+"\ndata: a\n\n"))
+			require.ErrorIs(t, err, ErrInvalidEventID)
+			require.Empty(t, body)
+			require.NotContains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id")
+		})
+	}
+	e := newTestExchange(fleet.RouteStreaming)
+	_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 5\rX-Evil: 1\n\nid: 6"))
+	require.Error(t, err)
+	request := string(e.encodeRequest("s-2", time.Second))
+	require.Contains(t, request, "Last-Event-Id: 5\r\n")
+	require.NotContains(t, request, "X-Evil")
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
--- a/requests/direct/events.go
+++ b/requests/direct/events.go
@@ -6,11 +6,20 @@
 	"fmt"
 )
 
-// maxEventBytes bounds the incomplete event that is held until its end arrives.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes bounds the incomplete event that is held until its end arrives.
+	maxEventBytes = 64 << 10
+	// maxEventIDBytes bounds an event id, which becomes a header of the request that
+	// resumes the stream.
+	maxEventIDBytes = 256
+)
 
-// ErrEventTooLarge means that an event did not end within maxEventBytes.
-var ErrEventTooLarge = errors.New("the event is too large")
+var (
+	// ErrEventTooLarge means that an event did not end within maxEventBytes.
+	ErrEventTooLarge = errors.New("the event is too large")
+	// ErrInvalidEventID means that the id of an event cannot be sent in a header.
+	ErrInvalidEventID = errors.New("the id of the event is invalid")
+)
 
 const lineEnds = "\r\n"
 
@@ -76,21 +85,35 @@
 	return end
 }
 
-// lastIDField returns the value of the last id field in text, or "".
-func lastIDField(text []byte) string {
+// lastEventID returns the id of the last of the complete events that has one, or "".
+func lastEventID(events []byte) (string, error) {
+	id := lastIDField(events)
+	if len(id) > maxEventIDBytes {
+		return "", fmt.Errorf("%w: %d bytes", ErrInvalidEventID, len(id))
+	}
+	if bytes.ContainsFunc(id, isControl) {
+		return "", fmt.Errorf("%w: %q", ErrInvalidEventID, id)
+	}
+	return string(id), nil
+}
+
+func isControl(r rune) bool { return r < ' ' || r == 0x7f }
+
+// lastIDField returns the value of the last id field in text, or nil.
+func lastIDField(text []byte) []byte {
 	for len(text) > 0 {
 		index := bytes.LastIndex(text, idField)
 		if index < 0 {
-			return ""
+			return nil
 		}
 		if index == 0 || text[index-1] == '\n' || text[index-1] == '\r' {
 			value := text[index+len(idField):]
 			if end := bytes.IndexAny(value, lineEnds); end >= 0 {
 				value = value[:end]
 			}
-			return string(bytes.TrimSpace(value))
+			return bytes.TrimSpace(value)
 		}
 		text = text[:index]
 	}
-	return ""
+	return nil
 }
--- a/requests/direct/events_test.go
+++ b/requests/direct/events_test.go
@@ -33,7 +33,9 @@
 			events, err := splitter.feed([]byte(c.text))
 			require.NoError(t, err)
 			require.Equal(t, c.whole, string(events))
-			require.Equal(t, c.id, lastIDField(events))
+			id, err := lastEventID(events)
+			require.NoError(t, err)
+			require.Equal(t, c.id, id)
 			require.Equal(t, c.pendingBytes, splitter.pendingBytes())
 		})
 	}
@@ -58,7 +60,8 @@
 			require.NoError(t, err)
 			if len(part) > 0 {
 				require.True(t, strings.HasSuffix(string(part), "\n\n"))
-				id = lastIDField(part)
+				id, err = lastEventID(part)
+				require.NoError(t, err)
 			}
 			out.Write(part)
 			remaining = remaining[n:]
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -237,7 +237,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
-	if id := lastIDField(events); id != "" && request.Resumable {
+	if !request.Resumable {
+		return events, nil
+	}
+	id, err := lastEventID(events)
+	if err != nil {
+		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
+	}
+	if id != "" {
 		s.exchange.lastEventID = id
 	}
 	return events, nil
