direct: bytes of an incomplete event do not extend the idle timeout

Callers gave up streams that could have gone on at another server: their server sent a few bytes now and then, but no whole event.

Cause: the idle timeout of a resumable stream began anew with each read.

Evidence: TestBytesOfAnIncompleteEventDoNotExtendTheIdleTimeout on the code before: idle timeout 100 ms, the stream ended with its attempt after 30 s.

Fix: the timeout counts from the last whole event. Result: the test passes.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -290,6 +290,26 @@
 	require.NotContains(t, request, "X-Evil")
 }
 
+// A server that sent a byte now and then kept its stream from being resumed.
+func TestBytesOfAnIncompleteEventDoNotExtendTheIdleTimeout(t *testing.T) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.StreamIdleTimeout = 100 * time.Millisecond
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		for _, err := io.WriteString(conn, okAnswerHead+"\r\nid: 1\ndata: a\n\ndata: "); err == nil; _, err = io.WriteString(conn, "x") {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	ctx, stream := send(t, e, addr)
+	for {
+		_, err := stream.Recv()
+		if err != nil {
+			break
+		}
+	}
+	require.NoError(t, ctx.Err(), "the stream ended only at the end of the attempt")
+	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 1\r\n")
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -76,7 +76,7 @@
 	Team      core.Team
 	// Priority is 0 to 9; 0 is the most urgent.
 	Priority int
-	// StreamIdleTimeout bounds the wait for the next bytes of a resumable stream
+	// StreamIdleTimeout bounds the wait for the next whole event of a resumable stream
 	// that may be sent again; 0 means no bound.
 	StreamIdleTimeout time.Duration
 	// Version returns the version of the weights with which a server must serve
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -41,9 +41,12 @@
 	stopCloseOnDone func() bool
 	attemptObserver AttemptObserver
 
-	response     *http.Response
-	splitter     eventSplitter
-	buffer       []byte
+	response *http.Response
+	splitter eventSplitter
+	buffer   []byte
+	// lastEventAt is when the last whole event or, before the first one, the head was
+	// received.
+	lastEventAt  time.Time
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
@@ -219,8 +222,11 @@
 		s.buffer = make([]byte, readBufferBytes)
 	}
 	request := &s.exchange.request
+	if s.lastEventAt.IsZero() {
+		s.lastEventAt = time.Now()
+	}
 	if request.Resumable && request.StreamIdleTimeout > 0 && s.exchange.maySendAgain() {
-		if err := s.conn.SetReadDeadline(time.Now().Add(request.StreamIdleTimeout)); err != nil {
+		if err := s.conn.SetReadDeadline(s.lastEventAt.Add(request.StreamIdleTimeout)); err != nil {
 			return nil, err
 		}
 	}
@@ -237,6 +243,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
+	if len(events) > 0 {
+		s.lastEventAt = time.Now()
+	}
 	if !request.Resumable {
 		return events, nil
 	}
