direct: an unframed stream without an event is broken off

Callers could get an empty stream as complete when the server ended after the head of an answer that has neither a length nor chunks.

Cause: the end of the connection is the only sign of the end there, and a process that dies gives the same one.

Evidence: TestUnframedStreamThatEndsBeforeItsFirstEventIsBroken on the code before: no error. Fix: such an end fails the attempt, unless the stream was resumed and nothing was left of it. Result: the test passes.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+func TestUnframedStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
+	for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+		_, _, err := receive(t, newExchange(), serveRawAnswer(t, okAnswerHead+"\r\n"))
+		require.Error(t, err)
+	}
+	e := newTestExchange(fleet.RouteStreaming)
+	e.lastEventID = "6"
+	_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\n"))
+	require.NoError(t, err, "nothing was left after the last event")
+	require.Equal(t, core.CodeOK, end.Code)
+}
+
 func TestEndlessEventIsAbandoned(t *testing.T) {
 	for name, start := range map[string]string{
 		"at the start":   "",
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -281,6 +281,9 @@
 	if s.splitter.pendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event", s.server)
 	}
+	if s.isEventStream() && s.length == 0 && s.exchange.lastEventID == "" && upstream.EndsWithConnection(s.response) {
+		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event", s.server)
+	}
 	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
 	s.releaseConn()
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -146,7 +146,7 @@
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
-			if endsWithConnection(response) {
+			if EndsWithConnection(response) {
 				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
 			}
 			return response, nil
@@ -189,8 +189,8 @@
 	return count
 }
 
-// endsWithConnection reports whether the end of the connection is the end of the body.
-func endsWithConnection(response *http.Response) bool {
+// EndsWithConnection reports whether the end of the connection is the end of the body.
+func EndsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
@@ -228,7 +228,7 @@
 	if response.Close || !response.ProtoAtLeast(1, 1) || !c.requestWritten.Load() || c.reader.Buffered() > 0 {
 		return 0, false
 	}
-	if endsWithConnection(response) {
+	if EndsWithConnection(response) {
 		return 0, false
 	}
 	reuseFor := c.pool.config.IdleTimeout
