direct: bound client errors on streaming routes

Callers got the body of a 4xx answer without end, until their deadline.

Cause: answers on streaming routes are handed on as they arrive and not buffered, so that the bound on buffered answers does not hold for those that are no event streams.

Plain answers without a length and answers without a body behaved well before and have tests now.

--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -266,6 +267,21 @@
 	require.Error(t, <-served, "the client read all bytes")
 }
 
+func TestClientErrorOnAStreamingRouteIsNoEventStream(t *testing.T) {
+	const clientError = "HTTP/1.1 422 No\r\nX-Id: r-1\r\n"
+	for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+		body, end, err := receive(t, newExchange(), serveRawAnswer(t, clientError+"Content-Length: 2\r\n\r\nno"))
+		require.NoError(t, err)
+		require.Equal(t, core.CodeOK, end.Code)
+		require.Equal(t, "no", body)
+
+		addr, served := serveEndless(t, clientError+"\r\n", "x")
+		_, _, err = receive(t, newExchange(), addr)
+		require.ErrorIs(t, err, ErrBodyTooLarge)
+		require.Error(t, <-served, "the client read all bytes")
+	}
+}
+
 // The caller already has the head and the first events of another answer.
 func TestClientErrorDoesNotEndAResumedStream(t *testing.T) {
 	for name, rest := range map[string]string{"empty": "Content-Length: 0\r\n\r\n", "with a body": "Content-Length: 2\r\n\r\nno"} {
@@ -322,6 +338,43 @@
 	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 1\r\n")
 }
 
+func TestPlainAnswerWithoutLength(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Seal: s\r\n\r\n"
+	e := newTestExchange(fleet.RouteUnsafe)
+	body, end, err := receive(t, e, serveRawAnswer(t, head+"ok"))
+	require.NoError(t, err)
+	require.Equal(t, core.CodeOK, end.Code)
+	require.Equal(t, "ok", body)
+	require.Zero(t, e.pool.CloseExpired())
+	require.NoError(t, e.Begin("", core.Digest{}))
+	require.Equal(t, "2", e.writer.Header().Get("Content-Length"))
+
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, head+"ok")
+		_ = conn.SetLinger(0)
+	})
+	_, _, err = receive(t, newTestExchange(fleet.RouteUnsafe), addr)
+	require.Error(t, err)
+}
+
+func TestAnswersWithoutBody(t *testing.T) {
+	for name, c := range map[string]struct{ method, answer string }{
+		"HEAD":                  {http.MethodHead, okAnswerHead + "Content-Length: 7\r\n\r\n"},
+		"HEAD without a length": {http.MethodHead, okAnswerHead + "\r\n"},
+		"204":                   {http.MethodPost, "HTTP/1.1 204 No Content\r\nX-Id: r-1\r\nX-Seal: s\r\n\r\n"},
+		"304":                   {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nX-Id: r-1\r\nContent-Length: 7\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteSafe)
+			e.request.Method = c.method
+			body, end, err := receive(t, e, serveStalled(t, c.answer))
+			require.NoError(t, err)
+			require.Equal(t, core.CodeOK, end.Code)
+			require.Empty(t, body)
+		})
+	}
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -26,6 +26,9 @@
 	refusalBodyTimeout = 50 * time.Millisecond
 )
 
+// ErrBodyTooLarge means that the body of an error answer exceeded maxFailureBytes.
+var ErrBodyTooLarge = errors.New("the body of the error answer is too large")
+
 func newHasher() *blake3.Hasher { return blake3.New() }
 
 // replyStream converts the HTTP answer of one attempt into frames. It implements
@@ -237,7 +240,7 @@
 	}
 	s.attemptObserver.DataReceived()
 	if !s.isEventStream() {
-		return s.buffer[:n], nil
+		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.splitter.feed(s.buffer[:n])
 	if err != nil {
@@ -259,6 +262,15 @@
 	return events, nil
 }
 
+// checkLength bounds the body of a client error on a streaming route. Other answers that
+// are no event streams are buffered by the dispatcher, which bounds them.
+func (s *replyStream) checkLength(next int) error {
+	if s.exchange.request.Kind == fleet.RouteStreaming && s.length+int64(next) > maxFailureBytes {
+		return fmt.Errorf("answer %d of %s: %w", s.response.StatusCode, s.server, ErrBodyTooLarge)
+	}
+	return nil
+}
+
 // isEventStream reports whether the body is a series of events.
 func (s *replyStream) isEventStream() bool {
 	return s.exchange.request.Kind == fleet.RouteStreaming && isSuccess(s.response)
