dispatch: do not buffer streams without a claim

Callers lost streams of over 4 MiB that could not be resumed, and an entry held up to 4 MiB for each such stream, so that servers that stream without end could use up its memory.

Cause: answers of at-most-once requests are buffered for the stored result.

Evidence: TestStreamWithoutAClaimIsNotBuffered on the code before: the stream failed at the bound.

Fix: only answers of claimed requests and plain answers are buffered. A stream of well-formed events is bounded by the deadline of its request and by its caller, and takes no memory but that of one event. Result: the test passes.

--- a/requests/dispatch/output.go
+++ b/requests/dispatch/output.go
@@ -22,8 +22,8 @@
 	sinkBegun bool
 	// sentBytes counts the answer bytes written to the sink.
 	sentBytes int64
-	// buffered is the answer received so far, for at-most-once requests and
-	// requests that are not streamed.
+	// buffered is the answer received so far, for claimed requests, whose result is
+	// stored, and requests that are not streamed.
 	buffered []byte
 	// sinkErr is the first error of the sink.
 	sinkErr error
@@ -69,7 +69,7 @@
 	return o.send(p)
 }
 
-func (o *output) isBuffered() bool { return !o.request.Stream || o.request.AtMostOnce }
+func (o *output) isBuffered() bool { return !o.request.Stream || o.request.needsClaim() }
 
 // send writes bytes to the sink. It ignores errors of the sink if the request
 // outlives its caller, so that the work is completed and its result stored.
--- /dev/null
+++ b/requests/dispatch/output_test.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/wire"
+)
+
+// Streams that may run once, but have no claim, were held in memory although nobody
+// reads the copy, and ended at the bound on buffered answers.
+func TestStreamWithoutAClaimIsNotBuffered(t *testing.T) {
+	const maxBuffered = 10
+	for _, c := range []struct {
+		name       string
+		request    Request
+		isBuffered bool
+	}{
+		{"plain", Request{}, true},
+		{"plain, at most once, unclaimed", Request{AtMostOnce: true, Unclaimed: true}, true},
+		{"stream", Request{Stream: true}, false},
+		{"stream, at most once, claimed", Request{Stream: true, AtMostOnce: true, Key: "k"}, true},
+		{"stream, at most once, unclaimed", Request{Stream: true, AtMostOnce: true, Unclaimed: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var sink testSink
+			o := newOutput(c.request, &sink, maxBuffered)
+			require.NoError(t, o.acceptHeader(&wire.AnswerHeader{}))
+			require.NoError(t, o.write(make([]byte, maxBuffered)))
+			err := o.write([]byte("x"))
+			require.Equal(t, c.isBuffered, err != nil)
+			if !c.isBuffered {
+				require.Empty(t, o.buffered)
+				require.Equal(t, maxBuffered+1, sink.Len())
+			}
+		})
+	}
+}
