dispatch: bound the buffered answers of all requests together

An entry on a small instance could be ended for its memory: an answer that is no stream may take 4 MiB, and 71 servers that answer without end at the same time would fill 284 MB, each within its bound.

Cause: the bound was on one answer only.

Fix: all buffered answers together may have 64 MiB beyond the first 64 KiB of each; the one that asks for more fails like an answer over its own bound. Usual answers are not counted, so that they do not fail for the endless ones of others.

Evidence: TestBufferedAnswersAreBoundedTogether; it does not compile on the code before, which has no such bound. Result: the test passes.

--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -193,7 +193,8 @@
 
 // Dispatcher is safe for concurrent use.
 type Dispatcher struct {
-	config Config
+	config  Config
+	buffers bufferBudget
 	// disabledGuard names the guard to disable. Tests set it to show that the
 	// matching invariant check detects the fault.
 	disabledGuard guard
@@ -239,6 +240,7 @@
 	}
 	x := newExecution(d, request, sink, grant)
 	err = x.run(ctx)
+	x.output.releaseBuffer()
 	grant.Release(x.mayHaveRun)
 	return x.verifyInvariants(err)
 }
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -48,7 +48,7 @@
 		Dispatcher:     d,
 		request:        request,
 		grant:          grant,
-		output:         newOutput(request, sink, d.config.MaxAnswerBytes),
+		output:         newOutput(request, sink, d.config.MaxAnswerBytes, &d.buffers),
 		firstAttemptID: d.config.Attempts.Next(),
 		triedAgents:    map[core.InstanceID]bool{},
 	}
--- a/requests/dispatch/output.go
+++ b/requests/dispatch/output.go
@@ -15,6 +15,7 @@
 	request          Request
 	sink             Sink
 	maxBufferedBytes int
+	budget           *bufferBudget
 
 	// header is the header frame of the current attempt.
 	header *wire.AnswerHeader
@@ -32,8 +33,8 @@
 	corruptSent bool
 }
 
-func newOutput(request Request, sink Sink, maxBufferedBytes int) *output {
-	return &output{request: request, sink: sink, maxBufferedBytes: maxBufferedBytes}
+func newOutput(request Request, sink Sink, maxBufferedBytes int, budget *bufferBudget) *output {
+	return &output{request: request, sink: sink, maxBufferedBytes: maxBufferedBytes, budget: budget}
 }
 
 // canResume reports whether a stream may continue at another agent. It may not
@@ -49,7 +50,7 @@
 		return core.NewFailure(core.CodeDigestMismatch, core.ExecutionUnknown, "the answer was made with weights %s, want %s", header.Weights.Short(), o.request.Weights.Short())
 	}
 	if o.sentBytes == 0 {
-		o.buffered = nil
+		o.releaseBuffer()
 	}
 	o.header = header
 	return nil
@@ -61,6 +62,9 @@
 		if len(o.buffered)+len(p) > o.maxBufferedBytes {
 			return core.NewFailure(core.CodeEngineFailed, core.ExecutionUnknown, "the answer is larger than %d bytes", o.maxBufferedBytes)
 		}
+		if !o.budget.grow(len(o.buffered), len(o.buffered)+len(p)) {
+			return core.NewFailure(core.CodeEngineFailed, core.ExecutionUnknown, "the buffered answers are larger than %d bytes", maxBufferedTotalBytes)
+		}
 		o.buffered = append(o.buffered, p...)
 	}
 	if !o.request.Stream {
@@ -69,6 +73,11 @@
 	return o.send(p)
 }
 
+func (o *output) releaseBuffer() {
+	o.budget.free(len(o.buffered))
+	o.buffered = nil
+}
+
 func (o *output) isBuffered() bool { return !o.request.Stream || o.request.needsClaim() }
 
 // send writes bytes to the sink. It ignores errors of the sink if the request
--- a/requests/dispatch/output_test.go
+++ b/requests/dispatch/output_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var sink testSink
-			o := newOutput(c.request, &sink, maxBuffered)
+			o := newOutput(c.request, &sink, maxBuffered, &bufferBudget{})
 			require.NoError(t, o.acceptHeader(&wire.AnswerHeader{}))
 			require.NoError(t, o.write(make([]byte, maxBuffered)))
 			err := o.write([]byte("x"))
@@ -37,3 +37,32 @@
 		})
 	}
 }
+
+// Many servers that answer without end could use up the memory of an entry, although
+// each answer was within its bound.
+func TestBufferedAnswersAreBoundedTogether(t *testing.T) {
+	const maxBuffered = 4 << 20
+	var budget bufferBudget
+	var outputs []*output
+	newBuffered := func() *output {
+		o := newOutput(Request{}, &testSink{}, maxBuffered, &budget)
+		require.NoError(t, o.acceptHeader(&wire.AnswerHeader{}))
+		return o
+	}
+	held := 0
+	for {
+		o := newBuffered()
+		outputs = append(outputs, o)
+		if o.write(make([]byte, maxBuffered)) != nil {
+			break
+		}
+		held += maxBuffered
+		require.LessOrEqual(t, held, maxBufferedTotalBytes+len(outputs)*freeBufferedBytes)
+	}
+	require.NoError(t, newBuffered().write(make([]byte, freeBufferedBytes)), "usual answers are not affected")
+	for _, o := range outputs {
+		o.releaseBuffer()
+	}
+	require.Zero(t, budget.used.Load())
+	require.NoError(t, newBuffered().write(make([]byte, maxBuffered)))
+}
