--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,6 +14,8 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
@@ -64,12 +67,32 @@
 	return addr, served
 }
 
+// serveStalled answers with text and then waits until the client closes the connection.
+func serveStalled(t *testing.T, text string) string {
+	t.Helper()
+	return serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, text)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+}
+
 func newNonResumableExchange() *Exchange {
 	e := newTestExchange(fleet.RouteStreaming)
 	e.request.Repeatable, e.request.Resumable = false, false
 	return e
 }
 
+// send starts an attempt whose time is bounded by testTimeout.
+func send(t *testing.T, e *Exchange, addr string) (context.Context, dispatch.ReplyStream) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	stream, err := e.Send(ctx, placement.Candidate{ID: "s-1", Addr: addr}, wire.Dispatch{DeadlineMillis: 10000})
+	require.NoError(t, err)
+	t.Cleanup(stream.Cancel)
+	return ctx, stream
+}
+
 func TestStreamThatEndsWithinAnEventIsBroken(t *testing.T) {
 	const whole = "id: 1\ndata: a\n\n"
 	framings := map[string]func(body string) string{
@@ -115,6 +138,18 @@
 	}
 }
 
+func TestUnframedStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
+	for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+		_, _, err := receive(t, newExchange(), serveRawAnswer(t, okAnswerHead+"\r\n"))
+		require.Error(t, err)
+	}
+	e := newTestExchange(fleet.RouteStreaming)
+	e.reading = &replyStream{lastEventID: "6"}
+	_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\n"))
+	require.NoError(t, err, "nothing was left after the last event")
+	require.Equal(t, core.CodeOK, end.Code)
+}
+
 func TestEndlessEventIsAbandoned(t *testing.T) {
 	for name, start := range map[string]string{
 		"at the start":   "",
@@ -162,6 +197,68 @@
 	require.Error(t, ctx.Err())
 }
 
+func TestConnectionWithAnUnreadRefusalBodyIsNotKept(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n"
+	for name, head := range map[string]string{
+		"with a length":    "Content-Length: 100000000\r\n\r\n",
+		"without a length": "\r\n",
+		"with chunks":      "Transfer-Encoding: chunked\r\n\r\n5f5e100\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, served := serveEndless(t, refusal+head, "x")
+			e := newTestExchange(fleet.RouteUnsafe)
+			_, end, err := receive(t, e, addr)
+			require.NoError(t, err)
+			require.Equal(t, core.ExecutionNotRun, end.Execution)
+			require.Zero(t, e.pool.CloseExpired())
+			require.Error(t, <-served, "the client read all bytes")
+		})
+	}
+	e := newTestExchange(fleet.RouteUnsafe)
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, refusal+"Content-Length: 2\r\n\r\nno")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	_, end, err := receive(t, e, addr)
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, end.Execution)
+	require.Equal(t, 1, e.pool.CloseExpired(), "a short body is read")
+}
+
+// The rest of a long refusal came where the answer to the next request was due.
+func TestRefusalBodyLongerThanTheBoundDoesNotReachTheNextAnswer(t *testing.T) {
+	body := strings.Repeat("x", maxFailureBytes)
+	rest := make(chan struct{})
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: "+decimal(len(body)+1)+"\r\n\r\n"+body)
+		<-rest
+	})
+	defer close(rest)
+	e := newTestExchange(fleet.RouteUnsafe)
+	_, end, err := receive(t, e, addr)
+	require.NoError(t, err)
+	require.Equal(t, core.ExecutionNotRun, end.Execution)
+	require.Zero(t, e.pool.CloseExpired(), "a byte of the body is still to come")
+}
+
+func TestRefusalDoesNotWaitForTheEndOfItsBody(t *testing.T) {
+	for name, rest := range map[string]string{
+		"with a length":    "Content-Length: 10\r\n\r\nx",
+		"without a length": "\r\nx",
+		"with chunks":      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteUnsafe)
+			ctx, stream := send(t, e, serveStalled(t, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n"+rest))
+			reply, err := stream.Recv()
+			require.NoError(t, err)
+			require.Equal(t, core.ExecutionNotRun, reply.End.Execution)
+			require.NoError(t, ctx.Err(), "the refusal came only at the end of the attempt")
+			require.Zero(t, e.pool.CloseExpired())
+		})
+	}
+}
+
 func TestServerErrorWithAnEndlessBodyFailsTheAttempt(t *testing.T) {
 	addr, served := serveEndless(t, "HTTP/1.1 500 No\r\nX-Id: r-1\r\n\r\n", "x")
 	e := newTestExchange(fleet.RouteSafe)
@@ -171,8 +268,151 @@
 	require.Error(t, <-served, "the client read all bytes")
 }
 
+func TestClientErrorOnAStreamingRouteIsNoEventStream(t *testing.T) {
+	const clientError = "HTTP/1.1 422 No\r\nX-Id: r-1\r\n"
+	for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+		body, end, err := receive(t, newExchange(), serveRawAnswer(t, clientError+"Content-Length: 2\r\n\r\nno"))
+		require.NoError(t, err)
+		require.Equal(t, core.CodeOK, end.Code)
+		require.Equal(t, "no", body)
+
+		addr, served := serveEndless(t, clientError+"\r\n", "x")
+		_, _, err = receive(t, newExchange(), addr)
+		require.ErrorIs(t, err, ErrBodyTooLarge)
+		require.Error(t, <-served, "the client read all bytes")
+	}
+}
+
+// The caller already has the head and the first events of another answer.
+func TestClientErrorDoesNotEndAResumedStream(t *testing.T) {
+	for name, rest := range map[string]string{"empty": "Content-Length: 0\r\n\r\n", "with a body": "Content-Length: 2\r\n\r\nno"} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 1\ndata: a\n\nid: 2\nda"))
+			require.Error(t, err)
+			require.NoError(t, e.Begin("", core.Digest{}))
+			body, _, err := receive(t, e, serveRawAnswer(t, "HTTP/1.1 404 No\r\nX-Id: r-1\r\n"+rest))
+			require.Error(t, err)
+			require.Empty(t, body)
+		})
+	}
+}
+
+func TestEventIDsThatFitInNoHeaderAreNotSent(t *testing.T) {
+	for name, id := range map[string]string{
+		"control character": "5\x00",
+		"too long":          strings.Repeat("5", maxEventIDBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			body, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: "+id+"\ndata: a\n\n"))
+			require.ErrorIs(t, err, ErrInvalidEventID)
+			require.Empty(t, body)
+			require.NotContains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id")
+		})
+	}
+	e := newTestExchange(fleet.RouteStreaming)
+	_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 5\rX-Evil: 1\n\nid: 6"))
+	require.Error(t, err)
+	request := string(e.encodeRequest("s-2", time.Second))
+	require.Contains(t, request, "Last-Event-Id: 5\r\n")
+	require.NotContains(t, request, "X-Evil")
+}
+
+// A server that sent a byte now and then kept its stream from being resumed.
+func TestBytesOfAnIncompleteEventDoNotExtendTheIdleTimeout(t *testing.T) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.StreamIdleTimeout = 100 * time.Millisecond
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		for _, err := io.WriteString(conn, okAnswerHead+"\r\nid: 1\ndata: a\n\ndata: "); err == nil; _, err = io.WriteString(conn, "x") {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	ctx, stream := send(t, e, addr)
+	for {
+		_, err := stream.Recv()
+		if err != nil {
+			break
+		}
+	}
+	require.NoError(t, ctx.Err(), "the stream ended only at the end of the attempt")
+	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 1\r\n")
+}
+
+func TestPlainAnswerWithoutLength(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Seal: s\r\n\r\n"
+	e := newTestExchange(fleet.RouteUnsafe)
+	body, end, err := receive(t, e, serveRawAnswer(t, head+"ok"))
+	require.NoError(t, err)
+	require.Equal(t, core.CodeOK, end.Code)
+	require.Equal(t, "ok", body)
+	require.Zero(t, e.pool.CloseExpired())
+	require.NoError(t, e.Begin("", core.Digest{}))
+	require.Equal(t, "2", e.writer.Header().Get("Content-Length"))
+
+	addr := serveRaw(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, head+"ok")
+		_ = conn.SetLinger(0)
+	})
+	_, _, err = receive(t, newTestExchange(fleet.RouteUnsafe), addr)
+	require.Error(t, err)
+}
+
+func TestAnswersWithoutBody(t *testing.T) {
+	for name, c := range map[string]struct{ method, answer string }{
+		"HEAD":                  {http.MethodHead, okAnswerHead + "Content-Length: 7\r\n\r\n"},
+		"HEAD without a length": {http.MethodHead, okAnswerHead + "\r\n"},
+		"204":                   {http.MethodPost, "HTTP/1.1 204 No Content\r\nX-Id: r-1\r\nX-Seal: s\r\n\r\n"},
+		"304":                   {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nX-Id: r-1\r\nContent-Length: 7\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteSafe)
+			e.request.Method = c.method
+			body, end, err := receive(t, e, serveStalled(t, c.answer))
+			require.NoError(t, err)
+			require.Equal(t, core.CodeOK, end.Code)
+			require.Empty(t, body)
+		})
+	}
+}
+
 func decimal(n int) string { return strconv.Itoa(n) }
 
 func chunk(body string) string {
 	return strconv.FormatInt(int64(len(body)), 16) + "\r\n" + body + "\r\n"
 }
+
+// beginObserver counts the answers that began and those that the server ended before.
+type beginObserver struct {
+	nopObserver
+	began, ended *int
+}
+
+func (o beginObserver) AnswerBegan(notices.Lifetime)             { *o.began++ }
+func (o beginObserver) ConnectionEnded(notices.Lifetime, string) { *o.ended++ }
+
+func TestOnlyServersThatEndBeforeTheFirstEventAreSuspectedOfACrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer       string
+		began, ended int
+	}{
+		"before the head":          {"", 0, 1},
+		"within the head":          {"HTTP/1.1 200 OK\r\nX-", 0, 1},
+		"after the head":           {okAnswerHead + "Transfer-Encoding: chunked\r\n\r\n", 0, 1},
+		"after the unframed head":  {okAnswerHead + "\r\n", 0, 1},
+		"within the first event":   {okAnswerHead + "\r\nid: 1\nda", 0, 1},
+		"within the second event":  {okAnswerHead + "\r\nid: 1\ndata: a\n\nid: 2", 1, 0},
+		"after a complete answer":  {okAnswerHead + "\r\nid: 1\ndata: a\n\n", 1, 0},
+		"after a refusal":          {"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", 0, 0},
+		"after bytes of no answer": {"no answer\r\n\r\n", 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			var began, ended int
+			e.observer = beginObserver{began: &began, ended: &ended}
+			_, _, _ = receive(t, e, serveRawAnswer(t, c.answer))
+			require.Equal(t, c.began, began, "begun")
+			require.Equal(t, c.ended, ended, "ended")
+		})
+	}
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -23,8 +23,13 @@
 	// maxFailureBytes bounds the body of an error answer that is kept for the
 	// caller.
 	maxFailureBytes = 64 << 10
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which nobody needs.
+	refusalBodyTimeout = 50 * time.Millisecond
 )
 
+// ErrBodyTooLarge means that the body of an error answer exceeded maxFailureBytes.
+var ErrBodyTooLarge = errors.New("the body of the error answer is too large")
+
 func newHasher() *blake3.Hasher { return blake3.New() }
 
 // replyStream converts the HTTP answer of one attempt into frames. It implements
@@ -48,9 +53,12 @@
 	// isClosed is set once the connection is not in use any more.
 	isClosed bool
 
-	response     *http.Response
-	splitter     eventSplitter
-	buffer       []byte
+	response *http.Response
+	splitter eventSplitter
+	buffer   []byte
+	// lastEventAt is when the last whole event or, before the first one, the head was
+	// received.
+	lastEventAt  time.Time
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
@@ -166,6 +174,9 @@
 	if err := s.checkAnswerHeader(); err != nil {
 		return wire.AnswerFrame{}, err
 	}
+	if !s.exchange.firstByteAt.IsZero() && !isSuccess(response) {
+		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d to a stream that has begun", s.server, response.StatusCode)
+	}
 	if s.exchange.firstByteAt.IsZero() {
 		s.exchange.answerHead = response
 	}
@@ -217,10 +228,10 @@
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
 	s.exchange.countRefusal()
-	if _, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes)); err != nil {
-		s.Cancel()
-	} else {
+	if s.discardBody() {
 		s.releaseConn()
+	} else {
+		s.Cancel()
 	}
 	// The entry never exceeds a server's slots. A refusal therefore means that the
 	// server is loading weights, is leaving, or is not the server that the request was
@@ -238,6 +249,16 @@
 	}}, nil
 }
 
+// discardBody reads the body of a refusal, so that the connection can be kept. It
+// reports whether it read the whole body.
+func (s *replyStream) discardBody() bool {
+	if err := s.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes+1))
+	return err == nil && n <= maxFailureBytes
+}
+
 // endFailed returns the end frame of an attempt that the backend server ran and
 // answered with a server error.
 func (s *replyStream) endFailed() (wire.AnswerFrame, error) {
@@ -275,11 +296,14 @@
 		s.buffer = make([]byte, readBufferBytes)
 	}
 	request := &s.exchange.request
+	if s.lastEventAt.IsZero() {
+		s.lastEventAt = time.Now()
+	}
 	if request.Resumable && request.StreamIdleTimeout > 0 {
 		// A failed handover can make this attempt the last one.
 		var deadline time.Time
 		if s.exchange.maySendAgain() {
-			deadline = time.Now().Add(request.StreamIdleTimeout)
+			deadline = s.lastEventAt.Add(request.StreamIdleTimeout)
 		}
 		if err := s.conn.SetReadDeadline(deadline); err != nil {
 			return nil, err
@@ -292,18 +316,37 @@
 	}
 	s.attemptObserver.DataReceived()
 	if !s.isEventStream() {
-		return s.buffer[:n], nil
+		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.splitter.feed(s.buffer[:n])
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
-	if id := lastIDField(events); id != "" && request.Resumable {
+	if len(events) > 0 {
+		s.lastEventAt = time.Now()
+	}
+	if !request.Resumable {
+		return events, nil
+	}
+	id, err := lastEventID(events)
+	if err != nil {
+		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
+	}
+	if id != "" {
 		s.lastEventID = id
 	}
 	return events, nil
 }
 
+// checkLength bounds the body of a client error on a streaming route. Other answers that
+// are no event streams are buffered by the dispatcher, which bounds them.
+func (s *replyStream) checkLength(next int) error {
+	if s.exchange.request.Kind == fleet.RouteStreaming && s.length+int64(next) > maxFailureBytes {
+		return fmt.Errorf("answer %d of %s: %w", s.response.StatusCode, s.server, ErrBodyTooLarge)
+	}
+	return nil
+}
+
 // isEventStream reports whether the body is a series of events.
 func (s *replyStream) isEventStream() bool {
 	return s.exchange.request.Kind == fleet.RouteStreaming && isSuccess(s.response)
@@ -324,7 +367,10 @@
 // endFrame returns the end frame of an answer that was read completely.
 func (s *replyStream) endFrame() (wire.AnswerFrame, error) {
 	if s.splitter.pendingBytes() > 0 {
-		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event", s.server)
+		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
+	}
+	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
+		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -135,9 +136,14 @@
 	request := &http.Request{Method: method}
 	for range maxInformationalAnswers {
 		response, err := http.ReadResponse(c.reader, request)
-		if err != nil && c.source.isExhausted() {
+		switch {
+		case err == nil:
+		case c.source.isExhausted():
 			// The line that was cut at the limit may be malformed.
 			err = ErrHeadTooLarge
+		case c.source.err != nil:
+			// The line that was cut by the end of the connection may be malformed.
+			err = endedWithin(c.source.err)
 		}
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.addr, abbreviate(err))
@@ -146,7 +152,7 @@
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
-			if endsWithConnection(response) {
+			if EndsWithConnection(response) {
 				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
 			}
 			return response, nil
@@ -155,6 +161,15 @@
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
+// endedWithin returns io.ErrUnexpectedEOF for the end of a connection within a head, and
+// other errors unchanged.
+func endedWithin(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // abbreviate shortens the text of an error that quotes a long malformed line. Errors of
 // the connection are short and keep their type.
 func abbreviate(err error) error {
@@ -189,8 +204,8 @@
 	return count
 }
 
-// endsWithConnection reports whether the end of the connection is the end of the body.
-func endsWithConnection(response *http.Response) bool {
+// EndsWithConnection reports whether the end of the connection is the end of the body.
+func EndsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
@@ -228,7 +243,7 @@
 	if response.Close || !response.ProtoAtLeast(1, 1) || !c.requestWritten.Load() || c.reader.Buffered() > 0 {
 		return 0, false
 	}
-	if endsWithConnection(response) {
+	if EndsWithConnection(response) {
 		return 0, false
 	}
 	reuseFor := c.pool.config.IdleTimeout
--- a/requests/upstream/limit.go
+++ b/requests/upstream/limit.go
@@ -8,6 +8,8 @@
 	// remaining is the number of bytes that may still be read if isLimited is set.
 	remaining int
 	isLimited bool
+	// err is the error that ended the source, or nil.
+	err error
 }
 
 // Read implements io.Reader. It returns ErrHeadTooLarge at the limit.
@@ -20,6 +22,7 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.err = err
 	return n, err
 }
 
