A server that cannot be reached takes no retry

Callers saw: with the retry budget spent, a stream that had broken was cut, and a request refused, because the next server did not accept the connection. Nothing had arrived at any server.

Cause: the budget counts what servers receive beyond the first send of a request, but a retry was taken after each failed attempt, whether or not anything had been sent. The entry already told these attempts apart for servers that had closed meanwhile.

Fix: an attempt that ended before anything was sent takes no retry for the next one. Each server is tried once, within the deadline, and an unreachable one is ejected as before. A handover still takes one retry whatever its target does.

Before the fix (go test ./requests/dispatch -run Unreachable):

--- FAIL: TestUnreachableServersTakeNoRetry/first_attempts the retry budget is spent: agent c: peer not connected --- FAIL: TestUnreachableServersTakeNoRetry/a_stream_that_broke the stream broke after 6 bytes, cause: the retry budget is spent: agent d: peer not connected --- FAIL: TestUnreachableServersAreTriedOnceEach expected: {"a":1, "b":1, "c":1, "d":1} actual : {"c":1}

--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -19,8 +19,8 @@
 	number int
 	agent  placement.Candidate
 	answer *answerValidator
-	// unsent is set if nothing was sent because the agent had been closed since it was
-	// picked.
+	// unsent is set if nothing was sent because the agent could not be reached or had
+	// been closed since it was picked.
 	unsent bool
 
 	// ctx ends when the attempt must be abandoned.
@@ -135,6 +135,7 @@
 	a.sentAt = x.config.Now()
 	stream, err := x.sender().Send(a.ctx, a.agent, x.dispatchMessage(a.id, a.agent))
 	if isNotConnected(err) {
+		a.unsent = true
 		return core.NewRefusal(core.CodeAgentUnreachable, 0, "agent %s: %v", a.agent.ID, err)
 	}
 	a.unsent = err != nil && core.ExecutionOf(err) == core.ExecutionNotRun
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -32,7 +32,7 @@
 		return lastErr
 	}
 	if a.unsent {
-		// No server has worked on the attempt, so it takes no retry from the budget.
+		// No server got the request, so the attempt takes no retry from the budget.
 		return nil
 	}
 	return x.prepareRetry(ctx, placer, lastErr)
