A broken stream returns to servers that refused it

Callers saw: a stream that had broken was cut, or stood still until its deadline, once each other server had refused it a single time, for example while it loaded weights for less than a second.

A refused server stayed in the set of tried ones for the rest of the request. Without agents the request then waited for a slot until its deadline, although no slot could help it.

Fix: when no server is left for a stream that has begun, the servers whose attempts provably did not run may be picked again. The placer leaves a server alone for a second after a refusal, and each send takes a retry, so that this is no more than about one send a second to each. Servers that may have run the request stay excluded; requests whose callers have got nothing yet are refused as before.

Before the fix (go test ./requests/dispatch -run TestBrokenStreamR), with and without agents:

--- FAIL: TestBrokenStreamReturnsToTheServerThatRefusedIt the stream broke after 6 bytes, cause: none of 2 backend servers is available --- FAIL: TestBrokenStreamReturnsToTheServerThatRefusedIt the stream broke after 6 bytes, cause: request was cancelled while queued, cause: context deadline exceeded

After it, go test -race of requests/dispatch, requests/direct, requests/proof and daemon/gateway passes (-count=1).

--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -24,6 +24,8 @@
 	claim          *ledger.Claim
 	firstAttemptID string
 	triedAgents    map[core.InstanceID]bool
+	// refusingAgents holds the tried agents whose attempts provably did not run.
+	refusingAgents map[core.InstanceID]bool
 	attemptCount   int
 	// weightsRefusals counts the attempts refused by agents with other weights that may
 	// be picked again.
@@ -53,6 +55,7 @@
 		firstAttemptID: d.config.Attempts.Next(),
 		triedAgents:    map[core.InstanceID]bool{},
 
+		refusingAgents:   map[core.InstanceID]bool{},
 		refusedHandovers: map[core.InstanceID]bool{},
 	}
 }
@@ -120,26 +123,10 @@
 	for {
 		a, err := x.nextAttempt(ctx, placer)
 		if err != nil {
-			if x.waitForOpening(ctx) {
-				continue
+			if err = x.waitForAgent(ctx, lastErr, err); err != nil {
+				return x.finalError(lastErr, err)
 			}
-			if closedErr := x.refuseClosed(x.request); closedErr != nil {
-				return x.finalError(lastErr, closedErr)
-			}
-		}
-		if err != nil && isTemporaryRefusal(lastErr) {
-			// Every agent was tried; the last one may accept the request soon.
-			if err = x.requeue(ctx); err == nil {
-				continue
-			}
-		}
-		if err != nil && x.canWaitForSlot(err) {
-			if err = x.waitForSlot(ctx); err == nil {
-				continue
-			}
-		}
-		if err != nil {
-			return x.finalError(lastErr, err)
+			continue
 		}
 		lastErr = x.runAttempt(ctx, placer, a)
 		if lastErr == nil {
@@ -157,6 +144,30 @@
 	}
 }
 
+// waitForAgent waits until another pick may succeed after pickErr, or returns the reason
+// why there is none.
+func (x *execution) waitForAgent(ctx context.Context, lastErr, pickErr error) error {
+	if x.waitForOpening(ctx) {
+		return nil
+	}
+	if closedErr := x.refuseClosed(x.request); closedErr != nil {
+		return closedErr
+	}
+	err := pickErr
+	if isTemporaryRefusal(lastErr) {
+		// Every agent was tried; the last one may accept the request soon.
+		if err = x.requeue(ctx); err == nil {
+			return nil
+		}
+	} else if x.waitForRefusingAgents(ctx) {
+		return nil
+	}
+	if x.canWaitForSlot(err) {
+		return x.waitForSlot(ctx)
+	}
+	return err
+}
+
 // nextAttempt returns the attempt that has taken over the stream, if there is one, or a
 // new one at the agent that the placer picks.
 func (x *execution) nextAttempt(ctx context.Context, placer *placement.Placer) (*agentAttempt, error) {
--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/pause"
 )
 
+// refusalCheckPeriod is how often a broken stream looks for an available server while
+// all have refused it.
+const refusalCheckPeriod = 100 * time.Millisecond
+
 // requeue waits in the queue for another slot and clears the set of tried
 // agents.
 func (x *execution) requeue(ctx context.Context) error {
@@ -38,3 +44,19 @@
 	defer cancel()
 	return x.grant.RequeueUntil(boundedCtx, deadline)
 }
+
+// waitForRefusingAgents waits for a moment if no agent is left for a broken stream, and
+// permits those that refused it to be picked again: they may load weights or start. The
+// placer does not pick an agent for a while after a refusal. Requests whose callers have
+// got nothing yet are refused instead.
+func (x *execution) waitForRefusingAgents(ctx context.Context) bool {
+	retryAt := x.config.Now().Add(refusalCheckPeriod)
+	if x.output.sentBytes == 0 || len(x.refusingAgents) == 0 || !retryAt.Before(x.request.Deadline) {
+		return false
+	}
+	for id := range x.refusingAgents {
+		delete(x.triedAgents, id)
+	}
+	pause.For(ctx, refusalCheckPeriod)
+	return ctx.Err() == nil
+}
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -13,6 +13,11 @@
 func (x *execution) markTried(agent core.InstanceID, err error) {
 	mayPickAgain := x.request.ChooseWeights != nil && core.CodeOf(err) == core.CodeDigestMismatch
 	x.triedAgents[agent] = !mayPickAgain
+	if core.ExecutionOf(err) == core.ExecutionNotRun {
+		x.refusingAgents[agent] = true
+	} else {
+		delete(x.refusingAgents, agent)
+	}
 	if mayPickAgain && core.ExecutionOf(err) == core.ExecutionNotRun {
 		x.weightsRefusals++
 	}
