Dispatch: a full server is tried again after another one refused all work

Callers saw: 503 no-backend during a planned stop or while a data centre goes out, although a healthy server was only full for a moment. Cause: when no server was left to try, only the last refusal decided whether the request returned to the queue. After "limit reached" at one server and "draining" (data centre out, engine not serving, configuration stale) at the next one, the request ended, and the full server was not asked again. Evidence: TestFullServerIsTriedAgainAfterALeavingOneRefused failed before: "none of 2 backend servers is available for the request" after 205 draining. Why it works: any temporary refusal since the last return to the queue makes the request return to it. The queue's deadline bounds this as before. Result: requests/proof and requests/dispatch pass with the race detector.

--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -28,6 +28,9 @@
 	// temporaryRefusals counts attempts refused by agents that may accept the
 	// request soon.
 	temporaryRefusals int
+	// mayBeAcceptedSoon is set when one of the tried agents may accept the request
+	// soon.
+	mayBeAcceptedSoon bool
 	// mayHaveRun is set when an attempt is not proven not to have run.
 	mayHaveRun bool
 	// unsent is set when the last attempt ended before anything was sent because the
@@ -128,8 +131,8 @@
 				return x.finalError(lastErr, closedErr)
 			}
 		}
-		if err != nil && isTemporaryRefusal(lastErr) {
-			// Every agent was tried; the last one may accept the request soon.
+		if err != nil && x.mayBeAcceptedSoon {
+			// Every agent was tried or is unavailable.
 			if err = x.requeue(ctx); err == nil {
 				continue
 			}
@@ -166,6 +169,7 @@
 	if isTemporaryRefusal(lastErr) || x.unsent {
 		x.temporaryRefusals++
 	}
+	x.mayBeAcceptedSoon = x.mayBeAcceptedSoon || isTemporaryRefusal(lastErr)
 	if !x.mayRetry(ctx, lastErr) {
 		return lastErr
 	}
--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -15,6 +15,7 @@
 		return err
 	}
 	clear(x.triedAgents)
+	x.mayBeAcceptedSoon = false
 	return nil
 }
 
