--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -30,6 +30,9 @@
 	// weightsRefusals counts the attempts refused by agents with other weights that may
 	// be picked again.
 	weightsRefusals int
+	// mayBeAcceptedSoon is set when one of the tried agents may accept the request
+	// soon.
+	mayBeAcceptedSoon bool
 	// mayHaveRun is set when an attempt is not proven not to have run.
 	mayHaveRun bool
 	// unprovenAttempts counts the attempts that may have run.
@@ -123,7 +126,7 @@
 	for {
 		a, err := x.nextAttempt(ctx, placer)
 		if err != nil {
-			if err = x.waitForAgent(ctx, lastErr, err); err != nil {
+			if err = x.waitForAgent(ctx, err); err != nil {
 				return x.finalError(lastErr, err)
 			}
 			continue
@@ -146,7 +149,7 @@
 
 // waitForAgent waits until another pick may succeed after pickErr, or returns the reason
 // why there is none.
-func (x *execution) waitForAgent(ctx context.Context, lastErr, pickErr error) error {
+func (x *execution) waitForAgent(ctx context.Context, pickErr error) error {
 	if x.waitForOpening(ctx) {
 		return nil
 	}
@@ -154,8 +157,8 @@
 		return closedErr
 	}
 	err := pickErr
-	if isTemporaryRefusal(lastErr) {
-		// Every agent was tried; the last one may accept the request soon.
+	if x.mayBeAcceptedSoon {
+		// Every agent was tried or is unavailable.
 		if err = x.requeue(ctx); err == nil {
 			return nil
 		}
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -33,6 +33,7 @@
 // afterFailure prepares another attempt after a failed one, or returns the
 // reason why there is none.
 func (x *execution) afterFailure(ctx context.Context, placer *placement.Placer, a *agentAttempt, lastErr error) error {
+	x.mayBeAcceptedSoon = x.mayBeAcceptedSoon || isTemporaryRefusal(lastErr)
 	if !x.mayRetry(ctx, lastErr) {
 		return lastErr
 	}
