quarantine: begins of answers are known as long as the crashes they refute

A begin was known for 20 s at least and a crash counted for 30 s, so that a rare part that had been proved sound became suspect again in its old crashes. A part that began often also dropped half of the begins of others once 4096 were known, and without new begins nothing expired.

--- a/requests/quarantine/starts.go
+++ b/requests/quarantine/starts.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// startRetention is the least time for which the begin of an answer is known.
-	startRetention = 20 * time.Second
+	// startRetention is the least time for which the begin of an answer is known, as long
+	// as there are not too many. It covers the crashes that it refutes.
+	startRetention = 2 * time.Minute
 	// maxStarts bounds each of the two generations of startTimes, in parts.
 	maxStarts = 4096
 )
@@ -30,13 +31,32 @@
 	if !at.After(s.last(part)) {
 		return false
 	}
-	if len(s.newer) >= maxStarts || now.Sub(s.newerSince) > startRetention {
-		s.older, s.newer, s.newerSince = s.newer, map[fleet.PromptPart]time.Time{}, now
+	s.expire(now)
+	if _, ok := s.newer[part]; !ok && len(s.newer) >= maxStarts {
+		s.rotate(now)
 	}
 	s.newer[part] = at
 	return true
 }
 
+func (s *startTimes) rotate(now time.Time) {
+	s.older, s.newer, s.newerSince = s.newer, map[fleet.PromptPart]time.Time{}, now
+}
+
+// expire drops the older generation once all of its times are older than the retention.
+func (s *startTimes) expire(now time.Time) {
+	if len(s.newer)+len(s.older) == 0 {
+		s.newerSince = now
+		return
+	}
+	if age := now.Sub(s.newerSince); age > startRetention {
+		s.rotate(now)
+		if age > 2*startRetention {
+			clear(s.older)
+		}
+	}
+}
+
 // last returns when an answer with the part last began, or the zero time.
 func (s *startTimes) last(part fleet.PromptPart) time.Time {
 	if at, ok := s.newer[part]; ok {
