quarantine: bounded checks that report without a lock

While a check of a server hung, its list of suspects grew without bound (TestSuspectsOfARunningCheckAreBounded failed with 20,000), and the report was called under the Confirmer's lock, so that a report that leads to another loss blocked (TestReportMayUseTheConfirmerAgain; not run on the code before, where it would have hung).

--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -12,9 +12,13 @@
 	"currantusher.dev/requests/notices"
 )
 
-// confirmDelay is the time from the loss of a connection to the check of the server, in
-// which a process that ends closes its listener too.
-const confirmDelay = 20 * time.Millisecond
+const (
+	// confirmDelay is the time from the loss of a connection to the check of the server,
+	// in which a process that ends closes its listener too.
+	confirmDelay = 20 * time.Millisecond
+	// maxWaiting bounds the suspects of a running check.
+	maxWaiting = 768
+)
 
 // Confirmer tells crashes from lost connections: it connects to the server again. One
 // that refuses has ended; one that accepts has only dropped a connection. One that does
@@ -48,19 +52,32 @@
 		return
 	}
 	waiting := suspects(requestID, parts)
+	crashedAt, isKnown, isFirst := c.add(now, server, waiting)
+	switch {
+	case isKnown:
+		c.report(server, crashedAt, waiting)
+	case isFirst:
+		go c.check(context.WithoutCancel(ctx), server, addr)
+	}
+}
+
+// add adds suspects to the check of a server. It reports whether the server is known to
+// have crashed just now instead, and whether the check is to be started.
+func (c *Confirmer) add(now time.Time, server notices.Lifetime, waiting []fleet.Suspect) (crashedAt time.Time, isKnown, isFirst bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dropOldCrashes(now)
 	if at, ok := c.crashed[server]; ok {
-		c.report(server, at, waiting)
-		return
+		return at, true, false
 	}
 	if running := c.checks[server]; running != nil {
-		running.waiting = append(running.waiting, waiting...)
-		return
+		if len(running.waiting)+len(waiting) <= maxWaiting {
+			running.waiting = append(running.waiting, waiting...)
+		}
+		return time.Time{}, false, false
 	}
 	c.checks[server] = &check{at: now, waiting: waiting}
-	go c.check(context.WithoutCancel(ctx), server, addr)
+	return time.Time{}, false, true
 }
 
 func suspects(requestID string, parts []fleet.PromptPart) []fleet.Suspect {
@@ -82,13 +99,19 @@
 func (c *Confirmer) check(ctx context.Context, server notices.Lifetime, addr string) {
 	pause.For(ctx, confirmDelay)
 	err := c.dial(ctx, addr)
+	hasCrashed := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	if done := c.end(server, hasCrashed); hasCrashed {
+		c.report(server, done.at, done.waiting)
+	}
+}
+
+func (c *Confirmer) end(server notices.Lifetime, hasCrashed bool) *check {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	done := c.checks[server]
 	delete(c.checks, server)
-	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
-		return
+	if hasCrashed {
+		c.crashed[server] = done.at
 	}
-	c.crashed[server] = done.at
-	c.report(server, done.at, done.waiting)
+	return done
 }
