quarantine: crash log by suspicion; doubting tests and a simulated fleet

Each suspicion is now an object that a begun answer closes for good; an index by part holds the open ones. Parts are bounded instead of part-request pairs, closed suspicions give way first. More crashes with other causes require more moments of a candidate. Of two candidates one without known begin comes first, then the later part in the prompt (new field Position of fleet.Suspect). A release as explained otherwise needs the crashes for which the part was quarantined.

--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -45,6 +45,8 @@
 	Part PromptPart
 	// Request is a hash of the request's ID.
 	Request uint32
+	// Position is the index of the part in the prompt.
+	Position uint8
 }
 
 // PartStart reports that an answer to a prompt with this part has begun.
--- /dev/null
+++ b/requests/quarantine/bounds_test.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"github.com/stretchr/testify/require"
+)
+
+// requireBounds checks the sizes of everything that a Set keeps.
+func requireBounds(t require.TestingT, s *Set) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.LessOrEqual(t, len(s.starts.newer), maxStarts)
+	require.LessOrEqual(t, len(s.starts.older), maxStarts)
+	require.LessOrEqual(t, len(s.quarantines), maxQuarantines)
+	require.LessOrEqual(t, len(s.crashes.crashes), maxCrashes)
+	require.LessOrEqual(t, len(s.crashes.open), maxCrashes*maxSuspects)
+	open := 0
+	for _, c := range s.crashes.crashes {
+		require.LessOrEqual(t, len(c.suspects), maxSuspects)
+		for part, suspicion := range c.suspects {
+			require.LessOrEqual(t, len(suspicion.requests), maxRequests)
+			if !suspicion.isSound {
+				open++
+				require.Contains(t, s.crashes.open[part], suspicion)
+			}
+		}
+	}
+	for _, list := range s.crashes.open {
+		require.NotEmpty(t, list)
+		open -= len(list)
+	}
+	require.Zero(t, open, "the index holds just the open suspicions")
+}
--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -83,7 +84,7 @@
 func suspects(requestID string, parts []fleet.PromptPart) []fleet.Suspect {
 	list := make([]fleet.Suspect, len(parts))
 	for i, p := range parts {
-		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID)}
+		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
 	}
 	return list
 }
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -13,98 +13,225 @@
 const (
 	// crashRetention is how long a crash counts as evidence.
 	crashRetention = 30 * time.Second
-	// maxCrashes bounds the crashes that are kept; the oldest are dropped first.
+	// maxCrashes bounds the crashes that are kept.
 	maxCrashes = 64
-	// maxSuspects bounds the suspects of one crash. An engine's slots bound the
-	// requests that wait there.
-	maxSuspects = 48
-	// mergePeriod is the time within which the connections to a crashed server end. A
-	// later loss of connections to the same process is another event.
-	mergePeriod = 500 * time.Millisecond
+	// maxSuspects bounds the parts that are suspect in one crash.
+	maxSuspects = 64
+	// maxRequests bounds the requests that are known for each of these.
+	maxRequests = 4
+	// mergePeriod is the time within which the entries notice the end of a process, and
+	// in which no server starts and crashes again.
+	mergePeriod = 2 * time.Second
 )
 
-// crash is the end of one process of a server with the requests that waited there.
+// crash is the end of one process of a server with the parts of the requests that waited
+// there.
 type crash struct {
 	lifetime notices.Lifetime
 	at       time.Time
 	// changedAt is when the crash or one of its suspects became known here.
 	changedAt time.Time
-	suspects  map[fleet.PromptPart][]uint32
-	count     int
+	suspects  map[fleet.PromptPart]*suspicion
+	// open is the number of suspects that are not proved sound.
+	open int
 }
 
-func (c *crash) add(s fleet.Suspect) bool {
-	if c.count >= maxSuspects || slices.Contains(c.suspects[s.Part], s.Request) {
-		return false
+// suspicion is that a part is the cause of a crash.
+type suspicion struct {
+	crash    *crash
+	requests []uint32
+	// position is the greatest index of the part in a prompt.
+	position uint8
+	// isSound is set once an answer with the part is known to have begun shortly before
+	// the crash or later.
+	isSound bool
+}
+
+func (c *crash) holds(s fleet.Suspect) bool {
+	known := c.suspects[s.Part]
+	return known != nil && slices.Contains(known.requests, s.Request)
+}
+
+// isBefore orders crashes by their value as evidence: one without open suspicions has
+// the least, and of others the older one has less.
+func (c *crash) isBefore(other *crash) bool {
+	if (c.open > 0) != (other.open > 0) {
+		return c.open == 0
 	}
-	c.suspects[s.Part] = append(c.suspects[s.Part], s.Request)
-	c.count++
-	return true
+	return cmp.Or(c.at.Compare(other.at), compareLifetimes(c.lifetime, other.lifetime)) < 0
 }
 
-// crashLog holds the latest crash of each process of a server.
-type crashLog map[notices.Lifetime]*crash
+// crashLog holds the crashes that count as evidence.
+type crashLog struct {
+	crashes []*crash
+	// open holds the suspicions that are not refuted, by part.
+	open map[fleet.PromptPart][]*suspicion
+	// isSound reports whether an answer with a part is known to have begun shortly before
+	// a time or later.
+	isSound func(part fleet.PromptPart, at time.Time) bool
+}
 
-// record adds a crash, or suspects to a known one. It reports whether that changed
-// anything.
-func (l crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) bool {
+func newCrashLog(isSound func(part fleet.PromptPart, at time.Time) bool) crashLog {
+	return crashLog{open: map[fleet.PromptPart][]*suspicion{}, isSound: isSound}
+}
+
+// record adds a crash, or suspects to a known one. It reports whether that opened a
+// suspicion or added a request to one.
+func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) bool {
 	if now.Sub(at) >= crashRetention || len(suspects) == 0 {
 		return false
 	}
-	c := l[lifetime]
-	if c != nil && c.at.Sub(at) > mergePeriod {
-		return false
+	c := l.find(lifetime, at, suspects)
+	isNew := c == nil
+	if isNew {
+		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.PromptPart]*suspicion{}}
+	} else if at.Before(c.at) {
+		l.setTime(c, at)
+	}
+	added, opened := false, false
+	for _, s := range suspects {
+		isAdded, isOpen := l.add(c, s)
+		added, opened = added || isAdded, opened || isOpen
 	}
-	if c == nil || at.Sub(c.at) > mergePeriod {
-		if c == nil && len(l) >= maxCrashes {
-			l.dropOldest()
+	if added {
+		c.changedAt = now
+	}
+	if isNew {
+		return l.insert(c) && opened
+	}
+	return opened
+}
+
+// find returns the known crash that a report is about. A message may be read long after
+// it was sent, with an age that is too small: a crash with the same request is the same
+// one.
+func (l *crashLog) find(lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) *crash {
+	for _, c := range l.crashes {
+		if c.lifetime != lifetime {
+			continue
+		}
+		if c.at.Sub(at).Abs() <= mergePeriod || slices.ContainsFunc(suspects, c.holds) {
+			return c
 		}
-		c = &crash{lifetime: lifetime, at: at, changedAt: now, suspects: map[fleet.PromptPart][]uint32{}}
-		l[lifetime] = c
 	}
-	changed := false
-	for _, s := range suspects {
-		changed = c.add(s) || changed
+	return nil
+}
+
+// setTime moves a crash to an earlier time.
+func (l *crashLog) setTime(c *crash, at time.Time) {
+	c.at = at
+	for part, s := range c.suspects {
+		if !s.isSound && l.isSound(part, at) {
+			l.refute(part, func(other *suspicion) bool { return other == s })
+		}
 	}
-	if at.Before(c.at) {
-		c.at = at
+}
+
+// add adds a suspect to a crash. It reports whether the crash did not hold it, and
+// whether it is not proved sound.
+func (l *crashLog) add(c *crash, s fleet.Suspect) (added, isOpen bool) {
+	known := c.suspects[s.Part]
+	if known == nil {
+		isSound := l.isSound(s.Part, c.at)
+		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
+			return false, false
+		}
+		known = &suspicion{crash: c, isSound: isSound}
+		c.suspects[s.Part] = known
+		if !isSound {
+			c.open++
+			l.open[s.Part] = append(l.open[s.Part], known)
+		}
 	}
-	if changed {
-		c.changedAt = now
+	known.position = max(known.position, s.Position)
+	if len(known.requests) >= maxRequests || slices.Contains(known.requests, s.Request) {
+		return false, false
 	}
-	return changed
+	known.requests = append(known.requests, s.Request)
+	return true, !known.isSound
 }
 
-func (l crashLog) dropOldest() {
-	var oldest *crash
-	for _, c := range l {
-		if oldest == nil || c.at.Before(oldest.at) {
-			oldest = c
+// dropSound makes room for a suspect.
+func (c *crash) dropSound() bool {
+	for part, s := range c.suspects {
+		if s.isSound {
+			delete(c.suspects, part)
+			return true
 		}
 	}
-	delete(l, oldest.lifetime)
+	return false
 }
 
-func (l crashLog) expire(now time.Time) {
-	for lifetime, c := range l {
-		if now.Sub(c.at) >= crashRetention {
-			delete(l, lifetime)
+// refute closes the suspicions of a part that matches applies to, and returns them.
+func (l *crashLog) refute(part fleet.PromptPart, matches func(*suspicion) bool) []*suspicion {
+	var refuted, rest []*suspicion
+	for _, s := range l.open[part] {
+		if !matches(s) {
+			rest = append(rest, s)
+			continue
 		}
+		s.isSound = true
+		s.crash.open--
+		refuted = append(refuted, s)
 	}
+	l.setOpen(part, rest)
+	return refuted
 }
 
-// byTime returns the crashes in the order of time.
-func (l crashLog) byTime() []*crash {
-	list := make([]*crash, 0, len(l))
-	for _, c := range l {
-		list = append(list, c)
+func (l *crashLog) setOpen(part fleet.PromptPart, list []*suspicion) {
+	if len(list) == 0 {
+		delete(l.open, part)
+		return
 	}
-	slices.SortFunc(list, func(a, b *crash) int {
-		return cmp.Or(a.at.Compare(b.at), compareLifetimes(a.lifetime, b.lifetime))
+	l.open[part] = list
+}
+
+// insert adds a crash. When the log is full, it replaces the one that is worth least as
+// evidence, which may be the new one. It reports whether the crash was added.
+func (l *crashLog) insert(c *crash) bool {
+	l.crashes = append(l.crashes, c)
+	if len(l.crashes) <= maxCrashes {
+		return true
+	}
+	least := l.crashes[0]
+	for _, other := range l.crashes {
+		if other.isBefore(least) {
+			least = other
+		}
+	}
+	l.remove(func(other *crash) bool { return other == least })
+	return least != c
+}
+
+func (l *crashLog) remove(matches func(*crash) bool) {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool {
+		if !matches(c) {
+			return false
+		}
+		for part := range c.suspects {
+			if open := l.open[part]; open != nil {
+				l.setOpen(part, slices.DeleteFunc(open, func(s *suspicion) bool { return s.crash == c }))
+			}
+		}
+		return true
 	})
+}
+
+func (l *crashLog) expire(now time.Time) {
+	l.remove(func(c *crash) bool { return now.Sub(c.at) >= crashRetention })
+}
+
+// byTime returns the crashes in the order of time.
+func (l *crashLog) byTime() []*crash {
+	list := slices.Clone(l.crashes)
+	slices.SortFunc(list, compareCrashes)
 	return list
 }
 
+func compareCrashes(a, b *crash) int {
+	return cmp.Or(a.at.Compare(b.at), compareLifetimes(a.lifetime, b.lifetime))
+}
+
 func compareLifetimes(a, b notices.Lifetime) int {
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,15 +8,18 @@
 )
 
 const (
-	// minMoments is the number of moments of crashes that a part must explain to be
+	// minMoments is the least number of moments of crashes that a part must explain to be
 	// quarantined. Two faults of another kind at about the same time are not rare.
 	minMoments = 3
+	// momentGrowth is the factor of the crashes with other causes by which one more
+	// moment is required: the more there are, the more often a rare part is in several.
+	momentGrowth = 4
 	// minRequests is the number of requests that must have held the part then. A
 	// request that is sent again may be near several crashes by chance.
 	minRequests = 2
 	// momentGap is the least time between two moments. Servers that share a rack or a
 	// link may fail at the same one.
-	momentGap = 50 * time.Millisecond
+	momentGap = 200 * time.Millisecond
 	// soundPeriod is how long before a crash an answer must have begun that proves a
 	// part sound.
 	soundPeriod = 5 * time.Second
@@ -67,6 +69,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes.expire(now)
+	s.starts.expire(now)
 	changes := s.endQuarantines(now)
 	s.quarantines.expire(now)
 	if s.undecided {
@@ -94,7 +97,7 @@
 	causes := map[fleet.PromptPart]bool{}
 	explained := map[*crash]bool{}
 	for {
-		best := strongest(candidates, explained)
+		best := strongest(candidates, explained, len(s.crashes.crashes))
 		if best == nil {
 			break
 		}
@@ -117,7 +120,7 @@
 func (s *Set) quarantine(now time.Time, cause *candidate) Change {
 	q := &quarantine{generation: 1, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
 	if previous := s.quarantines[cause.part]; previous != nil {
-		q.generation = previous.generation + 1
+		q.generation = max(previous.generation+1, previous.generation)
 	}
 	s.quarantines.put(cause.part, q)
 	return Change{Part: cause.part, Reason: Decided, Until: q.end(), Crashes: q.crashes}
@@ -135,13 +138,14 @@
 	return changes
 }
 
-// releaseExplained releases the quarantined parts of which all known crashes are
-// explained by other parts.
+// releaseExplained releases the quarantined parts of which all crashes are explained by
+// other parts. An entry that does not know the crashes for which a part was quarantined
+// cannot tell.
 func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.PromptPart]bool, explained map[*crash]bool) []Change {
 	var changes []Change
 	for _, c := range candidates {
 		q := s.quarantines[c.part]
-		if q == nil || !q.isActive(now) || causes[c.part] {
+		if q == nil || !q.isActive(now) || causes[c.part] || c.countUntil(q.decidedAt) < q.crashes {
 			continue
 		}
 		if !slices.ContainsFunc(c.crashes, func(c *crash) bool { return !explained[c] }) {
@@ -162,46 +166,43 @@
 	isRepeat bool
 	// hasStarted is set if an answer with the part is known to have begun at any time.
 	hasStarted bool
+	// position is the greatest index of the part in a prompt.
+	position uint8
 	// crashes are those in which the part is suspect, in the order of time.
 	crashes []*crash
 }
 
 // candidates returns the parts that are suspect in enough crashes, by name.
 func (s *Set) candidates() []*candidate {
-	byPart := map[fleet.PromptPart]*candidate{}
-	for _, c := range s.crashes.byTime() {
-		for p := range c.suspects {
-			if s.isSound(p, c.at) {
-				continue
-			}
-			if byPart[p] == nil {
-				byPart[p] = &candidate{part: p, isRepeat: s.quarantines[p].isRepeat(), hasStarted: !s.starts.last(p).IsZero()}
-			}
-			byPart[p].crashes = append(byPart[p].crashes, c)
-		}
-	}
 	var list []*candidate
-	for _, c := range byPart {
-		if c.isRepeat || len(c.crashes) >= minMoments {
-			list = append(list, c)
+	for p, open := range s.crashes.open {
+		isRepeat := s.quarantines[p].isRepeat()
+		if !isRepeat && len(open) < minMoments {
+			continue
 		}
+		c := &candidate{part: p, isRepeat: isRepeat, hasStarted: !s.starts.last(p).IsZero()}
+		for _, suspicion := range open {
+			c.crashes = append(c.crashes, suspicion.crash)
+			c.position = max(c.position, suspicion.position)
+		}
+		slices.SortFunc(c.crashes, compareCrashes)
+		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(a.part.Model, b.part.Model), cmp.Compare(a.part.ID, b.part.ID))
-	})
+	slices.SortFunc(list, func(a, b *candidate) int { return compareParts(a.part, b.part) })
 	return list
 }
 
 // strongest returns the candidate that explains most of the crashes that are not
 // explained yet, reduced to these crashes, or nil if none explains enough.
-func strongest(candidates []*candidate, explained map[*crash]bool) *candidate {
+func strongest(candidates []*candidate, explained map[*crash]bool, crashes int) *candidate {
 	var best *candidate
 	var bestMoments, bestRequests int
 	for _, c := range candidates {
 		rest := *c
 		rest.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(c *crash) bool { return explained[c] })
 		moments, requests := rest.moments(), rest.requests()
-		if !isEnough(&rest, moments, requests) {
+		others := crashes - len(explained) - len(rest.crashes)
+		if !isEnough(&rest, moments, requests, others) {
 			continue
 		}
 		if best == nil || isStronger(&rest, moments, requests, best, bestMoments, bestRequests) {
@@ -211,25 +212,47 @@
 	return best
 }
 
-func isEnough(c *candidate, moments, requests int) bool {
+// isEnough reports whether a candidate explains enough beside a number of crashes with
+// other causes.
+func isEnough(c *candidate, moments, requests, others int) bool {
 	if c.isRepeat {
 		return moments > 0
 	}
-	return moments >= minMoments && requests >= minRequests
+	required := minMoments
+	for rest := others + 1; rest >= momentGrowth; rest /= momentGrowth {
+		required++
+	}
+	return moments >= required && requests >= minRequests
 }
 
-// isStronger orders two candidates. Of two that explain equally much, a part with which
-// no answer is known to have begun is the likelier cause.
+// isStronger orders two candidates. A part with which no answer is known to have begun is
+// the likelier cause, also if the other one was in more crashes. Of two that cannot be told
+// apart, the later one in the prompt is in fewer requests, and is found to be the wrong one
+// with the next request that holds only the other.
 func isStronger(a *candidate, momentsA, requestsA int, b *candidate, momentsB, requestsB int) bool {
+	if a.hasStarted != b.hasStarted {
+		return !a.hasStarted
+	}
 	if momentsA != momentsB {
 		return momentsA > momentsB
 	}
-	if a.hasStarted != b.hasStarted {
-		return !a.hasStarted
+	if a.position != b.position {
+		return a.position > b.position
 	}
 	return requestsA > requestsB
 }
 
+// countUntil returns the number of the crashes that were not after a time.
+func (c *candidate) countUntil(last time.Time) int {
+	count := 0
+	for _, crash := range c.crashes {
+		if !crash.at.After(last) {
+			count++
+		}
+	}
+	return count
+}
+
 // moments returns the number of different times of the crashes.
 func (c *candidate) moments() int {
 	count := 0
@@ -246,7 +269,7 @@
 func (c *candidate) requests() int {
 	seen := map[uint32]bool{}
 	for _, crash := range c.crashes {
-		for _, request := range crash.suspects[c.part] {
+		for _, request := range crash.suspects[c.part].requests {
 			seen[request] = true
 		}
 	}
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -37,7 +37,7 @@
 		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
 			break
 		}
-		report := s.report(now, c, starts)
+		report := s.report(now, c, starts, maxSentSuspects-suspects)
 		if len(report.Suspects) > 0 {
 			suspects += len(report.Suspects)
 			e.Crashes = append(e.Crashes, report)
@@ -51,22 +51,37 @@
 	return e
 }
 
-// report returns a crash with the parts that are still suspect. It adds the sound ones
-// to starts.
-func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool) fleet.CrashReport {
+// report returns a crash with up to limit suspects: those first that are suspect in most
+// crashes. It adds the parts with which an answer is known to have begun to starts.
+func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool, limit int) fleet.CrashReport {
 	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
-	for part, requests := range c.suspects {
-		if s.isSound(part, c.at) {
+	var open []fleet.PromptPart
+	for part, suspicion := range c.suspects {
+		if !s.starts.last(part).IsZero() {
 			starts[part] = true
-			continue
 		}
-		for _, request := range requests {
-			report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request})
+		if !suspicion.isSound {
+			open = append(open, part)
+		}
+	}
+	slices.SortFunc(open, func(a, b fleet.PromptPart) int {
+		return cmp.Or(cmp.Compare(len(s.crashes.open[b]), len(s.crashes.open[a])), compareParts(a, b))
+	})
+	for _, part := range open {
+		suspicion := c.suspects[part]
+		for _, request := range suspicion.requests {
+			if len(report.Suspects) < limit {
+				report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request, Position: suspicion.position})
+			}
 		}
 	}
 	return report
 }
 
+func compareParts(a, b fleet.PromptPart) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.ID, b.ID))
+}
+
 // sentQuarantines returns those that changed lately, and the others in turn: with the
 // least recently sent first.
 func (s *Set) sentQuarantines(now time.Time) []fleet.Quarantine {
@@ -80,7 +95,7 @@
 		}
 	}
 	bySending := func(a, b fleet.PromptPart) int {
-		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), compareParts(a, b))
 	}
 	slices.SortFunc(news, bySending)
 	slices.SortFunc(known, bySending)
@@ -123,7 +138,7 @@
 func (s *Set) adopt(now time.Time, other fleet.Quarantine) (Change, bool) {
 	decidedAt := now.Add(-max(other.Age, 0))
 	known := s.quarantines[other.Part]
-	if other.Generation == 0 || known != nil && !known.isSupersededBy(other, decidedAt) {
+	if other.Generation == 0 || known != nil && !known.isSupersededBy(now, other, decidedAt) {
 		return Change{}, false
 	}
 	q := &quarantine{generation: other.Generation, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now}
--- /dev/null
+++ b/requests/quarantine/fleet_test.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// simSeedsVariable overrides the number of seeds of each case.
+const simSeedsVariable = "QUARANTINE_SEEDS"
+
+// smallFleet and largeFleet are deployments of 7 and 350 entries.
+func smallFleet() simConfig {
+	return simConfig{
+		entries: 7, servers: 9, dataCentres: 3, duration: 30 * time.Second,
+		soundPerSecond: 80, teams: 30, middles: 60, loss: 0.01, staleViews: 0.3, lateLosses: 0.01,
+	}
+}
+
+func largeFleet() simConfig {
+	return simConfig{
+		entries: 350, servers: 600, dataCentres: 7, duration: 15 * time.Second,
+		soundPerSecond: 2000, teams: 600, middles: 2000, loss: 0.02, staleViews: 0.3, lateLosses: 0.01,
+	}
+}
+
+func deadlyMiddle(id string, perSecond float64) simDeadly {
+	return simDeadly{id: id, perSecond: perSecond, from: 4 * time.Second, until: time.Minute}
+}
+
+func deadlyFirst(id string, perSecond float64) simDeadly {
+	d := deadlyMiddle(id, perSecond)
+	d.isFirst = true
+	return d
+}
+
+func with(c simConfig, change func(*simConfig)) simConfig {
+	change(&c)
+	return c
+}
+
+var fleetCases = []struct {
+	name   string
+	config simConfig
+	seeds  int
+}{
+	{"small, deadly middle part", with(smallFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyMiddle("dead1", 0.8)} }), 3},
+	{"small, deadly first part", with(smallFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyFirst("dead1", 0.8)} }), 3},
+	{"small, rarely requested deadly part", with(smallFleet(), func(c *simConfig) {
+		c.duration, c.deadly = 3*time.Minute, []simDeadly{deadlyMiddle("dead1", 0.08)}
+		c.deadly[0].until = 3 * time.Minute
+	}), 2},
+	{"small, two deadly parts at once", with(smallFleet(), func(c *simConfig) {
+		c.deadly = []simDeadly{deadlyMiddle("dead1", 0.8), deadlyFirst("dead2", 0.4)}
+	}), 3},
+	{"small, deadly part often requested", with(smallFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyMiddle("dead1", 4)} }), 3},
+	{"small, entries restart", with(smallFleet(), func(c *simConfig) {
+		c.restartEvery, c.deadly = 4*time.Second, []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
+	{"small, ordinary crashes and resets beside it", with(smallFleet(), func(c *simConfig) {
+		c.ordinaryPerSecond, c.resetsPerSecond = 0.5, 5
+		c.groupCrashes = []simGroupCrash{{at: 5 * time.Second, servers: 3}, {at: 12 * time.Second, servers: 5, spread: 300 * time.Millisecond}}
+		c.deadly = []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
+	{"small, ordinary crashes only", with(smallFleet(), func(c *simConfig) { c.ordinaryPerSecond, c.resetsPerSecond = 2, 5 }), 3},
+	{"small, few sound requests", with(smallFleet(), func(c *simConfig) {
+		c.soundPerSecond, c.deadly = 8, []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
+	{"large, deadly middle part", with(largeFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyMiddle("dead1", 15)} }), 1},
+	{"large, two parts, restarts, racks and ordinary crashes", with(largeFleet(), func(c *simConfig) {
+		c.restartEvery, c.ordinaryPerSecond, c.resetsPerSecond = 20*time.Second, 5, 50
+		c.groupCrashes = []simGroupCrash{{at: 5 * time.Second, servers: 20}, {at: 7 * time.Second, servers: 85, spread: 500 * time.Millisecond}}
+		c.deadly = []simDeadly{deadlyMiddle("dead1", 8), deadlyFirst("dead2", 4)}
+	}), 1},
+	{"large, ordinary crashes only", with(largeFleet(), func(c *simConfig) { c.ordinaryPerSecond = 40 }), 1},
+}
+
+func TestFleetRefusesDeadlyPartsAndNoSoundRequests(t *testing.T) {
+	for _, test := range fleetCases {
+		t.Run(test.name, func(t *testing.T) {
+			seeds := test.seeds
+			if value, err := strconv.Atoi(os.Getenv(simSeedsVariable)); err == nil {
+				seeds = value
+			}
+			refused, sent, wrong, longest, crashes := 0, 0, 0, time.Duration(0), 0
+			maxLater, bytesPerEntrySecond, maxMessage, news := 0, 0.0, 0, 0
+			for seed := range uint64(seeds) {
+				r := newSimulation(test.config, seed).run()
+				for i, later := range r.reachedLater {
+					maxLater = max(maxLater, later)
+					assert.LessOrEqual(t, later, 3, "seed %d: requests with %s more than 3 s after the fifth crash", seed, test.config.deadly[i].id)
+				}
+				assert.LessOrEqual(t, r.longestSound, 1200*time.Millisecond, "seed %d: quarantines of sound parts: %v", seed, r.wrongParts)
+				assert.Less(t, r.maxMessageBytes, 32<<10, "seed %d", seed)
+				refused, sent, wrong = refused+r.soundRefused, sent+r.soundSent, wrong+len(r.wrongParts)
+				longest, maxMessage, crashes, news = max(longest, r.longestSound), max(maxMessage, r.maxMessageBytes), crashes+r.crashes, news+r.news
+				bytesPerEntrySecond += float64(r.messageBytes) / float64(test.config.entries) / test.config.duration.Seconds() / float64(seeds)
+			}
+			t.Logf("%d seeds: %d crashes, at most %d requests later than 3 s after the fifth crash; %d of %d sound requests refused, %d sound parts quarantined, longest %v; messages up to %d bytes, %.0f bytes/s per entry, %d news",
+				seeds, crashes, maxLater, refused, sent, wrong, longest, maxMessage, bytesPerEntrySecond, news)
+		})
+	}
+}
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -26,7 +26,9 @@
 
 // NewSet returns a Set without evidence.
 func NewSet() *Set {
-	return &Set{starts: newStartTimes(), crashes: crashLog{}, quarantines: quarantineTable{}}
+	s := &Set{starts: newStartTimes(), quarantines: quarantineTable{}}
+	s.crashes = newCrashLog(s.isSound)
+	return s
 }
 
 // Quarantined returns the first quarantined one of the parts with the end of its
@@ -60,23 +62,25 @@
 // recordStart records when an answer with a part began, and reports whether the part
 // was suspect or quarantined until now.
 func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) bool {
+	s.starts.record(now, p, at)
 	cleared := false
-	if q := s.quarantines[p]; q != nil && !q.released && at.After(q.decidedAt.Add(-soundPeriod)) {
-		cleared = true
+	if len(s.quarantines) > 0 {
+		q := s.quarantines[p]
+		cleared = q != nil && !q.released && provesSound(at, q.decidedAt)
 	}
-	for _, c := range s.crashes {
-		if _, ok := c.suspects[p]; ok && !s.isSound(p, c.at) && at.After(c.at.Add(-soundPeriod)) {
-			c.changedAt = now
-			cleared = true
+	if len(s.crashes.open) > 0 && len(s.crashes.open[p]) > 0 {
+		refuted := s.crashes.refute(p, func(s *suspicion) bool { return provesSound(at, s.crash.at) })
+		for _, suspicion := range refuted {
+			suspicion.crash.changedAt = now
 		}
+		cleared = cleared || len(refuted) > 0
 	}
-	s.starts.record(now, p, at)
 	s.undecided = s.undecided || cleared
 	return cleared
 }
 
 // Crashed records the crash of a server with the requests that were waiting there. It
-// reports whether that is new evidence.
+// reports whether that is new evidence against a part.
 func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,11 +98,17 @@
 func (s *Set) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Counts{Quarantined: int(s.quarantined.Load()), Crashes: len(s.crashes)}
+	return Counts{Quarantined: int(s.quarantined.Load()), Crashes: len(s.crashes.crashes)}
 }
 
 // isSound reports whether a part is no suspect in a crash at a time: an answer began
 // with it shortly before the crash or later.
 func (s *Set) isSound(p fleet.PromptPart, crashedAt time.Time) bool {
-	return s.starts.last(p).After(crashedAt.Add(-soundPeriod))
+	return provesSound(s.starts.last(p), crashedAt)
+}
+
+// provesSound reports whether a part whose answer began at a time is no suspect in a
+// crash.
+func provesSound(startedAt, crashedAt time.Time) bool {
+	return startedAt.After(crashedAt.Add(-soundPeriod))
 }
--- a/requests/quarantine/starts_test.go
+++ b/requests/quarantine/starts_test.go
@@ -52,6 +52,20 @@
 	assert.Equal(t, at(0), s.last(part("2")))
 }
 
+func TestSuspectThatWasProvedSoundStaysSoWhenTheBeginIsForgotten(t *testing.T) {
+	s := NewSet()
+	for i := range 3 {
+		crashWith(s, float64(i), fmt.Sprint(i), fmt.Sprint(i), "rare")
+	}
+	s.Started(at(2.1), parts("rare"))
+	for i := range 3 * maxStarts {
+		s.Started(at(3), parts(fmt.Sprint(i)))
+	}
+	s.Decide(at(4), testSettle)
+	crashWith(s, 4, "other", "other", "other")
+	assert.Empty(t, s.Decide(at(5), testSettle))
+}
+
 func TestBeginIsKnownWhileItsCrashIsEvidence(t *testing.T) {
 	assert.GreaterOrEqual(t, startRetention, crashRetention+soundPeriod)
 }
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -57,15 +57,19 @@
 }
 
 // isSupersededBy reports whether a quarantine that another entry knows replaces this one:
-// it is a later one of the same part, or the same one released, or decided earlier.
-func (q *quarantine) isSupersededBy(other fleet.Quarantine, decidedAt time.Time) bool {
+// it is a later one of the same part, or the same one released, or decided earlier. An
+// age by which an active one would have ended is not believed.
+func (q *quarantine) isSupersededBy(now time.Time, other fleet.Quarantine, decidedAt time.Time) bool {
 	switch {
 	case other.Generation != q.generation:
 		return other.Generation > q.generation
 	case other.Released != q.released:
 		return other.Released
+	case q.released || !decidedAt.Before(q.decidedAt):
+		return false
 	default:
-		return !q.released && decidedAt.Before(q.decidedAt)
+		earlier := quarantine{generation: q.generation, decidedAt: decidedAt}
+		return earlier.isActive(now) || !q.isActive(now)
 	}
 }
 
@@ -80,14 +84,15 @@
 	}
 }
 
-// put stores a quarantine. When the table is full, it replaces the one that changed
-// least recently.
+// put stores a quarantine. When the table is full, it replaces one: a released one if
+// there is any, and of these the one that changed least recently.
 func (t quarantineTable) put(part fleet.PromptPart, q *quarantine) {
 	if t[part] == nil && len(t) >= maxQuarantines {
 		var oldest fleet.PromptPart
-		for p := range t {
-			if t[oldest] == nil || t[p].changedAt.Before(t[oldest].changedAt) {
-				oldest = p
+		var found *quarantine
+		for p, other := range t {
+			if found == nil || other.isReplacedBefore(found) {
+				oldest, found = p, other
 			}
 		}
 		delete(t, oldest)
@@ -95,6 +100,13 @@
 	t[part] = q
 }
 
+func (q *quarantine) isReplacedBefore(other *quarantine) bool {
+	if q.released != other.released {
+		return q.released
+	}
+	return q.changedAt.Before(other.changedAt)
+}
+
 func (t quarantineTable) countActive(now time.Time) int64 {
 	count := int64(0)
 	for _, q := range t {
--- /dev/null
+++ b/requests/quarantine/table_test.go
@@ -0,0 +1,78 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"currantusher.dev/core/fleet"
+)
+
+func TestEachQuarantineLastsTwiceAsLongUpToTheBound(t *testing.T) {
+	for generation, want := range map[uint32]time.Duration{
+		1: basePeriod, 2: 2 * basePeriod, 3: 4 * basePeriod, 5: maxPeriod, 1000: maxPeriod, 1<<32 - 1: maxPeriod,
+	} {
+		q := &quarantine{generation: generation, decidedAt: at(0)}
+		assert.Equal(t, at(0).Add(want), q.end(), "generation %d", generation)
+	}
+}
+
+func TestOfTwoQuarantinesBothEntriesKeepTheSame(t *testing.T) {
+	states := []quarantine{
+		{generation: 1, decidedAt: at(1)}, {generation: 1, decidedAt: at(2)}, {generation: 1, decidedAt: at(1), released: true},
+		{generation: 2, decidedAt: at(1)}, {generation: 2, decidedAt: at(3), released: true},
+	}
+	toWire := func(q quarantine) fleet.Quarantine {
+		return fleet.Quarantine{Part: part("p"), Generation: q.generation, Age: at(5).Sub(q.decidedAt), Released: q.released}
+	}
+	for _, x := range states {
+		for _, y := range states {
+			a, b := NewSet(), NewSet()
+			a.quarantines.put(part("p"), &quarantine{generation: x.generation, decidedAt: x.decidedAt, released: x.released})
+			b.quarantines.put(part("p"), &quarantine{generation: y.generation, decidedAt: y.decidedAt, released: y.released})
+			a.Merge(at(5), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{toWire(y)}})
+			b.Merge(at(5), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{toWire(x)}})
+			qa, qb := a.quarantines[part("p")], b.quarantines[part("p")]
+			assert.Equal(t, qa.generation, qb.generation, "%v and %v", x, y)
+			assert.Equal(t, qa.released, qb.released, "%v and %v", x, y)
+			if !qa.released {
+				assert.Equal(t, qa.decidedAt, qb.decidedAt, "%v and %v", x, y)
+			}
+		}
+	}
+}
+
+func TestFullTableKeepsActiveQuarantines(t *testing.T) {
+	table := quarantineTable{}
+	table.put(part("active"), &quarantine{generation: 1, decidedAt: at(0), changedAt: at(0)})
+	for i := range 2 * maxQuarantines {
+		changed := at(1 + float64(i)/1000)
+		table.put(part(fmt.Sprint(i)), &quarantine{generation: 1, decidedAt: changed, changedAt: changed, released: true, releasedAt: changed})
+	}
+	assert.Len(t, table, maxQuarantines)
+	assert.Contains(t, table, part("active"))
+}
+
+func TestPartWithoutModelAndNameDoesNotOverfillTheTable(t *testing.T) {
+	table := quarantineTable{}
+	table.put(fleet.PromptPart{}, &quarantine{generation: 1, changedAt: at(5)})
+	for i := range 2 * maxQuarantines {
+		table.put(part(fmt.Sprint(i)), &quarantine{generation: 1, changedAt: at(10 + float64(i))})
+	}
+	assert.Len(t, table, maxQuarantines)
+}
+
+func TestRetentionsEnd(t *testing.T) {
+	table := quarantineTable{
+		part("released"): {generation: 1, decidedAt: at(0), released: true, releasedAt: at(10)},
+		part("ended"):    {generation: 1, decidedAt: at(0)},
+	}
+	table.expire(at(10).Add(releaseRetention - time.Second))
+	assert.Len(t, table, 2)
+	table.expire(at(10).Add(releaseRetention))
+	assert.NotContains(t, table, part("released"))
+	table.expire(at(0).Add(basePeriod + strikeRetention))
+	assert.Empty(t, table)
+}
