--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -19,6 +19,9 @@
 	maxSuspects = 64
 	// maxRequests bounds the requests that are known for each of these.
 	maxRequests = 4
+	// urgentSuspicions is the number of crashes from which evidence on their suspect is
+	// passed on at once.
+	urgentSuspicions = 2
 	// mergePeriod is the time within which the entries notice the end of a process, and
 	// in which no server starts and crashes again.
 	mergePeriod = 2 * time.Second
@@ -75,31 +78,33 @@
 	return crashLog{open: map[fleet.PromptPart][]*suspicion{}, isSound: isSound}
 }
 
-// record adds a crash, or suspects to a known one. It reports whether that opened a
-// suspicion or added a request to one.
-func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) bool {
+// record adds a crash, or suspects to a known one. It reports whether that is new evidence
+// against a part, and whether the evidence is urgent: against a part that is suspect in
+// other crashes too.
+func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) (isNew, isUrgent bool) {
 	if now.Sub(at) >= crashRetention || len(suspects) == 0 {
-		return false
+		return false, false
 	}
 	c := l.find(lifetime, at, suspects)
-	isNew := c == nil
-	if isNew {
+	isKnown := c != nil
+	if !isKnown {
 		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.PromptPart]*suspicion{}}
 	} else if at.Before(c.at) {
 		l.setTime(c, at)
 	}
-	added, opened := false, false
+	added := false
 	for _, s := range suspects {
 		isAdded, isOpen := l.add(c, s)
-		added, opened = added || isAdded, opened || isOpen
+		added, isNew = added || isAdded, isNew || isOpen
+		isUrgent = isUrgent || isOpen && len(l.open[s.Part]) >= urgentSuspicions
 	}
 	if added {
 		c.changedAt = now
 	}
-	if isNew {
-		return l.insert(c) && opened
+	if !isKnown && !l.insert(c) {
+		return false, false
 	}
-	return opened
+	return isNew, isUrgent
 }
 
 // find returns the known crash that a report is about. A message may be read long after
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -120,9 +120,8 @@
 	}
 	for _, c := range e.Crashes {
 		lifetime := notices.Lifetime{Server: c.Server, Incarnation: c.Incarnation}
-		if s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects) {
-			s.undecided, isNews = true, true
-		}
+		isNew, urgent := s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects)
+		s.undecided, isNews = s.undecided || isNew, isNews || urgent
 	}
 	for _, q := range e.Quarantines {
 		if change, ok := s.adopt(now, q); ok {
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -60,33 +60,34 @@
 }
 
 // recordStart records when an answer with a part began, and reports whether the part
-// was suspect or quarantined until now.
-func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) bool {
+// was suspect in several crashes or quarantined until now.
+func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) (urgent bool) {
 	s.starts.record(now, p, at)
-	cleared := false
 	if len(s.quarantines) > 0 {
 		q := s.quarantines[p]
-		cleared = q != nil && !q.released && provesSound(at, q.decidedAt)
+		urgent = q != nil && !q.released && provesSound(at, q.decidedAt)
 	}
 	if len(s.crashes.open) > 0 && len(s.crashes.open[p]) > 0 {
 		refuted := s.crashes.refute(p, func(s *suspicion) bool { return provesSound(at, s.crash.at) })
 		for _, suspicion := range refuted {
 			suspicion.crash.changedAt = now
 		}
-		cleared = cleared || len(refuted) > 0
+		urgent = urgent || len(refuted) >= urgentSuspicions
+		s.undecided = s.undecided || len(refuted) > 0
 	}
-	s.undecided = s.undecided || cleared
-	return cleared
+	s.undecided = s.undecided || urgent
+	return urgent
 }
 
 // Crashed records the crash of a server with the requests that were waiting there. It
-// reports whether that is new evidence against a part.
-func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) bool {
+// reports whether that is new evidence against a part, which the other entries should know
+// soon.
+func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) (isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := s.crashes.record(now, server, at, waiting)
-	s.undecided = s.undecided || changed
-	return changed
+	isNew, _ = s.crashes.record(now, server, at, waiting)
+	s.undecided = s.undecided || isNew
+	return isNew
 }
 
 // Counts describes the size of a Set, for metrics.
