quarantine: parts that cannot be told apart are refused only together

With few sound requests the first part of one deadly prompt that was sent again was in the same crashes as the deadly part. A quarantine now names its rivals (new field With), and only requests with all of them are refused. A begun answer or a crash without a rival widens it, which other entries adopt.

--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -69,4 +69,7 @@
 	Crashes int
 	// Released means that the part proved not to be the cause.
 	Released bool
+	// With are the parts that cannot be told apart from Part as the cause. Only requests
+	// with all of them are refused.
+	With []PromptPart
 }
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -20,6 +20,8 @@
 	// momentGap is the least time between two moments. Servers that share a rack or a
 	// link may fail at the same one.
 	momentGap = 200 * time.Millisecond
+	// maxRivals bounds the parts that are kept as possible causes beside the likeliest one.
+	maxRivals = 4
 	// soundPeriod is how long before a crash an answer must have begun that proves a
 	// part sound.
 	soundPeriod = 5 * time.Second
@@ -40,6 +42,9 @@
 	ExplainedOtherwise
 	// ReleasedElsewhere means that another entry has released the part.
 	ReleasedElsewhere
+	// Widened means that fewer other parts may be the cause instead, so that more requests
+	// with the part are refused.
+	Widened
 	// Ended means that the time of the quarantine has passed.
 	Ended
 )
@@ -48,7 +53,8 @@
 func (r Reason) String() string {
 	return [...]string{
 		"decided here", "decided by another entry", "an answer with it has begun",
-		"another part explains the crashes", "released by another entry", "its time has passed",
+		"another part explains the crashes", "released by another entry",
+		"fewer other parts may be the cause", "its time has passed",
 	}[r]
 }
 
@@ -56,8 +62,10 @@
 type Change struct {
 	Part   fleet.PromptPart
 	Reason Reason
-	// Until is the end of the quarantine that begins, or the zero time.
+	// Until is the end of the quarantine that begins or is widened, or the zero time.
 	Until time.Time
+	// With are the parts that a refused request holds too.
+	With []fleet.PromptPart
 	// Crashes is the number of crashes for which the part was quarantined.
 	Crashes int
 }
@@ -101,38 +109,63 @@
 		if best == nil {
 			break
 		}
+		causes[best.part] = true
+		rivals := rivalsOf(best, candidates)
 		for _, c := range best.crashes {
 			explained[c] = true
 		}
-		causes[best.part] = true
 		if q := s.quarantines[best.part]; q != nil && q.isActive(now) {
+			changes = append(changes, widenTo(now, q, best, rivals)...)
 			continue
 		}
 		if now.Sub(best.crashes[0].at) < settle && !best.isRepeat {
 			s.undecided = true
 			continue
 		}
-		changes = append(changes, s.quarantine(now, best))
+		changes = append(changes, s.quarantine(now, best, rivals))
 	}
 	return append(changes, s.releaseExplained(now, candidates, causes, explained)...)
 }
 
-func (s *Set) quarantine(now time.Time, cause *candidate) Change {
-	q := &quarantine{generation: 1, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
+func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.PromptPart) Change {
+	q := &quarantine{generation: 1, with: rivals, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
 	if previous := s.quarantines[cause.part]; previous != nil {
 		q.generation = max(previous.generation+1, previous.generation)
+		if previous.isRepeat() {
+			q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(previous.with, p) })
+		}
 	}
 	s.quarantines.put(cause.part, q)
-	return Change{Part: cause.part, Reason: Decided, Until: q.end(), Crashes: q.crashes}
+	return q.change(cause.part, Decided)
+}
+
+// change describes that a quarantine begins or is widened.
+func (q *quarantine) change(part fleet.PromptPart, reason Reason) Change {
+	return Change{Part: part, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
+}
+
+// widenTo widens a quarantine to what is known of its crashes now. An entry that does not
+// know the crashes for which the part was quarantined cannot tell.
+func widenTo(now time.Time, q *quarantine, cause *candidate, rivals []fleet.PromptPart) []Change {
+	if cause.countUntil(q.decidedAt) < q.crashes ||
+		!q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(rivals, p) }) {
+		return nil
+	}
+	return []Change{q.change(cause.part, Widened)}
 }
 
 // releaseSound releases the parts with which an answer began shortly before the decision
-// or later, also those whose quarantine has ended.
+// or later, also those whose quarantine has ended. Parts that such an answer began with
+// are no longer taken for the cause in place of another one.
 func (s *Set) releaseSound(now time.Time) []Change {
 	var changes []Change
 	for part, q := range s.quarantines {
-		if !q.released && s.isSound(part, q.decidedAt) {
+		switch {
+		case q.released:
+		case s.isSound(part, q.decidedAt):
 			changes = append(changes, release(now, part, q, ProvedSound))
+		case q.widen(now, func(p fleet.PromptPart) bool { return s.isSound(p, q.decidedAt) }) && q.isActive(now):
+			changes = append(changes, q.change(part, Widened))
 		}
 	}
 	return changes
@@ -212,6 +245,21 @@
 	return best
 }
 
+// rivalsOf returns the other parts that are suspect in all crashes that a cause explains,
+// unless an answer with them is known to have begun at any time.
+func rivalsOf(cause *candidate, candidates []*candidate) []fleet.PromptPart {
+	var rivals []fleet.PromptPart
+	for _, c := range candidates {
+		if c.part == cause.part || c.hasStarted != cause.hasStarted || len(rivals) == maxRivals {
+			continue
+		}
+		if !slices.ContainsFunc(cause.crashes, func(crash *crash) bool { return !slices.Contains(c.crashes, crash) }) {
+			rivals = append(rivals, c.part)
+		}
+	}
+	return rivals
+}
+
 // isEnough reports whether a candidate explains enough beside a number of crashes with
 // other causes.
 func isEnough(c *candidate, moments, requests, others int) bool {
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -104,7 +104,7 @@
 		q := s.quarantines[part]
 		q.sentAt = now
 		list = append(list, fleet.Quarantine{
-			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released,
+			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
 		})
 	}
 	return list
@@ -133,34 +133,40 @@
 }
 
 // adopt applies the quarantine of a part that another entry knows, and reports whether
-// that changed whether the part is quarantined here.
+// that changed which requests are refused here.
 func (s *Set) adopt(now time.Time, other fleet.Quarantine) (Change, bool) {
+	if other.Generation == 0 {
+		return Change{}, false
+	}
 	decidedAt := now.Add(-max(other.Age, 0))
 	known := s.quarantines[other.Part]
-	if other.Generation == 0 || known != nil && !known.isSupersededBy(now, other, decidedAt) {
+	switch {
+	case known == nil || known.isSupersededBy(other):
+		return s.replace(now, known, other, decidedAt)
+	case known.generation == other.Generation && !known.released && !other.Released:
+		isWider := known.join(now, other, decidedAt)
+		return known.change(other.Part, Widened), isWider && known.isActive(now)
+	default:
 		return Change{}, false
 	}
-	q := &quarantine{generation: other.Generation, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now}
+}
+
+func (s *Set) replace(now time.Time, known *quarantine, other fleet.Quarantine, decidedAt time.Time) (Change, bool) {
 	wasActive := known != nil && known.isActive(now)
+	q := &quarantine{
+		generation: other.Generation, with: other.With, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now,
+	}
 	if q.released {
 		q.releasedAt = now
 	}
-	if !q.released && !q.isActive(now) {
-		q.endReported = true
-	}
-	if known != nil && known.generation == q.generation && known.released == q.released {
-		// Only the age differs, which is no news.
-		q.changedAt, q.endReported = known.changedAt, known.endReported
-	}
+	q.endReported = !q.released && !q.isActive(now)
 	s.quarantines.put(other.Part, q)
 	s.undecided = true
-	switch change := (Change{Part: other.Part, Crashes: q.crashes}); {
-	case q.isActive(now) && !wasActive:
-		change.Reason, change.Until = Adopted, q.end()
-		return change, true
+	switch {
+	case q.isActive(now):
+		return q.change(other.Part, Adopted), true
 	case wasActive && q.released:
-		change.Reason = ReleasedElsewhere
-		return change, true
+		return Change{Part: other.Part, Reason: ReleasedElsewhere, Crashes: q.crashes}, true
 	default:
 		return Change{}, false
 	}
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -31,8 +31,8 @@
 	return s
 }
 
-// Quarantined returns the first quarantined one of the parts with the end of its
-// quarantine.
+// Quarantined returns the first one of a prompt's parts for which the request is to be
+// refused, with the end of its quarantine.
 func (s *Set) Quarantined(now time.Time, parts []fleet.PromptPart) (part fleet.PromptPart, until time.Time, found bool) {
 	if s.quarantined.Load() == 0 {
 		return fleet.PromptPart{}, time.Time{}, false
@@ -40,7 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
-		if q := s.quarantines[p]; q != nil && q.isActive(now) {
+		if q := s.quarantines[p]; q != nil && q.appliesTo(now, parts) {
 			return p, q.end(), true
 		}
 	}
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"currantusher.dev/core/fleet"
@@ -24,6 +25,9 @@
 // quarantine is the last quarantine of a part.
 type quarantine struct {
 	generation uint32
+	// with are the parts that cannot be told apart from this one as the cause. Only
+	// requests with all of them are refused, so that a sound one of them can be found.
+	with       []fleet.PromptPart
 	decidedAt  time.Time
 	crashes    int
 	released   bool
@@ -57,20 +61,47 @@
 }
 
 // isSupersededBy reports whether a quarantine that another entry knows replaces this one:
-// it is a later one of the same part, or the same one released, or decided earlier. An
-// age by which an active one would have ended is not believed.
-func (q *quarantine) isSupersededBy(now time.Time, other fleet.Quarantine, decidedAt time.Time) bool {
-	switch {
-	case other.Generation != q.generation:
+// it is a later one of the same part, or the same one released.
+func (q *quarantine) isSupersededBy(other fleet.Quarantine) bool {
+	if other.Generation != q.generation {
 		return other.Generation > q.generation
-	case other.Released != q.released:
-		return other.Released
-	case q.released || !decidedAt.Before(q.decidedAt):
+	}
+	return other.Released && !q.released
+}
+
+// join merges what another entry knows of the same quarantine. The earlier decision counts,
+// but an age by which an active quarantine would have ended is not believed. It reports
+// whether more requests are refused then.
+func (q *quarantine) join(now time.Time, other fleet.Quarantine, decidedAt time.Time) bool {
+	earlier := quarantine{generation: q.generation, decidedAt: decidedAt}
+	if decidedAt.Before(q.decidedAt) && (earlier.isActive(now) || !q.isActive(now)) {
+		q.decidedAt = decidedAt
+	}
+	return q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(other.With, p) })
+}
+
+// widen drops the parts that matches applies to from those that a refused request holds
+// too. It reports whether there were any.
+func (q *quarantine) widen(now time.Time, matches func(fleet.PromptPart) bool) bool {
+	rest := slices.DeleteFunc(slices.Clone(q.with), matches)
+	if len(rest) == len(q.with) {
 		return false
-	default:
-		earlier := quarantine{generation: q.generation, decidedAt: decidedAt}
-		return earlier.isActive(now) || !q.isActive(now)
 	}
+	q.with, q.changedAt = rest, now
+	return true
+}
+
+// appliesTo reports whether requests with these parts are refused.
+func (q *quarantine) appliesTo(now time.Time, parts []fleet.PromptPart) bool {
+	if !q.isActive(now) {
+		return false
+	}
+	for _, p := range q.with {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
 }
 
 // quarantineTable holds the last quarantine of each part.
