--- a/requests/quarantine/crashes_test.go
+++ b/requests/quarantine/crashes_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestConnectionsOfOneCrashCountAsOneCrash(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range 5 {
 		crashWith(s, 0.1*float64(i), "server", fmt.Sprint(i), "p")
 	}
@@ -20,7 +20,7 @@
 }
 
 func TestLateLossOfAConnectionDoesNotDropTheSuspectsOfItsCrash(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	crashEvery(s, 0, 1, 2, "dead")
 	crashWith(s, 2, "server", "r1", "dead")
 	crashWith(s, 2.8, "server", "r2", "other")
@@ -29,7 +29,7 @@
 }
 
 func TestSecondCrashUnderAStaleIncarnationIsCounted(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range 3 {
 		crashWith(s, 4*float64(i), "server", fmt.Sprint(i), "dead")
 	}
@@ -38,20 +38,20 @@
 }
 
 func TestRepeatedReportOfACrashIsNoNews(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	assert.True(t, crashWith(s, 0, "server", "r", "p"))
 	assert.False(t, crashWith(s, 0, "server", "r", "p"))
 	assert.False(t, s.Crashed(at(0), lifetime("other"), at(0), nil))
 }
 
 func TestCrashBeyondTheRetentionIsNoEvidence(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	assert.False(t, s.Crashed(at(0).Add(crashRetention), lifetime("server"), at(0), suspects("r", parts("p"))))
 	assert.Zero(t, s.Counts().Crashes)
 }
 
 func TestFullServerDoesNotHideTheDeadlyPart(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for crash := range 3 {
 		server, seconds := fmt.Sprint(crash), float64(crash)
 		for request := range 47 {
@@ -69,7 +69,7 @@
 }
 
 func TestOldCrashesOfOtherEntriesAreNoNewsInAFullLog(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range maxCrashes {
 		crashWith(s, 10+float64(i)/100, fmt.Sprint(i), fmt.Sprint(i), "p")
 	}
@@ -78,7 +78,7 @@
 }
 
 func TestManyOtherCrashesDoNotDisplaceThoseOfADeadlyPart(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	crashEvery(s, 0, 0.25, 8, "dead")
 	for i := range 2 * maxCrashes {
 		id := fmt.Sprint(i)
@@ -90,7 +90,7 @@
 }
 
 func TestCrashLogStaysBoundedUnderAStreamOfUniqueServersAndParts(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range 5000 {
 		id := fmt.Sprint(i)
 		now := at(float64(i) / 500)
@@ -102,7 +102,7 @@
 }
 
 func TestCrashLogStaysBoundedUnderAStreamOfMessages(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range 2000 {
 		now := at(float64(i) / 200)
 		var e fleet.CrashEvidence
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -22,6 +22,9 @@
 	momentGap = 200 * time.Millisecond
 	// maxRivals bounds the parts that are kept as possible causes beside the likeliest one.
 	maxRivals = 4
+	// startPeriod is the time after the first call of Decide in which a Set quarantines
+	// nothing by itself, because it knows few of the parts that are sound.
+	startPeriod = 3 * time.Second
 	// soundPeriod is how long before a crash an answer must have begun that proves a
 	// part sound.
 	soundPeriod = 5 * time.Second
@@ -76,6 +79,9 @@
 func (s *Set) Decide(now time.Time, settle time.Duration) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.crashes.expire(now)
 	s.starts.expire(now)
 	changes := s.endQuarantines(now)
@@ -118,7 +124,8 @@
 			changes = append(changes, widenTo(now, q, best, rivals)...)
 			continue
 		}
-		if now.Sub(best.crashes[0].at) < settle && !best.isRepeat {
+		hasSettled := now.Sub(best.crashes[0].at) >= settle && now.Sub(s.startedAt) >= startPeriod
+		if !hasSettled && !best.isRepeat {
 			s.undecided = true
 			continue
 		}
--- a/requests/quarantine/helpers_test.go
+++ b/requests/quarantine/helpers_test.go
@@ -19,6 +19,13 @@
 	return testStart.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// newTestSet returns a Set that has run for some time.
+func newTestSet() *Set {
+	s := NewSet()
+	s.Decide(testStart.Add(-time.Minute), 0)
+	return s
+}
+
 func part(id string) fleet.PromptPart { return fleet.PromptPart{Model: "llm", ID: id} }
 
 func parts(ids ...string) []fleet.PromptPart {
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -20,6 +20,8 @@
 	starts      startTimes
 	crashes     crashLog
 	quarantines quarantineTable
+	// startedAt is when the first decision was due.
+	startedAt time.Time
 	// undecided is set while evidence may lead to a decision.
 	undecided bool
 }
--- a/requests/quarantine/starts_test.go
+++ b/requests/quarantine/starts_test.go
@@ -53,7 +53,7 @@
 }
 
 func TestSuspectThatWasProvedSoundStaysSoWhenTheBeginIsForgotten(t *testing.T) {
-	s := NewSet()
+	s := newTestSet()
 	for i := range 3 {
 		crashWith(s, float64(i), fmt.Sprint(i), fmt.Sprint(i), "rare")
 	}
@@ -73,7 +73,7 @@
 func BenchmarkStarted(b *testing.B) {
 	for _, crashes := range []int{0, maxCrashes} {
 		b.Run(fmt.Sprintf("%d crashes", crashes), func(b *testing.B) {
-			s := NewSet()
+			s := newTestSet()
 			for i := range crashes {
 				id := fmt.Sprint(i)
 				crashWith(s, float64(i)/10, id, id, "team", "suspect-"+id)
