--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -12,7 +12,7 @@
 
 const (
 	// crashRetention is how long a crash counts as evidence.
-	crashRetention = 30 * time.Second
+	crashRetention = 2 * time.Minute
 	// maxCrashes bounds the crashes that are kept.
 	maxCrashes = 64
 	// maxSuspects bounds the parts that are suspect in one crash.
--- a/requests/quarantine/fleet_test.go
+++ b/requests/quarantine/fleet_test.go
@@ -69,6 +69,38 @@
 	{"small, few sound requests", with(smallFleet(), func(c *simConfig) {
 		c.soundPerSecond, c.deadly = 8, []simDeadly{deadlyMiddle("dead1", 0.8)}
 	}), 3},
+	{"small, lost requests are not sent again", with(smallFleet(), func(c *simConfig) {
+		c.omitsRetries, c.deadly = true, []simDeadly{deadlyMiddle("dead1", 0.8), deadlyFirst("dead2", 0.8)}
+	}), 2},
+	{"small, rarely requested deadly part, lost requests are not sent again", with(smallFleet(), func(c *simConfig) {
+		c.duration, c.omitsRetries, c.deadly = 3*time.Minute, true, []simDeadly{deadlyMiddle("dead1", 0.08)}
+		c.deadly[0].until = 3 * time.Minute
+	}), 2},
+	{"small, deadly part of one rare team", with(smallFleet(), func(c *simConfig) {
+		c.teams, c.deadly = 300, []simDeadly{deadlyMiddle("dead1", 0.5)}
+		c.deadly[0].companion = "000000000000a0f0"
+	}), 3},
+	{"small, deadly first part with one rare middle part", with(smallFleet(), func(c *simConfig) {
+		c.middles, c.deadly = 300, []simDeadly{deadlyFirst("dead1", 0.5)}
+		c.deadly[0].companion = "000000000000b0f0"
+	}), 3},
+	{"small, all parts are rare", with(smallFleet(), func(c *simConfig) {
+		c.teams, c.middles, c.ordinaryPerSecond = 20_000, 20_000, 0.5
+		c.deadly = []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
+	{"small, one team", with(smallFleet(), func(c *simConfig) {
+		c.teams, c.middles, c.deadly = 1, 2000, []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
+	{"small, ordinary crashes for a long time", with(smallFleet(), func(c *simConfig) {
+		c.duration, c.teams, c.middles, c.ordinaryPerSecond = 3*time.Minute, 300, 1000, 1
+	}), 1},
+	{"small, deadly part after a long time of ordinary crashes", with(smallFleet(), func(c *simConfig) {
+		c.duration, c.teams, c.middles, c.ordinaryPerSecond = 3*time.Minute, 300, 1000, 0.5
+		c.deadly = []simDeadly{deadlyMiddle("dead1", 0.3), deadlyMiddle("dead2", 2)}
+		for i := range c.deadly {
+			c.deadly[i].from, c.deadly[i].until = 100*time.Second, 3*time.Minute
+		}
+	}), 1},
 	{"large, deadly middle part", with(largeFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyMiddle("dead1", 15)} }), 1},
 	{"large, two parts, restarts, racks and ordinary crashes", with(largeFleet(), func(c *simConfig) {
 		c.restartEvery, c.ordinaryPerSecond, c.resetsPerSecond = 20*time.Second, 5, 50
--- a/requests/quarantine/simulation_test.go
+++ b/requests/quarantine/simulation_test.go
@@ -32,6 +32,8 @@
 type simDeadly struct {
 	id      string
 	isFirst bool
+	// companion is a sound part that all requests with the part hold too, or empty.
+	companion string
 	// perSecond is the rate of requests with the part, and from and until bound them.
 	perSecond   float64
 	from, until time.Duration
@@ -60,6 +62,8 @@
 	staleViews float64
 	// lateLosses is the share of lost connections that an entry notices late.
 	lateLosses float64
+	// omitsRetries is set if lost requests are not sent again.
+	omitsRetries bool
 }
 
 type simServer struct {
@@ -262,6 +266,13 @@
 }
 
 func (s *simulation) deadlyParts(d simDeadly) []fleet.PromptPart {
+	if d.companion != "" {
+		parts := []fleet.PromptPart{simPart("%s", d.companion), simPart("%s", d.id)}
+		if d.isFirst {
+			slices.Reverse(parts)
+		}
+		return parts
+	}
 	if d.isFirst {
 		return append([]fleet.PromptPart{simPart("%s", d.id)}, s.soundParts()[1:]...)
 	}
@@ -427,6 +438,9 @@
 		return
 	}
 	a.done = true
+	if s.config.omitsRetries {
+		return
+	}
 	if a.retries == 0 {
 		s.send(&simAttempt{entry: a.entry, id: a.id, parts: a.parts, deadly: a.deadly, retries: 1, calls: a.calls})
 		return
--- a/requests/quarantine/starts.go
+++ b/requests/quarantine/starts.go
@@ -9,7 +9,7 @@
 const (
 	// startRetention is the least time for which the begin of an answer is known, as long
 	// as there are not too many. It covers the crashes that it refutes.
-	startRetention = 2 * time.Minute
+	startRetention = crashRetention + soundPeriod
 	// maxStarts bounds each of the two generations of startTimes, in parts.
 	maxStarts = 4096
 )
