--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -14,6 +14,9 @@
 	// momentGrowth is the factor of the crashes with other causes by which one more
 	// moment is required: the more there are, the more often a rare part is in several.
 	momentGrowth = 4
+	// comparedPeriod is how long before the first crash with a part the crashes with other
+	// causes count.
+	comparedPeriod = 10 * time.Second
 	// minRequests is the number of requests that must have held the part then. A
 	// request that is sent again may be near several crashes by chance.
 	minRequests = 2
@@ -111,7 +114,7 @@
 	causes := map[fleet.PromptPart]bool{}
 	explained := map[*crash]bool{}
 	for {
-		best := strongest(candidates, explained, len(s.crashes.crashes))
+		best := strongest(candidates, explained, s.crashes.crashes)
 		if best == nil {
 			break
 		}
@@ -234,15 +237,14 @@
 
 // strongest returns the candidate that explains most of the crashes that are not
 // explained yet, reduced to these crashes, or nil if none explains enough.
-func strongest(candidates []*candidate, explained map[*crash]bool, crashes int) *candidate {
+func strongest(candidates []*candidate, explained map[*crash]bool, crashes []*crash) *candidate {
 	var best *candidate
 	var bestMoments, bestRequests int
 	for _, c := range candidates {
 		rest := *c
 		rest.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(c *crash) bool { return explained[c] })
 		moments, requests := rest.moments(), rest.requests()
-		others := crashes - len(explained) - len(rest.crashes)
-		if !isEnough(&rest, moments, requests, others) {
+		if !isEnough(&rest, moments, requests, rest.countOthers(crashes, explained)) {
 			continue
 		}
 		if best == nil || isStronger(&rest, moments, requests, best, bestMoments, bestRequests) {
@@ -297,6 +299,22 @@
 	return requestsA > requestsB
 }
 
+// countOthers returns the number of crashes with other causes, from shortly before the
+// first crash with the part.
+func (c *candidate) countOthers(crashes []*crash, explained map[*crash]bool) int {
+	if len(c.crashes) == 0 {
+		return 0
+	}
+	first := c.crashes[0].at.Add(-comparedPeriod)
+	count := 0
+	for _, crash := range crashes {
+		if !explained[crash] && crash.at.After(first) {
+			count++
+		}
+	}
+	return count - len(c.crashes)
+}
+
 // countUntil returns the number of the crashes that were not after a time.
 func (c *candidate) countUntil(last time.Time) int {
 	count := 0
