--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -14,6 +14,9 @@
 	// momentGrowth is the factor of the crashes with other causes by which one more
 	// moment is required: the more there are, the more often a rare part is in several.
 	momentGrowth = 4
+	// startedMoments is the number of additional moments for a part with which an answer is
+	// known to have begun: new weights may make it deadly, but most often it is sound.
+	startedMoments = 2
 	// comparedPeriod is how long before the first crash with a part the crashes with other
 	// causes count.
 	comparedPeriod = 10 * time.Second
@@ -276,6 +279,9 @@
 		return moments > 0
 	}
 	required := minMoments
+	if c.hasStarted {
+		required += startedMoments
+	}
 	for rest := others + 1; rest >= momentGrowth; rest /= momentGrowth {
 		required++
 	}
