quarantine: rivals of a repeated quarantine are found in its one crash

TestRivalIsNotQuarantinedAgainForOneCrashWithoutTheDeadlyPart failed: rivals were looked for among parts with three crashes, so that the next crash after the end of a quarantine left the sound part alone in it. The simulation is split into three files and measures the time after the last crash, and an entry that restarts.

--- a/requests/quarantine/bounds_test.go
+++ b/requests/quarantine/bounds_test.go
@@ -13,6 +13,9 @@
 	require.LessOrEqual(t, len(s.quarantines), maxQuarantines)
 	require.LessOrEqual(t, len(s.crashes.crashes), maxCrashes)
 	require.LessOrEqual(t, len(s.crashes.open), maxCrashes*maxSuspects)
+	for _, q := range s.quarantines {
+		require.LessOrEqual(t, len(q.with), maxRivals)
+	}
 	open := 0
 	for _, c := range s.crashes.crashes {
 		require.LessOrEqual(t, len(c.suspects), maxSuspects)
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -55,6 +55,11 @@
 	return known != nil && slices.Contains(known.requests, s.Request)
 }
 
+func (c *crash) isSuspect(p fleet.PromptPart) bool {
+	s := c.suspects[p]
+	return s != nil && !s.isSound
+}
+
 // isBefore orders crashes by their value as evidence: one without open suspicions has
 // the least, and of others the older one has less.
 func (c *crash) isBefore(other *crash) bool {
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -122,7 +122,7 @@
 			break
 		}
 		causes[best.part] = true
-		rivals := rivalsOf(best, candidates)
+		rivals := s.rivalsOf(best)
 		for _, c := range best.crashes {
 			explained[c] = true
 		}
@@ -144,7 +144,7 @@
 	q := &quarantine{generation: 1, with: rivals, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
 	if previous := s.quarantines[cause.part]; previous != nil {
 		q.generation = max(previous.generation+1, previous.generation)
-		if previous.isRepeat() {
+		if cause.isRepeat {
 			q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(previous.with, p) })
 		}
 	}
@@ -222,7 +222,7 @@
 func (s *Set) candidates() []*candidate {
 	var list []*candidate
 	for p, open := range s.crashes.open {
-		isRepeat := s.quarantines[p].isRepeat()
+		isRepeat := s.quarantines[p].isRepeat(open)
 		if !isRepeat && len(open) < minMoments {
 			continue
 		}
@@ -259,17 +259,18 @@
 
 // rivalsOf returns the other parts that are suspect in all crashes that a cause explains,
 // unless an answer with them is known to have begun at any time.
-func rivalsOf(cause *candidate, candidates []*candidate) []fleet.PromptPart {
+func (s *Set) rivalsOf(cause *candidate) []fleet.PromptPart {
 	var rivals []fleet.PromptPart
-	for _, c := range candidates {
-		if c.part == cause.part || c.hasStarted != cause.hasStarted || len(rivals) == maxRivals {
+	for p := range cause.crashes[0].suspects {
+		if p == cause.part || !s.starts.last(p).IsZero() != cause.hasStarted {
 			continue
 		}
-		if !slices.ContainsFunc(cause.crashes, func(crash *crash) bool { return !slices.Contains(c.crashes, crash) }) {
-			rivals = append(rivals, c.part)
+		if !slices.ContainsFunc(cause.crashes, func(c *crash) bool { return !c.isSuspect(p) }) {
+			rivals = append(rivals, p)
 		}
 	}
-	return rivals
+	slices.SortFunc(rivals, compareParts)
+	return rivals[:min(len(rivals), maxRivals)]
 }
 
 // isEnough reports whether a candidate explains enough beside a number of crashes with
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -154,7 +154,7 @@
 func (s *Set) replace(now time.Time, known *quarantine, other fleet.Quarantine, decidedAt time.Time) (Change, bool) {
 	wasActive := known != nil && known.isActive(now)
 	q := &quarantine{
-		generation: other.Generation, with: other.With, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now,
+		generation: other.Generation, with: other.With[:min(len(other.With), maxRivals)], decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now,
 	}
 	if q.released {
 		q.releasedAt = now
--- a/requests/quarantine/exchange_test.go
+++ b/requests/quarantine/exchange_test.go
@@ -165,7 +165,7 @@
 		}
 	}
 	for i := range maxQuarantines {
-		s.quarantines.put(part(name("q", i, 0)), &quarantine{generation: 7, decidedAt: at(0), crashes: 64, changedAt: at(1)})
+		s.quarantines.put(part(name("q", i, 0)), &quarantine{generation: 7, with: parts(name("x", i, 1), name("x", i, 2), name("x", i, 3), name("x", i, 4)), decidedAt: at(0), crashes: 64, changedAt: at(1)})
 	}
 	encoded, err := cbor.Marshal(s.Evidence(at(1)))
 	require.NoError(t, err)
--- a/requests/quarantine/fleet_test.go
+++ b/requests/quarantine/fleet_test.go
@@ -119,6 +119,7 @@
 			}
 			refused, sent, wrong, longest, crashes := 0, 0, 0, time.Duration(0), 0
 			maxLater, bytesPerEntrySecond, maxMessage, news := 0, 0.0, 0, 0
+			calmBytes, calmSeconds, deadlyCrashes := 0, 0.0, 0
 			for seed := range uint64(seeds) {
 				r := newSimulation(test.config, seed).run()
 				for i, later := range r.reachedLater {
@@ -127,12 +128,57 @@
 				}
 				assert.LessOrEqual(t, r.longestSound, 1200*time.Millisecond, "seed %d: quarantines of sound parts: %v", seed, r.wrongParts)
 				assert.Less(t, r.maxMessageBytes, 32<<10, "seed %d", seed)
+				calmBytes, calmSeconds = calmBytes+r.calmBytes, calmSeconds+r.calmSeconds
+				for _, count := range r.deadlyCrashes {
+					deadlyCrashes += count
+				}
 				refused, sent, wrong = refused+r.soundRefused, sent+r.soundSent, wrong+len(r.wrongParts)
 				longest, maxMessage, crashes, news = max(longest, r.longestSound), max(maxMessage, r.maxMessageBytes), crashes+r.crashes, news+r.news
 				bytesPerEntrySecond += float64(r.messageBytes) / float64(test.config.entries) / test.config.duration.Seconds() / float64(seeds)
 			}
-			t.Logf("%d seeds: %d crashes, at most %d requests later than 3 s after the fifth crash; %d of %d sound requests refused, %d sound parts quarantined, longest %v; messages up to %d bytes, %.0f bytes/s per entry, %d news",
-				seeds, crashes, maxLater, refused, sent, wrong, longest, maxMessage, bytesPerEntrySecond, news)
+			calmRate := float64(calmBytes) / float64(test.config.entries) / max(1, calmSeconds)
+			assert.Less(t, calmRate, 5000.0, "bytes per entry and second")
+			t.Logf("%d seeds: %d crashes, %d by deadly parts, at most %d requests later than 3 s after the fifth crash; %d of %d sound requests refused, %d sound parts quarantined, longest %v; messages up to %d bytes, %.0f bytes/s per entry, %.0f of %.0f calm s, %d news",
+				seeds, crashes, deadlyCrashes, maxLater, refused, sent, wrong, longest, maxMessage, bytesPerEntrySecond, calmRate, calmSeconds, news)
+		})
+	}
+}
+
+func TestRestartedEntryKnowsTheQuarantineWithinTwoRounds(t *testing.T) {
+	// In a large fleet an entry hears of four others in a round on average, and of none in
+	// one of 50 rounds.
+	for _, test := range []struct {
+		name   string
+		config simConfig
+		rounds int
+	}{
+		{"small", smallFleet(), 2},
+		{"large", with(largeFleet(), func(c *simConfig) { c.duration = 12 * time.Second }), 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			config := test.config
+			config.loss = 0
+			config.restartEvery = 4 * time.Second
+			config.deadly = []simDeadly{deadlyMiddle("dead1", 5)}
+			s := newSimulation(config, 1)
+			dead := simPart("%s", "dead1")
+			knownSince := time.Time{}
+			checked := map[time.Time]bool{}
+			s.onStep = func(e *simEntry) {
+				q := e.set.quarantines[dead]
+				isKnown := q != nil && q.isActive(s.now) && len(q.with) == 0
+				if isKnown && knownSince.IsZero() {
+					knownSince = s.now.Add(time.Second)
+				}
+				if knownSince.IsZero() || e.startedAt.Before(knownSince) || s.now.Sub(e.startedAt) < time.Duration(test.rounds)*simRound+simDecidePeriod {
+					return
+				}
+				checked[e.startedAt] = true
+				assert.True(t, isKnown, "entry %d, %v after its start", e.index, s.now.Sub(e.startedAt))
+			}
+			s.run()
+			assert.NotEmpty(t, checked)
+			t.Logf("%d restarts", len(checked))
 		})
 	}
 }
--- /dev/null
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"currantusher.dev/core/fleet"
+)
+
+func (s *simulation) isLarge() bool { return len(s.entries)-1 > simFanout }
+
+func (s *simulation) settle() time.Duration {
+	if s.isLarge() {
+		return time.Second
+	}
+	return simRound
+}
+
+func (s *simulation) decide(e *simEntry) {
+	changes := e.set.Decide(s.now, s.settle())
+	s.apply(e, changes)
+	if len(changes) > 0 {
+		s.sendSoon(e)
+	}
+	if s.onStep != nil {
+		s.onStep(e)
+	}
+}
+
+// apply recalls the waiting requests with a part that has become quarantined.
+func (s *simulation) apply(e *simEntry, changes []Change) {
+	for _, change := range changes {
+		isDeadly := slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == change.Part.ID })
+		if change.Until.IsZero() {
+			if since, ok := e.quarantinedSince[change.Part]; ok {
+				s.endSoundQuarantine(change.Part, since)
+				delete(e.quarantinedSince, change.Part)
+			}
+			continue
+		}
+		for _, a := range sortedAttempts(e.waiting) {
+			if holdsAll(a.parts, change) {
+				s.leave(a)
+				a.done = true
+				if a.deadly < 0 {
+					s.result.soundRefused++
+				}
+			}
+		}
+		if _, known := e.quarantinedSince[change.Part]; !isDeadly && !s.holdsDeadly(change.With) && !known {
+			s.result.soundQuarantines++
+			e.quarantinedSince[change.Part] = s.now
+		}
+	}
+}
+
+func holdsAll(parts []fleet.PromptPart, change Change) bool {
+	for _, p := range append([]fleet.PromptPart{change.Part}, change.With...) {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *simulation) holdsDeadly(parts []fleet.PromptPart) bool {
+	return slices.ContainsFunc(parts, func(p fleet.PromptPart) bool {
+		return slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == p.ID })
+	})
+}
+
+func sortedAttempts(set map[*simAttempt]bool) []*simAttempt {
+	list := make([]*simAttempt, 0, len(set))
+	for a := range set {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *simAttempt) int { return compareStrings(a.id, b.id) })
+	return list
+}
+
+func (s *simulation) endSoundQuarantine(part fleet.PromptPart, since time.Time) {
+	length := s.now.Sub(since)
+	s.result.longestSound = max(s.result.longestSound, length)
+	s.result.wrongParts[part.ID] = max(s.result.wrongParts[part.ID], length)
+}
+
+func (s *simulation) sendSoon(e *simEntry) {
+	if e.sendPlanned {
+		return
+	}
+	e.sendPlanned = true
+	s.after(max(0, simUrgentDelay-s.now.Sub(e.lastSent)), func() {
+		e.sendPlanned = false
+		s.sendRound(e)
+	})
+}
+
+// sendRound sends a message as members/gossip does.
+func (s *simulation) sendRound(e *simEntry) {
+	e.lastSent = s.now
+	evidence := e.set.Evidence(s.now)
+	targets := s.targets(e)
+	s.result.messages += len(targets)
+	if evidence.IsEmpty() {
+		return
+	}
+	s.measure(evidence, len(targets))
+	for _, target := range targets {
+		if s.random.Float64() < s.config.loss {
+			continue
+		}
+		delay := s.between(time.Millisecond, 5*time.Millisecond)
+		if target.dataCentre != e.dataCentre {
+			delay = s.between(5*time.Millisecond, 30*time.Millisecond)
+		}
+		s.after(delay, func() { s.receive(target, evidence) })
+	}
+}
+
+func (s *simulation) measure(evidence fleet.CrashEvidence, targets int) {
+	if s.isLarge() && s.random.IntN(10) > 0 {
+		return
+	}
+	encoded, err := cbor.Marshal(evidence)
+	if err != nil {
+		panic(err)
+	}
+	s.result.maxMessageBytes = max(s.result.maxMessageBytes, len(encoded))
+	if s.isLarge() {
+		targets *= 10
+	}
+	s.result.messageBytes += len(encoded) * targets
+	if s.now.Sub(s.result.lastCrash) > simCalmDelay {
+		s.result.calmBytes += len(encoded) * targets
+	}
+}
+
+func (s *simulation) receive(e *simEntry, evidence fleet.CrashEvidence) {
+	changes, isNews := e.set.Merge(s.now, evidence)
+	s.apply(e, changes)
+	if isNews {
+		s.result.news++
+		if s.isLarge() {
+			s.sendSoon(e)
+		}
+	}
+}
+
+func (s *simulation) targets(e *simEntry) []*simEntry {
+	if !s.isLarge() {
+		return slices.DeleteFunc(slices.Clone(s.entries), func(o *simEntry) bool { return o == e })
+	}
+	var targets []*simEntry
+	for len(targets) < simLocalFanout {
+		other := s.entries[s.random.IntN(len(s.entries))]
+		if other != e && other.dataCentre == e.dataCentre && !slices.Contains(targets, other) {
+			targets = append(targets, other)
+		}
+	}
+	for {
+		other := s.entries[s.random.IntN(len(s.entries))]
+		if other.dataCentre != e.dataCentre {
+			return append(targets, other)
+		}
+	}
+}
--- /dev/null
+++ b/requests/quarantine/simulation_servers_test.go
@@ -0,0 +1,193 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
+)
+
+// call sends a new request of a caller to any entry.
+func (s *simulation) call(parts []fleet.PromptPart, deadly int) {
+	if deadly < 0 {
+		s.result.soundSent++
+	}
+	s.send(&simAttempt{entry: s.entries[s.random.IntN(len(s.entries))], id: s.newID(), parts: parts, deadly: deadly})
+}
+
+func (s *simulation) newID() string {
+	s.requests++
+	return fmt.Sprintf("%016x", s.requests)
+}
+
+func (s *simulation) pickServer() *simServer {
+	for range 20 {
+		server := s.servers[s.random.IntN(len(s.servers))]
+		if !s.now.Before(server.unavailable) {
+			return server
+		}
+	}
+	return nil
+}
+
+// send sends an attempt to a server unless a part is quarantined.
+func (s *simulation) send(a *simAttempt) {
+	if _, _, found := a.entry.set.Quarantined(s.now, a.parts); found {
+		if a.deadly < 0 {
+			s.result.soundRefused++
+		}
+		return
+	}
+	server := s.pickServer()
+	if server == nil || len(server.waiting) >= simSlots {
+		return
+	}
+	if a.deadly >= 0 {
+		fifth := s.result.fifthCrash[a.deadly]
+		if !fifth.IsZero() && s.now.After(fifth.Add(simBoundDelay)) {
+			s.result.reachedLater[a.deadly]++
+		}
+	}
+	a.server = server
+	server.waiting[a], a.entry.waiting[a] = true, true
+	s.after(s.between(50*time.Millisecond, 500*time.Millisecond), func() {
+		if a.done || a.server != server || !server.waiting[a] {
+			return
+		}
+		if a.deadly >= 0 {
+			s.deadlyCrash(a.deadly, server)
+			return
+		}
+		s.leave(a)
+		a.done = true
+		if a.entry.set.Started(s.now, a.parts) {
+			s.sendSoon(a.entry)
+		}
+	})
+}
+
+func (s *simulation) leave(a *simAttempt) {
+	delete(a.server.waiting, a)
+	delete(a.entry.waiting, a)
+}
+
+func (s *simulation) deadlyCrash(deadly int, server *simServer) {
+	r := &s.result
+	r.deadlyCrashes[deadly]++
+	if r.deadlyCrashes[deadly] == simBoundCrash {
+		r.fifthCrash[deadly] = s.now
+	}
+	s.crash(server)
+}
+
+// crash ends a server's process. Its entries learn that from their connections.
+func (s *simulation) crash(server *simServer) {
+	if server == nil || s.now.Before(server.unavailable) {
+		return
+	}
+	s.result.calmSeconds += max(0, s.now.Sub(s.result.lastCrash)-simCalmDelay).Seconds()
+	s.result.crashes, s.result.lastCrash = s.result.crashes+1, s.now
+	byEntry := map[*simEntry][]*simAttempt{}
+	for _, a := range s.sortedWaiting(server) {
+		s.leave(a)
+		byEntry[a.entry] = append(byEntry[a.entry], a)
+	}
+	for _, e := range s.entries {
+		if len(byEntry[e]) > 0 {
+			s.detect(e, server, byEntry[e])
+		}
+	}
+	server.unavailable = s.now.Add(s.between(2500*time.Millisecond, 3500*time.Millisecond))
+	before := server.lifetime
+	if s.random.Float64() < 0.5 {
+		server.lifetime = notices.Lifetime{Server: core.InstanceID(fmt.Sprintf("i-%010x", s.random.Int64N(1<<40))), Incarnation: 1}
+		return
+	}
+	server.lifetime.Incarnation++
+	if s.random.Float64() < s.config.staleViews {
+		server.viewed, server.staleUntil = before, server.unavailable.Add(2*time.Second)
+	}
+}
+
+func (s *simulation) sortedWaiting(server *simServer) []*simAttempt {
+	list := make([]*simAttempt, 0, len(server.waiting))
+	for a := range server.waiting {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *simAttempt) int {
+		if a.id != b.id {
+			return compareStrings(a.id, b.id)
+		}
+		return a.retries - b.retries
+	})
+	return list
+}
+
+func compareStrings(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// detect reports the loss of an entry's connections to a crashed server, and sends its
+// requests again.
+func (s *simulation) detect(e *simEntry, server *simServer, lost []*simAttempt) {
+	lifetime := server.lifetime
+	if s.now.Before(server.staleUntil) && e.index%2 == 0 {
+		lifetime = server.viewed
+	}
+	set := e.set
+	for _, a := range lost {
+		delay := s.between(0, 10*time.Millisecond)
+		if s.random.Float64() < s.config.lateLosses {
+			delay = s.between(200*time.Millisecond, 1500*time.Millisecond)
+		}
+		at := s.now.Add(delay)
+		s.after(delay+simConfirmDelay, func() {
+			if e.set != set {
+				return
+			}
+			if e.set.Crashed(s.now, lifetime, at, suspects(a.id, a.parts)) {
+				s.sendSoon(e)
+			}
+			s.retry(a)
+		})
+	}
+}
+
+// retry sends an attempt again once from its entry, and once from its caller.
+func (s *simulation) retry(a *simAttempt) {
+	if a.done {
+		return
+	}
+	a.done = true
+	if s.config.omitsRetries {
+		return
+	}
+	if a.retries == 0 {
+		s.send(&simAttempt{entry: a.entry, id: a.id, parts: a.parts, deadly: a.deadly, retries: 1, calls: a.calls})
+		return
+	}
+	if a.calls == 0 {
+		s.after(s.between(50*time.Millisecond, 300*time.Millisecond), func() {
+			s.send(&simAttempt{entry: s.entries[s.random.IntN(len(s.entries))], id: s.newID(), parts: a.parts, deadly: a.deadly, calls: 1})
+		})
+	}
+}
+
+// resetConnection ends the connection of one waiting request. The server accepts the
+// check that follows, so that the request is only sent again.
+func (s *simulation) resetConnection() {
+	server := s.pickServer()
+	if server == nil {
+		return
+	}
+	if waiting := s.sortedWaiting(server); len(waiting) > 0 {
+		s.leave(waiting[0])
+		s.after(simConfirmDelay, func() { s.retry(waiting[0]) })
+	}
+}
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -50,8 +50,19 @@
 
 func (q *quarantine) isActive(now time.Time) bool { return !q.released && now.Before(q.end()) }
 
-// isRepeat reports whether the part has been quarantined before and rightly so.
-func (q *quarantine) isRepeat() bool { return q != nil && !q.released }
+// isRepeat reports whether the part has been quarantined before and rightly so, and
+// whether the crashes in which it is suspect now fit that.
+func (q *quarantine) isRepeat(open []*suspicion) bool {
+	if q == nil || q.released {
+		return false
+	}
+	for _, p := range q.with {
+		if slices.ContainsFunc(open, func(s *suspicion) bool { return s.crash.suspects[p] == nil }) {
+			return false
+		}
+	}
+	return true
+}
 
 func (q *quarantine) isExpired(now time.Time) bool {
 	if q.released {
@@ -83,7 +94,12 @@
 // widen drops the parts that matches applies to from those that a refused request holds
 // too. It reports whether there were any.
 func (q *quarantine) widen(now time.Time, matches func(fleet.PromptPart) bool) bool {
-	rest := slices.DeleteFunc(slices.Clone(q.with), matches)
+	var rest []fleet.PromptPart
+	for _, p := range q.with {
+		if !matches(p) {
+			rest = append(rest, p)
+		}
+	}
 	if len(rest) == len(q.with) {
 		return false
 	}
