quarantine: only what changed of a crash is passed on again

Each begun answer that cleared one suspect sent the whole crash again for 3 s: 8 KB/s per entry in calm time where all parts are rare (bound 5 KB/s). An entry that reports a suspect which is known to be sound is told again.

--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -32,9 +32,7 @@
 type crash struct {
 	lifetime notices.Lifetime
 	at       time.Time
-	// changedAt is when the crash or one of its suspects became known here.
-	changedAt time.Time
-	suspects  map[fleet.PromptPart]*suspicion
+	suspects map[fleet.PromptPart]*suspicion
 	// open is the number of suspects that are not proved sound.
 	open int
 }
@@ -48,6 +46,9 @@
 	// isSound is set once an answer with the part is known to have begun shortly before
 	// the crash or later.
 	isSound bool
+	// changedAt is when this became known here, or when another entry last reported a
+	// suspect that is sound.
+	changedAt time.Time
 }
 
 func (c *crash) holds(s fleet.Suspect) bool {
@@ -95,16 +96,12 @@
 	if !isKnown {
 		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.PromptPart]*suspicion{}}
 	} else if at.Before(c.at) {
-		l.setTime(c, at)
+		l.setTime(now, c, at)
 	}
-	added := false
 	for _, s := range suspects {
-		isAdded, isOpen := l.add(c, s)
-		added, isNew = added || isAdded, isNew || isOpen
-		isUrgent = isUrgent || isOpen && len(l.open[s.Part]) >= urgentSuspicions
-	}
-	if added {
-		c.changedAt = now
+		if l.add(now, c, s) {
+			isNew, isUrgent = true, isUrgent || len(l.open[s.Part]) >= urgentSuspicions
+		}
 	}
 	if !isKnown && !l.insert(c) {
 		return false, false
@@ -128,23 +125,23 @@
 }
 
 // setTime moves a crash to an earlier time.
-func (l *crashLog) setTime(c *crash, at time.Time) {
+func (l *crashLog) setTime(now time.Time, c *crash, at time.Time) {
 	c.at = at
 	for part, s := range c.suspects {
 		if !s.isSound && l.isSound(part, at) {
-			l.refute(part, func(other *suspicion) bool { return other == s })
+			l.refute(now, part, func(other *suspicion) bool { return other == s })
 		}
 	}
 }
 
-// add adds a suspect to a crash. It reports whether the crash did not hold it, and
-// whether it is not proved sound.
-func (l *crashLog) add(c *crash, s fleet.Suspect) (added, isOpen bool) {
+// add adds a suspect to a crash. It reports whether that is new evidence: the crash did not
+// hold it, and it is not proved sound.
+func (l *crashLog) add(now time.Time, c *crash, s fleet.Suspect) bool {
 	known := c.suspects[s.Part]
 	if known == nil {
 		isSound := l.isSound(s.Part, c.at)
 		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
-			return false, false
+			return false
 		}
 		known = &suspicion{crash: c, isSound: isSound}
 		c.suspects[s.Part] = known
@@ -154,11 +151,15 @@
 		}
 	}
 	known.position = max(known.position, s.Position)
+	if known.isSound {
+		known.changedAt = now
+		return false
+	}
 	if len(known.requests) >= maxRequests || slices.Contains(known.requests, s.Request) {
-		return false, false
+		return false
 	}
-	known.requests = append(known.requests, s.Request)
-	return true, !known.isSound
+	known.requests, known.changedAt = append(known.requests, s.Request), now
+	return true
 }
 
 // dropSound makes room for a suspect.
@@ -173,14 +174,14 @@
 }
 
 // refute closes the suspicions of a part that matches applies to, and returns them.
-func (l *crashLog) refute(part fleet.PromptPart, matches func(*suspicion) bool) []*suspicion {
+func (l *crashLog) refute(now time.Time, part fleet.PromptPart, matches func(*suspicion) bool) []*suspicion {
 	var refuted, rest []*suspicion
 	for _, s := range l.open[part] {
 		if !matches(s) {
 			rest = append(rest, s)
 			continue
 		}
-		s.isSound = true
+		s.isSound, s.changedAt = true, now
 		s.crash.open--
 		refuted = append(refuted, s)
 	}
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -31,9 +31,6 @@
 	starts := map[fleet.PromptPart]bool{}
 	suspects := 0
 	for _, c := range slices.Backward(s.crashes.byTime()) {
-		if now.Sub(c.changedAt) >= relayPeriod {
-			continue
-		}
 		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
 			break
 		}
@@ -51,12 +48,16 @@
 	return e
 }
 
-// report returns a crash with up to limit suspects: those first that are suspect in most
-// crashes. It adds the parts with which an answer is known to have begun to starts.
+// report returns what changed lately of a crash, with up to limit suspects: those first that
+// are suspect in most crashes. It adds the parts with which an answer is known to have begun
+// to starts.
 func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool, limit int) fleet.CrashReport {
 	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
 	var open []fleet.PromptPart
 	for part, suspicion := range c.suspects {
+		if now.Sub(suspicion.changedAt) >= relayPeriod {
+			continue
+		}
 		if !s.starts.last(part).IsZero() {
 			starts[part] = true
 		}
--- a/requests/quarantine/random_test.go
+++ b/requests/quarantine/random_test.go
@@ -86,7 +86,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.crashes.crashes {
-		c.changedAt = now
+		for _, suspicion := range c.suspects {
+			suspicion.changedAt = now
+		}
 	}
 	for _, q := range s.quarantines {
 		q.changedAt = now
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -70,10 +70,7 @@
 		urgent = q != nil && !q.released && provesSound(at, q.decidedAt)
 	}
 	if len(s.crashes.open) > 0 && len(s.crashes.open[p]) > 0 {
-		refuted := s.crashes.refute(p, func(s *suspicion) bool { return provesSound(at, s.crash.at) })
-		for _, suspicion := range refuted {
-			suspicion.crash.changedAt = now
-		}
+		refuted := s.crashes.refute(now, p, func(s *suspicion) bool { return provesSound(at, s.crash.at) })
 		urgent = urgent || len(refuted) >= urgentSuspicions
 		s.undecided = s.undecided || len(refuted) > 0
 	}
