--- a/requests/quarantine/fleet_test.go
+++ b/requests/quarantine/fleet_test.go
@@ -60,6 +60,9 @@
 	{"small, entries restart", with(smallFleet(), func(c *simConfig) {
 		c.restartEvery, c.deadly = 4*time.Second, []simDeadly{deadlyMiddle("dead1", 0.8)}
 	}), 3},
+	{"small, entries are suspended", with(smallFleet(), func(c *simConfig) {
+		c.suspendEvery, c.ordinaryPerSecond, c.deadly = 30*time.Second, 0.3, []simDeadly{deadlyMiddle("dead1", 0.8)}
+	}), 3},
 	{"small, ordinary crashes and resets beside it", with(smallFleet(), func(c *simConfig) {
 		c.ordinaryPerSecond, c.resetsPerSecond = 0.5, 5
 		c.groupCrashes = []simGroupCrash{{at: 5 * time.Second, servers: 3}, {at: 12 * time.Second, servers: 5, spread: 300 * time.Millisecond}}
--- a/requests/quarantine/simulation_gossip_test.go
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -18,7 +18,12 @@
 	return simRound
 }
 
+func (e *simEntry) isSuspended(now time.Time) bool { return now.Before(e.suspendedUntil) }
+
 func (s *simulation) decide(e *simEntry) {
+	if e.isSuspended(s.now) {
+		return
+	}
 	changes := e.set.Decide(s.now, s.settle())
 	s.apply(e, changes)
 	if len(changes) > 0 {
@@ -99,6 +104,9 @@
 
 // sendRound sends a message as members/gossip does.
 func (s *simulation) sendRound(e *simEntry) {
+	if e.isSuspended(s.now) {
+		return
+	}
 	e.lastSent = s.now
 	evidence := e.set.Evidence(s.now)
 	targets := s.targets(e)
@@ -138,6 +146,11 @@
 }
 
 func (s *simulation) receive(e *simEntry, evidence fleet.CrashEvidence) {
+	if e.isSuspended(s.now) {
+		// The message waits in the socket's buffer.
+		s.after(e.suspendedUntil.Sub(s.now), func() { s.receive(e, evidence) })
+		return
+	}
 	changes, isNews := e.set.Merge(s.now, evidence)
 	s.apply(e, changes)
 	if isNews {
--- a/requests/quarantine/simulation_servers_test.go
+++ b/requests/quarantine/simulation_servers_test.go
@@ -15,7 +15,9 @@
 	if deadly < 0 {
 		s.result.soundSent++
 	}
-	s.send(&simAttempt{entry: s.entries[s.random.IntN(len(s.entries))], id: s.newID(), parts: parts, deadly: deadly})
+	if e := s.entries[s.random.IntN(len(s.entries))]; !e.isSuspended(s.now) {
+		s.send(&simAttempt{entry: e, id: s.newID(), parts: parts, deadly: deadly})
+	}
 }
 
 func (s *simulation) newID() string {
@@ -63,12 +65,21 @@
 		}
 		s.leave(a)
 		a.done = true
-		if a.entry.set.Started(s.now, a.parts) {
-			s.sendSoon(a.entry)
-		}
+		s.began(a)
 	})
 }
 
+// began records the begin of an answer, which a suspended entry reads later.
+func (s *simulation) began(a *simAttempt) {
+	if a.entry.isSuspended(s.now) {
+		s.after(a.entry.suspendedUntil.Sub(s.now), func() { s.began(a) })
+		return
+	}
+	if a.entry.set.Started(s.now, a.parts) {
+		s.sendSoon(a.entry)
+	}
+}
+
 func (s *simulation) leave(a *simAttempt) {
 	delete(a.server.waiting, a)
 	delete(a.entry.waiting, a)
@@ -148,7 +159,7 @@
 		}
 		at := s.now.Add(delay)
 		s.after(delay+simConfirmDelay, func() {
-			if e.set != set {
+			if e.set != set || e.isSuspended(s.now) {
 				return
 			}
 			if e.set.Crashed(s.now, lifetime, at, suspects(a.id, a.parts)) {
--- a/requests/quarantine/simulation_test.go
+++ b/requests/quarantine/simulation_test.go
@@ -18,6 +18,7 @@
 	simUrgentDelay  = 50 * time.Millisecond
 	simConfirmDelay = 25 * time.Millisecond
 	simSlots        = 16
+	simSuspension   = 10 * time.Second
 	simFanout       = 16
 	simLocalFanout  = 3
 	// simBoundDelay is the time after the fifth crash from which few requests with a
@@ -56,7 +57,9 @@
 	groupCrashes                  []simGroupCrash
 	resetsPerSecond               float64
 	restartEvery                  time.Duration
-	loss                          float64
+	// suspendEvery is the mean time between two suspensions of an entry for simSuspension.
+	suspendEvery time.Duration
+	loss         float64
 	// staleViews is the share of crashed servers that return with the same ID and that
 	// some entries still know by the incarnation before.
 	staleViews float64
@@ -81,6 +84,7 @@
 	startedAt         time.Time
 	lastSent          time.Time
 	sendPlanned       bool
+	suspendedUntil    time.Time
 	waiting           map[*simAttempt]bool
 	// quarantinedSince holds when sound parts were quarantined here.
 	quarantinedSince map[fleet.PromptPart]time.Time
@@ -231,6 +235,11 @@
 	if c.restartEvery > 0 {
 		s.every(float64(c.entries)/c.restartEvery.Seconds(), 0, c.duration, func() { s.resetEntry(s.entries[s.random.IntN(c.entries)]) })
 	}
+	if c.suspendEvery > 0 {
+		s.every(float64(c.entries)/c.suspendEvery.Seconds(), 0, c.duration, func() {
+			s.entries[s.random.IntN(c.entries)].suspendedUntil = s.now.Add(simSuspension)
+		})
+	}
 	end := s.start.Add(c.duration)
 	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
 		event := heap.Pop(&s.queue).(simEvent)
