--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -164,8 +165,8 @@
 
 // dropSound makes room for a suspect.
 func (c *crash) dropSound() bool {
-	for part, s := range c.suspects {
-		if s.isSound {
+	for _, part := range slices.SortedFunc(maps.Keys(c.suspects), compareParts) {
+		if c.suspects[part].isSound {
 			delete(c.suspects, part)
 			return true
 		}
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -27,7 +27,7 @@
 	// link may fail at the same one.
 	momentGap = 200 * time.Millisecond
 	// maxRivals bounds the parts that are kept as possible causes beside the likeliest one.
-	maxRivals = 4
+	maxRivals = 8
 	// startPeriod is the time after the first call of Decide in which a Set quarantines
 	// nothing by itself, because it knows few of the parts that are sound.
 	startPeriod = 3 * time.Second
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,7 +29,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now)}
-	starts := map[fleet.PromptPart]bool{}
+	starts := map[fleet.PromptPart]time.Time{}
 	suspects := 0
 	for _, c := range slices.Backward(s.crashes.byTime()) {
 		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
@@ -40,18 +41,20 @@
 			e.Crashes = append(e.Crashes, report)
 		}
 	}
-	for part := range starts {
-		if len(e.Starts) < maxSentStarts {
-			e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
-		}
+	newestFirst := func(a, b fleet.PromptPart) int {
+		return cmp.Or(starts[b].Compare(starts[a]), compareParts(a, b))
+	}
+	sorted := slices.SortedFunc(maps.Keys(starts), newestFirst)
+	for _, part := range sorted[:min(len(sorted), maxSentStarts)] {
+		e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
 	}
 	return e
 }
 
 // report returns what changed lately of a crash, with up to limit suspects: those first that
 // are suspect in most crashes. It adds the parts with which an answer is known to have begun
-// to starts.
-func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool, limit int) fleet.CrashReport {
+// to starts, with the time of the change.
+func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]time.Time, limit int) fleet.CrashReport {
 	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
 	var open []fleet.PromptPart
 	for part, suspicion := range c.suspects {
@@ -59,7 +62,9 @@
 			continue
 		}
 		if !s.starts.last(part).IsZero() {
-			starts[part] = true
+			if starts[part].Before(suspicion.changedAt) {
+				starts[part] = suspicion.changedAt
+			}
 		}
 		if !suspicion.isSound {
 			open = append(open, part)
@@ -155,7 +160,8 @@
 func (s *Set) replace(now time.Time, known *quarantine, other fleet.Quarantine, decidedAt time.Time) (Change, bool) {
 	wasActive := known != nil && known.isActive(now)
 	q := &quarantine{
-		generation: other.Generation, with: other.With[:min(len(other.With), maxRivals)], decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now,
+		generation: other.Generation, with: other.With[:min(len(other.With), maxRivals)], decidedAt: decidedAt,
+		crashes: other.Crashes, released: other.Released, changedAt: now,
 	}
 	if q.released {
 		q.releasedAt = now
