--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -79,6 +79,11 @@
 	Crashes int
 }
 
+// AppliesTo reports whether requests with these parts are refused from the change on.
+func (c Change) AppliesTo(parts []fleet.PromptPart) bool {
+	return !c.Until.IsZero() && slices.Contains(parts, c.Part) && holdsAll(parts, c.With)
+}
+
 // Decide quarantines and releases parts according to the evidence, and drops what has
 // expired. settle is how long the evidence that a part is sound takes to arrive here
 // from any entry. Decide is to be called often.
--- a/requests/quarantine/rivals_test.go
+++ b/requests/quarantine/rivals_test.go
@@ -37,6 +37,16 @@
 	assert.False(t, isRefused(s, 3.05, "team"))
 }
 
+func TestChangeAppliesToTheRequestsThatAreRefused(t *testing.T) {
+	s := newTestSet()
+	crashEvery(s, 0, 1, 3, "team", "dead")
+	change := s.Decide(at(2.5), testSettle)[0]
+	for _, ids := range [][]string{{"team", "dead"}, {"team"}, {"dead"}, {"other", "dead"}, {"x", "team", "y", "dead"}} {
+		assert.Equal(t, isRefused(s, 2.5, ids...), change.AppliesTo(parts(ids...)), "%v", ids)
+	}
+	assert.False(t, Change{Part: part("p"), Reason: Ended}.AppliesTo(parts("p")))
+}
+
 func TestDeadlyPartIsRefusedAloneAfterACrashWithoutItsRival(t *testing.T) {
 	s := newSetWithRivals()
 	crashWith(s, 3, "fourth", "r-fourth", "other", "dead")
--- a/requests/quarantine/simulation_gossip_test.go
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		for _, a := range sortedAttempts(e.waiting) {
-			if holdsAll(a.parts, change) {
+			if change.AppliesTo(a.parts) {
 				s.leave(a)
 				a.done = true
 				if a.deadly < 0 {
@@ -61,15 +61,6 @@
 	}
 }
 
-func holdsAll(parts []fleet.PromptPart, change Change) bool {
-	for _, p := range append([]fleet.PromptPart{change.Part}, change.With...) {
-		if !slices.Contains(parts, p) {
-			return false
-		}
-	}
-	return true
-}
-
 func (s *simulation) holdsDeadly(parts []fleet.PromptPart) bool {
 	return slices.ContainsFunc(parts, func(p fleet.PromptPart) bool {
 		return slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == p.ID })
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -109,15 +109,11 @@
 
 // appliesTo reports whether requests with these parts are refused.
 func (q *quarantine) appliesTo(now time.Time, parts []fleet.PromptPart) bool {
-	if !q.isActive(now) {
-		return false
-	}
-	for _, p := range q.with {
-		if !slices.Contains(parts, p) {
-			return false
-		}
-	}
-	return true
+	return q.isActive(now) && holdsAll(parts, q.with)
+}
+
+func holdsAll(parts, wanted []fleet.PromptPart) bool {
+	return !slices.ContainsFunc(wanted, func(p fleet.PromptPart) bool { return !slices.Contains(parts, p) })
 }
 
 // quarantineTable holds the last quarantine of each part.
