--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -45,6 +45,8 @@
 	Part PromptPart
 	// Request is a hash of the request's ID.
 	Request uint32
+	// Position is the index of the part in the prompt.
+	Position uint8
 }
 
 // PartStart reports that an answer to a prompt with this part has begun.
@@ -67,4 +69,7 @@
 	Crashes int
 	// Released means that the part proved not to be the cause.
 	Released bool
+	// With are the parts that cannot be told apart from Part as the cause. Only requests
+	// with all of them are refused.
+	With []PromptPart
 }
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,99 +13,237 @@
 
 const (
 	// crashRetention is how long a crash counts as evidence.
-	crashRetention = 30 * time.Second
-	// maxCrashes bounds the crashes that are kept; the oldest are dropped first.
+	crashRetention = 2 * time.Minute
+	// maxCrashes bounds the crashes that are kept.
 	maxCrashes = 64
-	// maxSuspects bounds the suspects of one crash. An engine's slots bound the
-	// requests that wait there.
-	maxSuspects = 48
-	// mergePeriod is the time within which the connections to a crashed server end. A
-	// later loss of connections to the same process is another event.
-	mergePeriod = 500 * time.Millisecond
+	// maxSuspects bounds the parts that are suspect in one crash.
+	maxSuspects = 64
+	// maxRequests bounds the requests that are known for each of these.
+	maxRequests = 4
+	// urgentSuspicions is the number of crashes from which evidence on their suspect is
+	// passed on at once.
+	urgentSuspicions = 2
+	// mergePeriod is the time within which the entries notice the end of a process, and
+	// in which no server starts and crashes again.
+	mergePeriod = 2 * time.Second
 )
 
-// crash is the end of one process of a server with the requests that waited there.
+// crash is the end of one process of a server with the parts of the requests that waited
+// there.
 type crash struct {
 	lifetime notices.Lifetime
 	at       time.Time
-	// changedAt is when the crash or one of its suspects became known here.
+	suspects map[fleet.PromptPart]*suspicion
+	// open is the number of suspects that are not proved sound.
+	open int
+}
+
+// suspicion is that a part is the cause of a crash.
+type suspicion struct {
+	crash    *crash
+	requests []uint32
+	// position is the greatest index of the part in a prompt.
+	position uint8
+	// isSound is set once an answer with the part is known to have begun shortly before
+	// the crash or later.
+	isSound bool
+	// changedAt is when this became known here, or when another entry last reported a
+	// suspect that is sound.
 	changedAt time.Time
-	suspects  map[fleet.PromptPart][]uint32
-	count     int
 }
 
-func (c *crash) add(s fleet.Suspect) bool {
-	if c.count >= maxSuspects || slices.Contains(c.suspects[s.Part], s.Request) {
-		return false
+func (c *crash) holds(s fleet.Suspect) bool {
+	known := c.suspects[s.Part]
+	return known != nil && slices.Contains(known.requests, s.Request)
+}
+
+func (c *crash) isSuspect(p fleet.PromptPart) bool {
+	s := c.suspects[p]
+	return s != nil && !s.isSound
+}
+
+// isBefore orders crashes by their value as evidence: one without open suspicions has
+// the least, and of others the older one has less.
+func (c *crash) isBefore(other *crash) bool {
+	if (c.open > 0) != (other.open > 0) {
+		return c.open == 0
 	}
-	c.suspects[s.Part] = append(c.suspects[s.Part], s.Request)
-	c.count++
-	return true
+	return cmp.Or(c.at.Compare(other.at), compareLifetimes(c.lifetime, other.lifetime)) < 0
+}
+
+// crashLog holds the crashes that count as evidence.
+type crashLog struct {
+	crashes []*crash
+	// open holds the suspicions that are not refuted, by part.
+	open map[fleet.PromptPart][]*suspicion
+	// isSound reports whether an answer with a part is known to have begun shortly before
+	// a time or later.
+	isSound func(part fleet.PromptPart, at time.Time) bool
 }
 
-// crashLog holds the latest crash of each process of a server.
-type crashLog map[notices.Lifetime]*crash
+func newCrashLog(isSound func(part fleet.PromptPart, at time.Time) bool) crashLog {
+	return crashLog{open: map[fleet.PromptPart][]*suspicion{}, isSound: isSound}
+}
 
-// record adds a crash, or suspects to a known one. It reports whether that changed
-// anything.
-func (l crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) bool {
+// record adds a crash, or suspects to a known one. It reports whether that is new evidence
+// against a part, and whether the evidence is urgent: against a part that is suspect in
+// other crashes too.
+func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) (isNew, isUrgent bool) {
 	if now.Sub(at) >= crashRetention || len(suspects) == 0 {
-		return false
+		return false, false
 	}
-	c := l[lifetime]
-	if c != nil && c.at.Sub(at) > mergePeriod {
-		return false
+	c := l.find(lifetime, at, suspects)
+	isKnown := c != nil
+	if !isKnown {
+		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.PromptPart]*suspicion{}}
+	} else if at.Before(c.at) {
+		l.setTime(now, c, at)
 	}
-	if c == nil || at.Sub(c.at) > mergePeriod {
-		if c == nil && len(l) >= maxCrashes {
-			l.dropOldest()
+	for _, s := range suspects {
+		if l.add(now, c, s) {
+			isNew, isUrgent = true, isUrgent || len(l.open[s.Part]) >= urgentSuspicions
 		}
-		c = &crash{lifetime: lifetime, at: at, changedAt: now, suspects: map[fleet.PromptPart][]uint32{}}
-		l[lifetime] = c
 	}
-	changed := false
-	for _, s := range suspects {
-		changed = c.add(s) || changed
+	if !isKnown && !l.insert(c) {
+		return false, false
 	}
-	if at.Before(c.at) {
-		c.at = at
+	return isNew, isUrgent
+}
+
+// find returns the known crash that a report is about. A message may be read long after
+// it was sent, with an age that is too small: a crash with the same request is the same
+// one.
+func (l *crashLog) find(lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) *crash {
+	for _, c := range l.crashes {
+		if c.lifetime != lifetime {
+			continue
+		}
+		if c.at.Sub(at).Abs() <= mergePeriod || slices.ContainsFunc(suspects, c.holds) {
+			return c
+		}
 	}
-	if changed {
-		c.changedAt = now
+	return nil
+}
+
+// setTime moves a crash to an earlier time.
+func (l *crashLog) setTime(now time.Time, c *crash, at time.Time) {
+	c.at = at
+	for part, s := range c.suspects {
+		if !s.isSound && l.isSound(part, at) {
+			l.refute(now, part, func(other *suspicion) bool { return other == s })
+		}
 	}
-	return changed
 }
 
-func (l crashLog) dropOldest() {
-	var oldest *crash
-	for _, c := range l {
-		if oldest == nil || c.at.Before(oldest.at) {
-			oldest = c
+// add adds a suspect to a crash. It reports whether that is new evidence: the crash did not
+// hold it, and it is not proved sound.
+func (l *crashLog) add(now time.Time, c *crash, s fleet.Suspect) bool {
+	known := c.suspects[s.Part]
+	if known == nil {
+		isSound := l.isSound(s.Part, c.at)
+		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
+			return false
 		}
+		known = &suspicion{crash: c, isSound: isSound}
+		c.suspects[s.Part] = known
+		if !isSound {
+			c.open++
+			l.open[s.Part] = append(l.open[s.Part], known)
+		}
+	}
+	known.position = max(known.position, s.Position)
+	if known.isSound {
+		known.changedAt = now
+		return false
 	}
-	delete(l, oldest.lifetime)
+	if len(known.requests) >= maxRequests || slices.Contains(known.requests, s.Request) {
+		return false
+	}
+	known.requests, known.changedAt = append(known.requests, s.Request), now
+	return true
 }
 
-func (l crashLog) expire(now time.Time) {
-	for lifetime, c := range l {
-		if now.Sub(c.at) >= crashRetention {
-			delete(l, lifetime)
+// dropSound makes room for a suspect.
+func (c *crash) dropSound() bool {
+	for _, part := range slices.SortedFunc(maps.Keys(c.suspects), compareParts) {
+		if c.suspects[part].isSound {
+			delete(c.suspects, part)
+			return true
 		}
 	}
+	return false
 }
 
-// byTime returns the crashes in the order of time.
-func (l crashLog) byTime() []*crash {
-	list := make([]*crash, 0, len(l))
-	for _, c := range l {
-		list = append(list, c)
+// refute closes the suspicions of a part that matches applies to, and returns them.
+func (l *crashLog) refute(now time.Time, part fleet.PromptPart, matches func(*suspicion) bool) []*suspicion {
+	var refuted, rest []*suspicion
+	for _, s := range l.open[part] {
+		if !matches(s) {
+			rest = append(rest, s)
+			continue
+		}
+		s.isSound, s.changedAt = true, now
+		s.crash.open--
+		refuted = append(refuted, s)
+	}
+	l.setOpen(part, rest)
+	return refuted
+}
+
+func (l *crashLog) setOpen(part fleet.PromptPart, list []*suspicion) {
+	if len(list) == 0 {
+		delete(l.open, part)
+		return
+	}
+	l.open[part] = list
+}
+
+// insert adds a crash. When the log is full, it replaces the one that is worth least as
+// evidence, which may be the new one. It reports whether the crash was added.
+func (l *crashLog) insert(c *crash) bool {
+	l.crashes = append(l.crashes, c)
+	if len(l.crashes) <= maxCrashes {
+		return true
+	}
+	least := l.crashes[0]
+	for _, other := range l.crashes {
+		if other.isBefore(least) {
+			least = other
+		}
 	}
-	slices.SortFunc(list, func(a, b *crash) int {
-		return cmp.Or(a.at.Compare(b.at), compareLifetimes(a.lifetime, b.lifetime))
+	l.remove(func(other *crash) bool { return other == least })
+	return least != c
+}
+
+func (l *crashLog) remove(matches func(*crash) bool) {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *crash) bool {
+		if !matches(c) {
+			return false
+		}
+		for part := range c.suspects {
+			if open := l.open[part]; open != nil {
+				l.setOpen(part, slices.DeleteFunc(open, func(s *suspicion) bool { return s.crash == c }))
+			}
+		}
+		return true
 	})
+}
+
+func (l *crashLog) expire(now time.Time) {
+	l.remove(func(c *crash) bool { return now.Sub(c.at) >= crashRetention })
+}
+
+// byTime returns the crashes in the order of time.
+func (l *crashLog) byTime() []*crash {
+	list := slices.Clone(l.crashes)
+	slices.SortFunc(list, compareCrashes)
 	return list
 }
 
+func compareCrashes(a, b *crash) int {
+	return cmp.Or(a.at.Compare(b.at), compareLifetimes(a.lifetime, b.lifetime))
+}
+
 func compareLifetimes(a, b notices.Lifetime) int {
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,45 +29,65 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now)}
-	starts := map[fleet.PromptPart]bool{}
+	starts := map[fleet.PromptPart]time.Time{}
 	suspects := 0
 	for _, c := range slices.Backward(s.crashes.byTime()) {
-		if now.Sub(c.changedAt) >= relayPeriod {
-			continue
-		}
 		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
 			break
 		}
-		report := s.report(now, c, starts)
+		report := s.report(now, c, starts, maxSentSuspects-suspects)
 		if len(report.Suspects) > 0 {
 			suspects += len(report.Suspects)
 			e.Crashes = append(e.Crashes, report)
 		}
 	}
-	for part := range starts {
-		if len(e.Starts) < maxSentStarts {
-			e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
-		}
+	newestFirst := func(a, b fleet.PromptPart) int {
+		return cmp.Or(starts[b].Compare(starts[a]), compareParts(a, b))
+	}
+	sorted := slices.SortedFunc(maps.Keys(starts), newestFirst)
+	for _, part := range sorted[:min(len(sorted), maxSentStarts)] {
+		e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
 	}
 	return e
 }
 
-// report returns a crash with the parts that are still suspect. It adds the sound ones
-// to starts.
-func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]bool) fleet.CrashReport {
+// report returns what changed lately of a crash, with up to limit suspects: those first that
+// are suspect in most crashes. It adds the parts with which an answer is known to have begun
+// to starts, with the time of the change.
+func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]time.Time, limit int) fleet.CrashReport {
 	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
-	for part, requests := range c.suspects {
-		if s.isSound(part, c.at) {
-			starts[part] = true
+	var open []fleet.PromptPart
+	for part, suspicion := range c.suspects {
+		if now.Sub(suspicion.changedAt) >= relayPeriod {
 			continue
 		}
-		for _, request := range requests {
-			report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request})
+		if !s.starts.last(part).IsZero() {
+			if starts[part].Before(suspicion.changedAt) {
+				starts[part] = suspicion.changedAt
+			}
+		}
+		if !suspicion.isSound {
+			open = append(open, part)
+		}
+	}
+	slices.SortFunc(open, func(a, b fleet.PromptPart) int {
+		return cmp.Or(cmp.Compare(len(s.crashes.open[b]), len(s.crashes.open[a])), compareParts(a, b))
+	})
+	for _, part := range open {
+		suspicion := c.suspects[part]
+		for _, request := range suspicion.requests {
+			if len(report.Suspects) < limit {
+				report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request, Position: suspicion.position})
+			}
 		}
 	}
 	return report
 }
 
+func compareParts(a, b fleet.PromptPart) int {
+	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.ID, b.ID))
+}
+
 // sentQuarantines returns those that changed lately, and the others in turn: with the
 // least recently sent first.
 func (s *Set) sentQuarantines(now time.Time) []fleet.Quarantine {
@@ -80,7 +101,7 @@
 		}
 	}
 	bySending := func(a, b fleet.PromptPart) int {
-		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), compareParts(a, b))
 	}
 	slices.SortFunc(news, bySending)
 	slices.SortFunc(known, bySending)
@@ -89,7 +110,7 @@
 		q := s.quarantines[part]
 		q.sentAt = now
 		list = append(list, fleet.Quarantine{
-			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released,
+			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
 		})
 	}
 	return list
@@ -105,9 +126,8 @@
 	}
 	for _, c := range e.Crashes {
 		lifetime := notices.Lifetime{Server: c.Server, Incarnation: c.Incarnation}
-		if s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects) {
-			s.undecided, isNews = true, true
-		}
+		isNew, urgent := s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects)
+		s.undecided, isNews = s.undecided || isNew, isNews || urgent
 	}
 	for _, q := range e.Quarantines {
 		if change, ok := s.adopt(now, q); ok {
@@ -119,34 +139,41 @@
 }
 
 // adopt applies the quarantine of a part that another entry knows, and reports whether
-// that changed whether the part is quarantined here.
+// that changed which requests are refused here.
 func (s *Set) adopt(now time.Time, other fleet.Quarantine) (Change, bool) {
+	if other.Generation == 0 {
+		return Change{}, false
+	}
 	decidedAt := now.Add(-max(other.Age, 0))
 	known := s.quarantines[other.Part]
-	if other.Generation == 0 || known != nil && !known.isSupersededBy(other, decidedAt) {
+	switch {
+	case known == nil || known.isSupersededBy(other):
+		return s.replace(now, known, other, decidedAt)
+	case known.generation == other.Generation && !known.released && !other.Released:
+		isWider := known.join(now, other, decidedAt)
+		return known.change(other.Part, Widened), isWider && known.isActive(now)
+	default:
 		return Change{}, false
 	}
-	q := &quarantine{generation: other.Generation, decidedAt: decidedAt, crashes: other.Crashes, released: other.Released, changedAt: now}
+}
+
+func (s *Set) replace(now time.Time, known *quarantine, other fleet.Quarantine, decidedAt time.Time) (Change, bool) {
 	wasActive := known != nil && known.isActive(now)
+	q := &quarantine{
+		generation: other.Generation, with: other.With[:min(len(other.With), maxRivals)], decidedAt: decidedAt,
+		crashes: other.Crashes, released: other.Released, changedAt: now,
+	}
 	if q.released {
 		q.releasedAt = now
 	}
-	if !q.released && !q.isActive(now) {
-		q.endReported = true
-	}
-	if known != nil && known.generation == q.generation && known.released == q.released {
-		// Only the age differs, which is no news.
-		q.changedAt, q.endReported = known.changedAt, known.endReported
-	}
+	q.endReported = !q.released && !q.isActive(now)
 	s.quarantines.put(other.Part, q)
 	s.undecided = true
-	switch change := (Change{Part: other.Part, Crashes: q.crashes}); {
-	case q.isActive(now) && !wasActive:
-		change.Reason, change.Until = Adopted, q.end()
-		return change, true
+	switch {
+	case q.isActive(now):
+		return q.change(other.Part, Adopted), true
 	case wasActive && q.released:
-		change.Reason = ReleasedElsewhere
-		return change, true
+		return Change{Part: other.Part, Reason: ReleasedElsewhere, Crashes: q.crashes}, true
 	default:
 		return Change{}, false
 	}
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -20,17 +20,21 @@
 	starts      startTimes
 	crashes     crashLog
 	quarantines quarantineTable
+	// startedAt is when the first decision was due.
+	startedAt time.Time
 	// undecided is set while evidence may lead to a decision.
 	undecided bool
 }
 
 // NewSet returns a Set without evidence.
 func NewSet() *Set {
-	return &Set{starts: newStartTimes(), crashes: crashLog{}, quarantines: quarantineTable{}}
+	s := &Set{starts: newStartTimes(), quarantines: quarantineTable{}}
+	s.crashes = newCrashLog(s.isSound)
+	return s
 }
 
-// Quarantined returns the first quarantined one of the parts with the end of its
-// quarantine.
+// Quarantined returns the first one of a prompt's parts for which the request is to be
+// refused, with the end of its quarantine.
 func (s *Set) Quarantined(now time.Time, parts []fleet.PromptPart) (part fleet.PromptPart, until time.Time, found bool) {
 	if s.quarantined.Load() == 0 {
 		return fleet.PromptPart{}, time.Time{}, false
@@ -38,7 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
-		if q := s.quarantines[p]; q != nil && q.isActive(now) {
+		if q := s.quarantines[p]; q != nil && q.appliesTo(now, parts) {
 			return p, q.end(), true
 		}
 	}
@@ -58,31 +62,31 @@
 }
 
 // recordStart records when an answer with a part began, and reports whether the part
-// was suspect or quarantined until now.
-func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) bool {
-	cleared := false
-	if q := s.quarantines[p]; q != nil && !q.released && at.After(q.decidedAt.Add(-soundPeriod)) {
-		cleared = true
+// was suspect in several crashes or quarantined until now.
+func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) (urgent bool) {
+	s.starts.record(now, p, at)
+	if len(s.quarantines) > 0 {
+		q := s.quarantines[p]
+		urgent = q != nil && !q.released && provesSound(at, q.decidedAt)
 	}
-	for _, c := range s.crashes {
-		if _, ok := c.suspects[p]; ok && !s.isSound(p, c.at) && at.After(c.at.Add(-soundPeriod)) {
-			c.changedAt = now
-			cleared = true
-		}
+	if len(s.crashes.open) > 0 && len(s.crashes.open[p]) > 0 {
+		refuted := s.crashes.refute(now, p, func(s *suspicion) bool { return provesSound(at, s.crash.at) })
+		urgent = urgent || len(refuted) >= urgentSuspicions
+		s.undecided = s.undecided || len(refuted) > 0
 	}
-	s.starts.record(now, p, at)
-	s.undecided = s.undecided || cleared
-	return cleared
+	s.undecided = s.undecided || urgent
+	return urgent
 }
 
 // Crashed records the crash of a server with the requests that were waiting there. It
-// reports whether that is new evidence.
-func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) bool {
+// reports whether that is new evidence against a part, which the other entries should know
+// soon.
+func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) (isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := s.crashes.record(now, server, at, waiting)
-	s.undecided = s.undecided || changed
-	return changed
+	isNew, _ = s.crashes.record(now, server, at, waiting)
+	s.undecided = s.undecided || isNew
+	return isNew
 }
 
 // Counts describes the size of a Set, for metrics.
@@ -94,11 +98,17 @@
 func (s *Set) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Counts{Quarantined: int(s.quarantined.Load()), Crashes: len(s.crashes)}
+	return Counts{Quarantined: int(s.quarantined.Load()), Crashes: len(s.crashes.crashes)}
 }
 
 // isSound reports whether a part is no suspect in a crash at a time: an answer began
 // with it shortly before the crash or later.
 func (s *Set) isSound(p fleet.PromptPart, crashedAt time.Time) bool {
-	return s.starts.last(p).After(crashedAt.Add(-soundPeriod))
+	return provesSound(s.starts.last(p), crashedAt)
+}
+
+// provesSound reports whether a part whose answer began at a time is no suspect in a
+// crash.
+func provesSound(startedAt, crashedAt time.Time) bool {
+	return startedAt.After(crashedAt.Add(-soundPeriod))
 }
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"currantusher.dev/core/fleet"
@@ -24,6 +25,9 @@
 // quarantine is the last quarantine of a part.
 type quarantine struct {
 	generation uint32
+	// with are the parts that cannot be told apart from this one as the cause. Only
+	// requests with all of them are refused, so that a sound one of them can be found.
+	with       []fleet.PromptPart
 	decidedAt  time.Time
 	crashes    int
 	released   bool
@@ -46,8 +50,19 @@
 
 func (q *quarantine) isActive(now time.Time) bool { return !q.released && now.Before(q.end()) }
 
-// isRepeat reports whether the part has been quarantined before and rightly so.
-func (q *quarantine) isRepeat() bool { return q != nil && !q.released }
+// isRepeat reports whether the part has been quarantined before and rightly so, and
+// whether the crashes in which it is suspect now fit that.
+func (q *quarantine) isRepeat(open []*suspicion) bool {
+	if q == nil || q.released {
+		return false
+	}
+	for _, p := range q.with {
+		if slices.ContainsFunc(open, func(s *suspicion) bool { return s.crash.suspects[p] == nil }) {
+			return false
+		}
+	}
+	return true
+}
 
 func (q *quarantine) isExpired(now time.Time) bool {
 	if q.released {
@@ -57,16 +72,48 @@
 }
 
 // isSupersededBy reports whether a quarantine that another entry knows replaces this one:
-// it is a later one of the same part, or the same one released, or decided earlier.
-func (q *quarantine) isSupersededBy(other fleet.Quarantine, decidedAt time.Time) bool {
-	switch {
-	case other.Generation != q.generation:
+// it is a later one of the same part, or the same one released.
+func (q *quarantine) isSupersededBy(other fleet.Quarantine) bool {
+	if other.Generation != q.generation {
 		return other.Generation > q.generation
-	case other.Released != q.released:
-		return other.Released
-	default:
-		return !q.released && decidedAt.Before(q.decidedAt)
 	}
+	return other.Released && !q.released
+}
+
+// join merges what another entry knows of the same quarantine. The earlier decision counts,
+// but an age by which an active quarantine would have ended is not believed. It reports
+// whether more requests are refused then.
+func (q *quarantine) join(now time.Time, other fleet.Quarantine, decidedAt time.Time) bool {
+	earlier := quarantine{generation: q.generation, decidedAt: decidedAt}
+	if decidedAt.Before(q.decidedAt) && (earlier.isActive(now) || !q.isActive(now)) {
+		q.decidedAt = decidedAt
+	}
+	return q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(other.With, p) })
+}
+
+// widen drops the parts that matches applies to from those that a refused request holds
+// too. It reports whether there were any.
+func (q *quarantine) widen(now time.Time, matches func(fleet.PromptPart) bool) bool {
+	var rest []fleet.PromptPart
+	for _, p := range q.with {
+		if !matches(p) {
+			rest = append(rest, p)
+		}
+	}
+	if len(rest) == len(q.with) {
+		return false
+	}
+	q.with, q.changedAt = rest, now
+	return true
+}
+
+// appliesTo reports whether requests with these parts are refused.
+func (q *quarantine) appliesTo(now time.Time, parts []fleet.PromptPart) bool {
+	return q.isActive(now) && holdsAll(parts, q.with)
+}
+
+func holdsAll(parts, wanted []fleet.PromptPart) bool {
+	return !slices.ContainsFunc(wanted, func(p fleet.PromptPart) bool { return !slices.Contains(parts, p) })
 }
 
 // quarantineTable holds the last quarantine of each part.
@@ -80,14 +127,15 @@
 	}
 }
 
-// put stores a quarantine. When the table is full, it replaces the one that changed
-// least recently.
+// put stores a quarantine. When the table is full, it replaces one: a released one if
+// there is any, and of these the one that changed least recently.
 func (t quarantineTable) put(part fleet.PromptPart, q *quarantine) {
 	if t[part] == nil && len(t) >= maxQuarantines {
 		var oldest fleet.PromptPart
-		for p := range t {
-			if t[oldest] == nil || t[p].changedAt.Before(t[oldest].changedAt) {
-				oldest = p
+		var found *quarantine
+		for p, other := range t {
+			if found == nil || other.isReplacedBefore(found) {
+				oldest, found = p, other
 			}
 		}
 		delete(t, oldest)
@@ -95,6 +143,13 @@
 	t[part] = q
 }
 
+func (q *quarantine) isReplacedBefore(other *quarantine) bool {
+	if q.released != other.released {
+		return q.released
+	}
+	return q.changedAt.Before(other.changedAt)
+}
+
 func (t quarantineTable) countActive(now time.Time) int64 {
 	count := int64(0)
 	for _, q := range t {
