--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -163,15 +163,18 @@
 			continue
 		}
 		fields["for_ms"] = change.Until.Sub(p.gateway.clock.Now()).Milliseconds()
-		fields["recalled"] = p.recall(change.Part)
+		fields["recalled"] = p.recall(change)
+		if len(change.With) > 0 {
+			fields["only_with"] = partIDs(change.With)
+		}
 		p.log.WithFields(fields).Warn("A prompt part is quarantined: requests with it are refused.")
 	}
 }
 
-// recall cancels the requests with a part that no engine has begun, as far as they may be
-// sent again. It returns their number.
-func (p *promptGuard) recall(part fleet.PromptPart) int {
-	taken := p.gateway.queueWaits.takePending(func(t *trackedWait) bool { return t.cancel != nil && t.hasPart(part) })
+// recall cancels the requests that a change applies to and that no engine has begun, as
+// far as they may be sent again. It returns their number.
+func (p *promptGuard) recall(change quarantine.Change) int {
+	taken := p.gateway.queueWaits.takePending(func(t *trackedWait) bool { return t.cancel != nil && change.AppliesTo(t.parts) })
 	for _, t := range taken {
 		t.cancel()
 	}
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -142,9 +141,6 @@
 	}
 }
 
-// hasPart reports whether the request's prompt has a part that others may share.
-func (t *trackedWait) hasPart(part fleet.PromptPart) bool { return slices.Contains(t.parts, part) }
-
 func (t *trackedWait) close(complete bool) {
 	if t == nil {
 		return
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -22,6 +22,8 @@
 	// maxSentKnown the others, which are for entries that have just started.
 	maxSentNews  = 16
 	maxSentKnown = 2
+	// knownPeriod is the time between two messages with the same known quarantine.
+	knownPeriod = time.Second
 )
 
 // Evidence returns what to tell other entries in the next message.
@@ -96,7 +98,7 @@
 		switch {
 		case now.Sub(q.changedAt) < relayPeriod:
 			news = append(news, part)
-		case q.isActive(now):
+		case q.isActive(now) && now.Sub(q.sentAt) >= knownPeriod:
 			known = append(known, part)
 		}
 	}
