A handover waits for the target for half of the callers' patience

Cause: the bound on the wait was three quarters of the gap objective, so that a failed handover would never make a stream late.

Fix: half of the time for which callers wait for an event (1.2 s on that route). A target that refuses or fails says so at once, so that only slow and silent ones hold up a stream, as long as its caller surely waits. A stream that is not read meanwhile does not count for stall detection: otherwise all streams of a server that pauses, unread together, would make it look stalled.

go test -race -count=1 of requests/stall, requests/direct, requests/dispatch and daemon/gateway passes.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -12,7 +12,6 @@
 	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/placement"
-	"currantusher.dev/requests/stall"
 )
 
 const (
@@ -26,12 +25,9 @@
 	// Callers give up after a little more than two seconds.
 	streamIdleGaps       = 4
 	minStreamIdleTimeout = 1500 * time.Millisecond
-	// handoverGapFraction is the fraction of the route's gap objective for which a
-	// handover may hold up a stream; the remainder is for the way to the caller.
-	handoverGapFraction = 0.75
-	// maxHandoverTimeout leaves a server whose stream is not read during a handover
-	// below the time after which it counts as stalled.
-	maxHandoverTimeout = stall.MinTimeout / 2
+	// handoverFraction is the fraction of the time for which callers wait for an event
+	// that a handover may take. The rest is for the stream if it goes on at its server.
+	handoverFraction = 0.5
 	// minCallerTimeout, callerTimeoutObjectives and callerTimeoutGaps give the time
 	// for which callers wait for an event before they disconnect: the maximum of a
 	// fixed time and of multiples of the route's objective and gap objective. The
@@ -176,10 +172,7 @@
 
 // handoverTimeout returns for how long a handover may hold up a stream.
 func handoverTimeout(route *fleet.Route) time.Duration {
-	if route.GapObjective <= 0 {
-		return maxHandoverTimeout
-	}
-	return min(time.Duration(handoverGapFraction*float64(route.GapObjective)), maxHandoverTimeout)
+	return time.Duration(handoverFraction * float64(callerEventTimeout(route)))
 }
 
 // callerEventTimeout returns how long callers wait for the first event of a stream.
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -121,6 +121,9 @@
 	m.wait.dataReceived()
 }
 
+// Suspended implements direct.AttemptObserver.
+func (m *monitoredAttempt) Suspended() { m.Suspend() }
+
 // Completed implements direct.AttemptObserver.
 func (m *monitoredAttempt) Completed() { m.wait.close(true) }
 
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -48,6 +48,8 @@
 type AttemptObserver interface {
 	// DataReceived is called after each read of a part of the answer.
 	DataReceived()
+	// Suspended is called when the answer is not read for a while, until DataReceived.
+	Suspended()
 	// Completed is called when the answer was read to its end, before Close.
 	Completed()
 	// Close is called when the attempt ends; it may be called more than once.
@@ -176,6 +178,9 @@
 	}
 	s := &replyStream{exchange: e, conn: conn, server: server.ID, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, hasher: newHasher(), lastEventID: e.lastEventID()}
 	s.open()
+	if s.isHandover && e.reading != nil {
+		e.reading.attemptObserver.Suspended()
+	}
 	var cancel func()
 	if s.mayAbort() {
 		cancel = s.abort
--- a/requests/stall/stall.go
+++ b/requests/stall/stall.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// Suspend marks a stream that is not read for a while. It counts as active again with the
+// next data.
+func (r *TrackedRequest) Suspend() {
+	r.detector.mu.Lock()
+	defer r.detector.mu.Unlock()
+	s := r.detector.servers[r.id]
+	if s == nil || !s.requests[r] || !r.hasActivity {
+		return
+	}
+	r.hasActivity = false
+	s.activeStreams--
+}
+
 // Close stops tracking the request. Later calls do nothing.
 func (r *TrackedRequest) Close() {
 	r.detector.mu.Lock()
--- a/requests/stall/stall_test.go
+++ b/requests/stall/stall_test.go
@@ -60,3 +60,23 @@
 	require.Empty(t, d.TakeStalled(at(700)))
 	require.Len(t, d.TakeStalled(at(730)), 1)
 }
+
+// A stream that is not read during a handover has no data, whatever its server sends.
+func TestServerOfAnUnreadStreamIsNotStalled(t *testing.T) {
+	d := NewDetector()
+	unread := d.Track(at(0), "s-1", 0, func() {})
+	unread.RecordActivity(at(0))
+	unread.Suspend()
+	unread.Suspend()
+	require.Empty(t, d.TakeStalled(at(1000)))
+	unread.RecordActivity(at(1000))
+	require.Empty(t, d.TakeStalled(at(1400)))
+	require.Len(t, d.TakeStalled(at(1450)), 1)
+	unread.Suspend()
+	unread.Close()
+	require.Empty(t, d.servers)
+	silent := d.Track(at(2000), "s-1", 0, func() {})
+	silent.RecordActivity(at(2000))
+	d.Track(at(2000), "s-1", 0, func() {}).Suspend()
+	require.Len(t, d.TakeStalled(at(2450)), 1, "other streams still count")
+}
