deployed: answers that are broken or have no length, through the whole gateway

The tests send requests of each kind through entries until one meets the fault: whole answers arrive with a length, streams that can be resumed and safe requests are answered by another server, the others fail with 502 or a cut connection after whole events.

--- /dev/null
+++ b/daemon/deployed/answers_test.go
@@ -0,0 +1,91 @@
+package deployed
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/platform/headers"
+	"currantusher.dev/platform/standin"
+)
+
+// untilFault gives the next answer of a server a fault, sends requests until one got it,
+// and returns the answers to these requests; the last one met the fault.
+func (d *deployment) untilFault(server *standin.Backend, fault standin.AnswerFault, send func() callResult) []callResult {
+	d.t.Helper()
+	server.InjectAnswers(fault, 1)
+	var results []callResult
+	for start := time.Now(); time.Since(start) < waitTimeout; {
+		results = append(results, send())
+		if server.AnswerFaultsLeft() == 0 {
+			return results
+		}
+	}
+	d.t.Fatalf("no request reached %s", server.ID)
+	return nil
+}
+
+func isWholePlain(r callResult) bool {
+	return r.err == nil && r.status == http.StatusOK && strings.HasSuffix(r.body, " answers lot") && r.header.Get("Content-Length") != ""
+}
+
+func isWholeStream(r callResult) bool {
+	return r.err == nil && r.status == http.StatusOK && r.body == completeStream(6) && r.header.Get(headers.Names().Signature) != ""
+}
+
+func (d *deployment) stream(entry int, path string) func() callResult {
+	return func() callResult { return d.sendRequest(entry, streamHost, "POST", path, "prompt", nil) }
+}
+
+func (d *deployment) plain(entry int, path string) func() callResult {
+	return func() callResult { return d.sendRequest(entry, plainHost, "POST", path, "lot", nil) }
+}
+
+func TestAnswersWithoutLengthAreComplete(t *testing.T) {
+	d := startDeployment(t)
+	for _, result := range d.untilFault(d.plainServers[0], standin.AnswerUnframed, d.plain(0, "/issue/1")) {
+		require.True(t, isWholePlain(result), "%+v", result)
+	}
+	for _, path := range []string{"/s/x", "/once/x"} {
+		for _, result := range d.untilFault(d.engines[0], standin.AnswerUnframed, d.stream(0, path)) {
+			require.True(t, isWholeStream(result), "%+v", result)
+		}
+	}
+}
+
+func TestBrokenAnswersDoNotLookComplete(t *testing.T) {
+	for name, fault := range map[string]standin.AnswerFault{
+		"reset": standin.AnswerUnframedReset, "cut": standin.AnswerUnframedCut,
+		"endless head": standin.AnswerEndlessHead, "endless body": standin.AnswerEndlessBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			// A server that failed gets fewer requests. Each fault is at another server, that of
+			// the entry's own data centre.
+			d := startDeployment(t)
+			d.awaitRetries(0)
+			for range 4 {
+				require.True(t, isWholeStream(d.stream(0, "/s/x")()), "each request adds to the retries of its service")
+			}
+			for _, result := range d.untilFault(d.engines[0], fault, d.stream(0, "/s/x")) {
+				require.True(t, isWholeStream(result), "a stream goes on at another server: %+v", result)
+			}
+			results := d.untilFault(d.engines[1], fault, d.stream(1, "/once/x"))
+			broken := results[len(results)-1]
+			require.True(t, broken.err != nil || broken.status == http.StatusBadGateway, "%+v", broken)
+			require.True(t, broken.status == http.StatusBadGateway || strings.HasPrefix(completeStream(6), broken.body), "%+v", broken)
+			require.True(t, broken.body == "" || strings.HasSuffix(broken.body, "\n\n"), "only whole events are handed on: %+v", broken)
+			if fault == standin.AnswerUnframedCut {
+				// Nothing tells a plain answer that ends early from a whole one.
+				return
+			}
+			for _, result := range d.untilFault(d.plainServers[0], fault, d.plain(0, "/look")) {
+				require.True(t, isWholePlain(result), "another server answers: %+v", result)
+			}
+			results = d.untilFault(d.plainServers[1], fault, d.plain(1, "/issue/1"))
+			require.Equal(t, http.StatusBadGateway, results[len(results)-1].status)
+		})
+	}
+}
--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -110,6 +110,8 @@
 		Routes: []fleet.Route{
 			{Name: "r-stream", Host: streamHost, Prefix: "/s/", Kind: fleet.RouteStreaming, Timeout: longTimeout, LatencyObjective: 5 * time.Second,
 				GapObjective: 5 * time.Second, Targets: targets("llm"), MaxAttempts: 3, Resumable: true},
+			{Name: "r-stream-once", Host: streamHost, Prefix: "/once/", Kind: fleet.RouteStreaming, Timeout: longTimeout, LatencyObjective: 5 * time.Second,
+				GapObjective: 5 * time.Second, Targets: targets("llm"), MaxAttempts: 1},
 			{Name: "r-safe", Host: plainHost, Prefix: "/", Kind: fleet.RouteSafe, Timeout: longTimeout, LatencyObjective: 5 * time.Second, Targets: targets("lots"), MaxAttempts: 2},
 			{Name: "r-unsafe", Host: plainHost, Prefix: "/issue/", Kind: fleet.RouteUnsafe, Timeout: longTimeout, LatencyObjective: 5 * time.Second, Targets: targets("lots"), MaxAttempts: 1},
 			{Name: "r-public", Host: plainHost, Prefix: "/public/", Kind: fleet.RouteSafe, Timeout: longTimeout, Targets: targets("lots"), MaxAttempts: 2, Public: true},
