Edits: a refused repeat does not settle an edit whose outcome is unknown

Callers saw: `currantusher apply` printed 600 store-unavailable, "nothing was changed", although the edit took effect: the first answer was 404 edit-unknown, the command repeated the edit, and the repeat was refused before it could read the store, while the first commit was still on its way. Cause: 600 and 603 speak of their own call. The editor keeps nothing between calls, and neither the command nor the test kept the unknown outcome of the first. TestRefusalOfARepeatInAnOutageIsNotFinal plays the path step by step. Fix: edit.IsFinal says which answers to a repeat settle the edit; the command repeats until one is final, else it says that the outcome is unknown and names the id. The check of TestRandomEdits was wrong: it took any answer to the second call as final.

--- a/cmd/currantusher/operator.go
+++ b/cmd/currantusher/operator.go
@@ -17,6 +17,7 @@
 	"currantusher.dev/api/oas"
 	"currantusher.dev/core"
 	"currantusher.dev/daemon/settings"
+	"currantusher.dev/tables/edit"
 )
 
 const operatorTimeout = 15 * time.Second
@@ -91,7 +92,7 @@
 
 // edit sends one edit, and repeats it with the same edit ID while it is unknown
 // whether it was accepted. The entry returns the first result for a repeated
-// edit ID.
+// edit ID. A refusal of a repeat ends this only if it is final for the edit.
 func (o *operatorClient) edit(ctx context.Context, edit *oas.Edit) (*oas.EditResult, error) {
 	client, err := o.apiClient()
 	if err != nil {
@@ -102,9 +103,9 @@
 	}
 	edit.Author = oas.NewOptString(editAuthor())
 	var result *oas.EditResult
-	for range maxEditAttempts {
+	for attempt := range maxEditAttempts {
 		result, err = client.ApplyEdit(ctx, edit)
-		if !isOutcomeUnknown(err) {
+		if !isOutcomeUnknown(err) && (attempt == 0 || isFinalAnswer(err)) {
 			return result, problemToError(err)
 		}
 	}
@@ -121,6 +122,16 @@
 	return err != nil
 }
 
+// isFinalAnswer reports whether the answer to a repeated edit settles the earlier
+// ones too.
+func isFinalAnswer(err error) bool {
+	var problem *oas.ProblemStatusCodeWithHeaders
+	if errors.As(err, &problem) {
+		return edit.IsFinal(core.Code(problem.Response.Code))
+	}
+	return err == nil
+}
+
 // editAuthor returns the name that the history shows for an edit.
 func editAuthor() string {
 	if user := os.Getenv("USER"); user != "" {
--- a/tables/edit/edit.go
+++ b/tables/edit/edit.go
@@ -165,8 +165,9 @@
 
 // Apply makes an edit. Its errors carry CodeInvalidField, CodeInvalidRow,
 // CodeDanglingJoin, CodeUnknownEntity, CodeRevisionConflict, CodeKeyReused or a
-// code of the table service if nothing was changed. With CodeEditUnknown the
-// outcome is unknown, and the caller must repeat the edit with the same id.
+// code of the table service if this call changed nothing. With CodeEditUnknown the
+// outcome is unknown, and the caller must repeat the edit with the same id until
+// the answer is final (see IsFinal).
 func (e *Editor) Apply(ctx context.Context, request Request) (Result, error) {
 	if err := request.validate(); err != nil {
 		return Result{}, err
@@ -188,6 +189,20 @@
 	return a.lookUpAfterConflicts(ctx)
 }
 
+// IsFinal reports whether an answer with this code to a repeated edit also settles
+// the earlier calls with the same id. Other codes, as in an outage of the table
+// service, only say what their own call did: a commit of an earlier call may still
+// take effect.
+func IsFinal(code core.Code) bool {
+	switch code {
+	case core.CodeOK, core.CodeInvalidField, core.CodeInvalidRow, core.CodeDanglingJoin,
+		core.CodeUnknownEntity, core.CodeRevisionConflict, core.CodeKeyReused:
+		return true
+	default:
+		return false
+	}
+}
+
 // waitBackoff waits for an exponential backoff with full jitter. It does not
 // wait before the first attempt.
 func waitBackoff(ctx context.Context, attemptNumber int) error {
--- a/tables/edit/edit_test.go
+++ b/tables/edit/edit_test.go
@@ -255,6 +255,37 @@
 	require.Equal(t, core.Revision(2), result.Revision)
 }
 
+func TestRefusalOfARepeatInAnOutageIsNotFinal(t *testing.T) {
+	memory, _ := newEditor(t)
+	down := false
+	var lateTransaction platform.Transaction
+	editor := edit.New(edit.Config{MaxAttempts: 1, Tables: failingTables{
+		Tables: memory,
+		commit: func(_ context.Context, txn platform.Transaction) error {
+			lateTransaction = txn
+			return core.NewFailure(core.CodeStoreOutcomeLost, core.ExecutionUnknown, "lost")
+		},
+		scan: func() error {
+			if down {
+				return core.NewRefusal(core.CodeStoreUnavailable, 0, "down")
+			}
+			return nil
+		},
+	}})
+	_, err := editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.Equal(t, core.CodeEditUnknown, core.CodeOf(err))
+	down = true
+	_, err = editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.Equal(t, core.CodeStoreUnavailable, core.CodeOf(err))
+	require.False(t, edit.IsFinal(core.CodeOf(err)))
+	down = false
+	require.NoError(t, memory.Commit(t.Context(), lateTransaction))
+	result, err := editor.Apply(t.Context(), edit.Request{ID: "e1"})
+	require.NoError(t, err)
+	require.True(t, edit.IsFinal(core.CodeOf(err)))
+	require.Equal(t, core.Revision(2), result.Revision)
+}
+
 func TestOutcomeStaysUnknownWhileTheStoreIsDown(t *testing.T) {
 	memory, _ := newEditor(t)
 	down := false
--- a/tables/edit/linearizability_test.go
+++ b/tables/edit/linearizability_test.go
@@ -196,17 +196,25 @@
 	return editOutput{revision: rows.Revision, weights: s.weightsText()}
 }
 
-// applyOnce makes the edit, and repeats it once with the same id if its outcome
-// is unknown.
+// maxRepeats bounds the repeats of an edit whose outcome is unknown.
+const maxRepeats = 8
+
+// applyOnce makes the edit. If its outcome is unknown, it repeats the edit with
+// the same id until an answer is final. A refusal of a repeat that is not final
+// leaves the outcome unknown.
 func applyOnce(t *testing.T, editor *edit.Editor, in editInput) editOutput {
 	request := edit.Request{
 		ID:         in.id,
 		IfRevision: in.ifRevision,
 		Set:        tables.Rows{Teams: []tables.TeamRow{{Name: in.team, Weight: in.weight}}},
 	}
-	for range 2 {
-		result, err := editor.Apply(t.Context(), request)
-		if core.CodeOf(err) != core.CodeEditUnknown {
+	result, err := editor.Apply(t.Context(), request)
+	if core.CodeOf(err) != core.CodeEditUnknown {
+		return editOutput{code: core.CodeOf(err), revision: result.Revision}
+	}
+	for range maxRepeats {
+		result, err = editor.Apply(t.Context(), request)
+		if edit.IsFinal(core.CodeOf(err)) {
 			return editOutput{code: core.CodeOf(err), revision: result.Revision}
 		}
 	}
