Dispatch: a request waits when the agents that are left are only full

Callers saw: 503 no-backend at once, with 60 s left, when an agent left in the moment between the queue's grant and the pick, and the other agents were full. Cause: the queue grants slots by the capacity of all agents. If one of them leaves before the pick, the pick finds no capacity, and the request was refused as if no agent existed. Only requests with their own candidates waited for the next slot. Evidence: TestRequestWaitsWhenTheLastAgentIsFull failed before: "none of 2 backend servers is available for the request". Why it works: if an agent is usable but full, the request returns to the queue, which reads the capacity again; returns are bounded as before (16, and the deadline).

--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -137,7 +137,7 @@
 				continue
 			}
 		}
-		if err != nil && x.canWaitForSlot(err) {
+		if err != nil && x.canWaitForSlot(placer, err) {
 			if err = x.waitForSlot(ctx); err == nil {
 				continue
 			}
@@ -189,10 +189,13 @@
 		return placement.Candidate{}, x.deadlinePassedError()
 	}
 	x.refreshWeights()
-	placementRequest := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.triedAgents}
 	candidates := x.candidates()
 	x.candidateCount = len(candidates)
-	return placer.Pick(now, placementRequest, candidates)
+	return placer.Pick(now, x.placementRequest(), candidates)
+}
+
+func (x *execution) placementRequest() placement.Request {
+	return placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.triedAgents}
 }
 
 func (x *execution) candidates() []placement.Candidate {
--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"currantusher.dev/core"
+	"currantusher.dev/requests/placement"
 )
 
 // requeue waits in the queue for another slot and clears the set of tried
@@ -20,11 +21,16 @@
 }
 
 // canWaitForSlot reports whether to wait for another slot after a failed pick.
-// This applies to requests with their own candidates. Their backend servers have
-// no agent to admit requests, so that a slot may be taken between the grant and
-// the pick. A broken stream continues when the next slot is free.
-func (x *execution) canWaitForSlot(err error) bool {
-	return x.request.Candidates != nil && core.CodeOf(err) == core.CodeNoBackend
+// Backend servers of requests with their own candidates have no agent to admit
+// requests, so that a slot may be taken between the grant and the pick. A broken
+// stream continues when the next slot is free. Other requests wait if an agent is
+// only full: a slot that the queue granted is lost when its agent leaves before the
+// pick.
+func (x *execution) canWaitForSlot(placer *placement.Placer, err error) bool {
+	if core.CodeOf(err) != core.CodeNoBackend {
+		return false
+	}
+	return x.request.Candidates != nil || placer.HasEligible(x.config.Now(), x.placementRequest(), x.candidates())
 }
 
 // waitForSlot returns the slot, for which no server could be picked, and waits
--- a/requests/dispatch/requeue_test.go
+++ b/requests/dispatch/requeue_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -59,3 +60,34 @@
 		})
 	}
 }
+
+// TestRequestWaitsWhenTheLastAgentIsFull guards against a refusal with no-backend
+// when an agent leaves between the queue's grant and the pick.
+func TestRequestWaitsWhenTheLastAgentIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := placement.New(placement.Config{Entry: "e"})
+		leaving := placement.Candidate{ID: "leaving", Limit: 4}
+		stays := placement.Candidate{ID: "stays", Limit: 1}
+		queue := fair.New(fair.Config{Capacity: func() int { return 4 }})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = queue.Run(ctx) }()
+		d := New(Config{
+			Attempts: attempt.NewGenerator("e", 1),
+			Queue:    func(core.PoolName) *fair.Queue { return queue },
+			Placer:   func(core.PoolName) *placement.Placer { return placer },
+			Candidates: func(core.PoolName) []placement.Candidate {
+				left := leaving
+				left.Leaving = true
+				return []placement.Candidate{left, stays}
+			},
+			Sender: &refusingSender{},
+		})
+		busy, err := placer.Pick(time.Now(), placement.Request{}, []placement.Candidate{stays})
+		require.NoError(t, err)
+		time.AfterFunc(300*time.Millisecond, func() { placer.Finish(time.Now(), busy.ID, placement.Answered, 0, 0) })
+		var out testSink
+		require.NoError(t, d.Do(t.Context(), testRequest(), &out))
+		require.Equal(t, "ok", out.String())
+	})
+}
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -208,6 +208,13 @@
 	return Candidate{}, core.NewRefusal(core.CodeNoBackend, p.config.RetryAfter, "none of %d backend servers is available for the request", len(candidates))
 }
 
+// HasEligible reports whether a candidate would be picked if it had capacity.
+func (p *Placer) HasEligible(now time.Time, request Request, candidates []Candidate) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.eligibleOptions(now, request, candidates)) > 0
+}
+
 // Finish ends an attempt that Pick started. running and limit are the agent's
 // load and limit from the End frame, or both 0 when unknown.
 func (p *Placer) Finish(now time.Time, id core.InstanceID, outcome Outcome, running, limit int) {
