--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -126,7 +126,7 @@
 	for {
 		a, err := x.nextAttempt(ctx, placer)
 		if err != nil {
-			if err = x.waitForAgent(ctx, err); err != nil {
+			if err = x.waitForAgent(ctx, placer, err); err != nil {
 				return x.finalError(lastErr, err)
 			}
 			continue
@@ -149,7 +149,7 @@
 
 // waitForAgent waits until another pick may succeed after pickErr, or returns the reason
 // why there is none.
-func (x *execution) waitForAgent(ctx context.Context, pickErr error) error {
+func (x *execution) waitForAgent(ctx context.Context, placer *placement.Placer, pickErr error) error {
 	if x.waitForOpening(ctx) {
 		return nil
 	}
@@ -165,7 +165,7 @@
 	} else if x.waitForRefusingAgents(ctx) {
 		return nil
 	}
-	if x.canWaitForSlot(err) {
+	if x.canWaitForSlot(placer, err) {
 		return x.waitForSlot(ctx)
 	}
 	return err
@@ -194,10 +194,13 @@
 		return placement.Candidate{}, x.deadlinePassedError()
 	}
 	x.refreshWeights()
-	placementRequest := placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.triedAgents}
 	candidates := x.candidates()
 	x.candidateCount = len(candidates)
-	return placer.Pick(now, placementRequest, candidates)
+	return placer.Pick(now, x.placementRequest(), candidates)
+}
+
+func (x *execution) placementRequest() placement.Request {
+	return placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.triedAgents}
 }
 
 func (x *execution) candidates() []placement.Candidate {
