A request that the entry did not send does not count against its server

Callers saw sound servers leave the rotation for a second and longer after a part was quarantined. A request with that part which had waited in the queue got a server from the placer and was refused before it was written (CheckOpen, part-quarantined). outcomeOf knew only server-closed as such a refusal, so the attempt ended as Failed at a server that had not heard of it: three of them eject the server, and each further one doubles the ejection.

outcomeOf now goes by whether the attempt was sent. Only a server that could not be reached still counts as failed.

--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -59,7 +59,7 @@
 		placer.Finish(x.config.Now(), a.agent.ID, placement.Inconclusive, 0, 0)
 		return core.NewFailure(core.CodeInternal, core.ExecutionUnknown, "attempt %s was not dispatched: it would violate the at-most-once invariant", a.id)
 	}
-	outcome := outcomeOf(ctx, err, a.answer)
+	outcome := outcomeOf(ctx, err, a)
 	if x.successor != nil {
 		outcome = placement.Inconclusive
 	}
@@ -88,7 +88,8 @@
 	placer.Finish(x.config.Now(), a.agent.ID, outcome, running, limit)
 }
 
-func outcomeOf(ctx context.Context, err error, answer *answerValidator) placement.Outcome {
+func outcomeOf(ctx context.Context, err error, a *agentAttempt) placement.Outcome {
+	answer := a.answer
 	switch {
 	case err == nil:
 		return placement.Answered
@@ -96,7 +97,7 @@
 		return placement.Inconclusive
 	case core.CodeOf(err) == core.CodeEngineFailed:
 		return placement.Failed
-	case answer.end == nil && core.CodeOf(err) == core.CodeServerClosed:
+	case a.unsent && core.CodeOf(err) != core.CodeAgentUnreachable:
 		return placement.Inconclusive
 	case answer.end != nil && isAgentUnavailable(err):
 		return placement.Unavailable
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -106,7 +106,7 @@
 // abandonHandover ends an attempt that did not take over the stream of from. A server
 // that did not begin within the short timeout may be healthy.
 func (x *execution) abandonHandover(ctx context.Context, placer *placement.Placer, from, a *agentAttempt, err error) {
-	outcome := outcomeOf(ctx, err, a.answer)
+	outcome := outcomeOf(ctx, err, a)
 	if core.CodeOf(err) == core.CodeTimeout {
 		outcome = placement.Inconclusive
 	}
