Idle timeout: time in which a stream was not read does not count

A stream whose handover failed was cut at once although its server had gone on. The timeout for whole events counted from the last event that was read, but nothing is read from the old server during a handover, which may take half of the callers' patience: more than the timeout for objectives above 750 ms. With attempts left (maxAttempts of 3 and more), the read deadline had passed before the next read, and the data that was there was not looked at.

The test failed before: reading the answer of s-1 failed: i/o timeout.

--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -177,3 +177,18 @@
 	time.AfterFunc(5*e.request.StreamIdleTimeout, func() { close(more) })
 	requireEvent(t, old, secondEvent)
 }
+
+// A stream was cut because the handover had taken longer than the longest gap, although
+// its server had sent further events meanwhile.
+func TestFailedHandoverDoesNotCountTowardsTheIdleTimeout(t *testing.T) {
+	more := make(chan struct{})
+	e, _, old := newHandover(t, serveUntilClosed(t, more))
+	e.request.MaxAttempts, e.request.StreamIdleTimeout = 4, 2*time.Second
+	target := startAttempt(t, e, "s-2", serveNothing(t))
+	close(more)
+	unread := old.(*replyStream)
+	unread.lastEventAt = unread.lastEventAt.Add(-e.request.StreamIdleTimeout)
+	unread.returnedAt = unread.returnedAt.Add(-e.request.StreamIdleTimeout)
+	target.Cancel()
+	requireEvent(t, old, secondEvent)
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -58,7 +58,9 @@
 	buffer   []byte
 	// lastEventAt is when the last whole event or, before the first one, the head was
 	// received.
-	lastEventAt  time.Time
+	lastEventAt time.Time
+	// returnedAt is when Recv last returned.
+	returnedAt   time.Time
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
@@ -70,7 +72,9 @@
 
 // Recv implements dispatch.ReplyStream.
 func (s *replyStream) Recv() (wire.AnswerFrame, error) {
+	s.skipUnreadTime()
 	frame, err := s.receive()
+	s.returnedAt = time.Now()
 	switch {
 	case err != nil && !s.begun && isEndedByServer(err):
 		s.exchange.observer.ConnectionEnded(s.lifetime, s.addr)
@@ -81,6 +85,14 @@
 	return frame, err
 }
 
+// skipUnreadTime makes the time in which the answer was not read, as during a handover,
+// not count as silence of the server.
+func (s *replyStream) skipUnreadTime() {
+	if !s.lastEventAt.IsZero() {
+		s.lastEventAt = s.lastEventAt.Add(time.Since(s.returnedAt))
+	}
+}
+
 // isEndedByServer reports whether err shows that the server closed or reset the
 // connection. A connection that this process closes gives another error.
 func isEndedByServer(err error) bool {
