Announce the pause of each engine that serves until its load

What callers saw: requests and moved streams were sent to engines that were loading a version and answered 421 or 503; before make-before-break handovers, such streams were cut.

Cause: scheduledLoadTime returned "now", and a load without a scheduled time is not announced, in two cases in which the engine serves while the pieces travel for 3 to 5.6 s: the engine listed no weights when the version was named (it was new, or loading the version before), and the agent had started after the naming and did not know its time.

The report is now read when all pieces are held. Only an engine without weights and without an order in progress loads at once: it serves nothing. If the time of the request is unknown, the load starts after the usual minPauseNotice (0.6 s).

--- a/weights/staging/fleet_harness_test.go
+++ b/weights/staging/fleet_harness_test.go
@@ -260,7 +260,11 @@
 	if e.loading > 0 && !time.Now().Before(e.readyAt) {
 		e.loaded, e.loadedAt[e.loading], e.loading = e.loading, e.readyAt, 0
 	}
-	return worker.Report{Loaded: map[fleet.Model]fleet.WeightsVersion{"m": e.loaded}, Busy: e.loading > 0, AcceptedOrders: e.orders}, nil
+	loaded := map[fleet.Model]fleet.WeightsVersion{}
+	if e.loaded > 0 {
+		loaded["m"] = e.loaded
+	}
+	return worker.Report{Loaded: loaded, Busy: e.loading > 0, AcceptedOrders: e.orders}, nil
 }
 
 func (e *simulatedEngine) LoadAfterRunning(_ context.Context, _ fleet.Model, version fleet.WeightsVersion, _ int64) (worker.OrderResult, error) {
--- a/weights/staging/fleet_test.go
+++ b/weights/staging/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 )
 
 const (
@@ -205,3 +207,38 @@
 		require.Less(t, f.lastLoad(3)-f.origin.downUntil, inForceWithin*3/4)
 	})
 }
+
+// Guards against a schedule by the weights that an engine had when a version was
+// requested, several seconds before its pieces are held.
+func TestEngineThatStartsToServeWhileAVersionArrivesIsDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, testAgentsPerRegion, testRegions, answersFraction)
+		var mu sync.Mutex
+		announced := map[core.InstanceID]time.Duration{}
+		for id, m := range f.managers {
+			f.engines[id].loaded = 0
+			m.config.AnnouncePause = func(notice fleet.PauseNotice) {
+				mu.Lock()
+				defer mu.Unlock()
+				if _, ok := announced[id]; !ok && !notice.Ended {
+					announced[id] = time.Since(f.started)
+				}
+			}
+		}
+		f.run(12*time.Second, map[time.Duration]func(){
+			0: func() { f.nameVersion(2) },
+			time.Second: func() {
+				for _, e := range f.engines {
+					e.mu.Lock()
+					e.loaded = 1
+					e.mu.Unlock()
+				}
+			},
+		})
+		require.Less(t, f.lastLoad(2), inForceWithin)
+		for id, e := range f.engines {
+			require.Contains(t, announced, id)
+			require.GreaterOrEqual(t, e.loadedAt[2].Sub(f.started), announced[id]+minPauseNotice)
+		}
+	})
+}
--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -24,11 +24,16 @@
 
 // scheduledLoadTime returns the time at which the engine loads a version, or the
 // zero time to load immediately. Engines that serve requests load one after the
-// other; an engine without any weights, which serves none, loads immediately.
+// other; an engine without any weights, which serves none, loads immediately. The
+// report is as of when all pieces are held: an engine that was loading an older
+// version when this one was requested serves that version meanwhile.
 func (m *Manager) scheduledLoadTime(target TargetVersion, plan FetchPlan, report worker.Report) time.Time {
-	if len(report.Loaded) == 0 || target.RequestedAt.IsZero() {
+	if len(report.Loaded) == 0 && !report.Busy {
 		return time.Time{}
 	}
+	if target.RequestedAt.IsZero() {
+		return time.Now().Add(minPauseNotice)
+	}
 	return target.RequestedAt.Add(plan.LoadDelay(target.Version, target.InForceWithin))
 }
 
--- a/weights/staging/load_schedule_test.go
+++ b/weights/staging/load_schedule_test.go
@@ -73,6 +73,34 @@
 	})
 }
 
+// Guards against an unannounced load of an engine that was loading the version before
+// when this one was requested, and so listed no weights.
+func TestLoadAfterAnotherLoadIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestManager(nil)
+		target := TargetVersion{VersionKey: olderKey, RequestedAt: time.Now(), InForceWithin: inForceWithin}
+		plan := NewFetchPlan(m.config.Self, "north", 64, agentsInRegions("north", "north", "north"))
+		loadTime := m.scheduledLoadTime(target, plan, worker.Report{Busy: true})
+		require.Equal(t, m.scheduledLoadTime(target, plan, reportWithLoaded(1)), loadTime)
+		require.False(t, loadTime.IsZero())
+	})
+}
+
+// Guards against an unannounced load by an agent that started after the request.
+func TestLoadOfUnknownAgeIsAnnouncedWithMinimumNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var announced []fleet.PauseNotice
+		m := newTestManager(func(p fleet.PauseNotice) { announced = append(announced, p) })
+		target := TargetVersion{VersionKey: olderKey, InForceWithin: inForceWithin}
+		m.addTestJob(target, 4)
+		start := time.Now()
+		require.NoError(t, m.awaitLoadTime(t.Context(), target, m.scheduledLoadTime(target, FetchPlan{}, reportWithLoaded(1))))
+		require.Equal(t, minPauseNotice, time.Since(start))
+		require.Len(t, announced, 1)
+		require.Equal(t, minPauseNotice, announced[0].StartsIn)
+	})
+}
+
 // A newer version whose pieces are held in time supersedes the older version. It
 // must then be loaded before the load deadline of the older version.
 func TestVersionIsSupersededByNewerCompleteVersion(t *testing.T) {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -295,7 +295,7 @@
 		default:
 			// Fetch the version even while the engine is loading an older one.
 			log.WithField("report", report.Raw).Info("Engine does not have the version; fetching and loading it.")
-			err := m.fetchAndLoad(ctx, log, j, report)
+			err := m.fetchAndLoad(ctx, log, j)
 			switch {
 			case errors.Is(err, errSuperseded):
 				pause.For(ctx, checkPeriod)
@@ -351,7 +351,7 @@
 var errSuperseded = errors.New("superseded: a newer version is loaded instead")
 
 // fetchAndLoad fetches a version, waits for its load time and loads it.
-func (m *Manager) fetchAndLoad(ctx context.Context, log *logrus.Entry, j *job, report worker.Report) error {
+func (m *Manager) fetchAndLoad(ctx context.Context, log *logrus.Entry, j *job) error {
 	target := j.target
 	start := time.Now()
 	plan := m.newPlan(ctx, target)
@@ -365,6 +365,10 @@
 	log.WithFields(logrus.Fields{
 		"ms": time.Since(start).Milliseconds(), "agents": len(versionFetcher.currentPlan().agents), "from": versionFetcher.sourceCounts(),
 	}).Info("Holding all pieces of the version.")
+	report, err := m.engineReport(ctx)
+	if err != nil {
+		return err
+	}
 	if err := m.awaitLoadTime(ctx, target, m.scheduledLoadTime(target, plan, report)); err != nil {
 		return err
 	}
