Forward notices of pauses to entries that agents may not list

What callers saw: entries that had restarted, been added or were leaving sent requests and moved streams to engines that were loading, and got 421 or 503.

Cause: agents read the list of entries every 20 s. A leaving entry takes its row away at its SIGTERM and serves on; a restarted one writes a new row at once. An agent that reads in between announces nothing to it for 20 s. A restarted entry has also lost the notices of its predecessor.

An entry that gets a notice from an agent now forwards it to the entries that started within 25 s or are leaving, once, and those that start later get the notices in force. About three entries do so for each notice and receiver, by rendezvous hashing among the older ones. Forwarded notices are not forwarded again; while no entry starts or leaves nothing is sent; agents and the store see no additional reads. Older processes ignore the new message.

Before, the node did not forward: TestNodeForwardsTheNoticesOfAgents: the notice was not forwarded (run with the call of forwardPauses in receivePause taken out; the other tests use functions that did not exist.)

--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -94,6 +94,9 @@
 	// PauseNotice is sent by an agent. The other fields of its message are
 	// empty.
 	PauseNotice *fleet.PauseNotice `cbor:"4,keyasint,omitempty"`
+	// Pauses holds notices of agents that another entry forwards. The other fields of its
+	// message are empty.
+	Pauses []fleet.PauseNotice `cbor:"11,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of a member's description that changes often, in a form
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -45,7 +45,7 @@
 	Evidence   func() fleet.CrashEvidence
 	OnEvidence func(fleet.CrashEvidence)
 	// OnPauseNotice is called with each pause notice that an agent sends about
-	// its backend server.
+	// its backend server, or that another entry forwards.
 	OnPauseNotice func(fleet.PauseNotice)
 	Log           *logrus.Entry
 	// Now is the clock. The default is time.Now.
@@ -217,6 +217,7 @@
 	if aliveCount != previousCount {
 		n.config.Log.WithFields(logrus.Fields{"alive": aliveCount, "before": previousCount}).Info("The number of alive entries changed.")
 	}
+	n.forwardPauses()
 	for _, outgoing := range round {
 		outgoing.Message.NewestWeights = newestWeights
 		if !evidence.IsEmpty() {
@@ -225,14 +226,28 @@
 		if !outgoing.Message.OmitsLoads {
 			outgoing.Message.Paces = paces
 		}
-		datagram, err := cbor.Marshal(outgoing.Message)
-		if err != nil {
-			n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
-			continue
-		}
-		for _, addr := range outgoing.Addrs {
-			n.sendDatagram(datagram, addr)
-		}
+		n.send(outgoing)
+	}
+}
+
+// forwardPauses sends the notices that are due to members which agents may not know.
+func (n *Node) forwardPauses() {
+	n.mu.Lock()
+	forwards := n.state.PauseForwards(n.config.Now())
+	n.mu.Unlock()
+	for _, outgoing := range forwards {
+		n.send(outgoing)
+	}
+}
+
+func (n *Node) send(outgoing Outgoing) {
+	datagram, err := cbor.Marshal(outgoing.Message)
+	if err != nil {
+		n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
+		return
+	}
+	for _, addr := range outgoing.Addrs {
+		n.sendDatagram(datagram, addr)
 	}
 }
 
@@ -254,7 +269,13 @@
 		return
 	}
 	if message.PauseNotice != nil {
-		n.config.OnPauseNotice(*message.PauseNotice)
+		n.receivePause(*message.PauseNotice)
+		return
+	}
+	if len(message.Pauses) > 0 {
+		for _, notice := range message.Pauses {
+			n.config.OnPauseNotice(notice)
+		}
 		return
 	}
 	if len(message.NewestWeights) > 0 {
@@ -268,6 +289,15 @@
 	n.state.Receive(n.config.Now(), message)
 }
 
+// receivePause handles a notice of an agent. Forwarded notices are not forwarded again.
+func (n *Node) receivePause(notice fleet.PauseNotice) {
+	n.config.OnPauseNotice(notice)
+	n.mu.Lock()
+	n.state.RecordPause(n.config.Now(), notice)
+	n.mu.Unlock()
+	n.forwardPauses()
+}
+
 // SendPauseNotice sends a pause notice about a backend server to the entry at a
 // peer address.
 func SendPauseNotice(socket *net.UDPConn, addr string, notice fleet.PauseNotice) error {
--- a/members/gossip/round.go
+++ b/members/gossip/round.go
@@ -45,6 +45,9 @@
 // NextRound starts a round and returns its messages.
 func (s *State) NextRound(now time.Time, revisions map[string]uint64, loads map[core.InstanceID]int) []Outgoing {
 	s.round++
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.removeSilentPeers(now)
 	s.self.Revisions = revisions
 	alive := s.alivePeers(now)
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -52,6 +52,9 @@
 	loads   map[core.InstanceID]int
 	paces   map[core.InstanceID]float64
 	loadsAt time.Time
+	// forwarded holds the sequence numbers of the notices that were forwarded to the
+	// incarnation.
+	forwarded map[pauseKey]uint64
 }
 
 // State is the view that one entry has of the other entries. It is not safe for
@@ -73,6 +76,10 @@
 	// Both are sent in the next round.
 	wanted    map[string][]uint32
 	requested map[string][]uint32
+	// pauses holds the latest notices of agents, and startedAt is when the first round
+	// was sent.
+	pauses    map[pauseKey]receivedPause
+	startedAt time.Time
 }
 
 // NewState returns the state of an entry that has no peers yet. seed is the
@@ -85,6 +92,7 @@
 		discoveredAt: map[string]time.Time{},
 		wanted:       map[string][]uint32{},
 		requested:    map[string][]uint32{},
+		pauses:       map[pauseKey]receivedPause{},
 		random:       rand.New(rand.NewPCG(seed, 2)),
 	}
 }
