Quarantine: log lines name up to 64 parts

Operators asked explain why a request was refused and did not see the crashes of busy servers: the log line of a crash names the distinct parts of all requests that waited there, and stopped after 8, so that the quarantined part was often left out and explain took the line for one about other parts. A refused request with more than 8 parts had the same gap. 64 is the number of suspects that a Set keeps of a crash, and more than a prompt's shared parts (16).

--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -26,7 +26,7 @@
 	// where it is relayed. In a small one it takes one message.
 	largeSettleTime = time.Second
 	// maxLoggedParts bounds the parts that a log line names.
-	maxLoggedParts = 8
+	maxLoggedParts = 64
 )
 
 // promptGuard keeps requests with prompt parts that crash engines away from them.
