Forwarding of pause notices that scales to many entries and engines

For each notice that arrived, an entry ranked the forwarders of all notices in force for all entries that started recently: with 350 entries, 35 of them restarted, and 600 engines that load, millions of hashes a notice. A restarted entry could also get all notices in force in one message, which may exceed the largest datagram that is received.

Now a member that started recently gets the notices in force once, and only new ones are considered afterwards. Messages hold 16 notices at most. The rank is a mix of three hashes that are known.

TestForwardingIsDividedInALargeDeployment: each notice is forwarded three times to each restarted entry, the work is divided evenly, and messages stay small.

--- a/members/gossip/pauses.go
+++ b/members/gossip/pauses.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 )
 
@@ -22,6 +21,8 @@
 	// pauseForwarders is the number of members that forward a notice to a member, because
 	// datagrams can be lost and some may not have received the notice.
 	pauseForwarders = 3
+	// maxPausesPerMessage keeps a message within one packet.
+	maxPausesPerMessage = 16
 )
 
 // pauseKey identifies a pause.
@@ -44,13 +45,17 @@
 		return
 	}
 	s.pauses[key] = receivedPause{notice: notice, at: now.Add(notice.StartsIn)}
+	s.newPauses = append(s.newPauses, key)
 }
 
-// PauseForwards returns messages with the notices that this entry is to forward and has
-// not: to members that agents may not have on their lists, because they started recently
-// or are leaving.
+// PauseForwards returns messages with the notices that this entry is to forward: to
+// members that agents may not have on their lists, because they started recently or are
+// leaving. A member that started recently gets all notices in force first, and from then
+// on new ones like the others.
 func (s *State) PauseForwards(now time.Time) []Outgoing {
 	maps.DeleteFunc(s.pauses, func(_ pauseKey, p receivedPause) bool { return now.Sub(p.at) > pauseForwardPeriod })
+	latest := s.newPauses
+	s.newPauses = nil
 	if len(s.pauses) == 0 || s.IsLarge() && now.Sub(s.startedAt) < unlistedPeriod {
 		return nil
 	}
@@ -58,25 +63,26 @@
 	forwarders := filter(alive, func(p *peer) bool { return !p.mayBeUnlisted(now) })
 	var list []Outgoing
 	for _, target := range filter(alive, func(p *peer) bool { return p.mayBeUnlisted(now) }) {
-		if notices := s.takeForwards(now, target, forwarders); len(notices) > 0 {
+		keys := latest
+		if !target.hasPauses && target.isRecent(now) {
+			keys = slices.Collect(maps.Keys(s.pauses))
+		}
+		target.hasPauses = true
+		for notices := range slices.Chunk(s.forwardedNotices(now, keys, target, forwarders), maxPausesPerMessage) {
 			list = append(list, Outgoing{Message: Message{Pauses: notices}, Addrs: []string{target.member.PeerAddr}})
 		}
 	}
 	return list
 }
 
-// takeForwards returns the notices to send to a member, and marks them as sent.
-func (s *State) takeForwards(now time.Time, target *peer, forwarders []*peer) []fleet.PauseNotice {
-	maps.DeleteFunc(target.forwarded, func(key pauseKey, _ uint64) bool { _, ok := s.pauses[key]; return !ok })
+// forwardedNotices returns those of some notices that this entry forwards to a member.
+func (s *State) forwardedNotices(now time.Time, keys []pauseKey, target *peer, forwarders []*peer) []fleet.PauseNotice {
 	var notices []fleet.PauseNotice
-	for key, p := range s.pauses {
-		if target.forwarded[key] >= p.notice.Sequence || !s.isForwarder(key, target, forwarders) {
+	for _, key := range keys {
+		p, ok := s.pauses[key]
+		if !ok || !s.isForwarder(key, target, forwarders) {
 			continue
 		}
-		if target.forwarded == nil {
-			target.forwarded = map[pauseKey]uint64{}
-		}
-		target.forwarded[key] = p.notice.Sequence
 		notice := p.notice
 		notice.StartsIn = max(p.at.Sub(now), 0)
 		notices = append(notices, notice)
@@ -88,25 +94,30 @@
 // isForwarder reports whether this entry is among the members that forward a notice to a
 // member.
 func (s *State) isForwarder(key pauseKey, target *peer, others []*peer) bool {
-	own, ahead := forwardRank(key, target, s.self.ID), 0
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key.addr))
+	_, _ = hash.Write(strconv.AppendInt(nil, int64(key.version), 10))
+	seed := hash.Sum64() + uint64(target.key)
+	own, ahead := mix(seed+uint64(s.self.key())), 0
 	for _, p := range others {
-		if forwardRank(key, target, p.member.ID) > own {
+		if mix(seed+uint64(p.key)) > own {
 			ahead++
 		}
 	}
 	return ahead < pauseForwarders
 }
 
-func forwardRank(key pauseKey, target *peer, forwarder core.InstanceID) uint64 {
-	hash := fnv.New64a()
-	for _, part := range []string{key.addr, strconv.FormatInt(int64(key.version), 10), string(target.member.ID), string(forwarder)} {
-		_, _ = hash.Write([]byte(part))
-		_, _ = hash.Write([]byte{0})
-	}
-	return hash.Sum64()
+// mix is the finalizer of MurmurHash3, which distributes similar values evenly.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // mayBeUnlisted reports whether agents may not have a member on their lists of entries.
 func (p *peer) mayBeUnlisted(now time.Time) bool {
-	return now.Sub(p.learnedAt) < unlistedPeriod || p.member.Phase == PhaseLeaving
+	return p.isRecent(now) || p.member.Phase == PhaseLeaving
 }
+
+// isRecent reports whether a member started within unlistedPeriod.
+func (p *peer) isRecent(now time.Time) bool { return now.Sub(p.learnedAt) < unlistedPeriod }
--- a/members/gossip/pauses_test.go
+++ b/members/gossip/pauses_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -143,3 +144,46 @@
 	notice.StartsIn = pauseLead
 	require.Equal(t, testNotice(1), notice, "the notice is forwarded before the next datagram")
 }
+
+// A tenth of the entries restart while all engines load.
+func TestForwardingIsDividedInALargeDeployment(t *testing.T) {
+	const entries, restarted, engines = 100, 10, 200
+	now := time.Unix(1000, 0)
+	states := make([]*State, entries-restarted)
+	for i := range states {
+		states[i] = NewState(testMember(i), uint64(i))
+		states[i].NextRound(now, nil, nil)
+	}
+	later := now.Add(2 * unlistedPeriod)
+	received, most := map[string]int{}, 0
+	for _, state := range states {
+		for j := range entries {
+			member := testMember(j)
+			if j < len(states) {
+				state.updateMember(now, member)
+			}
+			member.Sequence = 1
+			state.updateMember(later, member)
+		}
+		forwarded := 0
+		for engine := range engines {
+			notice := testNotice(uint64(engine + 1))
+			notice.Addr = fmt.Sprintf("10.1.%d.%d:8000", engine/250, engine%250)
+			state.RecordPause(later, notice)
+			if engine%2 == 0 {
+				continue
+			}
+			for _, outgoing := range state.PauseForwards(later) {
+				require.LessOrEqual(t, len(outgoing.Message.Pauses), maxPausesPerMessage)
+				received[outgoing.Addrs[0]] += len(outgoing.Message.Pauses)
+				forwarded += len(outgoing.Message.Pauses)
+			}
+		}
+		most = max(most, forwarded)
+	}
+	require.Len(t, received, restarted)
+	for _, count := range received {
+		require.Equal(t, pauseForwarders*engines, count)
+	}
+	require.Less(t, most, 2*pauseForwarders*engines*restarted/len(states))
+}
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -52,9 +52,8 @@
 	loads   map[core.InstanceID]int
 	paces   map[core.InstanceID]float64
 	loadsAt time.Time
-	// forwarded holds the sequence numbers of the notices that were forwarded to the
-	// incarnation.
-	forwarded map[pauseKey]uint64
+	// hasPauses is true if the notices in force were forwarded to the incarnation.
+	hasPauses bool
 }
 
 // State is the view that one entry has of the other entries. It is not safe for
@@ -76,9 +75,11 @@
 	// Both are sent in the next round.
 	wanted    map[string][]uint32
 	requested map[string][]uint32
-	// pauses holds the latest notices of agents, and startedAt is when the first round
-	// was sent.
+	// pauses holds the latest notices of agents, and newPauses those that came since
+	// notices were last forwarded.
 	pauses    map[pauseKey]receivedPause
+	newPauses []pauseKey
+	// startedAt is when the first round was sent.
 	startedAt time.Time
 }
 
