Test of deadly parts: the gap between crashes follows the moment's length

TestRequestsWithADeadlyPartDoNotCrashOneEngineAfterAnother failed in 4 of 4 runs: "entry 0 does not refuse the deadly part". Its crashGap of 60 ms is meant to be longer than the time within which crashes count as one, and had raised that time (momentGap in requests/quarantine) to 200 ms. The three requests crashed eight engines at two moments only, and a part is quarantined at the third. The metrics of the entries showed it: 8 crashes known, 0 parts.

The gap is 250 ms now, so that the test has the three moments that it is about. All its checks stay as they were.

--- a/daemon/deployed/quarantine_test.go
+++ b/daemon/deployed/quarantine_test.go
@@ -20,8 +20,8 @@
 
 const (
 	deadlyPart = "dead01"
-	// crashGap is longer than the time within which crashes count as one.
-	crashGap = 60 * time.Millisecond
+	// crashGap is longer than the 200 ms within which crashes count as one moment.
+	crashGap = 250 * time.Millisecond
 )
 
 // mortalEngine is an engine that ends when it gets a request with the deadly part.
