Evidence of crashes names traits of requests in place of prompt parts

A whole request that is repeated is a trait as well. No change of behaviour: nothing uses a whole request yet, and the encoding is the same.

--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -6,14 +6,20 @@
 	"currantusher.dev/core"
 )
 
-// PromptPart identifies a part of the prompts for a model that several requests may
-// share.
-type PromptPart struct {
-	_     struct{} `cbor:",toarray"`
+// Trait is what several requests may have in common: a part of their prompts, or
+// everything, if a request is repeated.
+type Trait struct {
+	_ struct{} `cbor:",toarray"`
+	// Model is the model that the prompts are for. It is empty for a whole request.
 	Model Model
-	ID    string
+	// ID identifies the part among those of the model, or is the fingerprint of the
+	// request.
+	ID string
 }
 
+// IsRequest reports whether the trait is a whole request.
+func (t Trait) IsRequest() bool { return t.Model == "" }
+
 // CrashEvidence is what an entry tells the others about the prompt parts that crash
 // backend servers. Ages are times before the message was sent.
 type CrashEvidence struct {
@@ -42,7 +48,7 @@
 // crashed.
 type Suspect struct {
 	_    struct{} `cbor:",toarray"`
-	Part PromptPart
+	Part Trait
 	// Request is a hash of the request's ID.
 	Request uint32
 	// Position is the index of the part in the prompt.
@@ -52,7 +58,7 @@
 // PartStart reports that an answer to a prompt with this part has begun.
 type PartStart struct {
 	_    struct{} `cbor:",toarray"`
-	Part PromptPart
+	Part Trait
 	// Age is the time since the last such answer began.
 	Age time.Duration
 }
@@ -60,7 +66,7 @@
 // Quarantine reports that requests with a prompt part are refused, or no longer.
 type Quarantine struct {
 	_    struct{} `cbor:",toarray"`
-	Part PromptPart
+	Part Trait
 	// Generation counts how often the part has been quarantined.
 	Generation uint32
 	// Age is the time since the decision to quarantine the part.
@@ -71,5 +77,5 @@
 	Released bool
 	// With are the parts that cannot be told apart from Part as the cause. Only requests
 	// with all of them are refused.
-	With []PromptPart
+	With []Trait
 }
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -91,7 +91,7 @@
 	model   fleet.Model
 	// requestID and parts are the id of the request and the shared parts of its prompt.
 	requestID string
-	parts     []fleet.PromptPart
+	parts     []fleet.Trait
 }
 
 // BeforeSend implements direct.Observer.
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -51,20 +51,20 @@
 }
 
 // sharedParts returns the parts of a request's prompt that other requests may share.
-func sharedParts(model fleet.Model, header http.Header, name string) []fleet.PromptPart {
+func sharedParts(model fleet.Model, header http.Header, name string) []fleet.Trait {
 	if model == "" {
 		return nil
 	}
 	ids := headers.SharedPromptParts(header.Get(name))
-	parts := make([]fleet.PromptPart, len(ids))
+	parts := make([]fleet.Trait, len(ids))
 	for i, id := range ids {
-		parts[i] = fleet.PromptPart{Model: model, ID: id}
+		parts[i] = fleet.Trait{Model: model, ID: id}
 	}
 	return parts
 }
 
 // check returns a refusal if one of the parts is quarantined.
-func (p *promptGuard) check(parts []fleet.PromptPart) error {
+func (p *promptGuard) check(parts []fleet.Trait) error {
 	now := p.gateway.clock.Now()
 	part, until, found := p.set.Quarantined(now, parts)
 	if !found {
@@ -75,14 +75,14 @@
 }
 
 // began records that an answer to a prompt with these parts has begun.
-func (p *promptGuard) began(parts []fleet.PromptPart) {
+func (p *promptGuard) began(parts []fleet.Trait) {
 	if len(parts) > 0 && p.set.Started(p.gateway.clock.Now(), parts) {
 		p.gateway.gossip.SendSoon()
 	}
 }
 
 // lost handles the end of a connection by a server before the answer began.
-func (p *promptGuard) lost(server notices.Lifetime, addr, requestID string, parts []fleet.PromptPart) {
+func (p *promptGuard) lost(server notices.Lifetime, addr, requestID string, parts []fleet.Trait) {
 	p.confirmer.Lost(context.Background(), p.gateway.clock.Now(), server, addr, requestID, parts)
 }
 
@@ -100,8 +100,8 @@
 }
 
 // suspectParts returns the distinct parts of suspects.
-func suspectParts(suspects []fleet.Suspect) []fleet.PromptPart {
-	var parts []fleet.PromptPart
+func suspectParts(suspects []fleet.Suspect) []fleet.Trait {
+	var parts []fleet.Trait
 	for _, s := range suspects {
 		if !slices.Contains(parts, s.Part) {
 			parts = append(parts, s.Part)
@@ -111,7 +111,7 @@
 }
 
 // partIDs returns the identifiers of parts for a log line, at most maxLoggedParts.
-func partIDs(parts []fleet.PromptPart) []string {
+func partIDs(parts []fleet.Trait) []string {
 	ids := make([]string, 0, maxLoggedParts)
 	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
 		ids = append(ids, part.ID)
--- a/daemon/gateway/quarantine_test.go
+++ b/daemon/gateway/quarantine_test.go
@@ -15,7 +15,7 @@
 	var waiting []fleet.Suspect
 	for request := range 16 {
 		for position, id := range []string{"system", fmt.Sprintf("team-%d", request), fmt.Sprintf("document-%d", request)} {
-			waiting = append(waiting, fleet.Suspect{Part: fleet.PromptPart{Model: "llm", ID: id}, Request: uint32(request), Position: uint8(position)})
+			waiting = append(waiting, fleet.Suspect{Part: fleet.Trait{Model: "llm", ID: id}, Request: uint32(request), Position: uint8(position)})
 		}
 	}
 	require.Contains(t, partIDs(suspectParts(waiting)), "document-15")
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -36,7 +36,7 @@
 	service fleet.ServiceName
 	server  core.InstanceID
 	model   fleet.Model
-	parts   []fleet.PromptPart
+	parts   []fleet.Trait
 	sentAt  time.Time
 	// cancel aborts the attempt so that another server gets the request; nil if it
 	// must not be sent again.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -32,7 +32,7 @@
 	body      []byte
 	hasBody   bool
 	// parts are those of the prompt that other requests may share.
-	parts []fleet.PromptPart
+	parts []fleet.Trait
 	// deadline is when the response must be complete.
 	deadline time.Time
 	outcome  outcome
--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -48,7 +48,7 @@
 
 // Lost handles the end of a connection by a server before the answer to a request with
 // these parts began.
-func (c *Confirmer) Lost(ctx context.Context, now time.Time, server notices.Lifetime, addr, requestID string, parts []fleet.PromptPart) {
+func (c *Confirmer) Lost(ctx context.Context, now time.Time, server notices.Lifetime, addr, requestID string, parts []fleet.Trait) {
 	if len(parts) == 0 {
 		return
 	}
@@ -81,7 +81,7 @@
 	return time.Time{}, false, true
 }
 
-func suspects(requestID string, parts []fleet.PromptPart) []fleet.Suspect {
+func suspects(requestID string, parts []fleet.Trait) []fleet.Suspect {
 	list := make([]fleet.Suspect, len(parts))
 	for i, p := range parts {
 		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -33,7 +33,7 @@
 type crash struct {
 	lifetime notices.Lifetime
 	at       time.Time
-	suspects map[fleet.PromptPart]*suspicion
+	suspects map[fleet.Trait]*suspicion
 	// open is the number of suspects that are not proved sound.
 	open int
 }
@@ -57,7 +57,7 @@
 	return known != nil && slices.Contains(known.requests, s.Request)
 }
 
-func (c *crash) isSuspect(p fleet.PromptPart) bool {
+func (c *crash) isSuspect(p fleet.Trait) bool {
 	s := c.suspects[p]
 	return s != nil && !s.isSound
 }
@@ -75,14 +75,14 @@
 type crashLog struct {
 	crashes []*crash
 	// open holds the suspicions that are not refuted, by part.
-	open map[fleet.PromptPart][]*suspicion
+	open map[fleet.Trait][]*suspicion
 	// isSound reports whether an answer with a part is known to have begun shortly before
 	// a time or later.
-	isSound func(part fleet.PromptPart, at time.Time) bool
+	isSound func(part fleet.Trait, at time.Time) bool
 }
 
-func newCrashLog(isSound func(part fleet.PromptPart, at time.Time) bool) crashLog {
-	return crashLog{open: map[fleet.PromptPart][]*suspicion{}, isSound: isSound}
+func newCrashLog(isSound func(part fleet.Trait, at time.Time) bool) crashLog {
+	return crashLog{open: map[fleet.Trait][]*suspicion{}, isSound: isSound}
 }
 
 // record adds a crash, or suspects to a known one. It reports whether that is new evidence
@@ -95,7 +95,7 @@
 	c := l.find(lifetime, at, suspects)
 	isKnown := c != nil
 	if !isKnown {
-		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.PromptPart]*suspicion{}}
+		c = &crash{lifetime: lifetime, at: at, suspects: map[fleet.Trait]*suspicion{}}
 	} else if at.Before(c.at) {
 		l.setTime(now, c, at)
 	}
@@ -175,7 +175,7 @@
 }
 
 // refute closes the suspicions of a part that matches applies to, and returns them.
-func (l *crashLog) refute(now time.Time, part fleet.PromptPart, matches func(*suspicion) bool) []*suspicion {
+func (l *crashLog) refute(now time.Time, part fleet.Trait, matches func(*suspicion) bool) []*suspicion {
 	var refuted, rest []*suspicion
 	for _, s := range l.open[part] {
 		if !matches(s) {
@@ -190,7 +190,7 @@
 	return refuted
 }
 
-func (l *crashLog) setOpen(part fleet.PromptPart, list []*suspicion) {
+func (l *crashLog) setOpen(part fleet.Trait, list []*suspicion) {
 	if len(list) == 0 {
 		delete(l.open, part)
 		return
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -69,18 +69,18 @@
 
 // Change is a change of the state of a part.
 type Change struct {
-	Part   fleet.PromptPart
+	Part   fleet.Trait
 	Reason Reason
 	// Until is the end of the quarantine that begins or is widened, or the zero time.
 	Until time.Time
 	// With are the parts that a refused request holds too.
-	With []fleet.PromptPart
+	With []fleet.Trait
 	// Crashes is the number of crashes for which the part was quarantined.
 	Crashes int
 }
 
 // AppliesTo reports whether requests with these parts are refused from the change on.
-func (c Change) AppliesTo(parts []fleet.PromptPart) bool {
+func (c Change) AppliesTo(parts []fleet.Trait) bool {
 	return !c.Until.IsZero() && slices.Contains(parts, c.Part) && holdsAll(parts, c.With)
 }
 
@@ -119,7 +119,7 @@
 	s.undecided = false
 	changes := s.releaseSound(now)
 	candidates := s.candidates()
-	causes := map[fleet.PromptPart]bool{}
+	causes := map[fleet.Trait]bool{}
 	explained := map[*crash]bool{}
 	for {
 		best := strongest(candidates, explained, s.crashes.crashes)
@@ -145,12 +145,12 @@
 	return append(changes, s.releaseExplained(now, candidates, causes, explained)...)
 }
 
-func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.PromptPart) Change {
+func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.Trait) Change {
 	q := &quarantine{generation: 1, with: rivals, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
 	if previous := s.quarantines[cause.part]; previous != nil {
 		q.generation = max(previous.generation+1, previous.generation)
 		if cause.isRepeat {
-			q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(previous.with, p) })
+			q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(previous.with, p) })
 		}
 	}
 	s.quarantines.put(cause.part, q)
@@ -158,15 +158,15 @@
 }
 
 // change describes that a quarantine begins or is widened.
-func (q *quarantine) change(part fleet.PromptPart, reason Reason) Change {
+func (q *quarantine) change(part fleet.Trait, reason Reason) Change {
 	return Change{Part: part, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
 }
 
 // widenTo widens a quarantine to what is known of its crashes now. An entry that does not
 // know the crashes for which the part was quarantined cannot tell.
-func widenTo(now time.Time, q *quarantine, cause *candidate, rivals []fleet.PromptPart) []Change {
+func widenTo(now time.Time, q *quarantine, cause *candidate, rivals []fleet.Trait) []Change {
 	if cause.countUntil(q.decidedAt) < q.crashes ||
-		!q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(rivals, p) }) {
+		!q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(rivals, p) }) {
 		return nil
 	}
 	return []Change{q.change(cause.part, Widened)}
@@ -182,7 +182,7 @@
 		case q.released:
 		case s.isSound(part, q.decidedAt):
 			changes = append(changes, release(now, part, q, ProvedSound))
-		case q.widen(now, func(p fleet.PromptPart) bool { return s.isSound(p, q.decidedAt) }) && q.isActive(now):
+		case q.widen(now, func(p fleet.Trait) bool { return s.isSound(p, q.decidedAt) }) && q.isActive(now):
 			changes = append(changes, q.change(part, Widened))
 		}
 	}
@@ -192,7 +192,7 @@
 // releaseExplained releases the quarantined parts of which all crashes are explained by
 // other parts. An entry that does not know the crashes for which a part was quarantined
 // cannot tell.
-func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.PromptPart]bool, explained map[*crash]bool) []Change {
+func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.Trait]bool, explained map[*crash]bool) []Change {
 	var changes []Change
 	for _, c := range candidates {
 		q := s.quarantines[c.part]
@@ -206,14 +206,14 @@
 	return changes
 }
 
-func release(now time.Time, part fleet.PromptPart, q *quarantine, reason Reason) Change {
+func release(now time.Time, part fleet.Trait, q *quarantine, reason Reason) Change {
 	q.released, q.releasedAt, q.changedAt = true, now, now
 	return Change{Part: part, Reason: reason, Crashes: q.crashes}
 }
 
 // candidate is a part that may be the cause of crashes.
 type candidate struct {
-	part     fleet.PromptPart
+	part     fleet.Trait
 	isRepeat bool
 	// hasStarted is set if an answer with the part is known to have begun at any time.
 	hasStarted bool
@@ -264,8 +264,8 @@
 
 // rivalsOf returns the other parts that are suspect in all crashes that a cause explains,
 // unless an answer with them is known to have begun at any time.
-func (s *Set) rivalsOf(cause *candidate) []fleet.PromptPart {
-	var rivals []fleet.PromptPart
+func (s *Set) rivalsOf(cause *candidate) []fleet.Trait {
+	var rivals []fleet.Trait
 	for p := range cause.crashes[0].suspects {
 		if p == cause.part || !s.starts.last(p).IsZero() != cause.hasStarted {
 			continue
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now)}
-	starts := map[fleet.PromptPart]time.Time{}
+	starts := map[fleet.Trait]time.Time{}
 	suspects := 0
 	for _, c := range slices.Backward(s.crashes.byTime()) {
 		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
@@ -43,7 +43,7 @@
 			e.Crashes = append(e.Crashes, report)
 		}
 	}
-	newestFirst := func(a, b fleet.PromptPart) int {
+	newestFirst := func(a, b fleet.Trait) int {
 		return cmp.Or(starts[b].Compare(starts[a]), compareParts(a, b))
 	}
 	sorted := slices.SortedFunc(maps.Keys(starts), newestFirst)
@@ -56,9 +56,9 @@
 // report returns what changed lately of a crash, with up to limit suspects: those first that
 // are suspect in most crashes. It adds the parts with which an answer is known to have begun
 // to starts, with the time of the change.
-func (s *Set) report(now time.Time, c *crash, starts map[fleet.PromptPart]time.Time, limit int) fleet.CrashReport {
+func (s *Set) report(now time.Time, c *crash, starts map[fleet.Trait]time.Time, limit int) fleet.CrashReport {
 	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
-	var open []fleet.PromptPart
+	var open []fleet.Trait
 	for part, suspicion := range c.suspects {
 		if now.Sub(suspicion.changedAt) >= relayPeriod {
 			continue
@@ -72,7 +72,7 @@
 			open = append(open, part)
 		}
 	}
-	slices.SortFunc(open, func(a, b fleet.PromptPart) int {
+	slices.SortFunc(open, func(a, b fleet.Trait) int {
 		return cmp.Or(cmp.Compare(len(s.crashes.open[b]), len(s.crashes.open[a])), compareParts(a, b))
 	})
 	for _, part := range open {
@@ -86,14 +86,14 @@
 	return report
 }
 
-func compareParts(a, b fleet.PromptPart) int {
+func compareParts(a, b fleet.Trait) int {
 	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.ID, b.ID))
 }
 
 // sentQuarantines returns those that changed lately, and the others in turn: with the
 // least recently sent first.
 func (s *Set) sentQuarantines(now time.Time) []fleet.Quarantine {
-	var news, known []fleet.PromptPart
+	var news, known []fleet.Trait
 	for part, q := range s.quarantines {
 		switch {
 		case now.Sub(q.changedAt) < relayPeriod:
@@ -102,7 +102,7 @@
 			known = append(known, part)
 		}
 	}
-	bySending := func(a, b fleet.PromptPart) int {
+	bySending := func(a, b fleet.Trait) int {
 		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), compareParts(a, b))
 	}
 	slices.SortFunc(news, bySending)
--- a/requests/quarantine/exchange_test.go
+++ b/requests/quarantine/exchange_test.go
@@ -165,7 +165,7 @@
 		}
 	}
 	for i := range maxQuarantines {
-		var rivals []fleet.PromptPart
+		var rivals []fleet.Trait
 		for j := range maxRivals {
 			rivals = append(rivals, part(name("x", i, j)))
 		}
--- a/requests/quarantine/helpers_test.go
+++ b/requests/quarantine/helpers_test.go
@@ -26,10 +26,10 @@
 	return s
 }
 
-func part(id string) fleet.PromptPart { return fleet.PromptPart{Model: "llm", ID: id} }
+func part(id string) fleet.Trait { return fleet.Trait{Model: "llm", ID: id} }
 
-func parts(ids ...string) []fleet.PromptPart {
-	list := make([]fleet.PromptPart, len(ids))
+func parts(ids ...string) []fleet.Trait {
+	list := make([]fleet.Trait, len(ids))
 	for i, id := range ids {
 		list[i] = part(id)
 	}
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -38,9 +38,9 @@
 
 // Quarantined returns the first one of a prompt's parts for which the request is to be
 // refused, with the end of its quarantine.
-func (s *Set) Quarantined(now time.Time, parts []fleet.PromptPart) (part fleet.PromptPart, until time.Time, found bool) {
+func (s *Set) Quarantined(now time.Time, parts []fleet.Trait) (part fleet.Trait, until time.Time, found bool) {
 	if s.quarantined.Load() == 0 {
-		return fleet.PromptPart{}, time.Time{}, false
+		return fleet.Trait{}, time.Time{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,13 +49,13 @@
 			return p, q.end(), true
 		}
 	}
-	return fleet.PromptPart{}, time.Time{}, false
+	return fleet.Trait{}, time.Time{}, false
 }
 
 // Started records that an answer to a prompt with these parts has begun, which proves
 // them sound. It reports whether the other entries should know soon, because one of the
 // parts was suspect or quarantined.
-func (s *Set) Started(now time.Time, parts []fleet.PromptPart) (urgent bool) {
+func (s *Set) Started(now time.Time, parts []fleet.Trait) (urgent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range parts {
@@ -66,7 +66,7 @@
 
 // recordStart records when an answer with a part began, and reports whether the part
 // was suspect in several crashes or quarantined until now.
-func (s *Set) recordStart(now time.Time, p fleet.PromptPart, at time.Time) (urgent bool) {
+func (s *Set) recordStart(now time.Time, p fleet.Trait, at time.Time) (urgent bool) {
 	if s.mayReadOldData(now) {
 		return false
 	}
@@ -109,7 +109,7 @@
 
 // isSound reports whether a part is no suspect in a crash at a time: an answer began
 // with it shortly before the crash or later.
-func (s *Set) isSound(p fleet.PromptPart, crashedAt time.Time) bool {
+func (s *Set) isSound(p fleet.Trait, crashedAt time.Time) bool {
 	return provesSound(s.starts.last(p), crashedAt)
 }
 
--- a/requests/quarantine/simulation_gossip_test.go
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-func (s *simulation) holdsDeadly(parts []fleet.PromptPart) bool {
-	return slices.ContainsFunc(parts, func(p fleet.PromptPart) bool {
+func (s *simulation) holdsDeadly(parts []fleet.Trait) bool {
+	return slices.ContainsFunc(parts, func(p fleet.Trait) bool {
 		return slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == p.ID })
 	})
 }
@@ -77,7 +77,7 @@
 	return list
 }
 
-func (s *simulation) endSoundQuarantine(part fleet.PromptPart, since time.Time) {
+func (s *simulation) endSoundQuarantine(part fleet.Trait, since time.Time) {
 	length := s.now.Sub(since)
 	s.result.longestSound = max(s.result.longestSound, length)
 	s.result.wrongParts[part.ID] = max(s.result.wrongParts[part.ID], length)
--- a/requests/quarantine/simulation_servers_test.go
+++ b/requests/quarantine/simulation_servers_test.go
@@ -11,7 +11,7 @@
 )
 
 // call sends a new request of a caller to any entry.
-func (s *simulation) call(parts []fleet.PromptPart, deadly int) {
+func (s *simulation) call(parts []fleet.Trait, deadly int) {
 	if deadly < 0 {
 		s.result.soundSent++
 	}
--- a/requests/quarantine/simulation_test.go
+++ b/requests/quarantine/simulation_test.go
@@ -87,14 +87,14 @@
 	suspendedUntil    time.Time
 	waiting           map[*simAttempt]bool
 	// quarantinedSince holds when sound parts were quarantined here.
-	quarantinedSince map[fleet.PromptPart]time.Time
+	quarantinedSince map[fleet.Trait]time.Time
 }
 
 type simAttempt struct {
 	entry          *simEntry
 	server         *simServer
 	id             string
-	parts          []fleet.PromptPart
+	parts          []fleet.Trait
 	deadly         int
 	retries, calls int
 	done           bool
@@ -185,7 +185,7 @@
 		delete(a.server.waiting, a)
 	}
 	e.set, e.startedAt = NewSet(), s.now
-	e.waiting, e.quarantinedSince = map[*simAttempt]bool{}, map[fleet.PromptPart]time.Time{}
+	e.waiting, e.quarantinedSince = map[*simAttempt]bool{}, map[fleet.Trait]time.Time{}
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
@@ -267,8 +267,8 @@
 
 // soundParts draws the shared parts of a sound request. The popularity of teams and of
 // middle parts falls with their rank, so that the last ones are rare.
-func (s *simulation) soundParts() []fleet.PromptPart {
-	parts := []fleet.PromptPart{simPart("%016x", 0xa000+s.rank(s.config.teams))}
+func (s *simulation) soundParts() []fleet.Trait {
+	parts := []fleet.Trait{simPart("%016x", 0xa000+s.rank(s.config.teams))}
 	if s.config.middles > 0 && s.random.Float64() < 0.5 {
 		parts = append(parts, simPart("%016x", 0xb000+s.rank(s.config.middles)))
 	}
@@ -279,21 +279,21 @@
 	return int(float64(count) * s.random.Float64() * s.random.Float64() * s.random.Float64())
 }
 
-func (s *simulation) deadlyParts(d simDeadly) []fleet.PromptPart {
+func (s *simulation) deadlyParts(d simDeadly) []fleet.Trait {
 	if d.companion != "" {
-		parts := []fleet.PromptPart{simPart("%s", d.companion), simPart("%s", d.id)}
+		parts := []fleet.Trait{simPart("%s", d.companion), simPart("%s", d.id)}
 		if d.isFirst {
 			slices.Reverse(parts)
 		}
 		return parts
 	}
 	if d.isFirst {
-		return append([]fleet.PromptPart{simPart("%s", d.id)}, s.soundParts()[1:]...)
+		return append([]fleet.Trait{simPart("%s", d.id)}, s.soundParts()[1:]...)
 	}
 	parts := s.soundParts()
 	return slices.Insert(parts, 1, simPart("%s", d.id))
 }
 
-func simPart(format string, id any) fleet.PromptPart {
-	return fleet.PromptPart{Model: "llm-70b", ID: fmt.Sprintf(format, id)}
+func simPart(format string, id any) fleet.Trait {
+	return fleet.Trait{Model: "llm-70b", ID: fmt.Sprintf(format, id)}
 }
--- a/requests/quarantine/starts.go
+++ b/requests/quarantine/starts.go
@@ -17,17 +17,17 @@
 // startTimes holds when an answer to a prompt with a part last began. It keeps two
 // generations and drops the older one when the newer one is full or old enough.
 type startTimes struct {
-	newer, older map[fleet.PromptPart]time.Time
+	newer, older map[fleet.Trait]time.Time
 	newerSince   time.Time
 }
 
 func newStartTimes() startTimes {
-	return startTimes{newer: map[fleet.PromptPart]time.Time{}, older: map[fleet.PromptPart]time.Time{}}
+	return startTimes{newer: map[fleet.Trait]time.Time{}, older: map[fleet.Trait]time.Time{}}
 }
 
 // record stores the begin of an answer unless a later one is known. It reports whether
 // it stored the begin.
-func (s *startTimes) record(now time.Time, part fleet.PromptPart, at time.Time) bool {
+func (s *startTimes) record(now time.Time, part fleet.Trait, at time.Time) bool {
 	if !at.After(s.last(part)) {
 		return false
 	}
@@ -40,7 +40,7 @@
 }
 
 func (s *startTimes) rotate(now time.Time) {
-	s.older, s.newer, s.newerSince = s.newer, map[fleet.PromptPart]time.Time{}, now
+	s.older, s.newer, s.newerSince = s.newer, map[fleet.Trait]time.Time{}, now
 }
 
 // expire drops the older generation once all of its times are older than the retention.
@@ -58,7 +58,7 @@
 }
 
 // last returns when an answer with the part last began, or the zero time.
-func (s *startTimes) last(part fleet.PromptPart) time.Time {
+func (s *startTimes) last(part fleet.Trait) time.Time {
 	if at, ok := s.newer[part]; ok {
 		return at
 	}
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -27,7 +27,7 @@
 	generation uint32
 	// with are the parts that cannot be told apart from this one as the cause. Only
 	// requests with all of them are refused, so that a sound one of them can be found.
-	with       []fleet.PromptPart
+	with       []fleet.Trait
 	decidedAt  time.Time
 	crashes    int
 	released   bool
@@ -88,13 +88,13 @@
 	if decidedAt.Before(q.decidedAt) && (earlier.isActive(now) || !q.isActive(now)) {
 		q.decidedAt = decidedAt
 	}
-	return q.widen(now, func(p fleet.PromptPart) bool { return !slices.Contains(other.With, p) })
+	return q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(other.With, p) })
 }
 
 // widen drops the parts that matches applies to from those that a refused request holds
 // too. It reports whether there were any.
-func (q *quarantine) widen(now time.Time, matches func(fleet.PromptPart) bool) bool {
-	var rest []fleet.PromptPart
+func (q *quarantine) widen(now time.Time, matches func(fleet.Trait) bool) bool {
+	var rest []fleet.Trait
 	for _, p := range q.with {
 		if !matches(p) {
 			rest = append(rest, p)
@@ -108,16 +108,16 @@
 }
 
 // appliesTo reports whether requests with these parts are refused.
-func (q *quarantine) appliesTo(now time.Time, parts []fleet.PromptPart) bool {
+func (q *quarantine) appliesTo(now time.Time, parts []fleet.Trait) bool {
 	return q.isActive(now) && holdsAll(parts, q.with)
 }
 
-func holdsAll(parts, wanted []fleet.PromptPart) bool {
-	return !slices.ContainsFunc(wanted, func(p fleet.PromptPart) bool { return !slices.Contains(parts, p) })
+func holdsAll(parts, wanted []fleet.Trait) bool {
+	return !slices.ContainsFunc(wanted, func(p fleet.Trait) bool { return !slices.Contains(parts, p) })
 }
 
 // quarantineTable holds the last quarantine of each part.
-type quarantineTable map[fleet.PromptPart]*quarantine
+type quarantineTable map[fleet.Trait]*quarantine
 
 func (t quarantineTable) expire(now time.Time) {
 	for part, q := range t {
@@ -129,9 +129,9 @@
 
 // put stores a quarantine. When the table is full, it replaces one: a released one if
 // there is any, and of these the one that changed least recently.
-func (t quarantineTable) put(part fleet.PromptPart, q *quarantine) {
+func (t quarantineTable) put(part fleet.Trait, q *quarantine) {
 	if t[part] == nil && len(t) >= maxQuarantines {
-		var oldest fleet.PromptPart
+		var oldest fleet.Trait
 		var found *quarantine
 		for p, other := range t {
 			if found == nil || other.isReplacedBefore(found) {
--- a/requests/quarantine/table_test.go
+++ b/requests/quarantine/table_test.go
@@ -57,7 +57,7 @@
 
 func TestPartWithoutModelAndNameDoesNotOverfillTheTable(t *testing.T) {
 	table := quarantineTable{}
-	table.put(fleet.PromptPart{}, &quarantine{generation: 1, changedAt: at(5)})
+	table.put(fleet.Trait{}, &quarantine{generation: 1, changedAt: at(5)})
 	for i := range 2 * maxQuarantines {
 		table.put(part(fmt.Sprint(i)), &quarantine{generation: 1, changedAt: at(10 + float64(i))})
 	}
