--- a/weights/staging/fleet_harness_test.go
+++ b/weights/staging/fleet_harness_test.go
@@ -20,7 +20,6 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
-	"currantusher.dev/platform/worker"
 )
 
 const (
@@ -239,58 +238,6 @@
 	return f.lost[peer.ID] || f.managers[peer.ID].piecesOf(key) == nil && f.managers[peer.ID].engineUnreachable.Load()
 }
 
-// simulatedEngine is an engine that loads staged weights.
-type simulatedEngine struct {
-	mu       sync.Mutex
-	isGone   bool
-	loaded   fleet.WeightsVersion
-	loading  fleet.WeightsVersion
-	readyAt  time.Time
-	loadedAt map[fleet.WeightsVersion]time.Time
-	staged   map[int][]byte
-	orders   int64
-}
-
-func (e *simulatedEngine) Report(context.Context) (worker.Report, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.isGone {
-		return worker.Report{}, errors.New("connection refused")
-	}
-	if e.loading > 0 && !time.Now().Before(e.readyAt) {
-		e.loaded, e.loadedAt[e.loading], e.loading = e.loading, e.readyAt, 0
-	}
-	loaded := map[fleet.Model]fleet.WeightsVersion{}
-	if e.loaded > 0 {
-		loaded["m"] = e.loaded
-	}
-	return worker.Report{Loaded: loaded, Busy: e.loading > 0, AcceptedOrders: e.orders}, nil
-}
-
-func (e *simulatedEngine) LoadAfterRunning(_ context.Context, _ fleet.Model, version fleet.WeightsVersion, _ int64) (worker.OrderResult, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.orders++
-	e.loading, e.readyAt = version, time.Now().Add(700*time.Millisecond)
-	return worker.OrderAccepted, nil
-}
-
-func (e *simulatedEngine) Stage(_ context.Context, _ fleet.Model, piece int, content []byte) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.staged[piece] = content
-	return nil
-}
-
-func (e *simulatedEngine) Staged(_ context.Context, _ fleet.Model, piece int) ([]byte, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.staged[piece] == nil {
-		return nil, core.NewRefusal(core.CodeUnknownEntity, 0, "not staged")
-	}
-	return e.staged[piece], nil
-}
-
 // newWeightsFleet returns agents with links of 7.6 Mbit/s in some regions, before an
 // origin of 9.9 Mbit/s. answersFraction is the part of the links that answers take.
 func newWeightsFleet(t *testing.T, agentsPerRegion, regions int, answersFraction float64) *weightsFleet {
@@ -312,7 +259,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for _, a := range f.agents {
-		f.engines[a.ID] = &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}}
+		f.engines[a.ID] = newSimulatedEngine()
 		f.uplinks[a.ID] = newSimulatedLink(agentLink * uplinkFraction * (1 - answersFraction))
 		f.managers[a.ID] = New(Config{
 			Self: a, Engine: f.engines[a.ID], Peers: simulatedPeers{fleet: f, self: a.ID}, TargetVersions: f.currentTargets, LinkBytesPerSecond: agentLink * megabitPerS,
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -54,8 +54,8 @@
 // other staging in the meantime, because the engine loads the bytes that are
 // staged when it accepts the order.
 func (m *Manager) verifyAndOrderLoad(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet) error {
-	m.stageMu.Lock()
-	defer m.stageMu.Unlock()
+	m.stageSlot <- struct{}{}
+	defer func() { <-m.stageSlot }()
 	if err := m.verifyStaged(ctx, log, target, pieces); err != nil {
 		return err
 	}
@@ -129,8 +129,8 @@
 	if !m.isNewest(target.VersionKey) {
 		return
 	}
-	m.stageMu.Lock()
-	defer m.stageMu.Unlock()
+	m.stageSlot <- struct{}{}
+	defer func() { <-m.stageSlot }()
 	if err := m.stagePiece(ctx, target, pieces, num); err != nil && ctx.Err() == nil {
 		// verifyStaged stages the missing pieces before the load.
 		log.WithError(err).Info("Staging a piece failed; it will be staged before the load.")
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -98,8 +98,8 @@
 	config   Config
 	uplink   *uplink
 	downlink *downlink
-	// stageMu serializes changes to the staged pieces of the engine.
-	stageMu sync.Mutex
+	// stageSlot has capacity 1 and serializes changes to the staged pieces of the engine.
+	stageSlot chan struct{}
 
 	mu        sync.Mutex
 	pieceSets map[VersionKey]*pieceSet
@@ -186,6 +186,7 @@
 		skippedLoadDeadlines: map[VersionKey]time.Time{},
 		targetsChanged:       make(chan struct{}, 1),
 		loadSlot:             make(chan struct{}, 1),
+		stageSlot:            make(chan struct{}, 1),
 	}
 }
 
