Keep a version staged until its load order is settled

Cause: the engine takes the pieces that are staged when it accepts an order. An order whose call has no answer may be accepted seconds later, but the lock of the staged pieces was released when the call ended, and pieces of a newer version were staged meanwhile.

An order without an answer is now pending. Until a report of the engine settles it (another number of orders, the version loaded, a restart with a lower number), the area stays reserved for its version, the pieces are verified and repaired, and the order is sent again with the same expected number, so that at most one copy is accepted. The state is the Manager's: the next load of any version settles it first, and a newer version does not cancel its job. Fetches of other versions do not wait for a reserved area; verification stages their pieces later.

A restarted engine counts anew: no other version is ordered while a late order could match the number.

A simulated engine that ends does so under its lock: the race detector had found the tests' write.

--- a/weights/staging/engine_harness_test.go
+++ b/weights/staging/engine_harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,7 @@
 	// lateOrders holds, for the next orders, the delays after which they are performed.
 	// They get no answer.
 	lateOrders []time.Duration
+	lostOrder  bool
 	// latePuts holds the same for the next pieces that are staged.
 	latePuts []time.Duration
 	// mixtures holds the versions of the accepted orders that took a piece of another
@@ -52,6 +54,13 @@
 	return &simulatedEngine{loaded: 1, loadedAt: map[fleet.WeightsVersion]time.Time{}, staged: map[int][]byte{}, stagedAt: map[int]time.Time{}}
 }
 
+// end ends the engine for good.
+func (e *simulatedEngine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isGone = true
+}
+
 // restart makes the engine forget its weights and orders, but not the staged pieces.
 func (e *simulatedEngine) restart() {
 	e.mu.Lock()
@@ -132,10 +141,11 @@
 	if len(*delays) == 0 || e.isGone {
 		defer e.mu.Unlock()
 		if e.isGone {
-			return syscall.ECONNREFUSED
+			return &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}
 		return nil
 	}
+	e.lostOrder = e.lostOrder || delays == &e.lateOrders
 	delay := (*delays)[0]
 	*delays = (*delays)[1:]
 	e.mu.Unlock()
@@ -169,3 +179,10 @@
 	}
 	return e.staged[piece], nil
 }
+
+// hasLostOrder reports whether a call that orders a load has had no answer.
+func (e *simulatedEngine) hasLostOrder() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lostOrder
+}
--- a/weights/staging/fleet_harness_test.go
+++ b/weights/staging/fleet_harness_test.go
@@ -299,7 +299,7 @@
 	defer f.mu.Unlock()
 	for _, a := range agents {
 		f.lost[a.ID] = true
-		f.engines[a.ID].isGone = true
+		f.engines[a.ID].end()
 		f.stops[a.ID]()
 	}
 }
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core/pause"
-	"currantusher.dev/platform/worker"
 )
 
 const (
@@ -25,10 +24,13 @@
 // load verifies all staged pieces by reading them back from the engine, orders
 // the engine to load the version and waits for the load.
 func (m *Manager) load(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet) error {
+	if err := m.settlePendingOrder(ctx); err != nil {
+		return err
+	}
 	if err := m.awaitEngineIdle(ctx); err != nil {
 		return err
 	}
-	if err := m.verifyAndOrderLoad(ctx, log, target, pieces); err != nil {
+	if err := m.orderLoad(ctx, log, &loadOrder{target: target, pieces: pieces}); err != nil {
 		return err
 	}
 	return m.awaitLoaded(ctx, log, target)
@@ -50,36 +52,6 @@
 	return fmt.Errorf("the engine is still busy with another order after %d ms", time.Since(began).Milliseconds())
 }
 
-// verifyAndOrderLoad verifies the staged pieces and orders the load. It blocks
-// other staging in the meantime, because the engine loads the bytes that are
-// staged when it accepts the order.
-func (m *Manager) verifyAndOrderLoad(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet) error {
-	m.stageSlot <- struct{}{}
-	defer func() { <-m.stageSlot }()
-	if err := m.verifyStaged(ctx, log, target, pieces); err != nil {
-		return err
-	}
-	report, err := m.engineReport(ctx)
-	if err != nil {
-		return err
-	}
-	if report.Busy || report.Loaded[target.Model] >= target.Version {
-		return nil
-	}
-	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
-	result, err := m.config.Engine.LoadAfterRunning(callCtx, target.Model, target.Version, report.AcceptedOrders)
-	cancel()
-	log.WithFields(logrus.Fields{"result": result, "orders": report.AcceptedOrders}).Info("Load ordered.")
-	if err != nil {
-		// The engine may have accepted the order; its next report shows it.
-		return fmt.Errorf("order load: %w", err)
-	}
-	if result == worker.OrderConflict || result == worker.OrderFenced {
-		return fmt.Errorf("the engine rejected the load order with result %d", result)
-	}
-	return nil
-}
-
 func (m *Manager) awaitLoaded(ctx context.Context, log *logrus.Entry, target TargetVersion) error {
 	began := time.Now()
 	for time.Since(began) < loadTimeout && ctx.Err() == nil {
@@ -98,39 +70,44 @@
 }
 
 // verifyStaged reads back the staged pieces and replaces those that are missing
-// or corrupt, until a pass finds all pieces intact.
-func (m *Manager) verifyStaged(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet) error {
+// or corrupt, until a pass finds all pieces intact. It returns the start of that pass.
+func (m *Manager) verifyStaged(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet) (time.Time, error) {
 	for range maxVerifyPasses {
+		start := time.Now()
 		replaced := 0
 		for num := range pieces.digests {
 			intact, err := m.isStagedIntact(ctx, target, pieces, num)
 			if err != nil {
-				return err
+				return start, err
 			}
 			if intact {
 				continue
 			}
 			replaced++
 			if err := m.stagePiece(ctx, target, pieces, num); err != nil {
-				return err
+				return start, err
 			}
 		}
 		if replaced == 0 {
-			return nil
+			return start, nil
 		}
 		log.WithField("pieces", replaced).Info("Some staged pieces were missing or corrupt; staged them again.")
 	}
-	return fmt.Errorf("staged pieces are still missing or corrupt after all verification passes")
+	return time.Time{}, fmt.Errorf("staged pieces are still missing or corrupt after all verification passes")
 }
 
 // stageEarly stages a piece of the newest version while other pieces arrive, so
-// that little remains to be staged before the load.
+// that little remains to be staged before the load. While another version is being
+// ordered, all of it remains.
 func (m *Manager) stageEarly(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet, num int) {
 	if !m.isNewest(target.VersionKey) {
 		return
 	}
-	m.stageSlot <- struct{}{}
-	defer func() { <-m.stageSlot }()
+	done := m.stage.admit(ctx, target.VersionKey)
+	if done == nil {
+		return
+	}
+	defer done()
 	if err := m.stagePiece(ctx, target, pieces, num); err != nil && ctx.Err() == nil {
 		// verifyStaged stages the missing pieces before the load.
 		log.WithError(err).Info("Staging a piece failed; it will be staged before the load.")
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -98,8 +98,7 @@
 	config   Config
 	uplink   *uplink
 	downlink *downlink
-	// stageSlot has capacity 1 and serializes changes to the staged pieces of the engine.
-	stageSlot chan struct{}
+	stage    *stageArea
 
 	mu        sync.Mutex
 	pieceSets map[VersionKey]*pieceSet
@@ -116,8 +115,13 @@
 	engineUnreachable atomic.Bool
 	// targetsChanged has an item if TargetVersions may return something new.
 	targetsChanged chan struct{}
-	// loadSlot has capacity 1, as the engine accepts one order at a time.
+	// loadSlot has capacity 1, as the engine accepts one order at a time. Its holder
+	// accesses pendingOrder and lateOrders.
 	loadSlot chan struct{}
+	// pendingOrder is the load order that is not settled, or nil.
+	pendingOrder *loadOrder
+	// lateOrders holds the orders that the engine may accept after their calls.
+	lateOrders []loadOrder
 }
 
 // job is the work on one target version.
@@ -186,7 +190,7 @@
 		skippedLoadDeadlines: map[VersionKey]time.Time{},
 		targetsChanged:       make(chan struct{}, 1),
 		loadSlot:             make(chan struct{}, 1),
-		stageSlot:            make(chan struct{}, 1),
+		stage:                newStageArea(),
 	}
 }
 
@@ -219,7 +223,8 @@
 
 // startJob starts the job of a new target version. The jobs of older versions of the
 // model that have some of their pieces continue, because the older version may have to
-// be in force before the newer version has arrived; the others are cancelled.
+// be in force before the newer version has arrived, and so does one that orders its load;
+// the others are cancelled.
 func (m *Manager) startJob(ctx context.Context, wait *sync.WaitGroup, target TargetVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -231,7 +236,7 @@
 	for key, older := range m.jobs {
 		switch {
 		case key.Model != target.Model:
-		case m.hasSomePieces(key):
+		case m.hasSomePieces(key) || m.stage.isReservedFor(key):
 			continued = append(continued, older)
 		default:
 			older.cancel()
