--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -15,6 +15,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
@@ -160,7 +161,7 @@
 				t.Run(name, func(t *testing.T) {
 					addr, served := serveEndless(t, okAnswerHead+"\r\n"+start, part)
 					body, _, err := receive(t, newExchange(), addr)
-					require.ErrorIs(t, err, ErrEventTooLarge)
+					require.ErrorIs(t, err, eventstream.ErrTooLarge)
 					require.Equal(t, start, body)
 					require.Error(t, <-served, "the client read all bytes")
 				})
@@ -301,12 +302,12 @@
 func TestEventIDsThatFitInNoHeaderAreNotSent(t *testing.T) {
 	for name, id := range map[string]string{
 		"control character": "5\x00",
-		"too long":          strings.Repeat("5", maxEventIDBytes+1),
+		"too long":          strings.Repeat("5", eventstream.MaxIDBytes+1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newTestExchange(fleet.RouteStreaming)
 			body, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: "+id+"\ndata: a\n\n"))
-			require.ErrorIs(t, err, ErrInvalidEventID)
+			require.ErrorIs(t, err, eventstream.ErrInvalidID)
 			require.Empty(t, body)
 			require.NotContains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id")
 		})
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -13,6 +13,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/wire"
@@ -54,7 +55,7 @@
 	isClosed bool
 
 	response *http.Response
-	splitter eventSplitter
+	splitter eventstream.Splitter
 	buffer   []byte
 	// lastEventAt is when the last whole event or, before the first one, the head was
 	// received.
@@ -330,7 +331,7 @@
 	if !s.isEventStream() {
 		return s.buffer[:n], s.checkLength(n)
 	}
-	events, err := s.splitter.feed(s.buffer[:n])
+	events, err := s.splitter.Feed(s.buffer[:n])
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -340,7 +341,7 @@
 	if !request.Resumable {
 		return events, nil
 	}
-	id, err := lastEventID(events)
+	id, err := eventstream.LastID(events)
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -378,7 +379,7 @@
 
 // endFrame returns the end frame of an answer that was read completely.
 func (s *replyStream) endFrame() (wire.AnswerFrame, error) {
-	if s.splitter.pendingBytes() > 0 {
+	if s.splitter.PendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
--- a/requests/direct/events.go
+++ b/requests/eventstream/eventstream.go
@@ -1,4 +1,5 @@
-package direct
+// Package eventstream splits server-sent event streams at event boundaries.
+package eventstream
 
 import (
 	"bytes"
@@ -7,38 +8,38 @@
 )
 
 const (
-	// maxEventBytes bounds the incomplete event that is held until its end arrives.
-	maxEventBytes = 64 << 10
-	// maxEventIDBytes bounds an event id, which becomes a header of the request that
+	// MaxEventBytes bounds the incomplete event that is held until its end arrives.
+	MaxEventBytes = 64 << 10
+	// MaxIDBytes bounds an event id, which becomes a header of the request that
 	// resumes the stream.
-	maxEventIDBytes = 256
+	MaxIDBytes = 256
 )
 
 var (
-	// ErrEventTooLarge means that an event did not end within maxEventBytes.
-	ErrEventTooLarge = errors.New("the event is too large")
-	// ErrInvalidEventID means that the id of an event cannot be sent in a header.
-	ErrInvalidEventID = errors.New("the id of the event is invalid")
+	// ErrTooLarge means that an event did not end within MaxEventBytes.
+	ErrTooLarge = errors.New("the event is too large")
+	// ErrInvalidID means that the id of an event cannot be sent in a header.
+	ErrInvalidID = errors.New("the id of the event is invalid")
 )
 
 const lineEnds = "\r\n"
 
 var idField = []byte("id:")
 
-// eventSplitter splits a server-sent event stream at event boundaries.
-type eventSplitter struct {
-	scanner eventScanner
+// Splitter splits a server-sent event stream at event boundaries.
+type Splitter struct {
+	scanner scanner
 	// buffered is the start of an event whose end was not received yet.
 	buffered []byte
 }
 
-// feed adds the next bytes and returns all pending bytes up to the end of the last
+// Feed adds the next bytes and returns all pending bytes up to the end of the last
 // complete event, or nil. After an error the splitter must not be used.
-func (e *eventSplitter) feed(part []byte) ([]byte, error) {
+func (e *Splitter) Feed(part []byte) ([]byte, error) {
 	end := e.scanner.scan(part)
 	if end == 0 {
-		if len(e.buffered)+len(part) > maxEventBytes {
-			return nil, fmt.Errorf("%w: no end within %d bytes", ErrEventTooLarge, maxEventBytes)
+		if len(e.buffered)+len(part) > MaxEventBytes {
+			return nil, fmt.Errorf("%w: no end within %d bytes", ErrTooLarge, MaxEventBytes)
 		}
 		e.buffered = append(e.buffered, part...)
 		return nil, nil
@@ -49,12 +50,12 @@
 	return complete, nil
 }
 
-// pendingBytes returns the number of buffered bytes of an incomplete event.
-func (e *eventSplitter) pendingBytes() int { return len(e.buffered) }
+// PendingBytes returns the number of buffered bytes of an incomplete event.
+func (e *Splitter) PendingBytes() int { return len(e.buffered) }
 
-// eventScanner finds the ends of events. An event ends with a blank line. A line ends
+// scanner finds the ends of events. An event ends with a blank line. A line ends
 // with CR LF, LF or CR.
-type eventScanner struct {
+type scanner struct {
 	// lineHasText is set when the current line is not empty.
 	lineHasText bool
 	// afterCR is set when the last byte was a CR, so that an LF belongs to it.
@@ -65,7 +66,7 @@
 
 // scan reads the next bytes of the stream and returns the index after the last event
 // that ends in them, or 0.
-func (s *eventScanner) scan(part []byte) int {
+func (s *scanner) scan(part []byte) int {
 	end := 0
 	for i, b := range part {
 		switch {
@@ -85,14 +86,14 @@
 	return end
 }
 
-// lastEventID returns the id of the last of the complete events that has one, or "".
-func lastEventID(events []byte) (string, error) {
+// LastID returns the id of the last of the complete events that has one, or "".
+func LastID(events []byte) (string, error) {
 	id := lastIDField(events)
-	if len(id) > maxEventIDBytes {
-		return "", fmt.Errorf("%w: %d bytes", ErrInvalidEventID, len(id))
+	if len(id) > MaxIDBytes {
+		return "", fmt.Errorf("%w: %d bytes", ErrInvalidID, len(id))
 	}
 	if bytes.ContainsFunc(id, isControl) {
-		return "", fmt.Errorf("%w: %q", ErrInvalidEventID, id)
+		return "", fmt.Errorf("%w: %q", ErrInvalidID, id)
 	}
 	return string(id), nil
 }
--- a/requests/direct/events_test.go
+++ b/requests/eventstream/eventstream_test.go
@@ -1,4 +1,4 @@
-package direct
+package eventstream
 
 import (
 	"fmt"
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+const testReadBytes = 8 << 10
+
 func TestEventsAreSplitAtBoundaries(t *testing.T) {
 	cases := []struct {
 		name, text, whole, id string
@@ -29,14 +31,14 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var splitter eventSplitter
-			events, err := splitter.feed([]byte(c.text))
+			var splitter Splitter
+			events, err := splitter.Feed([]byte(c.text))
 			require.NoError(t, err)
 			require.Equal(t, c.whole, string(events))
-			id, err := lastEventID(events)
+			id, err := LastID(events)
 			require.NoError(t, err)
 			require.Equal(t, c.id, id)
-			require.Equal(t, c.pendingBytes, splitter.pendingBytes())
+			require.Equal(t, c.pendingBytes, splitter.PendingBytes())
 		})
 	}
 }
@@ -51,16 +53,16 @@
 	}
 	text := b.String()
 	for range 200 {
-		var splitter eventSplitter
+		var splitter Splitter
 		var out strings.Builder
 		id := ""
 		for remaining := text; remaining != ""; {
 			n := min(len(remaining), 1+random.IntN(40))
-			part, err := splitter.feed([]byte(remaining[:n]))
+			part, err := splitter.Feed([]byte(remaining[:n]))
 			require.NoError(t, err)
 			if len(part) > 0 {
 				require.True(t, strings.HasSuffix(string(part), "\n\n"))
-				id, err = lastEventID(part)
+				id, err = LastID(part)
 				require.NoError(t, err)
 			}
 			out.Write(part)
@@ -68,7 +70,7 @@
 		}
 		require.Equal(t, text, out.String())
 		require.Equal(t, "50", id)
-		require.Zero(t, splitter.pendingBytes())
+		require.Zero(t, splitter.PendingBytes())
 	}
 }
 
@@ -76,47 +78,47 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n"), 3)
 	f.Add([]byte("\r\n\r\n\n"), 1)
 	f.Fuzz(func(t *testing.T, text []byte, cut int) {
-		var splitter eventSplitter
+		var splitter Splitter
 		var out []byte
 		for remaining := text; len(remaining) > 0; {
 			n := min(len(remaining), 1+max(cut, 0)%64)
-			part, err := splitter.feed(remaining[:n])
-			require.LessOrEqual(t, splitter.pendingBytes(), maxEventBytes)
+			part, err := splitter.Feed(remaining[:n])
+			require.LessOrEqual(t, splitter.PendingBytes(), MaxEventBytes)
 			if err != nil {
-				require.ErrorIs(t, err, ErrEventTooLarge)
+				require.ErrorIs(t, err, ErrTooLarge)
 				return
 			}
 			out = append(out, part...)
 			remaining = remaining[n:]
 		}
-		require.Equal(t, len(text), len(out)+splitter.pendingBytes())
+		require.Equal(t, len(text), len(out)+splitter.PendingBytes())
 		require.Equal(t, string(text[:len(out)]), string(out))
 	})
 }
 
 func TestHeldBytesAreBounded(t *testing.T) {
-	var splitter eventSplitter
-	part := []byte(strings.Repeat("data: a\n", readBufferBytes/8))
-	for fed := len(part); fed <= maxEventBytes; fed += len(part) {
-		events, err := splitter.feed(part)
+	var splitter Splitter
+	part := []byte(strings.Repeat("data: a\n", testReadBytes/8))
+	for fed := len(part); fed <= MaxEventBytes; fed += len(part) {
+		events, err := splitter.Feed(part)
 		require.NoError(t, err)
 		require.Empty(t, events)
 	}
-	_, err := splitter.feed(part)
-	require.ErrorIs(t, err, ErrEventTooLarge)
-	require.LessOrEqual(t, splitter.pendingBytes(), maxEventBytes)
+	_, err := splitter.Feed(part)
+	require.ErrorIs(t, err, ErrTooLarge)
+	require.LessOrEqual(t, splitter.PendingBytes(), MaxEventBytes)
 }
 
 // Many events may be longer together than one may be.
 func TestBoundIsOnOneEvent(t *testing.T) {
-	var splitter eventSplitter
+	var splitter Splitter
 	for range 4 {
-		for range maxEventBytes/readBufferBytes - 1 {
-			_, err := splitter.feed([]byte(strings.Repeat("x", readBufferBytes)))
+		for range MaxEventBytes/testReadBytes - 1 {
+			_, err := splitter.Feed([]byte(strings.Repeat("x", testReadBytes)))
 			require.NoError(t, err)
 		}
-		events, err := splitter.feed([]byte("\n\nid:"))
+		events, err := splitter.Feed([]byte("\n\nid:"))
 		require.NoError(t, err)
-		require.Greater(t, len(events), maxEventBytes-2*readBufferBytes)
+		require.Greater(t, len(events), MaxEventBytes-2*testReadBytes)
 	}
 }
--- a/requests/direct/events_fuzz_test.go
+++ b/requests/eventstream/fuzz_test.go
@@ -1,4 +1,4 @@
-package direct
+package eventstream
 
 import (
 	"bytes"
@@ -38,16 +38,16 @@
 			text = text[:200]
 		}
 		random := rand.New(rand.NewPCG(seed, 1))
-		var splitter eventSplitter
+		var splitter Splitter
 		var output []byte
 		for fed := 0; fed < len(text); {
 			n := min(len(text)-fed, 1+random.IntN(8))
-			events, err := splitter.feed(text[fed : fed+n])
+			events, err := splitter.Feed(text[fed : fed+n])
 			require.NoError(t, err)
 			output = append(output, events...)
 			fed += n
 			require.Equal(t, string(wholeEvents(text[:fed])), string(output))
-			require.Equal(t, fed-len(output), splitter.pendingBytes())
+			require.Equal(t, fed-len(output), splitter.PendingBytes())
 		}
 	})
 }
