agent: forward whole events only and bound an event that has not ended

Callers of a stream got the bytes of an event without end until the deadline, 16 MB and more, and an answer that another engine continued could hold the start of an event that the first had broken off.

Cause: the agent's relay forwarded each read of an engine's stream at once. The entries' own connections to engines hold an event until its end arrives, at most 64 KiB; the agents did not.

TestEndlessEventIsAbandoned read all of 1 MiB, and TestIncompleteEventIsNotForwarded saw the incomplete event, before this change.

The relay splits streams with eventstream.Splitter. An event that is too large ends the attempt as incomplete, so that the entry continues on another engine after the last whole event.

--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -130,3 +130,40 @@
 		})
 	}
 }
+
+// endlessReader is a body of one event without end.
+type endlessReader struct{ read int }
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	r.read += len(p)
+	return copy(p, bytes.Repeat([]byte("x"), len(p))), nil
+}
+
+func TestEndlessEventIsAbandoned(t *testing.T) {
+	const bound = 1 << 20
+	out := &frameRecorder{}
+	r := newRelay(out, wire.Dispatch{RequestID: "r"}, func() {})
+	body := &endlessReader{}
+	err := r.copyAnswer(&answer{body: io.NopCloser(io.LimitReader(body, bound)), stream: true})
+	require.Equal(t, core.CodeIncomplete, core.CodeOf(err))
+	require.Less(t, body.read, bound)
+	require.Zero(t, r.endFrame(err).Length)
+}
+
+func TestIncompleteEventIsNotForwarded(t *testing.T) {
+	const whole = "data: a\n\n"
+	for _, rest := range []string{"data: b", "data: [DONE]\n", "data: [DONE]\n\ndata: c"} {
+		out := &frameRecorder{}
+		r := newRelay(out, wire.Dispatch{RequestID: "r"}, func() {})
+		err := r.copyAnswer(&answer{body: io.NopCloser(strings.NewReader(whole + rest)), stream: true})
+		require.Equal(t, core.CodeIncomplete, core.CodeOf(err), rest)
+		var forwarded string
+		for _, frame := range out.sent {
+			if frame.Data != nil {
+				forwarded += string(frame.Data.Bytes)
+			}
+		}
+		require.True(t, strings.HasSuffix(forwarded, "\n\n"), rest)
+		require.EqualValues(t, len(forwarded), r.endFrame(err).Length, rest)
+	}
+}
--- a/daemon/agent/relay.go
+++ b/daemon/agent/relay.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/blake3"
 
 	"currantusher.dev/core"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/wire"
 )
 
@@ -19,12 +20,14 @@
 }
 
 // relay forwards the backend server's answer to the entry as Header and Data
-// frames. It is used by one goroutine.
+// frames, and a stream by whole events only, so that another backend server can
+// continue it after any frame. It is used by one goroutine.
 type relay struct {
 	out         frameSender
 	dispatch    wire.Dispatch
 	onFirstByte func()
 
+	splitter eventstream.Splitter
 	hasher   *blake3.Hasher
 	sequence uint64
 	length   int64
@@ -59,10 +62,8 @@
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := a.body.Read(buffer)
-		if n > 0 {
-			if sendErr := r.sendData(buffer[:n]); sendErr != nil {
-				return errEntryDisconnected
-			}
+		if forwardErr := r.forward(a, buffer[:n]); forwardErr != nil {
+			return forwardErr
 		}
 		if errors.Is(err, io.EOF) {
 			return r.checkComplete(a)
@@ -77,6 +78,25 @@
 // connection.
 var errEntryDisconnected = errors.New("entry disconnected")
 
+// forward sends the next bytes of the answer, or those of the events that they
+// complete.
+func (r *relay) forward(a *answer, part []byte) error {
+	if a.stream {
+		events, err := r.splitter.Feed(part)
+		if err != nil {
+			return core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "invalid event after %d bytes", r.length)
+		}
+		part = events
+	}
+	if len(part) == 0 {
+		return nil
+	}
+	if err := r.sendData(part); err != nil {
+		return errEntryDisconnected
+	}
+	return nil
+}
+
 func (r *relay) sendData(part []byte) error {
 	if r.sequence == 0 {
 		r.onFirstByte()
@@ -93,7 +113,8 @@
 // checkComplete returns an error for a stream without its last event. net/http has
 // checked the length of a plain answer against its Content-Length.
 func (r *relay) checkComplete(a *answer) error {
-	if !a.stream || bytes.Equal(r.tail, streamEndEvent) {
+	isWhole := r.splitter.PendingBytes() == 0 && bytes.Equal(r.tail, streamEndEvent)
+	if !a.stream || isWhole {
 		return nil
 	}
 	return core.NewFailure(core.CodeIncomplete, core.ExecutionUnknown, "stream ended without its last event after %d bytes", r.length)
