agent: accept streams that have neither a length nor chunks

Such a stream was refused as incomplete after the engine had begun to run it: a request that may be repeated ran twice, and any other ended without a known result.

Cause: the agent asks for a Content-Length or chunks on every answer, because an answer that ends with its connection could be truncated unnoticed. That does not hold for streams, whose last event names their end and which the relay checks.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -167,15 +167,17 @@
 	if weights != d.Weights {
 		return nil, core.NewFailure(core.CodeDigestMismatch, core.ExecutionUnknown, "backend server answered from weights %s, want %s", weights.Short(), d.Weights.Short())
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	contentType := response.Header.Get("Content-Type")
+	stream := strings.HasPrefix(contentType, eventStreamType)
+	// A stream names its own end; any other answer could be truncated unnoticed.
+	if !stream && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, core.NewFailure(core.CodeIncomplete, core.ExecutionUnknown, "answer has neither a Content-Length nor chunked encoding")
 	}
-	contentType := response.Header.Get("Content-Type")
 	return &answer{
 		body:        response.Body,
 		contentType: contentType,
 		weights:     weights,
-		stream:      strings.HasPrefix(contentType, eventStreamType),
+		stream:      stream,
 	}, nil
 }
 
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -96,6 +96,23 @@
 	require.Equal(t, core.ExecutionNotRun, core.ExecutionOf(err), "the connection was refused")
 }
 
+func TestOnlyStreamsMayHaveNoLength(t *testing.T) {
+	for contentType, code := range map[string]core.Code{eventStreamType: core.CodeOK, "application/json": core.CodeIncomplete} {
+		b := newTestBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerRequestID, "r")
+			w.Header().Set("Content-Type", contentType)
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = w.Write(streamEndEvent)
+			_ = http.NewResponseController(w).Flush()
+		})
+		answer, err := b.sendAttempt(t.Context(), wire.Dispatch{RequestID: "r"})
+		require.Equal(t, code, core.CodeOf(err), contentType)
+		if err == nil {
+			require.NoError(t, answer.body.Close())
+		}
+	}
+}
+
 // frameRecorder records the frames that a relay sends.
 type frameRecorder struct{ sent []wire.AnswerFrame }
 
