soak: answers without length, broken events and answers without end

The soak's backend servers cut answers only with a connection that is reset. The names of the faults: answers-unframed, answers-broken-event, answers-endless-head, answers-endless-body.

--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -29,12 +29,23 @@
 // TestRandomSoak checks the guarantees only: how many requests are answered
 // depends on the speed of the computer.
 func TestRandomSoak(t *testing.T) {
+	testSoak(t, nil)
+}
+
+func TestMalformedAnswersKeepTheGuarantees(t *testing.T) {
+	testSoak(t, []string{
+		"answers-unframed", "answers-broken-event", "answers-endless-head", "answers-endless-body", "answers-cut",
+	})
+}
+
+func testSoak(t *testing.T, faults []string) {
 	report, result, err := Run(t.Context(), Config{
 		Layout:          smallTestLayout(),
 		Hooks:           daemons.Hooks(daemons.Config{}),
 		Seed:            *soakSeed,
 		Duration:        *soakDuration,
 		Rate:            20,
+		Faults:          faults,
 		ConvergeTimeout: *soakConvergeTimeout,
 		Log:             t.Logf,
 	})
--- a/standin/backend/answer.go
+++ b/standin/backend/answer.go
@@ -13,18 +13,23 @@
 	Body      []byte
 }
 
-// WriteTo writes the answer with the fault applied. With AnswerCut it aborts the
-// connection after half of the body.
+// WriteTo writes the answer with the fault applied. With AnswerCut and
+// AnswerBrokenEvent it aborts the connection after half of the body.
 func (a Answer) WriteTo(w http.ResponseWriter, fault AnswerFault) {
 	switch fault {
 	case AnswerDoubled:
 		a.writeTwice(w)
-	case AnswerCut:
+	case AnswerCut, AnswerBrokenEvent:
 		a.setHeader(w.Header())
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 		_, _ = w.Write(a.Body[:len(a.Body)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case AnswerUnframed:
+		a.setHeader(w.Header())
+		SetUnframed(w.Header())
+		_, _ = w.Write(a.Body)
+		_ = http.NewResponseController(w).Flush()
 	default:
 		a.setHeader(w.Header())
 		_, _ = w.Write(a.Body)
--- a/standin/backend/faults.go
+++ b/standin/backend/faults.go
@@ -28,6 +28,15 @@
 	DoubledAnswers int `json:"doubled_answers,omitempty"`
 	// CutAnswers runs the request and closes the connection within the answer.
 	CutAnswers int `json:"cut_answers,omitempty"`
+	// UnframedAnswers have neither a length nor chunks and end with their connection.
+	UnframedAnswers int `json:"unframed_answers,omitempty"`
+	// BrokenEvents ends unframed streams within an event by closing the connection;
+	// other answers are cut.
+	BrokenEvents int `json:"broken_events,omitempty"`
+	// EndlessHeads and EndlessBodies write heads and bodies without end until the
+	// client closes the connection.
+	EndlessHeads  int `json:"endless_heads,omitempty"`
+	EndlessBodies int `json:"endless_bodies,omitempty"`
 	// SlowFactor multiplies the processing time; 1 is the normal speed.
 	SlowFactor *float64 `json:"slow_factor,omitempty"`
 	// IgnoreFence makes an engine execute commands with stale fencing tokens.
@@ -77,4 +86,9 @@
 	AnswerCrossed
 	AnswerDoubled
 	AnswerCut
+	AnswerUnframed
+	AnswerBrokenEvent
+	AnswerEndlessHead
+	AnswerEndlessBody
+	answerFaultCount
 )
--- a/standin/backend/inject.go
+++ b/standin/backend/inject.go
@@ -17,6 +17,10 @@
 	s.armedFaults[AnswerCrossed] += faults.CrossedAnswers
 	s.armedFaults[AnswerDoubled] += faults.DoubledAnswers
 	s.armedFaults[AnswerCut] += faults.CutAnswers
+	s.armedFaults[AnswerUnframed] += faults.UnframedAnswers
+	s.armedFaults[AnswerBrokenEvent] += faults.BrokenEvents
+	s.armedFaults[AnswerEndlessHead] += faults.EndlessHeads
+	s.armedFaults[AnswerEndlessBody] += faults.EndlessBodies
 	if faults.LateMillis > 0 {
 		s.lateDelay = time.Duration(faults.LateMillis) * time.Millisecond
 	}
--- a/standin/backend/simulator.go
+++ b/standin/backend/simulator.go
@@ -232,7 +232,7 @@
 }
 
 func (s *Simulator) takeArmedFault() AnswerFault {
-	for _, fault := range []AnswerFault{AnswerLate, AnswerCrossed, AnswerDoubled, AnswerCut} {
+	for fault := AnswerIntact + 1; fault < answerFaultCount; fault++ {
 		if s.armedFaults[fault] > 0 {
 			s.armedFaults[fault]--
 			return fault
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -11,6 +11,8 @@
 	"currantusher.dev/standin/backend"
 )
 
+const eventStreamType = "text/event-stream"
+
 // generation is the processing of one request with one version of the weights.
 type generation struct {
 	run        *backend.Run
@@ -88,7 +90,16 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
+	streamed := strings.Contains(r.Header.Get("Accept"), eventStreamType)
+	if g.run.Fault.IsEndless() {
+		contentType := "application/json"
+		if streamed {
+			contentType = eventStreamType
+		}
+		g.run.WriteEndless(r.Context(), w, backend.Answer{RequestID: g.requestID, Weights: g.weights.String()}, contentType)
+		return
+	}
+	if streamed {
 		s.writeStream(w, r, g)
 		return
 	}
@@ -134,7 +145,10 @@
 	if g.run.Fault == backend.AnswerCrossed {
 		requestID += "-crossed"
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Content-Type", eventStreamType)
+	if g.run.Fault == backend.AnswerUnframed || g.run.Fault == backend.AnswerBrokenEvent {
+		backend.SetUnframed(w.Header())
+	}
 	w.Header().Set(backend.HeaderRequestID, requestID)
 	w.Header().Set(backend.HeaderWeights, g.weights.String())
 	out := &resumedWriter{to: w, flush: http.NewResponseController(w).Flush, skipBytes: g.resumeFrom}
@@ -146,7 +160,12 @@
 		if g.run.Fault == backend.AnswerCut && i >= tokens/2 {
 			panic(http.ErrAbortHandler)
 		}
-		out.write(encodeEvent(requestID, g.weights, g.seed, i))
+		event := encodeEvent(requestID, g.weights, g.seed, i)
+		if g.run.Fault == backend.AnswerBrokenEvent && i >= tokens/2 {
+			out.write(event[:len(event)/2])
+			return
+		}
+		out.write(event)
 		if g.run.Fault == backend.AnswerDoubled {
 			out.write(encodeEvent(requestID, g.weights, g.seed, i))
 		}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -117,6 +117,10 @@
 	if err := run.Sleep(r.Context(), delay); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if run.Fault.IsEndless() {
+		run.WriteEndless(r.Context(), w, answer, "application/json")
+		return
+	}
 	answer.WriteTo(w, run.Fault)
 }
 
