--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -13,9 +13,6 @@
 // all have refused it.
 const refusalCheckPeriod = 100 * time.Millisecond
 
-// retryBudgetCheckPeriod is how often a broken stream looks for a retry in the budget.
-const retryBudgetCheckPeriod = 50 * time.Millisecond
-
 // requeue waits in the queue for another slot and clears the set of tried
 // agents.
 func (x *execution) requeue(ctx context.Context) error {
@@ -70,23 +67,3 @@
 	pause.For(ctx, refusalCheckPeriod)
 	return ctx.Err() == nil
 }
-
-// waitForRetry waits until the retry budget permits a broken stream to continue, and
-// reports whether it took a retry. Requests whose callers have got nothing yet are
-// refused instead.
-func (x *execution) waitForRetry(ctx context.Context, placer *placement.Placer) bool {
-	for x.output.sentBytes > 0 {
-		checkAt := x.config.Now().Add(retryBudgetCheckPeriod)
-		if !checkAt.Before(x.request.Deadline.Add(-x.tombstoneReserve())) {
-			return false
-		}
-		pause.For(ctx, retryBudgetCheckPeriod)
-		if ctx.Err() != nil {
-			return false
-		}
-		if placer.WithdrawRetry() {
-			return true
-		}
-	}
-	return false
-}
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -83,14 +83,13 @@
 	}
 }
 
-// prepareRetry takes a retry from the retry budget. If the budget is spent, a broken
-// stream waits for it, and any other request returns to the queue after a temporary
-// refusal and fails otherwise.
+// prepareRetry takes a retry from the retry budget. If the budget is spent, the
+// request returns to the queue after a temporary refusal and fails otherwise.
 func (x *execution) prepareRetry(ctx context.Context, placer *placement.Placer, lastErr error) error {
 	if x.output.sentBytes > 0 && !x.output.canResume() {
 		return core.NewFailure(core.CodeStreamBroken, core.ExecutionUnknown, "the stream broke after %d bytes: %s", x.output.sentBytes, core.DetailOf(lastErr))
 	}
-	if placer.WithdrawRetry() || x.waitForRetry(ctx, placer) {
+	if placer.WithdrawRetry() {
 		return nil
 	}
 	if !isTemporaryRefusal(lastErr) {
