Test: simulated fleets with whole requests that crash servers

Callers of a request that crashes each server repeat it with new request IDs at any entry. The fleets in which parts are deadly now carry a whole-request trait too.

--- a/requests/quarantine/simulation_gossip_test.go
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -20,6 +20,10 @@
 
 func (e *simEntry) isSuspended(now time.Time) bool { return now.Before(e.suspendedUntil) }
 
+func (e *simEntry) isCutOff(now time.Time) bool { return now.Before(e.cutUntil) }
+
+func (e *simEntry) isInTouch(now time.Time) bool { return !now.Before(e.cutUntil.Add(simRejoin)) }
+
 func (s *simulation) decide(e *simEntry) {
 	if e.isSuspended(s.now) {
 		return
@@ -47,7 +51,7 @@
 			continue
 		}
 		for _, a := range sortedAttempts(e.waiting) {
-			if change.AppliesTo(a.parts) {
+			if change.AppliesTo(a.traits) {
 				s.leave(a)
 				a.done = true
 				if a.deadly < 0 {
@@ -108,7 +112,7 @@
 	}
 	s.measure(evidence, len(targets))
 	for _, target := range targets {
-		if s.random.Float64() < s.config.loss {
+		if s.random.Float64() < s.config.loss || e.isCutOff(s.now) || target.isCutOff(s.now) {
 			continue
 		}
 		delay := s.between(time.Millisecond, 5*time.Millisecond)
--- a/requests/quarantine/simulation_servers_test.go
+++ b/requests/quarantine/simulation_servers_test.go
@@ -11,12 +11,12 @@
 )
 
 // call sends a new request of a caller to any entry.
-func (s *simulation) call(parts []fleet.Trait, deadly int) {
+func (s *simulation) call(traits []fleet.Trait, deadly int) {
 	if deadly < 0 {
 		s.result.soundSent++
 	}
 	if e := s.entries[s.random.IntN(len(s.entries))]; !e.isSuspended(s.now) {
-		s.send(&simAttempt{entry: e, id: s.newID(), parts: parts, deadly: deadly})
+		s.send(&simAttempt{entry: e, id: s.newID(), traits: traits, deadly: deadly})
 	}
 }
 
@@ -35,9 +35,9 @@
 	return nil
 }
 
-// send sends an attempt to a server unless a part is quarantined.
+// send sends an attempt to a server unless a trait is quarantined.
 func (s *simulation) send(a *simAttempt) {
-	if _, _, found := a.entry.set.Quarantined(s.now, a.parts); found {
+	if _, _, found := a.entry.set.Quarantined(s.now, a.traits); found {
 		if a.deadly < 0 {
 			s.result.soundRefused++
 		}
@@ -45,17 +45,18 @@
 	}
 	server := s.pickServer()
 	if server == nil || len(server.waiting) >= simSlots {
+		s.enqueue(a)
 		return
 	}
-	if a.deadly >= 0 {
-		fifth := s.result.fifthCrash[a.deadly]
-		if !fifth.IsZero() && s.now.After(fifth.Add(simBoundDelay)) {
+	if a.deadly >= 0 && a.entry.isInTouch(s.now) {
+		bound := s.result.boundCrash[a.deadly]
+		if !bound.IsZero() && s.now.After(bound.Add(simBoundDelay)) {
 			s.result.reachedLater[a.deadly]++
 		}
 	}
 	a.server = server
 	server.waiting[a], a.entry.waiting[a] = true, true
-	s.after(s.between(50*time.Millisecond, 500*time.Millisecond), func() {
+	s.after(s.runTime(a), func() {
 		if a.done || a.server != server || !server.waiting[a] {
 			return
 		}
@@ -69,13 +70,36 @@
 	})
 }
 
+func (s *simulation) runTime(a *simAttempt) time.Duration {
+	if a.deadly >= 0 && s.config.deadly[a.deadly].runTime > 0 {
+		return s.between(0, s.config.deadly[a.deadly].runTime)
+	}
+	return s.between(50*time.Millisecond, 500*time.Millisecond)
+}
+
+// enqueue lets an attempt that finds no server wait at its entry.
+func (s *simulation) enqueue(a *simAttempt) {
+	if a.queuedSince.IsZero() {
+		a.queuedSince = s.now
+	}
+	if !s.config.queues || s.now.Sub(a.queuedSince) > simQueueTime {
+		return
+	}
+	set := a.entry.set
+	s.after(max(simQueueRetry, a.entry.suspendedUntil.Sub(s.now)), func() {
+		if a.entry.set == set {
+			s.send(a)
+		}
+	})
+}
+
 // began records the begin of an answer, which a suspended entry reads later.
 func (s *simulation) began(a *simAttempt) {
 	if a.entry.isSuspended(s.now) {
 		s.after(a.entry.suspendedUntil.Sub(s.now), func() { s.began(a) })
 		return
 	}
-	if a.entry.set.Started(s.now, a.parts) {
+	if a.entry.set.Started(s.now, a.traits) {
 		s.sendSoon(a.entry)
 	}
 }
@@ -88,8 +112,12 @@
 func (s *simulation) deadlyCrash(deadly int, server *simServer) {
 	r := &s.result
 	r.deadlyCrashes[deadly]++
-	if r.deadlyCrashes[deadly] == simBoundCrash {
-		r.fifthCrash[deadly] = s.now
+	bound := simBoundCrash
+	if s.config.deadly[deadly].isRequest {
+		bound = simRequestBoundCrash
+	}
+	if r.deadlyCrashes[deadly] == bound {
+		r.boundCrash[deadly] = s.now
 	}
 	s.crash(server)
 }
@@ -162,7 +190,7 @@
 			if e.set != set || e.isSuspended(s.now) {
 				return
 			}
-			if e.set.Crashed(s.now, lifetime, at, suspects(a.id, a.parts)) {
+			if e.set.Crashed(s.now, lifetime, at, suspects(a.id, a.traits)) {
 				s.sendSoon(e)
 			}
 			s.retry(a)
@@ -180,12 +208,12 @@
 		return
 	}
 	if a.retries == 0 {
-		s.send(&simAttempt{entry: a.entry, id: a.id, parts: a.parts, deadly: a.deadly, retries: 1, calls: a.calls})
+		s.send(&simAttempt{entry: a.entry, id: a.id, traits: a.traits, deadly: a.deadly, retries: 1, calls: a.calls})
 		return
 	}
-	if a.calls == 0 {
+	if a.calls < max(s.config.repeats, 1) {
 		s.after(s.between(50*time.Millisecond, 300*time.Millisecond), func() {
-			s.send(&simAttempt{entry: s.entries[s.random.IntN(len(s.entries))], id: s.newID(), parts: a.parts, deadly: a.deadly, calls: 1})
+			s.send(&simAttempt{entry: s.entries[s.random.IntN(len(s.entries))], id: s.newID(), traits: a.traits, deadly: a.deadly, calls: a.calls + 1})
 		})
 	}
 }
--- a/requests/quarantine/simulation_test.go
+++ b/requests/quarantine/simulation_test.go
@@ -25,19 +25,32 @@
 	// deadly part may still reach servers.
 	simBoundDelay = 3 * time.Second
 	simBoundCrash = 5
+	// simRequestBoundCrash is simBoundCrash for a deadly whole request.
+	simRequestBoundCrash = 3
+	// simRejoin is the time after which an entry that was cut off is in touch again.
+	simRejoin = time.Second
+	// simQueueRetry and simQueueTime are how often and how long a request that finds no
+	// server is tried again.
+	simQueueRetry = 100 * time.Millisecond
+	simQueueTime  = 10 * time.Second
 	// simCalmDelay is the time after the last crash from which an entry has no news.
 	simCalmDelay = 5 * time.Second
 )
 
-// simDeadly is a prompt part that crashes servers.
+// simDeadly is a prompt part or a whole request that crashes servers.
 type simDeadly struct {
-	id      string
-	isFirst bool
+	id        string
+	isFirst   bool
+	isRequest bool
 	// companion is a sound part that all requests with the part hold too, or empty.
 	companion string
 	// perSecond is the rate of requests with the part, and from and until bound them.
 	perSecond   float64
 	from, until time.Duration
+	// burst is the number of requests that are sent at once, or zero for one.
+	burst int
+	// runTime bounds the time until the server crashes, if it is not that of an answer.
+	runTime time.Duration
 }
 
 // simGroupCrash is the crash of several servers within spread.
@@ -67,6 +80,18 @@
 	lateLosses float64
 	// omitsRetries is set if lost requests are not sent again.
 	omitsRetries bool
+	// repeats is the number of times a caller repeats a request that its entry gives up, if
+	// not once.
+	repeats int
+	// omitsPrompts is set if requests have no prompts.
+	omitsPrompts bool
+	// hotPerSecond is the rate of a sound request that many callers repeat.
+	hotPerSecond float64
+	// cutEvery is the mean time between two times at which an entry is cut off from all
+	// others for cutTime.
+	cutEvery, cutTime time.Duration
+	// queues is set if requests that find no server wait for one.
+	queues bool
 }
 
 type simServer struct {
@@ -85,6 +110,7 @@
 	lastSent          time.Time
 	sendPlanned       bool
 	suspendedUntil    time.Time
+	cutUntil          time.Time
 	waiting           map[*simAttempt]bool
 	// quarantinedSince holds when sound parts were quarantined here.
 	quarantinedSince map[fleet.Trait]time.Time
@@ -94,17 +120,19 @@
 	entry          *simEntry
 	server         *simServer
 	id             string
-	parts          []fleet.Trait
+	traits         []fleet.Trait
 	deadly         int
 	retries, calls int
 	done           bool
+	queuedSince    time.Time
 }
 
 // simResult is what a run shows.
 type simResult struct {
-	crashes          int
-	deadlyCrashes    []int
-	fifthCrash       []time.Time
+	crashes       int
+	deadlyCrashes []int
+	// boundCrash holds the times of the crashes from which the bound holds.
+	boundCrash       []time.Time
 	reachedLater     []int
 	soundSent        int
 	soundRefused     int
@@ -161,7 +189,7 @@
 	s.result.wrongParts = map[string]time.Duration{}
 	s.result.lastCrash = s.start
 	s.result.deadlyCrashes = make([]int, len(config.deadly))
-	s.result.fifthCrash = make([]time.Time, len(config.deadly))
+	s.result.boundCrash = make([]time.Time, len(config.deadly))
 	s.result.reachedLater = make([]int, len(config.deadly))
 	for i := range config.entries {
 		e := &simEntry{index: i, dataCentre: i % config.dataCentres}
@@ -219,9 +247,14 @@
 		s.periodically(simRound, func() { s.sendRound(e) })
 		s.periodically(simDecidePeriod, func() { s.decide(e) })
 	}
-	s.every(c.soundPerSecond, 0, c.duration, func() { s.call(s.soundParts(), -1) })
+	s.every(c.soundPerSecond, 0, c.duration, func() { s.call(append(s.soundParts(), simRequest(s.newID())), -1) })
+	s.every(c.hotPerSecond, 0, c.duration, func() { s.call(append(s.soundParts(), simRequest("hot")), -1) })
 	for i, d := range c.deadly {
-		s.every(d.perSecond, d.from, min(d.until, c.duration), func() { s.call(s.deadlyParts(d), i) })
+		s.every(d.perSecond, d.from, min(d.until, c.duration), func() {
+			for range max(d.burst, 1) {
+				s.call(s.deadlyTraits(d), i)
+			}
+		})
 	}
 	s.every(c.ordinaryPerSecond, 0, c.duration, func() { s.crash(s.pickServer()) })
 	s.every(c.resetsPerSecond, 0, c.duration, func() { s.resetConnection() })
@@ -240,6 +273,11 @@
 			s.entries[s.random.IntN(c.entries)].suspendedUntil = s.now.Add(simSuspension)
 		})
 	}
+	if c.cutEvery > 0 {
+		s.every(float64(c.entries)/c.cutEvery.Seconds(), 0, c.duration, func() {
+			s.entries[s.random.IntN(c.entries)].cutUntil = s.now.Add(c.cutTime)
+		})
+	}
 	end := s.start.Add(c.duration)
 	for len(s.queue) > 0 && s.queue[0].at.Before(end) {
 		event := heap.Pop(&s.queue).(simEvent)
@@ -268,6 +306,9 @@
 // soundParts draws the shared parts of a sound request. The popularity of teams and of
 // middle parts falls with their rank, so that the last ones are rare.
 func (s *simulation) soundParts() []fleet.Trait {
+	if s.config.omitsPrompts {
+		return nil
+	}
 	parts := []fleet.Trait{simPart("%016x", 0xa000+s.rank(s.config.teams))}
 	if s.config.middles > 0 && s.random.Float64() < 0.5 {
 		parts = append(parts, simPart("%016x", 0xb000+s.rank(s.config.middles)))
@@ -279,6 +320,13 @@
 	return int(float64(count) * s.random.Float64() * s.random.Float64() * s.random.Float64())
 }
 
+func (s *simulation) deadlyTraits(d simDeadly) []fleet.Trait {
+	if d.isRequest {
+		return append(s.soundParts(), simRequest(d.id))
+	}
+	return append(s.deadlyParts(d), simRequest(s.newID()))
+}
+
 func (s *simulation) deadlyParts(d simDeadly) []fleet.Trait {
 	if d.companion != "" {
 		parts := []fleet.Trait{simPart("%s", d.companion), simPart("%s", d.id)}
@@ -294,6 +342,8 @@
 	return slices.Insert(parts, 1, simPart("%s", d.id))
 }
 
+func simRequest(id string) fleet.Trait { return fleet.Trait{ID: id} }
+
 func simPart(format string, id any) fleet.Trait {
 	return fleet.Trait{Model: "llm-70b", ID: fmt.Sprintf(format, id)}
 }
