Quarantine: whole requests that crash servers are refused

Callers repeat a request that crashes each server that begins it.

A whole request is now a trait beside the parts: - Crashes of a retried request, or 50 ms apart, are different moments, and they count for 10 minutes. Begun answers of whole requests have a table of their own. - The crashes that decide have settled, so that a bystander is not refused because the report of the cause is still on its way. Of two causes that are as likely, none is refused until a crash or an answer tells them apart or two more moments have come. - A part must explain two crashes more than a request that is repeated with it. - Old suspicions are sent in turn, so that entries that restart know them; so are ended quarantines. Of equal suspicions the least recently sent go first. - A crash that entries report under two incarnations is one crash.

--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -85,6 +85,9 @@
 	list := make([]fleet.Suspect, len(parts))
 	for i, p := range parts {
 		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
+		if p.IsRequest() {
+			list[i].Position = math.MaxUint8
+		}
 	}
 	return list
 }
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -12,12 +12,16 @@
 )
 
 const (
-	// crashRetention is how long a crash counts as evidence.
+	// crashRetention is how long a crash counts as evidence against prompt parts.
 	crashRetention = 2 * time.Minute
+	// requestRetention is how long a crash counts as evidence against whole requests, which
+	// callers may repeat slowly.
+	requestRetention = 10 * time.Minute
 	// maxCrashes bounds the crashes that are kept.
 	maxCrashes = 64
-	// maxSuspects bounds the parts that are suspect in one crash.
-	maxSuspects = 64
+	// maxSuspects bounds the traits that are suspect in one crash: those of all requests that
+	// wait at a full server.
+	maxSuspects = 192
 	// maxRequests bounds the requests that are known for each of these.
 	maxRequests = 4
 	// urgentSuspicions is the number of crashes from which evidence on their suspect is
@@ -41,6 +45,7 @@
 // suspicion is that a part is the cause of a crash.
 type suspicion struct {
 	crash    *crash
+	trait    fleet.Trait
 	requests []uint32
 	// position is the greatest index of the part in a prompt.
 	position uint8
@@ -50,6 +55,8 @@
 	// changedAt is when this became known here, or when another entry last reported a
 	// suspect that is sound.
 	changedAt time.Time
+	// sentAt and startSentAt are when it and what refutes it were last sent to other entries.
+	sentAt, startSentAt time.Time
 }
 
 func (c *crash) holds(s fleet.Suspect) bool {
@@ -89,7 +96,8 @@
 // against a part, and whether the evidence is urgent: against a part that is suspect in
 // other crashes too.
 func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) (isNew, isUrgent bool) {
-	if now.Sub(at) >= crashRetention || len(suspects) == 0 {
+	suspects = slices.DeleteFunc(slices.Clone(suspects), func(s fleet.Suspect) bool { return now.Sub(at) >= retention(s.Part) })
+	if len(suspects) == 0 {
 		return false, false
 	}
 	c := l.find(lifetime, at, suspects)
@@ -110,15 +118,23 @@
 	return isNew, isUrgent
 }
 
-// find returns the known crash that a report is about. A message may be read long after
-// it was sent, with an age that is too small: a crash with the same request is the same
-// one.
+// retention is how long a crash counts as evidence against a trait.
+func retention(t fleet.Trait) time.Duration {
+	if t.IsRequest() {
+		return requestRetention
+	}
+	return crashRetention
+}
+
+// find returns the known crash that a report is about. Entries may know the process by the
+// incarnation before. A message may be read long after it was sent, with an age that is too
+// small: a crash with the same request is the same one.
 func (l *crashLog) find(lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) *crash {
 	for _, c := range l.crashes {
-		if c.lifetime != lifetime {
+		if c.lifetime.Server != lifetime.Server {
 			continue
 		}
-		if c.at.Sub(at).Abs() <= mergePeriod || slices.ContainsFunc(suspects, c.holds) {
+		if c.at.Sub(at).Abs() <= mergePeriod || c.lifetime == lifetime && slices.ContainsFunc(suspects, c.holds) {
 			return c
 		}
 	}
@@ -144,7 +160,7 @@
 		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
 			return false
 		}
-		known = &suspicion{crash: c, isSound: isSound}
+		known = &suspicion{crash: c, trait: s.Part, isSound: isSound}
 		c.suspects[s.Part] = known
 		if !isSound {
 			c.open++
@@ -165,7 +181,7 @@
 
 // dropSound makes room for a suspect.
 func (c *crash) dropSound() bool {
-	for _, part := range slices.SortedFunc(maps.Keys(c.suspects), compareParts) {
+	for _, part := range slices.SortedFunc(maps.Keys(c.suspects), compareTraits) {
 		if c.suspects[part].isSound {
 			delete(c.suspects, part)
 			return true
@@ -182,7 +198,7 @@
 			rest = append(rest, s)
 			continue
 		}
-		s.isSound, s.changedAt = true, now
+		s.isSound, s.changedAt, s.startSentAt = true, now, time.Time{}
 		s.crash.open--
 		refuted = append(refuted, s)
 	}
@@ -229,8 +245,39 @@
 	})
 }
 
-func (l *crashLog) expire(now time.Time) {
-	l.remove(func(c *crash) bool { return now.Sub(c.at) >= crashRetention })
+// expire drops suspicions after their retention, and crashes without open ones. It keeps the
+// suspicions of traits that explain crashes, according to isCause, as long as the crash.
+func (l *crashLog) expire(now time.Time, isCause func(fleet.Trait) bool) {
+	l.remove(func(c *crash) bool {
+		age := now.Sub(c.at)
+		if age < crashRetention {
+			return false
+		}
+		for trait, s := range c.suspects {
+			if age >= retention(trait) && !isCause(trait) {
+				l.drop(trait, s)
+			}
+		}
+		return age >= requestRetention || !c.hasOpenRequest()
+	})
+}
+
+func (c *crash) hasOpenRequest() bool {
+	for trait, s := range c.suspects {
+		if trait.IsRequest() && !s.isSound {
+			return true
+		}
+	}
+	return false
+}
+
+// drop removes a suspicion.
+func (l *crashLog) drop(trait fleet.Trait, s *suspicion) {
+	delete(s.crash.suspects, trait)
+	if !s.isSound {
+		s.crash.open--
+		l.setOpen(trait, slices.DeleteFunc(l.open[trait], func(other *suspicion) bool { return other == s }))
+	}
 }
 
 // byTime returns the crashes in the order of time.
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -26,6 +26,18 @@
 	// momentGap is the least time between two moments. Servers that share a rack or a
 	// link may fail at the same one.
 	momentGap = 200 * time.Millisecond
+	// requestMomentGap is momentGap for whole requests. Their retries are no chance, so that
+	// less time suffices.
+	requestMomentGap = 50 * time.Millisecond
+	// equalMoments is the number of additional moments for a whole request if another cause
+	// is as likely.
+	equalMoments = 2
+	// equalRequests is the difference in the number of requests from which the cause with
+	// more of them is likelier.
+	equalRequests = 2
+	// partLead is the number of crashes that a part must explain more than a whole request
+	// to be the likelier cause.
+	partLead = 2
 	// maxRivals bounds the parts that are kept as possible causes beside the likeliest one.
 	maxRivals = 8
 	// startPeriod is the time after the first call of Decide in which a Set quarantines
@@ -93,8 +105,9 @@
 	if s.startedAt.IsZero() {
 		s.startedAt = now
 	}
-	s.crashes.expire(now)
-	s.starts.expire(now)
+	s.crashes.expire(now, s.isKnownCause)
+	s.partStarts.expire(now)
+	s.requestStarts.expire(now)
 	changes := s.endQuarantines(now)
 	s.quarantines.expire(now)
 	if s.undecided {
@@ -115,6 +128,12 @@
 	return changes
 }
 
+// isKnownCause reports whether a trait is quarantined, or was so rightly.
+func (s *Set) isKnownCause(t fleet.Trait) bool {
+	q := s.quarantines[t]
+	return q != nil && !q.released
+}
+
 func (s *Set) decide(now time.Time, settle time.Duration) []Change {
 	s.undecided = false
 	changes := s.releaseSound(now)
@@ -122,39 +141,68 @@
 	causes := map[fleet.Trait]bool{}
 	explained := map[*crash]bool{}
 	for {
-		best := strongest(candidates, explained, s.crashes.crashes)
+		best := s.strongest(candidates, explained)
 		if best == nil {
 			break
 		}
-		causes[best.part] = true
-		rivals := s.rivalsOf(best)
+		causes[best.trait] = true
+		equals := s.equalsOf(best.settled(now.Add(-settle/2), s.crashes.crashes), candidates)
 		for _, c := range best.crashes {
 			explained[c] = true
 		}
-		if q := s.quarantines[best.part]; q != nil && q.isActive(now) {
-			changes = append(changes, widenTo(now, q, best, rivals)...)
-			continue
-		}
-		hasSettled := now.Sub(best.crashes[0].at) >= settle && now.Sub(s.startedAt) >= startPeriod
-		if !hasSettled && !best.isRepeat {
-			s.undecided = true
-			continue
+		for _, other := range equals {
+			causes[other.trait] = true
 		}
-		changes = append(changes, s.quarantine(now, best, rivals))
+		changes = append(changes, s.decideOn(now, settle, best, equals)...)
 	}
 	return append(changes, s.releaseExplained(now, candidates, causes, explained)...)
 }
 
+// decideOn quarantines the likeliest cause of some crashes, or none as long as another one
+// is as likely.
+func (s *Set) decideOn(now time.Time, settle time.Duration, best *candidate, equals []*candidate) []Change {
+	rivals := s.rivalsOf(best)
+	if q := s.quarantines[best.trait]; q != nil && q.isActive(now) {
+		return widenTo(now, q, best, rivals)
+	} else if q != nil && !q.released && !best.crashes[len(best.crashes)-1].at.After(q.end()) {
+		return nil
+	}
+	if !best.isRepeat && (now.Sub(s.startedAt) < startPeriod || !s.hasSettled(now, settle, best)) {
+		s.undecided = true
+		return nil
+	}
+	if len(equals) > 0 && best.moments < minMoments+equalMoments {
+		return nil
+	}
+	changes := []Change{s.quarantine(now, best, rivals)}
+	for _, other := range equals {
+		if other.trait.IsRequest() && !other.isKnown && len(other.crashes) >= len(best.crashes) {
+			changes = append(changes, s.quarantine(now, other, nil))
+		}
+	}
+	return changes
+}
+
+// hasSettled reports whether what other entries know of the crashes had time to arrive. Whole
+// requests are decided on few crashes, so that all of these must have settled.
+func (s *Set) hasSettled(now time.Time, settle time.Duration, best *candidate) bool {
+	if !best.trait.IsRequest() {
+		return now.Sub(best.crashes[0].at) >= settle
+	}
+	settled := best.settled(now.Add(-settle/2), s.crashes.crashes)
+	return settled.isEnough(settled.countOthers(s.crashes.crashes, nil))
+}
+
 func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.Trait) Change {
 	q := &quarantine{generation: 1, with: rivals, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
-	if previous := s.quarantines[cause.part]; previous != nil {
+	if previous := s.quarantines[cause.trait]; previous != nil {
 		q.generation = max(previous.generation+1, previous.generation)
 		if cause.isRepeat {
 			q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(previous.with, p) })
 		}
 	}
-	s.quarantines.put(cause.part, q)
-	return q.change(cause.part, Decided)
+	s.quarantines.put(cause.trait, q)
+	return q.change(cause.trait, Decided)
 }
 
 // change describes that a quarantine begins or is widened.
@@ -169,7 +217,7 @@
 		!q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(rivals, p) }) {
 		return nil
 	}
-	return []Change{q.change(cause.part, Widened)}
+	return []Change{q.change(cause.trait, Widened)}
 }
 
 // releaseSound releases the parts with which an answer began shortly before the decision
@@ -195,12 +243,12 @@
 func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.Trait]bool, explained map[*crash]bool) []Change {
 	var changes []Change
 	for _, c := range candidates {
-		q := s.quarantines[c.part]
-		if q == nil || !q.isActive(now) || causes[c.part] || c.countUntil(q.decidedAt) < q.crashes {
+		q := s.quarantines[c.trait]
+		if q == nil || !q.isActive(now) || causes[c.trait] || c.countUntil(q.decidedAt) < q.crashes {
 			continue
 		}
 		if !slices.ContainsFunc(c.crashes, func(c *crash) bool { return !explained[c] }) {
-			changes = append(changes, release(now, c.part, q, ExplainedOtherwise))
+			changes = append(changes, release(now, c.trait, q, ExplainedOtherwise))
 		}
 	}
 	return changes
@@ -210,153 +258,3 @@
 	q.released, q.releasedAt, q.changedAt = true, now, now
 	return Change{Part: part, Reason: reason, Crashes: q.crashes}
 }
-
-// candidate is a part that may be the cause of crashes.
-type candidate struct {
-	part     fleet.Trait
-	isRepeat bool
-	// hasStarted is set if an answer with the part is known to have begun at any time.
-	hasStarted bool
-	// position is the greatest index of the part in a prompt.
-	position uint8
-	// crashes are those in which the part is suspect, in the order of time.
-	crashes []*crash
-}
-
-// candidates returns the parts that are suspect in enough crashes, by name.
-func (s *Set) candidates() []*candidate {
-	var list []*candidate
-	for p, open := range s.crashes.open {
-		isRepeat := s.quarantines[p].isRepeat(open)
-		if !isRepeat && len(open) < minMoments {
-			continue
-		}
-		c := &candidate{part: p, isRepeat: isRepeat, hasStarted: !s.starts.last(p).IsZero()}
-		for _, suspicion := range open {
-			c.crashes = append(c.crashes, suspicion.crash)
-			c.position = max(c.position, suspicion.position)
-		}
-		slices.SortFunc(c.crashes, compareCrashes)
-		list = append(list, c)
-	}
-	slices.SortFunc(list, func(a, b *candidate) int { return compareParts(a.part, b.part) })
-	return list
-}
-
-// strongest returns the candidate that explains most of the crashes that are not
-// explained yet, reduced to these crashes, or nil if none explains enough.
-func strongest(candidates []*candidate, explained map[*crash]bool, crashes []*crash) *candidate {
-	var best *candidate
-	var bestMoments, bestRequests int
-	for _, c := range candidates {
-		rest := *c
-		rest.crashes = slices.DeleteFunc(slices.Clone(c.crashes), func(c *crash) bool { return explained[c] })
-		moments, requests := rest.moments(), rest.requests()
-		if !isEnough(&rest, moments, requests, rest.countOthers(crashes, explained)) {
-			continue
-		}
-		if best == nil || isStronger(&rest, moments, requests, best, bestMoments, bestRequests) {
-			best, bestMoments, bestRequests = &rest, moments, requests
-		}
-	}
-	return best
-}
-
-// rivalsOf returns the other parts that are suspect in all crashes that a cause explains,
-// unless an answer with them is known to have begun at any time.
-func (s *Set) rivalsOf(cause *candidate) []fleet.Trait {
-	var rivals []fleet.Trait
-	for p := range cause.crashes[0].suspects {
-		if p == cause.part || !s.starts.last(p).IsZero() != cause.hasStarted {
-			continue
-		}
-		if !slices.ContainsFunc(cause.crashes, func(c *crash) bool { return !c.isSuspect(p) }) {
-			rivals = append(rivals, p)
-		}
-	}
-	slices.SortFunc(rivals, compareParts)
-	return rivals[:min(len(rivals), maxRivals)]
-}
-
-// isEnough reports whether a candidate explains enough beside a number of crashes with
-// other causes.
-func isEnough(c *candidate, moments, requests, others int) bool {
-	if c.isRepeat {
-		return moments > 0
-	}
-	required := minMoments
-	if c.hasStarted {
-		required += startedMoments
-	}
-	for rest := others + 1; rest >= momentGrowth; rest /= momentGrowth {
-		required++
-	}
-	return moments >= required && requests >= minRequests
-}
-
-// isStronger orders two candidates. A part with which no answer is known to have begun is
-// the likelier cause, also if the other one was in more crashes. Of two that cannot be told
-// apart, the later one in the prompt is in fewer requests, and is found to be the wrong one
-// with the next request that holds only the other.
-func isStronger(a *candidate, momentsA, requestsA int, b *candidate, momentsB, requestsB int) bool {
-	if a.hasStarted != b.hasStarted {
-		return !a.hasStarted
-	}
-	if momentsA != momentsB {
-		return momentsA > momentsB
-	}
-	if a.position != b.position {
-		return a.position > b.position
-	}
-	return requestsA > requestsB
-}
-
-// countOthers returns the number of crashes with other causes, from shortly before the
-// first crash with the part.
-func (c *candidate) countOthers(crashes []*crash, explained map[*crash]bool) int {
-	if len(c.crashes) == 0 {
-		return 0
-	}
-	first := c.crashes[0].at.Add(-comparedPeriod)
-	count := 0
-	for _, crash := range crashes {
-		if !explained[crash] && crash.at.After(first) {
-			count++
-		}
-	}
-	return count - len(c.crashes)
-}
-
-// countUntil returns the number of the crashes that were not after a time.
-func (c *candidate) countUntil(last time.Time) int {
-	count := 0
-	for _, crash := range c.crashes {
-		if !crash.at.After(last) {
-			count++
-		}
-	}
-	return count
-}
-
-// moments returns the number of different times of the crashes.
-func (c *candidate) moments() int {
-	count := 0
-	var last time.Time
-	for _, crash := range c.crashes {
-		if count == 0 || crash.at.Sub(last) >= momentGap {
-			count, last = count+1, crash.at
-		}
-	}
-	return count
-}
-
-// requests returns the number of different requests that held the part.
-func (c *candidate) requests() int {
-	seen := map[uint32]bool{}
-	for _, crash := range c.crashes {
-		for _, request := range crash.suspects[c.part].requests {
-			seen[request] = true
-		}
-	}
-	return len(seen)
-}
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -15,78 +15,128 @@
 	// News that is relayed by four messages a round reaches 350 entries within it.
 	relayPeriod = 3 * time.Second
 	// maxSentCrashes, maxSentSuspects and maxSentStarts bound the news in one message.
-	maxSentCrashes  = 8
+	maxSentCrashes  = 16
 	maxSentSuspects = 64
-	maxSentStarts   = 32
+	maxSentStarts   = 64
+	// maxSentOld bounds the older suspicions of whole requests in one message, which are for
+	// entries that have just started or were cut off.
+	maxSentOld = 2
 	// maxSentNews bounds the quarantines that changed lately in one message, and
 	// maxSentKnown the others, which are for entries that have just started.
 	maxSentNews  = 16
 	maxSentKnown = 2
-	// knownPeriod is the time between two messages with the same known quarantine.
+	// knownPeriod and oldPeriod are the times between two messages with the same known
+	// quarantine and the same older suspicion.
 	knownPeriod = time.Second
+	oldPeriod   = 3 * time.Second
+	// rejoinPeriod is how long after a crash a quarantined suspect is sent, for entries that
+	// were cut off and would take others for the cause.
+	rejoinPeriod = 15 * time.Second
 )
 
 // Evidence returns what to tell other entries in the next message.
 func (s *Set) Evidence(now time.Time) fleet.CrashEvidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now)}
-	starts := map[fleet.Trait]time.Time{}
-	suspects := 0
-	for _, c := range slices.Backward(s.crashes.byTime()) {
-		if len(e.Crashes) == maxSentCrashes || suspects >= maxSentSuspects {
-			break
-		}
-		report := s.report(now, c, starts, maxSentSuspects-suspects)
-		if len(report.Suspects) > 0 {
-			suspects += len(report.Suspects)
-			e.Crashes = append(e.Crashes, report)
+	var news, known []*suspicion
+	starts := map[fleet.Trait]*suspicion{}
+	for _, c := range s.crashes.crashes {
+		isExplained := s.isExplained(c)
+		for trait, suspect := range c.suspects {
+			isNew := now.Sub(suspect.changedAt) < relayPeriod
+			if isNew && !s.lastStart(trait).IsZero() && (starts[trait] == nil || starts[trait].changedAt.Before(suspect.changedAt)) {
+				starts[trait] = suspect
+			}
+			switch {
+			case suspect.isSound:
+			case isNew:
+				news = append(news, suspect)
+			case now.Sub(suspect.sentAt) < oldPeriod:
+			case trait.IsRequest() && !isExplained, s.isKnownCause(trait) && now.Sub(c.at) < rejoinPeriod:
+				known = append(known, suspect)
+			}
 		}
 	}
-	newestFirst := func(a, b fleet.Trait) int {
-		return cmp.Or(starts[b].Compare(starts[a]), compareParts(a, b))
+	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now), Starts: s.sentStarts(now, starts)}
+	reports := reports{now: now, index: map[*crash]int{}}
+	reports.add(s.inTurn(news), maxSentSuspects)
+	known = s.inTurn(known)
+	reports.add(known[:min(len(known), maxSentOld)], maxSentOld*maxRequests)
+	e.Crashes = reports.list
+	return e
+}
+
+// isExplained reports whether a quarantined trait is suspect in a crash.
+func (s *Set) isExplained(c *crash) bool {
+	if len(s.quarantines) == 0 {
+		return false
+	}
+	for trait, suspect := range c.suspects {
+		if !suspect.isSound && s.isKnownCause(trait) {
+			return true
+		}
 	}
-	sorted := slices.SortedFunc(maps.Keys(starts), newestFirst)
-	for _, part := range sorted[:min(len(sorted), maxSentStarts)] {
-		e.Starts = append(e.Starts, fleet.PartStart{Part: part, Age: now.Sub(s.starts.last(part))})
+	return false
+}
+
+// inTurn sorts suspicions: first those of traits in most crashes, of these the least recently
+// sent.
+func (s *Set) inTurn(list []*suspicion) []*suspicion {
+	slices.SortFunc(list, func(a, b *suspicion) int {
+		return cmp.Or(
+			cmp.Compare(len(s.crashes.open[b.trait]), len(s.crashes.open[a.trait])), a.sentAt.Compare(b.sentAt),
+			-compareCrashes(a.crash, b.crash), compareTraits(a.trait, b.trait),
+		)
+	})
+	return list
+}
+
+// sentStarts returns the begun answers to send: the least recently sent first, and of these
+// the latest news.
+func (s *Set) sentStarts(now time.Time, starts map[fleet.Trait]*suspicion) []fleet.PartStart {
+	list := slices.SortedFunc(maps.Values(starts), func(a, b *suspicion) int {
+		return cmp.Or(a.startSentAt.Compare(b.startSentAt), b.changedAt.Compare(a.changedAt), compareTraits(a.trait, b.trait))
+	})
+	var sent []fleet.PartStart
+	for _, suspect := range list[:min(len(list), maxSentStarts)] {
+		suspect.startSentAt = now
+		sent = append(sent, fleet.PartStart{Part: suspect.trait, Age: now.Sub(s.lastStart(suspect.trait))})
 	}
-	return e
+	return sent
 }
 
-// report returns what changed lately of a crash, with up to limit suspects: those first that
-// are suspect in most crashes. It adds the parts with which an answer is known to have begun
-// to starts, with the time of the change.
-func (s *Set) report(now time.Time, c *crash, starts map[fleet.Trait]time.Time, limit int) fleet.CrashReport {
-	report := fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: now.Sub(c.at)}
-	var open []fleet.Trait
-	for part, suspicion := range c.suspects {
-		if now.Sub(suspicion.changedAt) >= relayPeriod {
+// reports are the crash reports of a message.
+type reports struct {
+	now   time.Time
+	list  []fleet.CrashReport
+	index map[*crash]int
+}
+
+// add adds suspicions, up to a number of suspects.
+func (r *reports) add(list []*suspicion, limit int) {
+	for _, suspect := range list {
+		i, ok := r.index[suspect.crash]
+		if !ok && len(r.list) >= maxSentCrashes {
 			continue
 		}
-		if !s.starts.last(part).IsZero() {
-			if starts[part].Before(suspicion.changedAt) {
-				starts[part] = suspicion.changedAt
-			}
+		if limit < len(suspect.requests) {
+			return
 		}
-		if !suspicion.isSound {
-			open = append(open, part)
+		if !ok {
+			c := suspect.crash
+			i = len(r.list)
+			r.index[c] = i
+			r.list = append(r.list, fleet.CrashReport{Server: c.lifetime.Server, Incarnation: c.lifetime.Incarnation, Age: r.now.Sub(c.at)})
 		}
-	}
-	slices.SortFunc(open, func(a, b fleet.Trait) int {
-		return cmp.Or(cmp.Compare(len(s.crashes.open[b]), len(s.crashes.open[a])), compareParts(a, b))
-	})
-	for _, part := range open {
-		suspicion := c.suspects[part]
-		for _, request := range suspicion.requests {
-			if len(report.Suspects) < limit {
-				report.Suspects = append(report.Suspects, fleet.Suspect{Part: part, Request: request, Position: suspicion.position})
-			}
+		suspect.sentAt = r.now
+		limit -= len(suspect.requests)
+		for _, request := range suspect.requests {
+			r.list[i].Suspects = append(r.list[i].Suspects, fleet.Suspect{Part: suspect.trait, Request: request, Position: suspect.position})
 		}
 	}
-	return report
 }
 
-func compareParts(a, b fleet.Trait) int {
+func compareTraits(a, b fleet.Trait) int {
 	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.ID, b.ID))
 }
 
@@ -98,12 +148,18 @@
 		switch {
 		case now.Sub(q.changedAt) < relayPeriod:
 			news = append(news, part)
-		case q.isActive(now) && now.Sub(q.sentAt) >= knownPeriod:
+		case !q.released && now.Sub(q.sentAt) >= knownPeriod:
 			known = append(known, part)
 		}
 	}
 	bySending := func(a, b fleet.Trait) int {
-		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), compareParts(a, b))
+		if active := s.quarantines[a].isActive(now); active != s.quarantines[b].isActive(now) {
+			if active {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(s.quarantines[a].sentAt.Compare(s.quarantines[b].sentAt), compareTraits(a, b))
 	}
 	slices.SortFunc(news, bySending)
 	slices.SortFunc(known, bySending)
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -16,10 +16,13 @@
 	// needs no lock.
 	quarantined atomic.Int64
 
-	mu          sync.Mutex
-	starts      startTimes
-	crashes     crashLog
-	quarantines quarantineTable
+	mu sync.Mutex
+	// partStarts and requestStarts are apart, so that the many whole requests do not displace
+	// parts.
+	partStarts    startTimes
+	requestStarts startTimes
+	crashes       crashLog
+	quarantines   quarantineTable
 	// startedAt is when the first decision was due.
 	startedAt time.Time
 	// progressAt is when Progress was last called, and resumedAt when it was called after a
@@ -31,7 +34,7 @@
 
 // NewSet returns a Set without evidence.
 func NewSet() *Set {
-	s := &Set{starts: newStartTimes(), quarantines: quarantineTable{}}
+	s := &Set{partStarts: newStartTimes(), requestStarts: newStartTimes(), quarantines: quarantineTable{}}
 	s.crashes = newCrashLog(s.isSound)
 	return s
 }
@@ -70,7 +73,7 @@
 	if s.mayReadOldData(now) {
 		return false
 	}
-	s.starts.record(now, p, at)
+	s.startsOf(p).record(now, p, at)
 	if len(s.quarantines) > 0 {
 		q := s.quarantines[p]
 		urgent = q != nil && !q.released && provesSound(at, q.decidedAt)
@@ -110,7 +113,18 @@
 // isSound reports whether a part is no suspect in a crash at a time: an answer began
 // with it shortly before the crash or later.
 func (s *Set) isSound(p fleet.Trait, crashedAt time.Time) bool {
-	return provesSound(s.starts.last(p), crashedAt)
+	return provesSound(s.lastStart(p), crashedAt)
+}
+
+// lastStart returns when an answer with a trait is known to have begun last, or the zero
+// time.
+func (s *Set) lastStart(t fleet.Trait) time.Time { return s.startsOf(t).last(t) }
+
+func (s *Set) startsOf(t fleet.Trait) *startTimes {
+	if t.IsRequest() {
+		return &s.requestStarts
+	}
+	return &s.partStarts
 }
 
 // provesSound reports whether a part whose answer began at a time is no suspect in a
