Quarantine of whole requests that crash backend servers

Callers of a pool of three servers without prompts got 502 and 503 for as long as one request came again and again: each arrival ended up to two servers.

Cause: entries remembered only what requests have in common by their prompts. A request without a prompt had nothing in common with its repetitions, and of one with a prompt only its shared parts were suspect.

Each request now has one more trait, last of all: a fingerprint of its caller, method, host, target and body. It goes through the same evidence, decision and exchange as prompt parts. A quarantined request is refused before the queue, and again before each send, with the new code request-quarantined; after an attempt that may have run the caller gets 502, as before.

A server without an engine that answers in full, with any status, has survived the request, which proves it sound. An engine may answer with an error before the prompt reaches the model.

--- a/core/code.go
+++ b/core/code.go
@@ -48,25 +48,26 @@
 	CodeUnknownEntity   Code = 107
 	CodeDeadlineTooLate Code = 108
 
-	CodeQueueFull         Code = 200
-	CodeDeadlineShort     Code = 201
-	CodeNoBackend         Code = 202
-	CodeLimitReached      Code = 203
-	CodeRetryBudget       Code = 204
-	CodeDraining          Code = 205
-	CodeDataCentreOut     Code = 206
-	CodeConfigStale       Code = 207
-	CodeDigestMismatch    Code = 208
-	CodeFenced            Code = 209
-	CodeStaleIncarnation  Code = 210
-	CodeNotReady          Code = 211
-	CodeAgentUnreachable  Code = 212
-	CodeRevisionTooLow    Code = 213
-	CodeEngineNotServing  Code = 214
-	CodeTombstoned        Code = 215
-	CodeAlreadyDispatched Code = 216
-	CodeServerClosed      Code = 217
-	CodePartQuarantined   Code = 218
+	CodeQueueFull          Code = 200
+	CodeDeadlineShort      Code = 201
+	CodeNoBackend          Code = 202
+	CodeLimitReached       Code = 203
+	CodeRetryBudget        Code = 204
+	CodeDraining           Code = 205
+	CodeDataCentreOut      Code = 206
+	CodeConfigStale        Code = 207
+	CodeDigestMismatch     Code = 208
+	CodeFenced             Code = 209
+	CodeStaleIncarnation   Code = 210
+	CodeNotReady           Code = 211
+	CodeAgentUnreachable   Code = 212
+	CodeRevisionTooLow     Code = 213
+	CodeEngineNotServing   Code = 214
+	CodeTombstoned         Code = 215
+	CodeAlreadyDispatched  Code = 216
+	CodeServerClosed       Code = 217
+	CodePartQuarantined    Code = 218
+	CodeRequestQuarantined Code = 219
 
 	CodeIncomplete       Code = 300
 	CodeEngineFailed     Code = 301
@@ -142,6 +143,7 @@
 	{CodeAlreadyDispatched, "already-dispatched", 409, "The agent has already received this attempt."},
 	{CodeServerClosed, "server-closed", 503, "The backend server has announced that it is leaving or that it wants no requests for some time."},
 	{CodePartQuarantined, "part-quarantined", 503, "A part of the prompt has crashed backend servers; requests with it are refused for some time."},
+	{CodeRequestQuarantined, "request-quarantined", 503, "The same request has crashed backend servers; it is refused for some time."},
 	{CodeIncomplete, "incomplete", 502, "The answer ended without an end frame."},
 	{CodeEngineFailed, "engine-failed", 502, "The backend server answered with an error."},
 	{CodeCrossedAnswer, "crossed-answer", 502, "The backend server returned the answer to another request."},
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -62,12 +62,12 @@
 // forward dispatches an admitted request and writes the response.
 func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
 	request := g.newDirectRequest(c, r)
-	c.parts = sharedParts(request.Model, r.Header, g.config.Headers.PromptParts)
-	if err := g.promptGuard.check(c.parts); err != nil {
+	c.traits = requestTraits(c, request.Model, r, g.config.Headers.PromptParts)
+	if err := g.crashGuard.check(c.traits); err != nil {
 		g.refuse(c, w, err)
 		return
 	}
-	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, parts: c.parts}
+	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
 	c.outcome.attempts = exchange.Attempts()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -68,7 +68,7 @@
 	pauses        *pauses.Set
 	notices       *notices.Set
 	queueWaits    *queueWaits
-	promptGuard   *promptGuard
+	crashGuard    *crashGuard
 	stallDetector *stall.Detector
 	conns         *callerConns
 	// activity tells whether this entry takes callers' requests; activityMu guards it.
@@ -132,7 +132,7 @@
 	roster.RegisterStoreGauges(g.registry, g.follower.View, g.roster.Rewrites)
 	g.services = newServiceSet(g)
 	g.queueWaits = newQueueWaits(g)
-	g.promptGuard = newPromptGuard(g)
+	g.crashGuard = newCrashGuard(g)
 	var err error
 	g.gossip, err = gossip.Listen(gossip.Config{
 		Self:            g.selfMember(),
@@ -140,8 +140,8 @@
 		Loads:           g.services.loads,
 		Paces:           g.queueWaits.paces,
 		ReachesStore:    g.follower.ReachesStore,
-		Evidence:        g.promptGuard.evidence,
-		OnEvidence:      g.promptGuard.onEvidence,
+		Evidence:        g.crashGuard.evidence,
+		OnEvidence:      g.crashGuard.onEvidence,
 		OnPauseNotice:   g.onPause,
 		NewestWeights:   g.newestWeights,
 		OnNewestWeights: g.onNewestWeights,
@@ -292,7 +292,7 @@
 		g.updateActivity,
 		g.ejectStalledServers,
 		g.recallLateRequests,
-		g.promptGuard.run,
+		g.crashGuard.run,
 		g.sweep,
 	}
 }
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -108,7 +108,7 @@
 // CheckOpen implements direct.Observer.
 func (o observer) CheckOpen(server notices.Lifetime) error {
 	now := time.Now()
-	if err := o.gateway.promptGuard.check(o.parts); err != nil {
+	if err := o.gateway.crashGuard.check(o.traits); err != nil {
 		return err
 	}
 	switch state := o.gateway.notices.State(now, server); state.Reason {
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -86,12 +86,12 @@
 
 // observer implements direct.Observer.
 type observer struct {
-	gateway *Gateway
-	service fleet.ServiceName
-	model   fleet.Model
-	// requestID and parts are the id of the request and the shared parts of its prompt.
+	gateway   *Gateway
+	service   fleet.ServiceName
+	model     fleet.Model
 	requestID string
-	parts     []fleet.Trait
+	// traits are what other requests may share with this one; see call.traits.
+	traits []fleet.Trait
 }
 
 // BeforeSend implements direct.Observer.
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -36,7 +36,7 @@
 	service fleet.ServiceName
 	server  core.InstanceID
 	model   fleet.Model
-	parts   []fleet.Trait
+	traits  []fleet.Trait
 	sentAt  time.Time
 	// cancel aborts the attempt so that another server gets the request; nil if it
 	// must not be sent again.
@@ -110,7 +110,7 @@
 	load := queueLoad(service, server.Slots, id, q.gateway.gossip.Loads())
 	t := &trackedWait{
 		waits: q, request: q.estimator(o.service).Sent(now, id, load),
-		service: o.service, server: id, model: o.model, parts: o.parts, sentAt: now, cancel: cancel,
+		service: o.service, server: id, model: o.model, traits: o.traits, sentAt: now, cancel: cancel,
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -90,8 +90,8 @@
 	if c.outcome.retryAfter > 0 {
 		fields["retry_after_ms"] = c.outcome.retryAfter.Milliseconds()
 	}
-	if core.CodeOf(c.outcome.err) == core.CodePartQuarantined {
-		fields["prompt_parts"] = partIDs(c.parts)
+	if isQuarantined(c.outcome.err) {
+		addTraits(fields, c.traits)
 	}
 	if c.outcome.err != nil {
 		fields["reason"] = core.DetailWithCausesOf(c.outcome.err)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -31,8 +31,9 @@
 	service   fleet.ServiceName
 	body      []byte
 	hasBody   bool
-	// parts are those of the prompt that other requests may share.
-	parts []fleet.Trait
+	// traits are what other requests may share with this one: the shared parts of its prompt
+	// and, last, the whole request.
+	traits []fleet.Trait
 	// deadline is when the response must be complete.
 	deadline time.Time
 	outcome  outcome
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -55,11 +55,15 @@
 
 // Failed implements dispatch.Trace.
 func (t callTrace) Failed(attempt int, server core.InstanceID, err error, willRetry bool) {
-	t.gateway.requestLog.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"id": t.call.id, "attempt": attempt, "server": server, "code": core.CodeOf(err).String(),
 		"work": core.ExecutionOf(err).String(), "reason": core.DetailWithCausesOf(err), "retries": willRetry,
 		"after_ms": time.Since(t.call.startedAt).Milliseconds(),
-	}).Warn("Attempt failed.")
+	}
+	if core.ExecutionOf(err) == core.ExecutionUnknown {
+		addTraits(fields, t.call.traits)
+	}
+	t.gateway.requestLog.WithFields(fields).Warn("Attempt failed.")
 }
 
 // HandedOver implements dispatch.Trace.
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -43,6 +43,9 @@
 	// AnswerBegan is called when the first data of an answer with a success status was
 	// received.
 	AnswerBegan(server notices.Lifetime)
+	// AnsweredOtherwise is called when a server has ended the answer to a request that it
+	// ran, without AnswerBegan: one with another status, or without a body.
+	AnsweredOtherwise(server notices.Lifetime)
 	// ConnectionEnded is called when the server ended the connection before the answer
 	// began.
 	ConnectionEnded(server notices.Lifetime, addr string)
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -278,6 +278,7 @@
 	if err != nil || len(body) > maxFailureBytes {
 		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d with an incomplete or too large body", s.server, s.response.StatusCode)
 	}
+	s.reportOtherAnswer()
 	s.releaseConn()
 	s.exchange.lastFailure = &Failure{Status: s.response.StatusCode, Header: s.response.Header, Body: body}
 	return wire.AnswerFrame{End: &wire.AnswerEnd{
@@ -288,6 +289,14 @@
 	}}, nil
 }
 
+// reportOtherAnswer reports a complete answer that did not begin with data and a success
+// status. One without the signature may come from something in front of the server.
+func (s *replyStream) reportOtherAnswer() {
+	if !s.begun && s.response.Header.Get(s.exchange.headerNames.Signature) != "" {
+		s.exchange.observer.AnsweredOtherwise(s.lifetime)
+	}
+}
+
 // checkAnswerHeader rejects answers that do not come from the backend server
 // itself: they have a content encoding, or lack the signature.
 func (s *replyStream) checkAnswerHeader() error {
@@ -384,6 +393,7 @@
 	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
+	s.reportOtherAnswer()
 	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
 	s.releaseConn()
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -31,6 +31,7 @@
 
 func (nopObserver) StartAttempt(core.InstanceID, func()) AttemptObserver { return nopAttempt{} }
 func (nopObserver) AnswerBegan(notices.Lifetime)                         {}
+func (nopObserver) AnsweredOtherwise(notices.Lifetime)                   {}
 func (nopObserver) ConnectionEnded(notices.Lifetime, string)             {}
 
 type nopAttempt struct{}
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -65,7 +65,8 @@
 // was refused with code.
 func isRetryableElsewhere(code core.Code) bool {
 	switch code {
-	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge, core.CodePartQuarantined:
+	case core.CodeInvalidField, core.CodeCancelled, core.CodeDeadlineShort, core.CodeBodyTooLarge,
+		core.CodePartQuarantined, core.CodeRequestQuarantined:
 		return false
 	default:
 		return true
