explain: refusals of whole requests with the crashes that led to them

A caller who got 503 request-quarantined could not be told why: explain knew prompt parts only, and left out crashes and quarantines of whole requests.

Events carry request_fingerprint and request_fingerprints beside prompt_part and prompt_parts; explain selects by kind and name, so that a part and a fingerprint are never mixed up. TestRefusalOfAWholeRequestIsExplained... failed before: it returned the refusal alone.

--- a/report/trace/trace.go
+++ b/report/trace/trace.go
@@ -41,8 +41,15 @@
 	// server when it crashed.
 	fieldPromptPart  = "prompt_part"
 	fieldPromptParts = "prompt_parts"
+	// fieldFingerprint is the fingerprint of a whole request that failed or that a
+	// quarantine concerns, and fieldFingerprints are those of the requests that waited at a
+	// server when it crashed.
+	fieldFingerprint  = "request_fingerprint"
+	fieldFingerprints = "request_fingerprints"
 	// partWatch marks changes of a process's view of the deployment.
 	partWatch = "watch"
+	// partQuarantine marks crashes and quarantines.
+	partQuarantine = "quarantine"
 )
 
 // hiddenFields are not printed after the message: they have a column of their own
@@ -116,8 +123,9 @@
 // the events that carry one of the IDs, and, from lookback before the first of
 // them to the last, events about the servers that the requests were sent to and
 // changes of the views of the processes that handled the requests. For a request that
-// was refused because of a part of its prompt, it also returns the quarantine of the
-// part and the crashes that led to it, of all processes and without a bound in time.
+// was refused because the same request or a part of its prompt is quarantined, it also
+// returns the quarantine and the crashes that led to it, of all processes and without a
+// bound in time.
 func (l *Log) EventsOf(ids ...string) []Event {
 	var requestEvents []Event
 	servers, handlers := map[string]bool{}, map[string]bool{}
@@ -140,12 +148,12 @@
 	sortByTime(requestEvents)
 	from, until := requestEvents[0].At.Add(-lookback), requestEvents[len(requestEvents)-1].At
 	all := requestEvents
-	quarantined := l.quarantinedParts(requestEvents)
+	quarantined := l.quarantinedTraits(requestEvents)
 	for _, event := range l.events {
 		if stringOf(event.Fields[fieldID]) != "" || event.At.After(until) {
 			continue
 		}
-		if concernsPart(event, quarantined) {
+		if concernsTrait(event, quarantined) {
 			all = append(all, event)
 			continue
 		}
@@ -164,41 +172,76 @@
 	return all
 }
 
-// quarantinedParts returns the prompt parts of refused requests that have been
-// quarantined by any process.
-func (l *Log) quarantinedParts(requestEvents []Event) map[string]bool {
-	ofRequests := map[string]bool{}
+// trait is a prompt part or the fingerprint of a whole request.
+type trait struct {
+	isRequest bool
+	id        string
+}
+
+// quarantinedTraits returns the traits of failed requests that have been quarantined by
+// any process.
+func (l *Log) quarantinedTraits(requestEvents []Event) map[trait]bool {
+	ofRequests := map[trait]bool{}
 	for _, event := range requestEvents {
-		for _, part := range promptParts(event) {
-			ofRequests[part] = true
+		for _, t := range traitsOf(event) {
+			ofRequests[t] = true
 		}
 	}
-	quarantined := map[string]bool{}
+	quarantined := map[trait]bool{}
 	if len(ofRequests) == 0 {
 		return quarantined
 	}
 	for _, event := range l.events {
-		if part := stringOf(event.Fields[fieldPromptPart]); ofRequests[part] {
-			quarantined[part] = true
+		if t, ok := quarantinedTrait(event); ok && ofRequests[t] {
+			quarantined[t] = true
 		}
 	}
 	return quarantined
 }
 
-// concernsPart reports whether the event is about one of the prompt parts.
-func concernsPart(event Event, parts map[string]bool) bool {
-	return parts[stringOf(event.Fields[fieldPromptPart])] ||
-		slices.ContainsFunc(promptParts(event), func(part string) bool { return parts[part] })
+// quarantinedTrait returns the trait that a quarantine concerns, if the event is about one.
+func quarantinedTrait(event Event) (trait, bool) {
+	if stringOf(event.Fields[fieldPart]) != partQuarantine {
+		return trait{}, false
+	}
+	if id := stringOf(event.Fields[fieldPromptPart]); id != "" {
+		return trait{id: id}, true
+	}
+	id := stringOf(event.Fields[fieldFingerprint])
+	return trait{isRequest: true, id: id}, id != ""
+}
+
+// concernsTrait reports whether the event is about one of the traits.
+func concernsTrait(event Event, traits map[trait]bool) bool {
+	if t, ok := quarantinedTrait(event); ok {
+		return traits[t]
+	}
+	return slices.ContainsFunc(traitsOf(event), func(t trait) bool { return traits[t] })
+}
+
+// traitsOf returns the traits of the requests that the event is about.
+func traitsOf(event Event) []trait {
+	var traits []trait
+	for _, id := range stringsOf(event.Fields[fieldPromptParts]) {
+		traits = append(traits, trait{id: id})
+	}
+	for _, id := range stringsOf(event.Fields[fieldFingerprints]) {
+		traits = append(traits, trait{isRequest: true, id: id})
+	}
+	if id := stringOf(event.Fields[fieldFingerprint]); id != "" {
+		traits = append(traits, trait{isRequest: true, id: id})
+	}
+	return traits
 }
 
-// promptParts returns the prompt parts in a list field of the event.
-func promptParts(event Event) []string {
-	list, _ := event.Fields[fieldPromptParts].([]any)
-	parts := make([]string, 0, len(list))
-	for _, part := range list {
-		parts = append(parts, stringOf(part))
+// stringsOf returns the strings in a list.
+func stringsOf(value any) []string {
+	list, _ := value.([]any)
+	texts := make([]string, 0, len(list))
+	for _, item := range list {
+		texts = append(texts, stringOf(item))
 	}
-	return parts
+	return texts
 }
 
 // mentionsServer reports whether a field of the event names one of the servers, by
--- a/report/trace/trace_test.go
+++ b/report/trace/trace_test.go
@@ -69,3 +69,24 @@
 		"entry-1 Request ended.",
 	}, seen, "p-1, which is not quarantined, explains nothing")
 }
+
+const requestQuarantineLog = `{"instance":"entry-2","part":"quarantine","msg":"A server crashed while requests waited for their answers.","server":"s-4","request_fingerprints":["f-1","f-2"],"time":"2026-01-02T09:50:00.000Z"}
+{"instance":"entry-3","part":"quarantine","msg":"A server crashed while requests waited for their answers.","server":"s-5","request_fingerprints":["f-1"],"prompt_parts":["f-2"],"time":"2026-01-02T09:50:01.000Z"}
+{"instance":"entry-2","part":"quarantine","msg":"A request fingerprint is quarantined: requests with it are refused.","request_fingerprint":"f-2","crashes":3,"until":"2026-01-02T10:05:00Z","time":"2026-01-02T09:50:02.000Z"}
+{"instance":"entry-4","part":"quarantine","msg":"A request fingerprint is quarantined: requests with it are refused.","request_fingerprint":"f-1","time":"2026-01-02T09:50:02.000Z"}
+{"instance":"entry-2","id":"r-1","part":"request","msg":"Attempt failed.","request_fingerprint":"f-2","time":"2026-01-02T09:50:00.000Z"}
+{"instance":"entry-1","id":"r-2","part":"request","msg":"Request ended.","status":503,"prompt_parts":["p-1"],"request_fingerprint":"f-2","time":"2026-01-02T10:00:00.000Z"}
+`
+
+func TestRefusalOfAWholeRequestIsExplainedByTheCrashesOfOtherEntriesMinutesBefore(t *testing.T) {
+	events := readLogs(t, requestQuarantineLog).EventsOf("r-2")
+	var seen []string
+	for _, event := range events {
+		seen = append(seen, event.Instance+" "+event.Message)
+	}
+	require.Equal(t, []string{
+		"entry-2 A server crashed while requests waited for their answers.",
+		"entry-2 A request fingerprint is quarantined: requests with it are refused.",
+		"entry-1 Request ended.",
+	}, seen, "another request and a prompt part of the same name explain nothing")
+}
