Order no version while a piece of another one may still be staged

Cause: a call that stages a piece and has no answer may take effect after the pieces of another version are verified, and the engine then takes that piece for one of the other version.

The staging area notes such calls. A version that is to be ordered reserves the area and waits until no call of another version can take effect, 10 s at most; the platform performs late calls within 6 s. Calls that stage a piece no longer end with their job, which would leave unanswered calls without need. A refused connection or a status is an answer, also for orders: worker.IsUnanswered replaces IsUnsent.

Evidence, before: TestLateStagedPieceIsNotLoadedAsAnotherVersion: Should be empty, but was [3] TestCancelledJobLeavesNoUnansweredPiece: the piece is not staged (expected its content, actual nil) TestOnlySentCallsWithoutAnswerAreUnanswered is new with the function.

--- a/weights/staging/engine_harness_test.go
+++ b/weights/staging/engine_harness_test.go
@@ -43,6 +43,8 @@
 	lostOrder  bool
 	// latePuts holds the same for the next pieces that are staged.
 	latePuts []time.Duration
+	// putTime is how long it takes to stage a piece.
+	putTime time.Duration
 	// mixtures holds the versions of the accepted orders that took a piece of another
 	// version, or one that had been bad for longer than excusedSpoilTime.
 	mixtures []fleet.WeightsVersion
@@ -160,6 +162,10 @@
 	if err := e.loseCall(ctx, &e.latePuts, func() { e.put(piece, content) }); err != nil {
 		return err
 	}
+	pause.For(ctx, e.putTime)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	e.put(piece, content)
 	return nil
 }
--- a/weights/staging/late_order_test.go
+++ b/weights/staging/late_order_test.go
@@ -192,3 +192,38 @@
 	require.False(t, late.conflictsWith(olderKey, 0, now))
 	require.False(t, late.conflictsWith(newerKey, 0, now.Add(2*time.Second)))
 }
+
+// The call that stages a piece of the older version takes effect while the order of the
+// newer one is under way.
+func TestLateStagedPieceIsNotLoadedAsAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestManager(nil)
+		e := newSimulatedEngine()
+		e.latePuts = []time.Duration{2500 * time.Millisecond}
+		e.lateOrders = []time.Duration{900 * time.Millisecond}
+		m.config.Engine = e
+		m.newestVersions["m"] = olderKey.Version
+		m.stageEarly(t.Context(), m.config.Log, TargetVersion{VersionKey: olderKey}, completePieces(olderKey), 0)
+		require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: newerKey}, completePieces(newerKey)))
+		require.Empty(t, e.mixtures)
+		require.Equal(t, []fleet.WeightsVersion{newerKey.Version}, e.accepted)
+	})
+}
+
+// A job ends while its piece is being staged. The next version would have to wait for it.
+func TestCancelledJobLeavesNoUnansweredPiece(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestManager(nil)
+		e := newSimulatedEngine()
+		e.putTime = 100 * time.Millisecond
+		m.config.Engine = e
+		m.newestVersions["m"] = olderKey.Version
+		ctx, cancel := context.WithTimeout(t.Context(), e.putTime/2)
+		defer cancel()
+		m.stageEarly(ctx, m.config.Log, TargetVersion{VersionKey: olderKey}, completePieces(olderKey), 0)
+		start := time.Now()
+		require.NoError(t, m.stage.reserve(t.Context(), newerKey))
+		require.Equal(t, start, time.Now())
+		require.Len(t, e.staged, 1, "the piece is staged")
+	})
+}
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core/pause"
+	"currantusher.dev/platform/worker"
 )
 
 const (
@@ -127,15 +128,21 @@
 	return sha256.Sum256(content) == pieces.digests[num], nil
 }
 
+// stagePiece stages a piece. Its call does not end with ctx: one that is given up may take
+// effect later.
 func (m *Manager) stagePiece(ctx context.Context, target TargetVersion, pieces *pieceSet, num int) error {
 	content, _ := pieces.get(num)
 	if content == nil {
 		return fmt.Errorf("piece %d is not held", num)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engineTimeout)
 	defer cancel()
-	if err := m.config.Engine.Stage(callCtx, target.Model, num, content); err != nil {
-		return fmt.Errorf("stage piece %d: %w", num, err)
+	err := m.config.Engine.Stage(callCtx, target.Model, num, content)
+	if err == nil {
+		return nil
+	}
+	if worker.IsUnanswered(err) {
+		m.stage.noteUnanswered(target.VersionKey)
 	}
-	return nil
+	return fmt.Errorf("stage piece %d: %w", num, err)
 }
--- a/weights/staging/load_order.go
+++ b/weights/staging/load_order.go
@@ -178,12 +178,12 @@
 	cancel()
 	fields := logrus.Fields{"result": result, "orders": order.expected, "repeat": isRepeat}
 	switch {
-	case worker.IsUnsent(err):
-		return fmt.Errorf("order load: %w", err)
-	case err != nil:
+	case worker.IsUnanswered(err):
 		m.noteUnanswered(order)
 		log.WithError(err).WithFields(fields).Warn("Load order has no answer; the engine may still accept it.")
 		return fmt.Errorf("order load: %w", err)
+	case err != nil:
+		return fmt.Errorf("order load: %w", err)
 	case result == worker.OrderConflict || result == worker.OrderFenced:
 		log.WithFields(fields).Warn("Load order rejected.")
 		return fmt.Errorf("the engine rejected the load order with result %d", result)
