--- a/weights/staging/late_order_test.go
+++ b/weights/staging/late_order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,3 +228,19 @@
 		require.Len(t, e.staged, 1, "the piece is staged")
 	})
 }
+
+// A job whose version has no pieces any more would be cancelled.
+func TestNewerVersionDoesNotCancelAnOrder(t *testing.T) {
+	m := newTestManager(nil)
+	m.addTestJob(TargetVersion{VersionKey: olderKey}, 0)
+	isCancelled := false
+	delete(m.pieceSets, olderKey)
+	m.jobs[olderKey].cancel = func() { isCancelled = true }
+	require.NoError(t, m.stage.reserve(t.Context(), olderKey))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var wait sync.WaitGroup
+	m.startJob(ctx, &wait, TargetVersion{VersionKey: newerKey})
+	wait.Wait()
+	require.False(t, isCancelled)
+}
