--- a/weights/staging/late_effect_test.go
+++ b/weights/staging/late_effect_test.go
@@ -46,3 +46,27 @@
 		require.Empty(t, e.mixtures)
 	})
 }
+
+// A call that stages a piece early has no answer and is performed after the order's verification.
+func TestLateStagedPieceIsNotLoadedWithAnotherVersion(t *testing.T) {
+	for _, delay := range []time.Duration{2100 * time.Millisecond, 2300 * time.Millisecond, 2900 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newTestManager(nil)
+				e := newSimulatedEngine()
+				m.config.Engine = e
+				older, newer := completePieces(olderKey), completePieces(newerKey)
+				for num := range fleetPieces {
+					e.put(num, pieceContent(olderKey.Version, num))
+				}
+				e.latePuts = []time.Duration{delay}
+				e.lateOrders = []time.Duration{950 * time.Millisecond}
+				m.newestVersions["m"] = newerKey.Version
+				go m.stageEarly(t.Context(), m.config.Log, TargetVersion{VersionKey: newerKey}, newer, 0)
+				synctest.Wait()
+				require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: olderKey}, older))
+				require.Empty(t, e.mixtures)
+			})
+		})
+	}
+}
