--- a/weights/staging/late_effect_test.go
+++ b/weights/staging/late_effect_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/worker"
 )
 
 // A repeat is accepted, and the engine restarts while the first call is still outstanding.
@@ -70,3 +74,30 @@
 		})
 	}
 }
+
+// statusEngine answers orders of one version with an error status.
+type statusEngine struct {
+	*simulatedEngine
+	refused fleet.WeightsVersion
+}
+
+func (e statusEngine) LoadAfterRunning(ctx context.Context, model fleet.Model, version fleet.WeightsVersion, orders int64) (worker.OrderResult, error) {
+	if version == e.refused {
+		return worker.OrderConflict, errors.New("order: status 400: no such order")
+	}
+	return e.simulatedEngine.LoadAfterRunning(ctx, model, version, orders)
+}
+
+func TestRefusedOrderDoesNotExcludeNewerVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestManager(nil)
+		e := newSimulatedEngine()
+		m.config.Engine = statusEngine{e, olderKey.Version}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		start := time.Now()
+		require.Error(t, m.load(ctx, m.config.Log, TargetVersion{VersionKey: olderKey}, completePieces(olderKey)))
+		require.Less(t, time.Since(start), 15*time.Second, "the load of a refused order never ends")
+		require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: newerKey}, completePieces(newerKey)))
+	})
+}
