--- a/weights/staging/late_effect_test.go
+++ b/weights/staging/late_effect_test.go
@@ -101,3 +101,20 @@
 		require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: newerKey}, completePieces(newerKey)))
 	})
 }
+
+// An engine that answers reports but loses every order of the older version.
+func TestUnansweredOrderExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newTestManager(nil)
+		e := newSimulatedEngine()
+		for range 100 {
+			e.lateOrders = append(e.lateOrders, neverPerformed)
+		}
+		m.config.Engine = e
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		start := time.Now()
+		_ = m.load(ctx, m.config.Log, TargetVersion{VersionKey: olderKey}, completePieces(olderKey))
+		require.Less(t, time.Since(start), 20*time.Second)
+	})
+}
