--- a/weights/staging/late_effect_test.go
+++ b/weights/staging/late_effect_test.go
@@ -118,3 +118,16 @@
 		require.Less(t, time.Since(start), 20*time.Second)
 	})
 }
+
+// A single copy of an order was accepted, so that none is outstanding.
+func TestSettledOrderDoesNotDelayTheNextVersionAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLateOrderFleet(t, 500*time.Millisecond)
+		for _, e := range f.engines {
+			e.orders = 1
+		}
+		f.runTwoVersions(map[time.Duration]func(){time.Second: func() { f.afterFirstOrder(2*time.Second, (*simulatedEngine).restart) }})
+		f.requireNoMixture()
+		require.Less(t, f.lastLoad(3), newerVersionDelay+inForceWithin)
+	})
+}
