Keep staged pieces that an order of the agent's earlier process may load

An agent that restarts knows nothing of a load order that its earlier process sent and got no answer to. It staged pieces of a newer version, and the engine accepted the order afterwards.

For orderSettleTime after its start an agent replaces no staged piece, unless the engine has accepted an order or restarted since, a piece is missing (an order needs them all), or no version lies between the loaded one and the new one. Two tests of late stage calls now start with a manager that runs for longer, which is what they are about.

--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -204,6 +204,7 @@
 		content, err := f.manager.config.Engine.Staged(callCtx, f.target.Model, num)
 		cancel()
 		if isNotFound(err) {
+			f.manager.predecessor.noteMissingPiece()
 			continue
 		}
 		if err != nil {
--- a/weights/staging/late_effect_test.go
+++ b/weights/staging/late_effect_test.go
@@ -56,7 +56,7 @@
 	for _, delay := range []time.Duration{2100 * time.Millisecond, 2300 * time.Millisecond, 2900 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := newTestManager(nil)
+				m := newLongRunningManager()
 				e := newSimulatedEngine()
 				m.config.Engine = e
 				older, newer := completePieces(olderKey), completePieces(newerKey)
@@ -131,3 +131,26 @@
 		require.Less(t, f.lastLoad(3), newerVersionDelay+inForceWithin)
 	})
 }
+
+func TestVersionAfterARestartOfTheAgentIsNotDelayedWithoutAnEarlierOne(t *testing.T) {
+	for name, missing := range map[string]bool{"one new version": false, "pieces are missing": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newTestManager(nil)
+				e := newSimulatedEngine()
+				m.config.Engine = e
+				for num := range fleetPieces {
+					e.put(num, pieceContent(1, num))
+				}
+				key := olderKey
+				if missing {
+					key = newerKey
+					delete(e.staged, 0)
+				}
+				start := time.Now()
+				require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: key}, completePieces(key)))
+				require.Less(t, time.Since(start), 2*time.Second)
+			})
+		})
+	}
+}
--- a/weights/staging/late_order_test.go
+++ b/weights/staging/late_order_test.go
@@ -198,7 +198,7 @@
 // newer one is under way.
 func TestLateStagedPieceIsNotLoadedAsAnotherVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newTestManager(nil)
+		m := newLongRunningManager()
 		e := newSimulatedEngine()
 		e.latePuts = []time.Duration{2500 * time.Millisecond}
 		e.lateOrders = []time.Duration{900 * time.Millisecond}
@@ -214,7 +214,7 @@
 // A job ends while its piece is being staged. The next version would have to wait for it.
 func TestCancelledJobLeavesNoUnansweredPiece(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newTestManager(nil)
+		m := newLongRunningManager()
 		e := newSimulatedEngine()
 		e.putTime = 100 * time.Millisecond
 		m.config.Engine = e
@@ -244,3 +244,11 @@
 	wait.Wait()
 	require.False(t, isCancelled)
 }
+
+// newLongRunningManager returns a manager whose process runs for longer than an order of an
+// earlier process may be outstanding.
+func newLongRunningManager() *Manager {
+	m := newTestManager(nil)
+	time.Sleep(orderSettleTime)
+	return m
+}
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -84,6 +84,7 @@
 			if intact {
 				continue
 			}
+			m.awaitPredecessor(ctx, log, target.VersionKey)
 			replaced++
 			if err := m.stagePiece(ctx, target, pieces, num); err != nil {
 				return start, err
@@ -99,9 +100,9 @@
 
 // stageEarly stages a piece of the newest version while other pieces arrive, so
 // that little remains to be staged before the load. While another version is being
-// ordered, all of it remains.
+// ordered, or may have been ordered by an earlier process, all of it remains.
 func (m *Manager) stageEarly(ctx context.Context, log *logrus.Entry, target TargetVersion, pieces *pieceSet, num int) {
-	if !m.isNewest(target.VersionKey) {
+	if !m.isNewest(target.VersionKey) || m.predecessor.mayBeOutstanding(target.VersionKey) {
 		return
 	}
 	done := m.stage.admit(ctx, target.VersionKey)
@@ -120,6 +121,7 @@
 	defer cancel()
 	content, err := m.config.Engine.Staged(callCtx, target.Model, num)
 	if isNotFound(err) {
+		m.predecessor.noteMissingPiece()
 		return false, nil
 	}
 	if err != nil {
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -121,7 +121,8 @@
 	// pendingOrder is the load order that is not settled, or nil.
 	pendingOrder *loadOrder
 	// lateOrders holds the orders that the engine may accept after their calls.
-	lateOrders []loadOrder
+	lateOrders  []loadOrder
+	predecessor *predecessorGuard
 }
 
 // job is the work on one target version.
@@ -191,6 +192,7 @@
 		targetsChanged:       make(chan struct{}, 1),
 		loadSlot:             make(chan struct{}, 1),
 		stage:                newStageArea(),
+		predecessor:          newPredecessorGuard(),
 	}
 }
 
@@ -350,6 +352,9 @@
 	if ctx.Err() == nil {
 		m.engineUnreachable.Store(err != nil)
 	}
+	if err == nil {
+		m.predecessor.observe(report)
+	}
 	return report, err
 }
 
