Bound the copies of a load order without an answer

An engine that answers its reports but loses every order, or rejects it in a way that is not understood, kept the staging area for its version for ever, because each copy extended the time for which the order may take effect. After five copies the order expires.

TestUnansweredOrderExpires and TestRefusedOrderDoesNotExcludeNewerVersions of the review failed before: "1m0s" is not less than "20s", and than "15s".

--- a/weights/staging/load_order.go
+++ b/weights/staging/load_order.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,9 @@
 	// orderSettleTime is how long an engine may accept an order whose call had no answer.
 	// The platform performs such calls up to 6 s later.
 	orderSettleTime = 10 * time.Second
+	// maxUnansweredCopies bounds how often an order without an answer is sent. After the
+	// last copy it expires.
+	maxUnansweredCopies = 5
 )
 
 // errEngineRestarted reports that the engine has restarted and forgotten its orders.
@@ -35,6 +39,8 @@
 	// expected is the number of orders that the engine must have accepted before. It is
 	// the same whenever the order is sent, so that the engine accepts it at most once.
 	expected int64
+	// unansweredCopies counts the calls that had no answer.
+	unansweredCopies int
 	// mayTakeEffectUntil is set once a call had no answer, until the order is settled.
 	mayTakeEffectUntil time.Time
 }
@@ -130,6 +136,9 @@
 		if isDone, err := m.checkOrder(ctx, log, order); isDone || err != nil {
 			return err
 		}
+		if order.unansweredCopies >= maxUnansweredCopies {
+			return errors.New("the engine has answered no copy of the load order")
+		}
 		if time.Since(verifiedAt) <= maxVerificationAge {
 			return m.sendOrder(ctx, log, order)
 		}
@@ -196,13 +205,17 @@
 // noteUnanswered keeps an order until the engine can no longer accept it, even if the
 // engine restarts in between and counts its orders anew.
 func (m *Manager) noteUnanswered(order *loadOrder) {
+	order.unansweredCopies++
+	order.mayTakeEffectUntil = time.Now().Add(orderSettleTime)
+	m.forgetLate(order)
+	m.lateOrders = append(m.lateOrders, loadOrder{target: order.target, expected: order.expected, mayTakeEffectUntil: order.mayTakeEffectUntil})
+}
+
+// forgetLate drops an order, and those that have expired, from the late ones.
+func (m *Manager) forgetLate(order *loadOrder) {
 	now := time.Now()
-	order.mayTakeEffectUntil = now.Add(orderSettleTime)
-	kept := []loadOrder{{target: order.target, expected: order.expected, mayTakeEffectUntil: order.mayTakeEffectUntil}}
-	for _, late := range m.lateOrders {
-		if now.Before(late.mayTakeEffectUntil) {
-			kept = append(kept, late)
-		}
-	}
-	m.lateOrders = kept
+	m.lateOrders = slices.DeleteFunc(m.lateOrders, func(late loadOrder) bool {
+		isSame := late.target.VersionKey == order.target.VersionKey && late.expected == order.expected
+		return isSame || !now.Before(late.mayTakeEffectUntil)
+	})
 }
