Forget a late load order once its only copy is accepted

After a restart of the engine the next version waited up to 10 s for an order that could not take effect any more.

--- a/weights/staging/load_order.go
+++ b/weights/staging/load_order.go
@@ -159,6 +159,10 @@
 		}
 		log.WithFields(logrus.Fields{"outcome": outcome, "expected_orders": order.expected, "orders": report.AcceptedOrders}).Info("Load order without an answer is settled.")
 		order.mayTakeEffectUntil = time.Time{}
+		if outcome == orderAccepted && order.unansweredCopies == 1 {
+			// The only copy was accepted, so that none is late.
+			m.forgetLate(order)
+		}
 		switch outcome {
 		case orderForgotten:
 			return true, errEngineRestarted
