Quarantine: an entry that meets a quarantined request learns of it at once

A restarted entry learns known quarantines two a message, which takes up to 15 s with a hundred of them, and each one that it meets until then crashes a server. Crashes with the same request ID are different moments for prompt parts too.

--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -20,8 +20,8 @@
 // IsRequest reports whether the trait is a whole request.
 func (t Trait) IsRequest() bool { return t.Model == "" }
 
-// CrashEvidence is what an entry tells the others about the prompt parts that crash
-// backend servers. Ages are times before the message was sent.
+// CrashEvidence is what an entry tells the others about the traits of requests that
+// crash backend servers. Ages are times before the message was sent.
 type CrashEvidence struct {
 	Crashes     []CrashReport `cbor:"1,keyasint,omitempty"`
 	Starts      []PartStart   `cbor:"2,keyasint,omitempty"`
@@ -39,23 +39,23 @@
 	Server      core.InstanceID
 	Incarnation core.Incarnation
 	Age         time.Duration
-	// Suspects are the shared prompt parts of the requests that were waiting there for
-	// the begin of their answers.
+	// Suspects are the traits of the requests that were waiting there for the begin of
+	// their answers.
 	Suspects []Suspect
 }
 
-// Suspect is a prompt part of a request that waited at a server when the server
+// Suspect is a trait of a request that waited at a server when the server
 // crashed.
 type Suspect struct {
 	_    struct{} `cbor:",toarray"`
 	Part Trait
 	// Request is a hash of the request's ID.
 	Request uint32
-	// Position is the index of the part in the prompt.
+	// Position is the index of the part in the prompt, or 255 for a whole request.
 	Position uint8
 }
 
-// PartStart reports that an answer to a prompt with this part has begun.
+// PartStart reports that an answer to a request with this trait has begun.
 type PartStart struct {
 	_    struct{} `cbor:",toarray"`
 	Part Trait
@@ -63,19 +63,19 @@
 	Age time.Duration
 }
 
-// Quarantine reports that requests with a prompt part are refused, or no longer.
+// Quarantine reports that requests with a trait are refused, or no longer.
 type Quarantine struct {
 	_    struct{} `cbor:",toarray"`
 	Part Trait
-	// Generation counts how often the part has been quarantined.
+	// Generation counts how often the trait has been quarantined.
 	Generation uint32
-	// Age is the time since the decision to quarantine the part.
+	// Age is the time since the decision to quarantine the trait.
 	Age time.Duration
 	// Crashes is the number of crashes that led to the decision.
 	Crashes int
-	// Released means that the part proved not to be the cause.
+	// Released means that the trait proved not to be the cause.
 	Released bool
-	// With are the parts that cannot be told apart from Part as the cause. Only requests
+	// With are the prompt parts that cannot be told apart from Part as the cause. Only requests
 	// with all of them are refused.
 	With []Trait
 }
--- a/requests/quarantine/candidate.go
+++ b/requests/quarantine/candidate.go
@@ -247,13 +247,14 @@
 	c.requests = len(seen)
 }
 
-// isNextMoment reports whether a crash is at another moment than the last one. Of a whole
-// request, crashes with the same request ID are, since its attempts follow each other.
+// isNextMoment reports whether a crash is at another moment than the last one. Crashes with
+// the same request ID are, since the attempts of a request follow each other.
 func (c *candidate) isNextMoment(crash *crash, last time.Time, atMoment map[uint32]bool) bool {
-	if !c.trait.IsRequest() {
-		return crash.at.Sub(last) >= momentGap
+	gap := momentGap
+	if c.trait.IsRequest() {
+		gap = requestMomentGap
 	}
-	return crash.at.Sub(last) >= requestMomentGap ||
+	return crash.at.Sub(last) >= gap ||
 		slices.ContainsFunc(crash.suspects[c.trait].requests, func(id uint32) bool { return atMoment[id] })
 }
 
--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -47,12 +47,12 @@
 }
 
 // Lost handles the end of a connection by a server before the answer to a request with
-// these parts began.
-func (c *Confirmer) Lost(ctx context.Context, now time.Time, server notices.Lifetime, addr, requestID string, parts []fleet.Trait) {
-	if len(parts) == 0 {
+// these traits began.
+func (c *Confirmer) Lost(ctx context.Context, now time.Time, server notices.Lifetime, addr, requestID string, traits []fleet.Trait) {
+	if len(traits) == 0 {
 		return
 	}
-	waiting := suspects(requestID, parts)
+	waiting := suspects(requestID, traits)
 	crashedAt, isKnown, isFirst := c.add(now, server, waiting)
 	switch {
 	case isKnown:
@@ -81,9 +81,9 @@
 	return time.Time{}, false, true
 }
 
-func suspects(requestID string, parts []fleet.Trait) []fleet.Suspect {
-	list := make([]fleet.Suspect, len(parts))
-	for i, p := range parts {
+func suspects(requestID string, traits []fleet.Trait) []fleet.Suspect {
+	list := make([]fleet.Suspect, len(traits))
+	for i, p := range traits {
 		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
 		if p.IsRequest() {
 			list[i].Position = math.MaxUint8
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -32,7 +32,7 @@
 	mergePeriod = 2 * time.Second
 )
 
-// crash is the end of one process of a server with the parts of the requests that waited
+// crash is the end of one process of a server with the traits of the requests that waited
 // there.
 type crash struct {
 	lifetime notices.Lifetime
@@ -42,14 +42,14 @@
 	open int
 }
 
-// suspicion is that a part is the cause of a crash.
+// suspicion is that a trait is the cause of a crash.
 type suspicion struct {
 	crash    *crash
 	trait    fleet.Trait
 	requests []uint32
-	// position is the greatest index of the part in a prompt.
+	// position is the greatest index of the trait in a prompt.
 	position uint8
-	// isSound is set once an answer with the part is known to have begun shortly before
+	// isSound is set once an answer with the trait is known to have begun shortly before
 	// the crash or later.
 	isSound bool
 	// changedAt is when this became known here, or when another entry last reported a
@@ -81,19 +81,19 @@
 // crashLog holds the crashes that count as evidence.
 type crashLog struct {
 	crashes []*crash
-	// open holds the suspicions that are not refuted, by part.
+	// open holds the suspicions that are not refuted, by trait.
 	open map[fleet.Trait][]*suspicion
-	// isSound reports whether an answer with a part is known to have begun shortly before
+	// isSound reports whether an answer with a trait is known to have begun shortly before
 	// a time or later.
-	isSound func(part fleet.Trait, at time.Time) bool
+	isSound func(trait fleet.Trait, at time.Time) bool
 }
 
-func newCrashLog(isSound func(part fleet.Trait, at time.Time) bool) crashLog {
+func newCrashLog(isSound func(trait fleet.Trait, at time.Time) bool) crashLog {
 	return crashLog{open: map[fleet.Trait][]*suspicion{}, isSound: isSound}
 }
 
 // record adds a crash, or suspects to a known one. It reports whether that is new evidence
-// against a part, and whether the evidence is urgent: against a part that is suspect in
+// against a trait, and whether the evidence is urgent: against a trait that is suspect in
 // other crashes too.
 func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) (isNew, isUrgent bool) {
 	suspects = slices.DeleteFunc(slices.Clone(suspects), func(s fleet.Suspect) bool { return now.Sub(at) >= retention(s.Part) })
@@ -144,9 +144,9 @@
 // setTime moves a crash to an earlier time.
 func (l *crashLog) setTime(now time.Time, c *crash, at time.Time) {
 	c.at = at
-	for part, s := range c.suspects {
-		if !s.isSound && l.isSound(part, at) {
-			l.refute(now, part, func(other *suspicion) bool { return other == s })
+	for trait, s := range c.suspects {
+		if !s.isSound && l.isSound(trait, at) {
+			l.refute(now, trait, func(other *suspicion) bool { return other == s })
 		}
 	}
 }
@@ -181,19 +181,19 @@
 
 // dropSound makes room for a suspect.
 func (c *crash) dropSound() bool {
-	for _, part := range slices.SortedFunc(maps.Keys(c.suspects), compareTraits) {
-		if c.suspects[part].isSound {
-			delete(c.suspects, part)
+	for _, trait := range slices.SortedFunc(maps.Keys(c.suspects), compareTraits) {
+		if c.suspects[trait].isSound {
+			delete(c.suspects, trait)
 			return true
 		}
 	}
 	return false
 }
 
-// refute closes the suspicions of a part that matches applies to, and returns them.
-func (l *crashLog) refute(now time.Time, part fleet.Trait, matches func(*suspicion) bool) []*suspicion {
+// refute closes the suspicions of a trait that matches applies to, and returns them.
+func (l *crashLog) refute(now time.Time, trait fleet.Trait, matches func(*suspicion) bool) []*suspicion {
 	var refuted, rest []*suspicion
-	for _, s := range l.open[part] {
+	for _, s := range l.open[trait] {
 		if !matches(s) {
 			rest = append(rest, s)
 			continue
@@ -202,16 +202,16 @@
 		s.crash.open--
 		refuted = append(refuted, s)
 	}
-	l.setOpen(part, rest)
+	l.setOpen(trait, rest)
 	return refuted
 }
 
-func (l *crashLog) setOpen(part fleet.Trait, list []*suspicion) {
+func (l *crashLog) setOpen(trait fleet.Trait, list []*suspicion) {
 	if len(list) == 0 {
-		delete(l.open, part)
+		delete(l.open, trait)
 		return
 	}
-	l.open[part] = list
+	l.open[trait] = list
 }
 
 // insert adds a crash. When the log is full, it replaces the one that is worth least as
@@ -236,9 +236,9 @@
 		if !matches(c) {
 			return false
 		}
-		for part := range c.suspects {
-			if open := l.open[part]; open != nil {
-				l.setOpen(part, slices.DeleteFunc(open, func(s *suspicion) bool { return s.crash == c }))
+		for trait := range c.suspects {
+			if open := l.open[trait]; open != nil {
+				l.setOpen(trait, slices.DeleteFunc(open, func(s *suspicion) bool { return s.crash == c }))
 			}
 		}
 		return true
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -8,19 +8,19 @@
 )
 
 const (
-	// minMoments is the least number of moments of crashes that a part must explain to be
+	// minMoments is the least number of moments of crashes that a trait must explain to be
 	// quarantined. Two faults of another kind at about the same time are not rare.
 	minMoments = 3
 	// momentGrowth is the factor of the crashes with other causes by which one more
-	// moment is required: the more there are, the more often a rare part is in several.
+	// moment is required: the more there are, the more often a rare trait is in several.
 	momentGrowth = 4
-	// startedMoments is the number of additional moments for a part with which an answer is
+	// startedMoments is the number of additional moments for a trait with which an answer is
 	// known to have begun: new weights may make it deadly, but most often it is sound.
 	startedMoments = 2
-	// comparedPeriod is how long before the first crash with a part the crashes with other
+	// comparedPeriod is how long before the first crash with a trait the crashes with other
 	// causes count.
 	comparedPeriod = 10 * time.Second
-	// minRequests is the number of requests that must have held the part then. A
+	// minRequests is the number of requests that must have held the trait then. A
 	// request that is sent again may be near several crashes by chance.
 	minRequests = 2
 	// momentGap is the least time between two moments. Servers that share a rack or a
@@ -41,30 +41,30 @@
 	// maxRivals bounds the parts that are kept as possible causes beside the likeliest one.
 	maxRivals = 8
 	// startPeriod is the time after the first call of Decide in which a Set quarantines
-	// nothing by itself, because it knows few of the parts that are sound.
+	// nothing by itself, because it knows few of the traits that are sound.
 	startPeriod = 3 * time.Second
 	// soundPeriod is how long before a crash an answer must have begun that proves a
-	// part sound.
+	// trait sound.
 	soundPeriod = 5 * time.Second
 )
 
-// Reason is why the state of a part changed.
+// Reason is why the state of a trait changed.
 type Reason uint8
 
 // Values of Reason.
 const (
-	// Decided means that this entry has quarantined the part.
+	// Decided means that this entry has quarantined the trait.
 	Decided Reason = iota
-	// Adopted means that another entry has quarantined the part.
+	// Adopted means that another entry has quarantined the trait.
 	Adopted
-	// ProvedSound means that an answer with the part has begun.
+	// ProvedSound means that an answer with the trait has begun.
 	ProvedSound
-	// ExplainedOtherwise means that another part explains all of the part's crashes.
+	// ExplainedOtherwise means that another trait explains all of the trait's crashes.
 	ExplainedOtherwise
-	// ReleasedElsewhere means that another entry has released the part.
+	// ReleasedElsewhere means that another entry has released the trait.
 	ReleasedElsewhere
-	// Widened means that fewer other parts may be the cause instead, so that more requests
-	// with the part are refused.
+	// Widened means that fewer other traits may be the cause instead, so that more requests
+	// with the trait are refused.
 	Widened
 	// Ended means that the time of the quarantine has passed.
 	Ended
@@ -74,30 +74,30 @@
 func (r Reason) String() string {
 	return [...]string{
 		"decided here", "decided by another entry", "an answer with it has begun",
-		"another part explains the crashes", "released by another entry",
-		"fewer other parts may be the cause", "its time has passed",
+		"another cause explains the crashes", "released by another entry",
+		"fewer other causes are possible", "its time has passed",
 	}[r]
 }
 
-// Change is a change of the state of a part.
+// Change is a change of the state of a trait.
 type Change struct {
 	Part   fleet.Trait
 	Reason Reason
 	// Until is the end of the quarantine that begins or is widened, or the zero time.
 	Until time.Time
-	// With are the parts that a refused request holds too.
+	// With are the traits that a refused request holds too.
 	With []fleet.Trait
-	// Crashes is the number of crashes for which the part was quarantined.
+	// Crashes is the number of crashes for which the trait was quarantined.
 	Crashes int
 }
 
-// AppliesTo reports whether requests with these parts are refused from the change on.
-func (c Change) AppliesTo(parts []fleet.Trait) bool {
-	return !c.Until.IsZero() && slices.Contains(parts, c.Part) && holdsAll(parts, c.With)
+// AppliesTo reports whether requests with these traits are refused from the change on.
+func (c Change) AppliesTo(traits []fleet.Trait) bool {
+	return !c.Until.IsZero() && slices.Contains(traits, c.Part) && holdsAll(traits, c.With)
 }
 
-// Decide quarantines and releases parts according to the evidence, and drops what has
-// expired. settle is how long the evidence that a part is sound takes to arrive here
+// Decide quarantines and releases traits according to the evidence, and drops what has
+// expired. settle is how long the evidence that a trait is sound takes to arrive here
 // from any entry. Decide is to be called often.
 func (s *Set) Decide(now time.Time, settle time.Duration) []Change {
 	s.mu.Lock()
@@ -119,10 +119,10 @@
 
 func (s *Set) endQuarantines(now time.Time) []Change {
 	var changes []Change
-	for part, q := range s.quarantines {
+	for trait, q := range s.quarantines {
 		if !q.released && !q.endReported && !q.isActive(now) {
 			q.endReported = true
-			changes = append(changes, Change{Part: part, Reason: Ended, Crashes: q.crashes})
+			changes = append(changes, Change{Part: trait, Reason: Ended, Crashes: q.crashes})
 		}
 	}
 	return changes
@@ -206,12 +206,12 @@
 }
 
 // change describes that a quarantine begins or is widened.
-func (q *quarantine) change(part fleet.Trait, reason Reason) Change {
-	return Change{Part: part, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
+func (q *quarantine) change(trait fleet.Trait, reason Reason) Change {
+	return Change{Part: trait, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
 }
 
 // widenTo widens a quarantine to what is known of its crashes now. An entry that does not
-// know the crashes for which the part was quarantined cannot tell.
+// know the crashes for which the trait was quarantined cannot tell.
 func widenTo(now time.Time, q *quarantine, cause *candidate, rivals []fleet.Trait) []Change {
 	if cause.countUntil(q.decidedAt) < q.crashes ||
 		!q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(rivals, p) }) {
@@ -220,25 +220,25 @@
 	return []Change{q.change(cause.trait, Widened)}
 }
 
-// releaseSound releases the parts with which an answer began shortly before the decision
+// releaseSound releases the traits with which an answer began shortly before the decision
 // or later, also those whose quarantine has ended. Parts that such an answer began with
 // are no longer taken for the cause in place of another one.
 func (s *Set) releaseSound(now time.Time) []Change {
 	var changes []Change
-	for part, q := range s.quarantines {
+	for trait, q := range s.quarantines {
 		switch {
 		case q.released:
-		case s.isSound(part, q.decidedAt):
-			changes = append(changes, release(now, part, q, ProvedSound))
+		case s.isSound(trait, q.decidedAt):
+			changes = append(changes, release(now, trait, q, ProvedSound))
 		case q.widen(now, func(p fleet.Trait) bool { return s.isSound(p, q.decidedAt) }) && q.isActive(now):
-			changes = append(changes, q.change(part, Widened))
+			changes = append(changes, q.change(trait, Widened))
 		}
 	}
 	return changes
 }
 
-// releaseExplained releases the quarantined parts of which all crashes are explained by
-// other parts. An entry that does not know the crashes for which a part was quarantined
+// releaseExplained releases the quarantined traits of which all crashes are explained by
+// other traits. An entry that does not know the crashes for which a trait was quarantined
 // cannot tell.
 func (s *Set) releaseExplained(now time.Time, candidates []*candidate, causes map[fleet.Trait]bool, explained map[*crash]bool) []Change {
 	var changes []Change
@@ -254,7 +254,7 @@
 	return changes
 }
 
-func release(now time.Time, part fleet.Trait, q *quarantine, reason Reason) Change {
+func release(now time.Time, trait fleet.Trait, q *quarantine, reason Reason) Change {
 	q.released, q.releasedAt, q.changedAt = true, now, now
-	return Change{Part: part, Reason: reason, Crashes: q.crashes}
+	return Change{Part: trait, Reason: reason, Crashes: q.crashes}
 }
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -144,12 +144,12 @@
 // least recently sent first.
 func (s *Set) sentQuarantines(now time.Time) []fleet.Quarantine {
 	var news, known []fleet.Trait
-	for part, q := range s.quarantines {
+	for trait, q := range s.quarantines {
 		switch {
 		case now.Sub(q.changedAt) < relayPeriod:
-			news = append(news, part)
+			news = append(news, trait)
 		case !q.released && now.Sub(q.sentAt) >= knownPeriod:
-			known = append(known, part)
+			known = append(known, trait)
 		}
 	}
 	bySending := func(a, b fleet.Trait) int {
@@ -164,11 +164,11 @@
 	slices.SortFunc(news, bySending)
 	slices.SortFunc(known, bySending)
 	var list []fleet.Quarantine
-	for _, part := range append(news[:min(len(news), maxSentNews)], known[:min(len(known), maxSentKnown)]...) {
-		q := s.quarantines[part]
+	for _, trait := range append(news[:min(len(news), maxSentNews)], known[:min(len(known), maxSentKnown)]...) {
+		q := s.quarantines[trait]
 		q.sentAt = now
 		list = append(list, fleet.Quarantine{
-			Part: part, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
+			Part: trait, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
 		})
 	}
 	return list
@@ -186,6 +186,7 @@
 		lifetime := notices.Lifetime{Server: c.Server, Incarnation: c.Incarnation}
 		isNew, urgent := s.crashes.record(now, lifetime, now.Add(-max(c.Age, 0)), c.Suspects)
 		s.undecided, isNews = s.undecided || isNew, isNews || urgent
+		isNews = isNew && s.tellAgain(now, c.Suspects) || isNews
 	}
 	for _, q := range e.Quarantines {
 		if change, ok := s.adopt(now, q); ok {
@@ -196,7 +197,19 @@
 	return changes, isNews
 }
 
-// adopt applies the quarantine of a part that another entry knows, and reports whether
+// tellAgain makes the quarantines of suspects news again, because the entry that met the crash
+// does not know them. It reports whether there are any.
+func (s *Set) tellAgain(now time.Time, suspects []fleet.Suspect) bool {
+	isNews := false
+	for _, suspect := range suspects {
+		if q := s.quarantines[suspect.Part]; q != nil && q.isActive(now) && now.Sub(q.changedAt) >= relayPeriod {
+			q.changedAt, isNews = now, true
+		}
+	}
+	return isNews
+}
+
+// adopt applies the quarantine of a trait that another entry knows, and reports whether
 // that changed which requests are refused here.
 func (s *Set) adopt(now time.Time, other fleet.Quarantine) (Change, bool) {
 	if other.Generation == 0 {
--- a/requests/quarantine/set.go
+++ b/requests/quarantine/set.go
@@ -9,16 +9,16 @@
 	"currantusher.dev/requests/notices"
 )
 
-// Set holds the evidence on prompt parts and the quarantined parts of one entry. It is
+// Set holds the evidence on prompt parts and the quarantined traits of one entry. It is
 // safe for concurrent use.
 type Set struct {
-	// quarantined is the number of quarantined parts, so that the usual case of none
+	// quarantined is the number of quarantined traits, so that the usual case of none
 	// needs no lock.
 	quarantined atomic.Int64
 
 	mu sync.Mutex
 	// partStarts and requestStarts are apart, so that the many whole requests do not displace
-	// parts.
+	// those of parts.
 	partStarts    startTimes
 	requestStarts startTimes
 	crashes       crashLog
@@ -39,35 +39,35 @@
 	return s
 }
 
-// Quarantined returns the first one of a prompt's parts for which the request is to be
+// Quarantined returns the first one of a request's traits for which the request is to be
 // refused, with the end of its quarantine.
-func (s *Set) Quarantined(now time.Time, parts []fleet.Trait) (part fleet.Trait, until time.Time, found bool) {
+func (s *Set) Quarantined(now time.Time, traits []fleet.Trait) (trait fleet.Trait, until time.Time, found bool) {
 	if s.quarantined.Load() == 0 {
 		return fleet.Trait{}, time.Time{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range parts {
-		if q := s.quarantines[p]; q != nil && q.appliesTo(now, parts) {
+	for _, p := range traits {
+		if q := s.quarantines[p]; q != nil && q.appliesTo(now, traits) {
 			return p, q.end(), true
 		}
 	}
 	return fleet.Trait{}, time.Time{}, false
 }
 
-// Started records that an answer to a prompt with these parts has begun, which proves
+// Started records that an answer to a request with these traits has begun, which proves
 // them sound. It reports whether the other entries should know soon, because one of the
-// parts was suspect or quarantined.
-func (s *Set) Started(now time.Time, parts []fleet.Trait) (urgent bool) {
+// traits was suspect or quarantined.
+func (s *Set) Started(now time.Time, traits []fleet.Trait) (urgent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range parts {
+	for _, p := range traits {
 		urgent = s.recordStart(now, p, now) || urgent
 	}
 	return urgent
 }
 
-// recordStart records when an answer with a part began, and reports whether the part
+// recordStart records when an answer with a trait began, and reports whether the trait
 // was suspect in several crashes or quarantined until now.
 func (s *Set) recordStart(now time.Time, p fleet.Trait, at time.Time) (urgent bool) {
 	if s.mayReadOldData(now) {
@@ -88,7 +88,7 @@
 }
 
 // Crashed records the crash of a server with the requests that were waiting there. It
-// reports whether that is new evidence against a part, which the other entries should know
+// reports whether that is new evidence against a trait, which the other entries should know
 // soon.
 func (s *Set) Crashed(now time.Time, server notices.Lifetime, at time.Time, waiting []fleet.Suspect) (isNew bool) {
 	s.mu.Lock()
@@ -103,14 +103,14 @@
 	Quarantined, Crashes int
 }
 
-// Counts returns the number of quarantined parts and of crashes that count as evidence.
+// Counts returns the number of quarantined traits and of crashes that count as evidence.
 func (s *Set) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Counts{Quarantined: int(s.quarantined.Load()), Crashes: len(s.crashes.crashes)}
 }
 
-// isSound reports whether a part is no suspect in a crash at a time: an answer began
+// isSound reports whether a trait is no suspect in a crash at a time: an answer began
 // with it shortly before the crash or later.
 func (s *Set) isSound(p fleet.Trait, crashedAt time.Time) bool {
 	return provesSound(s.lastStart(p), crashedAt)
@@ -127,7 +127,7 @@
 	return &s.partStarts
 }
 
-// provesSound reports whether a part whose answer began at a time is no suspect in a
+// provesSound reports whether a trait whose answer began at a time is no suspect in a
 // crash.
 func provesSound(startedAt, crashedAt time.Time) bool {
 	return startedAt.After(crashedAt.Add(-soundPeriod))
--- a/requests/quarantine/starts.go
+++ b/requests/quarantine/starts.go
@@ -10,11 +10,11 @@
 	// startRetention is the least time for which the begin of an answer is known, as long
 	// as there are not too many. It covers the crashes that it refutes.
 	startRetention = crashRetention + soundPeriod
-	// maxStarts bounds each of the two generations of startTimes, in parts.
+	// maxStarts bounds each of the two generations of startTimes, in traits.
 	maxStarts = 4096
 )
 
-// startTimes holds when an answer to a prompt with a part last began. It keeps two
+// startTimes holds when an answer to a prompt with a trait last began. It keeps two
 // generations and drops the older one when the newer one is full or old enough.
 type startTimes struct {
 	newer, older map[fleet.Trait]time.Time
@@ -27,15 +27,15 @@
 
 // record stores the begin of an answer unless a later one is known. It reports whether
 // it stored the begin.
-func (s *startTimes) record(now time.Time, part fleet.Trait, at time.Time) bool {
-	if !at.After(s.last(part)) {
+func (s *startTimes) record(now time.Time, trait fleet.Trait, at time.Time) bool {
+	if !at.After(s.last(trait)) {
 		return false
 	}
 	s.expire(now)
-	if _, ok := s.newer[part]; !ok && len(s.newer) >= maxStarts {
+	if _, ok := s.newer[trait]; !ok && len(s.newer) >= maxStarts {
 		s.rotate(now)
 	}
-	s.newer[part] = at
+	s.newer[trait] = at
 	return true
 }
 
@@ -57,10 +57,10 @@
 	}
 }
 
-// last returns when an answer with the part last began, or the zero time.
-func (s *startTimes) last(part fleet.Trait) time.Time {
-	if at, ok := s.newer[part]; ok {
+// last returns when an answer with the trait last began, or the zero time.
+func (s *startTimes) last(trait fleet.Trait) time.Time {
+	if at, ok := s.newer[trait]; ok {
 		return at
 	}
-	return s.older[part]
+	return s.older[trait]
 }
--- a/requests/quarantine/suspension.go
+++ b/requests/quarantine/suspension.go
@@ -14,7 +14,7 @@
 // Progress tells that the process runs. It is to be called several times within
 // maxProgressGap. After a longer gap the process was suspended: begins of answers that it
 // reads may be old and prove nothing for a while, and it decides nothing by itself until it
-// knows the parts that are sound, as after its start.
+// knows the traits that are sound, as after its start.
 func (s *Set) Progress(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// basePeriod is how long the first quarantine of a part lasts. Each following one
+	// basePeriod is how long the first quarantine of a trait lasts. Each following one
 	// lasts twice as long, up to maxPeriod.
 	basePeriod = 5 * time.Minute
 	maxPeriod  = time.Hour
@@ -18,14 +18,14 @@
 	// releaseRetention is how long a release is known, so that other entries learn of
 	// it. It is longer than any entry is cut off from all others and keeps serving.
 	releaseRetention = 10 * time.Minute
-	// maxQuarantines bounds the parts with a current, ended or released quarantine.
+	// maxQuarantines bounds the traits with a current, ended or released quarantine.
 	maxQuarantines = 256
 )
 
-// quarantine is the last quarantine of a part.
+// quarantine is the last quarantine of a trait.
 type quarantine struct {
 	generation uint32
-	// with are the parts that cannot be told apart from this one as the cause. Only
+	// with are the traits that cannot be told apart from this one as the cause. Only
 	// requests with all of them are refused, so that a sound one of them can be found.
 	with       []fleet.Trait
 	decidedAt  time.Time
@@ -50,7 +50,7 @@
 
 func (q *quarantine) isActive(now time.Time) bool { return !q.released && now.Before(q.end()) }
 
-// isRepeat reports whether the part has been quarantined before and rightly so, and
+// isRepeat reports whether the trait has been quarantined before and rightly so, and
 // whether the crashes in which it is suspect now fit that.
 func (q *quarantine) isRepeat(open []*suspicion) bool {
 	if q == nil || q.released {
@@ -72,7 +72,7 @@
 }
 
 // isSupersededBy reports whether a quarantine that another entry knows replaces this one:
-// it is a later one of the same part, or the same one released.
+// it is a later one of the same trait, or the same one released.
 func (q *quarantine) isSupersededBy(other fleet.Quarantine) bool {
 	if other.Generation != q.generation {
 		return other.Generation > q.generation
@@ -91,7 +91,7 @@
 	return q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(other.With, p) })
 }
 
-// widen drops the parts that matches applies to from those that a refused request holds
+// widen drops the traits that matches applies to from those that a refused request holds
 // too. It reports whether there were any.
 func (q *quarantine) widen(now time.Time, matches func(fleet.Trait) bool) bool {
 	var rest []fleet.Trait
@@ -107,30 +107,30 @@
 	return true
 }
 
-// appliesTo reports whether requests with these parts are refused.
-func (q *quarantine) appliesTo(now time.Time, parts []fleet.Trait) bool {
-	return q.isActive(now) && holdsAll(parts, q.with)
+// appliesTo reports whether requests with these traits are refused.
+func (q *quarantine) appliesTo(now time.Time, traits []fleet.Trait) bool {
+	return q.isActive(now) && holdsAll(traits, q.with)
 }
 
-func holdsAll(parts, wanted []fleet.Trait) bool {
-	return !slices.ContainsFunc(wanted, func(p fleet.Trait) bool { return !slices.Contains(parts, p) })
+func holdsAll(traits, wanted []fleet.Trait) bool {
+	return !slices.ContainsFunc(wanted, func(p fleet.Trait) bool { return !slices.Contains(traits, p) })
 }
 
-// quarantineTable holds the last quarantine of each part.
+// quarantineTable holds the last quarantine of each trait.
 type quarantineTable map[fleet.Trait]*quarantine
 
 func (t quarantineTable) expire(now time.Time) {
-	for part, q := range t {
+	for trait, q := range t {
 		if q.isExpired(now) {
-			delete(t, part)
+			delete(t, trait)
 		}
 	}
 }
 
 // put stores a quarantine. When the table is full, it replaces one: a released one if
 // there is any, and of these the one that changed least recently.
-func (t quarantineTable) put(part fleet.Trait, q *quarantine) {
-	if t[part] == nil && len(t) >= maxQuarantines {
+func (t quarantineTable) put(trait fleet.Trait, q *quarantine) {
+	if t[trait] == nil && len(t) >= maxQuarantines {
 		var oldest fleet.Trait
 		var found *quarantine
 		for p, other := range t {
@@ -140,7 +140,7 @@
 		}
 		delete(t, oldest)
 	}
-	t[part] = q
+	t[trait] = q
 }
 
 func (q *quarantine) isReplacedBefore(other *quarantine) bool {
