--- a/requests/quarantine/candidate.go
+++ b/requests/quarantine/candidate.go
@@ -98,8 +98,8 @@
 	if c.hasStarted != other.hasStarted {
 		return !c.hasStarted
 	}
-	if c.moments != other.moments {
-		return c.moments > other.moments
+	if a, b := c.weight(), other.weight(); a != b {
+		return a > b
 	}
 	if c.trait.IsRequest() && c.isKnown != other.isKnown {
 		return c.isKnown
@@ -110,6 +110,15 @@
 	return c.requests > other.requests
 }
 
+// weight returns the number of moments for a comparison. A quarantined request has one more: a
+// bystander of its crashes is easily in another one.
+func (c *candidate) weight() int {
+	if c.trait.IsRequest() && c.isKnown {
+		return c.moments + 1
+	}
+	return c.moments
+}
+
 // explainsMore reports whether a part is a likelier cause than a whole request. One that is
 // repeated with the part is in all of the part's crashes that it caused itself.
 func (c *candidate) explainsMore(request *candidate) bool {
--- a/requests/quarantine/requests_test.go
+++ b/requests/quarantine/requests_test.go
@@ -242,3 +242,18 @@
 	exchange(60.1, known, restarted)
 	assert.Contains(t, quarantinedIDs(restarted, 60.1), "z")
 }
+
+func TestBystanderInOneMoreCrashIsNotTakenForAQuarantinedRequest(t *testing.T) {
+	s := newTestSet()
+	for i := range 3 {
+		crashOf(s, float64(i), fmt.Sprint(i), fmt.Sprint(i), "dead")
+		crashOf(s, float64(i), fmt.Sprint(i), fmt.Sprint(i/2), "sound")
+	}
+	crashOf(s, 2.5, "3", "3", "dead")
+	s.Decide(at(3), testSettle)
+	require.Equal(t, []string{"dead"}, quarantinedIDs(s, 3))
+	crashOf(s, 4, "other-1", "4", "sound")
+	crashOf(s, 5, "other-2", "5", "sound")
+	s.Decide(at(6), testSettle)
+	assert.Equal(t, []string{"dead"}, quarantinedIDs(s, 6))
+}
