queuewait: count slots that entries use twice while their memberships differ

TestBoundHoldsForAllButOneIn10000SendsOfALargeFleet was always red: 7 of 10,388 sends began after the bound.

Some entries divide the free slots among 30 and others among 60, each by its own rank, and together they sent up to 35 requests to 16 slots. The bound assumed 20.

The estimator now keeps the numbers of entries among which the entry divided the slots of a server in the last 20 s (the time for which a silent member counts as a sender), and allows for free * (most / fewest - 1) slots beyond the free ones of the last seconds, if that exceeds the quarter of the slots. A server that was full gets no wider bound.

The simulated entries report the number by which they divide, as the gateway does. Without the change, TestBoundHoldsForAllButOneIn10000SendsOfALargeFleet, TestBoundCountsSlotsClaimedByEntriesWithAnotherMembership and TestNoSendToOlderWeightsWhileEntriesDivideSlotsDifferently fail.

--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -76,15 +76,18 @@
 	return q.estimator(service.Name).Bound(now, server.ID, queueLoad(service, server.Slots, server.ID, loads))
 }
 
-// observeExchange records the other entries' loads at the servers of a service once for
-// each exchange.
+// observeExchange records the other entries' loads at the servers of a service, and among
+// how many entries the free slots are divided, once for each exchange.
 func (q *queueWaits) observeExchange(now time.Time, service *fleet.Service, servers []*watch.Server, loads gossip.Loads) {
 	if service.Engine == nil || !q.isNewExchange(service.Name, loads.At) {
 		return
 	}
 	estimator := q.estimator(service.Name)
+	division, regions := q.gateway.slotDivision.Load(), q.gateway.node.Load().Regions
 	for _, server := range servers {
 		estimator.ObservePeers(now, server.ID, loads.Peers[server.ID])
+		free := slotsOf(server) - loads.Own[server.ID] - loads.Peers[server.ID]
+		estimator.ObserveDivision(now, server.ID, division.entries(regions[server.DataCentre]), free)
 	}
 }
 
--- a/daemon/gateway/slotdivision.go
+++ b/daemon/gateway/slotdivision.go
@@ -46,6 +46,15 @@
 	return s
 }
 
+// entries returns the number of entries among which the free slots of a server in a region
+// are divided.
+func (s slotDivision) entries(region core.Region) int {
+	if region == s.region {
+		return s.entriesPerRegion[region]
+	}
+	return s.totalEntries
+}
+
 // share returns how many of a server's free slots this entry may use. If free is
 // negative, every entry gets the whole deficit.
 func (s slotDivision) share(server core.InstanceID, region core.Region, free int) int {
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -57,6 +57,19 @@
 	require.False(t, g.beginsInTime(now, view, service, server, "m", slow), "another entry observed that the server is slow")
 }
 
+func TestNoSendToOlderWeightsWhileEntriesDivideSlotsDifferently(t *testing.T) {
+	now := time.Now()
+	g, view, service, server := versionFixture(now.Add(-testInForceWithin + 3*time.Second))
+	servers := view.Servers["llm"]
+	for round, entries := range []int{4, 4, 2} {
+		division := newSlotDivision(membersInRegions(make([]core.Region, entries)...), nil, "e-0")
+		g.slotDivision.Store(&division)
+		require.True(t, g.beginsInTime(now, view, service, server, "m", gossip.Loads{}))
+		g.queueWaits.observeExchange(now, service, servers, gossip.Loads{At: now.Add(time.Duration(round) * gossip.RoundPeriod)})
+	}
+	require.False(t, g.beginsInTime(now, view, service, server, "m", gossip.Loads{}), "two of four entries left or were not heard")
+}
+
 func TestServerWithoutTheModelGetsNoRequest(t *testing.T) {
 	g, view, service, server := versionFixture(time.Now())
 	require.False(t, g.beginsInTime(time.Now(), view, service, server, "other", gossip.Loads{}))
--- a/requests/queuewait/bound.go
+++ b/requests/queuewait/bound.go
@@ -52,7 +52,7 @@
 // admitted, if the other entries use all slots that they consider free.
 func (s *serverState) position(now time.Time, load Load) int {
 	known := len(s.requests) + load.Peers + 1
-	return max(known-load.Slots, 0) + s.unreported(now, load) + overfill(load)
+	return max(known-load.Slots, 0) + s.unreported(now, load) + max(overfill(load), s.claimedTwice(now, load))
 }
 
 // unreported returns the number of requests of entries that stopped reporting them.
@@ -83,6 +83,12 @@
 // may send, because each knows the others' sends only from their last exchange.
 func overfill(load Load) int { return int(overfillFraction * float64(load.Slots)) }
 
+// claimedTwice returns the number of free slots that two entries may use because they
+// divide the slots among different numbers of entries.
+func (s *serverState) claimedTwice(now time.Time, load Load) int {
+	return min(int(s.division.excess(now)*s.free.value(now)), load.Slots)
+}
+
 // firstTokenTime returns the time to the first token of a long prompt at the usual
 // pace of a full engine, after the prompts that are not read yet.
 func (s *serverState) firstTokenTime(now time.Time, load Load) time.Duration {
--- a/requests/queuewait/queuewait.go
+++ b/requests/queuewait/queuewait.go
@@ -59,7 +59,10 @@
 	// exchanges.
 	rises, drops recentPeak
 	lastPeers    int
-	updatedAt    time.Time
+	// free holds the peak of the slots that this entry considered free.
+	free      recentPeak
+	division  division
+	updatedAt time.Time
 }
 
 // Request is a request at a server. Its methods may be called from one goroutine at
@@ -90,6 +93,16 @@
 	s.lastPeers = peers
 }
 
+// ObserveDivision records that this entry divides the free slots of a server among a
+// number of entries, as of an exchange of loads.
+func (e *Estimator) ObserveDivision(now time.Time, id core.InstanceID, entries, free int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.server(now, id)
+	s.division.observe(now, entries)
+	s.free.observe(now, float64(free))
+}
+
 // Sent records that a request is sent to a server.
 func (e *Estimator) Sent(now time.Time, id core.InstanceID, load Load) *Request {
 	e.mu.Lock()
--- a/requests/queuewait/queuewait_test.go
+++ b/requests/queuewait/queuewait_test.go
@@ -83,6 +83,30 @@
 	require.Greater(t, e.Bound(start.Add(gossipRound), "s-1", load), before)
 }
 
+// Half of 60 entries returned during a burst while the others still divided the free slots
+// among 30.
+func TestBoundCountsSlotsClaimedByEntriesWithAnotherMembership(t *testing.T) {
+	e, load := NewEstimator(), Load{Slots: testSlots, Timing: testTiming}
+	observe := func(now time.Time, entries int) time.Duration {
+		e.ObserveDivision(now, "s-1", entries, testSlots)
+		return e.Bound(now, "s-1", load)
+	}
+	stable := observe(start, 60)
+	require.Equal(t, stable, observe(start.Add(gossipRound), 60))
+	left := observe(start.Add(2*gossipRound), 30)
+	require.Greater(t, left, stable+time.Second)
+	require.Less(t, observe(start.Add(3*gossipRound), 29), left+200*time.Millisecond)
+	require.Equal(t, stable, observe(start.Add(4*gossipRound+memberTTL), 29), "the others are known to have left")
+}
+
+func TestBoundOfFullServerIgnoresItsDivision(t *testing.T) {
+	e, load := NewEstimator(), Load{Slots: testSlots, Peers: testSlots, Timing: testTiming}
+	e.ObserveDivision(start, "s-1", 60, 0)
+	stable := e.Bound(start, "s-1", load)
+	e.ObserveDivision(start.Add(gossipRound), "s-1", 30, 0)
+	require.Equal(t, stable, e.Bound(start.Add(gossipRound), "s-1", load))
+}
+
 func TestBoundOfUnknownEngine(t *testing.T) {
 	require.Equal(t, UnknownBound, NewEstimator().Bound(start, "s-1", Load{Slots: testSlots}))
 }
--- a/requests/queuewait/simulation_test.go
+++ b/requests/queuewait/simulation_test.go
@@ -141,6 +141,7 @@
 			}
 		}
 		e.estimator.ObservePeers(s.now, simServer, e.peers)
+		e.estimator.ObserveDivision(s.now, simServer, e.knownCount, testSlots-e.published-e.peers)
 	}
 }
 
