--- a/requests/quarantine/fleet_requests_test.go
+++ b/requests/quarantine/fleet_requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -33,10 +34,12 @@
 	})
 }
 
-var requestCases = []struct {
+type requestCase struct {
 	name   string
 	config simConfig
-}{
+}
+
+var requestCases = []requestCase{
 	{"plain, deadly request", with(plainFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyRequest("dead1", 1)} })},
 	{"plain, deadly request that crashes servers at once", with(plainFleet(), func(c *simConfig) {
 		c.deadly = []simDeadly{deadlyRequest("dead1", 1)}
@@ -154,3 +157,31 @@
 		assert.Zero(t, r.soundRefused, "seed %d", seed)
 	}
 }
+
+func TestSeedsThatBrokeTheBoundsOfThreeServersAndOfRestarts(t *testing.T) {
+	for name, seeds := range map[string][]uint64{
+		"plain, two deadly requests":                                      {12, 33, 37},
+		"plain, callers repeat lost requests many times, crashes at once": {34},
+		"plain, entries restart":                                          {22},
+		"plain, slow repeats while entries restart":                       {40, 43},
+		"engines, ordinary crashes and racks only":                        {48},
+	} {
+		i := slices.IndexFunc(requestCases, func(c requestCase) bool { return c.name == name })
+		for _, seed := range seeds {
+			r := newSimulation(requestCases[i].config, seed).run()
+			for _, later := range r.reachedLater {
+				assert.LessOrEqual(t, later, 3, "%s, seed %d: arrivals more than 3 s after the third crash", name, seed)
+			}
+			assert.Zero(t, r.soundRefused, "%s, seed %d: sound requests refused", name, seed)
+		}
+	}
+}
+
+func TestDeadlyPartOfManyCrashesAtOneMomentIsFoundInTime(t *testing.T) {
+	i := slices.IndexFunc(fleetCases, func(c fleetCase) bool {
+		return c.name == "small, deadly part after a long time of ordinary crashes"
+	})
+	for _, later := range newSimulation(fleetCases[i].config, 14).run().reachedLater {
+		assert.LessOrEqual(t, later, 3, "arrivals more than 3 s after the fifth crash")
+	}
+}
--- a/requests/quarantine/fleet_test.go
+++ b/requests/quarantine/fleet_test.go
@@ -62,11 +62,13 @@
 	return c
 }
 
-var fleetCases = []struct {
+type fleetCase struct {
 	name   string
 	config simConfig
 	seeds  int
-}{
+}
+
+var fleetCases = []fleetCase{
 	{"small, deadly middle part", with(smallFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyMiddle("dead1", 0.8)} }), 1},
 	{"small, deadly first part", with(smallFleet(), func(c *simConfig) { c.deadly = []simDeadly{deadlyFirst("dead1", 0.8)} }), 1},
 	{"small, rarely requested deadly part", with(smallFleet(), func(c *simConfig) {
