Quarantine: a request that was answered earlier needs as much evidence as a prompt part

What callers could see: a sound request that waits at three servers of a pool that end by overload is refused for 5 minutes, though it was answered some seconds before.

The two more moments for traits that an answer has begun with now count for whole requests too.

--- a/requests/quarantine/candidate.go
+++ b/requests/quarantine/candidate.go
@@ -74,7 +74,7 @@
 		return c.moments > 0
 	}
 	required := minMoments + additionalMoments(others)
-	if c.hasStarted && !c.trait.IsRequest() {
+	if c.hasStarted {
 		required += startedMoments
 	}
 	return c.moments >= required && c.requests >= minRequests
