--- a/core/fleet/evidence.go
+++ b/core/fleet/evidence.go
@@ -24,7 +24,7 @@
 // crash backend servers. Ages are times before the message was sent.
 type CrashEvidence struct {
 	Crashes     []CrashReport `cbor:"1,keyasint,omitempty"`
-	Starts      []PartStart   `cbor:"2,keyasint,omitempty"`
+	Starts      []TraitStart  `cbor:"2,keyasint,omitempty"`
 	Quarantines []Quarantine  `cbor:"3,keyasint,omitempty"`
 }
 
@@ -47,26 +47,26 @@
 // Suspect is a trait of a request that waited at a server when the server
 // crashed.
 type Suspect struct {
-	_    struct{} `cbor:",toarray"`
-	Part Trait
+	_     struct{} `cbor:",toarray"`
+	Trait Trait
 	// Request is a hash of the request's ID.
 	Request uint32
 	// Position is the index of the part in the prompt, or 255 for a whole request.
 	Position uint8
 }
 
-// PartStart reports that an answer to a request with this trait has begun.
-type PartStart struct {
-	_    struct{} `cbor:",toarray"`
-	Part Trait
+// TraitStart reports that an answer to a request with this trait has begun.
+type TraitStart struct {
+	_     struct{} `cbor:",toarray"`
+	Trait Trait
 	// Age is the time since the last such answer began.
 	Age time.Duration
 }
 
 // Quarantine reports that requests with a trait are refused, or no longer.
 type Quarantine struct {
-	_    struct{} `cbor:",toarray"`
-	Part Trait
+	_     struct{} `cbor:",toarray"`
+	Trait Trait
 	// Generation counts how often the trait has been quarantined.
 	Generation uint32
 	// Age is the time since the decision to quarantine the trait.
@@ -75,7 +75,7 @@
 	Crashes int
 	// Released means that the trait proved not to be the cause.
 	Released bool
-	// With are the prompt parts that cannot be told apart from Part as the cause. Only requests
+	// With are the prompt parts that cannot be told apart from Trait as the cause. Only requests
 	// with all of them are refused.
 	With []Trait
 }
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -132,8 +132,8 @@
 func suspectTraits(suspects []fleet.Suspect) []fleet.Trait {
 	var traits []fleet.Trait
 	for _, s := range suspects {
-		if !slices.Contains(traits, s.Part) {
-			traits = append(traits, s.Part)
+		if !slices.Contains(traits, s.Trait) {
+			traits = append(traits, s.Trait)
 		}
 	}
 	return traits
@@ -219,11 +219,11 @@
 // changeFields returns the log fields of a change, and its subject in words.
 func changeFields(change quarantine.Change) (fields logrus.Fields, subject string) {
 	fields = logrus.Fields{"crashes": change.Crashes, "reason": change.Reason.String()}
-	if change.Part.IsRequest() {
-		fields["request_fingerprint"] = change.Part.ID
+	if change.Trait.IsRequest() {
+		fields["request_fingerprint"] = change.Trait.ID
 		subject = "A request fingerprint"
 	} else {
-		fields["prompt_part"], fields["model"] = change.Part.ID, change.Part.Model
+		fields["prompt_part"], fields["model"] = change.Trait.ID, change.Trait.Model
 		subject = "A prompt part"
 	}
 	parts, requests := traitIDs(change.With)
--- a/daemon/gateway/quarantine_test.go
+++ b/daemon/gateway/quarantine_test.go
@@ -18,7 +18,7 @@
 	var waiting []fleet.Suspect
 	for request := range 16 {
 		for position, id := range []string{"system", fmt.Sprintf("team-%d", request), fmt.Sprintf("document-%d", request)} {
-			waiting = append(waiting, fleet.Suspect{Part: fleet.Trait{Model: "llm", ID: id}, Request: uint32(request), Position: uint8(position)})
+			waiting = append(waiting, fleet.Suspect{Trait: fleet.Trait{Model: "llm", ID: id}, Request: uint32(request), Position: uint8(position)})
 		}
 	}
 	parts, _ := traitIDs(suspectTraits(waiting))
@@ -39,7 +39,7 @@
 			request := fleet.Trait{ID: "f"}
 			observer{gateway: g, model: c.model, traits: []fleet.Trait{request}}.AnsweredOtherwise(notices.Lifetime{})
 			now := g.clock.Now()
-			isNew := g.crashGuard.set.Crashed(now, notices.Lifetime{Server: "s"}, now, []fleet.Suspect{{Part: request, Request: 1}})
+			isNew := g.crashGuard.set.Crashed(now, notices.Lifetime{Server: "s"}, now, []fleet.Suspect{{Trait: request, Request: 1}})
 			require.Equal(t, c.isSuspect, isNew)
 		})
 	}
--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -84,7 +84,7 @@
 func suspects(requestID string, traits []fleet.Trait) []fleet.Suspect {
 	list := make([]fleet.Suspect, len(traits))
 	for i, p := range traits {
-		list[i] = fleet.Suspect{Part: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
+		list[i] = fleet.Suspect{Trait: p, Request: hashRequest(requestID), Position: uint8(min(i, math.MaxUint8))}
 		if p.IsRequest() {
 			list[i].Position = math.MaxUint8
 		}
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -60,7 +60,7 @@
 }
 
 func (c *crash) holds(s fleet.Suspect) bool {
-	known := c.suspects[s.Part]
+	known := c.suspects[s.Trait]
 	return known != nil && slices.Contains(known.requests, s.Request)
 }
 
@@ -96,7 +96,7 @@
 // against a trait, and whether the evidence is urgent: against a trait that is suspect in
 // other crashes too.
 func (l *crashLog) record(now time.Time, lifetime notices.Lifetime, at time.Time, suspects []fleet.Suspect) (isNew, isUrgent bool) {
-	suspects = slices.DeleteFunc(slices.Clone(suspects), func(s fleet.Suspect) bool { return now.Sub(at) >= retention(s.Part) })
+	suspects = slices.DeleteFunc(slices.Clone(suspects), func(s fleet.Suspect) bool { return now.Sub(at) >= retention(s.Trait) })
 	if len(suspects) == 0 {
 		return false, false
 	}
@@ -109,7 +109,7 @@
 	}
 	for _, s := range suspects {
 		if l.add(now, c, s) {
-			isNew, isUrgent = true, isUrgent || len(l.open[s.Part]) >= urgentSuspicions
+			isNew, isUrgent = true, isUrgent || len(l.open[s.Trait]) >= urgentSuspicions
 		}
 	}
 	if !isKnown && !l.insert(c) {
@@ -154,17 +154,17 @@
 // add adds a suspect to a crash. It reports whether that is new evidence: the crash did not
 // hold it, and it is not proved sound.
 func (l *crashLog) add(now time.Time, c *crash, s fleet.Suspect) bool {
-	known := c.suspects[s.Part]
+	known := c.suspects[s.Trait]
 	if known == nil {
-		isSound := l.isSound(s.Part, c.at)
+		isSound := l.isSound(s.Trait, c.at)
 		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
 			return false
 		}
-		known = &suspicion{crash: c, trait: s.Part, isSound: isSound}
-		c.suspects[s.Part] = known
+		known = &suspicion{crash: c, trait: s.Trait, isSound: isSound}
+		c.suspects[s.Trait] = known
 		if !isSound {
 			c.open++
-			l.open[s.Part] = append(l.open[s.Part], known)
+			l.open[s.Trait] = append(l.open[s.Trait], known)
 		}
 	}
 	known.position = max(known.position, s.Position)
--- a/requests/quarantine/crashes_test.go
+++ b/requests/quarantine/crashes_test.go
@@ -109,8 +109,8 @@
 		for j := range 20 {
 			id := fmt.Sprintf("%d-%d", i, j)
 			e.Crashes = append(e.Crashes, fleet.CrashReport{Server: lifetime(id).Server, Suspects: suspects(id, parts(id, id+"x"))})
-			e.Starts = append(e.Starts, fleet.PartStart{Part: part(id + "s"), Age: time.Second})
-			e.Quarantines = append(e.Quarantines, fleet.Quarantine{Part: part(id + "q"), Generation: 1, Crashes: 3})
+			e.Starts = append(e.Starts, fleet.TraitStart{Trait: part(id + "s"), Age: time.Second})
+			e.Quarantines = append(e.Quarantines, fleet.Quarantine{Trait: part(id + "q"), Generation: 1, Crashes: 3})
 		}
 		s.Merge(now, e)
 		s.Decide(now, testSettle)
--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -81,7 +81,7 @@
 
 // Change is a change of the state of a trait.
 type Change struct {
-	Part   fleet.Trait
+	Trait  fleet.Trait
 	Reason Reason
 	// Until is the end of the quarantine that begins or is widened, or the zero time.
 	Until time.Time
@@ -93,7 +93,7 @@
 
 // AppliesTo reports whether requests with these traits are refused from the change on.
 func (c Change) AppliesTo(traits []fleet.Trait) bool {
-	return !c.Until.IsZero() && slices.Contains(traits, c.Part) && holdsAll(traits, c.With)
+	return !c.Until.IsZero() && slices.Contains(traits, c.Trait) && holdsAll(traits, c.With)
 }
 
 // Decide quarantines and releases traits according to the evidence, and drops what has
@@ -122,7 +122,7 @@
 	for trait, q := range s.quarantines {
 		if !q.released && !q.endReported && !q.isActive(now) {
 			q.endReported = true
-			changes = append(changes, Change{Part: trait, Reason: Ended, Crashes: q.crashes})
+			changes = append(changes, Change{Trait: trait, Reason: Ended, Crashes: q.crashes})
 		}
 	}
 	return changes
@@ -207,7 +207,7 @@
 
 // change describes that a quarantine begins or is widened.
 func (q *quarantine) change(trait fleet.Trait, reason Reason) Change {
-	return Change{Part: trait, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
+	return Change{Trait: trait, Reason: reason, Until: q.end(), With: q.with, Crashes: q.crashes}
 }
 
 // widenTo widens a quarantine to what is known of its crashes now. An entry that does not
@@ -256,5 +256,5 @@
 
 func release(now time.Time, trait fleet.Trait, q *quarantine, reason Reason) Change {
 	q.released, q.releasedAt, q.changedAt = true, now, now
-	return Change{Part: trait, Reason: reason, Crashes: q.crashes}
+	return Change{Trait: trait, Reason: reason, Crashes: q.crashes}
 }
--- a/requests/quarantine/decide_test.go
+++ b/requests/quarantine/decide_test.go
@@ -15,7 +15,7 @@
 	last := crashEvery(s, 0, 0.2, 3, "dead")
 	assert.Empty(t, s.Decide(at(last), time.Second))
 	changes := s.Decide(at(1), time.Second)
-	assert.Equal(t, []Change{{Part: part("dead"), Reason: Decided, Until: at(1).Add(basePeriod), Crashes: 3}}, changes)
+	assert.Equal(t, []Change{{Trait: part("dead"), Reason: Decided, Until: at(1).Add(basePeriod), Crashes: 3}}, changes)
 	p, until, found := s.Quarantined(at(1), parts("sound", "dead"))
 	assert.True(t, found)
 	assert.Equal(t, part("dead"), p)
@@ -96,7 +96,7 @@
 	crashWith(s, 3, "other", "r-other", "dead")
 	changes := s.Decide(at(3.1), testSettle)
 	assert.Equal(t, []string{"dead"}, quarantinedIDs(s, 3.1))
-	assert.Contains(t, changes, Change{Part: part("a-companion"), Reason: ExplainedOtherwise, Crashes: 3})
+	assert.Contains(t, changes, Change{Trait: part("a-companion"), Reason: ExplainedOtherwise, Crashes: 3})
 }
 
 func TestDeadlyPartIsNotReleasedByAnEntryThatKnowsFewOfItsCrashes(t *testing.T) {
@@ -133,7 +133,7 @@
 	crashEvery(s, 0, 1, 3, "p")
 	s.Decide(at(2.5), testSettle)
 	assert.True(t, s.Started(at(2.6), parts("p")), "others should know soon")
-	assert.Equal(t, []Change{{Part: part("p"), Reason: ProvedSound, Crashes: 3}}, s.Decide(at(2.65), testSettle))
+	assert.Equal(t, []Change{{Trait: part("p"), Reason: ProvedSound, Crashes: 3}}, s.Decide(at(2.65), testSettle))
 	assert.Empty(t, quarantinedIDs(s, 2.65))
 	assert.Empty(t, s.Decide(at(30), testSettle))
 }
@@ -143,10 +143,10 @@
 	crashEvery(s, 0, 1, 3, "dead")
 	s.Decide(at(2.5), testSettle)
 	end := 2.5 + basePeriod.Seconds()
-	assert.Equal(t, []Change{{Part: part("dead"), Reason: Ended, Crashes: 3}}, s.Decide(at(end), testSettle))
+	assert.Equal(t, []Change{{Trait: part("dead"), Reason: Ended, Crashes: 3}}, s.Decide(at(end), testSettle))
 	crashWith(s, end+1, "again", "r-again", "dead", "team")
 	changes := s.Decide(at(end+1.05), testSettle)
-	assert.Equal(t, []Change{{Part: part("dead"), Reason: Decided, Until: at(end + 1.05).Add(2 * basePeriod), Crashes: 1}}, changes)
+	assert.Equal(t, []Change{{Trait: part("dead"), Reason: Decided, Until: at(end + 1.05).Add(2 * basePeriod), Crashes: 1}}, changes)
 }
 
 func TestPartThatIsSoundAgainAfterItsQuarantineNeedsThreeCrashesAgain(t *testing.T) {
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -93,14 +93,14 @@
 
 // sentStarts returns the begun answers to send: the least recently sent first, and of these
 // the latest news.
-func (s *Set) sentStarts(now time.Time, starts map[fleet.Trait]*suspicion) []fleet.PartStart {
+func (s *Set) sentStarts(now time.Time, starts map[fleet.Trait]*suspicion) []fleet.TraitStart {
 	list := slices.SortedFunc(maps.Values(starts), func(a, b *suspicion) int {
 		return cmp.Or(a.startSentAt.Compare(b.startSentAt), b.changedAt.Compare(a.changedAt), compareTraits(a.trait, b.trait))
 	})
-	var sent []fleet.PartStart
+	var sent []fleet.TraitStart
 	for _, suspect := range list[:min(len(list), maxSentStarts)] {
 		suspect.startSentAt = now
-		sent = append(sent, fleet.PartStart{Part: suspect.trait, Age: now.Sub(s.lastStart(suspect.trait))})
+		sent = append(sent, fleet.TraitStart{Trait: suspect.trait, Age: now.Sub(s.lastStart(suspect.trait))})
 	}
 	return sent
 }
@@ -131,7 +131,7 @@
 		suspect.sentAt = r.now
 		limit -= len(suspect.requests)
 		for _, request := range suspect.requests {
-			r.list[i].Suspects = append(r.list[i].Suspects, fleet.Suspect{Part: suspect.trait, Request: request, Position: suspect.position})
+			r.list[i].Suspects = append(r.list[i].Suspects, fleet.Suspect{Trait: suspect.trait, Request: request, Position: suspect.position})
 		}
 	}
 }
@@ -168,7 +168,7 @@
 		q := s.quarantines[trait]
 		q.sentAt = now
 		list = append(list, fleet.Quarantine{
-			Part: trait, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
+			Trait: trait, Generation: q.generation, Age: now.Sub(q.decidedAt), Crashes: q.crashes, Released: q.released, With: q.with,
 		})
 	}
 	return list
@@ -180,7 +180,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, start := range e.Starts {
-		isNews = s.recordStart(now, start.Part, now.Add(-max(start.Age, 0))) || isNews
+		isNews = s.recordStart(now, start.Trait, now.Add(-max(start.Age, 0))) || isNews
 	}
 	for _, c := range e.Crashes {
 		lifetime := notices.Lifetime{Server: c.Server, Incarnation: c.Incarnation}
@@ -202,7 +202,7 @@
 func (s *Set) tellAgain(now time.Time, suspects []fleet.Suspect) bool {
 	isNews := false
 	for _, suspect := range suspects {
-		if q := s.quarantines[suspect.Part]; q != nil && q.isActive(now) && now.Sub(q.changedAt) >= relayPeriod {
+		if q := s.quarantines[suspect.Trait]; q != nil && q.isActive(now) && now.Sub(q.changedAt) >= relayPeriod {
 			q.changedAt, isNews = now, true
 		}
 	}
@@ -216,13 +216,13 @@
 		return Change{}, false
 	}
 	decidedAt := now.Add(-max(other.Age, 0))
-	known := s.quarantines[other.Part]
+	known := s.quarantines[other.Trait]
 	switch {
 	case known == nil || known.isSupersededBy(other):
 		return s.replace(now, known, other, decidedAt)
 	case known.generation == other.Generation && !known.released && !other.Released:
 		isWider := known.join(now, other, decidedAt)
-		return known.change(other.Part, Widened), isWider && known.isActive(now)
+		return known.change(other.Trait, Widened), isWider && known.isActive(now)
 	default:
 		return Change{}, false
 	}
@@ -238,13 +238,13 @@
 		q.releasedAt = now
 	}
 	q.endReported = !q.released && !q.isActive(now)
-	s.quarantines.put(other.Part, q)
+	s.quarantines.put(other.Trait, q)
 	s.undecided = true
 	switch {
 	case q.isActive(now):
-		return q.change(other.Part, Adopted), true
+		return q.change(other.Trait, Adopted), true
 	case wasActive && q.released:
-		return Change{Part: other.Part, Reason: ReleasedElsewhere, Crashes: q.crashes}, true
+		return Change{Trait: other.Trait, Reason: ReleasedElsewhere, Crashes: q.crashes}, true
 	default:
 		return Change{}, false
 	}
--- a/requests/quarantine/exchange_test.go
+++ b/requests/quarantine/exchange_test.go
@@ -77,7 +77,7 @@
 	a.Decide(at(3.2), testSettle)
 	changes, isNews := exchange(3.2, a, b)
 	assert.True(t, isNews)
-	assert.Equal(t, []Change{{Part: part("p"), Reason: ReleasedElsewhere, Crashes: 3}}, changes)
+	assert.Equal(t, []Change{{Trait: part("p"), Reason: ReleasedElsewhere, Crashes: 3}}, changes)
 	exchange(3.3, b, a)
 	assert.Empty(t, quarantinedIDs(a, 3.3))
 	assert.Empty(t, a.Decide(at(4), testSettle))
@@ -124,7 +124,7 @@
 		s := newTestSet()
 		last := crashEvery(s, 0, 1, 3, "dead")
 		s.Decide(at(last+1), testSettle)
-		s.Merge(at(4), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Part: part("dead"), Generation: 1, Age: age, Crashes: 3}}})
+		s.Merge(at(4), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Trait: part("dead"), Generation: 1, Age: age, Crashes: 3}}})
 		assert.Equal(t, []string{"dead"}, quarantinedIDs(s, 4), "age %v", age)
 	}
 }
@@ -144,7 +144,7 @@
 
 func TestHighestGenerationOfAPeerDoesNotWrapAround(t *testing.T) {
 	s := newTestSet()
-	s.Merge(at(0), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Part: part("dead"), Generation: math.MaxUint32, Released: true}}})
+	s.Merge(at(0), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Trait: part("dead"), Generation: math.MaxUint32, Released: true}}})
 	crashEvery(s, 1, 1, 3, "dead")
 	s.Decide(at(4), testSettle)
 	other := newTestSet()
--- a/requests/quarantine/rivals_test.go
+++ b/requests/quarantine/rivals_test.go
@@ -32,7 +32,7 @@
 	s := newSetWithRivals()
 	s.Started(at(3), parts("team"))
 	changes := s.Decide(at(3.05), testSettle)
-	assert.Equal(t, []Change{{Part: part("dead"), Reason: Widened, Until: at(2.5).Add(basePeriod), Crashes: 3}}, changes)
+	assert.Equal(t, []Change{{Trait: part("dead"), Reason: Widened, Until: at(2.5).Add(basePeriod), Crashes: 3}}, changes)
 	assert.True(t, isRefused(s, 3.05, "other", "dead"))
 	assert.False(t, isRefused(s, 3.05, "team"))
 }
@@ -44,7 +44,7 @@
 	for _, ids := range [][]string{{"team", "dead"}, {"team"}, {"dead"}, {"other", "dead"}, {"x", "team", "y", "dead"}} {
 		assert.Equal(t, isRefused(s, 2.5, ids...), change.AppliesTo(parts(ids...)), "%v", ids)
 	}
-	assert.False(t, Change{Part: part("p"), Reason: Ended}.AppliesTo(parts("p")))
+	assert.False(t, Change{Trait: part("p"), Reason: Ended}.AppliesTo(parts("p")))
 }
 
 func TestDeadlyPartIsRefusedAloneAfterACrashWithoutItsRival(t *testing.T) {
--- a/requests/quarantine/simulation_gossip_test.go
+++ b/requests/quarantine/simulation_gossip_test.go
@@ -42,11 +42,11 @@
 // apply recalls the waiting requests with a part that has become quarantined.
 func (s *simulation) apply(e *simEntry, changes []Change) {
 	for _, change := range changes {
-		isDeadly := s.deadlyRequests[change.Part.ID] || slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == change.Part.ID })
+		isDeadly := s.deadlyRequests[change.Trait.ID] || slices.ContainsFunc(s.config.deadly, func(d simDeadly) bool { return d.id == change.Trait.ID })
 		if change.Until.IsZero() {
-			if since, ok := e.quarantinedSince[change.Part]; ok {
-				s.endSoundQuarantine(change.Part, since)
-				delete(e.quarantinedSince, change.Part)
+			if since, ok := e.quarantinedSince[change.Trait]; ok {
+				s.endSoundQuarantine(change.Trait, since)
+				delete(e.quarantinedSince, change.Trait)
 			}
 			continue
 		}
@@ -57,9 +57,9 @@
 				s.refuse(a)
 			}
 		}
-		if _, known := e.quarantinedSince[change.Part]; !isDeadly && !s.holdsDeadly(change.With) && !known {
+		if _, known := e.quarantinedSince[change.Trait]; !isDeadly && !s.holdsDeadly(change.With) && !known {
 			s.result.soundQuarantines++
-			e.quarantinedSince[change.Part] = s.now
+			e.quarantinedSince[change.Trait] = s.now
 		}
 	}
 }
--- a/requests/quarantine/table_test.go
+++ b/requests/quarantine/table_test.go
@@ -25,7 +25,7 @@
 		{generation: 2, decidedAt: at(1)}, {generation: 2, decidedAt: at(3), released: true},
 	}
 	toWire := func(q quarantine) fleet.Quarantine {
-		return fleet.Quarantine{Part: part("p"), Generation: q.generation, Age: at(5).Sub(q.decidedAt), Released: q.released}
+		return fleet.Quarantine{Trait: part("p"), Generation: q.generation, Age: at(5).Sub(q.decidedAt), Released: q.released}
 	}
 	for _, x := range states {
 		for _, y := range states {
--- a/weights/staging/load_order.go
+++ b/weights/staging/load_order.go
@@ -21,8 +21,8 @@
 	// verified. With orderTimeout and retryDelay it stays below the 3 s for which the
 	// operators excuse a piece that has turned bad.
 	maxVerificationAge = 1500 * time.Millisecond
-	// orderSettleTime is how long an engine may accept an order whose call had no answer.
-	// The platform performs such calls up to 6 s later.
+	// orderSettleTime is how long an engine may accept an order whose call had no answer:
+	// such a call may be performed seconds after its end.
 	orderSettleTime = 10 * time.Second
 	// maxUnansweredCopies bounds how often an order without an answer is sent. After the
 	// last copy it expires.
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -121,63 +121,11 @@
 	// pendingOrder is the load order that is not settled, or nil.
 	pendingOrder *loadOrder
 	// lateOrders holds the orders that the engine may accept after their calls.
-	lateOrders  []loadOrder
+	lateOrders []loadOrder
+	// predecessor tells whether an order of an earlier process may be outstanding.
 	predecessor *predecessorGuard
 }
 
-// job is the work on one target version.
-type job struct {
-	target TargetVersion
-	cancel context.CancelFunc
-	// piecesRequested has an item if another agent has requested pieces of the
-	// version while they are not held here.
-	piecesRequested chan struct{}
-	// fetched is closed when all pieces are held, or when the job ends.
-	fetched     chan struct{}
-	markFetched func()
-	// older holds the jobs of older versions that were in progress at the start.
-	older []*job
-	// peersTurnAt is when pieces could first be fetched from peers, in Unix
-	// nanoseconds; 0 before.
-	peersTurnAt atomic.Int64
-}
-
-// awaitOlderVersions waits until the pieces of older versions are held, or until they
-// are overdue. The older version must be in force earlier, and in an outage of the
-// origin it may be the only one whose pieces can be fetched.
-func (j *job) awaitOlderVersions(ctx context.Context) {
-	for _, older := range j.older {
-		overdueAt := older.target.RequestedAt.Add(scaleDuration(expectedArrivalFraction, older.target.InForceWithin))
-		timer := time.NewTimer(time.Until(overdueAt))
-		select {
-		case <-older.fetched:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-	}
-	j.peersTurnAt.CompareAndSwap(0, time.Now().UnixNano())
-}
-
-// expectedArrival returns when all pieces are expected to be held.
-func (j *job) expectedArrival(now time.Time) time.Time {
-	start := j.target.RequestedAt
-	if at := j.peersTurnAt.Load(); at > 0 && len(j.older) > 0 {
-		start = time.Unix(0, at)
-	} else if len(j.older) > 0 {
-		start = now
-	}
-	return start.Add(scaleDuration(expectedArrivalFraction, j.target.InForceWithin))
-}
-
-// requestPieces makes the job hold the version's pieces for other agents.
-func (j *job) requestPieces() {
-	select {
-	case j.piecesRequested <- struct{}{}:
-	default:
-	}
-}
-
 // New returns a Manager without any pieces.
 func New(config Config) *Manager {
 	return &Manager{
@@ -253,12 +201,6 @@
 	})
 }
 
-func newJob(target TargetVersion, cancel context.CancelFunc, older []*job) *job {
-	j := &job{target: target, cancel: cancel, piecesRequested: make(chan struct{}, 1), fetched: make(chan struct{}), older: older}
-	j.markFetched = sync.OnceFunc(func() { close(j.fetched) })
-	return j
-}
-
 // hasSomePieces reports whether a version's fetch has made enough progress to be worth
 // completing. The caller holds the lock.
 func (m *Manager) hasSomePieces(key VersionKey) bool {
--- a/weights/staging/stage_area.go
+++ b/weights/staging/stage_area.go
@@ -9,7 +9,7 @@
 )
 
 // stageSettleTime is how long a call that stages a piece may take effect if it had no
-// answer. The platform performs such calls up to 6 s later.
+// answer: such a call may be performed seconds after its end.
 const stageSettleTime = 10 * time.Second
 
 // stageArea admits changes to the staged pieces of the engine one at a time. While it is
