Observability: limits that servers name

Callers' requests could not be compared with the limits of their servers: no log or metric mentioned one. An entry now reads the header, logs the begin, each change and the end of a limit with the entry that learned it, and counts the limited servers. Nothing is decided by it yet. Answers may overtake each other: of two whose order is not certain, the lower limit counts.

--- a/core/fleet/headers.go
+++ b/core/fleet/headers.go
@@ -26,6 +26,9 @@
 	ColdRemaining string
 	// Leaving says that the backend server is leaving and wants no new requests.
 	Leaving string
+	// RateLimit is the number of requests a second that the backend server accepts from
+	// all entries together, for as long as its answers name it.
+	RateLimit string
 	// Model names the model that a request needs.
 	Model string
 	// PromptParts lists the parts of a request's prompt in order.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -67,6 +67,7 @@
 	observations  *serverObservations
 	pauses        *pauses.Set
 	notices       *notices.Set
+	rateLimits    *notices.Limits
 	queueWaits    *queueWaits
 	crashGuard    *crashGuard
 	stallDetector *stall.Detector
@@ -107,6 +108,7 @@
 		observations:  newServerObservations(),
 		pauses:        pauses.NewSet(),
 		notices:       notices.NewSet(),
+		rateLimits:    notices.NewLimits(),
 		stallDetector: stall.NewDetector(),
 		registry:      metrics.NewRegistry(),
 		clock:         clock.New(),
@@ -310,6 +312,7 @@
 		g.observations.sweep(g.clock.Now())
 		g.pauses.Sweep(now)
 		g.sweepNotices(now)
+		g.sweepRateLimits(now)
 		g.queueWaits.sweep(g.clock.Now())
 	})
 }
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -32,6 +32,8 @@
 	CheckOpen(server notices.Lifetime) error
 	// NoticeReceived reports what an answer of the server announces.
 	NoticeReceived(server notices.Lifetime, notice notices.Notice)
+	// LimitReceived reports what an answer of the server says about its limit.
+	LimitReceived(server notices.Lifetime, observation notices.LimitObservation)
 	// BeforeSend is called before a request is written to a server.
 	BeforeSend(server core.InstanceID)
 	// AnswerReceived reports two header fields of a server's answer: the version
@@ -179,13 +181,14 @@
 	e.countAttempt()
 	e.lastServer = server.ID
 	e.observer.BeforeSend(server.ID)
+	sentAt := time.Now()
 	timeLeft := time.Duration(message.DeadlineMillis) * time.Millisecond
 	if err := conn.Send(e.encodeRequest(server.ID, timeLeft)); err != nil {
 		stopCloseOnDone()
 		conn.Close()
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
 	}
-	s := &replyStream{exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, hasher: newHasher(), lastEventID: e.lastEventID()}
+	s := &replyStream{exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID()}
 	s.open()
 	if s.isHandover && e.reading != nil {
 		e.reading.attemptObserver.Suspended()
--- a/requests/direct/notice.go
+++ b/requests/direct/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"currantusher.dev/requests/notices"
 )
@@ -25,5 +26,24 @@
 		}
 	}
 	s.exchange.observer.NoticeReceived(s.lifetime, notice)
+	s.readRateLimit()
 	return notice
 }
+
+// readRateLimit reads the limit that the answer names and reports it. Only the server
+// itself says by an answer without a limit that it has none. A refusal without the
+// request's id may come from something in front of it.
+func (s *replyStream) readRateLimit() {
+	names := s.exchange.headerNames
+	perSecond, ok, err := notices.ParseRateLimit(s.response.Header, names.RateLimit)
+	if err != nil {
+		s.exchange.observer.InvalidHeader(s.server, names.RateLimit, err)
+	}
+	if !ok || s.response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if perSecond == notices.Unlimited && s.response.Header.Get(names.RequestID) == "" {
+		return
+	}
+	s.exchange.observer.LimitReceived(s.lifetime, notices.LimitObservation{PerSecond: perSecond, SentAt: s.sentAt, ReceivedAt: time.Now()})
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -57,6 +57,8 @@
 	response *http.Response
 	splitter eventstream.Splitter
 	buffer   []byte
+	// sentAt is when the request was written.
+	sentAt time.Time
 	// lastEventAt is when the last whole event or, before the first one, the head was
 	// received.
 	lastEventAt time.Time
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -24,7 +24,7 @@
 var testHeaderNames = fleet.HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", LastEventID: "Last-Event-Id", Signature: "X-Seal", Team: "X-Team",
 	ExpectServer: "X-Expect", ServerID: "X-Server", NotExecuted: "X-Not-Run", ColdRemaining: "X-Cold", Model: "X-Model",
-	Priority: "X-Priority", WeightsVersion: "X-Version", ExpectedVersion: "X-Expect-Version", EnginePath: "X-Path", APIKey: "X-Key", Leaving: "X-Leaving",
+	Priority: "X-Priority", WeightsVersion: "X-Version", ExpectedVersion: "X-Expect-Version", EnginePath: "X-Path", APIKey: "X-Key", Leaving: "X-Leaving", RateLimit: "X-Limit",
 }
 
 type nopObserver struct{}
@@ -44,7 +44,8 @@
 
 func (nopObserver) CheckOpen(notices.Lifetime) error { return nil }
 
-func (nopObserver) NoticeReceived(notices.Lifetime, notices.Notice) {}
+func (nopObserver) NoticeReceived(notices.Lifetime, notices.Notice)          {}
+func (nopObserver) LimitReceived(notices.Lifetime, notices.LimitObservation) {}
 
 func (nopObserver) BeforeSend(core.InstanceID) {}
 
--- a/requests/notices/header.go
+++ b/requests/notices/header.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -21,9 +22,10 @@
 // Reasons for which a header value is ignored.
 var (
 	errNotLeavingValue = errors.New("want 0 or 1")
-	errNegative        = errors.New("the time is negative")
+	errNegative        = errors.New("the value is negative")
 	errNotFinite       = errors.New("the time is not finite")
 	errNoDate          = errors.New("a date needs the header Date, because clocks differ")
+	errNoNumber        = errors.New("want a number of requests a second")
 )
 
 // ParseLeaving reports whether an answer announces that its server is leaving.
@@ -84,3 +86,38 @@
 	}
 	return min(until.Sub(sentAt), MaxPause), nil
 }
+
+// ParseRateLimit returns the number of requests a second in the header of an answer, or
+// Unlimited if there is no such header. Of several values it returns the lowest. It
+// returns false if no value is valid: the answer then does not tell whether the server
+// has a limit.
+func ParseRateLimit(header http.Header, name string) (perSecond float64, ok bool, err error) {
+	values := header.Values(name)
+	if len(values) == 0 {
+		return Unlimited, true, nil
+	}
+	perSecond = Unlimited
+	for text := range strings.SplitSeq(strings.Join(values, ","), ",") {
+		value, valueErr := parseRate(strings.TrimSpace(text))
+		if valueErr != nil {
+			err = valueErr
+			continue
+		}
+		perSecond, ok = min(perSecond, value), true
+	}
+	return perSecond, ok, err
+}
+
+func parseRate(text string) (float64, error) {
+	value, err := strconv.ParseFloat(text, 64)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		// Too large for a number; the sign is that of the infinity returned.
+	case err != nil || math.IsNaN(value) || math.IsInf(value, 0):
+		return 0, fmt.Errorf("value %q: %w", text, errNoNumber)
+	}
+	if value < 0 {
+		return 0, fmt.Errorf("value %q: %w", text, errNegative)
+	}
+	return value, nil
+}
