Limits: entries keep together to the limits that servers name

What was seen: servers that name a limit got as many requests as before, up to 31 in 4 s where 16 are allowed. Callers saw nothing. Cause: nothing heeded the limit. The class: a bound on the sum of all entries that no entry keeps to. The limit of cold servers was also checked and counted in two steps, with the making of a connection between them. Change: requests/sharedlimit takes the place of requests/coldlimit and serves both limits. An entry reserves a place before it connects and counts it when it sends. The few entries near a server divide its rate; an entry without a free place asks one of them for it. Places are given in the order in which entries began to wait. Places of a new division open after a window. Limits spread by gossip. Callers are sent to another server first; if all are limited, they are refused at once with code server-limited and the time of the next place, spread over the rate. Why it works: parts add up to the rate in any window, whatever the number of entries, and a place has one owner at any time. Evidence: TestServersGetNoMoreRequestsThanTheLimitThatTheyName failed with 101 to 104 requests in 4 s, now at most 8 (16 allowed).

--- a/core/code.go
+++ b/core/code.go
@@ -68,6 +68,7 @@
 	CodeServerClosed       Code = 217
 	CodePartQuarantined    Code = 218
 	CodeRequestQuarantined Code = 219
+	CodeServerLimited      Code = 220
 
 	CodeIncomplete       Code = 300
 	CodeEngineFailed     Code = 301
@@ -144,6 +145,7 @@
 	{CodeServerClosed, "server-closed", 503, "The backend server has announced that it is leaving or that it wants no requests for some time."},
 	{CodePartQuarantined, "part-quarantined", 503, "A part of the prompt has crashed backend servers; requests with it are refused for some time."},
 	{CodeRequestQuarantined, "request-quarantined", 503, "The same request has crashed backend servers; it is refused for some time."},
+	{CodeServerLimited, "server-limited", 503, "The limits that backend servers name permit no request now."},
 	{CodeIncomplete, "incomplete", 502, "The answer ended without an end frame."},
 	{CodeEngineFailed, "engine-failed", 502, "The backend server answered with an error."},
 	{CodeCrossedAnswer, "crossed-answer", 502, "The backend server returned the answer to another request."},
--- a/daemon/deployed/rate_limit_test.go
+++ b/daemon/deployed/rate_limit_test.go
@@ -56,12 +56,14 @@
 	missingRetryAfter int
 }
 
+// startLoad sends a request to each entry in every period, one entry after the other.
 func (d *deployment) startLoad(period time.Duration) *requestLoad {
 	load := &requestLoad{statuses: map[int]int{}}
 	done := make(chan struct{})
 	var senders sync.WaitGroup
 	for entry := range d.entries {
 		senders.Go(func() {
+			time.Sleep(period * time.Duration(entry) / time.Duration(len(d.entries)))
 			ticker := time.NewTicker(period)
 			defer ticker.Stop()
 			for {
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -67,6 +67,7 @@
 		g.refuse(c, w, err)
 		return
 	}
+	g.seekPlace(r.Context(), g.requirementsOf(c, r))
 	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
@@ -202,13 +203,21 @@
 	return c.route.Priority
 }
 
+// requirementsOf returns the conditions that a call sets for its backend server.
+func (g *Gateway) requirementsOf(c *call, r *http.Request) requirements {
+	needs := requirements{service: c.service, model: g.model(c, r), regions: [][]core.Region{c.route.Regions}, recallable: c.route.IsRepeatable()}
+	if c.team != nil {
+		needs.regions = append(needs.regions, c.team.Regions)
+	}
+	return needs
+}
+
 func (g *Gateway) newDispatchRequest(c *call, exchange *direct.Exchange, r *http.Request) dispatch.Request {
 	pool := core.PoolName(c.service)
-	needs := requirements{service: c.service, model: g.model(c, r), regions: [][]core.Region{c.route.Regions}, recallable: c.route.IsRepeatable()}
+	needs := g.requirementsOf(c, r)
 	var team core.Team
 	if c.team != nil {
 		team = c.team.Name
-		needs.regions = append(needs.regions, c.team.Regions)
 	}
 	placer := g.services.placer(pool)
 	isRetry := c.isCallerRetry()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -21,10 +21,10 @@
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/requests/attempt"
-	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
+	"currantusher.dev/requests/sharedlimit"
 	"currantusher.dev/requests/stall"
 	"currantusher.dev/requests/upstream"
 	"currantusher.dev/tables/relay"
@@ -63,11 +63,12 @@
 	upstream      *upstream.Pool
 	services      *serviceSet
 	dispatcher    *dispatch.Dispatcher
-	coldCounter   *coldlimit.Counter
+	ledger        *sharedlimit.Ledger
 	observations  *serverObservations
 	pauses        *pauses.Set
 	notices       *notices.Set
 	rateLimits    *notices.Limits
+	holders       *holderSet
 	queueWaits    *queueWaits
 	crashGuard    *crashGuard
 	stallDetector *stall.Detector
@@ -104,7 +105,8 @@
 		incarnation:   core.Incarnation(time.Now().UnixNano()),
 		store:         rowstore.New(config.Node.StoreAddr),
 		upstream:      upstream.NewPool(upstream.Config{}),
-		coldCounter:   coldlimit.NewCounter(),
+		ledger:        sharedlimit.NewLedger(config.Node.Instance, time.Now()),
+		holders:       newHolderSet(),
 		observations:  newServerObservations(),
 		pauses:        pauses.NewSet(),
 		notices:       notices.NewSet(),
@@ -145,6 +147,9 @@
 		Evidence:        g.crashGuard.evidence,
 		OnEvidence:      g.crashGuard.onEvidence,
 		OnPauseNotice:   g.onPause,
+		RateLimits:      func() []fleet.RateLimit { return g.rateLimits.Report(time.Now()) },
+		OnRateLimits:    g.onRateLimits,
+		OnPlaceRequest:  g.onPlaceRequest,
 		NewestWeights:   g.newestWeights,
 		OnNewestWeights: g.onNewestWeights,
 		Log:             config.Log.Component("gossip"),
@@ -308,7 +313,8 @@
 		callerConns.Update(int64(g.conns.count()))
 		evictions.Update(g.conns.evictions.Load())
 		now := time.Now()
-		g.coldCounter.Sweep(now)
+		g.ledger.Sweep(now)
+		g.holders.sweep(now)
 		g.observations.sweep(g.clock.Now())
 		g.pauses.Sweep(now)
 		g.sweepNotices(now)
--- a/daemon/gateway/limits_test.go
+++ b/daemon/gateway/limits_test.go
@@ -11,7 +11,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/members/activeset"
 	"currantusher.dev/members/gossip"
-	"currantusher.dev/requests/coldlimit"
+	"currantusher.dev/requests/sharedlimit"
 )
 
 const (
@@ -20,7 +20,7 @@
 	maxSimulatedCut = 12 * time.Second
 )
 
-var simulatedColdLimit = coldlimit.Limit{PerSecond: 14, Overshoot: 1.5, Slack: 5}
+var simulatedColdLimit = sharedlimit.Cold(14, 1.5, 5)
 
 // simulatedEntry is an entry without network: its gossip and its activity.
 type simulatedEntry struct {
@@ -128,9 +128,9 @@
 			continue
 		}
 		senders := e.state.Senders(f.now)
-		sharers := coldlimit.NewSharers(e.member.ID, senders.Others, senders.Count)
+		sharing := newLimitSharing(e.member, senders, true, nil)
 		for i := range sums {
-			sums[i] += coldShare(simulatedColdLimit, core.InstanceID(fmt.Sprintf("s-%d", i)), &sharers)
+			sums[i] += sharing.Part(core.InstanceID(fmt.Sprintf("s-%d", i)), simulatedColdLimit).Requests
 		}
 	}
 	return sums
@@ -144,7 +144,7 @@
 // server's limit at any time: while entries crash, are cut off and return, and while
 // the set of active entries changes.
 func TestSharesOfAllEntriesStayUnderTheLimit(t *testing.T) {
-	limit := int(simulatedColdLimit.PerSecond*simulatedColdLimit.Overshoot + simulatedColdLimit.Slack)
+	limit := simulatedColdLimit.Requests
 	for _, fleet := range []struct {
 		size, centres, rounds int
 		seeds                 []uint64
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -32,7 +32,7 @@
 // closure returns the closure of all servers that could serve a request if they
 // accepted any, or nil.
 func (g *Gateway) closure(r requirements) *fair.Closure {
-	if g.notices.IsEmpty() {
+	if g.notices.IsEmpty() && g.rateLimits.IsEmpty() {
 		return nil
 	}
 	now := time.Now()
@@ -44,11 +44,16 @@
 	if !ok {
 		return nil
 	}
-	return &fair.Closure{
+	result := &fair.Closure{
 		OpensAt: closure.OpensAt,
 		Slots:   closure.Slots / max(g.senders().Count, 1),
 		Detail:  closure.String(),
 	}
+	if closure.Limited > 0 {
+		result.Code = core.CodeServerLimited
+		result.Interval = g.placeInterval(servers)
+	}
+	return result
 }
 
 // closedCapableServers returns the servers that meet the conditions of a request and
@@ -64,7 +69,7 @@
 		return nil, false
 	}
 	viewNow, loads := g.clock.Now(), g.gossip.Loads()
-	regions := g.node.Load().Regions
+	regions, sharing := g.node.Load().Regions, g.sharing()
 	var list []notices.Server
 	for _, server := range view.Servers[r.service] {
 		if server.Leaving || view.OutDataCentres[server.DataCentre] {
@@ -73,10 +78,13 @@
 		if !isAllowedByAll(r.regions, regions[server.DataCentre]) || !g.mayServe(viewNow, view, service, server, r, loads) {
 			continue
 		}
+		closed := notices.Server{Lifetime: lifetimeOf(server), Slots: slotsOf(server)}
 		if !g.isClosed(now, server) {
-			return nil, false
+			if closed.LimitedUntil = g.limitedUntil(now, sharing, server); closed.LimitedUntil.IsZero() {
+				return nil, false
+			}
 		}
-		list = append(list, notices.Server{Lifetime: lifetimeOf(server), Slots: slotsOf(server)})
+		list = append(list, closed)
 	}
 	return list, true
 }
@@ -140,11 +148,15 @@
 // closedServers describes the servers of a service that get no requests because of
 // their announcements, for log lines.
 func (g *Gateway) closedServers(now time.Time, service fleet.ServiceName) []string {
-	if g.notices.IsEmpty() {
+	if g.notices.IsEmpty() && g.rateLimits.IsEmpty() {
 		return nil
 	}
 	var list []string
+	sharing := g.sharing()
 	for _, server := range g.follower.View().Servers[service] {
+		if perSecond, limited := g.rateLimits.Rate(lifetimeOf(server)); limited && !g.limitedUntil(now, sharing, server).IsZero() {
+			list = append(list, fmt.Sprintf("%s limited to %v/s", server.ID, perSecond))
+		}
 		switch state := g.notices.State(now, lifetimeOf(server)); state.Reason {
 		case notices.Leaving:
 			list = append(list, fmt.Sprintf("%s %v", server.ID, state.Reason))
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -94,11 +94,6 @@
 	traits []fleet.Trait
 }
 
-// BeforeSend implements direct.Observer.
-func (o observer) BeforeSend(server core.InstanceID) {
-	o.gateway.coldCounter.Record(time.Now(), server)
-}
-
 // AnswerReceived implements direct.Observer.
 func (o observer) AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
 	o.gateway.observations.record(o.gateway.clock.Now(), server, model, version, coldFor)
--- /dev/null
+++ b/daemon/gateway/places.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
+	"currantusher.dev/requests/sharedlimit"
+	"currantusher.dev/tables/watch"
+)
+
+const (
+	// placeTimeout bounds the wait for another entry's reply to a request for a place.
+	placeTimeout = 50 * time.Millisecond
+	// placeValidity is how long a place that another entry gave may be used.
+	placeValidity = 250 * time.Millisecond
+	// holderBackoff is how long an entry is not asked that did not reply or has no part.
+	holderBackoff = time.Second
+)
+
+// holderKey is an entry that holds a part of the limit of a server.
+type holderKey struct {
+	server, holder core.InstanceID
+}
+
+// holderSet holds when entries that denied a place may be asked again. It is safe for
+// concurrent use.
+type holderSet struct {
+	mu      sync.Mutex
+	retryAt map[holderKey]time.Time
+}
+
+func newHolderSet() *holderSet { return &holderSet{retryAt: map[holderKey]time.Time{}} }
+
+func (h *holderSet) mayAsk(now time.Time, key holderKey) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !now.Before(h.retryAt[key])
+}
+
+func (h *holderSet) deny(key holderKey, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retryAt[key] = until
+}
+
+// nextRetry returns when the next of the entries that denied a place at a server may be
+// asked again, or the zero time if there is none.
+func (h *holderSet) nextRetry(now time.Time, server core.InstanceID) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var next time.Time
+	for key, at := range h.retryAt {
+		if key.server == server && at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (h *holderSet) sweep(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, at := range h.retryAt {
+		if now.After(at) {
+			delete(h.retryAt, key)
+		}
+	}
+}
+
+// placeChoice is an entry that may have a place at a server.
+type placeChoice struct {
+	holderKey
+	incarnation core.Incarnation
+}
+
+// seekPlace asks another entry for a place at a limited server if no server has room for
+// a request. Without it, callers of entries that have no part would never be served.
+func (g *Gateway) seekPlace(ctx context.Context, r requirements) {
+	if g.rateLimits.IsEmpty() {
+		return
+	}
+	pool := core.PoolName(r.service)
+	servers := g.reachable(g.services.placer(pool), r)
+	for _, s := range servers {
+		if s.FreeSlots > 0 && !s.DataCentreOut && !s.Leaving {
+			return
+		}
+	}
+	choices := g.placeChoices(time.Now(), servers)
+	if len(choices) == 0 {
+		return
+	}
+	if g.borrowPlace(ctx, choices[rand.IntN(len(choices))]) {
+		g.services.queue(pool).Refresh()
+	}
+}
+
+// placeChoices returns the entries that may be asked for a place at servers without one.
+// This entry waits for places of its own parts at the same time.
+func (g *Gateway) placeChoices(now time.Time, servers []reachableServer) []placeChoice {
+	sharing := g.sharing()
+	var choices []placeChoice
+	for _, s := range servers {
+		perSecond, limited := g.rateLimits.Rate(lifetimeOf(s.server))
+		if !limited || s.hasPlace || s.slots <= 0 || s.DataCentreOut || s.Leaving {
+			continue
+		}
+		g.ledger.Await(now, s.ID)
+		near, limit := sharing.rate(s.server, perSecond)
+		for _, holder := range near.Holders(s.ID, limit) {
+			key := holderKey{server: s.ID, holder: holder}
+			if g.holders.mayAsk(now, key) {
+				choices = append(choices, placeChoice{holderKey: key, incarnation: lifetimeOf(s.server).Incarnation})
+			}
+		}
+	}
+	return choices
+}
+
+// borrowPlace asks an entry for a place. It reports whether it got one.
+func (g *Gateway) borrowPlace(ctx context.Context, choice placeChoice) bool {
+	addr := g.gossip.PeerAddr(choice.holder)
+	if addr == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	reply, err := g.gossip.AskForPlace(ctx, addr, choice.server, choice.incarnation)
+	now := time.Now()
+	fields := logrus.Fields{"server": choice.server, "holder": choice.holder}
+	switch {
+	case err != nil:
+		metrics.GetOrRegisterCounter("limits.places_unanswered", g.registry).Inc(1)
+		g.log.WithError(err).WithFields(fields).Debug("Could not ask for a place at a limited server.")
+		g.holders.deny(choice.holderKey, now.Add(holderBackoff))
+		return false
+	case !reply.Given:
+		metrics.GetOrRegisterCounter("limits.places_denied", g.registry).Inc(1)
+		retryIn := reply.RetryIn
+		if retryIn <= 0 {
+			retryIn = holderBackoff
+		}
+		g.holders.deny(choice.holderKey, now.Add(retryIn))
+		return false
+	}
+	metrics.GetOrRegisterCounter("limits.places_received", g.registry).Inc(1)
+	g.ledger.Receive(now, choice.server, now.Add(placeValidity))
+	return true
+}
+
+// onPlaceRequest decides whether another entry gets a place of this entry's part.
+func (g *Gateway) onPlaceRequest(request fleet.PlaceRequest) fleet.PlaceReply {
+	lifetime := notices.Lifetime{Server: request.Server, Incarnation: request.Incarnation}
+	perSecond, limited := g.rateLimits.Rate(lifetime)
+	server := g.serverByID(request.Server)
+	if !limited || server == nil {
+		return fleet.PlaceReply{}
+	}
+	near, limit := g.sharing().rate(server, perSecond)
+	now := time.Now()
+	given, opensAt := g.ledger.Give(now, request.Server, near.Part(request.Server, limit), request.From)
+	if given {
+		metrics.GetOrRegisterCounter("limits.places_given", g.registry).Inc(1)
+		return fleet.PlaceReply{Given: true}
+	}
+	if opensAt.IsZero() {
+		return fleet.PlaceReply{}
+	}
+	return fleet.PlaceReply{RetryIn: opensAt.Sub(now)}
+}
+
+func (g *Gateway) serverByID(id core.InstanceID) *watch.Server {
+	for _, servers := range g.follower.View().Servers {
+		for _, server := range servers {
+			if server.ID == id {
+				return server
+			}
+		}
+	}
+	return nil
+}
+
+// ratePerSecond returns this entry's part of a limit in requests a second.
+func ratePerSecond(part sharedlimit.Part) float64 {
+	return float64(part.Requests) / part.Window.Seconds()
+}
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -10,7 +10,6 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/members/gossip"
-	"currantusher.dev/requests/coldlimit"
 	"currantusher.dev/requests/fair"
 	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/notices"
@@ -241,8 +240,30 @@
 	return capacity
 }
 
-// candidates returns the servers of a service that can accept a request now.
+// reachableServer is a server of a service that can accept a request, now or as soon as
+// it has a place.
+type reachableServer struct {
+	placement.Candidate
+	server *watch.Server
+	// slots is how many more requests this entry may start there apart from the limit
+	// that the server names. hasPlace tells whether that limit permits one now.
+	slots    int
+	hasPlace bool
+}
+
+// candidates returns the servers of a service that can accept a request now. One whose
+// limit permits none is included without free slots, since requests of this entry may
+// run there.
 func (g *Gateway) candidates(placer *placement.Placer, r requirements) []placement.Candidate {
+	reachable := g.reachable(placer, r)
+	list := make([]placement.Candidate, 0, len(reachable))
+	for _, s := range reachable {
+		list = append(list, s.Candidate)
+	}
+	return list
+}
+
+func (g *Gateway) reachable(placer *placement.Placer, r requirements) []reachableServer {
 	view := g.follower.View()
 	if view.Table == nil {
 		return nil
@@ -253,11 +274,11 @@
 	}
 	now, viewNow := time.Now(), g.clock.Now()
 	node := g.node.Load()
-	coldLimit, sharers := g.coldLimit(service), g.sharers()
+	sharing := g.sharing()
 	loads := g.gossip.Loads()
 	g.queueWaits.observeExchange(viewNow, service, view.Servers[r.service], loads)
 	division := *g.slotDivision.Load()
-	list := make([]placement.Candidate, 0, len(view.Servers[r.service]))
+	list := make([]reachableServer, 0, len(view.Servers[r.service]))
 	for _, server := range view.Servers[r.service] {
 		region := node.Regions[server.DataCentre]
 		if !isAllowedByAll(r.regions, region) || g.isClosed(now, server) || !g.mayServe(viewNow, view, service, server, r, loads) {
@@ -267,13 +288,18 @@
 		if !pauseStart.IsZero() && !now.Before(pauseStart) {
 			continue
 		}
-		if service.ColdPerSecond > 0 && viewNow.Before(g.coldUntil(server)) && !g.coldCounter.HasCapacity(now, server.ID, coldShare(coldLimit, server.ID, sharers)) {
+		if cold := g.coldParts(sharing, service, server); !g.hasPlace(now, server, cold) {
 			continue
 		}
 		limit := g.concurrencyLimit(now, service, server)
 		inFlight := placer.InFlight(server.ID)
 		free := limit - loads.Own[server.ID] - loads.Peers[server.ID]
-		list = append(list, placement.Candidate{
+		slots := availableSlots(division.share(server.ID, region, free), free, inFlight, loads.Own[server.ID], service.Engine != nil)
+		hasPlace, freeSlots := g.hasPlace(now, server, g.parts(sharing, service, server)), slots
+		if !hasPlace {
+			freeSlots = min(slots, 0)
+		}
+		list = append(list, reachableServer{server: server, slots: slots, hasPlace: hasPlace, Candidate: placement.Candidate{
 			ID:            server.ID,
 			Addr:          server.Addr,
 			DataCentre:    server.DataCentre,
@@ -284,10 +310,10 @@
 			ReportedAt:    loads.At,
 			Direct:        true,
 			PauseStart:    pauseStart,
-			FreeSlots:     availableSlots(division.share(server.ID, region, free), free, inFlight, loads.Own[server.ID], service.Engine != nil),
+			FreeSlots:     freeSlots,
 			DataCentreOut: view.OutDataCentres[server.DataCentre],
 			Leaving:       server.Leaving,
-		})
+		}})
 	}
 	return list
 }
@@ -327,31 +353,6 @@
 	return min(limit, maxStartsAtPauseEnd+int(startsPerSecond*now.Sub(pauseEnd).Seconds()))
 }
 
-// coldLimit returns the limit on requests to a cold server of a service.
-func (g *Gateway) coldLimit(service *fleet.Service) coldlimit.Limit {
-	bounds := g.node.Load().Bounds
-	return coldlimit.Limit{PerSecond: service.ColdPerSecond, Overshoot: bounds.ColdOvershoot, Slack: bounds.ColdSlack}
-}
-
-// coldShare returns how many requests per second this entry may send to a cold server.
-func coldShare(limit coldlimit.Limit, server core.InstanceID, sharers *coldlimit.Sharers) int {
-	if sharers == nil {
-		return 0
-	}
-	return limit.Share(server, *sharers)
-}
-
-// sharers returns the entries that share the limits of cold servers, or nil if this
-// entry has no share.
-func (g *Gateway) sharers() *coldlimit.Sharers {
-	senders := g.senders()
-	if senders.Count == 0 {
-		return nil
-	}
-	sharers := coldlimit.NewSharers(g.node.Load().Instance, senders.Others, senders.Count)
-	return &sharers
-}
-
 // coldUntil returns when a server stops being cold, a time of g.clock, according to the
 // platform's list or to its responses.
 func (g *Gateway) coldUntil(server *watch.Server) time.Time {
--- a/daemon/gateway/services_test.go
+++ b/daemon/gateway/services_test.go
@@ -10,10 +10,9 @@
 	"currantusher.dev/members/activeset"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
-	"currantusher.dev/requests/coldlimit"
+	"currantusher.dev/requests/sharedlimit"
 
 	"currantusher.dev/core"
-	"currantusher.dev/core/fleet"
 )
 
 // An entry that has just started and has not discovered the other entries must
@@ -28,11 +27,10 @@
 		Log:          obs.DiscardLogger().Component("gossip"),
 	})
 	require.NoError(t, err)
-	g := &Gateway{started: time.Now(), gossip: node, coldCounter: coldlimit.NewCounter()}
+	g := &Gateway{started: time.Now(), gossip: node}
 	g.node.Store(&nodefile.Node{Bounds: nodefile.Bounds{ColdOvershoot: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 100}})
-	service := &fleet.Service{ColdPerSecond: 36}
 	services := &serviceSet{gateway: g}
-	share := func() int { return coldShare(g.coldLimit(service), "s-1", g.sharers()) }
+	share := func() int { return g.sharing().Part("s-1", sharedlimit.Cold(36, 1.5, 5)).Requests }
 	timing := activityTiming(0, false)
 	g.activity.Update(time.Now(), true, false, timing)
 	g.entriesLoaded.Store(true)
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -97,6 +97,12 @@
 	// Pauses holds notices of agents that another entry forwards. The other fields of its
 	// message are empty.
 	Pauses []fleet.PauseNotice `cbor:"11,keyasint,omitempty"`
+	// RateLimits holds limits of backend servers.
+	RateLimits []fleet.RateLimit `cbor:"12,keyasint,omitempty"`
+	// PlaceRequest and PlaceReply are sent alone. The other fields of their messages are
+	// empty.
+	PlaceRequest *fleet.PlaceRequest `cbor:"13,keyasint,omitempty"`
+	PlaceReply   *fleet.PlaceReply   `cbor:"14,keyasint,omitempty"`
 }
 
 // Heartbeat is the part of a member's description that changes often, in a form
@@ -124,4 +130,7 @@
 type Outgoing struct {
 	Message Message
 	Addrs   []string
+	// IsLoadsOnly marks a message to many members that carries nothing but loads and what
+	// depends on them.
+	IsLoadsOnly bool
 }
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -44,6 +44,12 @@
 	// servers. OnEvidence is called with what another entry knows.
 	Evidence   func() fleet.CrashEvidence
 	OnEvidence func(fleet.CrashEvidence)
+	// RateLimits returns the limits of backend servers to tell the others in this round.
+	// OnRateLimits is called with what another entry tells.
+	RateLimits   func() []fleet.RateLimit
+	OnRateLimits func(from core.InstanceID, limits []fleet.RateLimit)
+	// OnPlaceRequest decides whether to give away a place at a server.
+	OnPlaceRequest func(fleet.PlaceRequest) fleet.PlaceReply
 	// OnPauseNotice is called with each pause notice that an agent sends about
 	// its backend server, or that another entry forwards.
 	OnPauseNotice func(fleet.PauseNotice)
@@ -71,6 +77,7 @@
 	socket *net.UDPConn
 	// urgent asks for a round before the next one is due.
 	urgent chan struct{}
+	places placeExchange
 
 	mu         sync.Mutex
 	state      *State
@@ -95,6 +102,15 @@
 	if config.OnEvidence == nil {
 		config.OnEvidence = func(fleet.CrashEvidence) {}
 	}
+	if config.RateLimits == nil {
+		config.RateLimits = func() []fleet.RateLimit { return nil }
+	}
+	if config.OnRateLimits == nil {
+		config.OnRateLimits = func(core.InstanceID, []fleet.RateLimit) {}
+	}
+	if config.OnPlaceRequest == nil {
+		config.OnPlaceRequest = func(fleet.PlaceRequest) fleet.PlaceReply { return fleet.PlaceReply{} }
+	}
 	if config.NewestWeights == nil {
 		config.NewestWeights = func() []NewestWeights { return nil }
 	}
@@ -203,7 +219,7 @@
 	era, revisions := n.config.Revisions()
 	loads, reachesStore := n.config.Loads(), n.config.ReachesStore()
 	newestWeights, paces := n.config.NewestWeights(), n.config.Paces()
-	evidence := n.config.Evidence()
+	evidence, rateLimits := n.config.Evidence(), n.config.RateLimits()
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
 	n.state.SetEra(era)
@@ -220,6 +236,9 @@
 	n.forwardPauses()
 	for _, outgoing := range round {
 		outgoing.Message.NewestWeights = newestWeights
+		if !outgoing.IsLoadsOnly {
+			outgoing.Message.RateLimits = rateLimits
+		}
 		if !evidence.IsEmpty() {
 			outgoing.Message.Evidence = &evidence
 		}
@@ -278,6 +297,17 @@
 		}
 		return
 	}
+	if message.PlaceRequest != nil {
+		n.answerPlaceRequest(*message.PlaceRequest)
+		return
+	}
+	if message.PlaceReply != nil {
+		n.places.deliver(*message.PlaceReply)
+		return
+	}
+	if len(message.RateLimits) > 0 {
+		n.config.OnRateLimits(message.From.ID, message.RateLimits)
+	}
 	if len(message.NewestWeights) > 0 {
 		n.config.OnNewestWeights(message.NewestWeights)
 	}
--- a/members/gossip/round.go
+++ b/members/gossip/round.go
@@ -101,7 +101,7 @@
 // loadsMessage returns the message with this entry's loads for the active members.
 func (s *State) loadsMessage(alive []*peer, loads map[core.InstanceID]int) Outgoing {
 	active := filter(alive, func(p *peer) bool { return p.member.Active })
-	return Outgoing{Message: Message{From: s.nextSelf(), Loads: loads}, Addrs: addrsOf(active, fanout)}
+	return Outgoing{Message: Message{From: s.nextSelf(), Loads: loads}, Addrs: addrsOf(active, fanout), IsLoadsOnly: true}
 }
 
 // membershipMessage returns the message that spreads signs of life: those of all
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -304,8 +304,10 @@
 	// alive within SenderTimeout, and the entries discovered within SenderTimeout
 	// from which no sign of life has arrived.
 	Count int
-	// Others holds the IDs of those other than this entry, if they are known.
-	Others []core.InstanceID
+	// Others describes those other than this entry, if they are known.
+	Others []Member
+	// IsIsolated means that this entry counts all of them twice.
+	IsIsolated bool
 }
 
 // Senders returns the entries that may be using their shares. An isolated entry
@@ -317,20 +319,21 @@
 	}
 	senders := Senders{Count: 1}
 	knownAddrs := map[string]bool{}
-	for id, p := range s.peers {
+	for _, p := range s.peers {
 		knownAddrs[p.member.PeerAddr] = true
 		if !p.maySend(now, timeout) {
 			continue
 		}
 		senders.Count++
-		senders.Others = append(senders.Others, id)
+		senders.Others = append(senders.Others, p.member)
 	}
 	for addr, since := range s.discoveredAt {
 		if !knownAddrs[addr] && now.Sub(since) < SenderTimeout {
 			senders.Count++
 		}
 	}
-	if s.IsIsolated(now) {
+	senders.IsIsolated = s.IsIsolated(now)
+	if senders.IsIsolated {
 		senders.Count *= 2
 	}
 	return senders
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -34,8 +34,9 @@
 	NoticeReceived(server notices.Lifetime, notice notices.Notice)
 	// LimitReceived reports what an answer of the server says about its limit.
 	LimitReceived(server notices.Lifetime, observation notices.LimitObservation)
-	// BeforeSend is called before a request is written to a server.
-	BeforeSend(server core.InstanceID)
+	// Reserve reserves a place for a request at a server, or returns a refusal if the
+	// limits of the server permit none now.
+	Reserve(server notices.Lifetime) (Reservation, error)
 	// AnswerReceived reports two header fields of a server's answer: the version
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
@@ -55,6 +56,15 @@
 	InvalidHeader(server core.InstanceID, header string, err error)
 }
 
+// Reservation is a place for a request that is about to be sent. Exactly one of its
+// methods must be called.
+type Reservation interface {
+	// Sent is called right before the request is written.
+	Sent(now time.Time)
+	// Cancel is called if nothing is written.
+	Cancel()
+}
+
 // AttemptObserver receives the events of one attempt.
 type AttemptObserver interface {
 	// DataReceived is called after each read of a part of the answer.
@@ -165,12 +175,18 @@
 	if e.request.Repeatable {
 		maxIdle = maxIdleRepeatable
 	}
+	lifetime := notices.Lifetime{Server: server.ID, Incarnation: server.Incarnation}
+	reservation, err := e.observer.Reserve(lifetime)
+	if err != nil {
+		return nil, err
+	}
 	conn, err := e.pool.Get(ctx, server.Addr, maxIdle)
 	if err != nil {
+		reservation.Cancel()
 		return nil, fmt.Errorf("%w: %v", wire.ErrNotConnected, err)
 	}
-	lifetime := notices.Lifetime{Server: server.ID, Incarnation: server.Incarnation}
 	if err := e.observer.CheckOpen(lifetime); err != nil {
+		reservation.Cancel()
 		conn.Close()
 		return nil, err
 	}
@@ -180,8 +196,8 @@
 	}
 	e.countAttempt()
 	e.lastServer = server.ID
-	e.observer.BeforeSend(server.ID)
 	sentAt := time.Now()
+	reservation.Sent(sentAt)
 	timeLeft := time.Duration(message.DeadlineMillis) * time.Millisecond
 	if err := conn.Send(e.encodeRequest(server.ID, timeLeft)); err != nil {
 		stopCloseOnDone()
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -42,12 +42,19 @@
 
 func (nopAttempt) Close() {}
 
+type nopReservation struct{}
+
+func (nopReservation) Sent(time.Time) {}
+func (nopReservation) Cancel()        {}
+
 func (nopObserver) CheckOpen(notices.Lifetime) error { return nil }
 
 func (nopObserver) NoticeReceived(notices.Lifetime, notices.Notice)          {}
 func (nopObserver) LimitReceived(notices.Lifetime, notices.LimitObservation) {}
 
-func (nopObserver) BeforeSend(core.InstanceID) {}
+func (nopObserver) Reserve(notices.Lifetime) (Reservation, error) {
+	return nopReservation{}, nil
+}
 
 func (nopObserver) AnswerReceived(core.InstanceID, fleet.Model, fleet.WeightsVersion, time.Duration) {
 }
--- a/requests/dispatch/refusal.go
+++ b/requests/dispatch/refusal.go
@@ -57,7 +57,7 @@
 	if core.ExecutionOf(err) != core.ExecutionNotRun || code.Info().HTTPStatus < http.StatusTooManyRequests || code == core.CodeCancelled {
 		return err
 	}
-	if core.RetryAfterOf(err) > 0 && code == core.CodeServerClosed {
+	if core.RetryAfterOf(err) > 0 && (code == core.CodeServerClosed || code == core.CodeServerLimited) {
 		return err
 	}
 	if closedErr := x.refuseClosed(x.request); closedErr != nil {
--- a/requests/fair/closure.go
+++ b/requests/fair/closure.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"cmp"
 	"time"
 
 	"currantusher.dev/core"
@@ -10,13 +11,18 @@
 // may use; the rest is for new callers.
 const returnFraction = 0.5
 
-// Closure says that all backend servers that could serve a request have announced
-// that they accept none.
+// Closure says that no backend server that could serve a request accepts one: each has
+// announced that it accepts none, or names a limit that permits none now.
 type Closure struct {
+	// Code is the result code of refusals; 0 means core.CodeServerClosed.
+	Code core.Code
 	// OpensAt is when the first server accepts requests again; zero if unknown.
 	OpensAt time.Time
 	// Slots is the number of requests that this entry may then start at once.
 	Slots int
+	// Interval is the mean time between two requests that this entry may start; 0 means
+	// that it depends on Slots and on how long requests run.
+	Interval time.Duration
 	// Detail names the reason for logs and refusals.
 	Detail string
 }
@@ -30,7 +36,7 @@
 }
 
 func (s *state) refuseClosed(now time.Time, closure Closure, request Request) error {
-	return core.NewRefusal(core.CodeServerClosed, s.returnDelay(now, closure, request), "%s", closure.Detail)
+	return core.NewRefusal(cmp.Or(closure.Code, core.CodeServerClosed), s.returnDelay(now, closure, request), "%s", closure.Detail)
 }
 
 // setClosure sets the closure after setCapacity. An outage starts at the end of a
@@ -70,7 +76,10 @@
 	if !request.Deadline.IsZero() && s.config.MaxWaitFraction > 0 && delay > longest {
 		return opensIn + time.Duration(s.random.Float64()*float64(longest-opensIn))
 	}
-	interval := float64(s.meanRunTime) / (returnFraction * float64(max(closure.Slots, 1)))
-	s.nextReturn = turn.Add(time.Duration(interval))
+	interval := closure.Interval
+	if interval <= 0 {
+		interval = s.meanRunTime / time.Duration(max(closure.Slots, 1))
+	}
+	s.nextReturn = turn.Add(time.Duration(float64(interval) / returnFraction))
 	return delay
 }
--- a/requests/fair/estimate.go
+++ b/requests/fair/estimate.go
@@ -27,15 +27,15 @@
 	s.capacity = capacity
 }
 
-// isUnavailable reports whether requests are refused instead of queued: all servers
-// have announced that they accept none, or there has been no capacity for OutageWait.
+// isUnavailable reports whether requests are refused instead of queued: no server accepts
+// one, although this entry may have requests there, or there has been no capacity for OutageWait.
 func (s *state) isUnavailable(now time.Time) bool {
-	if s.limit() > 0 {
-		return false
-	}
 	if s.closure != nil {
 		return true
 	}
+	if s.limit() > 0 {
+		return false
+	}
 	return s.config.OutageWait <= 0 || s.noCapacitySince.IsZero() || now.Sub(s.noCapacitySince) >= s.config.OutageWait
 }
 
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -182,6 +182,13 @@
 	return grant, grant.wait(ctx)
 }
 
+// Refresh makes the next call read the capacity and the closure again.
+func (q *Queue) Refresh() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lastUpdate = time.Time{}
+}
+
 // Stats returns a snapshot of the queue.
 func (q *Queue) Stats() Stats {
 	q.mu.Lock()
--- a/requests/notices/limits.go
+++ b/requests/notices/limits.go
@@ -1,10 +1,16 @@
 package notices
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/core/fleet"
 )
 
 const (
@@ -16,6 +22,15 @@
 	// names a lower one gets a request now and then, which finds out whether the limit
 	// has ended.
 	minRate = 0.1
+	// changedReportTime is how long a change is in each report to the other entries, and
+	// maxChangedReports bounds the changes in one. reportsInTurns is the number of other
+	// limits in each report, so that entries which missed the change learn of it.
+	changedReportTime = 3 * time.Second
+	maxChangedReports = 8
+	reportsInTurns    = 2
+	// maxTransitTime is the time for which a report may travel. The request in it may
+	// have been sent earlier by that time than its age says.
+	maxTransitTime = 50 * time.Millisecond
 )
 
 // Unlimited is the rate of a server that names no limit.
@@ -54,8 +69,8 @@
 
 	mu         sync.Mutex
 	byLifetime map[Lifetime]*limitRecord
-	// nextRotated is the position from which the next report goes on.
-	nextRotated int
+	// nextReported is the position from which the next report goes on.
+	nextReported int
 }
 
 type limitRecord struct {
@@ -149,3 +164,56 @@
 	}
 	return limited, oldest
 }
+
+// Report returns up to maxChanged limits that have changed recently, and some of the
+// others, in turns. Ended limits are included until they are dropped.
+func (l *Limits) Report(now time.Time) []fleet.RateLimit {
+	if l.count.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	servers := slices.SortedFunc(maps.Keys(l.byLifetime), compareLifetimes)
+	var list []fleet.RateLimit
+	for _, server := range servers {
+		if len(list) < maxChangedReports && now.Sub(l.byLifetime[server].changedAt) < changedReportTime {
+			list = append(list, l.byLifetime[server].report(now, server))
+		}
+	}
+	for i := range min(reportsInTurns, len(servers)) {
+		server := servers[(l.nextReported+i)%len(servers)]
+		if now.Sub(l.byLifetime[server].changedAt) >= changedReportTime {
+			list = append(list, l.byLifetime[server].report(now, server))
+		}
+	}
+	l.nextReported = (l.nextReported + reportsInTurns) % len(servers)
+	return list
+}
+
+func (r *limitRecord) report(now time.Time, server Lifetime) fleet.RateLimit {
+	report := fleet.RateLimit{
+		Server: server.Server, Incarnation: server.Incarnation,
+		SentAge: now.Sub(r.SentAt), ReceivedAge: now.Sub(r.ReceivedAt),
+	}
+	if report.HasEnded = r.PerSecond == Unlimited; !report.HasEnded {
+		report.PerSecond = r.PerSecond
+	}
+	return report
+}
+
+// ReportedObservation returns the observation in a report that arrived at now. It returns
+// false if the report is not valid.
+func ReportedObservation(now time.Time, source core.InstanceID, report fleet.RateLimit) (LimitObservation, bool) {
+	o := LimitObservation{
+		PerSecond: report.PerSecond, Source: string(source),
+		SentAt: now.Add(-report.SentAge - maxTransitTime), ReceivedAt: now.Add(-report.ReceivedAge),
+	}
+	if report.HasEnded {
+		o.PerSecond = Unlimited
+	}
+	return o, o.PerSecond >= 0 && report.SentAge >= report.ReceivedAge && report.ReceivedAge >= 0
+}
+
+func compareLifetimes(a, b Lifetime) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
+}
--- a/requests/notices/notices.go
+++ b/requests/notices/notices.go
@@ -46,15 +46,19 @@
 	Open Reason = iota
 	Paused
 	Leaving
+	// Limited means that the limit that the server names permits no request now.
+	Limited
 )
 
-// String returns "open", "paused" or "leaving".
+// String returns "open", "paused", "leaving" or "limited".
 func (r Reason) String() string {
 	switch r {
 	case Paused:
 		return "paused"
 	case Leaving:
 		return "leaving"
+	case Limited:
+		return "limited"
 	default:
 		return "open"
 	}
@@ -63,7 +67,7 @@
 // State is whether a server accepts requests from this entry.
 type State struct {
 	Reason Reason
-	// OpensAt is when a pause ends; zero unless Reason is Paused.
+	// OpensAt is when the server opens; zero unless Reason is Paused or Limited.
 	OpensAt time.Time
 }
 
--- a/requests/notices/notices_test.go
+++ b/requests/notices/notices_test.go
@@ -89,7 +89,7 @@
 func TestClosureNeedsAllServersClosed(t *testing.T) {
 	s := NewSet()
 	third := Lifetime{Server: "s-3", Incarnation: 1}
-	servers := []Server{{server, 8}, {neighbour, 6}, {third, 4}}
+	servers := []Server{{Lifetime: server, Slots: 8}, {Lifetime: neighbour, Slots: 6}, {Lifetime: third, Slots: 4}}
 	isClosed := func(now time.Time, servers []Server) bool {
 		_, ok := s.Closure(now, servers)
 		return ok
@@ -114,6 +114,17 @@
 	require.Equal(t, Closure{Leaving: 1}, onlyLeaving)
 }
 
+func TestLimitedServersOpenWithTheirNextPlaces(t *testing.T) {
+	s := NewSet()
+	s.Record(testEpoch, server, Notice{Pause: 3 * time.Second})
+	limited := Server{Lifetime: neighbour, Slots: 6, LimitedUntil: after(time.Second)}
+	closure, ok := s.Closure(testEpoch, []Server{{Lifetime: server, Slots: 8}, limited})
+	require.True(t, ok)
+	require.Equal(t, Closure{Paused: 1, Limited: 1, OpensAt: after(time.Second)}, closure)
+	_, ok = s.Closure(after(time.Second), []Server{{Lifetime: server, Slots: 8}, limited})
+	require.False(t, ok)
+}
+
 // The end of a pause must not send a burst to a server.
 func TestLimitGrowsGraduallyAfterAPause(t *testing.T) {
 	require.Equal(t, 8, RampLimit(testEpoch, time.Time{}, 8))
