--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -52,6 +52,7 @@
 	entries        []nodefile.Node
 	metricsAddrs   []string
 	stopFuncs      []context.CancelFunc
+	entryStops     []context.CancelFunc
 	runningDaemons sync.WaitGroup
 }
 
@@ -192,7 +193,7 @@
 		MaxAnswerBytes: gateway.DefaultMaxAnswerBytes, Deadline: gateway.DefaultDeadline, Log: obs.DiscardLogger(),
 	})
 	require.NoError(d.t, err)
-	d.runDaemon(daemon.Run)
+	d.entryStops = append(d.entryStops, d.runDaemon(daemon.Run))
 }
 
 func (d *deployment) runAgent(node nodefile.Node) {
@@ -201,7 +202,7 @@
 	d.runDaemon(daemon.Run)
 }
 
-func (d *deployment) runDaemon(run func(context.Context) error) {
+func (d *deployment) runDaemon(run func(context.Context) error) context.CancelFunc {
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopFuncs = append(d.stopFuncs, stop)
 	d.runningDaemons.Go(func() {
@@ -209,6 +210,7 @@
 			d.t.Errorf("daemon stopped with an error: %v", err)
 		}
 	})
+	return stop
 }
 
 func (d *deployment) awaitReady() {
--- a/daemon/deployed/rate_limit_test.go
+++ b/daemon/deployed/rate_limit_test.go
@@ -58,12 +58,25 @@
 
 // startLoad sends a request to each entry in every period, one entry after the other.
 func (d *deployment) startLoad(period time.Duration) *requestLoad {
+	return d.startLoadAt(running(len(d.entries)), period)
+}
+
+// running returns the indices of the first count entries.
+func running(count int) []int {
+	var list []int
+	for i := range count {
+		list = append(list, i)
+	}
+	return list
+}
+
+func (d *deployment) startLoadAt(entries []int, period time.Duration) *requestLoad {
 	load := &requestLoad{statuses: map[int]int{}}
 	done := make(chan struct{})
 	var senders sync.WaitGroup
-	for entry := range d.entries {
+	for i, entry := range entries {
 		senders.Go(func() {
-			time.Sleep(period * time.Duration(entry) / time.Duration(len(d.entries)))
+			time.Sleep(period * time.Duration(i) / time.Duration(len(entries)))
 			ticker := time.NewTicker(period)
 			defer ticker.Stop()
 			for {
@@ -95,11 +108,15 @@
 
 // addEntries starts more entries, half of them in each data centre.
 func (d *deployment) addEntries(count int) {
+	d.startEntries(count)
+	d.awaitReady()
+}
+
+func (d *deployment) startEntries(count int) {
 	for range count {
 		i := len(d.entries)
 		d.runEntry(d.newNode(fmt.Sprintf("entry-%d", i), string('a'+rune(i%2)), d.storeAddr))
 	}
-	d.awaitReady()
 }
 
 func TestServersGetNoMoreRequestsThanTheLimitThatTheyName(t *testing.T) {
@@ -110,14 +127,11 @@
 			load := d.startLoad(time.Duration(c.entries) * 20 * time.Millisecond)
 			named := time.Now()
 			limited := d.plainServers[:c.limited]
-			for _, server := range limited {
-				server.NameLimit(strconv.FormatFloat(namedLimit, 'f', -1, 64))
-			}
+			nameLimits(limited, namedLimit)
 			time.Sleep(limitSettleTime + 2*limitWindow)
 			load.stop()
-			allowed := int(limitOvershoot*namedLimit*limitWindow.Seconds() + limitSlack)
 			for _, server := range limited {
-				require.LessOrEqual(t, maxArrivals(server, named.Add(limitSettleTime)), allowed, "%s", server.ID)
+				require.LessOrEqual(t, maxArrivals(server, named.Add(limitSettleTime)), allowedArrivals(namedLimit), "%s", server.ID)
 			}
 			require.Zero(t, load.missingRetryAfter)
 			for status := range load.statuses {
@@ -127,3 +141,59 @@
 		})
 	}
 }
+
+// allowedArrivals returns the bound on the requests to a server in any limitWindow.
+func allowedArrivals(perSecond float64) int {
+	return int(limitOvershoot*perSecond*limitWindow.Seconds() + limitSlack)
+}
+
+func nameLimits(servers []*standin.Backend, perSecond float64) {
+	for _, server := range servers {
+		server.NameLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
+}
+
+// stopEntry stops an entry, which remains in the list of entries.
+func (d *deployment) stopEntry(entry int) { d.entryStops[entry]() }
+
+func TestLimitsHoldWhileHalfOfTheEntriesGoAndOthersCome(t *testing.T) {
+	d := startDeployment(t)
+	d.addEntries(6)
+	nameLimits(d.plainServers, namedLimit)
+	named := time.Now()
+	load := d.startLoad(160 * time.Millisecond)
+	time.Sleep(limitSettleTime)
+	for entry := 4; entry < len(d.entries); entry++ {
+		d.stopEntry(entry)
+	}
+	time.Sleep(limitWindow)
+	load.stop()
+	d.startEntries(4)
+	load = d.startLoadAt(append(running(4), 8, 9, 10, 11), 160*time.Millisecond)
+	time.Sleep(2 * limitWindow)
+	load.stop()
+	for _, server := range d.plainServers {
+		require.LessOrEqual(t, maxArrivals(server, named.Add(limitSettleTime)), allowedArrivals(namedLimit), "%s", server.ID)
+	}
+	require.NotZero(t, load.statuses[http.StatusOK])
+}
+
+func TestEntriesFollowALimitThatFallsAndEnds(t *testing.T) {
+	const high, low = 20, 1
+	d := startDeployment(t)
+	d.addEntries(2)
+	load := d.startLoad(50 * time.Millisecond)
+	nameLimits(d.plainServers, high)
+	time.Sleep(limitSettleTime)
+	nameLimits(d.plainServers, low)
+	fell := time.Now()
+	time.Sleep(limitSettleTime + limitWindow)
+	for _, server := range d.plainServers {
+		require.LessOrEqual(t, maxArrivals(server, fell.Add(limitSettleTime)), allowedArrivals(low), "%s", server.ID)
+		server.NameLimit("")
+	}
+	const unlimited = 30
+	before := len(d.plainServers[0].Arrivals())
+	d.eventually(func() bool { return len(d.plainServers[0].Arrivals()) > before+unlimited }, "the server gets few requests after its limit has ended")
+	load.stop()
+}
