Retries: entries that outnumber the shared retries have a part of them

What callers would see: with more active entries than retries, as at the target size, no request is sent to a second server. Change: the division of requests/sharedlimit, by which some entries get one each. Evidence: TestRetriesAreUsedWithMoreEntriesThanRetries failed with 0 retries at 82 entries, now 41 to 81 for 82, 150 and 350 entries.

--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -14,6 +14,7 @@
 	"currantusher.dev/requests/latency"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
+	"currantusher.dev/requests/sharedlimit"
 	"currantusher.dev/tables/watch"
 )
 
@@ -129,33 +130,46 @@
 		Closure:         func() *fair.Closure { return g.closure(requirements{service: fleet.ServiceName(name)}) },
 		Seed:            uint64(g.incarnation),
 	})
-	state.placer.SetRetryBurst(s.retryShare())
+	state.placer.SetRetryBurst(s.retryShare(name))
 	s.states[name] = state
 	s.start(state)
 	return state
 }
 
-// retryShare returns this entry's share of the retries that all entries together
-// may accumulate.
-func (s *serviceSet) retryShare() int {
+// retryShare returns this entry's share of the retries at a service that all entries
+// together may accumulate.
+func (s *serviceSet) retryShare(name core.PoolName) int {
 	senders := s.gateway.senders()
 	if senders.Count == 0 {
 		return 0
 	}
-	return int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack / float64(senders.Count))
+	budget := int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack)
+	return retriesOf(s.gateway.sharing(), senders.Count, name, budget)
+}
+
+// retriesOf returns the share of a number of retries at a service. If there are fewer
+// retries than entries, some entries get one each.
+func retriesOf(sharing limitSharing, entries int, name core.PoolName, budget int) int {
+	limit := sharedlimit.Limit{Requests: budget}
+	if budget < entries {
+		limit.LeftOver = budget
+	}
+	return sharing.Part(core.InstanceID(name), limit).Requests
 }
 
 // adjustRetryBudgets keeps the retry budgets adjusted to the number of entries.
 func (s *serviceSet) adjustRetryBudgets(ctx context.Context) error {
 	retryShare := metrics.GetOrRegisterGauge("limits.retry_share", s.gateway.registry)
 	return runPeriodically(ctx, retryAdjustPeriod, func() {
-		burst := s.retryShare()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for _, state := range s.states {
-			state.placer.SetRetryBurst(burst)
+		largest := s.retryShare("")
+		for name, state := range s.states {
+			share := s.retryShare(name)
+			state.placer.SetRetryBurst(share)
+			largest = max(largest, share)
 		}
-		retryShare.Update(int64(burst))
+		retryShare.Update(int64(largest))
 	})
 }
 
--- a/daemon/gateway/services_test.go
+++ b/daemon/gateway/services_test.go
@@ -42,7 +42,7 @@
 	g.entriesLoaded.Store(false)
 	require.Zero(t, g.senders().Count)
 	require.Zero(t, share())
-	require.Zero(t, services.retryShare())
+	require.Zero(t, services.retryShare("p"))
 
 	g.started = time.Now().Add(-discoveryTime)
 	require.Equal(t, assumedSenders, g.senders().Count, "without the store, many other entries are assumed")
@@ -54,5 +54,25 @@
 	node.AddPeerAddrs("127.0.0.1:1", "127.0.0.1:2")
 	require.Equal(t, 3, g.senders().Count, "added entries count before they respond")
 	require.LessOrEqual(t, 3*share(), shareOfOne)
-	require.Equal(t, 26, services.retryShare(), "four fifths of 100, divided by three entries")
+	require.Equal(t, 26, services.retryShare("p"), "four fifths of 100, divided by three entries")
+}
+
+// With more entries than retries, none of the entries could retry.
+func TestRetriesAreUsedWithMoreEntriesThanRetries(t *testing.T) {
+	const budget = 81
+	for _, entries := range []int{1, 9, 81, 82, 150, 350} {
+		f := newSimulatedFleet(entries, 7, 1)
+		sum := 0
+		for _, e := range f.entries {
+			senders := gossip.Senders{Count: entries}
+			for _, other := range f.entries {
+				if other != e {
+					senders.Others = append(senders.Others, other.member)
+				}
+			}
+			sum += retriesOf(newLimitSharing(e.member, senders, true, nil), senders.Count, "p", budget)
+		}
+		require.LessOrEqual(t, sum, budget, "%d entries", entries)
+		require.Greater(t, sum, budget/2, "%d entries", entries)
+	}
 }
