Quarantine: a crash in the middle of a plain answer makes the request suspect

Cause: the first data of any answer counted as proof that the request is sound. Change: a plain answer counts once it is complete; a stream with its first data.

--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -43,8 +43,8 @@
 	// StartAttempt is called after a request was written to a server. cancel
 	// aborts the attempt; it is nil if the request must not be sent again.
 	StartAttempt(server core.InstanceID, cancel func()) AttemptObserver
-	// AnswerBegan is called when the first data of an answer with a success status was
-	// received.
+	// AnswerBegan is called when the first data of a stream with a success status was
+	// received, or all data of another answer with such a status.
 	AnswerBegan(server notices.Lifetime)
 	// AnsweredOtherwise is called when a server has ended the answer to a request that it
 	// ran, without AnswerBegan: one with another status, or without a body.
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -67,7 +67,7 @@
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
-	// begun is set when the first data of the answer was received.
+	// begun is set by reportBegun.
 	begun bool
 	// bodyComplete is set when the body was read to its end.
 	bodyComplete bool
@@ -81,11 +81,19 @@
 	switch {
 	case err != nil && !s.begun && isEndedByServer(err):
 		s.exchange.observer.ConnectionEnded(s.lifetime, s.addr)
-	case frame.Data != nil && !s.begun && s.response.StatusCode < http.StatusMultipleChoices:
+	case frame.Data != nil && s.isEventStream():
+		s.reportBegun()
+	}
+	return frame, err
+}
+
+// reportBegun reports once that a success began: a stream with its first data, another
+// answer when it is complete, since the server may end in the middle of writing it.
+func (s *replyStream) reportBegun() {
+	if !s.begun {
 		s.begun = true
 		s.exchange.observer.AnswerBegan(s.lifetime)
 	}
-	return frame, err
 }
 
 // skipUnreadTime makes the time in which the answer was not read, as during a handover,
@@ -396,6 +404,9 @@
 	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
+	if isSuccess(s.response) && s.length > 0 {
+		s.reportBegun()
+	}
 	s.reportOtherAnswer()
 	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
