--- a/daemon/gateway/sharing.go
+++ b/daemon/gateway/sharing.go
@@ -66,9 +66,14 @@
 	return s.Near(server.DataCentre, s.regions[server.DataCentre]), sharedlimit.Rate(perSecond)
 }
 
+// isCold reports whether a server is in cold start and has a limit because of that.
+func (g *Gateway) isCold(service *fleet.Service, server *watch.Server) bool {
+	return service != nil && service.ColdPerSecond > 0 && g.clock.Now().Before(g.coldUntil(server))
+}
+
 // coldParts returns this entry's part of the limit of a server in cold start, if it is.
 func (g *Gateway) coldParts(sharing limitSharing, service *fleet.Service, server *watch.Server) []sharedlimit.Part {
-	if service == nil || service.ColdPerSecond <= 0 || !g.clock.Now().Before(g.coldUntil(server)) {
+	if !g.isCold(service, server) {
 		return nil
 	}
 	bounds := g.node.Load().Bounds
@@ -128,15 +133,25 @@
 	return time.Duration(float64(max(g.gossip.Senders().Count, 1)) / sum * float64(time.Second))
 }
 
+// currentParts returns this entry's parts of the limits of a server of a service, or nil
+// if it has no limits.
+func (g *Gateway) currentParts(name fleet.ServiceName, lifetime notices.Lifetime) []sharedlimit.Part {
+	view := g.follower.View()
+	server := view.Server(name, lifetime.Server)
+	if server == nil || view.Table == nil {
+		return nil
+	}
+	service := view.Table.Service(name)
+	if _, limited := g.rateLimits.Rate(lifetimeOf(server)); !limited && !g.isCold(service, server) {
+		return nil
+	}
+	return g.parts(g.sharing(), service, server)
+}
+
 // Reserve implements direct.Observer.
 func (o observer) Reserve(lifetime notices.Lifetime) (direct.Reservation, error) {
 	g, now := o.gateway, time.Now()
-	var parts []sharedlimit.Part
-	view := g.follower.View()
-	if server := view.Server(o.service, lifetime.Server); server != nil && view.Table != nil {
-		parts = g.parts(g.sharing(), view.Table.Service(o.service), server)
-	}
-	reservation, ok := g.ledger.Reserve(now, lifetime.Server, parts)
+	reservation, ok := g.ledger.Reserve(now, lifetime.Server, g.currentParts(o.service, lifetime))
 	if !ok {
 		metrics.GetOrRegisterCounter("limits.reservations_refused", g.registry).Inc(1)
 		return nil, core.NewRefusal(core.CodeServerLimited, 0, "the last place within the limits of %s was taken; nothing was sent", lifetime.Server)
