--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -153,12 +153,17 @@
 	lastPort  = 32000
 )
 
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+var (
+	nextPortMu sync.Mutex
+	nextPort   = firstPort + os.Getpid()%(lastPort-firstPort)
+)
 
 // freePort returns a port that is free for TCP and UDP. It returns a port again
 // only after all others.
 func freePort(t *testing.T) int {
 	t.Helper()
+	nextPortMu.Lock()
+	defer nextPortMu.Unlock()
 	for range lastPort - firstPort {
 		nextPort++
 		if nextPort > lastPort {
@@ -286,7 +291,12 @@
 // reads the whole response.
 func (d *deployment) sendRequest(entry int, host, method, path, body string, change func(*http.Request)) callResult {
 	d.t.Helper()
-	request, err := http.NewRequest(method, "http://"+d.entries[entry].CallerAddr+path, bytes.NewBufferString(body))
+	return d.sendRequestTo(d.entries[entry].CallerAddr, host, method, path, body, change)
+}
+
+func (d *deployment) sendRequestTo(addr, host, method, path, body string, change func(*http.Request)) callResult {
+	d.t.Helper()
+	request, err := http.NewRequest(method, "http://"+addr+path, bytes.NewBufferString(body))
 	require.NoError(d.t, err)
 	request.Host = host
 	names := headers.Names()
