--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -223,17 +223,6 @@
 	return retries
 }
 
-// requirements are the conditions that a request sets for its backend server.
-type requirements struct {
-	service fleet.ServiceName
-	model   fleet.Model
-	// regions holds lists of allowed regions; a server must be in all of them. An
-	// empty list allows all regions.
-	regions [][]core.Region
-	// recallable requests may run again at another server.
-	recallable bool
-}
-
 // capacity returns how many requests this entry may have in flight at a service.
 func (g *Gateway) capacity(name fleet.ServiceName, placer *placement.Placer) int {
 	view := g.follower.View()
@@ -254,84 +243,6 @@
 	return capacity
 }
 
-// reachableServer is a server of a service that can accept a request, now or as soon as
-// it has a place.
-type reachableServer struct {
-	placement.Candidate
-	server *watch.Server
-	// slots is how many more requests this entry may start there apart from the limit
-	// that the server names. hasPlace tells whether that limit permits one now.
-	slots    int
-	hasPlace bool
-}
-
-// candidates returns the servers of a service that can accept a request now. One whose
-// limit permits none is included without free slots, since requests of this entry may
-// run there.
-func (g *Gateway) candidates(placer *placement.Placer, r requirements) []placement.Candidate {
-	reachable := g.reachable(placer, r)
-	list := make([]placement.Candidate, 0, len(reachable))
-	for _, s := range reachable {
-		list = append(list, s.Candidate)
-	}
-	return list
-}
-
-func (g *Gateway) reachable(placer *placement.Placer, r requirements) []reachableServer {
-	view := g.follower.View()
-	if view.Table == nil {
-		return nil
-	}
-	service := view.Table.Service(r.service)
-	if service == nil {
-		return nil
-	}
-	now, viewNow := time.Now(), g.clock.Now()
-	node := g.node.Load()
-	sharing := g.sharing()
-	loads := g.gossip.Loads()
-	g.queueWaits.observeExchange(viewNow, service, view.Servers[r.service], loads)
-	division := *g.slotDivision.Load()
-	list := make([]reachableServer, 0, len(view.Servers[r.service]))
-	for _, server := range view.Servers[r.service] {
-		region := node.Regions[server.DataCentre]
-		if !isAllowedByAll(r.regions, region) || g.isClosed(now, server) || !g.mayServe(viewNow, view, service, server, r, loads) {
-			continue
-		}
-		pauseStart := g.pauseStart(now, server, r.model)
-		if !pauseStart.IsZero() && !now.Before(pauseStart) {
-			continue
-		}
-		if cold := g.coldParts(sharing, service, server); !g.hasPlace(now, server, cold) {
-			continue
-		}
-		limit := g.concurrencyLimit(now, service, server)
-		inFlight := placer.InFlight(server.ID)
-		free := limit - loads.Own[server.ID] - loads.Peers[server.ID]
-		slots := availableSlots(division.share(server.ID, region, free), free, inFlight, loads.Own[server.ID], service.Engine != nil)
-		hasPlace, freeSlots := g.hasPlace(now, server, g.parts(sharing, service, server)), slots
-		if !hasPlace {
-			freeSlots = min(slots, 0)
-		}
-		list = append(list, reachableServer{server: server, slots: slots, hasPlace: hasPlace, Candidate: placement.Candidate{
-			ID:            server.ID,
-			Addr:          server.Addr,
-			DataCentre:    server.DataCentre,
-			Region:        region,
-			Incarnation:   core.Incarnation(max(server.StartedAt.UnixMilli(), 0)),
-			Running:       loads.Peers[server.ID] + inFlight,
-			Limit:         limit,
-			ReportedAt:    loads.At,
-			Direct:        true,
-			PauseStart:    pauseStart,
-			FreeSlots:     freeSlots,
-			DataCentreOut: view.OutDataCentres[server.DataCentre],
-			Leaving:       server.Leaving,
-		}})
-	}
-	return list
-}
-
 // availableSlots returns how many more requests this entry may start at a server,
 // given its share of the server's free slots. inFlight is its number of requests
 // there now, and inFlightAtExchange at the last exchange of loads. At servers
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -23,41 +23,6 @@
 	urgentDelay = 50 * time.Millisecond
 )
 
-// Config configures a Node.
-type Config struct {
-	Self Member
-	// Revisions returns the store's latest known era and the latest revision in it of
-	// each table that this entry has read in that era.
-	Revisions func() (era uint64, revisions map[string]uint64)
-	// ReachesStore reports whether the platform's store responds to this entry.
-	ReachesStore func() bool
-	// Loads returns this entry's requests in flight by backend server.
-	Loads func() map[core.InstanceID]int
-	// Paces returns the backend servers that this entry observes to be slower than
-	// usual, with the factor.
-	Paces func() map[core.InstanceID]float64
-	// NewestWeights returns the newest weights versions that this entry has
-	// learned of. OnNewestWeights is called with those of another entry.
-	NewestWeights   func() []NewestWeights
-	OnNewestWeights func([]NewestWeights)
-	// Evidence returns what this entry knows of prompt parts that crash backend
-	// servers. OnEvidence is called with what another entry knows.
-	Evidence   func() fleet.CrashEvidence
-	OnEvidence func(fleet.CrashEvidence)
-	// RateLimits returns the limits of backend servers to tell the others in this round.
-	// OnRateLimits is called with what another entry tells.
-	RateLimits   func() []fleet.RateLimit
-	OnRateLimits func(from core.InstanceID, limits []fleet.RateLimit)
-	// OnPlaceRequest decides whether to give away a place at a server.
-	OnPlaceRequest func(fleet.PlaceRequest) fleet.PlaceReply
-	// OnPauseNotice is called with each pause notice that an agent sends about
-	// its backend server, or that another entry forwards.
-	OnPauseNotice func(fleet.PauseNotice)
-	Log           *logrus.Entry
-	// Now is the clock. The default is time.Now.
-	Now func() time.Time
-}
-
 // Loads holds the requests in flight by backend server as of the last round.
 // The maps must not be modified.
 type Loads struct {
@@ -87,36 +52,7 @@
 
 // Listen opens the node's UDP socket at Config.Self.PeerAddr.
 func Listen(config Config) (*Node, error) {
-	if config.Now == nil {
-		config.Now = time.Now
-	}
-	if config.OnPauseNotice == nil {
-		config.OnPauseNotice = func(fleet.PauseNotice) {}
-	}
-	if config.Paces == nil {
-		config.Paces = func() map[core.InstanceID]float64 { return nil }
-	}
-	if config.Evidence == nil {
-		config.Evidence = func() fleet.CrashEvidence { return fleet.CrashEvidence{} }
-	}
-	if config.OnEvidence == nil {
-		config.OnEvidence = func(fleet.CrashEvidence) {}
-	}
-	if config.RateLimits == nil {
-		config.RateLimits = func() []fleet.RateLimit { return nil }
-	}
-	if config.OnRateLimits == nil {
-		config.OnRateLimits = func(core.InstanceID, []fleet.RateLimit) {}
-	}
-	if config.OnPlaceRequest == nil {
-		config.OnPlaceRequest = func(fleet.PlaceRequest) fleet.PlaceReply { return fleet.PlaceReply{} }
-	}
-	if config.NewestWeights == nil {
-		config.NewestWeights = func() []NewestWeights { return nil }
-	}
-	if config.OnNewestWeights == nil {
-		config.OnNewestWeights = func([]NewestWeights) {}
-	}
+	config.applyDefaults()
 	addr, err := net.ResolveUDPAddr("udp", config.Self.PeerAddr)
 	if err != nil {
 		return nil, fmt.Errorf("resolve peer address: %w", err)
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -87,15 +86,6 @@
 	return frame, err
 }
 
-// reportBegun reports once that a success began: a stream with its first data, another
-// answer when it is complete, since the server may end in the middle of writing it.
-func (s *replyStream) reportBegun() {
-	if !s.begun {
-		s.begun = true
-		s.exchange.observer.AnswerBegan(s.lifetime)
-	}
-}
-
 // skipUnreadTime makes the time in which the answer was not read, as during a handover,
 // not count as silence of the server.
 func (s *replyStream) skipUnreadTime() {
@@ -104,12 +94,6 @@
 	}
 }
 
-// isEndedByServer reports whether err shows that the server closed or reset the
-// connection. A connection that this process closes gives another error.
-func isEndedByServer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-}
-
 func (s *replyStream) receive() (wire.AnswerFrame, error) {
 	s.exchange.reading = s
 	s.exchange.lastServer = s.server
@@ -300,14 +284,6 @@
 	}}, nil
 }
 
-// reportOtherAnswer reports a complete answer that did not begin with data and a success
-// status. One without the signature may come from something in front of the server.
-func (s *replyStream) reportOtherAnswer() {
-	if !s.begun && s.response.Header.Get(s.exchange.headerNames.Signature) != "" {
-		s.exchange.observer.AnsweredOtherwise(s.lifetime)
-	}
-}
-
 // checkAnswerHeader rejects answers that do not come from the backend server
 // itself: they have a content encoding, or lack the signature.
 func (s *replyStream) checkAnswerHeader() error {
