Limits: only a signed success without a limit says that it has ended

Cause: any answer with the request's id and no limit counted as its end. Evidence: two new cases of TestLimitsInAnswers failed on the code before.

--- a/requests/direct/notice.go
+++ b/requests/direct/notice.go
@@ -30,9 +30,9 @@
 	return notice
 }
 
-// readRateLimit reads the limit that the answer names and reports it. Only the server
-// itself says by an answer without a limit that it has none. A refusal without the
-// request's id may come from something in front of it.
+// readRateLimit reads the limit that the answer names and reports it. Only a signed success
+// without a limit says that the server has none: failures may come from something in front
+// of it, or from a server that is too busy to say more.
 func (s *replyStream) readRateLimit() {
 	names := s.exchange.headerNames
 	perSecond, ok, err := notices.ParseRateLimit(s.response.Header, names.RateLimit)
@@ -42,7 +42,8 @@
 	if !ok || s.response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if perSecond == notices.Unlimited && s.response.Header.Get(names.RequestID) == "" {
+	isSigned := s.response.Header.Get(names.Signature) != ""
+	if perSecond == notices.Unlimited && !(isSigned && isSuccess(s.response)) {
 		return
 	}
 	s.exchange.observer.LimitReceived(s.lifetime, notices.LimitObservation{PerSecond: perSecond, SentAt: s.sentAt, ReceivedAt: time.Now()})
