Limits: a window includes both of its ends

Cause: a place opened again at the end of the window. When the test of the counter of cold servers moved to requests/sharedlimit, its comparison had been changed from <= to <, which hid this: a check lost strictness. Change: the comparison is as it was, and a place opens after the window. Evidence: with <= TestEverySlidingWindowStaysUnderThePart failed with 9 requests, 8 allowed; it passes now.

--- a/requests/sharedlimit/account.go
+++ b/requests/sharedlimit/account.go
@@ -109,6 +109,10 @@
 	return opensAt
 }
 
+// endOfWindow returns the first moment at which a request no longer counts. A window
+// includes both of its ends.
+func (p Part) endOfWindow(at time.Time) time.Time { return at.Add(p.Window + time.Nanosecond) }
+
 // claimTime returns how long a free place is kept for entries that have waited for longer.
 func (p Part) claimTime(waiting int) time.Duration {
 	longest := time.Duration(claimFraction * float64(p.Window) / float64(p.Requests))
@@ -146,7 +150,7 @@
 			opensAt = u.at.Add(part.Interval)
 		}
 		if free--; free == 0 {
-			if end := u.at.Add(part.Window); end.After(opensAt) {
+			if end := part.endOfWindow(u.at); end.After(opensAt) {
 				opensAt = end
 			}
 			break
@@ -160,7 +164,7 @@
 func (a *account) withoutAssumed(now time.Time, part Part) (Part, time.Time) {
 	var until time.Time
 	for _, u := range a.assumed {
-		end := u.at.Add(part.Window)
+		end := part.endOfWindow(u.at)
 		if !part.IsLendable || !end.After(now) {
 			continue
 		}
--- a/requests/sharedlimit/ledger_test.go
+++ b/requests/sharedlimit/ledger_test.go
@@ -34,7 +34,7 @@
 	for i := range sent {
 		inWindow := 0
 		for _, other := range sent[i:] {
-			if other.Sub(sent[i]) < part.Window {
+			if other.Sub(sent[i]) <= part.Window {
 				inWindow++
 			}
 		}
@@ -62,7 +62,7 @@
 	second.Sent(after(300))
 	opensAt, ok := l.OpensAt(after(400), "s-1", parts)
 	require.True(t, ok)
-	require.Equal(t, after(1300), opensAt, "the request counts from when it was sent")
+	require.Equal(t, after(1300).Add(time.Nanosecond), opensAt, "the request counts from when it was sent")
 }
 
 func TestRequestsBeforeTheLimitCount(t *testing.T) {
@@ -70,7 +70,8 @@
 	require.True(t, trySend(l, after(0)))
 	require.True(t, trySend(l, after(100)))
 	require.False(t, trySend(l, after(900), Part{Requests: 2, Window: time.Second}))
-	require.True(t, trySend(l, after(1000), Part{Requests: 2, Window: time.Second}))
+	require.False(t, trySend(l, after(1000), Part{Requests: 2, Window: time.Second}), "a window includes its ends")
+	require.True(t, trySend(l, after(1001), Part{Requests: 2, Window: time.Second}))
 }
 
 func TestPacedRequestsAreSpread(t *testing.T) {
@@ -88,7 +89,7 @@
 	require.False(t, trySend(l, after(900), cold, rate))
 	l.Receive(after(900), "s-1", after(1100))
 	require.False(t, trySend(l, after(900), cold, rate), "a place that another entry gave counts in one limit only")
-	require.True(t, trySend(l, after(1000), cold, rate))
+	require.True(t, trySend(l, after(1001), cold, rate))
 }
 
 func TestPlaceOfAnotherEntryIsUsedOnceAndInTime(t *testing.T) {
@@ -113,7 +114,7 @@
 	require.False(t, trySend(l, after(200), part))
 	given, opensAt := l.Give(after(200), "s-1", part, "e-3")
 	require.False(t, given)
-	require.Equal(t, after(1000), opensAt)
+	require.Equal(t, after(1000).Add(time.Nanosecond), opensAt)
 	given, opensAt = l.Give(after(200), "s-1", Part{IsLendable: true}, "e-3")
 	require.False(t, given)
 	require.Zero(t, opensAt)
@@ -135,7 +136,7 @@
 	require.False(t, given)
 	given, _ = l.Give(after(2050), "s-1", part, "e-2")
 	require.False(t, given, "e-1 waits since before")
-	require.True(t, trySend(l, after(2050), part))
+	require.True(t, trySend(l, after(2051), part))
 	require.False(t, trySend(l, after(3090), part), "the place is kept for e-2 for a moment")
 	require.True(t, trySend(l, after(3160), part))
 }
@@ -155,14 +156,14 @@
 	l := NewLedger("e-1", testStart.Add(-time.Hour))
 	require.True(t, trySend(l, after(0), small))
 	require.False(t, trySend(l, after(500), large))
-	require.True(t, trySend(l, after(1000), large))
+	require.True(t, trySend(l, after(1001), large))
 	require.False(t, trySend(l, after(1400), large))
-	require.True(t, trySend(l, after(1500), large))
+	require.True(t, trySend(l, after(1501), large))
 	require.True(t, trySend(l, after(1510), large))
 
 	started := NewLedger("e-1", after(0))
 	require.False(t, trySend(started, after(500), small), "another process may have had the place")
-	require.True(t, trySend(started, after(1500), small))
+	require.True(t, trySend(started, after(1501), small))
 
 	higher := Part{Requests: 3, Window: 900 * time.Millisecond, IsLendable: true}
 	l = NewLedger("e-1", testStart.Add(-time.Hour))
