--- a/daemon/gateway/limits_test.go
+++ b/daemon/gateway/limits_test.go
@@ -30,6 +30,8 @@
 	// downUntil and cutUntil are when the process runs again and when its messages
 	// arrive again.
 	downUntil, cutUntil time.Time
+	// frozenUntil is when the process goes on after a standstill, with what it knew before.
+	frozenUntil time.Time
 }
 
 // simulatedFleet runs the entries of several data centres in rounds.
@@ -71,7 +73,9 @@
 	}
 }
 
-func (f *simulatedFleet) isRunning(e *simulatedEntry) bool { return !f.now.Before(e.downUntil) }
+func (f *simulatedFleet) isRunning(e *simulatedEntry) bool {
+	return !f.now.Before(e.downUntil) && !f.now.Before(e.frozenUntil)
+}
 
 func (f *simulatedFleet) isCut(e *simulatedEntry) bool { return f.now.Before(e.cutUntil) }
 
--- a/daemon/gateway/ratelimits_test.go
+++ b/daemon/gateway/ratelimits_test.go
@@ -148,3 +148,33 @@
 		}
 	}
 }
+
+// freezeSome lets random entries stand still.
+func (f *simulatedFleet) freezeSome() {
+	for _, e := range f.entries {
+		if f.random.IntN(2) == 0 {
+			e.frozenUntil = f.now.Add(time.Duration(f.random.Int64N(int64(maxSimulatedCut))))
+		}
+	}
+}
+
+// Half of the entries stand still and go on with what they knew.
+func TestRatesHoldWhileEntriesStandStill(t *testing.T) {
+	for _, fleet := range []struct{ size, centres, rounds int }{{2, 1, 300}, {8, 2, 300}, {40, 3, 150}, {150, 5, 70}} {
+		for _, perSecond := range []float64{0.5, 1.9} {
+			t.Run(fmt.Sprintf("%d entries, %v a second", fleet.size, perSecond), func(t *testing.T) {
+				t.Parallel()
+				f := newSimulatedFleet(fleet.size, fleet.centres, 1)
+				traffic := newRateTraffic(f, perSecond, fleet.centres)
+				for round := range fleet.rounds {
+					if round >= 28 && f.random.IntN(40) == 0 {
+						f.freezeSome()
+					}
+					traffic.runRound()
+				}
+				allowed := int(rateBoundOvershoot*perSecond*rateBoundWindow.Seconds() + rateBoundSlack)
+				require.LessOrEqual(t, traffic.maxArrivals(), allowed)
+			})
+		}
+	}
+}
