Limits: an entry without a part learns that a limit has ended

What callers would see: a server whose limit has ended gets no requests if the entries with parts of it have no callers, as long as other servers have room. Cause: only an answer ends a limit, and an entry without a part asked for places only if no server had room. Change: a limit that no answer has confirmed for longer than expected is renewed: an entry with requests asks for a place in the background. Evidence: TestAllEntriesLearnOfALimitAndOfItsEnd failed after 30 s and passes.

--- a/daemon/deployed/rate_limit_test.go
+++ b/daemon/deployed/rate_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync"
 	"testing"
@@ -197,3 +198,28 @@
 	d.eventually(func() bool { return len(d.plainServers[0].Arrivals()) > before+unlimited }, "the server gets few requests after its limit has ended")
 	load.stop()
 }
+
+// limitedServers returns the number of limited servers that an entry knows, or "" if it
+// does not tell.
+func (d *deployment) limitedServers(entry int) string {
+	match := regexp.MustCompile(`(?m)^currantusher_servers_limited (\d+)$`).FindStringSubmatch(d.metrics(entry))
+	if match == nil {
+		return ""
+	}
+	return match[1]
+}
+
+// Only one entry gets requests and hears the server itself.
+func TestAllEntriesLearnOfALimitAndOfItsEnd(t *testing.T) {
+	d := startDeployment(t)
+	d.addEntries(4)
+	nameLimits(d.plainServers[:1], namedLimit)
+	load := d.startLoadAt([]int{0}, 20*time.Millisecond)
+	for _, c := range []struct{ limit, limited string }{{"1.9", "1"}, {"", "0"}} {
+		d.plainServers[0].NameLimit(c.limit)
+		for entry := range d.entries {
+			d.eventually(func() bool { return d.limitedServers(entry) == c.limited }, "entry %d does not learn of limit %q", entry, c.limit)
+		}
+	}
+	load.stop()
+}
--- a/daemon/gateway/places.go
+++ b/daemon/gateway/places.go
@@ -35,9 +35,25 @@
 type holderSet struct {
 	mu      sync.Mutex
 	retryAt map[holderKey]time.Time
+	// renewAt is when the stale limit of a server may be renewed again.
+	renewAt map[core.InstanceID]time.Time
 }
 
-func newHolderSet() *holderSet { return &holderSet{retryAt: map[holderKey]time.Time{}} }
+func newHolderSet() *holderSet {
+	return &holderSet{retryAt: map[holderKey]time.Time{}, renewAt: map[core.InstanceID]time.Time{}}
+}
+
+// startRenewal reports whether the stale limit of a server may be renewed now. It then
+// returns false for the time in which a place is valid.
+func (h *holderSet) startRenewal(now time.Time, server core.InstanceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Before(h.renewAt[server]) {
+		return false
+	}
+	h.renewAt[server] = now.Add(placeValidity)
+	return true
+}
 
 func (h *holderSet) mayAsk(now time.Time, key holderKey) bool {
 	h.mu.Lock()
@@ -73,6 +89,11 @@
 			delete(h.retryAt, key)
 		}
 	}
+	for server, at := range h.renewAt {
+		if now.After(at) {
+			delete(h.renewAt, server)
+		}
+	}
 }
 
 // placeChoice is an entry that may have a place at a server.
@@ -82,7 +103,8 @@
 }
 
 // seekPlace asks another entry for a place at a limited server if no server has room for
-// a request. Without it, callers of entries that have no part would never be served.
+// a request. Without it, callers of entries that have no part would never be served. If
+// other servers have room, it only renews stale limits.
 func (g *Gateway) seekPlace(ctx context.Context, r requirements) {
 	if g.rateLimits.IsEmpty() {
 		return
@@ -91,6 +113,7 @@
 	servers := g.reachable(g.services.placer(pool), r)
 	for _, s := range servers {
 		if s.FreeSlots > 0 && !s.DataCentreOut && !s.Leaving {
+			g.renewStaleLimits(pool, servers)
 			return
 		}
 	}
@@ -103,6 +126,28 @@
 	}
 }
 
+// renewStaleLimits asks for places at servers whose limits no answer has confirmed for long.
+// If the entries that have parts get no requests, nobody else would notice the end of a
+// limit. The request that caused it does not wait; a later one uses the place.
+func (g *Gateway) renewStaleLimits(pool core.PoolName, servers []reachableServer) {
+	now := time.Now()
+	for _, s := range servers {
+		if !g.rateLimits.IsStale(now, lifetimeOf(s.server)) || !g.holders.startRenewal(now, s.ID) {
+			continue
+		}
+		choices := g.placeChoices(now, []reachableServer{s})
+		if len(choices) == 0 {
+			continue
+		}
+		choice := choices[rand.IntN(len(choices))]
+		go func() {
+			if g.borrowPlace(context.Background(), choice) {
+				g.services.queue(pool).Refresh()
+			}
+		}()
+	}
+}
+
 // placeChoices returns the entries that may be asked for a place at servers without one.
 // This entry waits for places of its own parts at the same time.
 func (g *Gateway) placeChoices(now time.Time, servers []reachableServer) []placeChoice {
--- a/requests/notices/limits.go
+++ b/requests/notices/limits.go
@@ -22,6 +22,10 @@
 	// names a lower one gets a request now and then, which finds out whether the limit
 	// has ended.
 	minRate = 0.1
+	// A limit is stale if no answer has confirmed it for confirmTime and the time in which
+	// it permits confirmRequests.
+	confirmTime     = time.Second
+	confirmRequests = 2
 	// changedReportTime is how long a change is in each report to the other entries, and
 	// maxChangedReports bounds the changes in one. reportsInTurns is the number of other
 	// limits in each report, so that entries which missed the change learn of it.
@@ -138,6 +142,20 @@
 	return max(record.PerSecond, minRate), true
 }
 
+// IsStale reports whether a server names a limit and no answer has confirmed it for
+// longer than expected, even if the server gets only the requests that it allows.
+func (l *Limits) IsStale(now time.Time, server Lifetime) bool {
+	perSecond, limited := l.Rate(server)
+	if !limited {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	record := l.byLifetime[server]
+	expected := confirmTime + time.Duration(confirmRequests/perSecond*float64(time.Second))
+	return record != nil && now.Sub(record.ReceivedAt) > expected
+}
+
 // IsEmpty reports whether no limit is known.
 func (l *Limits) IsEmpty() bool { return l.count.Load() == 0 }
 
--- a/requests/notices/limits_test.go
+++ b/requests/notices/limits_test.go
@@ -125,3 +125,14 @@
 	l.limits.Sweep(millis(91_000), gone)
 	require.True(t, l.limits.IsEmpty())
 }
+
+func TestLimitThatNoAnswerConfirmsIsStale(t *testing.T) {
+	l := newLimitTest(t)
+	l.answer(0, 0, 4)
+	require.False(t, l.limits.IsStale(millis(1500), l.server))
+	require.True(t, l.limits.IsStale(millis(1501), l.server))
+	l.answer(1400, 1500, 4)
+	require.False(t, l.limits.IsStale(millis(1501), l.server))
+	l.answer(1600, 1700, Unlimited)
+	require.False(t, l.limits.IsStale(millis(9000), l.server))
+}
