Limits: a request first asks the entry that said it would have a place

What callers would see: one that returns at the time in Retry-After is refused again. Cause: its entry asked a random holder, not the one whose place the time was for. Change: holders that have named a time which has come are asked first, and a second one if the first has no place.

--- a/daemon/deployed/rate_limit_test.go
+++ b/daemon/deployed/rate_limit_test.go
@@ -223,3 +223,35 @@
 	}
 	load.stop()
 }
+
+// refusedUntil sends requests to an entry until one is refused, and returns the time that
+// the refusal names.
+func (d *deployment) refusedUntil(entry int) time.Duration {
+	d.t.Helper()
+	for range 50 {
+		result := d.sendRequest(entry, plainHost, "POST", "/look", "", nil)
+		if result.status != http.StatusServiceUnavailable {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(result.header.Get("Retry-After"), 64)
+		require.NoError(d.t, err)
+		return time.Duration(seconds * float64(time.Second))
+	}
+	require.Fail(d.t, "no request is refused")
+	return 0
+}
+
+func TestCallerWhoReturnsAtTheNamedTimeIsServed(t *testing.T) {
+	d := startDeployment(t)
+	d.addEntries(4)
+	nameLimits(d.plainServers, namedLimit)
+	load := d.startLoad(100 * time.Millisecond)
+	time.Sleep(limitSettleTime)
+	load.stop()
+	for entry := range d.entries {
+		for range 3 {
+			time.Sleep(d.refusedUntil(entry))
+			require.Equal(t, http.StatusOK, d.sendRequest(entry, plainHost, "POST", "/look", "", nil).status, "entry %d", entry)
+		}
+	}
+}
--- a/daemon/gateway/places.go
+++ b/daemon/gateway/places.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,10 @@
 	placeValidity = 250 * time.Millisecond
 	// holderBackoff is how long an entry is not asked that did not reply or has no part.
 	holderBackoff = time.Second
+	// maxAsked bounds the entries that one request asks, one after the other.
+	maxAsked = 2
+	// promiseRetention is how long it is known that an entry said when to ask again.
+	promiseRetention = 5 * time.Second
 )
 
 // holderKey is an entry that holds a part of the limit of a server.
@@ -55,10 +61,12 @@
 	return true
 }
 
-func (h *holderSet) mayAsk(now time.Time, key holderKey) bool {
+// mayAsk reports whether an entry may be asked now, and since when if it said so.
+func (h *holderSet) mayAsk(now time.Time, key holderKey) (since time.Time, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !now.Before(h.retryAt[key])
+	since = h.retryAt[key]
+	return since, !now.Before(since)
 }
 
 func (h *holderSet) deny(key holderKey, until time.Time) {
@@ -85,7 +93,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for key, at := range h.retryAt {
-		if now.After(at) {
+		if now.Sub(at) > promiseRetention {
 			delete(h.retryAt, key)
 		}
 	}
@@ -100,6 +108,8 @@
 type placeChoice struct {
 	holderKey
 	incarnation core.Incarnation
+	// promisedAt is when the entry said that it may be asked again; zero if it did not.
+	promisedAt time.Time
 }
 
 // seekPlace asks another entry for a place at a limited server if no server has room for
@@ -118,11 +128,11 @@
 		}
 	}
 	choices := g.placeChoices(time.Now(), servers)
-	if len(choices) == 0 {
-		return
-	}
-	if g.borrowPlace(ctx, choices[rand.IntN(len(choices))]) {
-		g.services.queue(pool).Refresh()
+	for _, choice := range choices[:min(maxAsked, len(choices))] {
+		if g.borrowPlace(ctx, choice) {
+			g.services.queue(pool).Refresh()
+			return
+		}
 	}
 }
 
@@ -139,16 +149,16 @@
 		if len(choices) == 0 {
 			continue
 		}
-		choice := choices[rand.IntN(len(choices))]
 		go func() {
-			if g.borrowPlace(context.Background(), choice) {
+			if g.borrowPlace(context.Background(), choices[0]) {
 				g.services.queue(pool).Refresh()
 			}
 		}()
 	}
 }
 
-// placeChoices returns the entries that may be asked for a place at servers without one.
+// placeChoices returns the entries that may be asked for a place at servers without one:
+// first those that said that they have one by now, then the others in a random order.
 // This entry waits for places of its own parts at the same time.
 func (g *Gateway) placeChoices(now time.Time, servers []reachableServer) []placeChoice {
 	sharing := g.sharing()
@@ -162,11 +172,18 @@
 		near, limit := sharing.rate(s.server, perSecond)
 		for _, holder := range near.Holders(s.ID, limit) {
 			key := holderKey{server: s.ID, holder: holder}
-			if g.holders.mayAsk(now, key) {
-				choices = append(choices, placeChoice{holderKey: key, incarnation: lifetimeOf(s.server).Incarnation})
+			if promisedAt, ok := g.holders.mayAsk(now, key); ok {
+				choices = append(choices, placeChoice{holderKey: key, incarnation: lifetimeOf(s.server).Incarnation, promisedAt: promisedAt})
 			}
 		}
 	}
+	rand.Shuffle(len(choices), func(i, j int) { choices[i], choices[j] = choices[j], choices[i] })
+	slices.SortStableFunc(choices, func(a, b placeChoice) int {
+		if a.promisedAt.IsZero() || b.promisedAt.IsZero() {
+			return cmp.Compare(boolToInt(a.promisedAt.IsZero()), boolToInt(b.promisedAt.IsZero()))
+		}
+		return a.promisedAt.Compare(b.promisedAt)
+	})
 	return choices
 }
 
