--- a/daemon/gateway/sharing.go
+++ b/daemon/gateway/sharing.go
@@ -151,7 +151,11 @@
 // Reserve implements direct.Observer.
 func (o observer) Reserve(lifetime notices.Lifetime) (direct.Reservation, error) {
 	g, now := o.gateway, time.Now()
-	reservation, ok := g.ledger.Reserve(now, lifetime.Server, g.currentParts(o.service, lifetime))
+	parts := g.currentParts(o.service, lifetime)
+	reservation, ok := g.ledger.Reserve(now, lifetime.Server, parts)
+	if ok && len(parts) > 0 {
+		metrics.GetOrRegisterCounter("limits.places_used", g.registry).Inc(1)
+	}
 	if !ok {
 		metrics.GetOrRegisterCounter("limits.reservations_refused", g.registry).Inc(1)
 		return nil, core.NewRefusal(core.CodeServerLimited, 0, "the last place within the limits of %s was taken; nothing was sent", lifetime.Server)
