Retries: streams of servers that stall together are not cut beyond the retry budget

Cause: the retry budget was read for each stalled server and spent after the cut. Change: a retry is taken before its request is cut, and not paid again. Evidence: TestStreamsOfServersThatStallTogetherAreNotCutBeyondTheRetryBudget failed with six of four.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -68,9 +68,10 @@
 		return
 	}
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
-	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
+	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits, paidRetries: &c.paidRetries}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
+	g.services.placer(core.PoolName(c.service)).ReturnRetries(int(c.paidRetries.Swap(0)))
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
 	if sentAt := exchange.FirstSentAt(); !sentAt.IsZero() {
@@ -195,6 +196,15 @@
 	return c.route.Timeout > 0 && left < time.Duration(firstTryFraction*float64(c.route.Timeout))
 }
 
+// takePaidRetry reports whether a retry was taken from the budget already, once for each.
+func (c *call) takePaidRetry() bool {
+	if c.paidRetries.Add(-1) >= 0 {
+		return true
+	}
+	c.paidRetries.Add(1)
+	return false
+}
+
 // priority returns the team's priority, or the route's if the team has none.
 func (c *call) priority() int {
 	if c.team != nil && c.team.HasPriority {
@@ -249,6 +259,7 @@
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
+		TakePaidRetry:     c.takePaidRetry,
 		StartTimeout:      max(startTimeoutObjectives*c.route.LatencyObjective, minStartTimeout),
 	}
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -37,6 +38,8 @@
 	// deadline is when the response must be complete.
 	deadline time.Time
 	outcome  outcome
+	// paidRetries counts the retries that were taken from the budget and not used yet.
+	paidRetries atomic.Int64
 }
 
 // outcome is the result of a call, for its log line and metrics.
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -209,18 +209,19 @@
 	return loads
 }
 
-// eject temporarily excludes a server from placement. It returns the number of its
-// requests that can be retried at other servers.
-func (s *serviceSet) eject(now time.Time, id core.InstanceID) (retries int) {
+// eject temporarily excludes a server from placement. It returns the placer of its
+// service, or nil if no request was sent to it.
+func (s *serviceSet) eject(now time.Time, id core.InstanceID) *placement.Placer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var placer *placement.Placer
 	for _, state := range s.states {
 		if state.placer.Knows(id) {
 			state.placer.Eject(now, id)
-			retries = state.placer.Retries()
+			placer = state.placer
 		}
 	}
-	return retries
+	return placer
 }
 
 // capacity returns how many requests this entry may have in flight at a service.
--- a/daemon/gateway/stall.go
+++ b/daemon/gateway/stall.go
@@ -47,14 +47,25 @@
 			g.stallDetector.ResetTimers(now)
 		}
 		lastCheck = now
-		for _, stalled := range g.stallDetector.TakeStalled(now) {
-			moved := min(g.services.eject(now, stalled.Server), len(stalled.Cancels))
-			g.log.WithFields(logrus.Fields{
-				"server": stalled.Server, "quiet_ms": stalled.IdleTime.Milliseconds(), "requests": len(stalled.Cancels), "moved": moved,
-			}).Warn("Server stopped responding; ejecting it and moving its requests to other servers.")
-			for _, cancel := range stalled.Cancels[:moved] {
-				cancel()
+		g.moveFromStalledServers(now)
+	})
+}
+
+// moveFromStalledServers takes each retry from the budget before it cancels a request:
+// servers that stall at the same moment share the budget.
+func (g *Gateway) moveFromStalledServers(now time.Time) {
+	for _, stalled := range g.stallDetector.TakeStalled(now) {
+		moved := 0
+		if placer := g.services.eject(now, stalled.Server); placer != nil {
+			for moved < len(stalled.Cancels) && placer.WithdrawRetry() {
+				moved++
 			}
 		}
-	})
+		g.log.WithFields(logrus.Fields{
+			"server": stalled.Server, "quiet_ms": stalled.IdleTime.Milliseconds(), "requests": len(stalled.Cancels), "moved": moved,
+		}).Warn("Server stopped responding; ejecting it and moving its requests to other servers.")
+		for _, cancel := range stalled.Cancels[:moved] {
+			cancel()
+		}
+	}
 }
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -177,6 +177,9 @@
 	Closure func() *fair.Closure
 	// MaxAttempts overrides Config.MaxAttempts when above 0.
 	MaxAttempts int
+	// TakePaidRetry, if set, reports whether a retry of the request was taken from the
+	// budget before its attempt was aborted. Each such retry is reported once.
+	TakePaidRetry func() bool
 	// StartTimeout overrides Config.StartTimeout when above 0.
 	StartTimeout time.Duration
 }
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -281,6 +281,13 @@
 	return true
 }
 
+// ReturnRetries returns retries that were withdrawn and not used.
+func (p *Placer) ReturnRetries(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget = min(p.retryBudget+float64(max(count, 0)), float64(p.config.RetryBurst))
+}
+
 // Retries returns the number of retries in the budget.
 func (p *Placer) Retries() int {
 	p.mu.Lock()
