Metrics: streams cut after their first byte, by cause

The line of a request had the reason as text only, and requests_code_stream_broken does not tell callers that have left from streams that this process gave up. The counter and the field cause name the result code of the direct cause.

--- a/core/errors.go
+++ b/core/errors.go
@@ -56,6 +56,16 @@
 	return CodeInternal
 }
 
+// CauseCodeOf returns the code of the direct cause of err, or CodeInternal if the cause has
+// none. Without a cause it returns the code of err.
+func CauseCodeOf(err error) Code {
+	var coded *errorx.Error
+	if errors.As(err, &coded) && coded.Cause() != nil {
+		return CodeOf(coded.Cause())
+	}
+	return CodeOf(err)
+}
+
 // ExecutionOf returns the execution state that err carries: ExecutionRan for
 // nil and ExecutionUnknown for an error without one.
 func ExecutionOf(err error) Execution {
--- a/core/errors_test.go
+++ b/core/errors_test.go
@@ -46,6 +46,14 @@
 	require.Equal(t, "plain", DetailWithCausesOf(errors.New("plain")))
 }
 
+func TestCauseCodeIsThatOfTheDirectCause(t *testing.T) {
+	spent := NewRefusal(CodeRetryBudget, 0, "the retry budget is spent")
+	require.Equal(t, CodeRetryBudget, CauseCodeOf(Wrap(spent, CodeStreamBroken, ExecutionUnknown, "the stream broke")))
+	require.Equal(t, CodeInternal, CauseCodeOf(Wrap(errors.New("reset"), CodeStreamBroken, ExecutionUnknown, "the stream broke")))
+	require.Equal(t, CodeRetryBudget, CauseCodeOf(spent))
+	require.Equal(t, CodeOK, CauseCodeOf(nil))
+}
+
 func TestCodesAreListedInOrder(t *testing.T) {
 	previous := Code(-1)
 	for _, info := range Codes() {
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -96,6 +96,11 @@
 	if c.outcome.err != nil {
 		fields["reason"] = core.DetailWithCausesOf(c.outcome.err)
 	}
+	if core.CodeOf(c.outcome.err) == core.CodeStreamBroken {
+		cause := core.CauseCodeOf(c.outcome.err).Info().Name
+		fields["cause"] = cause
+		metrics.GetOrRegisterCounter("streams.broken."+cause, g.registry).Inc(1)
+	}
 	level := logrus.InfoLevel
 	if c.outcome.err != nil {
 		// Warnings survive when the logger drops lines under load.
