Silent servers: tests of streams and requests that are lost though their server goes on

A sound server may send, read and accept nothing for a second or so and then go on. Callers of such a server lose requests today: streams get 200 and a closed connection, requests without an answer yet get 502.

Three tests force the order of events before a whole entry and three servers, with 2 and 3 attempts.

--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -54,6 +54,8 @@
 	stopFuncs      []context.CancelFunc
 	entryStops     []context.CancelFunc
 	runningDaemons sync.WaitGroup
+	// log collects the logs of the entries; nil discards them.
+	log *logBuffer
 }
 
 func startDeployment(t *testing.T) *deployment {
@@ -195,12 +197,21 @@
 	daemon, err := gateway.New(gateway.Config{
 		MetricsAddr: metricsAddr,
 		Node:        node, Headers: headers.Names(), AddressTTL: gateway.DefaultAddressTTL, QueueLength: gateway.DefaultQueueLength,
-		MaxAnswerBytes: gateway.DefaultMaxAnswerBytes, Deadline: gateway.DefaultDeadline, Log: obs.DiscardLogger(),
+		MaxAnswerBytes: gateway.DefaultMaxAnswerBytes, Deadline: gateway.DefaultDeadline, Log: d.entryLogger(node),
 	})
 	require.NoError(d.t, err)
 	d.entryStops = append(d.entryStops, d.runDaemon(daemon.Run))
 }
 
+func (d *deployment) entryLogger(node nodefile.Node) *obs.Logger {
+	if d.log == nil {
+		return obs.DiscardLogger()
+	}
+	logger, err := obs.NewLogger(d.log, "debug", "text", node.Instance)
+	require.NoError(d.t, err)
+	return logger
+}
+
 func (d *deployment) runAgent(node nodefile.Node) {
 	daemon, err := loader.New(loader.Config{Node: node, Log: obs.DiscardLogger()})
 	require.NoError(d.t, err)
--- /dev/null
+++ b/daemon/deployed/silence_fleet_test.go
@@ -0,0 +1,286 @@
+package deployed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/headers"
+	"currantusher.dev/platform/standin"
+)
+
+const (
+	silentRoutePrefix = "/s/"
+	// silenceEvents and silenceEventInterval make streams that last for a second.
+	silenceEvents        = 20
+	silenceEventInterval = 50 * time.Millisecond
+	// silenceObjective is short, so that entries do not wait long for the head of an answer.
+	silenceObjective = 250 * time.Millisecond
+	// longSilence is longer than the time after which an entry sends a request that
+	// waits for the head of its answer to another server.
+	longSilence = 6 * silenceObjective
+)
+
+// silenceSettings are the settings of a deployment whose servers fall silent.
+type silenceSettings struct {
+	entries, servers, maxAttempts int
+	retryRatio, retrySlack        float64
+}
+
+// startSilenceDeployment starts entries before engines and as many servers without an
+// engine. There are no agents.
+func startSilenceDeployment(t *testing.T, settings silenceSettings) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: standin.NewStore(), origin: standin.NewOrigin(8, 512), log: &logBuffer{}}
+	d.storeAddr = d.startHTTPServer(d.store)
+	for i := range settings.servers {
+		engine := d.startSilentBackend("llm", modelName, i)
+		engine.EventCount, engine.EventInterval = silenceEvents, silenceEventInterval
+		d.engines = append(d.engines, engine)
+		d.plainServers = append(d.plainServers, d.startSilentBackend("lots", "", i))
+	}
+	d.store.PutConfig(silenceConfig(1, d.startHTTPServer(d.origin), settings.maxAttempts))
+	for i := range settings.entries {
+		node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
+		node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
+		d.runEntry(node)
+	}
+	t.Cleanup(d.stop)
+	t.Cleanup(d.resumeAll)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(d.log.warnings())
+		}
+	})
+	d.awaitReady()
+	return d
+}
+
+func (d *deployment) startSilentBackend(service, model string, i int) *standin.Backend {
+	b := &standin.Backend{
+		ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: "a", Model: model, Store: d.store, Origin: d.origin,
+	}
+	server := httptest.NewUnstartedServer(b)
+	server.Listener = b.Listen(server.Listener)
+	server.Start()
+	d.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	b.Addr = server.Listener.Addr().String()
+	b.Start(1)
+	return b
+}
+
+func (d *deployment) resumeAll() {
+	for _, servers := range [][]*standin.Backend{d.engines, d.plainServers} {
+		for _, server := range servers {
+			server.Resume()
+		}
+	}
+}
+
+func silenceConfig(version int64, originAddr string, maxAttempts int) fleet.Configuration {
+	const longTimeout, gap = 20 * time.Second, 5 * time.Second
+	targets := func(service fleet.ServiceName) []fleet.Target { return []fleet.Target{{Service: service, Weight: 1}} }
+	return fleet.Configuration{
+		Version: version,
+		Routes: []fleet.Route{
+			{Name: "r-stream", Host: streamHost, Prefix: silentRoutePrefix, Kind: fleet.RouteStreaming, Timeout: longTimeout, LatencyObjective: silenceObjective,
+				GapObjective: gap, Targets: targets("llm"), MaxAttempts: maxAttempts, Resumable: true},
+			{Name: "r-safe", Host: plainHost, Prefix: "/", Kind: fleet.RouteSafe, Timeout: longTimeout, LatencyObjective: silenceObjective, Targets: targets("lots"), MaxAttempts: maxAttempts},
+			{Name: "r-unsafe", Host: plainHost, Prefix: "/issue/", Kind: fleet.RouteUnsafe, Timeout: longTimeout, LatencyObjective: silenceObjective, Targets: targets("lots"), MaxAttempts: 1},
+		},
+		Services: []fleet.Service{
+			{Name: "llm", MaxConns: 100, Engine: &fleet.Engine{Slots: 16, Models: []fleet.Model{modelName}, Pieces: 8, PieceBytes: 512}},
+			{Name: "lots", MaxConns: 100},
+			{Name: "origin", Origin: originAddr, OriginDataCentre: "a"},
+		},
+		Limits: fleet.Limits{HeaderBytes: 16384, BodyBytes: 100000, HeaderTimeout: longTimeout, IdleTimeout: longTimeout},
+		Teams:  []fleet.Team{{Name: "team-1", Keys: []string{apiKey}, Priority: 1}},
+	}
+}
+
+// logBuffer collects the logs of the entries.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(p)
+}
+
+// warnings returns the lines that tell of trouble.
+func (l *logBuffer) warnings() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found strings.Builder
+	for line := range strings.Lines(l.lines.String()) {
+		if strings.Contains(line, "level=warning") || strings.Contains(line, "level=error") {
+			found.WriteString(line)
+		}
+	}
+	return found.String()
+}
+
+// runningCall is a request whose answer is read while the test goes on.
+type runningCall struct {
+	d      *deployment
+	body   string
+	cancel func()
+	done   chan struct{}
+
+	mu     sync.Mutex
+	status int
+	text   strings.Builder
+	err    error
+}
+
+var callBodies struct {
+	sync.Mutex
+	count int
+}
+
+func nextBody() string {
+	callBodies.Lock()
+	defer callBodies.Unlock()
+	callBodies.count++
+	return fmt.Sprint("call ", callBodies.count)
+}
+
+// startCall sends a request with a body of its own to an entry.
+func (d *deployment) startCall(addr, host, path string) *runningCall {
+	c := &runningCall{d: d, body: nextBody(), done: make(chan struct{})}
+	request, err := http.NewRequest("POST", "http://"+addr+path, strings.NewReader(c.body))
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	d.t.Cleanup(cancel)
+	request = request.WithContext(ctx)
+	request.Host = host
+	names := headers.Names()
+	request.Header.Set(names.RequestID, nextRequestID())
+	request.Header.Set(names.Deadline, "20000")
+	request.Header.Set(names.APIKey, apiKey)
+	if host == streamHost {
+		request.Header.Set(names.Model, modelName)
+		request.Header.Set(names.TokenCounts, "10,10")
+	}
+	go c.run(request)
+	return c
+}
+
+func (c *runningCall) run(request *http.Request) {
+	defer close(c.done)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		c.record(0, "", err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.record(response.StatusCode, "", nil)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		c.record(response.StatusCode, lines.Text()+"\n", nil)
+	}
+	c.record(response.StatusCode, "", lines.Err())
+}
+
+func (c *runningCall) record(status int, text string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status, c.err = status, err
+	c.text.WriteString(text)
+}
+
+func (c *runningCall) result() callResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return callResult{status: c.status, body: c.text.String(), err: c.err}
+}
+
+func (c *runningCall) hasEnded() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitEvents waits until the caller has this number of whole events.
+func (c *runningCall) awaitEvents(events int) {
+	c.d.t.Helper()
+	c.d.eventually(func() bool { return strings.Count(c.result().body, "\n\n") >= events }, "a stream has fewer than %d events", events)
+}
+
+// server returns the server that ran the call first.
+func (c *runningCall) server(servers []*standin.Backend) *standin.Backend {
+	c.d.t.Helper()
+	for _, server := range servers {
+		if hasExecuted(server, c.body) {
+			return server
+		}
+	}
+	require.Fail(c.d.t, "no server has run the call")
+	return nil
+}
+
+// requireWholeStream waits for the end of the stream. Each event must have come once and
+// in order, and the end must be clean.
+func (c *runningCall) requireWholeStream() {
+	c.d.t.Helper()
+	c.d.eventually(c.hasEnded, "the stream does not end")
+	got := c.result()
+	require.NoError(c.d.t, got.err, "the stream was cut after %q", lastLine(got.body))
+	require.Equal(c.d.t, http.StatusOK, got.status)
+	require.Equal(c.d.t, completeStream(silenceEvents), got.body)
+}
+
+func lastLine(text string) string {
+	lines := strings.Fields(strings.ReplaceAll(strings.TrimSpace(text), "\n", "|"))
+	return strings.Join(lines[max(len(lines)-3, 0):], " ")
+}
+
+// others returns the servers without the given one.
+func others(servers []*standin.Backend, excluded *standin.Backend) []*standin.Backend {
+	var list []*standin.Backend
+	for _, server := range servers {
+		if server != excluded {
+			list = append(list, server)
+		}
+	}
+	return list
+}
+
+// giveRetries lets the entries accumulate retries for both services.
+func (d *deployment) giveRetries() {
+	for entry := range d.entries {
+		d.awaitRetries(entry)
+		for range 4 {
+			require.Equal(d.t, http.StatusOK, d.sendRequest(entry, streamHost, "POST", silentRoutePrefix+"x", "", nil).status)
+		}
+	}
+}
+
+// waitAtMost waits until a condition holds, but no longer than limit. Whether the
+// condition holds then is not checked.
+func waitAtMost(limit time.Duration, condition func() bool) {
+	for end := time.Now().Add(limit); time.Now().Before(end) && !condition(); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/daemon/deployed/silence_test.go
@@ -0,0 +1,106 @@
+package deployed
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/platform/standin"
+)
+
+// forEachMaxAttempts runs a test before one entry and three servers of each kind.
+func forEachMaxAttempts(t *testing.T, test func(t *testing.T, d *deployment)) {
+	for _, maxAttempts := range []int{2, 3} {
+		t.Run(fmt.Sprintf("%d attempts", maxAttempts), func(t *testing.T) {
+			t.Parallel()
+			d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 3, maxAttempts: maxAttempts, retryRatio: 1, retrySlack: 1000})
+			d.giveRetries()
+			test(t, d)
+		})
+	}
+}
+
+func (d *deployment) startStream() *runningCall {
+	return d.startCall(d.entries[0].CallerAddr, streamHost, silentRoutePrefix+"x")
+}
+
+func refuseAll(servers []*standin.Backend, refusal standin.Refusal) {
+	for _, server := range servers {
+		server.Refuse(refusal)
+	}
+}
+
+// awaitRefusals waits until each server has refused a request, if the entry asks them.
+func awaitRefusals(servers []*standin.Backend) {
+	waitAtMost(longSilence, func() bool {
+		for _, server := range servers {
+			if len(server.RefusedRequests()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestStreamOfASilentServerIsNotCutWhenAllOthersRefuseIt(t *testing.T) {
+	for name, refusal := range map[string]standin.Refusal{"421": standin.RefuseMisdirected, "503": standin.RefuseNotExecuted} {
+		t.Run(name, func(t *testing.T) {
+			forEachMaxAttempts(t, func(t *testing.T, d *deployment) {
+				stream := d.startStream()
+				stream.awaitEvents(3)
+				first := stream.server(d.engines)
+				refuseAll(others(d.engines, first), refusal)
+				first.Silence()
+				awaitRefusals(others(d.engines, first))
+				first.Resume()
+				stream.requireWholeStream()
+			})
+		})
+	}
+}
+
+func TestStreamOfASilentServerIsNotCutWhenTheNextFallsSilentToo(t *testing.T) {
+	forEachMaxAttempts(t, func(t *testing.T, d *deployment) {
+		stream := d.startStream()
+		stream.awaitEvents(3)
+		first := stream.server(d.engines)
+		next := others(d.engines, first)
+		for _, server := range append(next, first) {
+			server.Silence()
+		}
+		waitAtMost(longSilence, func() bool { return next[0].HasHeldReads() || next[1].HasHeldReads() })
+		first.Resume()
+		stream.requireWholeStream()
+	})
+}
+
+func TestRequestsWithoutAnAnswerYetAreServedAfterASilenceWhenAllOthersRefuseThem(t *testing.T) {
+	for name, c := range map[string]struct {
+		host, path, answer string
+	}{
+		"plain":  {plainHost, "/look", "answers"},
+		"stream": {streamHost, silentRoutePrefix + "x", completeStream(silenceEvents)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachMaxAttempts(t, func(t *testing.T, d *deployment) {
+				servers := d.plainServers
+				if c.host == streamHost {
+					servers = d.engines
+				}
+				refuseAll(servers[1:], standin.RefuseMisdirected)
+				servers[0].Silence()
+				call := d.startCall(d.entries[0].CallerAddr, c.host, c.path)
+				waitAtMost(longSilence, servers[0].HasHeldReads)
+				waitAtMost(longSilence, call.hasEnded)
+				servers[0].Resume()
+				d.eventually(call.hasEnded, "the call does not end")
+				got := call.result()
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status, got.body)
+				require.Contains(t, got.body, c.answer)
+			})
+		})
+	}
+}
