Silence: the attempt at a silent server stays open until another one sends data

Callers of streams got a 200 and then a closed connection, and callers whose answer had not begun a 502, though their server was sound and went on after a second.

Cause: three timeouts closed an attempt before another server had accepted the request: the stall detector (0.45 s without data on any stream of the server), the start timeout and the idle timeout of a single request. If the next server then refused, was silent too, failed or had no room, or the retry budget or the route's attempts were used up, nothing was left.

Now none of them closes anything. They tell the request, which keeps reading and asks other servers (requests/dispatch/silence.go). The first attempt that receives data serves the request. Each server that is asked takes a retry and, if it may have run the request, an attempt, so that the bounds of both hold; without one the request waits. A stream that has begun asks after half of its caller's patience instead of 0.45 s: its pause is late either way, and a second reading of the prompts of all its server's streams loads the servers that are left. A resumed attempt goes on after the last event that was passed on (ReplyStream.Select), since two attempts are read at a time.

--- a/daemon/entry/sender.go
+++ b/daemon/entry/sender.go
@@ -42,6 +42,7 @@
 
 // replyStream implements dispatch.ReplyStream.
 type replyStream struct {
+	dispatch.Unobserved
 	stream        *wire.Stream
 	stopAfterFunc func() bool
 	onEnd         func(end *wire.AnswerEnd)
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -16,18 +16,22 @@
 
 const (
 	// startTimeoutObjectives is the time without the head of a response, in
-	// multiples of the route's objective, after which a repeatable request is
-	// retried at another server.
+	// multiples of the route's objective, after which another server is asked as well
+	// for the answer to a repeatable request.
 	startTimeoutObjectives = 4
 	minStartTimeout        = 300 * time.Millisecond
 	// streamIdleGaps is the longest gap within a stream, in multiples of the
-	// route's gap objective, after which the stream is resumed at another server.
-	// Callers give up after a little more than two seconds.
+	// route's gap objective, after which another server is asked to continue it,
+	// whatever other streams of its server do.
 	streamIdleGaps       = 4
 	minStreamIdleTimeout = 1500 * time.Millisecond
 	// handoverFraction is the fraction of the time for which callers wait for an event
 	// that a handover may take. The rest is for the stream if it goes on at its server.
 	handoverFraction = 0.5
+	// stallFraction is the fraction of the time for which callers wait for an event after
+	// which another server is asked to continue the stream of a stalled one. The rest is
+	// for that server's first event.
+	stallFraction = 0.5
 	// minCallerTimeout, callerTimeoutObjectives and callerTimeoutGaps give the time
 	// for which callers wait for an event before they disconnect: the maximum of a
 	// fixed time and of multiples of the route's objective and gap objective. The
@@ -68,10 +72,9 @@
 		return
 	}
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
-	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits, paidRetries: &c.paidRetries}
+	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
 	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
-	g.services.placer(core.PoolName(c.service)).ReturnRetries(int(c.paidRetries.Swap(0)))
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
 	if sentAt := exchange.FirstSentAt(); !sentAt.IsZero() {
@@ -101,20 +104,19 @@
 func (g *Gateway) newDirectRequest(c *call, r *http.Request) direct.Request {
 	model := g.model(c, r)
 	request := direct.Request{
-		ID:                c.id,
-		Method:            r.Method,
-		Target:            r.RequestURI,
-		Host:              r.Host,
-		Header:            r.Header,
-		Body:              c.body,
-		HasBody:           c.hasBody,
-		Kind:              c.route.Kind,
-		Repeatable:        c.route.IsRepeatable(),
-		MaxAttempts:       c.route.MaxAttempts,
-		Resumable:         c.route.Kind == fleet.RouteStreaming && c.route.Resumable,
-		Model:             model,
-		Priority:          min(max(c.priority(), 0), maxEnginePriority),
-		StreamIdleTimeout: max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout),
+		ID:          c.id,
+		Method:      r.Method,
+		Target:      r.RequestURI,
+		Host:        r.Host,
+		Header:      r.Header,
+		Body:        c.body,
+		HasBody:     c.hasBody,
+		Kind:        c.route.Kind,
+		Repeatable:  c.route.IsRepeatable(),
+		MaxAttempts: c.route.MaxAttempts,
+		Resumable:   c.route.Kind == fleet.RouteStreaming && c.route.Resumable,
+		Model:       model,
+		Priority:    min(max(c.priority(), 0), maxEnginePriority),
 		Version: func(server core.InstanceID) fleet.WeightsVersion {
 			return g.expectedVersion(requirements{service: c.service, model: model, recallable: c.route.IsRepeatable()}, server)
 		},
@@ -183,6 +185,12 @@
 	return time.Duration(handoverFraction * float64(callerEventTimeout(route)))
 }
 
+// stallTimeout returns the time without an event after which a stream that has begun
+// leaves a stalled server.
+func stallTimeout(route *fleet.Route) time.Duration {
+	return time.Duration(stallFraction * float64(callerEventTimeout(route)))
+}
+
 // callerEventTimeout returns how long callers wait for the first event of a stream.
 func callerEventTimeout(route *fleet.Route) time.Duration {
 	return max(minCallerTimeout, callerTimeoutObjectives*route.LatencyObjective, callerTimeoutGaps*route.GapObjective)
@@ -196,15 +204,6 @@
 	return c.route.Timeout > 0 && left < time.Duration(firstTryFraction*float64(c.route.Timeout))
 }
 
-// takePaidRetry reports whether a retry was taken from the budget already, once for each.
-func (c *call) takePaidRetry() bool {
-	if c.paidRetries.Add(-1) >= 0 {
-		return true
-	}
-	c.paidRetries.Add(1)
-	return false
-}
-
 // priority returns the team's priority, or the route's if the team has none.
 func (c *call) priority() int {
 	if c.team != nil && c.team.HasPriority {
@@ -238,9 +237,15 @@
 	if c.route.Kind == fleet.RouteStreaming && !isRetry {
 		startBy = c.startedAt.Add(time.Duration(dispatchFraction * float64(c.route.LatencyObjective)))
 	}
+	var idleTimeout time.Duration
+	if c.route.Kind == fleet.RouteStreaming {
+		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
+	}
 	return dispatch.Request{
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
+		StallTimeout:      stallTimeout(c.route),
+		IdleTimeout:       idleTimeout,
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
 		ExpectedDuration:  g.expectedDuration(c, r),
 		FirstByteDeadline: firstByteDeadline,
@@ -259,7 +264,6 @@
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
-		TakePaidRetry:     c.takePaidRetry,
 		StartTimeout:      max(startTimeoutObjectives*c.route.LatencyObjective, minStartTimeout),
 	}
 }
--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -93,9 +92,6 @@
 	requestID string
 	// traits are what other requests may share with this one; see call.traits.
 	traits []fleet.Trait
-	// paidRetries counts the retries that were taken from the budget before an attempt
-	// was cancelled.
-	paidRetries *atomic.Int64
 }
 
 // AnswerReceived implements direct.Observer.
@@ -104,16 +100,9 @@
 }
 
 // StartAttempt implements direct.Observer.
-func (o observer) StartAttempt(server core.InstanceID, cancel func()) direct.AttemptObserver {
-	var move func()
-	if cancel != nil {
-		move = func() {
-			o.paidRetries.Add(1)
-			cancel()
-		}
-	}
+func (o observer) StartAttempt(server core.InstanceID, cancel, stalled func()) direct.AttemptObserver {
 	return &monitoredAttempt{
-		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), move),
+		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), stalled),
 		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, server, cancel),
 	}
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -38,8 +37,6 @@
 	// deadline is when the response must be complete.
 	deadline time.Time
 	outcome  outcome
-	// paidRetries counts the retries that were taken from the budget and not used yet.
-	paidRetries atomic.Int64
 }
 
 // outcome is the result of a call, for its log line and metrics.
--- a/daemon/gateway/stall.go
+++ b/daemon/gateway/stall.go
@@ -12,7 +12,7 @@
 
 const (
 	// stallCheckPeriod is how often the entry checks for stalled servers, a small
-	// fraction of stall.Timeout.
+	// fraction of stall.MinTimeout.
 	stallCheckPeriod = 50 * time.Millisecond
 	// processStallThreshold is the time between two checks above which this process
 	// itself must have been paused.
@@ -36,9 +36,8 @@
 	return time.Duration(stallPasses * float64(latency.LongestPass(service.Engine.Timing, service.Engine.Slots)))
 }
 
-// ejectStalledServers ejects servers that have stopped sending and cancels as many of
-// their requests as can be retried or resumed at other servers. The others go on
-// waiting for the server.
+// ejectStalledServers ejects servers that have stopped sending and reports the stall to
+// their requests.
 func (g *Gateway) ejectStalledServers(ctx context.Context) error {
 	lastCheck := time.Now()
 	return runPeriodically(ctx, stallCheckPeriod, func() {
@@ -47,25 +46,20 @@
 			g.stallDetector.ResetTimers(now)
 		}
 		lastCheck = now
-		g.moveFromStalledServers(now)
+		g.reportStalledServers(now)
 	})
 }
 
-// moveFromStalledServers takes each retry from the budget before it cancels a request:
-// servers that stall at the same moment share the budget.
-func (g *Gateway) moveFromStalledServers(now time.Time) {
+// reportStalledServers leaves it to each request whether another server continues it. No
+// request is closed, since its server may go on.
+func (g *Gateway) reportStalledServers(now time.Time) {
 	for _, stalled := range g.stallDetector.TakeStalled(now) {
-		moved := 0
-		if placer := g.services.eject(now, stalled.Server); placer != nil {
-			for moved < len(stalled.Cancels) && placer.WithdrawRetry() {
-				moved++
-			}
-		}
+		g.services.eject(now, stalled.Server)
 		g.log.WithFields(logrus.Fields{
-			"server": stalled.Server, "quiet_ms": stalled.IdleTime.Milliseconds(), "requests": len(stalled.Cancels), "moved": moved,
-		}).Warn("Server stopped responding; ejecting it and moving its requests to other servers.")
-		for _, cancel := range stalled.Cancels[:moved] {
-			cancel()
+			"server": stalled.Server, "quiet_ms": stalled.IdleTime.Milliseconds(), "requests": len(stalled.Reports),
+		}).Warn("Server stopped responding; ejecting it.")
+		for _, report := range stalled.Reports {
+			report()
 		}
 	}
 }
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -7,6 +7,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/placement"
 )
 
@@ -67,17 +68,21 @@
 }
 
 // HandedOver implements dispatch.Trace.
-func (t callTrace) HandedOver(from, to core.InstanceID) {
+func (t callTrace) HandedOver(reason dispatch.HandoverReason, from, to core.InstanceID) {
+	message := "Moving a stream away from a server that is about to load weights."
+	if reason == dispatch.HandoverSilence {
+		message = "Another server continues the request of a silent one."
+	}
 	t.gateway.requestLog.WithFields(logrus.Fields{
 		"id": t.call.id, "server": from, "to": to, "after_ms": time.Since(t.call.startedAt).Milliseconds(),
-	}).Info("Moving a stream away from a server that is about to load weights.")
+	}).Info(message)
 }
 
 // HandoverFailed implements dispatch.Trace.
-func (t callTrace) HandoverFailed(attempt int, from, to core.InstanceID, err error) {
+func (t callTrace) HandoverFailed(reason dispatch.HandoverReason, attempt int, from, to core.InstanceID, err error) {
 	t.gateway.requestLog.WithFields(logrus.Fields{
-		"id": t.call.id, "attempt": attempt, "server": from, "to": to, "code": core.CodeOf(err).String(),
+		"id": t.call.id, "attempt": attempt, "server": from, "to": to, "because": string(reason), "code": core.CodeOf(err).String(),
 		"work": core.ExecutionOf(err).String(), "reason": core.DetailWithCausesOf(err),
 		"after_ms": time.Since(t.call.startedAt).Milliseconds(),
-	}).Info("Handover failed; the stream goes on at its server.")
+	}).Info("Handover failed; the request stays at its server.")
 }
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -41,8 +41,10 @@
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
 	// StartAttempt is called after a request was written to a server. cancel
-	// aborts the attempt; it is nil if the request must not be sent again.
-	StartAttempt(server core.InstanceID, cancel func()) AttemptObserver
+	// aborts the attempt; it is nil if the request must not be sent again. stalled says
+	// that the server sends nothing, so that another one is asked while the attempt goes
+	// on; it may be called more than once.
+	StartAttempt(server core.InstanceID, cancel, stalled func()) AttemptObserver
 	// AnswerBegan is called when the first data of a stream with a success status was
 	// received, or all data of another answer with such a status.
 	AnswerBegan(server notices.Lifetime)
@@ -100,9 +102,6 @@
 	Team      core.Team
 	// Priority is 0 to 9; 0 is the most urgent.
 	Priority int
-	// StreamIdleTimeout bounds the wait for the next whole event of a resumable stream
-	// that may be sent again; 0 means no bound.
-	StreamIdleTimeout time.Duration
 	// Version returns the version of the weights with which a server must serve
 	// an attempt, or 0 for any.
 	Version func(server core.InstanceID) fleet.WeightsVersion
@@ -121,18 +120,17 @@
 	// answerLength the length of its complete body.
 	answerHead   *http.Response
 	answerLength int64
-	// lastFailure is the last answer with a server error, or nil.
+	// lastFailure is the last answer with a server error that was selected, or nil.
 	lastFailure *Failure
-	// reading is the attempt whose answer was read last. During a handover two attempts
-	// are open; the events of the one that does not continue the stream do not count.
-	reading     *replyStream
-	firstSentAt time.Time
+	// lastEventID is the id of the last complete event that was selected, or "".
+	lastEventID string
 	firstByteAt time.Time
-	lastServer  core.InstanceID
 
-	// mu guards the fields that the cancel functions of attempts read.
-	mu       sync.Mutex
-	attempts int
+	// mu guards the fields that several attempts use at a time.
+	mu          sync.Mutex
+	firstSentAt time.Time
+	lastServer  core.InstanceID
+	attempts    int
 	// refusals counts the attempts that the server provably did not run.
 	refusals int
 	// openAttempts counts the attempts whose connections are in use.
@@ -153,15 +151,27 @@
 
 // Attempts returns the number of attempts to write the request to a backend
 // server.
-func (e *Exchange) Attempts() int { return e.attempts }
+func (e *Exchange) Attempts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.attempts
+}
 
 // FirstSentAt returns when the request was first written to a backend server,
 // or the zero time.
-func (e *Exchange) FirstSentAt() time.Time { return e.firstSentAt }
+func (e *Exchange) FirstSentAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.firstSentAt
+}
 
-// LastServer returns the backend server whose answer was read last, or the one of the
-// last attempt if that was not sent.
-func (e *Exchange) LastServer() core.InstanceID { return e.lastServer }
+// LastServer returns the backend server whose answer was selected last, or the one of a
+// later attempt.
+func (e *Exchange) LastServer() core.InstanceID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastServer
+}
 
 // FirstByteAt returns when the answer to the caller began, or the zero time.
 func (e *Exchange) FirstByteAt() time.Time { return e.firstByteAt }
@@ -191,12 +201,8 @@
 		return nil, err
 	}
 	stopCloseOnDone := context.AfterFunc(ctx, conn.Close)
-	if e.attempts == 0 {
-		e.firstSentAt = time.Now()
-	}
-	e.countAttempt()
-	e.lastServer = server.ID
 	sentAt := time.Now()
+	e.countAttempt(server.ID, sentAt)
 	reservation.Sent(sentAt)
 	timeLeft := time.Duration(message.DeadlineMillis) * time.Millisecond
 	if err := conn.Send(e.encodeRequest(server.ID, timeLeft)); err != nil {
@@ -204,31 +210,30 @@
 		conn.Close()
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
 	}
-	s := &replyStream{exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID()}
-	s.open()
-	if s.isHandover && e.reading != nil {
-		e.reading.attemptObserver.Suspended()
+	s := &replyStream{
+		exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone,
+		sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID, continuesAnswer: !e.firstByteAt.IsZero(), stalled: make(chan struct{}, 1),
 	}
-	var cancel func()
+	s.open()
+	var cancel, stalled func()
 	if s.mayAbort() {
 		cancel = s.abort
 	}
-	s.attemptObserver = e.observer.StartAttempt(server.ID, cancel)
-	return s, nil
-}
-
-// lastEventID returns the id of the last complete event that was passed on, or "".
-func (e *Exchange) lastEventID() string {
-	if e.reading == nil {
-		return ""
+	if e.request.Repeatable {
+		stalled = s.reportStalled
 	}
-	return e.reading.lastEventID
+	s.attemptObserver = e.observer.StartAttempt(server.ID, cancel, stalled)
+	return s, nil
 }
 
-func (e *Exchange) countAttempt() {
+func (e *Exchange) countAttempt(server core.InstanceID, sentAt time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.attempts == 0 {
+		e.firstSentAt = sentAt
+	}
 	e.attempts++
+	e.lastServer = server
 }
 
 func (e *Exchange) countRefusal() {
--- a/requests/direct/header.go
+++ b/requests/direct/header.go
@@ -73,7 +73,7 @@
 	if version := r.Version(server); version > 0 {
 		writeLine(&b, e.headerNames.ExpectedVersion, ": ", strconv.FormatInt(int64(version), 10))
 	}
-	if id := e.lastEventID(); id != "" {
+	if id := e.lastEventID; id != "" {
 		writeLine(&b, e.headerNames.LastEventID, ": ", id)
 	}
 	if r.HasBody {
@@ -90,7 +90,7 @@
 		if hopByHopHeaders[name] || perConnection[name] || isReservedHeader(e.headerNames, name) {
 			continue
 		}
-		if name == e.headerNames.LastEventID && e.lastEventID() != "" {
+		if name == e.headerNames.LastEventID && e.lastEventID != "" {
 			continue
 		}
 		for _, value := range values {
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -48,6 +48,13 @@
 	// lastEventID is the id of the last complete event that Recv returned, or of the one
 	// after which the stream was resumed.
 	lastEventID string
+	// continuesAnswer is set if the caller had received a part of the answer when the
+	// attempt was sent.
+	continuesAnswer bool
+	// stalled holds a value after reportStalled.
+	stalled chan struct{}
+	// failure is the answer if it is a server error, or nil.
+	failure *Failure
 	// isHandover is set if another attempt was open when this one was sent.
 	isHandover bool
 	// isClosed is set once the connection is not in use any more.
@@ -57,12 +64,7 @@
 	splitter eventstream.Splitter
 	buffer   []byte
 	// sentAt is when the request was written.
-	sentAt time.Time
-	// lastEventAt is when the last whole event or, before the first one, the head was
-	// received.
-	lastEventAt time.Time
-	// returnedAt is when Recv last returned.
-	returnedAt   time.Time
+	sentAt       time.Time
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
@@ -74,9 +76,7 @@
 
 // Recv implements dispatch.ReplyStream.
 func (s *replyStream) Recv() (wire.AnswerFrame, error) {
-	s.skipUnreadTime()
 	frame, err := s.receive()
-	s.returnedAt = time.Now()
 	switch {
 	case err != nil && !s.begun && isEndedByServer(err):
 		s.exchange.observer.ConnectionEnded(s.lifetime, s.addr)
@@ -86,17 +86,37 @@
 	return frame, err
 }
 
-// skipUnreadTime makes the time in which the answer was not read, as during a handover,
-// not count as silence of the server.
-func (s *replyStream) skipUnreadTime() {
-	if !s.lastEventAt.IsZero() {
-		s.lastEventAt = s.lastEventAt.Add(time.Since(s.returnedAt))
+// Select implements dispatch.ReplyStream.
+func (s *replyStream) Select() {
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.firstByteAt.IsZero() {
+		e.answerHead = s.response
+	}
+	if s.failure != nil {
+		e.lastFailure = s.failure
+	}
+	e.lastEventID = s.lastEventID
+	e.answerLength = s.length
+	e.lastServer = s.server
+}
+
+// Suspend implements dispatch.ReplyStream.
+func (s *replyStream) Suspend() { s.attemptObserver.Suspended() }
+
+// Stalled implements dispatch.ReplyStream.
+func (s *replyStream) Stalled() <-chan struct{} { return s.stalled }
+
+// reportStalled reports that the server sends nothing.
+func (s *replyStream) reportStalled() {
+	select {
+	case s.stalled <- struct{}{}:
+	default:
 	}
 }
 
 func (s *replyStream) receive() (wire.AnswerFrame, error) {
-	s.exchange.reading = s
-	s.exchange.lastServer = s.server
 	if s.response == nil {
 		return s.readHead()
 	}
@@ -181,12 +201,9 @@
 	if err := s.checkAnswerHeader(); err != nil {
 		return wire.AnswerFrame{}, err
 	}
-	if !s.exchange.firstByteAt.IsZero() && !isSuccess(response) {
+	if s.continuesAnswer && !isSuccess(response) {
 		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d to a stream that has begun", s.server, response.StatusCode)
 	}
-	if s.exchange.firstByteAt.IsZero() {
-		s.exchange.answerHead = response
-	}
 	return wire.AnswerFrame{Header: &wire.AnswerHeader{
 		RequestID:   s.exchange.request.ID,
 		ContentType: response.Header.Get("Content-Type"),
@@ -275,7 +292,7 @@
 	}
 	s.reportOtherAnswer()
 	s.releaseConn()
-	s.exchange.lastFailure = &Failure{Status: s.response.StatusCode, Header: s.response.Header, Body: body}
+	s.failure = &Failure{Status: s.response.StatusCode, Header: s.response.Header, Body: body}
 	return wire.AnswerFrame{End: &wire.AnswerEnd{
 		RequestID: s.exchange.request.ID,
 		Code:      core.CodeEngineFailed,
@@ -303,20 +320,6 @@
 	if s.buffer == nil {
 		s.buffer = make([]byte, readBufferBytes)
 	}
-	request := &s.exchange.request
-	if s.lastEventAt.IsZero() {
-		s.lastEventAt = time.Now()
-	}
-	if request.Resumable && request.StreamIdleTimeout > 0 {
-		// A failed handover can make this attempt the last one.
-		var deadline time.Time
-		if s.exchange.maySendAgain() {
-			deadline = s.lastEventAt.Add(request.StreamIdleTimeout)
-		}
-		if err := s.conn.SetReadDeadline(deadline); err != nil {
-			return nil, err
-		}
-	}
 	n, err := s.response.Body.Read(s.buffer)
 	s.bodyComplete = errors.Is(err, io.EOF)
 	if err != nil && !s.bodyComplete {
@@ -330,10 +333,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
-	if len(events) > 0 {
-		s.lastEventAt = time.Now()
-	}
-	if !request.Resumable {
+	if !s.exchange.request.Resumable {
 		return events, nil
 	}
 	id, err := eventstream.LastID(events)
@@ -384,7 +384,6 @@
 		s.reportBegun()
 	}
 	s.reportOtherAnswer()
-	s.exchange.answerLength = s.length
 	s.attemptObserver.Completed()
 	s.releaseConn()
 	end := &wire.AnswerEnd{RequestID: s.exchange.request.ID, Code: core.CodeOK, Execution: core.ExecutionRan, Length: s.length}
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -33,11 +33,26 @@
 	held []wire.AnswerFrame
 	// firstDataSeen is set once the time to the first data was recorded.
 	firstDataSeen bool
+
+	// frames receives the result of the read in progress, if isReading is set.
+	frames    chan frameResult
+	isReading bool
+	// lastFrameAt is when the last frame was passed on, or when the attempt was sent.
+	lastFrameAt time.Time
+	// isSilent is set when another agent took the request over because this one sent
+	// nothing.
+	isSilent bool
+}
+
+// frameResult is the result of reading a frame.
+type frameResult struct {
+	reply wire.AnswerFrame
+	err   error
 }
 
 // newAttempt returns the next attempt, at an agent that the placer picked.
 func (x *execution) newAttempt(agent placement.Candidate) *agentAttempt {
-	a := &agentAttempt{id: x.nextAttemptID(), agent: agent, answer: newAnswerValidator(x.request.ID)}
+	a := &agentAttempt{id: x.nextAttemptID(), agent: agent, answer: newAnswerValidator(x.request.ID), frames: make(chan frameResult, 1)}
 	a.number = x.attemptCount
 	a.answer.skipEndCheck = x.disabledGuard == guardAnswer
 	return a
@@ -60,7 +75,7 @@
 		return core.NewFailure(core.CodeInternal, core.ExecutionUnknown, "attempt %s was not dispatched: it would violate the at-most-once invariant", a.id)
 	}
 	outcome := outcomeOf(ctx, err, a)
-	if x.successor != nil {
+	if x.successor != nil && !a.isSilent {
 		outcome = placement.Inconclusive
 	}
 	x.endAttempt(placer, a, err, outcome)
@@ -134,6 +149,7 @@
 // send dispatches the request to the agent of an attempt.
 func (x *execution) send(a *agentAttempt) error {
 	a.sentAt = x.config.Now()
+	a.lastFrameAt = a.sentAt
 	stream, err := x.sender().Send(a.ctx, a.agent, x.dispatchMessage(a.id, a.agent))
 	if isNotConnected(err) {
 		a.unsent = true
@@ -163,38 +179,31 @@
 // without an end frame, it determines whether it ran.
 func (x *execution) receiveAnswer(ctx context.Context, placer *placement.Placer, a *agentAttempt) error {
 	defer a.cancel()
-	var startTimer *time.Timer
-	if x.startTimeout() > 0 && !x.request.AtMostOnce && len(a.held) == 0 {
-		startTimer = time.AfterFunc(x.startTimeout(), a.cancel)
-	}
-	err := x.receive(ctx, placer, a, startTimer)
+	err := x.receive(ctx, placer, a)
 	if err != nil {
-		a.stream.Cancel()
+		a.close()
 	}
-	if err == nil || a.answer.end != nil {
+	if err == nil || a.answer.end != nil || x.successor != nil {
 		return err
 	}
 	return x.resolveOutcome(ctx, a, err)
 }
 
 // receive reads frames until the end frame, or until another attempt has taken over
-// the stream after a data frame. startTimer, if not nil, is stopped by the first frame.
-// answer.end stays unset if the error is not the result in the end frame.
-func (x *execution) receive(ctx context.Context, placer *placement.Placer, a *agentAttempt, startTimer *time.Timer) error {
-	if startTimer != nil {
-		defer startTimer.Stop()
-	}
+// the request. answer.end stays unset if the error is not the result in the end frame.
+func (x *execution) receive(ctx context.Context, placer *placement.Placer, a *agentAttempt) error {
 	for {
-		reply, err := a.next()
+		reply, err := x.nextFrame(ctx, placer, a)
+		if x.successor == nil {
+			a.stream.Select()
+		}
 		if err != nil {
 			if core.CodeOf(err) == core.CodeChecksumMismatch {
 				x.output.corruptSent = x.output.sentBytes > 0
 			}
 			return err
 		}
-		if startTimer != nil {
-			startTimer.Stop()
-		}
+		a.lastFrameAt = x.config.Now()
 		if err := x.forward(reply); err != nil {
 			return err
 		}
@@ -211,14 +220,25 @@
 	}
 }
 
-// next returns the next checked frame of the answer.
-func (a *agentAttempt) next() (wire.AnswerFrame, error) {
-	if len(a.held) > 0 {
-		reply := a.held[0]
-		a.held = a.held[1:]
-		return reply, nil
+// startRead reads the next frame in the background unless a read is in progress.
+func (a *agentAttempt) startRead() {
+	if a.isReading {
+		return
+	}
+	a.isReading = true
+	go func() {
+		reply, err := a.readFrame()
+		a.frames <- frameResult{reply, err}
+	}()
+}
+
+// close ends the call to the agent and the read in progress.
+func (a *agentAttempt) close() {
+	a.stream.Cancel()
+	if a.isReading {
+		<-a.frames
+		a.isReading = false
 	}
-	return a.readFrame()
 }
 
 // readFrame reads and checks a frame of the stream.
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -33,12 +33,36 @@
 
 // ReplyStream receives the frames of one attempt. Recv returns an error when
 // the context passed to Send ends.
+//
+// Several attempts of a request may be open at a time, each with one Recv in progress.
+// Calls of Select never overlap, and none overlaps a Recv of the same stream.
 type ReplyStream interface {
 	Recv() (wire.AnswerFrame, error)
 	// Cancel aborts the call immediately and closes the stream to the agent.
 	Cancel()
+	// Select is called before what Recv returned is passed on to the caller. An attempt
+	// that is sent later resumes the stream after the last frame that was selected.
+	Select()
+	// Suspend is called when the stream is not read for a while.
+	Suspend()
+	// Stalled receives a value when the agent is found to have stopped sending. A nil
+	// channel means that nothing observes the agent.
+	Stalled() <-chan struct{}
 }
 
+// Unobserved implements the methods of ReplyStream for streams whose agent nothing
+// observes.
+type Unobserved struct{}
+
+// Select implements ReplyStream.
+func (Unobserved) Select() {}
+
+// Suspend implements ReplyStream.
+func (Unobserved) Suspend() {}
+
+// Stalled implements ReplyStream.
+func (Unobserved) Stalled() <-chan struct{} { return nil }
+
 // Sender sends messages to agents. An error of Send that wraps
 // wire.ErrNotConnected means that nothing was sent. One that carries
 // core.ExecutionNotRun means that nothing was sent because the agent has been closed
@@ -83,8 +107,8 @@
 	TombstoneTimeout time.Duration
 	// ReleaseTimeout bounds the wait for the release of a claim.
 	ReleaseTimeout time.Duration
-	// StartTimeout bounds the wait for the first frame of an attempt of a
-	// repeatable request; 0 means that only the deadline bounds it.
+	// StartTimeout is the time without the first frame of an attempt of a repeatable
+	// request after which another agent is asked as well; 0 means never.
 	// Request.StartTimeout overrides it.
 	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is buffered until it is verified.
@@ -177,11 +201,12 @@
 	Closure func() *fair.Closure
 	// MaxAttempts overrides Config.MaxAttempts when above 0.
 	MaxAttempts int
-	// TakePaidRetry, if set, reports whether a retry of the request was taken from the
-	// budget before its attempt was aborted. Each such retry is reported once.
-	TakePaidRetry func() bool
 	// StartTimeout overrides Config.StartTimeout when above 0.
 	StartTimeout time.Duration
+	// StallTimeout is the time without data of a stream at a stalled agent after which
+	// another agent is asked to continue it, and IdleTimeout the one at any agent; 0
+	// means that the stall alone decides, or that there is no such timeout.
+	StallTimeout, IdleTimeout time.Duration
 }
 
 // queueDeadline returns the time until which the request may wait in the queue.
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -28,7 +28,7 @@
 	if !x.mayHandOver(now, from.agent.ID) {
 		return false
 	}
-	target, err := x.pickHandoverTarget(ctx, placer, from.agent.ID, now.Add(minTimeToPause))
+	target, err := x.pickSuccessor(ctx, placer, from.agent.ID, now.Add(minTimeToPause), x.refusedHandovers)
 	if err != nil {
 		return false
 	}
@@ -36,6 +36,7 @@
 		placer.Finish(now, target.ID, placement.Inconclusive, 0, 0)
 		return false
 	}
+	from.stream.Suspend()
 	a := x.newAttempt(target)
 	x.beginAttempt(a)
 	if err := x.awaitFirstData(ctx, a); err != nil {
@@ -43,7 +44,7 @@
 		return false
 	}
 	x.successor = a
-	x.request.Trace.HandedOver(from.agent.ID, target.ID)
+	x.request.Trace.HandedOver(HandoverPause, from.agent.ID, target.ID)
 	return true
 }
 
@@ -110,25 +111,35 @@
 	if core.CodeOf(err) == core.CodeTimeout {
 		outcome = placement.Inconclusive
 	}
+	x.endFailedHandover(placer, a, err, outcome, x.refusedHandovers)
+	x.nextHandoverAt = x.config.Now().Add(handoverRetryDelay)
+	x.request.Trace.HandoverFailed(HandoverPause, a.number, from.agent.ID, a.agent.ID, err)
+}
+
+// endFailedHandover records the outcome of an attempt that did not take over the request.
+// It adds the server to refused if the attempt provably did not run.
+func (x *execution) endFailedHandover(placer *placement.Placer, a *agentAttempt, err error, outcome placement.Outcome, refused map[core.InstanceID]bool) {
 	x.endAttempt(placer, a, err, outcome)
+	if a.unsent {
+		// No server got the request, so the attempt takes no retry from the budget.
+		placer.ReturnRetries(1)
+	}
 	if core.ExecutionOf(err) == core.ExecutionNotRun {
-		x.refusedHandovers[a.agent.ID] = true
+		refused[a.agent.ID] = true
 	} else {
 		x.triedAgents[a.agent.ID] = true
 	}
-	x.nextHandoverAt = x.config.Now().Add(handoverRetryDelay)
-	x.request.Trace.HandoverFailed(a.number, from.agent.ID, a.agent.ID, err)
 }
 
-// pickHandoverTarget picks a server other than from that does not pause before
-// until.
-func (x *execution) pickHandoverTarget(ctx context.Context, placer *placement.Placer, from core.InstanceID, until time.Time) (placement.Candidate, error) {
+// pickSuccessor picks a server other than from that does not pause before until and is
+// not in excluded.
+func (x *execution) pickSuccessor(ctx context.Context, placer *placement.Placer, from core.InstanceID, until time.Time, excluded map[core.InstanceID]bool) (placement.Candidate, error) {
 	if ctx.Err() != nil {
 		return placement.Candidate{}, ctx.Err()
 	}
 	var targets []placement.Candidate
 	for _, c := range x.candidates() {
-		if c.ID != from && !x.triedAgents[c.ID] && !x.refusedHandovers[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
+		if c.ID != from && !x.triedAgents[c.ID] && !excluded[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
 			targets = append(targets, c)
 		}
 	}
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -90,7 +90,7 @@
 	if x.output.sentBytes > 0 && !x.output.canResume() {
 		return core.NewFailure(core.CodeStreamBroken, core.ExecutionUnknown, "the stream broke after %d bytes: %s", x.output.sentBytes, core.DetailOf(lastErr))
 	}
-	if x.request.TakePaidRetry != nil && x.request.TakePaidRetry() || placer.WithdrawRetry() {
+	if placer.WithdrawRetry() {
 		return nil
 	}
 	if !isTemporaryRefusal(lastErr) {
--- /dev/null
+++ b/requests/dispatch/silence.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
+)
+
+const (
+	// stallGrace is the time for frames that have arrived while this process was paused
+	// and are still to be read.
+	stallGrace = 50 * time.Millisecond
+	// contenderCheckPeriod is how often a request at a silent server looks for another
+	// one while there is none.
+	contenderCheckPeriod = 100 * time.Millisecond
+)
+
+// errOvertaken ends an attempt because another one has sent data first.
+var errOvertaken = errors.New("another server sent data first")
+
+// race is a request at a silent server while other servers are asked to continue it. The
+// first attempt that receives data serves the request. All of them stay open until then,
+// since the silent server may go on and the others may refuse, fail or fall silent too.
+type race struct {
+	*execution
+	placer *placement.Placer
+	// silent is the attempt at the silent server, and failure the result with which it
+	// has failed meanwhile, or nil.
+	silent  *agentAttempt
+	failure *frameResult
+	// contenders are the attempts at other servers. Each sends one value to began. Both
+	// are nil until another server is asked.
+	contenders map[*agentAttempt]bool
+	began      chan beginning
+	// refused holds the servers that have refused the request during this race.
+	refused map[core.InstanceID]bool
+}
+
+// beginning says that an attempt received its first data, or why it did not.
+type beginning struct {
+	attempt *agentAttempt
+	err     error
+}
+
+// nextFrame returns the next checked frame of an attempt. If its server is silent, others
+// are asked to continue the request: nextFrame then returns the frame of a, or an error
+// once x.successor holds the attempt that continues the request.
+func (x *execution) nextFrame(ctx context.Context, placer *placement.Placer, a *agentAttempt) (wire.AnswerFrame, error) {
+	if len(a.held) > 0 {
+		reply := a.held[0]
+		a.held = a.held[1:]
+		return reply, nil
+	}
+	if x.request.AtMostOnce {
+		return a.readFrame()
+	}
+	result := x.awaitFrame(ctx, placer, a)
+	return result.reply, result.err
+}
+
+// awaitFrame reads the next frame and asks other servers while it does not arrive.
+func (x *execution) awaitFrame(ctx context.Context, placer *placement.Placer, a *agentAttempt) frameResult {
+	r := race{execution: x, placer: placer, silent: a}
+	timer := x.newSilenceTimer(a)
+	defer timer.Stop()
+	stalled := a.stream.Stalled()
+	a.startRead()
+	for {
+		select {
+		case result := <-a.frames:
+			a.isReading = false
+			if !result.isFailure() || len(r.contenders) == 0 {
+				discardReport(a.stream.Stalled())
+				r.abandonAll()
+				return result
+			}
+			r.failure = &result
+		case <-stalled:
+			stalled = nil
+			timer.Reset(max(x.untilStallTimeout(a), stallGrace))
+		case <-timer.C:
+			timer.Reset(r.ask(ctx))
+		case b := <-r.began:
+			if b.err == nil {
+				return r.succeed(b.attempt)
+			}
+			r.abandon(ctx, b)
+			if r.failure != nil && len(r.contenders) == 0 {
+				return *r.failure
+			}
+			if core.ExecutionOf(b.err) == core.ExecutionNotRun {
+				timer.Reset(0)
+			}
+		}
+	}
+}
+
+// discardReport removes the report of a stall that is over.
+func discardReport(stalled <-chan struct{}) {
+	select {
+	case <-stalled:
+	default:
+	}
+}
+
+// isFailure reports whether the attempt has ended without an answer.
+func (r frameResult) isFailure() bool {
+	return r.err != nil || r.reply.End != nil && r.reply.End.Code != core.CodeOK
+}
+
+// newSilenceTimer returns a timer for the time after which a server counts as silent,
+// whatever other requests at the server receive. Without such a time it never fires.
+func (x *execution) newSilenceTimer(a *agentAttempt) *time.Timer {
+	timeout := x.request.IdleTimeout
+	if a.answer.isEmpty() {
+		timeout = x.startTimeout()
+	}
+	timer := time.NewTimer(timeout + stallGrace)
+	if timeout <= 0 {
+		timer.Stop()
+	}
+	return timer
+}
+
+// untilStallTimeout returns the time until other servers are asked to continue a request
+// at a stalled one. A caller who has received a part of the answer is kept waiting a little
+// longer: the server may go on soon, and the attempts of a request are few.
+func (x *execution) untilStallTimeout(a *agentAttempt) time.Duration {
+	if x.output.sentBytes == 0 {
+		return 0
+	}
+	return a.lastFrameAt.Add(x.request.StallTimeout).Sub(x.config.Now())
+}
+
+// beginAnswer sends an attempt and receives its answer up to the first data.
+func (x *execution) beginAnswer(b *agentAttempt) error {
+	if err := x.send(b); err != nil {
+		return err
+	}
+	return x.holdFirstData(b)
+}
+
+// ask asks another server to continue the request, if there is one, and returns the time
+// until the next one is asked.
+func (r *race) ask(ctx context.Context) time.Duration {
+	if !r.mayAsk() {
+		return contenderCheckPeriod
+	}
+	target, err := r.pickSuccessor(ctx, r.placer, r.silent.agent.ID, r.config.Now(), r.refused)
+	if err != nil {
+		// Servers that have refused the request may accept it now.
+		clear(r.refused)
+		return contenderCheckPeriod
+	}
+	if !r.placer.WithdrawRetry() {
+		r.placer.Finish(r.config.Now(), target.ID, placement.Inconclusive, 0, 0)
+		return contenderCheckPeriod
+	}
+	r.start(ctx, target)
+	if timeout := r.startTimeout(); timeout > 0 {
+		return timeout
+	}
+	return r.request.handoverTimeout()
+}
+
+// start sends an attempt to another server.
+func (r *race) start(ctx context.Context, target placement.Candidate) {
+	if r.began == nil {
+		r.began, r.contenders, r.refused = make(chan beginning), map[*agentAttempt]bool{}, map[core.InstanceID]bool{}
+	}
+	b := r.newAttempt(target)
+	r.beginAttempt(b)
+	r.contenders[b] = true
+	b.ctx, b.cancel = r.attemptContext(ctx)
+	go func() { r.began <- beginning{b, r.beginAnswer(b)} }()
+}
+
+// mayAsk reports whether another server may get the request.
+func (r *race) mayAsk() bool {
+	return (r.output.sentBytes == 0 || r.output.canResume()) && r.hasAttemptsLeft() && r.output.sinkErr == nil
+}
+
+// succeed makes b the attempt that continues the request.
+func (r *race) succeed(b *agentAttempt) frameResult {
+	delete(r.contenders, b)
+	r.abandonAll()
+	r.silent.isSilent = true
+	r.successor = b
+	r.request.Trace.HandedOver(HandoverSilence, r.silent.agent.ID, b.agent.ID)
+	return frameResult{err: incompleteError("%s continues the request of this silent server", b.agent.ID)}
+}
+
+// abandonAll ends all contenders. They may be at sound servers.
+func (r *race) abandonAll() {
+	for b := range r.contenders {
+		b.cancel()
+	}
+	for len(r.contenders) > 0 {
+		b := <-r.began
+		if core.ExecutionOf(b.err) != core.ExecutionNotRun {
+			b.err = core.Wrap(errOvertaken, core.CodeCancelled, core.ExecutionUnknown, "the attempt was abandoned")
+		}
+		r.end(b, placement.Inconclusive)
+	}
+}
+
+// abandon ends a contender that has failed.
+func (r *race) abandon(ctx context.Context, b beginning) {
+	r.end(b, outcomeOf(ctx, b.err, b.attempt))
+}
+
+func (r *race) end(b beginning, outcome placement.Outcome) {
+	delete(r.contenders, b.attempt)
+	b.attempt.cancel()
+	if b.attempt.stream != nil {
+		b.attempt.stream.Cancel()
+	}
+	r.endFailedHandover(r.placer, b.attempt, b.err, outcome, r.refused)
+	r.request.Trace.HandoverFailed(HandoverSilence, b.attempt.number, r.silent.agent.ID, b.attempt.agent.ID, b.err)
+}
--- a/requests/dispatch/trace.go
+++ b/requests/dispatch/trace.go
@@ -14,17 +14,29 @@
 	// Failed reports an attempt without a complete answer. willRetry means that
 	// another attempt follows.
 	Failed(attempt int, server core.InstanceID, err error, willRetry bool)
-	// HandedOver reports that a server continues the stream of one that pauses.
-	HandedOver(from, to core.InstanceID)
-	// HandoverFailed reports an attempt that did not take over the stream of a server
-	// that pauses. The stream goes on there.
-	HandoverFailed(attempt int, from, to core.InstanceID, err error)
+	// HandedOver reports that a server continues the request of another one.
+	HandedOver(reason HandoverReason, from, to core.InstanceID)
+	// HandoverFailed reports an attempt that did not take over the request of another
+	// server. The request goes on there, unless that attempt has failed as well.
+	HandoverFailed(reason HandoverReason, attempt int, from, to core.InstanceID, err error)
 }
 
+// HandoverReason says why a request should leave its server.
+type HandoverReason string
+
+// Reasons of handovers.
+const (
+	// HandoverPause means that the server pauses to load weights.
+	HandoverPause HandoverReason = "pause"
+	// HandoverSilence means that the server sends nothing.
+	HandoverSilence HandoverReason = "silence"
+)
+
 // noTrace discards all decisions. It is used for requests without a trace.
 type noTrace struct{}
 
 func (noTrace) Placed(int, placement.Candidate, int, int64)                 {}
 func (noTrace) Failed(int, core.InstanceID, error, bool)                    {}
-func (noTrace) HandedOver(core.InstanceID, core.InstanceID)                 {}
-func (noTrace) HandoverFailed(int, core.InstanceID, core.InstanceID, error) {}
+func (noTrace) HandedOver(HandoverReason, core.InstanceID, core.InstanceID) {}
+func (noTrace) HandoverFailed(HandoverReason, int, core.InstanceID, core.InstanceID, error) {
+}
--- a/requests/dispatch/validator.go
+++ b/requests/dispatch/validator.go
@@ -26,6 +26,9 @@
 	return &answerValidator{requestID: requestID, hasher: blake3.New()}
 }
 
+// isEmpty reports whether no frame was accepted yet.
+func (a *answerValidator) isEmpty() bool { return !a.admitted && a.header == nil && a.end == nil }
+
 // accept checks the next frame. After an error the answer must not be used.
 func (a *answerValidator) accept(reply wire.AnswerFrame) error {
 	if a.end != nil {
--- a/requests/proof/network_test.go
+++ b/requests/proof/network_test.go
@@ -13,6 +13,7 @@
 
 // rpc is one streaming call from an entry to an agent.
 type rpc struct {
+	dispatch.Unobserved
 	entry     *fakeEntry
 	agent     *fakeAgent
 	ctx       context.Context
--- a/requests/stall/stall.go
+++ b/requests/stall/stall.go
@@ -1,8 +1,8 @@
 // Package stall detects backend servers that have stopped sending. A server sends an
 // event on each active stream every few dozen milliseconds. When it sends nothing
-// on any stream for much longer, it has failed or is unreachable, and its requests
-// can continue at other servers long before their own timeouts. The package has
-// no clock.
+// on any stream for much longer, it may have failed, be unreachable or go on soon. Other
+// servers can then be asked to continue its requests long before their own timeouts. The
+// package has no clock.
 package stall
 
 import (
@@ -38,7 +38,7 @@
 type TrackedRequest struct {
 	detector    *Detector
 	id          core.InstanceID
-	cancel      func()
+	report      func()
 	hasActivity bool
 }
 
@@ -47,18 +47,18 @@
 	Server core.InstanceID
 	// IdleTime is the time since data last arrived.
 	IdleTime time.Duration
-	// Cancels cancel the requests at the server, so that they can continue at
-	// other servers.
-	Cancels []func()
+	// Reports report the stall to the requests at the server that other servers can
+	// continue.
+	Reports []func()
 }
 
 // NewDetector returns a Detector without requests.
 func NewDetector() *Detector { return &Detector{servers: map[core.InstanceID]*serverActivity{}} }
 
 // Track starts to track a request that was sent to a server, which counts as stalled
-// after timeout, but at least MinTimeout, without data. cancel cancels the request when
-// the server stalls; it is nil for requests that cannot continue at another server.
-func (d *Detector) Track(now time.Time, id core.InstanceID, timeout time.Duration, cancel func()) *TrackedRequest {
+// after timeout, but at least MinTimeout, without data. report is for StalledServer; it is
+// nil for requests that cannot continue at another server.
+func (d *Detector) Track(now time.Time, id core.InstanceID, timeout time.Duration, report func()) *TrackedRequest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.servers[id]
@@ -67,7 +67,7 @@
 		d.servers[id] = s
 	}
 	s.timeout = max(timeout, MinTimeout)
-	request := &TrackedRequest{detector: d, id: id, cancel: cancel}
+	request := &TrackedRequest{detector: d, id: id, report: report}
 	s.requests[request] = true
 	return request
 }
@@ -139,8 +139,8 @@
 		}
 		stalled := StalledServer{Server: id, IdleTime: idleTime}
 		for request := range s.requests {
-			if request.cancel != nil {
-				stalled.Cancels = append(stalled.Cancels, request.cancel)
+			if request.report != nil {
+				stalled.Reports = append(stalled.Reports, request.report)
 			}
 		}
 		s.lastActivity = now
