--- a/requests/dispatch/silence_test.go
+++ b/requests/dispatch/silence_test.go
@@ -131,6 +131,28 @@
 	})
 }
 
+// The time for which a handover had kept the stream unread counted as silence of its server.
+func TestTimeOfAFailedHandoverDoesNotCountAsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, request := newStreamRun(t, "abc", serverBehaviour{isSilent: true})
+		request.MaxAttempts, request.IdleTimeout = 3, DefaultHandoverTimeout/2
+		handovers := 0
+		request.PauseStart = func(core.InstanceID) time.Time {
+			handovers++
+			if handovers > 1 {
+				return time.Time{}
+			}
+			return time.Now()
+		}
+		var out gapSink
+		require.NoError(t, r.Do(t.Context(), request, &out))
+		require.Equal(t, r.fleet.text, out.String())
+		require.Equal(t, DefaultHandoverTimeout, out.longestGap)
+		require.Equal(t, 2, r.fleet.sent)
+		r.requireNothingLeaks(t)
+	})
+}
+
 // A request that had not begun at a silent server ended with an error when all other
 // servers refused it.
 func TestRequestThatWaitsAtASilentServerIsAnsweredIfAllOthersRefuse(t *testing.T) {
