Streams: only an event stream with the same status continues a begun stream

Seen by callers: in the middle of a stream, the text of an error; or the end of the stream as if it were complete.

Cause: an answer to the request that continues a stream needed a success status, a signature and the request's id. A 200 with text/plain or application/json was read as events, so that its text reached the caller if it held a blank line; a 201 or 206 was too, and a 202 or 204 without a body ended the caller's stream as complete.

The answer must now have the status of the answer that began the stream, and its content type must be text/event-stream or the one that began the stream; else the attempt fails and the stream continues elsewhere or is aborted.

--- /dev/null
+++ b/requests/direct/continuation.go
@@ -0,0 +1,28 @@
+package direct
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"currantusher.dev/requests/eventstream"
+)
+
+// checkContinuation rejects an answer that cannot be the rest of the stream whose head the
+// caller already has.
+func (s *replyStream) checkContinuation() error {
+	begun := s.exchange.answerHead
+	if s.response.StatusCode != begun.StatusCode {
+		return fmt.Errorf("%s answered %d to a stream that has begun", s.server, s.response.StatusCode)
+	}
+	if got := mediaType(s.response); got != eventstream.MediaType && got != mediaType(begun) {
+		return fmt.Errorf("%s answered with content type %q to a stream that has begun", s.server, got)
+	}
+	return nil
+}
+
+// mediaType returns the content type of an answer without parameters, or "".
+func mediaType(response *http.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -181,11 +181,10 @@
 	if err := s.checkAnswerHeader(); err != nil {
 		return wire.AnswerFrame{}, err
 	}
-	if !s.exchange.firstByteAt.IsZero() && !isSuccess(response) {
-		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d to a stream that has begun", s.server, response.StatusCode)
-	}
 	if s.exchange.firstByteAt.IsZero() {
 		s.exchange.answerHead = response
+	} else if err := s.checkContinuation(); err != nil {
+		return wire.AnswerFrame{}, err
 	}
 	return wire.AnswerFrame{Header: &wire.AnswerHeader{
 		RequestID:   s.exchange.request.ID,
--- a/requests/eventstream/eventstream.go
+++ b/requests/eventstream/eventstream.go
@@ -7,6 +7,9 @@
 	"fmt"
 )
 
+// MediaType is the content type of an event stream.
+const MediaType = "text/event-stream"
+
 const (
 	// MaxEventBytes bounds the incomplete event that is held until its end arrives.
 	MaxEventBytes = 64 << 10
