Streams: only events with increasing ids continue a begun stream

Seen by callers: in the middle of a stream the text of an error, at times with its status line and headers, or events that they had before.

Cause: the events of an answer that continues a stream were passed on as they came. A body that holds an HTTP head or a plain text was cut at blank lines like events, and nobody compared the ids with the last event that was passed on, so that a server that ignores Last-Event-Id or answers with other events repeated parts of the stream.

eventstream.Continuation now checks each event of a continuation: its id is a number greater than the one before, its lines are fields of events, and it is no error event. Anything else fails the attempt; the stream continues elsewhere or is aborted. Blocks that only hold comments or retry times say nothing about the stream and are left out. An event that skips ids is accepted: ids need only increase. The first answer is passed on as its server sent it.

--- a/requests/direct/continuation_test.go
+++ b/requests/direct/continuation_test.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -107,6 +109,34 @@
 	{"not HTTP/1", strings.Replace(withLength(eventAnswerHead, restEvents), "HTTP/1.1", "HTTP/2.0", 1), "", false},
 }
 
+// eventContinuations differ in their events.
+var eventContinuations = []continuation{
+	{"rest with a version line", withLength(eventAnswerHead, "x-version: 3\n"+restEvents), "x-version: 3\n" + restEvents, true},
+	{"rest with CR and LF", withLength(eventAnswerHead, strings.ReplaceAll(restEvents, "\n", "\r\n")), strings.ReplaceAll(restEvents, "\n", "\r\n"), true},
+	{"rest with CR", withLength(eventAnswerHead, strings.ReplaceAll(restEvents, "\n", "\r")), strings.ReplaceAll(restEvents, "\n", "\r"), true},
+	{"rest of more digits", withLength(eventAnswerHead, "id: 10\ndata: c\n\n"), "id: 10\ndata: c\n\n", true},
+	{"error head as events", withLength(eventAnswerHead, "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed\n\n"), "", false},
+	{"error head after events", eventAnswerHead + "\r\n" + restEvents + "HTTP/1.1 500 No\r\nX-Id: r-1\r\n\r\n", restEvents, false},
+	{"error head with the id of an event", withLength(eventAnswerHead, "HTTP/1.1 500 No\r\nid: 7\r\n\r\n"), "", false},
+	{"error text", withLength(eventAnswerHead, "the worker failed\n\n"), "", false},
+	{"error text before an event", withLength(eventAnswerHead, "the worker failed\n"+restEvents), "", false},
+	{"error as data", withLength(eventAnswerHead, "data: {\"error\":\"overloaded\"}\n\n"), "", false},
+	{"error event", withLength(eventAnswerHead, "event: error\ndata: failed\n\n"), "", false},
+	{"error event with an id", withLength(eventAnswerHead, "id: 7\nevent: error\ndata: failed\n\n"), "", false},
+	{"error event after events", withLength(eventAnswerHead, restEvents+"event: error\ndata: failed\n\n"), restEvents, false},
+	{"stream from the start", withLength(eventAnswerHead, "id: 1\ndata: x\n\n"+begunEvents+restEvents), "", false},
+	{"last event again", withLength(eventAnswerHead, "id: 6\ndata: b\n\n"+restEvents), "", false},
+	{"last event again with a zero", withLength(eventAnswerHead, "id: 06\ndata: b\n\n"+restEvents), "", false},
+	{"event repeated later", withLength(eventAnswerHead, restEvents+"id: 8\ndata: d\n\n"), restEvents, false},
+	{"lower id later", withLength(eventAnswerHead, restEvents+"id: 7\ndata: d\n\n"), restEvents, false},
+	{"id without a number", withLength(eventAnswerHead, "id: next\ndata: c\n\n"), "", false},
+	{"negative id", withLength(eventAnswerHead, "id: -7\ndata: c\n\n"), "", false},
+	{"event without an id", withLength(eventAnswerHead, "data: c\n\n"+restEvents), "", false},
+	{"event with an empty id", withLength(eventAnswerHead, "id:\ndata: c\n\n"+restEvents), "", false},
+	{"later event without an id", withLength(eventAnswerHead, restEvents+"data: e\n\n"), restEvents, false},
+	{"byte order mark", withLength(eventAnswerHead, "\uFEFF"+restEvents), "", false},
+}
+
 // errorStatuses are answered with and without a statement that the request did not run.
 var errorStatuses = []string{"300", "302", "307", "400", "401", "404", "408", "409", "410", "412", "413", "421", "429", "431", "500", "502", "503", "504", "599"}
 
@@ -147,6 +177,12 @@
 	testContinuations(t, headContinuations)
 }
 
+// The caller got an error's text or head, events for the second time or those of another
+// run as the rest of its stream.
+func TestOnlyTheFollowingEventsContinueAStream(t *testing.T) {
+	testContinuations(t, eventContinuations)
+}
+
 func TestErrorStatusDoesNotContinueAStream(t *testing.T) {
 	for _, status := range errorStatuses {
 		for name, fields := range map[string]string{
@@ -160,6 +196,27 @@
 	}
 }
 
+// FuzzContinuation checks that whatever the next server answers, the caller gets whole
+// events with increasing ids after those of the first server.
+func FuzzContinuation(f *testing.F) {
+	for _, c := range slices.Concat(headContinuations, eventContinuations) {
+		f.Add([]byte(c.answer))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		recorder, err := dispatchStream(t, nil, serveRawAnswer(t, brokenAnswer), serveRawAnswer(t, string(answer)))
+		body := recorder.Body.Bytes()
+		require.True(t, bytes.HasPrefix(body, []byte(begunEvents)))
+		requireIncreasingIDs(t, string(body))
+		if err == nil {
+			require.True(t, isSuccessHead(answer))
+		}
+	})
+}
+
+// isSuccessHead reports whether an answer has the status of a success somewhere, since
+// informational answers may come first.
+func isSuccessHead(answer []byte) bool { return bytes.Contains(answer, []byte(" 200")) }
+
 // requireIncreasingIDs checks that text is a series of whole events, each with an id that
 // is greater than the one before.
 func requireIncreasingIDs(t *testing.T, text string) {
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -10,6 +10,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
@@ -205,6 +206,9 @@
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
 	}
 	s := &replyStream{exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone, sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID()}
+	if s.lastEventID != "" {
+		s.continuation = eventstream.NewContinuation(s.lastEventID)
+	}
 	s.open()
 	if s.isHandover && e.reading != nil {
 		e.reading.attemptObserver.Suspended()
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -55,7 +55,9 @@
 
 	response *http.Response
 	splitter eventstream.Splitter
-	buffer   []byte
+	// continuation is set if the answer continues a stream after an event.
+	continuation *eventstream.Continuation
+	buffer       []byte
 	// sentAt is when the request was written.
 	sentAt time.Time
 	// lastEventAt is when the last whole event or, before the first one, the head was
@@ -326,6 +328,9 @@
 		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.splitter.Feed(s.buffer[:n])
+	if err == nil && s.continuation != nil {
+		events, err = s.continuation.Accept(events)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
