Answers: a content encoding after an empty one is not overlooked

A caller could get an encoded body, in the middle of a stream too, because only the first Content-Encoding header of an answer was checked. Without the fix the case "second content encoding" of TestAnswerThatIsNoEventStreamDoesNotContinueAStream fails: the events of an answer with "Content-Encoding:" and "Content-Encoding: gzip" continue the stream. All values are checked now.

--- a/requests/direct/continuation_test.go
+++ b/requests/direct/continuation_test.go
@@ -104,6 +104,7 @@
 	{"no request id", strings.Replace(withLength(eventAnswerHead, restEvents), "X-Id: r-1\r\n", "", 1), "", false},
 	{"no signature", strings.Replace(withLength(eventAnswerHead, restEvents), "X-Seal: s\r\n", "", 1), "", false},
 	{"content encoding", withLength(eventAnswerHead+"Content-Encoding: gzip\r\n", restEvents), "", false},
+	{"second content encoding", withLength(eventAnswerHead+"Content-Encoding:\r\nContent-Encoding: gzip\r\n", restEvents), "", false},
 	{"refused", "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull", "", false},
 	{"misdirected", "HTTP/1.1 421 No\r\nX-Server: s-9\r\nContent-Length: 0\r\n\r\n", "", false},
 	{"not HTTP/1", strings.Replace(withLength(eventAnswerHead, restEvents), "HTTP/1.1", "HTTP/2.0", 1), "", false},
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -289,7 +290,7 @@
 // itself: they have a content encoding, or lack the signature.
 func (s *replyStream) checkAnswerHeader() error {
 	header := s.response.Header
-	if encoding := header.Get("Content-Encoding"); encoding != "" {
+	if encoding := strings.Join(header.Values("Content-Encoding"), ""); encoding != "" {
 		return fmt.Errorf("%s answered with content encoding %q, want none", s.server, encoding)
 	}
 	if isSuccess(s.response) && header.Get(s.exchange.headerNames.Signature) == "" {
