Streams: a stream is resumed only after an event with a number

Seen by callers: events twice, as pieces of two runs joined.

Cause: if no event had an id, a broken stream was sent to the next server without Last-Event-Id, and the events of its new run, from the first on, followed those that the caller had. Ids that are no numbers took an attempt whose events could not be compared.

Evidence: with this test and without the fix, the cases "no ids", "empty ids" and "no id after a comment" of TestStreamIsResumedOnlyAfterANumberedEvent end without an error (expected code 307, stream-broken; actual 0).

Exchange.CanResume tells the dispatcher whether the last id that was passed on is a number, or no event was passed on yet. Otherwise the broken stream is aborted, and it is not handed over from a server that pauses.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -239,6 +239,7 @@
 		startBy = c.startedAt.Add(time.Duration(dispatchFraction * float64(c.route.LatencyObjective)))
 	}
 	return dispatch.Request{
+		CanResume:         exchange.CanResume,
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
--- a/requests/direct/continuation.go
+++ b/requests/direct/continuation.go
@@ -21,6 +21,13 @@
 	return nil
 }
 
+// CanResume reports whether another server can continue the stream exactly after the events
+// that were passed on.
+func (e *Exchange) CanResume() bool {
+	s := e.reading
+	return s == nil || !s.hasEvent || eventstream.IsNumber(s.lastEventID)
+}
+
 // mediaType returns the content type of an answer without parameters, or "".
 func mediaType(response *http.Response) string {
 	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
--- a/requests/direct/continuation_test.go
+++ b/requests/direct/continuation_test.go
@@ -46,7 +46,7 @@
 		TombstoneTimeout: time.Millisecond,
 	})
 	request := dispatch.Request{
-		ID: "r-1", Stream: true, Deadline: time.Now().Add(testTimeout), Sender: e, MaxAttempts: len(addrs),
+		ID: "r-1", Stream: true, Deadline: time.Now().Add(testTimeout), Sender: e, CanResume: e.CanResume, MaxAttempts: len(addrs),
 		Candidates: func() []placement.Candidate { return servers[min(e.Attempts(), len(servers)-1):][:1] },
 	}
 	if change != nil {
@@ -221,6 +221,32 @@
 	}
 }
 
+// A stream whose events had no ids was sent again from its start, and the caller got them
+// twice.
+func TestStreamIsResumedOnlyAfterANumberedEvent(t *testing.T) {
+	for name, c := range map[string]struct{ begun, next, want string }{
+		"no ids":                  {"data: a\n\n", "data: a\n\ndata: b\n\n", ""},
+		"empty ids":               {"id:\ndata: a\n\n", "id:\ndata: a\n\nid:\ndata: b\n\n", ""},
+		"no number":               {"id: one\ndata: a\n\n", "id: two\ndata: b\n\n", ""},
+		"a number":                {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"nothing but a comment":   {": working\n\n", "id: 1\ndata: a\n\n", ": working\n\nid: 1\ndata: a\n\n"},
+		"no id after a comment":   {": working\n\ndata: a\n\n", "data: a\n\n", ""},
+		"a number, no id, and on": {"id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n", "id: 4\ndata: d\n\n", "id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := serveRawAnswer(t, eventAnswerHead+"\r\n"+c.begun+"id: 9\nda")
+			recorder, err := dispatchStream(t, nil, first, serveRawAnswer(t, withLength(eventAnswerHead, c.next)))
+			if c.want == "" {
+				require.Equal(t, core.CodeStreamBroken, core.CodeOf(err))
+				require.Equal(t, c.begun, recorder.Body.String())
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.want, recorder.Body.String())
+		})
+	}
+}
+
 // FuzzContinuation checks that whatever the next server answers, the caller gets whole
 // events with increasing ids after those of the first server.
 func FuzzContinuation(f *testing.F) {
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -56,6 +56,8 @@
 
 	response *http.Response
 	splitter eventstream.Splitter
+	// hasEvent is set once Recv has returned an event.
+	hasEvent bool
 	// continuation is set if the answer continues a stream after an event.
 	continuation *eventstream.Continuation
 	buffer       []byte
@@ -348,6 +350,7 @@
 	if id != "" {
 		s.lastEventID = id
 	}
+	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
 	return events, nil
 }
 
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -158,6 +158,9 @@
 	// retry by the caller counts as a separate request. An unclaimed stream is
 	// cancelled when the caller disconnects.
 	Unclaimed bool
+	// CanResume, if set, reports whether the sender can continue the stream after the data
+	// that was passed on.
+	CanResume func() bool
 	// PauseStart returns when a server stops accepting requests for a short time,
 	// or the zero time when no pause is announced. Resumable streams are then
 	// handed over to another server; if PauseStart is nil, they finish at the
--- a/requests/dispatch/output.go
+++ b/requests/dispatch/output.go
@@ -40,7 +40,10 @@
 // canResume reports whether a stream may continue at another agent. It may not
 // after corrupt bytes were sent, because they cannot be recalled.
 func (o *output) canResume() bool {
-	return o.request.Stream && !o.request.AtMostOnce && !o.corruptSent
+	if !o.request.Stream || o.request.AtMostOnce || o.corruptSent {
+		return false
+	}
+	return o.request.CanResume == nil || o.request.CanResume()
 }
 
 // checkWeights returns an error if the weights are not those of the request, so that a
--- a/requests/eventstream/continuation.go
+++ b/requests/eventstream/continuation.go
@@ -45,6 +45,18 @@
 	return accepted, nil
 }
 
+// HasEvent reports whether complete events have more than comments and retry times.
+func HasEvent(events []byte) bool {
+	for len(events) > 0 {
+		var event []byte
+		event, events = cutEvent(events)
+		if _, isEmpty, err := parseEvent(event); err != nil || !isEmpty {
+			return true
+		}
+	}
+	return false
+}
+
 // cutEvent returns the first of the given complete events and the others.
 func cutEvent(events []byte) (event, others []byte) {
 	var s scanner
--- a/requests/eventstream/continuation_test.go
+++ b/requests/eventstream/continuation_test.go
@@ -84,3 +84,12 @@
 		}
 	}
 }
+
+func TestCommentsAndRetryTimesAreNoEvents(t *testing.T) {
+	for text, hasEvent := range map[string]bool{
+		"": false, "\n\r\n": false, ": a\n\n": false, "retry: 5\n\n: a\n\n": false,
+		"data: a\n\n": true, ": a\n\nid: 1\n\n": true, "text\n\n": true, "event: error\n\n": true,
+	} {
+		require.Equal(t, hasEvent, HasEvent([]byte(text)), "%q", text)
+	}
+}
