--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -146,11 +146,20 @@
 		_, _, err := receive(t, newExchange(), serveRawAnswer(t, okAnswerHead+"\r\n"))
 		require.Error(t, err)
 	}
-	e := newTestExchange(fleet.RouteStreaming)
-	e.lastEventID = "6"
-	_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\n"))
-	require.NoError(t, err, "nothing was left after the last event")
-	require.Equal(t, core.CodeOK, end.Code)
+	for _, c := range []struct {
+		rest       string
+		isComplete bool
+	}{{"\r\n", false}, {"Content-Length: 0\r\n\r\n", true}, {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true}} {
+		e := newTestExchange(fleet.RouteStreaming)
+		e.lastEventID = "6"
+		_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+c.rest))
+		if !c.isComplete {
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			continue
+		}
+		require.NoError(t, err, "the server said that nothing was left after the last event")
+		require.Equal(t, core.CodeOK, end.Code)
+	}
 }
 
 func TestEndlessEventIsAbandoned(t *testing.T) {
@@ -335,6 +344,7 @@
 		resumedAfter <- r.Header.Get("Last-Event-Id")
 		w.Header().Set("X-Id", "r-1")
 		w.Header().Set("X-Seal", "s")
+		w.Header().Set("Content-Type", eventstream.MediaType)
 		_, _ = io.WriteString(w, secondEvent)
 	}))
 	defer sound.Close()
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -10,6 +10,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/upstream"
@@ -124,6 +125,8 @@
 	lastFailure *Failure
 	// lastEventID is the id of the last complete event that was selected, or "".
 	lastEventID string
+	// hasEvent is set once an event was selected.
+	hasEvent    bool
 	firstByteAt time.Time
 
 	// mu guards the fields that several attempts use at a time.
@@ -212,7 +215,13 @@
 	}
 	s := &replyStream{
 		exchange: e, conn: conn, server: server.ID, addr: server.Addr, lifetime: lifetime, stopCloseOnDone: stopCloseOnDone,
-		sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID, continuesAnswer: !e.firstByteAt.IsZero(), stalled: make(chan struct{}, 1),
+		sentAt: sentAt, hasher: newHasher(), lastEventID: e.lastEventID, stalled: make(chan struct{}, 1),
+	}
+	if !e.firstByteAt.IsZero() {
+		s.begunHead = e.answerHead
+	}
+	if s.lastEventID != "" {
+		s.continuation = eventstream.NewContinuation(s.lastEventID)
 	}
 	s.open()
 	var cancel, stalled func()
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -48,9 +49,8 @@
 	// lastEventID is the id of the last complete event that Recv returned, or of the one
 	// after which the stream was resumed.
 	lastEventID string
-	// continuesAnswer is set if the caller had received a part of the answer when the
-	// attempt was sent.
-	continuesAnswer bool
+	// begunHead is the head that the caller had received when the attempt was sent, or nil.
+	begunHead *http.Response
 	// stalled holds a value after reportStalled.
 	stalled chan struct{}
 	// failure is the answer if it is a server error, or nil.
@@ -62,7 +62,11 @@
 
 	response *http.Response
 	splitter eventstream.Splitter
-	buffer   []byte
+	// hasEvent is set once Recv has returned an event.
+	hasEvent bool
+	// continuation is set if the answer continues a stream after an event.
+	continuation *eventstream.Continuation
+	buffer       []byte
 	// sentAt is when the request was written.
 	sentAt       time.Time
 	nextSequence uint64
@@ -98,6 +102,7 @@
 		e.lastFailure = s.failure
 	}
 	e.lastEventID = s.lastEventID
+	e.hasEvent = e.hasEvent || s.hasEvent
 	e.answerLength = s.length
 	e.lastServer = s.server
 }
@@ -201,8 +206,8 @@
 	if err := s.checkAnswerHeader(); err != nil {
 		return wire.AnswerFrame{}, err
 	}
-	if s.continuesAnswer && !isSuccess(response) {
-		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d to a stream that has begun", s.server, response.StatusCode)
+	if err := s.checkContinuation(); err != nil {
+		return wire.AnswerFrame{}, err
 	}
 	return wire.AnswerFrame{Header: &wire.AnswerHeader{
 		RequestID:   s.exchange.request.ID,
@@ -305,7 +310,7 @@
 // itself: they have a content encoding, or lack the signature.
 func (s *replyStream) checkAnswerHeader() error {
 	header := s.response.Header
-	if encoding := header.Get("Content-Encoding"); encoding != "" {
+	if encoding := strings.Join(header.Values("Content-Encoding"), ""); encoding != "" {
 		return fmt.Errorf("%s answered with content encoding %q, want none", s.server, encoding)
 	}
 	if isSuccess(s.response) && header.Get(s.exchange.headerNames.Signature) == "" {
@@ -330,6 +335,9 @@
 		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.splitter.Feed(s.buffer[:n])
+	if err == nil && s.continuation != nil {
+		events, err = s.continuation.Accept(events)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -343,6 +351,7 @@
 	if id != "" {
 		s.lastEventID = id
 	}
+	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
 	return events, nil
 }
 
@@ -377,7 +386,7 @@
 	if s.splitter.PendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
 	}
-	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
+	if s.isEventStream() && s.length == 0 && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	if isSuccess(s.response) && s.length > 0 {
