Backend servers: an ended attempt does not close the connection of the next request

What callers saw: 502, or a stream that broke off, for a request whose server was sound. It is most likely where many attempts end with a refusal (421 while weights change, 503 of full servers) or a 500 while other requests go to the same server.

Cause: at the end frame the attempt returns its connection to the pool. The dispatcher cancels every attempt that ended with an error, also one with an end frame, and Cancel closed the connection, which another request may have taken in between. The cancel function that the stall detector holds had the same fault.

Evidence: found by reading receiveAnswer of requests/dispatch.

Why it works: the connection is marked as no longer used, under a lock, before it is returned. Cancel and abort close it only while it is marked as used.

--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -112,9 +112,12 @@
 	return s.endFrame()
 }
 
-// Cancel implements dispatch.ReplyStream.
+// Cancel implements dispatch.ReplyStream. After the end frame it does nothing: another
+// request may use the connection.
 func (s *replyStream) Cancel() {
-	s.markClosed()
+	if !s.markClosed() {
+		return
+	}
 	s.attemptObserver.Close()
 	s.stopCloseOnDone()
 	s.conn.Close()
@@ -129,14 +132,17 @@
 	e.openAttempts++
 }
 
-func (s *replyStream) markClosed() {
+// markClosed reports false if the connection was not in use any more.
+func (s *replyStream) markClosed() bool {
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !s.isClosed {
-		s.isClosed = true
-		e.openAttempts--
+	if s.isClosed {
+		return false
 	}
+	s.isClosed = true
+	e.openAttempts--
+	return true
 }
 
 // mayAbort reports whether the request can continue elsewhere if this attempt is
@@ -153,7 +159,13 @@
 
 // abort closes the connection unless the attempt has become the last one since.
 func (s *replyStream) abort() {
-	if s.mayAbort() {
+	if !s.mayAbort() {
+		return
+	}
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.isClosed {
 		s.conn.Close()
 	}
 }
