Backend servers: a refusal without an id on a kept connection is not trusted

What callers saw: 503 (not run, try again) for a request that its server ran, or an unsafe request that ran at a second server, when a server wrote a refusal of an earlier request once more on the connection.

Cause: an answer must echo the request id, but a refusal (421, or any status with the not-executed header) was accepted without one, on any connection.

Why it works: on the first request of a connection a refusal without an id can only belong to that request, and still counts. On a later one the outcome is now unknown. The protocol says that servers echo the id, so true refusals are not affected. A server that omits it on a kept connection costs an unsafe request a retry (502 instead).

--- a/requests/direct/kept_conn_test.go
+++ b/requests/direct/kept_conn_test.go
@@ -21,6 +21,12 @@
 
 // serveRequests reads the requests of each connection one after another and answers them.
 func serveRequests(t *testing.T, answer answerFunc) string {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) { answerRequests(conn, answer) })
+}
+
+// serveConns passes each connection to serve.
+func serveConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -31,7 +37,7 @@
 			if err != nil {
 				return
 			}
-			go answerRequests(conn, answer)
+			go serve(conn)
 		}
 	}()
 	return listener.Addr().String()
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -205,11 +205,11 @@
 	}}, nil
 }
 
-// checkRequestID rejects an answer that belongs to another request. A refusal
-// may omit the request id.
+// checkRequestID rejects an answer that may belong to another request. A refusal may omit
+// the request id if the connection has carried no other request.
 func (s *replyStream) checkRequestID() error {
 	got := s.response.Header.Get(s.exchange.headerNames.RequestID)
-	if got == s.exchange.request.ID || got == "" && s.isNotRun() {
+	if got == s.exchange.request.ID || got == "" && s.isNotRun() && s.conn.IsFirstRequest() {
 		return nil
 	}
 	return fmt.Errorf("%s answered request %q on the connection of %q", s.server, got, s.exchange.request.ID)
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -66,6 +66,8 @@
 	// awaitsAnswer is set from when a request is sent until its answer was read
 	// completely.
 	awaitsAnswer atomic.Bool
+	// sentRequests counts the requests that were sent.
+	sentRequests int
 	closeOnce    sync.Once
 }
 
@@ -106,6 +108,7 @@
 	}
 	c.requestWritten.Store(false)
 	c.awaitsAnswer.Store(true)
+	c.sentRequests++
 	c.writeEnded, c.writeErr = nil, nil
 	if len(request) <= maxInlineRequestBytes {
 		return c.write(request)
@@ -222,6 +225,10 @@
 	return errors.Is(c.writeErr, syscall.ECONNRESET)
 }
 
+// IsFirstRequest reports whether the last request that was sent is the first one on this
+// connection, so that all answers on it belong to that request.
+func (c *Conn) IsFirstRequest() bool { return c.sentRequests == 1 }
+
 // SetReadDeadline sets the deadline of reads; the zero time means none.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.netConn.SetReadDeadline(at) }
 
