Backend servers: connections are not reused after a refusal

What callers saw: 503 (not run, try again) for an unsafe request that ran, when a server wrote a refusal once more and the same request was sent to it again on that connection, as after a change of the weights or a wait in the queue.

Cause: all attempts of a request carry the caller's request id. On a kept connection a second copy of the refusal of the first attempt has the id of the second one.

Evidence: TestCopyOfARefusalDoesNotRefuseTheSameRequestSentAgain.

Why it works: no request follows a refusal on its connection, so that a copy meets none. The connection is reset, so that a server which refused before it had read the request does not find it there. The body of a refusal is not read any more, and discardBody and its timeout are gone.

--- a/requests/direct/refusal_copies_test.go
+++ b/requests/direct/refusal_copies_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -116,3 +117,30 @@
 	require.NoError(t, err)
 	require.Equal(t, core.ExecutionNotRun, end.Execution)
 }
+
+// The second attempt has the same id as the first one, as after a change of the weights.
+func TestCopyOfARefusalDoesNotRefuseTheSameRequestSentAgain(t *testing.T) {
+	for name, head := range refusals {
+		t.Run(name, func(t *testing.T) {
+			addr := serveRequests(t, func() answerFunc {
+				var attempts atomic.Int64
+				refusal := head + "X-Id: r-1\r\n" + emptyBody
+				return func(request *http.Request, n int) string {
+					switch {
+					case attempts.Add(1) == 1:
+						return refusal
+					case n > 0:
+						return refusal + answerTo(request, "200 OK")
+					default:
+						return answerTo(request, "200 OK")
+					}
+				}
+			}())
+			e := withID(newTestExchange(fleet.RouteUnsafe), "r-1")
+			_, first := send(t, e, addr)
+			require.Equal(t, core.ExecutionNotRun, untilEnd(t, first).Execution)
+			_, second := send(t, e, addr)
+			require.Equal(t, core.CodeOK, untilEnd(t, second).Code)
+		})
+	}
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -23,8 +23,6 @@
 	// maxFailureBytes bounds the body of an error answer that is kept for the
 	// caller.
 	maxFailureBytes = 64 << 10
-	// refusalBodyTimeout bounds the wait for the body of a refusal, which nobody needs.
-	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 // ErrBodyTooLarge means that the body of an error answer exceeded maxFailureBytes.
@@ -247,11 +245,9 @@
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
 	s.exchange.countRefusal()
-	if s.discardBody() {
-		s.releaseConn()
-	} else {
-		s.Cancel()
-	}
+	// A copy of the refusal that arrives later could not be told from the answer to the same
+	// request if that were sent again on this connection.
+	s.Cancel()
 	// The entry never exceeds a server's slots. A refusal therefore means that the
 	// server is loading weights, is leaving, or is not the server that the request was
 	// meant for, unless it says that it wants a pause.
@@ -268,16 +264,6 @@
 	}}, nil
 }
 
-// discardBody reads the body of a refusal, so that the connection can be kept. It
-// reports whether it read the whole body.
-func (s *replyStream) discardBody() bool {
-	if err := s.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
-		return false
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes+1))
-	return err == nil && n <= maxFailureBytes
-}
-
 // endFailed returns the end frame of an attempt that the backend server ran and
 // answered with a server error.
 func (s *replyStream) endFailed() (wire.AnswerFrame, error) {
