Agents: a 429 without the id of its request is trusted only on a new connection

What callers saw: 429 or 503 (not run) for a request that the backend server ran, if a server wrote an earlier 429 once more on the agent's kept connection.

Cause: checkHeader compared the request id of a 200 only.

Evidence: TestRefusalOfAnotherRequestDoesNotRefuseARequestThatRan, with no id and with the id of another request. Without the fix it fails: expected 0x0 (unknown), actual 0x1 (not run).

Why it works: the rule is that of requests/direct: a refusal must echo the id, except on the first request of a connection. The stand-ins now echo it as the protocol says. Open: a 429 with an empty body leaves its connection in use, so that a copy of it could still be taken for the answer to the same request sent again there; net/http drops connections after a 429 with a body, which the agent does not read.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"currantusher.dev/core"
@@ -91,17 +93,20 @@
 
 // sendAttempt sends one attempt and verifies the header of the answer. The error
 // carries core.ExecutionNotRun only if the request was not sent or the backend
-// server refused it with status 429.
+// server refused it with status 429. Such an answer may omit the request id if the
+// connection has carried no other request.
 func (b *backend) sendAttempt(ctx context.Context, d wire.Dispatch) (*answer, error) {
 	request, err := b.newRequest(ctx, d)
 	if err != nil {
 		return nil, core.Wrap(err, core.CodeInternal, core.ExecutionNotRun, "build request")
 	}
-	response, err := b.client.Do(request)
+	var isFirstRequest atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { isFirstRequest.Store(!info.Reused) }}
+	response, err := b.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, classifySendError(ctx, err)
 	}
-	checked, err := checkHeader(response, d)
+	checked, err := checkHeader(response, d, isFirstRequest.Load())
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, err
@@ -149,11 +154,13 @@
 	return core.Wrap(err, core.CodeEngineFailed, core.ExecutionUnknown, "connection to the backend server failed")
 }
 
-func checkHeader(response *http.Response, d wire.Dispatch) (*answer, error) {
+func checkHeader(response *http.Response, d wire.Dispatch, isFirstRequest bool) (*answer, error) {
+	requestID := response.Header.Get(headerRequestID)
 	if response.StatusCode != http.StatusOK {
-		return nil, statusError(response)
+		isOwn := requestID == d.RequestID || requestID == "" && isFirstRequest
+		return nil, statusError(response, isOwn)
 	}
-	if requestID := response.Header.Get(headerRequestID); requestID != d.RequestID {
+	if requestID != d.RequestID {
 		return nil, core.NewFailure(core.CodeCrossedAnswer, core.ExecutionUnknown, "backend server answered request %q, want %q", requestID, d.RequestID)
 	}
 	var weights core.Digest
@@ -182,9 +189,10 @@
 }
 
 // statusError returns the error for a status other than 200. With status 429 the
-// backend server refuses a request without running it.
-func statusError(response *http.Response) error {
-	if response.StatusCode == http.StatusTooManyRequests {
+// backend server refuses a request without running it, unless the answer may belong to
+// another request.
+func statusError(response *http.Response, isOwn bool) error {
+	if response.StatusCode == http.StatusTooManyRequests && isOwn {
 		return core.NewRefusal(core.CodeLimitReached, time.Second, "backend server is full")
 	}
 	return core.NewFailure(core.CodeEngineFailed, core.ExecutionUnknown, "backend server answered with status %d", response.StatusCode)
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -96,6 +96,30 @@
 	require.Equal(t, core.ExecutionNotRun, core.ExecutionOf(err), "the connection was refused")
 }
 
+func TestRefusalOfAnotherRequestDoesNotRefuseARequestThatRan(t *testing.T) {
+	for _, id := range []string{"", "earlier"} {
+		var calls atomic.Int32
+		b := newTestBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if calls.Add(1) > 1 {
+				w.Header().Set(headerRequestID, id)
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+			_, _ = io.WriteString(w, "{}")
+		})
+		first, err := b.sendAttempt(t.Context(), wire.Dispatch{RequestID: "earlier"})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, first.body)
+		require.NoError(t, err)
+		require.NoError(t, first.body.Close())
+
+		_, err = b.sendAttempt(t.Context(), wire.Dispatch{RequestID: "r"})
+		require.Equal(t, core.ExecutionUnknown, core.ExecutionOf(err), "id %q", id)
+	}
+}
+
 func TestOnlyStreamsMayHaveNoLength(t *testing.T) {
 	for contentType, code := range map[string]core.Code{eventStreamType: core.CodeOK, "application/json": core.CodeIncomplete} {
 		b := newTestBackend(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -75,7 +75,7 @@
 
 // WriteStartError writes the response for an error of Simulator.Start. It aborts the
 // connection if the server is down or restarted.
-func WriteStartError(w http.ResponseWriter, err error) {
+func WriteStartError(w http.ResponseWriter, r *http.Request, err error) {
 	if errors.Is(err, ErrDown) || errors.Is(err, ErrOverloadRestart) {
 		panic(http.ErrAbortHandler)
 	}
@@ -83,5 +83,6 @@
 	if errors.Is(err, ErrOverLimit) {
 		status = http.StatusTooManyRequests
 	}
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	http.Error(w, err.Error(), status)
 }
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -38,7 +38,7 @@
 		return nil
 	})
 	if err != nil {
-		backend.WriteStartError(w, err)
+		backend.WriteStartError(w, r, err)
 		return
 	}
 	defer run.Done()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -105,7 +105,7 @@
 	}
 	run, err := s.simulator.Start(runKey(r, body), nil)
 	if err != nil {
-		backend.WriteStartError(w, err)
+		backend.WriteStartError(w, r, err)
 		return
 	}
 	defer run.Done()
