Engine client: no call follows a refusal on its connection

An engine that writes a 409 once more on a kept connection could make its agent believe that an activation which took effect was fenced.

Why it works: as for the store's clients, by connections of netdial.OneRefusal. The client no longer uses http.DefaultClient, so that it dials with the keep-alive probes of netdial and ignores proxies.

--- a/weights/engine/client.go
+++ b/weights/engine/client.go
@@ -11,12 +11,18 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/netdial"
 	"currantusher.dev/weights"
 )
 
-const maxChunkListBytes = 64 << 20
+const (
+	maxChunkListBytes = 64 << 20
+	dialTimeout       = 2 * time.Second
+	idleTimeout       = time.Minute
+)
 
 // State is the response of GET /v1/state.
 type State struct {
@@ -36,11 +42,14 @@
 	http *http.Client
 }
 
-// New returns a client of the engine at url. A nil client means
-// http.DefaultClient.
+// New returns a client of the engine at url. A nil client means one whose connections
+// carry no call after a refusal.
 func New(url string, client *http.Client) *Client {
 	if client == nil {
-		client = http.DefaultClient
+		client = &http.Client{Transport: &http.Transport{
+			DialContext:     netdial.OneRefusal(netdial.New(dialTimeout).DialContext),
+			IdleConnTimeout: idleTimeout,
+		}}
 	}
 	return &Client{url: strings.TrimRight(url, "/"), http: client}
 }
