Backend servers: an answer behind a copy of an earlier one is not lost

What callers saw: 502 for an unsafe request that its server answered, when the server wrote an earlier answer once more where this one was due. A safe request was repeated.

Cause: the copy was recognised by its id and ended the attempt.

Evidence: TestAnswerBehindACopyOfAnEarlierOneIsNotLost. Without the fix all 12 cases fail: s-1 answered request "r-1" on the connection of "r-2".

Why it works: the connection remembers the ids of its last requests. Up to two whole answers to these, with a length or chunks, are skipped. The answer that counts still needs the id of its request. An id that the connection has not carried fails the attempt as before, because then no answer may follow, and so does an answer to HEAD, whose end is unclear.

--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -199,6 +199,9 @@
 	sentAt := time.Now()
 	reservation.Sent(sentAt)
 	timeLeft := time.Duration(message.DeadlineMillis) * time.Millisecond
+	if e.request.Method != http.MethodHead {
+		conn.NoteRequest(e.request.ID)
+	}
 	if err := conn.Send(e.encodeRequest(server.ID, timeLeft)); err != nil {
 		stopCloseOnDone()
 		conn.Close()
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -171,7 +171,7 @@
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
-	response, err := s.conn.Receive(s.exchange.request.Method)
+	response, err := s.receiveAnswer()
 	if err != nil {
 		return wire.AnswerFrame{}, err
 	}
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	maxQuotedBytes = 200
 	// maxInformationalAnswers bounds the 1xx answers before the final one.
 	maxInformationalAnswers = 8
+	// maxRecentIDs bounds the requests whose ids a connection remembers.
+	maxRecentIDs = 8
 	// keepAliveMargin is subtracted from the Keep-Alive timeout of a server, so
 	// that a request is not sent while the server closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
@@ -68,7 +71,9 @@
 	awaitsAnswer atomic.Bool
 	// sentRequests counts the requests that were sent.
 	sentRequests int
-	closeOnce    sync.Once
+	// recentIDs holds the ids of the last requests, the oldest one first.
+	recentIDs []string
+	closeOnce sync.Once
 }
 
 func newConn(pool *Pool, addr string, netConn net.Conn) *Conn {
@@ -229,6 +234,17 @@
 // connection, so that all answers on it belong to that request.
 func (c *Conn) IsFirstRequest() bool { return c.sentRequests == 1 }
 
+// NoteRequest remembers the id of a request that is about to be sent.
+func (c *Conn) NoteRequest(id string) {
+	if len(c.recentIDs) == maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, id)
+}
+
+// HasCarried reports whether one of the last requests had an id.
+func (c *Conn) HasCarried(id string) bool { return slices.Contains(c.recentIDs, id) }
+
 // SetReadDeadline sets the deadline of reads; the zero time means none.
 func (c *Conn) SetReadDeadline(at time.Time) error { return c.netConn.SetReadDeadline(at) }
 
