--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -24,8 +24,6 @@
 	// maxFailureBytes bounds the body of an error answer that is kept for the
 	// caller.
 	maxFailureBytes = 64 << 10
-	// refusalBodyTimeout bounds the wait for the body of a refusal, which nobody needs.
-	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 // ErrBodyTooLarge means that the body of an error answer exceeded maxFailureBytes.
@@ -137,9 +135,12 @@
 	return s.endFrame()
 }
 
-// Cancel implements dispatch.ReplyStream.
+// Cancel implements dispatch.ReplyStream. After the end frame it does nothing: another
+// request may use the connection.
 func (s *replyStream) Cancel() {
-	s.markClosed()
+	if !s.markClosed() {
+		return
+	}
 	s.attemptObserver.Close()
 	s.stopCloseOnDone()
 	s.conn.Close()
@@ -154,14 +155,17 @@
 	e.openAttempts++
 }
 
-func (s *replyStream) markClosed() {
+// markClosed reports false if the connection was not in use any more.
+func (s *replyStream) markClosed() bool {
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !s.isClosed {
-		s.isClosed = true
-		e.openAttempts--
+	if s.isClosed {
+		return false
 	}
+	s.isClosed = true
+	e.openAttempts--
+	return true
 }
 
 // mayAbort reports whether the request can continue elsewhere if this attempt is
@@ -178,7 +182,13 @@
 
 // abort closes the connection unless the attempt has become the last one since.
 func (s *replyStream) abort() {
-	if s.mayAbort() {
+	if !s.mayAbort() {
+		return
+	}
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.isClosed {
 		s.conn.Close()
 	}
 }
@@ -186,7 +196,7 @@
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
-	response, err := s.conn.Receive(s.exchange.request.Method)
+	response, err := s.receiveAnswer()
 	if err != nil {
 		return wire.AnswerFrame{}, err
 	}
@@ -215,11 +225,11 @@
 	}}, nil
 }
 
-// checkRequestID rejects an answer that belongs to another request. A refusal
-// may omit the request id.
+// checkRequestID rejects an answer that may belong to another request. A refusal may omit
+// the request id if the connection has carried no other request.
 func (s *replyStream) checkRequestID() error {
 	got := s.response.Header.Get(s.exchange.headerNames.RequestID)
-	if got == s.exchange.request.ID || got == "" && s.isNotRun() {
+	if got == s.exchange.request.ID || got == "" && s.isNotRun() && s.conn.IsFirstRequest() {
 		return nil
 	}
 	return fmt.Errorf("%s answered request %q on the connection of %q", s.server, got, s.exchange.request.ID)
@@ -257,11 +267,9 @@
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
 	s.exchange.countRefusal()
-	if s.discardBody() {
-		s.releaseConn()
-	} else {
-		s.Cancel()
-	}
+	// A copy of the refusal that arrives later could not be told from the answer to the same
+	// request if that were sent again on this connection.
+	s.Cancel()
 	// The entry never exceeds a server's slots. A refusal therefore means that the
 	// server is loading weights, is leaving, or is not the server that the request was
 	// meant for, unless it says that it wants a pause.
@@ -278,16 +286,6 @@
 	}}, nil
 }
 
-// discardBody reads the body of a refusal, so that the connection can be kept. It
-// reports whether it read the whole body.
-func (s *replyStream) discardBody() bool {
-	if err := s.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
-		return false
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes+1))
-	return err == nil && n <= maxFailureBytes
-}
-
 // endFailed returns the end frame of an attempt that the backend server ran and
 // answered with a server error.
 func (s *replyStream) endFailed() (wire.AnswerFrame, error) {
