Watch: the reason for which a row is ignored is short

The error of the decoder contains the number that does not fit. A row with a number of 1 MB, which is below the size of a row, made a log line of as many bytes with each write of the row.

--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -21,6 +21,9 @@
 // serves only the two newest.
 const maxTargets = 4
 
+// maxReasonBytes bounds the reason for which a row is ignored in an event.
+const maxReasonBytes = 256
+
 // OperatorTable and ServersTable are the tables that State processes.
 const (
 	OperatorTable = records.TableOperator
@@ -257,9 +260,10 @@
 	s.applyOperator(now, row, isFirstRead)
 }
 
-// addIgnoredEvent adds an event for a row that was not applied.
+// addIgnoredEvent adds an event for a row that was not applied. The reason may contain
+// text of the row, of any length.
 func (s *State) addIgnoredEvent(row rowstore.Row, subject, reason string) {
-	s.addEvent(row, subject, "ignored: "+reason)
+	s.addEvent(row, subject, "ignored: "+reason[:min(len(reason), maxReasonBytes)])
 	s.events[len(s.events)-1].Ignored = true
 }
 
