Watch: rows without a readable key are logged

They are left out of their page since one of them no longer spoils it, and nothing told of them.

The test failed before: TestFollowerReadsOnAfterOddRows Not equal: expected: 1, actual: 0

--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -188,6 +188,7 @@
 		applied = f.state.Replace(now, name, page)
 		f.state.markRead(name, calledAt)
 	})
+	f.logUnreadable(name, page)
 	if !applied {
 		return errStaleReply
 	}
@@ -215,6 +216,7 @@
 		applied = f.state.Apply(now, name, page)
 		f.state.markRead(name, calledAt)
 	})
+	f.logUnreadable(name, page)
 	if !applied {
 		return rowstore.ErrHistoryGone
 	}
@@ -282,6 +284,14 @@
 	}).Info(event.Detail)
 }
 
+// logUnreadable logs rows that have no key, which State does not get. The feed returns each
+// row once.
+func (f *Follower) logUnreadable(name string, page rowstore.Page) {
+	if page.Unreadable > 0 {
+		f.config.Log.WithFields(logrus.Fields{"table": name, "rows": page.Unreadable}).Warn("Some rows cannot be read; ignoring them.")
+	}
+}
+
 // hasNewRows reports whether rows have changed since the view was published.
 // This includes changes without an event, such as a server's count of orders.
 func (f *Follower) hasNewRows() bool {
--- a/tables/watch/oddrows_test.go
+++ b/tables/watch/oddrows_test.go
@@ -50,10 +50,11 @@
 	return rows
 }
 
-// countingStore counts the reads of all rows.
+// countingStore counts the reads of all rows. The first one of the servers has a number of
+// rows that cannot be read.
 type countingStore struct {
 	outageStore
-	fullReads int
+	fullReads, unreadable int
 }
 
 func (s *countingStore) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
@@ -61,6 +62,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fullReads++
+	if table == ServersTable {
+		page.Unreadable = s.unreadable
+	}
 	return page, err
 }
 
@@ -155,6 +159,7 @@
 		store.add(configRow(3, 1))
 		store.add(at(odd["nested"], 2))
 		store.add(serverRow("s-1", 3, nil))
+		store.unreadable = 1
 		logger, hook := logtest.NewNullLogger()
 		f := NewFollower(Config{Store: store, Tables: []string{OperatorTable, ServersTable}, Log: logrus.NewEntry(logger), Now: time.Now})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -183,7 +188,9 @@
 			if entry.Data["key"] == "s-2" && strings.HasPrefix(entry.Message, "ignored") {
 				counts["ignored"]++
 			}
+			counts[entry.Message]++
 		}
 		require.Equal(t, 2, counts["ignored"])
+		require.Equal(t, 1, counts["Some rows cannot be read; ignoring them."])
 	})
 }
