Gossip: addresses in messages and rows are not looked up

A round of messages, and the goroutine that receives them, waited for the lookup of a host name in a row of an entry or in a message, for seconds if no name server replies. Meanwhile the entry sends no signs of life, and the others take it for lost. Datagrams go to IP addresses only, which is what daemons publish.

The test failed before: TestAddressesInMessagesAreNotLookedUp An error is expected but got nil. Messages: 0.0.0.0:7700 and without that address: Should be zero, but was 8 (lookups)

--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/netdial"
 	"currantusher.dev/core/pause"
 )
 
@@ -207,11 +209,7 @@
 }
 
 func (n *Node) sendDatagram(datagram []byte, peerAddr string) {
-	udpAddr, err := net.ResolveUDPAddr("udp", peerAddr)
-	if err == nil {
-		_, err = n.socket.WriteToUDP(datagram, udpAddr)
-	}
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := writeTo(n.socket, datagram, peerAddr); err != nil && !errors.Is(err, net.ErrClosed) {
 		// The next round replaces a lost message.
 		n.config.Log.WithField("peer", peerAddr).WithError(err).Debug("Cannot send a gossip message to a peer.")
 	}
@@ -271,11 +269,19 @@
 	if err != nil {
 		return err
 	}
-	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	return writeTo(socket, datagram, addr)
+}
+
+// writeTo sends a datagram to an IP address and port.
+func writeTo(socket *net.UDPConn, datagram []byte, addr string) error {
+	if err := netdial.CheckAddr(addr); err != nil {
+		return err
+	}
+	target, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return err
 	}
-	_, err = socket.WriteToUDP(datagram, udpAddr)
+	_, err = socket.WriteToUDPAddrPort(datagram, target)
 	return err
 }
 
--- /dev/null
+++ b/members/gossip/odd_test.go
@@ -0,0 +1,50 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/fleet"
+)
+
+var oddAddrs = []string{
+	"", ":", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:65536", "10.0.0.9:99999999999", "host.example:7700", "[fe80::1%eth0]:7700", "0.0.0.0:7700",
+}
+
+// countLookups makes all lookups of host names fail, and counts them until the test ends.
+func countLookups(t *testing.T) *atomic.Int64 {
+	t.Helper()
+	var lookups atomic.Int64
+	resolver := net.DefaultResolver
+	net.DefaultResolver = &net.Resolver{PreferGo: true, Dial: func(context.Context, string, string) (net.Conn, error) {
+		lookups.Add(1)
+		return nil, errors.New("no lookups in this test")
+	}}
+	t.Cleanup(func() { net.DefaultResolver = resolver })
+	return &lookups
+}
+
+// Guards against a lookup of a host name that holds up all messages for seconds, so that
+// the other entries take this one for lost.
+func TestAddressesInMessagesAreNotLookedUp(t *testing.T) {
+	lookups := countLookups(t)
+	logger, _ := logtest.NewNullLogger()
+	n, err := Listen(Config{Self: Member{ID: "e-1", Incarnation: 1, PeerAddr: "127.0.0.1:0"}, Log: logrus.NewEntry(logger)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = n.socket.Close() })
+	for _, addr := range oddAddrs {
+		datagram, err := cbor.Marshal(Message{PlaceRequest: &fleet.PlaceRequest{Nonce: 1, From: "e-2", ReplyAddr: addr}})
+		require.NoError(t, err)
+		n.handleDatagram(datagram)
+		require.Error(t, SendPauseNotice(n.socket, addr, testNotice(1)), addr)
+	}
+	require.Zero(t, lookups.Load())
+}
