Gossip: entries with invalid addresses are ignored

An entry with a port out of range or a host name in its row or its messages was sent messages for ever, one of the few silent addresses of each round, and counted among the senders that share the limits of backend servers. One without an address did so by its row.

The test failed before: TestEntriesWithOddAddressesAreIgnored expected: 2, actual: 3 (senders)

--- a/members/gossip/odd_test.go
+++ b/members/gossip/odd_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
@@ -48,3 +49,30 @@
 	}
 	require.Zero(t, lookups.Load())
 }
+
+// Guards against rounds that send to such an address for ever, and against a member that
+// counts as one more sender although it does not run.
+func TestEntriesWithOddAddressesAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for i, addr := range oddAddrs {
+		s := NewState(testMember(0), 1)
+		require.True(t, s.Receive(now, Message{From: withSequence(testMember(1), 1)}))
+		odd := testMember(2)
+		odd.PeerAddr, odd.Sequence = addr, 1
+		s.AddPeerAddr(now, addr)
+		s.Introduce(now, odd)
+		require.False(t, s.Receive(now, Message{From: odd}), addr)
+		require.True(t, s.Receive(now, Message{From: withSequence(testMember(1), uint64(i+2)), Relayed: []Member{odd}}), addr)
+		require.Len(t, s.AliveMembers(now), 2, addr)
+		require.Empty(t, s.AwaitedMembers(now), addr)
+		require.Equal(t, 2, s.Senders(now).Count, addr)
+		for _, outgoing := range s.NextRound(now, nil, nil) {
+			require.Equal(t, []string{testMember(1).PeerAddr}, outgoing.Addrs, addr)
+		}
+	}
+}
+
+func withSequence(m Member, sequence uint64) Member {
+	m.Sequence = sequence
+	return m
+}
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/netdial"
 )
 
 const (
@@ -98,9 +98,9 @@
 	}
 }
 
-// AddPeerAddr adds a peer address at which an entry may be running.
+// AddPeerAddr adds a peer address at which an entry may be running, unless it is invalid.
 func (s *State) AddPeerAddr(now time.Time, addr string) {
-	if _, ok := s.discoveredAt[addr]; !ok && addr != s.self.PeerAddr {
+	if _, ok := s.discoveredAt[addr]; !ok && addr != s.self.PeerAddr && netdial.CheckAddr(addr) == nil {
 		s.discoveredAt[addr] = now
 	}
 }
@@ -199,7 +199,7 @@
 
 // describe stores a description if it is newer than the known one.
 func (s *State) describe(now time.Time, member Member) bool {
-	if member.ID == s.self.ID || member.PeerAddr == s.self.PeerAddr || !isHostPort(member.PeerAddr) {
+	if member.ID == s.self.ID || member.PeerAddr == s.self.PeerAddr || netdial.CheckAddr(member.PeerAddr) != nil {
 		return false
 	}
 	p := s.peers[member.ID]
@@ -229,11 +229,6 @@
 	p.member.Phase, p.member.Active = phase, active
 }
 
-func isHostPort(addr string) bool {
-	_, _, err := net.SplitHostPort(addr)
-	return err == nil
-}
-
 // removeSilentPeers removes the peers that were silent for peerRetention.
 func (s *State) removeSilentPeers(now time.Time) {
 	for id, p := range s.peers {
