Gossip: loads and paces that no entry can have are ignored

Loads of all peers are added up, and the largest pace counts. One peer's negative load hid the loads of the others, so that servers would have been overfilled, and the sum of large ones overflowed. A pace that is not a number replaced those of all others.

The test failed before: TestOddLoadsAndPacesAreIgnored expected: {"s-1":3, "s-2":5}, actual: {"s-1":2, "s-2":5}

--- a/members/gossip/odd_test.go
+++ b/members/gossip/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 )
 
@@ -76,3 +78,27 @@
 	m.Sequence = sequence
 	return m
 }
+
+// Guards against one odd number that hides the reports of all other entries.
+func TestOddLoadsAndPacesAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewState(testMember(0), 1)
+	require.True(t, s.Receive(now, Message{
+		From: withSequence(testMember(1), 1), Loads: map[core.InstanceID]int{"s-1": 3, "s-2": 4}, Paces: map[core.InstanceID]float64{"s-1": 2, "s-2": 3},
+	}))
+	for i, odd := range []struct {
+		load int
+		pace float64
+	}{{-1, math.NaN()}, {math.MinInt64, math.Inf(1)}, {math.MaxInt64, math.Inf(-1)}, {math.MaxInt64, -1}} {
+		datagram, err := cbor.Marshal(Message{
+			From:  withSequence(testMember(2), uint64(i+1)),
+			Loads: map[core.InstanceID]int{"s-1": odd.load, "s-2": 1}, Paces: map[core.InstanceID]float64{"s-1": odd.pace, "s-2": 4},
+		})
+		require.NoError(t, err)
+		var message Message
+		require.NoError(t, cbor.Unmarshal(datagram, &message))
+		require.True(t, s.Receive(now, message))
+		require.Equal(t, map[core.InstanceID]int{"s-1": 3, "s-2": 5}, s.Loads(now))
+		require.Equal(t, map[core.InstanceID]float64{"s-1": 2, "s-2": 4}, s.Paces(now))
+	}
+}
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,6 +33,10 @@
 	// firstSignTimeout is the time after its introduction within which the first
 	// sign of life of a running entry arrives.
 	firstSignTimeout = 5 * time.Second
+	// maxLoad and maxPace bound the loads and paces that a peer reports; others are
+	// ignored.
+	maxLoad = 1 << 20
+	maxPace = 1e6
 	// peerRetention is the time after which a silent member is removed.
 	peerRetention = 10 * time.Minute
 )
@@ -163,6 +168,8 @@
 	if !message.OmitsLoads {
 		p := s.peers[message.From.ID]
 		p.loads, p.paces, p.loadsAt = message.Loads, message.Paces, now
+		maps.DeleteFunc(p.loads, func(_ core.InstanceID, load int) bool { return load < 0 || load > maxLoad })
+		maps.DeleteFunc(p.paces, func(_ core.InstanceID, pace float64) bool { return !(pace > 0 && pace <= maxPace) })
 	}
 	for _, relayed := range message.Relayed {
 		s.updateMember(now, relayed)
