Gossip: notices of pauses that start in the far future are ignored

A notice counts until some seconds after the start that it names, and hides those with lower sequence numbers until then. One that starts in 292 years was kept for ever with all that came for other addresses.

The test failed before: TestPausesInTheFarFutureAreIgnored expected: the notices 1 and 2, actual: notice 9 first.

--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -222,12 +222,16 @@
 		return
 	}
 	if message.PauseNotice != nil {
-		n.receivePause(*message.PauseNotice)
+		if isPlausible(*message.PauseNotice) {
+			n.receivePause(*message.PauseNotice)
+		}
 		return
 	}
 	if len(message.Pauses) > 0 {
 		for _, notice := range message.Pauses {
-			n.config.OnPauseNotice(notice)
+			if isPlausible(notice) {
+				n.config.OnPauseNotice(notice)
+			}
 		}
 		return
 	}
--- a/members/gossip/odd_test.go
+++ b/members/gossip/odd_test.go
@@ -102,3 +102,68 @@
 		require.Equal(t, map[core.InstanceID]float64{"s-1": 2, "s-2": 4}, s.Paces(now))
 	}
 }
+
+// Guards against notices that are kept for ever and hide all later ones.
+func TestPausesInTheFarFutureAreIgnored(t *testing.T) {
+	for _, startsIn := range []time.Duration{-time.Second, math.MinInt64, time.Hour, math.MaxInt64} {
+		var told []fleet.PauseNotice
+		logger, _ := logtest.NewNullLogger()
+		n, err := Listen(Config{
+			Self: Member{ID: "e-1", Incarnation: 1, PeerAddr: "127.0.0.1:0"}, Log: logrus.NewEntry(logger),
+			OnPauseNotice: func(notice fleet.PauseNotice) { told = append(told, notice) },
+		})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = n.socket.Close() })
+		odd := testNotice(9)
+		odd.StartsIn = startsIn
+		for _, message := range []Message{{PauseNotice: &odd}, {Pauses: []fleet.PauseNotice{odd, testNotice(1)}}, {PauseNotice: new(testNotice(2))}} {
+			datagram, err := cbor.Marshal(message)
+			require.NoError(t, err)
+			n.handleDatagram(datagram)
+		}
+		require.Equal(t, []fleet.PauseNotice{testNotice(1), testNotice(2)}, told, startsIn)
+		require.Len(t, n.state.pauses, 1)
+	}
+}
+
+// Daemons of all versions, and anything else, can send datagrams to the port.
+func FuzzDatagrams(f *testing.F) {
+	for _, message := range []Message{
+		{From: withSequence(testMember(1), 1), Loads: map[core.InstanceID]int{"s": 1}, Heartbeats: []Heartbeat{{Key: 7}}, Wanted: []uint32{1}},
+		{PauseNotice: new(testNotice(1))}, {Pauses: []fleet.PauseNotice{testNotice(1)}},
+		{PlaceReply: &fleet.PlaceReply{Nonce: 1}}, {PlaceRequest: &fleet.PlaceRequest{ReplyAddr: "127.0.0.1:1"}},
+		{From: withSequence(testMember(2), 1), RateLimits: []fleet.RateLimit{{Server: "s", PerSecond: 1}}, Evidence: &fleet.CrashEvidence{Starts: []fleet.TraitStart{{}}}},
+	} {
+		datagram, err := cbor.Marshal(message)
+		require.NoError(f, err)
+		f.Add(datagram)
+		f.Add(datagram[:len(datagram)/2])
+	}
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		now := time.Unix(1000, 0)
+		s := NewState(testMember(0), 1)
+		var message Message
+		if cbor.Unmarshal(datagram, &message) != nil {
+			return
+		}
+		s.Receive(now, message)
+		if message.PauseNotice != nil {
+			s.RecordPause(now, *message.PauseNotice)
+		}
+		for range 3 {
+			s.NextRound(now, nil, nil)
+			s.PauseForwards(now)
+			now = now.Add(RoundPeriod)
+		}
+		for _, load := range s.Loads(now) {
+			if load < 0 {
+				t.Errorf("load %d", load)
+			}
+		}
+		for _, pace := range s.Paces(now) {
+			if !(pace > 0 && pace <= math.MaxFloat64) {
+				t.Errorf("pace %v", pace)
+			}
+		}
+	})
+}
--- a/members/gossip/pauses.go
+++ b/members/gossip/pauses.go
@@ -21,6 +21,9 @@
 	// pauseForwarders is the number of members that forward a notice to a member, because
 	// datagrams can be lost and some may not have received the notice.
 	pauseForwarders = 3
+	// maxPauseLead bounds the time from a notice to the start of the pause. A notice is
+	// kept until some time after that, and the latest one counts.
+	maxPauseLead = 10 * time.Minute
 	// maxPausesPerMessage keeps a message within one packet.
 	maxPausesPerMessage = 16
 )
@@ -38,6 +41,11 @@
 	at time.Time
 }
 
+// isPlausible reports whether a notice can be that of an agent.
+func isPlausible(notice fleet.PauseNotice) bool {
+	return notice.StartsIn >= 0 && notice.StartsIn <= maxPauseLead
+}
+
 // RecordPause stores a notice that an agent has sent to this entry, for PauseForwards.
 func (s *State) RecordPause(now time.Time, notice fleet.PauseNotice) {
 	key := pauseKey{addr: notice.Addr, version: notice.Version}
