Roster: an invalid row is logged once

Agents read the rows of all agents every two seconds while they fetch weights, and each read logged the same invalid row. It is now logged when it appears and when it changes.

--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -57,6 +57,8 @@
 	keeper keeper
 	// lost holds rows that the store has lost.
 	lost lostRows
+	// ignored holds the revisions of the ignored rows of the last read, by key.
+	ignored map[string]uint64
 
 	rewrites atomic.Int64
 }
@@ -171,17 +173,47 @@
 	rows := r.lost.merge(time.Now(), page)
 	r.mu.Unlock()
 	daemons := make([]T, 0, len(rows))
+	invalid := map[string]invalidRow{}
 	for _, row := range rows {
-		var daemon T
-		if err := cbor.Unmarshal(row.Value, &daemon); err != nil {
-			r.log.WithError(err).WithField("key", row.Key).Warn("Ignoring an invalid row of a daemon.")
+		daemon, err := decode[T](row)
+		if err != nil {
+			invalid[row.Key] = invalidRow{revision: row.Revision, reason: err}
 			continue
 		}
 		daemons = append(daemons, daemon)
 	}
+	r.logInvalid(invalid)
 	return daemons, nil
 }
 
+// invalidRow is a row that does not describe a daemon.
+type invalidRow struct {
+	revision uint64
+	reason   error
+}
+
+func decode[T any](row rowstore.Row) (T, error) {
+	var daemon T
+	err := cbor.Unmarshal(row.Value, &daemon)
+	return daemon, err
+}
+
+// logInvalid logs the ignored rows of a read that are not those of the last one.
+func (r *Roster[T]) logInvalid(rows map[string]invalidRow) {
+	r.mu.Lock()
+	last := r.ignored
+	r.ignored = make(map[string]uint64, len(rows))
+	for key, row := range rows {
+		r.ignored[key] = row.revision
+	}
+	r.mu.Unlock()
+	for key, row := range rows {
+		if revision, ok := last[key]; !ok || revision != row.revision {
+			r.log.WithError(row.reason).WithField("key", key).Warn("Ignoring an invalid row of a daemon.")
+		}
+	}
+}
+
 // ReadWithRetry reads the daemons and retries until it succeeds. It returns false if
 // ctx ended first.
 func (r *Roster[T]) ReadWithRetry(ctx context.Context) ([]T, bool) {
