Roster: rows with another id than their key, or without an address, are ignored

A row in the tables of entries and agents that can be decoded counted, with whatever it holds: an empty map, the id of another daemon, a host name, a port out of range. A loader would have chosen such an entry as its relay, and looked up host names with each announcement of a pause; an agent with an odd address got pieces assigned that others then waited for.

Two agents of agents_test.go had no address, which makes their rows invalid; they have one now, and the test requires the same of them.

The tests failed before: TestOddRowsOfEntriesAreIgnoredAndLoggedOnce Not equal: two entries instead of one.

--- a/daemon/loader/agents_test.go
+++ b/daemon/loader/agents_test.go
@@ -43,7 +43,7 @@
 func newTestList(availableIn time.Duration) *agentList {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	reader := &lateReader{availableAt: time.Now().Add(availableIn), agents: []staging.Agent{{ID: "a-1"}, {ID: "a-2"}}}
+	reader := &lateReader{availableAt: time.Now().Add(availableIn), agents: []staging.Agent{{ID: "a-1", Addr: "10.0.0.1:7700"}, {ID: "a-2", Addr: "10.0.0.2:7700"}}}
 	rows := roster.New[staging.Agent](nil, roster.AgentsTable, logrus.NewEntry(log))
 	rows.ReadFrom(reader)
 	return &agentList{roster: rows, reader: reader, log: logrus.NewEntry(log)}
--- a/daemon/roster/oddrows_test.go
+++ b/daemon/roster/oddrows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"testing"
 
@@ -56,6 +57,17 @@
 func TestOddRowsOfEntriesAreIgnoredAndLoggedOnce(t *testing.T) {
 	good := gossip.Member{ID: "e-1", Incarnation: 1, PeerAddr: "10.0.0.1:7700", CallerAddr: "10.0.0.1:8005"}
 	values := undecodable(t, encode(t, good))
+	for name, change := range map[string]func(*gossip.Member){
+		"no id": func(m *gossip.Member) { m.ID = "" }, "the id of another": func(m *gossip.Member) { m.ID = "e-1" },
+		"no address": func(m *gossip.Member) { m.PeerAddr = "" }, "host": func(m *gossip.Member) { m.PeerAddr = "host.example:7700" },
+		"port 0": func(m *gossip.Member) { m.PeerAddr = "10.0.0.2:0" }, "port 65536": func(m *gossip.Member) { m.PeerAddr = "10.0.0.2:65536" },
+		"cores": func(m *gossip.Member) { m.Cores = math.NaN() }, "rate": func(m *gossip.Member) { m.RequestsPerSecond = math.Inf(1) },
+	} {
+		odd := good
+		odd.ID, odd.PeerAddr = "e-2", "10.0.0.2:7700"
+		change(&odd)
+		values[name] = encode(t, odd)
+	}
 	for name, value := range values {
 		entries, logged := readOdd[gossip.Member](t, EntriesTable, rowstore.Row{Key: "e-1", Value: encode(t, good)}, rowstore.Row{Key: "e-2", Value: value, Revision: 2})
 		require.Equal(t, []gossip.Member{good}, entries, name)
@@ -66,6 +78,12 @@
 func TestOddRowsOfAgentsAreIgnoredAndLoggedOnce(t *testing.T) {
 	good := staging.Agent{ID: "a-1", Addr: "10.0.0.1:7700", Service: "llm"}
 	values := undecodable(t, encode(t, good))
+	for name, odd := range map[string]staging.Agent{
+		"no id": {Addr: "10.0.0.2:7700"}, "the id of another": {ID: "a-1", Addr: "10.0.0.2:7700"}, "no address": {ID: "a-2"},
+		"host": {ID: "a-2", Addr: "host.example:7700"}, "path": {ID: "a-2", Addr: "10.0.0.2:7700/x"}, "port": {ID: "a-2", Addr: "10.0.0.2:99999999999"},
+	} {
+		values[name] = encode(t, odd)
+	}
 	for name, value := range values {
 		agents, logged := readOdd[staging.Agent](t, AgentsTable, rowstore.Row{Key: "a-1", Value: encode(t, good)}, rowstore.Row{Key: "a-2", Value: value, Revision: 2})
 		require.Equal(t, []staging.Agent{good}, agents, name)
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -37,6 +37,14 @@
 	ReadAll(ctx context.Context, table string) (rowstore.Page, error)
 }
 
+// Validator is implemented by descriptions of daemons that may be invalid although they
+// can be decoded.
+type Validator interface {
+	// Validate returns an error unless it describes the daemon with an id, which others can
+	// reach.
+	Validate(id string) error
+}
+
 // keepPollPeriod is how often a daemon checks whether the store has lost rows.
 const keepPollPeriod = 200 * time.Millisecond
 
@@ -163,7 +171,7 @@
 
 // Read returns the daemons with a row, including rows that the store has lost and that
 // their daemons are about to write again. It logs and ignores rows that cannot be
-// decoded.
+// decoded or are invalid.
 func (r *Roster[T]) Read(ctx context.Context) ([]T, error) {
 	page, err := r.reader.ReadAll(ctx, r.table)
 	if err != nil {
@@ -194,8 +202,13 @@
 
 func decode[T any](row rowstore.Row) (T, error) {
 	var daemon T
-	err := cbor.Unmarshal(row.Value, &daemon)
-	return daemon, err
+	if err := cbor.Unmarshal(row.Value, &daemon); err != nil {
+		return daemon, err
+	}
+	if v, ok := any(daemon).(Validator); ok {
+		return daemon, v.Validate(row.Key)
+	}
+	return daemon, nil
 }
 
 // logInvalid logs the ignored rows of a read that are not those of the last one.
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -1,12 +1,15 @@
 package gossip
 
 import (
+	"errors"
 	"hash/fnv"
+	"math"
 	"strconv"
 	"time"
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/netdial"
 )
 
 // Phase is the lifecycle phase of a member.
@@ -49,6 +52,26 @@
 	Era uint64 `cbor:"14,keyasint,omitempty"`
 }
 
+// Validate returns an error unless m describes the entry with an id, which others can
+// reach.
+func (m Member) Validate(id string) error {
+	if string(m.ID) != id {
+		return errOtherID
+	}
+	if !isFinite(m.Cores) || !isFinite(m.RequestsPerSecond) {
+		return errNotFinite
+	}
+	return netdial.CheckAddr(m.PeerAddr)
+}
+
+// Reasons for which a Member is invalid.
+var (
+	errOtherID   = errors.New("the id of the entry is not that of its row")
+	errNotFinite = errors.New("a number is not finite")
+)
+
+func isFinite(number float64) bool { return !math.IsNaN(number) && !math.IsInf(number, 0) }
+
 func (m *Member) isNewerThan(other *Member) bool {
 	if m.Incarnation != other.Incarnation {
 		return m.Incarnation > other.Incarnation
--- a/weights/staging/plan.go
+++ b/weights/staging/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"hash/fnv"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/netdial"
 )
 
 // Agent is the address and the location of an agent, published to other agents.
@@ -24,6 +26,18 @@
 	Unlisted bool `cbor:"-"`
 }
 
+// errOtherID means that a row describes another agent than its key says.
+var errOtherID = errors.New("the id of the agent is not that of its row")
+
+// Validate returns an error unless a describes the agent with an id, which others can
+// reach.
+func (a Agent) Validate(id string) error {
+	if string(a.ID) != id {
+		return errOtherID
+	}
+	return netdial.CheckAddr(a.Addr)
+}
+
 // MarkUnlisted returns the agents and marks those whose engines are not listed, because
 // the row of an agent remains when its instance is lost. If most engines are missing, the
 // list itself is taken to be incomplete, as after an outage of the store, and none is
