--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -203,30 +202,6 @@
 	return fmt.Errorf("%s answered request %q on the connection of %q", s.server, got, s.exchange.request.ID)
 }
 
-func (s *replyStream) reportAnswer() {
-	names := s.exchange.headerNames
-	version := s.numericHeader(names.WeightsVersion)
-	coldMillis := s.numericHeader(names.ColdRemaining)
-	s.exchange.observer.AnswerReceived(s.server, s.exchange.request.Model,
-		fleet.WeightsVersion(version), time.Duration(coldMillis)*time.Millisecond)
-}
-
-// numericHeader returns the numeric value of a header, or 0 if it is missing. An
-// invalid value is reported and treated as missing, because these headers are
-// only hints.
-func (s *replyStream) numericHeader(name string) float64 {
-	text := s.response.Header.Get(name)
-	if text == "" {
-		return 0
-	}
-	value, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		s.exchange.observer.InvalidHeader(s.server, name, err)
-		return 0
-	}
-	return value
-}
-
 func (s *replyStream) isNotRun() bool {
 	return s.response.StatusCode == http.StatusMisdirectedRequest || s.response.Header.Get(s.exchange.headerNames.NotExecuted) != ""
 }
