Limits: reports with ages that overflow are ignored

The largest age in a report of another entry put the time of its request 292 years ahead. The report then counted as later than each answer, and the limit in it held as long as the server was listed.

--- a/requests/notices/limits.go
+++ b/requests/notices/limits.go
@@ -32,6 +32,8 @@
 	changedReportTime = 3 * time.Second
 	maxChangedReports = 8
 	reportsInTurns    = 2
+	// maxReportedAge bounds the ages in a report. The times of larger ones overflow.
+	maxReportedAge = 30 * 24 * time.Hour
 	// maxTransitTime is the time for which a report may travel. The request in it may
 	// have been sent earlier by that time than its age says.
 	maxTransitTime = 50 * time.Millisecond
@@ -229,7 +231,7 @@
 	if report.HasEnded {
 		o.PerSecond = Unlimited
 	}
-	return o, o.PerSecond >= 0 && report.SentAge >= report.ReceivedAge && report.ReceivedAge >= 0
+	return o, o.PerSecond >= 0 && report.SentAge <= maxReportedAge && report.SentAge >= report.ReceivedAge && report.ReceivedAge >= 0
 }
 
 func compareLifetimes(a, b Lifetime) int {
