Gossip: versions with a negative age are ignored

An entry takes over since when a version has been configured from others if it does not know that itself. A negative age puts that time in the future, until which requests may begin on older weights.

The test failed before: TestOddAgesOfVersionsAreIgnored Not equal: five versions instead of one

--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -246,6 +247,7 @@
 	if len(message.RateLimits) > 0 {
 		n.config.OnRateLimits(message.From.ID, message.RateLimits)
 	}
+	message.NewestWeights = slices.DeleteFunc(message.NewestWeights, func(w NewestWeights) bool { return w.Version < 1 || w.Age < 0 })
 	if len(message.NewestWeights) > 0 {
 		n.config.OnNewestWeights(message.NewestWeights)
 	}
--- a/members/gossip/odd_test.go
+++ b/members/gossip/odd_test.go
@@ -126,6 +126,26 @@
 	}
 }
 
+// Guards against a version that counts as configured in the future: requests could begin
+// on older weights until then.
+func TestOddAgesOfVersionsAreIgnored(t *testing.T) {
+	var told []NewestWeights
+	logger, _ := logtest.NewNullLogger()
+	n, err := Listen(Config{
+		Self: Member{ID: "e-1", Incarnation: 1, PeerAddr: "127.0.0.1:0"}, Log: logrus.NewEntry(logger),
+		OnNewestWeights: func(list []NewestWeights) { told = append(told, list...) },
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = n.socket.Close() })
+	good := NewestWeights{Model: "m", Version: 2, Age: time.Second}
+	datagram, err := cbor.Marshal(Message{From: withSequence(testMember(1), 1), NewestWeights: []NewestWeights{
+		{Model: "m", Version: 2, Age: -1}, {Model: "m", Version: 2, Age: math.MinInt64}, {Model: "m", Version: 0, Age: 1}, {Model: "m", Version: -1, Age: 1}, good,
+	}})
+	require.NoError(t, err)
+	n.handleDatagram(datagram)
+	require.Equal(t, []NewestWeights{good}, told)
+}
+
 // Daemons of all versions, and anything else, can send datagrams to the port.
 func FuzzDatagrams(f *testing.F) {
 	for _, message := range []Message{
