--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -47,6 +47,7 @@
 	store          *standin.Store
 	storeAddr      string
 	origin         *standin.Origin
+	config         fleet.Configuration
 	engines        []*standin.Backend
 	plainServers   []*standin.Backend
 	entries        []nodefile.Node
@@ -66,7 +67,8 @@
 		d.engines = append(d.engines, d.startBackend("llm", modelName, dataCentre, i))
 		d.plainServers = append(d.plainServers, d.startBackend("lots", "", dataCentre, i))
 	}
-	d.putConfig(originAddr)
+	d.config = d.configuration(originAddr)
+	d.store.PutConfig(d.config)
 	for i, dataCentre := range []string{"a", "b"} {
 		d.runEntry(d.newNode(fmt.Sprintf("entry-%d", i), dataCentre, storeAddr))
 		agent := d.newNode(fmt.Sprintf("agent-%d", i), dataCentre, storeAddr)
@@ -104,10 +106,11 @@
 	return b
 }
 
-func (d *deployment) putConfig(originAddr string) {
+// configuration returns the first configuration.
+func (d *deployment) configuration(originAddr string) fleet.Configuration {
 	const longTimeout = 20 * time.Second
 	targets := func(service fleet.ServiceName) []fleet.Target { return []fleet.Target{{Service: service, Weight: 1}} }
-	d.store.PutConfig(fleet.Configuration{
+	return fleet.Configuration{
 		Version: 1,
 		Routes: []fleet.Route{
 			{Name: "r-stream", Host: streamHost, Prefix: "/s/", Kind: fleet.RouteStreaming, Timeout: longTimeout, LatencyObjective: 5 * time.Second,
@@ -130,7 +133,7 @@
 			{Name: "team-1", Keys: []string{apiKey}, Priority: 1},
 			{Name: "team-2", Keys: []string{otherAPIKey}, Priority: 1},
 		},
-	})
+	}
 }
 
 func (d *deployment) newNode(name, dataCentre, store string) nodefile.Node {
