Entry: an invalid settings file is logged once

The file is read every two seconds, and each read of an invalid one was logged.

The test failed before: TestInvalidSettingsFileIsLoggedOnce should have 1 item(s), but has 10

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -353,12 +353,17 @@
 		<-ctx.Done()
 		return nil
 	}
+	lastError := ""
 	return runPeriodically(ctx, settingsPollPeriod, func() {
 		reloaded, err := g.config.Reload()
 		if err != nil {
-			g.log.WithError(err).Warn("Could not reload the settings file; keeping the current settings.")
+			if err.Error() != lastError {
+				g.log.WithError(err).Warn("Could not reload the settings file; keeping the current settings.")
+			}
+			lastError = err.Error()
 			return
 		}
+		lastError = ""
 		current := g.node.Load()
 		if reloaded.Bounds == current.Bounds {
 			return
