Entry: services that only rows of servers name get no queue

Each round of messages made a queue, with its goroutine, for each service that a row of a server names, and kept it for ever. Rows of another writer with ever new names would have filled the memory. Only services that a request has needed have one now.

The test failed before: TestServicesThatNoRequestNeedsHaveNoQueues Should be empty, but was map[odd-0:... odd-1:... odd-10:...

--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -198,10 +198,16 @@
 func (s *serviceSet) loads() map[core.InstanceID]int {
 	view := s.gateway.follower.View()
 	loads := map[core.InstanceID]int{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for name, servers := range view.Servers {
-		placer := s.placer(core.PoolName(name))
+		state := s.states[core.PoolName(name)]
+		if state == nil {
+			// No request has needed the service yet.
+			continue
+		}
 		for _, server := range servers {
-			if n := placer.InFlight(server.ID); n > 0 {
+			if n := state.placer.InFlight(server.ID); n > 0 {
 				loads[server.ID] = n
 			}
 		}
