Agents: the origin is asked less often for a version that it does not have

A row that declares a version which the origin does not have, or an odd manifest, made each agent ask the origin five times a second, and write as many warnings, until a later version was declared. While the origin answers so, the delay now doubles up to 2 s. Other failures, such as an origin that cannot be reached, are retried as before. The same failure is logged once, and so is the same report of the engine.

--- a/weights/staging/fetch.go
+++ b/weights/staging/fetch.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
+	"currantusher.dev/platform/worker"
 )
 
 const (
@@ -182,7 +183,7 @@
 		return nil, fmt.Errorf("fetch manifest from the origin: %w", err)
 	}
 	if len(digests) != f.target.Pieces {
-		return nil, fmt.Errorf("manifest from the origin has %d digests, want %d", len(digests), f.target.Pieces)
+		return nil, fmt.Errorf("%w: manifest from the origin has %d digests, want %d", worker.ErrInvalidAnswer, len(digests), f.target.Pieces)
 	}
 	return digests, nil
 }
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -21,6 +21,9 @@
 	checkPeriod = 250 * time.Millisecond
 	// retryDelay is the delay before a failed step is retried.
 	retryDelay = 200 * time.Millisecond
+	// maxRetryDelay bounds the delay while the origin answers that it does not have a
+	// version, which doubles with each answer.
+	maxRetryDelay = 2 * time.Second
 	// engineTimeout bounds a call to the agent's engine.
 	engineTimeout = 2 * time.Second
 	// minProgressToContinue is the fraction of the pieces from which on the fetch of a
@@ -229,7 +232,8 @@
 // version or a newer one and the version is not the newest target.
 func (m *Manager) runJob(ctx context.Context, target TargetVersion, j *job) {
 	log := m.config.Log.WithFields(logrus.Fields{"model": target.Model, "version": target.Version})
-	var lastError string
+	var lastError, lastReport, lastLoadError string
+	delay := retryDelay
 	for ctx.Err() == nil {
 		report, err := m.engineReport(ctx)
 		switch {
@@ -237,26 +241,39 @@
 			m.logOnChange(log, &lastError, "Reading the engine report failed; retrying.", err)
 			pause.For(ctx, retryDelay)
 		case report.Loaded[target.Model] >= target.Version:
-			lastError = ""
+			lastError, lastReport, lastLoadError, delay = "", "", "", retryDelay
 			if !m.isNewest(target.VersionKey) {
 				return
 			}
 			m.awaitNextCheck(ctx, log, target, j)
 		default:
 			// Fetch the version even while the engine is loading an older one.
-			log.WithField("report", report.Raw).Info("Engine does not have the version; fetching and loading it.")
+			if lastReport != report.Raw {
+				lastReport = report.Raw
+				log.WithField("report", report.Raw).Info("Engine does not have the version; fetching and loading it.")
+			}
 			err := m.fetchAndLoad(ctx, log, j)
 			switch {
 			case errors.Is(err, errSuperseded):
 				pause.For(ctx, checkPeriod)
 			case err != nil && ctx.Err() == nil:
-				log.WithError(err).Warn("Loading the version failed; retrying.")
-				pause.For(ctx, retryDelay)
+				m.logOnChange(log, &lastLoadError, "Loading the version failed; retrying.", err)
+				pause.For(ctx, delay)
+				delay = nextRetryDelay(delay, err)
 			}
 		}
 	}
 }
 
+// nextRetryDelay returns the delay after another failure. It grows while the origin answers
+// that it does not have the version; other failures end sooner.
+func nextRetryDelay(delay time.Duration, err error) time.Duration {
+	if code := core.CodeOf(err); code != core.CodeUnknownEntity && code != core.CodeSuperseded && !errors.Is(err, worker.ErrInvalidAnswer) {
+		return retryDelay
+	}
+	return min(2*delay, maxRetryDelay)
+}
+
 // awaitNextCheck waits until the next check of an engine that has the version. If
 // another agent requests pieces in the meantime, it reads the staged pieces back
 // from the engine.
