Stand-ins: odd rows of servers for the tests of other modules

The tests of watch and of the deployed daemons wrote names of the platform outside its folder, which TestPlatformNamesOccurOnlyInPlatform refuses: it failed since and passes now. Both tests use the same rows from platform/standin, more kinds than before.

--- a/daemon/deployed/odd_rows_test.go
+++ b/daemon/deployed/odd_rows_test.go
@@ -1,10 +1,8 @@
 package deployed
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -16,54 +14,27 @@
 	"currantusher.dev/tables/watch"
 )
 
-// rowWith returns the row of a server with the JSON text of one field.
-func rowWith(addr, field, text string) string {
-	fields := map[string]string{
-		"service": `"lots"`, "address": `"` + addr + `"`, "zone": `"a"`, "version": `"v1"`, "slots": "16", "state": `"ready"`, "coldLeftMs": "0", "seq": "0",
-	}
-	fields[field] = text
-	var list []string
-	for name, value := range fields {
-		list = append(list, fmt.Sprintf("%q:%s", name, value))
-	}
-	return "{" + strings.Join(list, ",") + "}"
-}
-
-// oddValues returns values of rows that name no server to use, although most of them have
-// the address of a server that listens.
-func oddValues(addr string) []string {
-	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
-	row := func(field, text string) string { return rowWith(addr, field, text) }
-	host, port, _ := strings.Cut(addr, ":")
-	return []string{
-		"", "null", "[]", nested, "\xff\xfe", "{}", row("other", nested), row("models", nested), row("zone", "\"\xff\""), row("zone", "null"),
-		row("slots", "1e400"), row("slots", "9223372036854775807"), row("seq", "9223372036854775807"), row("born", "9223372036854775807"),
-		row("coldLeftMs", "1e300"), row("coldLeftMs", "1e400"), row("state", `"resting"`), row("service", "7"),
-		row("address", `"`+host+`:0"`), row("address", `"`+host+`:65536"`), row("address", `"`+host+`:99999999999"`), row("address", `"localhost:`+port+`"`),
-	}
-}
-
 // Guards against daemons that end, or no longer follow a table, because of one row.
 func TestOddRowsOfOtherWritersHaveNoEffect(t *testing.T) {
 	d := startDeployment(t)
 	var trapped atomic.Int64
 	trap := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { trapped.Add(1) }))
 	t.Cleanup(trap.Close)
-	requireServed := func(odd string) {
+	requireServed := func(when string) {
 		t.Helper()
 		for entry := range d.entries {
-			require.Equal(t, http.StatusOK, d.sendRequest(entry, plainHost, "POST", "/look", "b", nil).status, "%.80s", odd)
+			require.Equal(t, http.StatusOK, d.sendRequest(entry, plainHost, "POST", "/look", "b", nil).status, when)
 		}
 	}
-	d.store.Put(watch.ServersTable, "a\r\nX-Injected: 1", []byte(rowWith(trap.Listener.Addr().String(), "other", "1")))
-	for i, odd := range oddValues(trap.Listener.Addr().String()) {
-		d.store.Put(watch.ServersTable, fmt.Sprintf("odd-%02d", i), []byte(odd))
-		d.store.Put(watch.ServersTable, "changing", []byte(odd))
-		d.store.Put(roster.EntriesTable, "odd", []byte(odd))
-		d.store.Put(roster.AgentsTable, "odd", []byte(odd))
-		d.store.Put(watch.OperatorTable, standin.ConfigKey, []byte(odd))
-		d.store.Put(watch.OperatorTable, standin.VersionKey(modelName), []byte(odd))
-		requireServed(odd)
+	d.store.Put(watch.ServersTable, "a\r\nX-Injected: 1", standin.ServerRow("lots", trap.Listener.Addr().String()))
+	for name, odd := range standin.OddServerRows("lots", trap.Listener.Addr().String()) {
+		d.store.Put(watch.ServersTable, "odd "+name, odd)
+		d.store.Put(watch.ServersTable, "changing", odd)
+		d.store.Put(roster.EntriesTable, "odd", odd)
+		d.store.Put(roster.AgentsTable, "odd", odd)
+		d.store.Put(watch.OperatorTable, standin.ConfigKey, odd)
+		d.store.Put(watch.OperatorTable, standin.VersionKey(modelName), odd)
+		requireServed(name)
 	}
 	added := d.startBackend("lots", "", "a", 7)
 	d.eventually(func() bool {
--- a/tables/watch/oddrows_test.go
+++ b/tables/watch/oddrows_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -24,28 +23,9 @@
 
 // oddServerRows returns rows of a server, by what is odd about each.
 func oddServerRows(id string) map[string]rowstore.Row {
-	nested := strings.Repeat("[", 100_000)
-	rows := map[string]rowstore.Row{
-		"unknown field": serverRow(id, 0, nil), "empty": {Value: nil}, "null": {Value: []byte("null")}, "array": {Value: []byte("[]")},
-		"nested": {Value: []byte(nested + strings.Repeat("]", 100_000))}, "unclosed": {Value: []byte(nested)},
-		"bytes": {Value: []byte("\x00\xff\xfe")}, "trailing": {Value: append(serverRow(id, 0, nil).Value, '}')},
-		"long number": {Value: fmt.Appendf(nil, `{"slots":%s}`, strings.Repeat("9", 1<<20))},
-		"long state":  serverRow(id, 0, map[string]any{"state": strings.Repeat("x", 1<<20)}),
-	}
-	value := rows["unknown field"].Value
-	rows["unknown field"] = rowstore.Row{Value: fmt.Appendf(nil, `{"other":{"a":%s%s},%s`, nested, strings.Repeat("]", 100_000), value[1:])}
-	for name, fields := range map[string]map[string]any{
-		"port 0": {"address": "10.0.0.1:0"}, "port 65536": {"address": "10.0.0.1:65536"}, "port -1": {"address": "10.0.0.1:-1"},
-		"port 99999999999": {"address": "10.0.0.1:99999999999"}, "no port": {"address": "10.0.0.1"}, "host": {"address": "host.example:80"},
-		"number address": {"address": 7}, "no zone": {"zone": nil}, "state": {"state": "resting"}, "array service": {"service": []int{}},
-		"slots 1e30": {"slots": 1e30}, "slots": {"slots": int64(1) << 62}, "seq": {"seq": int64(math.MaxInt64)}, "born": {"born": int64(math.MaxInt64)},
-		"cold 1e30": {"coldLeftMs": 1e30}, "version": {"models": []any{map[string]any{"name": "m", "version": int64(1) << 62}}},
-	} {
-		rows[name] = serverRow(id, 0, fields)
-	}
-	for name, row := range rows {
-		row.Table, row.Key = ServersTable, id
-		rows[name] = row
+	rows := map[string]rowstore.Row{}
+	for name, value := range standin.OddServerRows("llm", "10.0.0.1:80") {
+		rows[name] = rowstore.Row{Table: ServersTable, Key: id, Value: value}
 	}
 	return rows
 }
@@ -174,7 +154,7 @@
 		}()
 		time.Sleep(10 * time.Second)
 		require.Equal(t, []string{"s-1"}, serverIDs(f.View()))
-		store.add(at(odd["port 65536"], 4))
+		store.add(at(odd[`address "10.0.0.1:65536"`], 4))
 		store.add(serverRow("s-3", 5, nil))
 		time.Sleep(10 * time.Second)
 		require.Equal(t, []string{"s-1", "s-3"}, serverIDs(f.View()))
