--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/netdial"
 	"currantusher.dev/core/pause"
 )
 
@@ -207,11 +210,7 @@
 }
 
 func (n *Node) sendDatagram(datagram []byte, peerAddr string) {
-	udpAddr, err := net.ResolveUDPAddr("udp", peerAddr)
-	if err == nil {
-		_, err = n.socket.WriteToUDP(datagram, udpAddr)
-	}
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := writeTo(n.socket, datagram, peerAddr); err != nil && !errors.Is(err, net.ErrClosed) {
 		// The next round replaces a lost message.
 		n.config.Log.WithField("peer", peerAddr).WithError(err).Debug("Cannot send a gossip message to a peer.")
 	}
@@ -224,12 +223,16 @@
 		return
 	}
 	if message.PauseNotice != nil {
-		n.receivePause(*message.PauseNotice)
+		if isPlausible(*message.PauseNotice) {
+			n.receivePause(*message.PauseNotice)
+		}
 		return
 	}
 	if len(message.Pauses) > 0 {
 		for _, notice := range message.Pauses {
-			n.config.OnPauseNotice(notice)
+			if isPlausible(notice) {
+				n.config.OnPauseNotice(notice)
+			}
 		}
 		return
 	}
@@ -244,6 +247,7 @@
 	if len(message.RateLimits) > 0 {
 		n.config.OnRateLimits(message.From.ID, message.RateLimits)
 	}
+	message.NewestWeights = slices.DeleteFunc(message.NewestWeights, func(w NewestWeights) bool { return w.Version < 1 || w.Age < 0 })
 	if len(message.NewestWeights) > 0 {
 		n.config.OnNewestWeights(message.NewestWeights)
 	}
@@ -271,11 +275,19 @@
 	if err != nil {
 		return err
 	}
-	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	return writeTo(socket, datagram, addr)
+}
+
+// writeTo sends a datagram to an IP address and port.
+func writeTo(socket *net.UDPConn, datagram []byte, addr string) error {
+	if err := netdial.CheckAddr(addr); err != nil {
+		return err
+	}
+	target, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return err
 	}
-	_, err = socket.WriteToUDP(datagram, udpAddr)
+	_, err = socket.WriteToUDPAddrPort(datagram, target)
 	return err
 }
 
