Placement: attempts from before an ejection do not extend it

A server that has gone on after a silence of more than its ejection got no request for another 2 s or 4 s.

Cause: a failure at an ejected server counts as a failed probe once the ejection time is over, and doubles it, though no probe was sent.

Before, TestFailuresOfEarlierAttemptsDoNotExtendAnEndedEjection failed with "none of 1 backend servers is available for the request". Now only a failure while a probe is in flight counts.

--- a/requests/placement/agent.go
+++ b/requests/placement/agent.go
@@ -64,6 +64,7 @@
 func (a *agentState) finish(now time.Time, outcome Outcome, config Config, random *rand.Rand) {
 	a.inFlight = max(a.inFlight-1, 0)
 	a.lastUsed = now
+	wasProbed := a.probeInFlight
 	a.probeInFlight = false
 	switch outcome {
 	case Answered, Refused, Unavailable:
@@ -76,7 +77,7 @@
 	case Failed:
 		a.consecutiveFailures++
 		switch {
-		case a.isEjected() && now.Before(a.ejectedUntil):
+		case a.isEjected() && (!wasProbed || now.Before(a.ejectedUntil)):
 			// The attempt was sent before the ejection and is not a failed probe.
 		case a.isEjected() || a.consecutiveFailures >= config.EjectAfterFailures:
 			a.eject(now, config, random)
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -308,6 +308,25 @@
 	require.Error(t, err, "a failed probe doubles the ejection time")
 }
 
+// Requests that had waited at a silent server until its ejection was over doubled it.
+func TestFailuresOfEarlierAttemptsDoNotExtendAnEndedEjection(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{Entry: "e", EjectAfterFailures: 2})
+	candidates := []Candidate{{ID: "a", Limit: 16, ReportedAt: now}}
+	for range 3 {
+		_, err := p.Pick(now, Request{}, candidates)
+		require.NoError(t, err)
+	}
+	p.Eject(now, "a")
+	later := now.Add(DefaultBaseEjectionTime + DefaultBaseEjectionTime/2)
+	for range 2 {
+		p.Finish(later, "a", Failed, 0, 0)
+	}
+	p.Finish(later, "a", Inconclusive, 0, 0)
+	_, err := p.Pick(later, Request{}, candidates)
+	require.NoError(t, err, "agent is probed after the first ejection time")
+}
+
 // A server that is much slower than the others, for example behind a
 // low-bandwidth link, is picked only when all others are full, and is probed
 // again after slowMeanTTL.
