Recall: a request that waits at two servers is recalled from the first

A request that waits at a silent server and at another one used up the route's attempts, so that the recall for newer weights or after a quarantine left it at the first server. While another attempt is open and the caller has got nothing, one of the two may be aborted. An attempt that was aborted does not count as open any more, so that the last one stays.

--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -259,6 +259,11 @@
 func (e *Exchange) maySendAgain() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.hasAttemptsLeft()
+}
+
+// hasAttemptsLeft is maySendAgain for callers that hold the mutex.
+func (e *Exchange) hasAttemptsLeft() bool {
 	return e.request.Repeatable && (e.request.MaxAttempts <= 0 || e.attempts-e.refusals < e.request.MaxAttempts)
 }
 
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -183,3 +183,20 @@
 	_, err = old.Recv()
 	require.Error(t, err)
 }
+
+// A request that waited at two servers could not be recalled from the first one, whose
+// weights became out of date, although the second one was left.
+func TestRequestThatWaitsAtTwoServersIsRecalledFromTheFirst(t *testing.T) {
+	e := newTestExchange(fleet.RouteStreaming)
+	e.request.MaxAttempts = 2
+	observer := &abortObserver{}
+	e.observer = observer
+	more := make(chan struct{})
+	old := startAttempt(t, e, "s-1", serveUntilClosed(t, more))
+	target := startAttempt(t, e, "s-2", serveUntilClosed(t, more))
+	observer.cancels[0]()
+	observer.cancels[1]()
+	_, err := old.Recv()
+	require.Error(t, err)
+	requireEvent(t, target, firstEvent)
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -54,6 +54,8 @@
 	failure *Failure
 	// isHandover is set if another attempt was open when this one was sent.
 	isHandover bool
+	// isAborted is set by abort.
+	isAborted bool
 	// isClosed is set once the connection is not in use any more.
 	isClosed bool
 
@@ -163,7 +165,9 @@
 		return false
 	}
 	s.isClosed = true
-	e.openAttempts--
+	if !s.isAborted {
+		e.openAttempts--
+	}
 	return true
 }
 
@@ -176,20 +180,28 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return s.isHandover && e.openAttempts > 1
+	return s.isReplaceable()
+}
+
+// isReplaceable reports whether another open attempt can serve the request. A stream that
+// has begun stays at its server during a handover, since the target may not continue it.
+// The caller holds the mutex of the exchange.
+func (s *replyStream) isReplaceable() bool {
+	e := s.exchange
+	return e.openAttempts > 1 && (s.isHandover || !e.hasEvent)
 }
 
 // abort closes the connection unless the attempt has become the last one since.
 func (s *replyStream) abort() {
-	if !s.mayAbort() {
-		return
-	}
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !s.isClosed {
-		s.conn.Close()
+	if s.isClosed || s.isAborted || !e.hasAttemptsLeft() && !s.isReplaceable() {
+		return
 	}
+	s.isAborted = true
+	e.openAttempts--
+	s.conn.Close()
 }
 
 // readHead reads the status and headers of the answer. It returns the header
