Silence: what a race does with heads, late refusals and failed contenders

The race now goes on until data or the end decides it, counts a proven refusal at once, leaves out the servers that are being asked, and asks the next one at once.

--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -39,6 +39,8 @@
 	isReading bool
 	// lastFrameAt is when the last frame was passed on, or when the attempt was sent.
 	lastFrameAt time.Time
+	// isCounted is set while the attempt counts as one that may have run.
+	isCounted bool
 	// isSilent is set when another agent took the request over because this one sent
 	// nothing.
 	isSilent bool
@@ -87,14 +89,17 @@
 func (x *execution) beginAttempt(a *agentAttempt) {
 	x.request.Trace.Placed(a.number, a.agent, x.candidateCount, x.output.sentBytes)
 	x.unprovenAttempts++
+	a.isCounted = true
 }
 
 // endAttempt records the outcome of an attempt that beginAttempt counted.
 func (x *execution) endAttempt(placer *placement.Placer, a *agentAttempt, err error, outcome placement.Outcome) {
-	if core.ExecutionOf(err) == core.ExecutionNotRun {
-		x.unprovenAttempts--
-	} else {
+	switch {
+	case core.ExecutionOf(err) != core.ExecutionNotRun:
 		x.mayHaveRun = true
+	case a.isCounted:
+		x.unprovenAttempts--
+		a.isCounted = false
 	}
 	running, limit := 0, 0
 	if a.answer.end != nil {
@@ -232,6 +237,11 @@
 	}()
 }
 
+// isRefused reports whether the agent has said that the attempt did not run.
+func (a *agentAttempt) isRefused() bool {
+	return a.answer.end != nil && a.answer.end.Code != core.CodeOK && core.ExecutionOf(endError(a.answer)) == core.ExecutionNotRun
+}
+
 // close ends the call to the agent and the read in progress.
 func (a *agentAttempt) close() {
 	a.stream.Cancel()
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"currantusher.dev/core"
@@ -28,9 +29,10 @@
 type race struct {
 	*execution
 	placer *placement.Placer
-	// silent is the attempt at the silent server, and failure the result with which it
-	// has failed meanwhile, or nil.
+	// silent is the attempt at the silent server, heads the frames that it has received
+	// without data meanwhile, and failure the result with which it has failed, or nil.
 	silent  *agentAttempt
+	heads   []wire.AnswerFrame
 	failure *frameResult
 	// contenders are the attempts at other servers. Each sends one value to began. Both
 	// are nil until another server is asked.
@@ -65,7 +67,7 @@
 // awaitFrame reads the next frame and asks other servers while it does not arrive.
 func (x *execution) awaitFrame(ctx context.Context, placer *placement.Placer, a *agentAttempt) frameResult {
 	r := race{execution: x, placer: placer, silent: a}
-	timer := x.newSilenceTimer(a)
+	timer := newSilenceTimer(x.silenceTimeout(a))
 	defer timer.Stop()
 	stalled := a.stream.Stalled()
 	a.startRead()
@@ -73,32 +75,102 @@
 		select {
 		case result := <-a.frames:
 			a.isReading = false
-			if !result.isFailure() || len(r.contenders) == 0 {
-				discardReport(a.stream.Stalled())
-				r.abandonAll()
-				return result
+			if r.decides(result) {
+				return r.goOn(result)
 			}
-			r.failure = &result
+			timer.start(0)
 		case <-stalled:
 			stalled = nil
-			timer.Reset(max(x.untilStallTimeout(a), stallGrace))
+			timer.startBefore(max(x.untilStallTimeout(a), stallGrace))
 		case <-timer.C:
-			timer.Reset(r.ask(ctx))
+			timer.start(r.ask(ctx))
 		case b := <-r.began:
 			if b.err == nil {
 				return r.succeed(b.attempt)
 			}
-			r.abandon(ctx, b)
+			r.end(b, outcomeOf(ctx, b.err, b.attempt))
 			if r.failure != nil && len(r.contenders) == 0 {
 				return *r.failure
 			}
-			if core.ExecutionOf(b.err) == core.ExecutionNotRun {
-				timer.Reset(0)
-			}
+			timer.start(0)
 		}
 	}
 }
 
+// silenceTimer fires after the time after which a server counts as silent, and then when
+// the next server is to be asked.
+type silenceTimer struct {
+	*time.Timer
+	firesAt time.Time
+}
+
+// newSilenceTimer returns a timer for a time without the next frame, whatever other
+// requests at the server receive. Without such a time it does not fire before it is started.
+func newSilenceTimer(timeout time.Duration) *silenceTimer {
+	t := &silenceTimer{Timer: time.NewTimer(timeout + stallGrace)}
+	if timeout <= 0 {
+		t.Stop()
+		return t
+	}
+	t.firesAt = time.Now().Add(timeout + stallGrace)
+	return t
+}
+
+func (t *silenceTimer) start(after time.Duration) {
+	t.firesAt = time.Now().Add(after)
+	t.Reset(after)
+}
+
+// startBefore starts the timer unless it fires sooner.
+func (t *silenceTimer) startBefore(after time.Duration) {
+	if t.firesAt.IsZero() || time.Until(t.firesAt) > after {
+		t.start(after)
+	}
+}
+
+// silenceTimeout returns the time without the next frame after which other servers are
+// asked, or 0.
+func (x *execution) silenceTimeout(a *agentAttempt) time.Duration {
+	if a.answer.isEmpty() {
+		return x.startTimeout()
+	}
+	return x.request.IdleTimeout
+}
+
+// decides reports whether the silent server decides the race with what was read from it.
+// It does not if it has failed or has sent no data while other attempts are open.
+func (r *race) decides(result frameResult) bool {
+	if len(r.contenders) == 0 {
+		return true
+	}
+	if !result.isFailure() {
+		r.heads = append(r.heads, result.reply)
+		if result.reply.Data != nil || result.reply.End != nil {
+			return true
+		}
+		r.silent.startRead()
+		return false
+	}
+	r.failure = &result
+	if r.silent.isRefused() {
+		r.unprovenAttempts--
+		r.silent.isCounted = false
+	}
+	return false
+}
+
+// goOn ends the race for the server that was silent. result is its last frame or its
+// failure.
+func (r *race) goOn(result frameResult) frameResult {
+	discardReport(r.silent.stream.Stalled())
+	r.abandonAll()
+	if len(r.heads) == 0 {
+		return result
+	}
+	r.silent.held = r.heads[1:]
+	return frameResult{reply: r.heads[0]}
+}
+
 // discardReport removes the report of a stall that is over.
 func discardReport(stalled <-chan struct{}) {
 	select {
@@ -112,20 +184,6 @@
 	return r.err != nil || r.reply.End != nil && r.reply.End.Code != core.CodeOK
 }
 
-// newSilenceTimer returns a timer for the time after which a server counts as silent,
-// whatever other requests at the server receive. Without such a time it never fires.
-func (x *execution) newSilenceTimer(a *agentAttempt) *time.Timer {
-	timeout := x.request.IdleTimeout
-	if a.answer.isEmpty() {
-		timeout = x.startTimeout()
-	}
-	timer := time.NewTimer(timeout + stallGrace)
-	if timeout <= 0 {
-		timer.Stop()
-	}
-	return timer
-}
-
 // untilStallTimeout returns the time until other servers are asked to continue a request
 // at a stalled one. A caller who has received a part of the answer is kept waiting a little
 // longer: the server may go on soon, and the attempts of a request are few.
@@ -150,7 +208,7 @@
 	if !r.mayAsk() {
 		return contenderCheckPeriod
 	}
-	target, err := r.pickSuccessor(ctx, r.placer, r.silent.agent.ID, r.config.Now(), r.refused)
+	target, err := r.pickSuccessor(ctx, r.placer, r.silent.agent.ID, r.config.Now(), r.excluded())
 	if err != nil {
 		// Servers that have refused the request may accept it now.
 		clear(r.refused)
@@ -167,6 +225,16 @@
 	return r.request.handoverTimeout()
 }
 
+// excluded returns the servers that are not asked now.
+func (r *race) excluded() map[core.InstanceID]bool {
+	excluded := map[core.InstanceID]bool{}
+	maps.Copy(excluded, r.refused)
+	for b := range r.contenders {
+		excluded[b.agent.ID] = true
+	}
+	return excluded
+}
+
 // start sends an attempt to another server.
 func (r *race) start(ctx context.Context, target placement.Candidate) {
 	if r.began == nil {
@@ -191,6 +259,9 @@
 	r.silent.isSilent = true
 	r.successor = b
 	r.request.Trace.HandedOver(HandoverSilence, r.silent.agent.ID, b.agent.ID)
+	if r.silent.isRefused() {
+		return frameResult{err: endError(r.silent.answer)}
+	}
 	return frameResult{err: incompleteError("%s continues the request of this silent server", b.agent.ID)}
 }
 
@@ -208,11 +279,7 @@
 	}
 }
 
-// abandon ends a contender that has failed.
-func (r *race) abandon(ctx context.Context, b beginning) {
-	r.end(b, outcomeOf(ctx, b.err, b.attempt))
-}
-
+// end ends a contender.
 func (r *race) end(b beginning, outcome placement.Outcome) {
 	delete(r.contenders, b.attempt)
 	b.attempt.cancel()
