Silent servers: tests of deaths, breaks, spent retries, stops and changes during a silence

Cases: the silent server dies before, while and after another one is asked; the next server falls silent after its head or one event, or breaks off; the retry budget is spent with one, two and three of three servers silent; unsafe requests run once; the entry stops; the configuration, the server's row or the weights change; the caller leaves.

Streams have now a gap objective of 100 ms instead of 5 s.

--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -54,6 +54,9 @@
 	stopFuncs      []context.CancelFunc
 	entryStops     []context.CancelFunc
 	runningDaemons sync.WaitGroup
+	originAddr     string
+	// servers are the HTTP servers of backend servers that may be killed.
+	servers map[*standin.Backend]*httptest.Server
 	// log collects the logs of the entries; nil discards them.
 	log *logBuffer
 }
--- a/daemon/deployed/silence_fleet_test.go
+++ b/daemon/deployed/silence_fleet_test.go
@@ -26,15 +26,23 @@
 	silenceEventInterval = 50 * time.Millisecond
 	// silenceObjective is short, so that entries do not wait long for the head of an answer.
 	silenceObjective = 250 * time.Millisecond
-	// longSilence is longer than the time after which an entry sends a request that
-	// waits for the head of its answer to another server.
-	longSilence = 6 * silenceObjective
+	// silenceGapObjective is short, so that entries soon ask another server to continue a
+	// stream.
+	silenceGapObjective = 100 * time.Millisecond
+	// longSilence is longer than the time after which an entry sends a request to another
+	// server.
+	longSilence = 2500 * time.Millisecond
 )
 
 // silenceSettings are the settings of a deployment whose servers fall silent.
 type silenceSettings struct {
 	entries, servers, maxAttempts int
 	retryRatio, retrySlack        float64
+	// slots is the number of slots of each server, 0 for the default, and events the number
+	// of events of a stream, 0 for silenceEvents.
+	slots, events int
+	// hasRemoteServer puts the last server of each kind into another data centre.
+	hasRemoteServer bool
 }
 
 // startSilenceDeployment starts entries before engines and as many servers without an
@@ -44,16 +52,28 @@
 	d := &deployment{t: t, store: standin.NewStore(), origin: standin.NewOrigin(8, 512), log: &logBuffer{}}
 	d.storeAddr = d.startHTTPServer(d.store)
 	for i := range settings.servers {
-		engine := d.startSilentBackend("llm", modelName, i)
-		engine.EventCount, engine.EventInterval = silenceEvents, silenceEventInterval
+		zone := "a"
+		if settings.hasRemoteServer && i == settings.servers-1 {
+			zone = "b"
+		}
+		events := settings.events
+		if events == 0 {
+			events = silenceEvents
+		}
+		engine := &standin.Backend{
+			ID: fmt.Sprint("llm-", i), Service: "llm", Zone: zone, Model: modelName, Slots: settings.slots,
+			EventCount: events, EventInterval: silenceEventInterval,
+		}
+		plain := &standin.Backend{ID: fmt.Sprint("lots-", i), Service: "lots", Zone: zone, Slots: settings.slots}
+		d.startSilentBackend(engine)
+		d.startSilentBackend(plain)
 		d.engines = append(d.engines, engine)
-		d.plainServers = append(d.plainServers, d.startSilentBackend("lots", "", i))
+		d.plainServers = append(d.plainServers, plain)
 	}
-	d.store.PutConfig(silenceConfig(1, d.startHTTPServer(d.origin), settings.maxAttempts))
+	d.originAddr = d.startHTTPServer(d.origin)
+	d.store.PutConfig(silenceConfig(1, d.originAddr, settings.maxAttempts))
 	for i := range settings.entries {
-		node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
-		node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
-		d.runEntry(node)
+		d.startSilenceEntry(settings, i)
 	}
 	t.Cleanup(d.stop)
 	t.Cleanup(d.resumeAll)
@@ -66,10 +86,8 @@
 	return d
 }
 
-func (d *deployment) startSilentBackend(service, model string, i int) *standin.Backend {
-	b := &standin.Backend{
-		ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: "a", Model: model, Store: d.store, Origin: d.origin,
-	}
+func (d *deployment) startSilentBackend(b *standin.Backend) {
+	b.Store, b.Origin = d.store, d.origin
 	server := httptest.NewUnstartedServer(b)
 	server.Listener = b.Listen(server.Listener)
 	server.Start()
@@ -77,9 +95,26 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	if d.servers == nil {
+		d.servers = map[*standin.Backend]*httptest.Server{}
+	}
+	d.servers[b] = server
 	b.Addr = server.Listener.Addr().String()
 	b.Start(1)
-	return b
+}
+
+func (d *deployment) startSilenceEntry(settings silenceSettings, i int) {
+	node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
+	node.Bounds.Stop = waitTimeout
+	node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
+	d.runEntry(node)
+}
+
+// kill resets the connections of a server, which accepts no others.
+func (d *deployment) kill(b *standin.Backend) {
+	// The server is closed once more at the end of the test.
+	_ = d.servers[b].Listener.Close()
+	d.servers[b].CloseClientConnections()
 }
 
 func (d *deployment) resumeAll() {
@@ -91,13 +126,13 @@
 }
 
 func silenceConfig(version int64, originAddr string, maxAttempts int) fleet.Configuration {
-	const longTimeout, gap = 20 * time.Second, 5 * time.Second
+	const longTimeout = 20 * time.Second
 	targets := func(service fleet.ServiceName) []fleet.Target { return []fleet.Target{{Service: service, Weight: 1}} }
 	return fleet.Configuration{
 		Version: version,
 		Routes: []fleet.Route{
 			{Name: "r-stream", Host: streamHost, Prefix: silentRoutePrefix, Kind: fleet.RouteStreaming, Timeout: longTimeout, LatencyObjective: silenceObjective,
-				GapObjective: gap, Targets: targets("llm"), MaxAttempts: maxAttempts, Resumable: true},
+				GapObjective: silenceGapObjective, Targets: targets("llm"), MaxAttempts: maxAttempts, Resumable: true},
 			{Name: "r-safe", Host: plainHost, Prefix: "/", Kind: fleet.RouteSafe, Timeout: longTimeout, LatencyObjective: silenceObjective, Targets: targets("lots"), MaxAttempts: maxAttempts},
 			{Name: "r-unsafe", Host: plainHost, Prefix: "/issue/", Kind: fleet.RouteUnsafe, Timeout: longTimeout, LatencyObjective: silenceObjective, Targets: targets("lots"), MaxAttempts: 1},
 		},
@@ -126,20 +161,33 @@
 
 // warnings returns the lines that tell of trouble.
 func (l *logBuffer) warnings() string {
+	return strings.Join(append(l.find("level=warning"), l.find("level=error")...), "")
+}
+
+// count returns the number of lines that have all of these texts.
+func (l *logBuffer) count(texts ...string) int { return len(l.find(texts...)) }
+
+// find returns the lines that have all of these texts.
+func (l *logBuffer) find(texts ...string) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var found strings.Builder
+	var found []string
 	for line := range strings.Lines(l.lines.String()) {
-		if strings.Contains(line, "level=warning") || strings.Contains(line, "level=error") {
-			found.WriteString(line)
+		hasAll := true
+		for _, text := range texts {
+			hasAll = hasAll && strings.Contains(line, text)
+		}
+		if hasAll {
+			found = append(found, line)
 		}
 	}
-	return found.String()
+	return found
 }
 
 // runningCall is a request whose answer is read while the test goes on.
 type runningCall struct {
 	d      *deployment
+	id     string
 	body   string
 	cancel func()
 	done   chan struct{}
@@ -164,7 +212,7 @@
 
 // startCall sends a request with a body of its own to an entry.
 func (d *deployment) startCall(addr, host, path string) *runningCall {
-	c := &runningCall{d: d, body: nextBody(), done: make(chan struct{})}
+	c := &runningCall{d: d, id: nextRequestID(), body: nextBody(), done: make(chan struct{})}
 	request, err := http.NewRequest("POST", "http://"+addr+path, strings.NewReader(c.body))
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -173,7 +221,7 @@
 	request = request.WithContext(ctx)
 	request.Host = host
 	names := headers.Names()
-	request.Header.Set(names.RequestID, nextRequestID())
+	request.Header.Set(names.RequestID, c.id)
 	request.Header.Set(names.Deadline, "20000")
 	request.Header.Set(names.APIKey, apiKey)
 	if host == streamHost {
--- a/daemon/deployed/silence_test.go
+++ b/daemon/deployed/silence_test.go
@@ -32,16 +32,17 @@
 	}
 }
 
-// awaitRefusals waits until each server has refused a request, if the entry asks them.
-func awaitRefusals(servers []*standin.Backend) {
-	waitAtMost(longSilence, func() bool {
+// awaitRefusals waits until each server has refused a request.
+func (d *deployment) awaitRefusals(servers []*standin.Backend) {
+	d.t.Helper()
+	d.eventually(func() bool {
 		for _, server := range servers {
 			if len(server.RefusedRequests()) == 0 {
 				return false
 			}
 		}
 		return true
-	})
+	}, "a server has not been asked")
 }
 
 func TestStreamOfASilentServerIsNotCutWhenAllOthersRefuseIt(t *testing.T) {
@@ -53,7 +54,7 @@
 				first := stream.server(d.engines)
 				refuseAll(others(d.engines, first), refusal)
 				first.Silence()
-				awaitRefusals(others(d.engines, first))
+				d.awaitRefusals(others(d.engines, first))
 				first.Resume()
 				stream.requireWholeStream()
 			})
@@ -70,7 +71,7 @@
 		for _, server := range append(next, first) {
 			server.Silence()
 		}
-		waitAtMost(longSilence, func() bool { return next[0].HasHeldReads() || next[1].HasHeldReads() })
+		d.eventually(func() bool { return next[0].Holds(stream.id) || next[1].Holds(stream.id) }, "no other server is asked")
 		first.Resume()
 		stream.requireWholeStream()
 	})
@@ -92,7 +93,7 @@
 				refuseAll(servers[1:], standin.RefuseMisdirected)
 				servers[0].Silence()
 				call := d.startCall(d.entries[0].CallerAddr, c.host, c.path)
-				waitAtMost(longSilence, servers[0].HasHeldReads)
+				d.eventually(func() bool { return servers[0].Holds(call.id) }, "the silent server does not get the request")
 				waitAtMost(longSilence, call.hasEnded)
 				servers[0].Resume()
 				d.eventually(call.hasEnded, "the call does not end")
