--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -242,6 +242,7 @@
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
+		CanResume:         exchange.CanResume,
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
--- a/members/gossip/state.go
+++ b/members/gossip/state.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/netdial"
 )
 
 const (
@@ -32,6 +33,10 @@
 	// firstSignTimeout is the time after its introduction within which the first
 	// sign of life of a running entry arrives.
 	firstSignTimeout = 5 * time.Second
+	// maxLoad and maxPace bound the loads and paces that a peer reports; others are
+	// ignored.
+	maxLoad = 1 << 20
+	maxPace = 1e6
 	// peerRetention is the time after which a silent member is removed.
 	peerRetention = 10 * time.Minute
 )
@@ -98,9 +103,9 @@
 	}
 }
 
-// AddPeerAddr adds a peer address at which an entry may be running.
+// AddPeerAddr adds a peer address at which an entry may be running, unless it is invalid.
 func (s *State) AddPeerAddr(now time.Time, addr string) {
-	if _, ok := s.discoveredAt[addr]; !ok && addr != s.self.PeerAddr {
+	if _, ok := s.discoveredAt[addr]; !ok && addr != s.self.PeerAddr && netdial.CheckAddr(addr) == nil {
 		s.discoveredAt[addr] = now
 	}
 }
@@ -163,6 +168,8 @@
 	if !message.OmitsLoads {
 		p := s.peers[message.From.ID]
 		p.loads, p.paces, p.loadsAt = message.Loads, message.Paces, now
+		maps.DeleteFunc(p.loads, func(_ core.InstanceID, load int) bool { return load < 0 || load > maxLoad })
+		maps.DeleteFunc(p.paces, func(_ core.InstanceID, pace float64) bool { return !(pace > 0 && pace <= maxPace) })
 	}
 	for _, relayed := range message.Relayed {
 		s.updateMember(now, relayed)
@@ -199,7 +206,7 @@
 
 // describe stores a description if it is newer than the known one.
 func (s *State) describe(now time.Time, member Member) bool {
-	if member.ID == s.self.ID || member.PeerAddr == s.self.PeerAddr || !isHostPort(member.PeerAddr) {
+	if member.ID == s.self.ID || member.PeerAddr == s.self.PeerAddr || netdial.CheckAddr(member.PeerAddr) != nil {
 		return false
 	}
 	p := s.peers[member.ID]
@@ -229,11 +236,6 @@
 	p.member.Phase, p.member.Active = phase, active
 }
 
-func isHostPort(addr string) bool {
-	_, _, err := net.SplitHostPort(addr)
-	return err == nil
-}
-
 // removeSilentPeers removes the peers that were silent for peerRetention.
 func (s *State) removeSilentPeers(now time.Time) {
 	for id, p := range s.peers {
--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -146,11 +146,20 @@
 		_, _, err := receive(t, newExchange(), serveRawAnswer(t, okAnswerHead+"\r\n"))
 		require.Error(t, err)
 	}
-	e := newTestExchange(fleet.RouteStreaming)
-	e.lastEventID = "6"
-	_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\n"))
-	require.NoError(t, err, "nothing was left after the last event")
-	require.Equal(t, core.CodeOK, end.Code)
+	for _, c := range []struct {
+		rest       string
+		isComplete bool
+	}{{"\r\n", false}, {"Content-Length: 0\r\n\r\n", true}, {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true}} {
+		e := newTestExchange(fleet.RouteStreaming)
+		e.lastEventID = "6"
+		_, end, err := receive(t, e, serveRawAnswer(t, okAnswerHead+c.rest))
+		if !c.isComplete {
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			continue
+		}
+		require.NoError(t, err, "the server said that nothing was left after the last event")
+		require.Equal(t, core.CodeOK, end.Code)
+	}
 }
 
 func TestEndlessEventIsAbandoned(t *testing.T) {
@@ -200,7 +209,7 @@
 	require.Error(t, ctx.Err())
 }
 
-func TestConnectionWithAnUnreadRefusalBodyIsNotKept(t *testing.T) {
+func TestConnectionIsNotKeptAfterARefusal(t *testing.T) {
 	const refusal = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n"
 	for name, head := range map[string]string{
 		"with a length":    "Content-Length: 100000000\r\n\r\n",
@@ -218,14 +227,17 @@
 		})
 	}
 	e := newTestExchange(fleet.RouteUnsafe)
+	closed := make(chan error, 1)
 	addr := serveRaw(t, func(conn *net.TCPConn) {
 		_, _ = io.WriteString(conn, refusal+"Content-Length: 2\r\n\r\nno")
-		_, _ = io.Copy(io.Discard, conn)
+		_, err := io.Copy(io.Discard, conn)
+		closed <- err
 	})
 	_, end, err := receive(t, e, addr)
 	require.NoError(t, err)
 	require.Equal(t, core.ExecutionNotRun, end.Execution)
-	require.Equal(t, 1, e.pool.CloseExpired(), "a short body is read")
+	require.Zero(t, e.pool.CloseExpired(), "a copy of the refusal may follow")
+	require.Error(t, <-closed, "a request that the server has not read is discarded by a reset")
 }
 
 // The rest of a long refusal came where the answer to the next request was due.
@@ -335,6 +347,7 @@
 		resumedAfter <- r.Header.Get("Last-Event-Id")
 		w.Header().Set("X-Id", "r-1")
 		w.Header().Set("X-Seal", "s")
+		w.Header().Set("Content-Type", eventstream.MediaType)
 		_, _ = io.WriteString(w, secondEvent)
 	}))
 	defer sound.Close()
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeebo/blake3"
@@ -23,8 +23,6 @@
 	// maxFailureBytes bounds the body of an error answer that is kept for the
 	// caller.
 	maxFailureBytes = 64 << 10
-	// refusalBodyTimeout bounds the wait for the body of a refusal, which nobody needs.
-	refusalBodyTimeout = 50 * time.Millisecond
 )
 
 // ErrBodyTooLarge means that the body of an error answer exceeded maxFailureBytes.
@@ -48,9 +46,8 @@
 	// lastEventID is the id of the last complete event that Recv returned, or of the one
 	// after which the stream was resumed.
 	lastEventID string
-	// continuesAnswer is set if the caller had received a part of the answer when the
-	// attempt was sent.
-	continuesAnswer bool
+	// begunHead is the head that the caller had received when the attempt was sent, or nil.
+	begunHead *http.Response
 	// stalled holds a value after reportStalled.
 	stalled chan struct{}
 	// failure is the answer if it is a server error, or nil.
@@ -62,7 +59,11 @@
 
 	response *http.Response
 	splitter eventstream.Splitter
-	buffer   []byte
+	// hasEvent is set once Recv has returned an event.
+	hasEvent bool
+	// continuation is set if the answer continues a stream after an event.
+	continuation *eventstream.Continuation
+	buffer       []byte
 	// sentAt is when the request was written.
 	sentAt       time.Time
 	nextSequence uint64
@@ -98,6 +99,7 @@
 		e.lastFailure = s.failure
 	}
 	e.lastEventID = s.lastEventID
+	e.hasEvent = e.hasEvent || s.hasEvent
 	e.answerLength = s.length
 	e.lastServer = s.server
 }
@@ -132,9 +134,12 @@
 	return s.endFrame()
 }
 
-// Cancel implements dispatch.ReplyStream.
+// Cancel implements dispatch.ReplyStream. After the end frame it does nothing: another
+// request may use the connection.
 func (s *replyStream) Cancel() {
-	s.markClosed()
+	if !s.markClosed() {
+		return
+	}
 	s.attemptObserver.Close()
 	s.stopCloseOnDone()
 	s.conn.Close()
@@ -149,14 +154,17 @@
 	e.openAttempts++
 }
 
-func (s *replyStream) markClosed() {
+// markClosed reports false if the connection was not in use any more.
+func (s *replyStream) markClosed() bool {
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !s.isClosed {
-		s.isClosed = true
-		e.openAttempts--
+	if s.isClosed {
+		return false
 	}
+	s.isClosed = true
+	e.openAttempts--
+	return true
 }
 
 // mayAbort reports whether the request can continue elsewhere if this attempt is
@@ -173,7 +181,13 @@
 
 // abort closes the connection unless the attempt has become the last one since.
 func (s *replyStream) abort() {
-	if s.mayAbort() {
+	if !s.mayAbort() {
+		return
+	}
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.isClosed {
 		s.conn.Close()
 	}
 }
@@ -181,7 +195,7 @@
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
-	response, err := s.conn.Receive(s.exchange.request.Method)
+	response, err := s.receiveAnswer()
 	if err != nil {
 		return wire.AnswerFrame{}, err
 	}
@@ -201,8 +215,8 @@
 	if err := s.checkAnswerHeader(); err != nil {
 		return wire.AnswerFrame{}, err
 	}
-	if s.continuesAnswer && !isSuccess(response) {
-		return wire.AnswerFrame{}, fmt.Errorf("%s answered %d to a stream that has begun", s.server, response.StatusCode)
+	if err := s.checkContinuation(); err != nil {
+		return wire.AnswerFrame{}, err
 	}
 	return wire.AnswerFrame{Header: &wire.AnswerHeader{
 		RequestID:   s.exchange.request.ID,
@@ -210,40 +224,16 @@
 	}}, nil
 }
 
-// checkRequestID rejects an answer that belongs to another request. A refusal
-// may omit the request id.
+// checkRequestID rejects an answer that may belong to another request. A refusal may omit
+// the request id if the connection has carried no other request.
 func (s *replyStream) checkRequestID() error {
 	got := s.response.Header.Get(s.exchange.headerNames.RequestID)
-	if got == s.exchange.request.ID || got == "" && s.isNotRun() {
+	if got == s.exchange.request.ID || got == "" && s.isNotRun() && s.conn.IsFirstRequest() {
 		return nil
 	}
 	return fmt.Errorf("%s answered request %q on the connection of %q", s.server, got, s.exchange.request.ID)
 }
 
-func (s *replyStream) reportAnswer() {
-	names := s.exchange.headerNames
-	version := s.numericHeader(names.WeightsVersion)
-	coldMillis := s.numericHeader(names.ColdRemaining)
-	s.exchange.observer.AnswerReceived(s.server, s.exchange.request.Model,
-		fleet.WeightsVersion(version), time.Duration(coldMillis)*time.Millisecond)
-}
-
-// numericHeader returns the numeric value of a header, or 0 if it is missing. An
-// invalid value is reported and treated as missing, because these headers are
-// only hints.
-func (s *replyStream) numericHeader(name string) float64 {
-	text := s.response.Header.Get(name)
-	if text == "" {
-		return 0
-	}
-	value, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		s.exchange.observer.InvalidHeader(s.server, name, err)
-		return 0
-	}
-	return value
-}
-
 func (s *replyStream) isNotRun() bool {
 	return s.response.StatusCode == http.StatusMisdirectedRequest || s.response.Header.Get(s.exchange.headerNames.NotExecuted) != ""
 }
@@ -252,11 +242,9 @@
 // run.
 func (s *replyStream) endRefused(notice notices.Notice) (wire.AnswerFrame, error) {
 	s.exchange.countRefusal()
-	if s.discardBody() {
-		s.releaseConn()
-	} else {
-		s.Cancel()
-	}
+	// A copy of the refusal that arrives later could not be told from the answer to the same
+	// request if that were sent again on this connection.
+	s.Cancel()
 	// The entry never exceeds a server's slots. A refusal therefore means that the
 	// server is loading weights, is leaving, or is not the server that the request was
 	// meant for, unless it says that it wants a pause.
@@ -273,16 +261,6 @@
 	}}, nil
 }
 
-// discardBody reads the body of a refusal, so that the connection can be kept. It
-// reports whether it read the whole body.
-func (s *replyStream) discardBody() bool {
-	if err := s.conn.SetReadDeadline(time.Now().Add(refusalBodyTimeout)); err != nil {
-		return false
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(s.response.Body, maxFailureBytes+1))
-	return err == nil && n <= maxFailureBytes
-}
-
 // endFailed returns the end frame of an attempt that the backend server ran and
 // answered with a server error.
 func (s *replyStream) endFailed() (wire.AnswerFrame, error) {
@@ -305,7 +283,7 @@
 // itself: they have a content encoding, or lack the signature.
 func (s *replyStream) checkAnswerHeader() error {
 	header := s.response.Header
-	if encoding := header.Get("Content-Encoding"); encoding != "" {
+	if encoding := strings.Join(header.Values("Content-Encoding"), ""); encoding != "" {
 		return fmt.Errorf("%s answered with content encoding %q, want none", s.server, encoding)
 	}
 	if isSuccess(s.response) && header.Get(s.exchange.headerNames.Signature) == "" {
@@ -330,6 +308,9 @@
 		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.splitter.Feed(s.buffer[:n])
+	if err == nil && s.continuation != nil {
+		events, err = s.continuation.Accept(events)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -343,6 +324,7 @@
 	if id != "" {
 		s.lastEventID = id
 	}
+	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
 	return events, nil
 }
 
@@ -377,7 +359,7 @@
 	if s.splitter.PendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
 	}
-	if s.isEventStream() && s.length == 0 && s.lastEventID == "" && upstream.EndsWithConnection(s.response) {
+	if s.isEventStream() && s.length == 0 && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	if isSuccess(s.response) && s.length > 0 {
