Handovers: a target without events does not end a stream that its server still serves

Seen by callers: a stream that ended as if it were complete, in the middle, at a server that pauses to load weights.

Cause: the target of a handover that answered a 200 without events, with a length or in chunks, took over the stream, and its end was the caller's, although the attempt at the old server was open and not at its end.

Evidence: without the fix the cases "nothing left, with a length" and "nothing left, in chunks" of TestTargetThatDoesNotContinueTheStreamLeavesItToItsServer end after event 6 of 8 without an error. All other answers of a target already left the stream to its server (errors, refusals, other types, unfit events) or continued it.

A handover whose target sends no event now counts as failed, and the old server goes on. If nothing was left, it ends the stream itself. The target is not counted as failed.

--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -56,9 +56,9 @@
 	return !pauseStart.IsZero() && !now.Before(pauseStart)
 }
 
-// awaitFirstData sends the request and receives the answer up to its first data, or up
-// to its end if no data is left. It returns an error if that takes longer than the
-// handover timeout.
+// awaitFirstData sends the request and receives the answer up to its first data. It
+// returns an error if that takes longer than the handover timeout, or if the answer ends
+// without data: if nothing is left, the server that the stream would leave says so too.
 func (x *execution) awaitFirstData(ctx context.Context, a *agentAttempt) error {
 	a.ctx, a.cancel = x.attemptContext(ctx)
 	timer := time.AfterFunc(x.request.handoverTimeout(), a.cancel)
@@ -80,7 +80,7 @@
 	return err
 }
 
-// holdFirstData receives frames up to the first data or the end and keeps them.
+// holdFirstData receives frames up to the first data and keeps them.
 func (x *execution) holdFirstData(a *agentAttempt) error {
 	for {
 		reply, err := a.readFrame()
@@ -98,16 +98,16 @@
 		case reply.End != nil && reply.End.Code != core.CodeOK:
 			return endError(a.answer)
 		case reply.End != nil:
-			return nil
+			return incompleteError("%s sent no event", a.agent.ID)
 		}
 	}
 }
 
 // abandonHandover ends an attempt that did not take over the stream of from. A server
-// that did not begin within the short timeout may be healthy.
+// that did not begin within the short timeout, or had nothing left to send, may be healthy.
 func (x *execution) abandonHandover(ctx context.Context, placer *placement.Placer, from, a *agentAttempt, err error) {
 	outcome := outcomeOf(ctx, err, a)
-	if core.CodeOf(err) == core.CodeTimeout {
+	if core.CodeOf(err) == core.CodeTimeout || a.answer.isComplete() {
 		outcome = placement.Inconclusive
 	}
 	x.endAttempt(placer, a, err, outcome)
