Requests: an ended attempt does not close the connection of the next request

Seen by callers: 502, or a stream that breaks, although nothing happened to the server.

Cause: after a refusal (421, 503) or a server error, the attempt returned its connection to the pool, and the dispatcher then cancelled the attempt, which closed the connection. A request that had taken it from the pool in between was cut off after it had been sent. The stall detector and the recall collect cancel functions and call them later, so that an attempt that ended in between also lost its connection to the next request, or the pool's.

Evidence: without the fix all four cases of TestEndedAttemptDoesNotCloseTheConnectionOfTheNextRequest fail: "read answer of 127.0.0.1:46221: read tcp ...: use of closed network connection". How often callers met it was not measured.

An attempt now closes its connection only while it uses it. Connections on which a server refused or failed stay in the pool.

--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -119,10 +119,21 @@
 
 // Cancel implements dispatch.ReplyStream.
 func (s *replyStream) Cancel() {
+	s.stopCloseOnDone()
+	s.closeConn()
 	s.markClosed()
 	s.attemptObserver.Close()
-	s.stopCloseOnDone()
-	s.conn.Close()
+}
+
+// closeConn closes the connection unless it was released, since another request may use
+// it then.
+func (s *replyStream) closeConn() {
+	e := s.exchange
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.isClosed {
+		s.conn.Close()
+	}
 }
 
 // open counts the attempt as open.
@@ -159,7 +170,7 @@
 // abort closes the connection unless the attempt has become the last one since.
 func (s *replyStream) abort() {
 	if s.mayAbort() {
-		s.conn.Close()
+		s.closeConn()
 	}
 }
 
