Agent: an error does not continue a stream

Seen by callers of an entry with agents: the text of an error, at times with its status line, in the middle of a stream that was resumed at another backend server.

Cause: the agent took any 200 as the rest of a stream. A JSON or text body with a length was relayed as it was and ended the stream as complete; text or an HTTP head among the events was relayed as an event.

Evidence: without the fix the cases JSON, text, no type, text in the stream, head in the stream and error event of TestErrorDoesNotContinueAStream end without an error (expected 300, incomplete; actual 0).

The answer to a request that resumes a stream must now have the type of an event stream, and its events only fields of events and no error. An engine that ignores X-Resume-From can't be told: its events carry no ids.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/wire"
 )
 
@@ -26,7 +27,7 @@
 	headerIdempotencyKey = "X-Idempotency-Key"
 	headerResumeFrom     = "X-Resume-From"
 	headerWeights        = "X-Weights"
-	eventStreamType      = "text/event-stream"
+	eventStreamType      = eventstream.MediaType
 	maxStateBytes        = 64 << 10
 	maxIdleBackendConns  = 64
 	backendDialTimeout   = 2 * time.Second
@@ -169,6 +170,9 @@
 	}
 	contentType := response.Header.Get("Content-Type")
 	stream := strings.HasPrefix(contentType, eventStreamType)
+	if !stream && d.ResumeOffset > 0 {
+		return nil, core.NewFailure(core.CodeIncomplete, core.ExecutionUnknown, "backend server continued a stream with content type %q", contentType)
+	}
 	// A stream names its own end; any other answer could be truncated unnoticed.
 	if !stream && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, core.NewFailure(core.CodeIncomplete, core.ExecutionUnknown, "answer has neither a Content-Length nor chunked encoding")
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -121,6 +122,17 @@
 	return nil
 }
 
+// data returns the bytes of the data frames.
+func (f *frameRecorder) data() string {
+	var data strings.Builder
+	for _, frame := range f.sent {
+		if frame.Data != nil {
+			data.Write(frame.Data.Bytes)
+		}
+	}
+	return data.String()
+}
+
 func TestRelayDetectsIncompleteStreams(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -148,6 +160,44 @@
 	}
 }
 
+// A backend server answered the request that continues a stream with an error, whose text
+// the caller got as the rest of the stream.
+func TestErrorDoesNotContinueAStream(t *testing.T) {
+	const event = "data: b\n\n"
+	for name, c := range map[string]struct {
+		contentType, body, forwarded string
+		code                         core.Code
+	}{
+		"events":             {eventStreamType, event + string(streamEndEvent), event + string(streamEndEvent), core.CodeOK},
+		"nothing left":       {eventStreamType, string(streamEndEvent), string(streamEndEvent), core.CodeOK},
+		"JSON":               {"application/json", "{\"error\":\"failed\"}", "", core.CodeIncomplete},
+		"text":               {"text/plain", event + string(streamEndEvent), "", core.CodeIncomplete},
+		"no type":            {"", event + string(streamEndEvent), "", core.CodeIncomplete},
+		"text in the stream": {eventStreamType, "failed\n\n" + string(streamEndEvent), "", core.CodeIncomplete},
+		"head in the stream": {eventStreamType, "HTTP/1.1 500 No\r\nA: b\r\n\r\n" + string(streamEndEvent), "", core.CodeIncomplete},
+		"error event":        {eventStreamType, "event: error\ndata: failed\n\n" + string(streamEndEvent), "", core.CodeIncomplete},
+		"empty":              {eventStreamType, "", "", core.CodeIncomplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(headerRequestID, "r")
+				w.Header()["Content-Type"] = []string{c.contentType}
+				w.Header().Set("Content-Length", strconv.Itoa(len(c.body)))
+				_, _ = io.WriteString(w, c.body)
+			})
+			out := &frameRecorder{}
+			d := wire.Dispatch{RequestID: "r", Stream: true, ResumeOffset: 9}
+			answer, err := b.sendAttempt(t.Context(), d)
+			if err == nil {
+				err = newRelay(out, d, func() {}).copyAnswer(answer)
+				require.NoError(t, answer.body.Close())
+			}
+			require.Equal(t, c.code, core.CodeOf(err))
+			require.Equal(t, c.forwarded, out.data())
+		})
+	}
+}
+
 // endlessReader is a body of one event without end.
 type endlessReader struct{ read int }
 
--- a/daemon/agent/relay.go
+++ b/daemon/agent/relay.go
@@ -83,6 +83,9 @@
 func (r *relay) forward(a *answer, part []byte) error {
 	if a.stream {
 		events, err := r.splitter.Feed(part)
+		if err == nil && r.dispatch.ResumeOffset > 0 {
+			err = eventstream.CheckFields(events)
+		}
 		if err != nil {
 			return core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "invalid event after %d bytes", r.length)
 		}
--- a/requests/eventstream/continuation.go
+++ b/requests/eventstream/continuation.go
@@ -45,6 +45,19 @@
 	return accepted, nil
 }
 
+// CheckFields returns an error if complete events hold anything else than the fields of
+// events, or are errors.
+func CheckFields(events []byte) error {
+	for len(events) > 0 {
+		var event []byte
+		event, events = cutEvent(events)
+		if _, _, err := parseEvent(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // HasEvent reports whether complete events have more than comments and retry times.
 func HasEvent(events []byte) bool {
 	for len(events) > 0 {
