Deployments: answers that do not continue a stream reach no caller

A whole gateway before two engines: the first breaks a stream off within an event, and the second answers the continuation with the text of an error, a stream whose first event is the head of an error, the first events again, or nothing before it closes the connection. The caller must get the events before the break, the first engine's head and an aborted connection. With requests and daemon/agent of all four cases fail: "Expected error with unexpected EOF in chain but got nil".

--- a/daemon/deployed/answers_test.go
+++ b/daemon/deployed/answers_test.go
@@ -1,6 +1,7 @@
 package deployed
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -89,3 +90,41 @@
 		})
 	}
 }
+
+// The caller got the text of an error or events for the second time in the middle of its
+// stream, or a part of the stream as if it were complete.
+func TestAnswerThatDoesNotContinueAStreamReachesNoCaller(t *testing.T) {
+	for name, fault := range map[string]standin.AnswerFault{
+		"error text": standin.AnswerErrorText, "error head": standin.AnswerErrorHead,
+		"from the start": standin.AnswerFromStart, "empty": standin.AnswerEmpty,
+	} {
+		t.Run(name, func(t *testing.T) {
+			const begunEvents = 2
+			d := startDeployment(t)
+			d.awaitRetries(0)
+			for range 4 {
+				require.True(t, isWholeStream(d.stream(0, "/s/x")()), "each request adds to the retries of its service")
+			}
+			for _, engine := range d.engines {
+				engine.InjectContinuations(fault, 1)
+			}
+			isContinued := func() bool {
+				return d.engines[0].ContinuationFaultsLeft()+d.engines[1].ContinuationFaultsLeft() < 2
+			}
+			for start := time.Now(); !isContinued(); {
+				require.Less(t, time.Since(start), waitTimeout, "no stream was continued")
+				for _, engine := range d.engines {
+					engine.TruncateNextStream(begunEvents)
+				}
+				broken := d.stream(0, "/s/x")()
+				if broken.status == http.StatusServiceUnavailable {
+					continue
+				}
+				require.Equal(t, http.StatusOK, broken.status)
+				require.ErrorIs(t, broken.err, io.ErrUnexpectedEOF, "%+v", broken)
+				require.Equal(t, completeStream(begunEvents), broken.body)
+				require.NotEmpty(t, broken.header.Get(headers.Names().Signature))
+			}
+		})
+	}
+}
