Streams: test of answers that broke before their first event

Such an answer leaves no head in the one that the caller gets, be it a stream, a client error or a server error.

--- a/requests/direct/continuation_test.go
+++ b/requests/direct/continuation_test.go
@@ -247,6 +247,35 @@
 	}
 }
 
+// An answer that broke off before its first event leaves nothing in the one that the caller
+// gets.
+func TestAnswerThatBrokeBeforeItsFirstEventLeavesNothing(t *testing.T) {
+	const first = eventAnswerHead + "X-First: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, broken := range map[string]string{"after the head": first, "within an event": first + chunk("id: 1\nda")} {
+		t.Run(name+"/events", func(t *testing.T) {
+			recorder, err := dispatchStream(t, nil, serveRawAnswer(t, broken), serveRawAnswer(t, withLength(strings.Replace(eventAnswerHead, "X-Seal: s", "X-Seal: other", 1), restEvents)))
+			require.NoError(t, err)
+			require.Equal(t, restEvents, recorder.Body.String())
+			require.Equal(t, []string{"other"}, recorder.Header()["X-Seal"])
+			require.NotContains(t, recorder.Header(), "X-First")
+		})
+		t.Run(name+"/client error", func(t *testing.T) {
+			recorder, err := dispatchStream(t, nil, serveRawAnswer(t, broken), serveRawAnswer(t, withLength("HTTP/1.1 404 No\r\nX-Id: r-1\r\nX-Seal: other\r\n", "no")))
+			require.NoError(t, err)
+			require.Equal(t, 404, recorder.Code)
+			require.Equal(t, "no", recorder.Body.String())
+			require.Equal(t, []string{"other"}, recorder.Header()["X-Seal"])
+			require.NotContains(t, recorder.Header(), "X-First")
+		})
+		t.Run(name+"/server error", func(t *testing.T) {
+			recorder, err := dispatchStream(t, nil, serveRawAnswer(t, broken), serveRawAnswer(t, withLength("HTTP/1.1 500 No\r\nX-Id: r-1\r\nX-Seal: other\r\n", "no")))
+			require.Equal(t, core.CodeEngineFailed, core.CodeOf(err), "the gateway answers with the failure")
+			require.Empty(t, recorder.Body.String())
+			require.Empty(t, recorder.Header())
+		})
+	}
+}
+
 // FuzzContinuation checks that whatever the next server answers, the caller gets whole
 // events with increasing ids after those of the first server.
 func FuzzContinuation(f *testing.F) {
