Gateway: a broken stream ends with a reset for callers without chunks

Seen by callers that speak HTTP/1.0: a stream that broke off looked complete.

Cause: such a response has no chunks and ends with its connection. An aborted response was closed normally, which is its end.

Evidence: without the fix TestBrokenStreamDoesNotLookCompleteWithoutChunks fails: "Expected error with connection reset by peer in chain but got nil".

The gateway now resets the connection of such a caller instead.

--- a/daemon/deployed/answers_test.go
+++ b/daemon/deployed/answers_test.go
@@ -1,9 +1,12 @@
 package deployed
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -128,3 +131,28 @@
 		})
 	}
 }
+
+// A caller that speaks HTTP/1.0 gets no chunks, and took the close of its connection for the
+// end of the stream.
+func TestBrokenStreamDoesNotLookCompleteWithoutChunks(t *testing.T) {
+	d := startDeployment(t)
+	send := func() (string, error) {
+		conn, err := net.Dial("tcp", d.entries[0].CallerAddr)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		names := headers.Names()
+		_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.0\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: 10,10\r\nContent-Length: 0\r\n\r\n",
+			streamHost, names.RequestID, nextRequestID(), names.APIKey, apiKey, names.Model, modelName, names.TokenCounts)
+		require.NoError(t, err)
+		answer, err := io.ReadAll(conn)
+		return string(answer), err
+	}
+	answer, err := send()
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(answer, "\r\n\r\n"+completeStream(6)), answer)
+	for _, engine := range d.engines {
+		engine.TruncateNextStream(2)
+	}
+	_, err = send()
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -88,7 +88,7 @@
 	switch failure := exchange.Failure(); {
 	case !exchange.FirstByteAt().IsZero() || core.CodeOf(err) == core.CodeCancelled:
 		// Aborting the connection is the only way to signal an incomplete response.
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	case failure != nil && core.CodeOf(err) == core.CodeEngineFailed:
 		c.outcome.status = failure.Status
 		// A write error means that the caller has disconnected.
--- a/daemon/gateway/framing.go
+++ b/daemon/gateway/framing.go
@@ -75,3 +75,24 @@
 	conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn)
 	return ok && conn.hasContentLength()
 }
+
+// abortResponse ends a response that is incomplete. Without chunks the caller would take
+// a normal close of the connection for its end.
+func abortResponse(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetOnClose(r)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetOnClose makes the close of the caller's connection a reset.
+func resetOnClose(r *http.Request) {
+	conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn)
+	if !ok {
+		return
+	}
+	if tcpConn, ok := conn.Conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcpConn.SetLinger(0)
+	}
+}
