Streams: the head of an answer is no event

Seen by callers: the status line and headers of an error in the middle of a stream.

Cause: a server that fails within its stream may write the head of another answer into it; without a length the bytes of an answer that follows on the connection are part of the body too. A head ends with a blank line, so that it was passed on as an event, in the first answer of a stream as well, whose events are otherwise passed on as they come.

No line of an event begins with HTTP/1., so that such a line now fails the attempt, for streams that cannot be resumed too.

--- a/requests/direct/continuation.go
+++ b/requests/direct/continuation.go
@@ -21,6 +21,23 @@
 	return nil
 }
 
+// acceptEvents adds the next bytes of an event stream and returns the events that they
+// complete and that may be passed on.
+func (s *replyStream) acceptEvents(part []byte) ([]byte, error) {
+	events, err := s.splitter.Feed(part)
+	if err == nil {
+		err = eventstream.CheckNoStatusLine(events)
+	}
+	if err == nil && s.continuation != nil {
+		events, err = s.continuation.Accept(events)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
+	return events, nil
+}
+
 // CanResume reports whether another server can continue the stream exactly after the events
 // that were passed on.
 func (e *Exchange) CanResume() bool {
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -341,10 +341,7 @@
 	if !s.isEventStream() {
 		return s.buffer[:n], s.checkLength(n)
 	}
-	events, err := s.splitter.Feed(s.buffer[:n])
-	if err == nil && s.continuation != nil {
-		events, err = s.continuation.Accept(events)
-	}
+	events, err := s.acceptEvents(s.buffer[:n])
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -361,7 +358,6 @@
 	if id != "" {
 		s.lastEventID = id
 	}
-	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
 	return events, nil
 }
 
--- a/requests/eventstream/eventstream.go
+++ b/requests/eventstream/eventstream.go
@@ -23,11 +23,17 @@
 	ErrTooLarge = errors.New("the event is too large")
 	// ErrInvalidID means that the id of an event cannot be sent in a header.
 	ErrInvalidID = errors.New("the id of the event is invalid")
+	// ErrStatusLine means that the head of an HTTP answer follows within a stream.
+	ErrStatusLine = errors.New("the stream holds the status line of an answer")
 )
 
 const lineEnds = "\r\n"
 
-var idField = []byte("id:")
+var (
+	idField = []byte("id:")
+	// statusLines are starts of a status line at the start of a line.
+	statusLines = [][]byte{[]byte("\nHTTP/1."), []byte("\rHTTP/1.")}
+)
 
 // Splitter splits a server-sent event stream at event boundaries.
 type Splitter struct {
@@ -89,6 +95,19 @@
 	return end
 }
 
+// CheckNoStatusLine returns ErrStatusLine if a line of the complete events is the status
+// line of an answer, which no field of an event begins like.
+func CheckNoStatusLine(events []byte) error {
+	isFound := bytes.HasPrefix(events, statusLines[0][1:])
+	for _, start := range statusLines {
+		isFound = isFound || bytes.Contains(events, start)
+	}
+	if isFound {
+		return ErrStatusLine
+	}
+	return nil
+}
+
 // LastID returns the id of the last of the complete events that has one, or "".
 func LastID(events []byte) (string, error) {
 	id := lastIDField(events)
