Streams: comments without a length are no whole stream

A caller could get a complete stream without an event: a server that closed the connection after a comment looked as if it had ended. Without the fix TestUnframedCommentsAreNoWholeStream fails ("Expected error with unexpected EOF in chain but got nil"). An answer without a length and chunks now needs an event to be complete, as it needed some bytes before.

--- a/requests/direct/events_test.go
+++ b/requests/direct/events_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"io"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,3 +35,10 @@
 	require.NoError(t, err)
 	require.Equal(t, whole, body)
 }
+
+func TestUnframedCommentsAreNoWholeStream(t *testing.T) {
+	for _, newExchange := range []func() *Exchange{func() *Exchange { return newTestExchange(fleet.RouteStreaming) }, newNonResumableExchange} {
+		_, _, err := receive(t, newExchange(), serveRawAnswer(t, okAnswerHead+"\r\n: working\n\n"))
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -392,7 +392,7 @@
 	if s.splitter.PendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
 	}
-	if s.isEventStream() && s.length == 0 && upstream.EndsWithConnection(s.response) {
+	if s.isEventStream() && !s.hasEvent && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	if isSuccess(s.response) && s.length > 0 {
