--- a/daemon/deployed/answers_test.go
+++ b/daemon/deployed/answers_test.go
@@ -1,8 +1,12 @@
 package deployed
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -89,3 +93,66 @@
 		})
 	}
 }
+
+// The caller got the text of an error or events for the second time in the middle of its
+// stream, or a part of the stream as if it were complete.
+func TestAnswerThatDoesNotContinueAStreamReachesNoCaller(t *testing.T) {
+	for name, fault := range map[string]standin.AnswerFault{
+		"error text": standin.AnswerErrorText, "error head": standin.AnswerErrorHead,
+		"from the start": standin.AnswerFromStart, "empty": standin.AnswerEmpty,
+	} {
+		t.Run(name, func(t *testing.T) {
+			const begunEvents = 2
+			d := startDeployment(t)
+			d.awaitRetries(0)
+			for range 4 {
+				require.True(t, isWholeStream(d.stream(0, "/s/x")()), "each request adds to the retries of its service")
+			}
+			for _, engine := range d.engines {
+				engine.InjectContinuations(fault, 1)
+			}
+			isContinued := func() bool {
+				return d.engines[0].ContinuationFaultsLeft()+d.engines[1].ContinuationFaultsLeft() < 2
+			}
+			for start := time.Now(); !isContinued(); {
+				require.Less(t, time.Since(start), waitTimeout, "no stream was continued")
+				for _, engine := range d.engines {
+					engine.TruncateNextStream(begunEvents)
+				}
+				broken := d.stream(0, "/s/x")()
+				if broken.status == http.StatusServiceUnavailable {
+					continue
+				}
+				require.Equal(t, http.StatusOK, broken.status)
+				require.ErrorIs(t, broken.err, io.ErrUnexpectedEOF, "%+v", broken)
+				require.Equal(t, completeStream(begunEvents), broken.body)
+				require.NotEmpty(t, broken.header.Get(headers.Names().Signature))
+			}
+		})
+	}
+}
+
+// A caller that speaks HTTP/1.0 gets no chunks, and took the close of its connection for the
+// end of the stream.
+func TestBrokenStreamDoesNotLookCompleteWithoutChunks(t *testing.T) {
+	d := startDeployment(t)
+	send := func() (string, error) {
+		conn, err := net.Dial("tcp", d.entries[0].CallerAddr)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		names := headers.Names()
+		_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.0\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: 10,10\r\nContent-Length: 0\r\n\r\n",
+			streamHost, names.RequestID, nextRequestID(), names.APIKey, apiKey, names.Model, modelName, names.TokenCounts)
+		require.NoError(t, err)
+		answer, err := io.ReadAll(conn)
+		return string(answer), err
+	}
+	answer, err := send()
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(answer, "\r\n\r\n"+completeStream(6)), answer)
+	for _, engine := range d.engines {
+		engine.TruncateNextStream(2)
+	}
+	_, err = send()
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -319,10 +319,7 @@
 	if !s.isEventStream() {
 		return s.buffer[:n], s.checkLength(n)
 	}
-	events, err := s.splitter.Feed(s.buffer[:n])
-	if err == nil && s.continuation != nil {
-		events, err = s.continuation.Accept(events)
-	}
+	events, err := s.acceptEvents(s.buffer[:n])
 	if err != nil {
 		return nil, fmt.Errorf("answer of %s: %w", s.server, err)
 	}
@@ -336,7 +333,6 @@
 	if id != "" {
 		s.lastEventID = id
 	}
-	s.hasEvent = s.hasEvent || eventstream.HasEvent(events)
 	return events, nil
 }
 
@@ -371,7 +367,7 @@
 	if s.splitter.PendingBytes() > 0 {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended within an event: %w", s.server, io.ErrUnexpectedEOF)
 	}
-	if s.isEventStream() && s.length == 0 && upstream.EndsWithConnection(s.response) {
+	if s.isEventStream() && !s.hasEvent && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
 	if isSuccess(s.response) && s.length > 0 {
--- a/requests/dispatch/silence_test.go
+++ b/requests/dispatch/silence_test.go
@@ -326,3 +326,20 @@
 	require.NotZero(t, cut)
 	require.NotZero(t, kept)
 }
+
+// An empty answer is complete, and nothing is left of a stream that ends with it.
+func TestEmptyAnswerContinuesTheRequestOfASilentServer(t *testing.T) {
+	for _, isStream := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r, request := newSilentRun(t, "ab", time.Hour, serverBehaviour{})
+			request.Stream = isStream
+			r.fleet.text = r.fleet.text[:0]
+			r.fleet.silences["a"] = silence{from: time.Now(), until: time.Now().Add(time.Hour)}
+			var out testSink
+			require.NoError(t, r.Do(t.Context(), request, &out))
+			require.Empty(t, out.String())
+			require.Equal(t, 2, r.fleet.sent)
+			r.requireNothingLeaks(t)
+		})
+	}
+}
