Stall: a server that sends data again is no longer ejected

Callers waited for a place, and the servers that were left got more work, though a server had gone on after a silence of less than a second: it stayed ejected for 1 s to 1.2 s from the report of its stall and then got one request at a time until a request there was complete. When all servers of a service are silent for a moment, none is left.

Cause: only a complete answer ends an ejection. Data on any stream of a stalled server shows that it goes on, as missing data on all streams was the reason of the ejection.

The detector now reports the first data after a stall, and Placer.Restore ends the ejection by Eject, not one for failures. Attempts that were taken over during the silence still end as failures; those do not count until the ejection would have ended, or two of them would eject the server again.

Evidence: TestServerThatGoesOnAfterAStallGetsRequestsAtOnce failed without the call of restoreResumedServer: "none of 1 backend servers is available for the request". TestRestoredAgentIsNotEjectedForItsSilenceAgain covers the failures.

--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -102,6 +102,7 @@
 // StartAttempt implements direct.Observer.
 func (o observer) StartAttempt(server core.InstanceID, cancel, stalled func()) direct.AttemptObserver {
 	return &monitoredAttempt{
+		gateway: o.gateway, server: server,
 		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), stalled),
 		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, server, cancel),
 	}
@@ -110,12 +111,16 @@
 // monitoredAttempt implements direct.AttemptObserver by adding the current time.
 type monitoredAttempt struct {
 	*stall.TrackedRequest
-	wait *trackedWait
+	gateway *Gateway
+	server  core.InstanceID
+	wait    *trackedWait
 }
 
 // DataReceived implements direct.AttemptObserver.
 func (m *monitoredAttempt) DataReceived() {
-	m.TrackedRequest.RecordActivity(time.Now())
+	if m.TrackedRequest.RecordActivity(time.Now()) {
+		m.gateway.restoreResumedServer(m.server)
+	}
 	m.wait.dataReceived()
 }
 
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -230,6 +230,15 @@
 	return placer
 }
 
+// restore ends the exclusion of a server by eject.
+func (s *serviceSet) restore(id core.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.states {
+		state.placer.Restore(id)
+	}
+}
+
 // capacity returns how many requests this entry may have in flight at a service.
 func (g *Gateway) capacity(name fleet.ServiceName, placer *placement.Placer) int {
 	view := g.follower.View()
--- a/daemon/gateway/stall.go
+++ b/daemon/gateway/stall.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/latency"
 )
@@ -63,3 +64,9 @@
 		}
 	}
 }
+
+// restoreResumedServer makes a server available again that has sent data after a stall.
+func (g *Gateway) restoreResumedServer(id core.InstanceID) {
+	g.services.restore(id)
+	g.log.WithField("server", id).Info("Server responds again; it is no longer ejected.")
+}
--- a/daemon/gateway/stall_test.go
+++ b/daemon/gateway/stall_test.go
@@ -69,3 +69,24 @@
 	_, err := placer.Pick(later, placement.Request{}, []placement.Candidate{{ID: "s-1", Limit: 16, Direct: true, FreeSlots: 13}})
 	require.Error(t, err, "the servers are ejected")
 }
+
+// A server that had gone on after a silence got no request until its ejection was over,
+// and then one at a time.
+func TestServerThatGoesOnAfterAStallGetsRequestsAtOnce(t *testing.T) {
+	g := newStallGateway(t, 4)
+	placer, now := g.services.placer("llm"), time.Now()
+	candidates := []placement.Candidate{{ID: "s-1", Limit: 16, Direct: true, FreeSlots: 13}}
+	_, err := placer.Pick(now, placement.Request{}, candidates)
+	require.NoError(t, err)
+	attempt := observer{gateway: g, service: "llm"}.StartAttempt("s-1", func() {}, func() {})
+	attempt.DataReceived()
+	later := now.Add(time.Minute)
+	g.reportStalledServers(later)
+	_, err = placer.Pick(later, placement.Request{}, candidates)
+	require.Error(t, err, "the server is ejected")
+	attempt.DataReceived()
+	for range 2 {
+		_, err = placer.Pick(later, placement.Request{}, candidates)
+		require.NoError(t, err)
+	}
+}
--- a/requests/placement/agent.go
+++ b/requests/placement/agent.go
@@ -33,6 +33,11 @@
 	ejections           int
 	ejectedUntil        time.Time
 	probeInFlight       bool
+	// isSilent is set while the agent is ejected by Placer.Eject.
+	isSilent bool
+	// failuresIgnoredUntil is when the ejection would have ended that Placer.Restore
+	// ended.
+	failuresIgnoredUntil time.Time
 	// unavailableUntil is the time until which the agent is not picked after an
 	// attempt ended as Unavailable.
 	unavailableUntil time.Time
@@ -70,11 +75,14 @@
 	case Answered, Refused, Unavailable:
 		a.consecutiveFailures = 0
 		a.ejections = 0
-		a.ejectedUntil = time.Time{}
+		a.ejectedUntil, a.isSilent = time.Time{}, false
 		if outcome == Unavailable {
 			a.unavailableUntil = now.Add(config.BaseEjectionTime)
 		}
 	case Failed:
+		if now.Before(a.failuresIgnoredUntil) {
+			return
+		}
 		a.consecutiveFailures++
 		switch {
 		case a.isEjected() && (!wasProbed || now.Before(a.ejectedUntil)):
@@ -91,7 +99,14 @@
 	period *= 1 + ejectionJitterFraction*random.Float64()
 	a.ejections++
 	a.consecutiveFailures = 0
-	a.ejectedUntil = now.Add(time.Duration(period))
+	a.ejectedUntil, a.isSilent = now.Add(time.Duration(period)), false
+}
+
+// restore ends an ejection for silence. Requests that other agents have taken over
+// meanwhile still end as failures.
+func (a *agentState) restore() {
+	a.failuresIgnoredUntil = a.ejectedUntil
+	a.ejectedUntil, a.isSilent, a.probeInFlight = time.Time{}, false, false
 }
 
 func (a *agentState) report(receivedAt time.Time, running, limit int) {
--- a/requests/placement/placer.go
+++ b/requests/placement/placer.go
@@ -230,13 +230,23 @@
 	}
 }
 
-// Eject ejects an agent immediately, as repeated failures do. It has no effect
-// while an ejection of the agent lasts.
+// Eject ejects an agent that is silent immediately, as repeated failures do. It has no
+// effect while an ejection of the agent lasts.
 func (p *Placer) Eject(now time.Time, id core.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if a := p.agents[id]; a != nil && !(a.isEjected() && now.Before(a.ejectedUntil)) {
 		a.eject(now, p.config, p.random)
+		a.isSilent = true
+	}
+}
+
+// Restore ends an ejection by Eject, because the agent sends data again.
+func (p *Placer) Restore(id core.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.agents[id]; a != nil && a.isSilent {
+		a.restore()
 	}
 }
 
--- a/requests/placement/placer_test.go
+++ b/requests/placement/placer_test.go
@@ -327,6 +327,32 @@
 	require.NoError(t, err, "agent is probed after the first ejection time")
 }
 
+// Requests that had been taken over elsewhere ejected a server that had just gone on.
+func TestRestoredAgentIsNotEjectedForItsSilenceAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(Config{Entry: "e", EjectAfterFailures: 2})
+	candidates := []Candidate{{ID: "a", Limit: 16, ReportedAt: now}}
+	for range 6 {
+		_, err := p.Pick(now, Request{}, candidates)
+		require.NoError(t, err)
+	}
+	p.Eject(now, "a")
+	p.Restore("a")
+	for range 2 {
+		p.Finish(now.Add(time.Millisecond), "a", Failed, 0, 0)
+	}
+	_, err := p.Pick(now.Add(time.Millisecond), Request{}, candidates)
+	require.NoError(t, err)
+
+	later := now.Add(2 * DefaultBaseEjectionTime)
+	for range 2 {
+		p.Finish(later, "a", Failed, 0, 0)
+	}
+	p.Restore("a")
+	_, err = p.Pick(later, Request{}, candidates)
+	require.Error(t, err, "an ejection for failures is not ended by data")
+}
+
 // A server that is much slower than the others, for example behind a
 // low-bandwidth link, is picked only when all others are full, and is probed
 // again after slowMeanTTL.
--- a/requests/stall/stall.go
+++ b/requests/stall/stall.go
@@ -31,7 +31,9 @@
 	timeout time.Duration
 	// activeStreams counts the requests that have received data.
 	activeStreams int
-	requests      map[*TrackedRequest]bool
+	// isStalled is set from TakeStalled until data arrives.
+	isStalled bool
+	requests  map[*TrackedRequest]bool
 }
 
 // TrackedRequest is one request in progress at a server.
@@ -72,19 +74,22 @@
 	return request
 }
 
-// RecordActivity records that a part of the answer arrived.
-func (r *TrackedRequest) RecordActivity(now time.Time) {
+// RecordActivity records that a part of the answer arrived. It reports whether the server
+// was stalled until now.
+func (r *TrackedRequest) RecordActivity(now time.Time) (resumed bool) {
 	r.detector.mu.Lock()
 	defer r.detector.mu.Unlock()
 	s := r.detector.servers[r.id]
 	if s == nil || !s.requests[r] {
-		return
+		return false
 	}
 	s.lastActivity = now
 	if !r.hasActivity {
 		r.hasActivity = true
 		s.activeStreams++
 	}
+	resumed, s.isStalled = s.isStalled, false
+	return resumed
 }
 
 // Suspend marks a stream that is not read for a while. It counts as active again with the
@@ -143,7 +148,7 @@
 				stalled.Reports = append(stalled.Reports, request.report)
 			}
 		}
-		s.lastActivity = now
+		s.lastActivity, s.isStalled = now, true
 		found = append(found, stalled)
 	}
 	slices.SortFunc(found, func(a, b StalledServer) int { return cmp.Compare(a.Server, b.Server) })
--- a/requests/stall/stall_test.go
+++ b/requests/stall/stall_test.go
@@ -80,3 +80,14 @@
 	d.Track(at(2000), "s-1", 0, func() {}).Suspend()
 	require.Len(t, d.TakeStalled(at(2450)), 1, "other streams still count")
 }
+
+func TestFirstDataAfterAStallIsReportedOnce(t *testing.T) {
+	d := NewDetector()
+	first := d.Track(at(0), "s-1", 0, func() {})
+	second := d.Track(at(0), "s-1", 0, func() {})
+	require.False(t, first.RecordActivity(at(0)))
+	require.Len(t, d.TakeStalled(at(500)), 1)
+	require.Len(t, d.TakeStalled(at(1000)), 1)
+	require.True(t, second.RecordActivity(at(1100)))
+	require.False(t, first.RecordActivity(at(1101)))
+}
