Silence: the first event after the head of a silent server is passed on; fresh grace

When the silent server had sent its head while another server was asked, and that one then refused or failed, the next frame was dropped: TestEventAfterTheHeadOfASilentServerIsPassedOn failed in both cases.

After a pause of this process all timers of its streams fire at once.

--- a/requests/dispatch/contender_test.go
+++ b/requests/dispatch/contender_test.go
@@ -122,6 +122,31 @@
 	})
 }
 
+// The first event after the head of a silent server was lost when the other server had
+// refused in between.
+func TestEventAfterTheHeadOfASilentServerIsPassedOn(t *testing.T) {
+	for name, other := range map[string]serverBehaviour{
+		"refuses": {refusal: core.CodeEngineNotServing, firstEventAfter: 200 * time.Millisecond},
+		"breaks":  {breaksAfter: -1, firstEventAfter: 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, request := newSilentRun(t, "ab", 0, serverBehaviour{})
+				r.fleet.silences = map[core.InstanceID]silence{"a": {until: time.Now().Add(1100 * time.Millisecond)}}
+				request.StartTimeout, request.IdleTimeout = time.Second, 1500*time.Millisecond
+				r.fleet.handles = behaviours(map[core.InstanceID]serverBehaviour{
+					"a": {hasEarlyHeader: true, firstEventAfter: 1600 * time.Millisecond, eventInterval: eventInterval},
+					"b": other,
+				})
+				var out testSink
+				require.NoError(t, r.Do(t.Context(), request, &out))
+				require.Equal(t, r.fleet.text, out.String())
+				r.requireNothingLeaks(t)
+			})
+		})
+	}
+}
+
 // candidatesByAsked offers the servers in order: each one once those before it were asked.
 func (r *fleetRun) candidatesByAsked(all []placement.Candidate) func(core.PoolName) []placement.Candidate {
 	return func(core.PoolName) []placement.Candidate {
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -69,7 +69,7 @@
 	r := race{execution: x, placer: placer, silent: a}
 	timer := newSilenceTimer(x.silenceTimeout(a))
 	defer timer.Stop()
-	stalled := a.stream.Stalled()
+	stalled, isOverdue := a.stream.Stalled(), false
 	a.startRead()
 	for {
 		select {
@@ -81,8 +81,13 @@
 			timer.start(0)
 		case <-stalled:
 			stalled = nil
-			timer.startBefore(max(x.untilStallTimeout(a), stallGrace))
+			timer.startBefore(x.untilStallTimeout(a))
 		case <-timer.C:
+			if !isOverdue {
+				isOverdue = true
+				timer.start(stallGrace)
+				continue
+			}
 			timer.start(r.ask(ctx))
 		case b := <-r.began:
 			if b.err == nil {
@@ -107,12 +112,12 @@
 // newSilenceTimer returns a timer for a time without the next frame, whatever other
 // requests at the server receive. Without such a time it does not fire before it is started.
 func newSilenceTimer(timeout time.Duration) *silenceTimer {
-	t := &silenceTimer{Timer: time.NewTimer(timeout + stallGrace)}
+	t := &silenceTimer{Timer: time.NewTimer(timeout)}
 	if timeout <= 0 {
 		t.Stop()
 		return t
 	}
-	t.firesAt = time.Now().Add(timeout + stallGrace)
+	t.firesAt = time.Now().Add(timeout)
 	return t
 }
 
@@ -144,10 +149,10 @@
 		return true
 	}
 	if !result.isFailure() {
-		r.heads = append(r.heads, result.reply)
 		if result.reply.Data != nil || result.reply.End != nil {
 			return true
 		}
+		r.heads = append(r.heads, result.reply)
 		r.silent.startRead()
 		return false
 	}
@@ -164,10 +169,10 @@
 func (r *race) goOn(result frameResult) frameResult {
 	discardReport(r.silent.stream.Stalled())
 	r.abandonAll()
-	if len(r.heads) == 0 {
+	if len(r.heads) == 0 || result.isFailure() {
 		return result
 	}
-	r.silent.held = r.heads[1:]
+	r.silent.held = append(r.heads[1:], result.reply)
 	return frameResult{reply: r.heads[0]}
 }
 
