Leave: requests without an answer are answered before the stop time is over

Callers of an entry that got SIGTERM had their connection closed without any answer when their request still waited at silent servers 0.95 of the stop time later.

Cause: the entry ends requests in progress by ending. Since attempts at silent servers stay open until the request's deadline, which may be later; by its code the start timeout of the last attempt ended such a request with a 502 before.

Before, TestRequestsAtSilentServersAreAnsweredByALeavingEntry failed in both cases: "Stop time is over; aborting requests in progress." requests=1.

--- a/daemon/deployed/silence_fleet_test.go
+++ b/daemon/deployed/silence_fleet_test.go
@@ -47,6 +47,8 @@
 	slots, events int
 	// hasRemoteServer puts the last server of each kind into another data centre.
 	hasRemoteServer bool
+	// stop is the stop time of the entries; 0 means that of other deployments.
+	stop time.Duration
 }
 
 // startSilenceDeployment starts entries before engines and as many servers without an
@@ -78,6 +80,12 @@
 	d.store.PutConfig(silenceConfig(1, d.originAddr, settings.maxAttempts))
 	for i := range settings.entries {
 		d.startSilenceEntry(settings, i)
+		node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
+		node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
+		if settings.stop > 0 {
+			node.Bounds.Stop = settings.stop
+		}
+		d.runEntry(node)
 	}
 	t.Cleanup(d.stop)
 	t.Cleanup(d.resumeAll)
--- a/daemon/deployed/silence_test.go
+++ b/daemon/deployed/silence_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -142,3 +144,31 @@
 		})
 	}
 }
+
+// A request that still waited at silent servers when the stop time of its entry was over
+// got no answer at all.
+func TestRequestsAtSilentServersAreAnsweredByALeavingEntry(t *testing.T) {
+	for name, c := range map[string]struct{ host, path string }{
+		"plain":  {plainHost, "/look"},
+		"stream": {streamHost, silentRoutePrefix + "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 2, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, stop: 10 * time.Second})
+			for _, server := range append(d.plainServers, d.engines...) {
+				server.Silence()
+			}
+			call := d.startCall(d.entries[0].CallerAddr, c.host, c.path)
+			d.eventually(func() bool {
+				return slices.ContainsFunc(append(d.plainServers, d.engines...), func(s *standin.Backend) bool { return s.Holds(call.id) })
+			}, "no server has the call")
+			d.stopEntry(0)
+			d.runningDaemons.Wait()
+			require.NotRegexp(t, "aborting requests.* requests=1", d.log.warnings(), "the process would end with the request in progress")
+			d.eventually(call.hasEnded, "the call does not end")
+			got := call.result()
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusGatewayTimeout, got.status, got.body)
+		})
+	}
+}
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,7 +75,12 @@
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
 	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
-	err := g.dispatcher.Do(r.Context(), g.newDispatchRequest(c, exchange, r), exchange)
+	ctx, sink, release := g.unlessStopped(r.Context(), exchange)
+	defer release()
+	err := g.dispatcher.Do(ctx, g.newDispatchRequest(c, exchange, r), sink)
+	if err != nil && context.Cause(ctx) == errStopping && exchange.FirstByteAt().IsZero() {
+		err = stoppedError(err)
+	}
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
 	if sentAt := exchange.FirstSentAt(); !sentAt.IsZero() {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,6 +83,9 @@
 	// clock is that of the follower's view and of what servers' answers reveal.
 	clock   *clock.Clock
 	leaving atomic.Bool
+	// waitsEnd ends, by endWaits, when requests whose answer has not begun are stopped.
+	waitsEnd context.Context
+	endWaits context.CancelFunc
 	// entriesLoaded reports that the rows of all entries have been read from the
 	// store.
 	entriesLoaded atomic.Bool
@@ -118,6 +121,7 @@
 		requestLog:    config.Log.Component("request"),
 	}
 	g.node.Store(&config.Node)
+	g.waitsEnd, g.endWaits = context.WithCancel(context.Background())
 	g.roster = roster.New[gossip.Member](g.store, roster.EntriesTable, g.log)
 	g.conns = newCallerConns(g.limits, maxCallerConns(config.Node.MaxOpenFiles))
 	g.relayCache = relay.NewCache(g.store, nil)
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -18,6 +18,9 @@
 	// callers whose cached directory response contains it. Requests accepted
 	// later might not finish in time.
 	acceptFraction = 0.36
+	// lastAnswerFraction is when requests are answered with an error whose answer has
+	// not begun.
+	lastAnswerFraction = 0.88
 	// shutdownFraction is when it stops even with requests in progress.
 	shutdownFraction = 0.95
 	// defaultStopTime applies when the settings file sets no stop time.
@@ -51,6 +54,8 @@
 	}
 	acceptUntil := startedAt.Add(time.Duration(acceptFraction * float64(stopTime)))
 	shutdownAt := startedAt.Add(time.Duration(shutdownFraction * float64(stopTime)))
+	lastAnswerAt := startedAt.Add(time.Duration(lastAnswerFraction * float64(stopTime)))
+	defer time.AfterFunc(time.Until(lastAnswerAt), g.endWaits).Stop()
 	for time.Now().Before(acceptUntil) && !g.isQuiet(startedAt) {
 		time.Sleep(leavePollPeriod)
 	}
--- /dev/null
+++ b/daemon/gateway/stopping.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+
+	"currantusher.dev/core"
+	"currantusher.dev/requests/dispatch"
+)
+
+// errStopping ends requests whose answer has not begun when this entry is about to stop.
+var errStopping = errors.New("this entry stops")
+
+// unlessStopped returns a context for a request that ends shortly before this entry stops,
+// unless the answer has begun. The request must use the returned sink. release must be
+// called when the request has ended.
+func (g *Gateway) unlessStopped(ctx context.Context, sink dispatch.Sink) (stoppable context.Context, guarded dispatch.Sink, release func()) {
+	stoppable, cancel := context.WithCancelCause(ctx)
+	keep := context.AfterFunc(g.waitsEnd, func() { cancel(errStopping) })
+	release = func() {
+		keep()
+		cancel(nil)
+	}
+	return stoppable, stoppableSink{Sink: sink, keep: keep}, release
+}
+
+// stoppableSink is the sink of a request that may be stopped until its answer begins.
+type stoppableSink struct {
+	dispatch.Sink
+	// keep reports whether the request is not stopped. It is not stopped afterwards.
+	keep func() bool
+}
+
+// Begin implements dispatch.Sink.
+func (s stoppableSink) Begin(contentType string, weights core.Digest) error {
+	if !s.keep() {
+		return errStopping
+	}
+	return s.Sink.Begin(contentType, weights)
+}
+
+// stoppedError returns the error for the caller of a request that was stopped.
+func stoppedError(err error) error {
+	if core.ExecutionOf(err) == core.ExecutionNotRun {
+		return core.NewRefusal(core.CodeDraining, 0, "%v", errStopping)
+	}
+	return core.Wrap(err, core.CodeTimeout, core.ExecutionUnknown, "%v", errStopping)
+}
