Silence: the answer of the silent server is not read while it is being received

It now asks only after the attempt has failed, when no read is in progress. TestRefusalThatArrivesWithTheFirstEventOfAnotherServer failed with the same race.

--- a/requests/dispatch/contender_test.go
+++ b/requests/dispatch/contender_test.go
@@ -155,3 +155,22 @@
 		return all[:min(len(r.fleet.asked)+1, len(all))]
 	}
 }
+
+// The refusal of the silent server was being read while the other attempt took over.
+func TestRefusalThatArrivesWithTheFirstEventOfAnotherServer(t *testing.T) {
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			r, request := newSilentRun(t, "ab", 0, serverBehaviour{})
+			r.fleet.silences = nil
+			request.StartTimeout = time.Second
+			r.fleet.handles = behaviours(map[core.InstanceID]serverBehaviour{
+				"a": {refusal: core.CodeEngineNotServing, firstEventAfter: time.Second + stallGrace + eventInterval},
+			})
+			r.config.Candidates = r.candidatesByAsked(r.servers)
+			var out testSink
+			require.NoError(t, r.Do(t.Context(), request, &out))
+			require.Equal(t, r.fleet.text, out.String())
+			r.requireNothingLeaks(t)
+		})
+	}
+}
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -264,7 +264,8 @@
 	r.silent.isSilent = true
 	r.successor = b
 	r.request.Trace.HandedOver(HandoverSilence, r.silent.agent.ID, b.agent.ID)
-	if r.silent.isRefused() {
+	// Without a failure the answer of the silent server may be read at this moment.
+	if r.failure != nil && r.silent.isRefused() {
 		return frameResult{err: endError(r.silent.answer)}
 	}
 	return frameResult{err: incompleteError("%s continues the request of this silent server", b.agent.ID)}
