--- a/daemon/deployed/silence_fleet_test.go
+++ b/daemon/deployed/silence_fleet_test.go
@@ -47,7 +47,7 @@
 	slots, events int
 	// hasRemoteServer puts the last server of each kind into another data centre.
 	hasRemoteServer bool
-	// stop is the stop time of the entries; 0 means that of other deployments.
+	// stop is the stop time of the entries; 0 means waitTimeout.
 	stop time.Duration
 }
 
@@ -80,12 +80,6 @@
 	d.store.PutConfig(silenceConfig(1, d.originAddr, settings.maxAttempts))
 	for i := range settings.entries {
 		d.startSilenceEntry(settings, i)
-		node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
-		node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
-		if settings.stop > 0 {
-			node.Bounds.Stop = settings.stop
-		}
-		d.runEntry(node)
 	}
 	t.Cleanup(d.stop)
 	t.Cleanup(d.resumeAll)
@@ -118,6 +112,9 @@
 func (d *deployment) startSilenceEntry(settings silenceSettings, i int) {
 	node := d.newNode(fmt.Sprintf("entry-%d", i), "a", d.storeAddr)
 	node.Bounds.Stop = waitTimeout
+	if settings.stop > 0 {
+		node.Bounds.Stop = settings.stop
+	}
 	node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
 	d.runEntry(node)
 }
