Upstream: the end of a connection within a trailer counts as one

A server that ended, or was killed, while it wrote the last chunk's trailer gave net/http's unexported errTrailerEOF instead of io.ErrUnexpectedEOF. The entry reported no end of the connection, so that a request that ends its servers was not counted at this position. Callers saw no harm: the answer was an error already.

chunkedBody replaces the error of a read by the one that ended the connection, which limitedReader now remembers for bodies too.

TestAnswerCutAfterAnyByteIsNotWhole cuts answers of safe, unsafe and streaming routes after each byte, closed and reset, with a length, chunks, a trailer, behind early hints, and without a length. No cut answer looks whole. core/cutanswer has the server.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -160,16 +160,26 @@
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
-			if EndsWithConnection(response) {
-				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
-			}
+			response.Body = c.bodyOf(response)
 			return response, nil
 		}
 	}
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
-// endedWithin returns io.ErrUnexpectedEOF for the end of a connection within a head, and
+// bodyOf returns the body of an answer with the errors that this package adds.
+func (c *Conn) bodyOf(response *http.Response) io.ReadCloser {
+	switch {
+	case EndsWithConnection(response):
+		return &unframedBody{ReadCloser: response.Body, conn: c}
+	case len(response.TransferEncoding) > 0:
+		return &chunkedBody{ReadCloser: response.Body, source: c.source}
+	default:
+		return response.Body
+	}
+}
+
+// endedWithin returns io.ErrUnexpectedEOF for the end of a connection within an answer, and
 // other errors unchanged.
 func endedWithin(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/requests/upstream/limit.go
+++ b/requests/upstream/limit.go
@@ -8,14 +8,16 @@
 	// remaining is the number of bytes that may still be read if isLimited is set.
 	remaining int
 	isLimited bool
-	// err is the error that ended the source, or nil.
+	// err is the error of the last read of the source, or nil.
 	err error
 }
 
 // Read implements io.Reader. It returns ErrHeadTooLarge at the limit.
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if !r.isLimited {
-		return r.source.Read(p)
+		n, err := r.source.Read(p)
+		r.err = err
+		return n, err
 	}
 	if r.isExhausted() {
 		return 0, ErrHeadTooLarge
