Upstream: a server that closes with an unread request does not complete an answer

A server ended its answer without a length with FIN and then closed the connection while the rest of a long request was unread, which resets it. The caller got the answer as whole: the system fails the write of the request with EPIPE after a FIN, not with ECONNRESET, and wasReset looked for the latter only.

A server that only ends its side and reads no more still completes its answer, as TestEarlyAnswerWithoutLengthIsCompleteBeforeTheRequestIsWritten says.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -237,7 +237,8 @@
 		return true
 	}
 	<-c.writeEnded
-	return errors.Is(c.writeErr, syscall.ECONNRESET)
+	// A reset after the end of the answer fails the write with EPIPE.
+	return errors.Is(c.writeErr, syscall.ECONNRESET) || errors.Is(c.writeErr, syscall.EPIPE)
 }
 
 // IsFirstRequest reports whether the last request that was sent is the first one on this
--- a/requests/upstream/ending_test.go
+++ b/requests/upstream/ending_test.go
@@ -141,3 +141,38 @@
 	conn.Release(response)
 	require.Zero(t, pool.CloseExpired())
 }
+
+// rawServerClosed is rawServer with a channel that gets a value after each close.
+func rawServerClosed(t *testing.T, serve func(conn *net.TCPConn)) (string, <-chan error) {
+	t.Helper()
+	closed := make(chan error, 1)
+	return rawServer(t, func(conn *net.TCPConn) {
+		serve(conn)
+		closed <- conn.Close()
+	}), closed
+}
+
+func TestServerThatClosesWithAnUnreadRequestDoesNotCompleteTheAnswer(t *testing.T) {
+	request := []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 67108864\r\n\r\n" + strings.Repeat("x", 64<<20))
+	for name, endsFirst := range map[string]bool{"closed": false, "end of the answer, then closed": true} {
+		t.Run(name, func(t *testing.T) {
+			addr, closed := rawServerClosed(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nok")
+				if endsFirst {
+					_ = conn.CloseWrite()
+				}
+			})
+			conn, err := NewPool(Config{}).Get(context.Background(), addr, time.Second)
+			require.NoError(t, err)
+			defer conn.Close()
+			require.NoError(t, conn.Send(request))
+			require.NoError(t, <-closed)
+			<-conn.writeEnded
+			response, err := conn.Receive(http.MethodPost)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+		})
+	}
+}
