Upstream: an answer that begins within a head does not end that head

A server stopped in the middle of its answer's head and another answer followed on the connection: one to another request, an error, or early hints. The status line of the second became the end of the line that was cut, and its blank line ended the first head. Callers got 200 with the body or the signature of the other answer, 200 for a 500, or, behind early hints, 200 with the second answer's head and body as its body.

A head whose fields or reason hold a status line is now an error, also in informational answers. A version of the protocol alone, as in Via, is none.

Evidence: TestAnswerBehindACutHeadDoesNotEndThatHead cuts a head, alone and behind early hints, at each byte before five second answers; without the check all 10 cases failed, first at "HTTP/1.1 200 " or "X-Seal:".

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -203,6 +203,8 @@
 	switch {
 	case countFields(response.Header) > maxHeaderFields:
 		return ErrHeadTooLarge
+	case hasStatusLine(response):
+		return ErrSecondHead
 	case response.ProtoMajor != 1:
 		return fmt.Errorf("unexpected protocol version %d.%d", response.ProtoMajor, response.ProtoMinor)
 	case response.StatusCode == http.StatusSwitchingProtocols:
