Agent: a state whose answer was cut off is an error

The agent took a backend server's state as its answer when the server ended in the middle of it: the decoder stopped after the JSON value and never read the end of the body, so that a missing last byte, last chunk or trailer went unnoticed. An agent counted a server that was ending as serving until the next poll. The body is now read to its end before it is decoded.

Evidence: TestBackendStateCutAfterAnyByteIsAnError failed before in 4 of 4 framings, at the byte after the value. TestBackendAnswerCutAfterAnyByteIsNotWhole (plain, at most once, streams, continued streams; cut after each byte, closed and reset) passed before and after: frames of a cut answer never end with CodeOK.

--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -80,8 +80,11 @@
 	if response.StatusCode != http.StatusOK {
 		return state, fmt.Errorf("GET /v1/state: unexpected HTTP status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&state)
-	return state, err
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	if err != nil {
+		return state, err
+	}
+	return state, json.Unmarshal(content, &state)
 }
 
 // answer is a backend server's answer with a verified header.
