--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -21,6 +21,24 @@
 
 // FuzzReadFrame feeds bytes to the decoder of the request messages. A message
 // that decodes must be equal after another encoding and decoding.
+func TestFramesCutAfterAnyByteHaveNoEnd(t *testing.T) {
+	var whole bytes.Buffer
+	for _, frame := range []AnswerFrame{
+		{Admitted: &Admitted{RequestID: "r"}}, {Header: &AnswerHeader{RequestID: "r"}},
+		{Data: &AnswerData{Bytes: []byte("token"), EndOffset: 5}}, {End: &AnswerEnd{RequestID: "r", Length: 5}},
+	} {
+		require.NoError(t, WriteFrame(&whole, frame))
+	}
+	for n := range whole.Len() {
+		reader := bufio.NewReader(bytes.NewReader(whole.Bytes()[:n]))
+		for err := error(nil); err == nil; {
+			var frame AnswerFrame
+			err = ReadFrame(reader, &frame)
+			require.Nil(t, frame.End, "cut after %d bytes", n)
+		}
+	}
+}
+
 func FuzzReadFrame(f *testing.F) {
 	for _, message := range []any{
 		AnswerFrame{Admitted: &Admitted{RequestID: "r"}},
