Source: a write whose answer was cut off is an error

The client of the origin and the weight store did not read the body that answers a write. A source that stopped within it was taken as one that had stored the chunk or manifest, and the next write opened a connection again. The body is now read, and a cut one is a failure with an unknown outcome; writes are idempotent by digest.

Evidence: TestAnswerCutAfterAnyByteIsAnError failed before in the 8 cases of "put chunk" and "put manifest"; "manifest" and "chunk", whose digests are verified, passed.

--- a/weights/source/client.go
+++ b/weights/source/client.go
@@ -108,7 +108,13 @@
 		return err
 	}
 	defer response.Body.Close()
-	return statusError(response)
+	if err := statusError(response); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxManifestBytes)); err != nil {
+		return core.Wrap(err, core.CodeOriginFailed, core.ExecutionUnknown, "%s %s", http.MethodPut, path)
+	}
+	return nil
 }
 
 func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
