Direct: an answer that follows a cut body does not fill that body

A server broke off a body with a length and another answer followed on the connection. Its bytes filled the length, and the caller got 200 with the first bytes of one answer and the head of another as a whole body.

A status line that begins within a body with a length, with more bytes received behind the body, is now an error. Either alone is none: a body may hold a status line, and bytes behind a whole answer belong to no request. Chunks need no check, since the second answer breaks their framing. Not detected: a second answer that ends exactly with the length, or whose rest has not arrived yet.

TestBodiesWithAStatusLineAreWhole guards the other direction.

--- a/requests/direct/second_answer_test.go
+++ b/requests/direct/second_answer_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -37,3 +38,34 @@
 		}
 	}
 }
+
+func TestAnswerBehindACutBodyDoesNotFillThatBody(t *testing.T) {
+	for _, body := range []string{"0123456789abcdef", "HTTP/1.1 200 0123456789", strings.Repeat("x", 3*readBufferBytes)} {
+		for name, second := range secondAnswers {
+			t.Run(fmt.Sprintf("%.16s/%s", body, name), func(t *testing.T) {
+				answer := withLength(okAnswerHead, body)
+				for cut := max(1, len(answer)-len(second)+1); cut < len(answer); cut++ {
+					if !strings.Contains(answer[:cut], "\r\n\r\n") {
+						continue
+					}
+					_, _, err := receive(t, newTestExchange(fleet.RouteSafe), serveRawAnswer(t, answer[:cut]+second))
+					require.Error(t, err, "cut after %d of %d bytes", cut, len(answer))
+				}
+			})
+		}
+	}
+}
+
+func TestBodiesWithAStatusLineAreWhole(t *testing.T) {
+	const body = "HTTP/1.1 200 OK\r\n\r\n"
+	for name, answer := range map[string]string{"length": withLength(okAnswerHead, body), "chunks": chunked(okAnswerHead, body[:4], body[4:]), "unframed": okAnswerHead + "\r\n" + body} {
+		got, _, err := receive(t, newTestExchange(fleet.RouteSafe), serveRawAnswer(t, answer))
+		require.NoError(t, err, name)
+		require.Equal(t, body, got, name)
+	}
+	for whole, answer := range map[string]string{"ok": withLength(okAnswerHead, "ok"), body: chunked(okAnswerHead, body)} {
+		got, _, err := receive(t, newTestExchange(fleet.RouteSafe), serveRawAnswer(t, answer+secondAnswers["of another request"]))
+		require.NoError(t, err, "bytes behind a whole answer belong to no request")
+		require.Equal(t, whole, got)
+	}
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -71,6 +71,7 @@
 	nextSequence uint64
 	length       int64
 	hasher       *blake3.Hasher
+	scanner      secondAnswerScanner
 	// begun is set by reportBegun.
 	begun bool
 	// bodyComplete is set when the body was read to its end.
@@ -317,6 +318,7 @@
 	}
 	s.attemptObserver.DataReceived()
 	if !s.isEventStream() {
+		s.scanner.scan(s.buffer[:n])
 		return s.buffer[:n], s.checkLength(n)
 	}
 	events, err := s.acceptEvents(s.buffer[:n])
@@ -370,6 +372,9 @@
 	if s.isEventStream() && !s.hasEvent && upstream.EndsWithConnection(s.response) {
 		return wire.AnswerFrame{}, fmt.Errorf("answer of %s ended before its first event: %w", s.server, io.ErrUnexpectedEOF)
 	}
+	if err := s.checkSecondAnswer(); err != nil {
+		return wire.AnswerFrame{}, err
+	}
 	if isSuccess(s.response) && s.length > 0 {
 		s.reportBegun()
 	}
--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -87,22 +87,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = rawConn.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
+	_, err := c.peek(make([]byte, 1))
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // Send writes a request. It returns early for a request longer than
