--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -87,22 +87,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = rawConn.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
+	_, err := c.peek(make([]byte, 1))
+	return errors.Is(err, syscall.EAGAIN)
 }
 
 // Send writes a request. It returns early for a request longer than
@@ -160,16 +146,26 @@
 			return nil, fmt.Errorf("answer of %s: %w", c.addr, err)
 		}
 		if response.StatusCode >= http.StatusOK {
-			if EndsWithConnection(response) {
-				response.Body = &unframedBody{ReadCloser: response.Body, conn: c}
-			}
+			response.Body = c.bodyOf(response)
 			return response, nil
 		}
 	}
 	return nil, fmt.Errorf("answer of %s: no final answer after %d informational answers", c.addr, maxInformationalAnswers)
 }
 
-// endedWithin returns io.ErrUnexpectedEOF for the end of a connection within a head, and
+// bodyOf returns the body of an answer with the errors that this package adds.
+func (c *Conn) bodyOf(response *http.Response) io.ReadCloser {
+	switch {
+	case EndsWithConnection(response):
+		return &unframedBody{ReadCloser: response.Body, conn: c}
+	case len(response.TransferEncoding) > 0:
+		return &chunkedBody{ReadCloser: response.Body, source: c.source}
+	default:
+		return response.Body
+	}
+}
+
+// endedWithin returns io.ErrUnexpectedEOF for the end of a connection within an answer, and
 // other errors unchanged.
 func endedWithin(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -193,6 +189,8 @@
 	switch {
 	case countFields(response.Header) > maxHeaderFields:
 		return ErrHeadTooLarge
+	case hasStatusLine(response):
+		return ErrSecondHead
 	case response.ProtoMajor != 1:
 		return fmt.Errorf("unexpected protocol version %d.%d", response.ProtoMajor, response.ProtoMinor)
 	case response.StatusCode == http.StatusSwitchingProtocols:
@@ -227,7 +225,8 @@
 		return true
 	}
 	<-c.writeEnded
-	return errors.Is(c.writeErr, syscall.ECONNRESET)
+	// A reset after the end of the answer fails the write with EPIPE.
+	return errors.Is(c.writeErr, syscall.ECONNRESET) || errors.Is(c.writeErr, syscall.EPIPE)
 }
 
 // IsFirstRequest reports whether the last request that was sent is the first one on this
