Stop: an unsafe answer that comes at the last moment is no empty success

Callers of an at-most-once request got a 200 with an empty body and without the server's signature when the server answered between the last answer time (0.88 of the stop time) and the end of the entry (0.95).

Cause: at the last answer time the sink refused to begin an answer. Dispatch ignores errors of the sink for requests that outlive their callers, so Do returned nil, nothing was written, and the HTTP server completed the handler with an empty success.

The sink now refuses only streams, whose rest would not come in time. Other answers are whole when they begin and are written.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -75,7 +75,7 @@
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
 	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
-	ctx, sink, release := g.unlessStopped(r.Context(), exchange)
+	ctx, sink, release := g.unlessStopped(r.Context(), exchange, c.route.Kind == fleet.RouteStreaming)
 	defer release()
 	err := g.dispatcher.Do(ctx, g.newDispatchRequest(c, exchange, r), sink)
 	if err != nil && context.Cause(ctx) == errStopping && exchange.FirstByteAt().IsZero() {
--- a/daemon/gateway/stopping.go
+++ b/daemon/gateway/stopping.go
@@ -14,26 +14,28 @@
 // unlessStopped returns a context for a request that ends shortly before this entry stops,
 // unless the answer has begun. The request must use the returned sink. release must be
 // called when the request has ended.
-func (g *Gateway) unlessStopped(ctx context.Context, sink dispatch.Sink) (stoppable context.Context, guarded dispatch.Sink, release func()) {
+func (g *Gateway) unlessStopped(ctx context.Context, sink dispatch.Sink, isStream bool) (stoppable context.Context, guarded dispatch.Sink, release func()) {
 	stoppable, cancel := context.WithCancelCause(ctx)
 	keep := context.AfterFunc(g.waitsEnd, func() { cancel(errStopping) })
 	release = func() {
 		keep()
 		cancel(nil)
 	}
-	return stoppable, stoppableSink{Sink: sink, keep: keep}, release
+	return stoppable, stoppableSink{Sink: sink, isStream: isStream, keep: keep}, release
 }
 
 // stoppableSink is the sink of a request that may be stopped until its answer begins.
 type stoppableSink struct {
 	dispatch.Sink
+	isStream bool
 	// keep reports whether the request is not stopped. It is not stopped afterwards.
 	keep func() bool
 }
 
-// Begin implements dispatch.Sink.
+// Begin implements dispatch.Sink. Only streams can still be refused: other answers are
+// whole when they begin.
 func (s stoppableSink) Begin(contentType string, weights core.Digest) error {
-	if !s.keep() {
+	if !s.keep() && s.isStream {
 		return errStopping
 	}
 	return s.Sink.Begin(contentType, weights)
