Stop: a request at a server that may not be repeated gets 504 before its entry stops

Callers of at-most-once requests that were at a server at the last answer time of a leaving entry got no answer: their connections closed at the end.

Cause: dispatch detaches the attempts of requests that outlive their callers from the request's context, and the stop of a request is the end of that context. Nothing else ended the attempt.

The sender of a request now ends the attempt when the request is stopped, and the caller gets 504, which promises nothing. A leaving caller still does not end it. The cases "unsafe" and "stream once" of the test are new; "unsafe" failed before with "Stop time is over; aborting requests in progress".

--- a/daemon/deployed/silence_test.go
+++ b/daemon/deployed/silence_test.go
@@ -149,8 +149,10 @@
 // got no answer at all.
 func TestRequestsAtSilentServersAreAnsweredByALeavingEntry(t *testing.T) {
 	for name, c := range map[string]struct{ host, path string }{
-		"plain":  {plainHost, "/look"},
-		"stream": {streamHost, silentRoutePrefix + "x"},
+		"plain":       {plainHost, "/look"},
+		"unsafe":      {plainHost, "/issue/1"},
+		"stream":      {streamHost, silentRoutePrefix + "x"},
+		"stream once": {streamHost, onceRoutePrefix + "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -66,18 +66,20 @@
 
 // forward dispatches an admitted request and writes the response.
 func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
-	request := g.newDirectRequest(c, r)
-	c.traits = requestTraits(c, request.Model, r, g.config.Headers.PromptParts)
+	directRequest := g.newDirectRequest(c, r)
+	c.traits = requestTraits(c, directRequest.Model, r, g.config.Headers.PromptParts)
 	if err := g.crashGuard.check(c.traits); err != nil {
 		g.refuse(c, w, err)
 		return
 	}
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
-	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
-	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
+	observer := observer{gateway: g, service: c.service, model: directRequest.Model, requestID: c.id, traits: c.traits}
+	exchange := direct.New(g.upstream, g.config.Headers, observer, directRequest, w)
 	ctx, sink, release := g.unlessStopped(r.Context(), exchange, c.route.Kind == fleet.RouteStreaming)
 	defer release()
-	err := g.dispatcher.Do(ctx, g.newDispatchRequest(c, exchange, r), sink)
+	request := g.newDispatchRequest(c, r, exchange.CanResume)
+	request.Sender = stoppableSender{Sender: exchange, stoppable: ctx}
+	err := g.dispatcher.Do(ctx, request, sink)
 	if err != nil && context.Cause(ctx) == errStopping && exchange.FirstByteAt().IsZero() {
 		err = stoppedError(err)
 	}
@@ -227,7 +229,7 @@
 	return needs
 }
 
-func (g *Gateway) newDispatchRequest(c *call, exchange *direct.Exchange, r *http.Request) dispatch.Request {
+func (g *Gateway) newDispatchRequest(c *call, r *http.Request, canResume func() bool) dispatch.Request {
 	pool := core.PoolName(c.service)
 	needs := g.requirementsOf(c, r)
 	var team core.Team
@@ -248,7 +250,7 @@
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
-		CanResume:         exchange.CanResume,
+		CanResume:         canResume,
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
@@ -267,7 +269,6 @@
 		AtMostOnce:        !c.route.IsRepeatable(),
 		Unclaimed:         true,
 		Stream:            c.route.Kind == fleet.RouteStreaming,
-		Sender:            exchange,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
--- a/daemon/gateway/stopping.go
+++ b/daemon/gateway/stopping.go
@@ -6,6 +6,8 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/placement"
+	"currantusher.dev/wire"
 )
 
 // errStopping ends requests whose answer has not begun when this entry is about to stop.
@@ -41,6 +43,29 @@
 	return s.Sink.Begin(contentType, weights)
 }
 
+// stoppableSender ends the attempts of a request that is stopped. Dispatch alone does not
+// end them if the request outlives its caller.
+type stoppableSender struct {
+	dispatch.Sender
+	// stoppable is the context of the request.
+	stoppable context.Context
+}
+
+// Send implements dispatch.Sender.
+func (s stoppableSender) Send(ctx context.Context, server placement.Candidate, message wire.Dispatch) (dispatch.ReplyStream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(s.stoppable, func() {
+		if context.Cause(s.stoppable) == errStopping {
+			cancel()
+		}
+	})
+	stream, err := s.Sender.Send(ctx, server, message)
+	if err != nil {
+		cancel()
+	}
+	return stream, err
+}
+
 // stoppedError returns the error for the caller of a request that was stopped.
 func stoppedError(err error) error {
 	if core.ExecutionOf(err) == core.ExecutionNotRun {
