Stop: a request that cannot be answered before its entry stops is refused at once

Callers whose requests became whole late in the grace of a leaving entry lost them: the entry passed them on and ended them at its last answer time, among them requests that nobody may repeat.

Cause: nothing between the end of reading a request and its dispatch asked whether the answer could still come before the process ends.

requests/grace decides that without a clock: a repeatable request needs the time that most requests of its route took, any other one the longest or, if too few are known, all the time until its deadline. The sender asks before each attempt; a request that waits in the queue, after a refusal or between two attempts ends at that time unless a server has it. What provably has not run gets 503 and "Connection: close", so that its caller uses another entry; what may have run gets 504. A deadline that servers receive is not later than the entry's own. Each call that ends during a leave logs what was decided (leave=answered, refused_late, stopped, failed), with counters.

--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -1,11 +1,18 @@
 package deployed
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/platform/headers"
 )
 
 // startLeavingDeployment returns a deployment with one entry, whose servers fall silent,
@@ -41,3 +48,139 @@
 		require.Contains(t, got.body, "answers "+call.body)
 	}
 }
+
+// partialCall is a request whose body is not whole yet.
+type partialCall struct {
+	body string
+	conn net.Conn
+}
+
+func (d *deployment) startPartialCall(addr, path string) *partialCall {
+	d.t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = conn.Close() })
+	c := &partialCall{body: nextBody(), conn: conn}
+	names := headers.Names()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 20000\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		path, plainHost, names.RequestID, nextRequestID(), names.Deadline, names.APIKey, apiKey, len(c.body), c.body[:1])
+	require.NoError(d.t, err)
+	return c
+}
+
+// finish sends the rest of the body. An error shows in the answer.
+func (c *partialCall) finish() { _, _ = io.WriteString(c.conn, c.body[1:]) }
+
+// answer reads the answer.
+func (c *partialCall) answer() callResult {
+	response, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		return callResult{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err}
+}
+
+func (d *deployment) countRuns(body string) int {
+	call := &runningCall{body: body}
+	return call.countRuns(d.plainServers)
+}
+
+// requireTrueAnswer checks that a request got an answer that is true.
+func (d *deployment) requireTrueAnswer(body string, got callResult) {
+	d.t.Helper()
+	require.NoError(d.t, got.err, "%q got no answer; it ran %d times", body, d.countRuns(body))
+	switch got.status {
+	case http.StatusOK:
+		require.Contains(d.t, got.body, "answers "+body)
+	case http.StatusServiceUnavailable:
+		require.Zero(d.t, d.countRuns(body), "%q was refused and ran", body)
+		require.NotEmpty(d.t, got.header.Get("Retry-After"))
+	default:
+		require.Equal(d.t, http.StatusGatewayTimeout, got.status)
+	}
+}
+
+// answerSome lets the entries learn how long requests take.
+func (d *deployment) answerSome(path string) {
+	const known = 32
+	calls := make([]*runningCall, known)
+	for i := range calls {
+		calls[i] = d.startCall(d.entries[0].CallerAddr, plainHost, path)
+	}
+	for _, call := range calls {
+		d.eventually(call.hasEnded, "a call does not end")
+		require.Equal(d.t, http.StatusOK, call.result().status)
+	}
+}
+
+func TestRequestsThatBecomeWholeLateInTheGraceAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		path    string
+		isKnown bool
+	}{
+		"unsafe":                    {"/issue/1", true},
+		"unsafe, durations unknown": {"/issue/1", false},
+		"safe":                      {"/look", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const stop, work, count = 6 * time.Second, 1500 * time.Millisecond, 40
+			// The entry answers all requests in this part of its stop time.
+			const lastAnswer = stop * 88 / 100
+			wholeAfter := func(i int) time.Duration { return stop * time.Duration(i) / count }
+			d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 4, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, stop: stop})
+			for _, server := range d.plainServers {
+				server.AnswerTime = work
+			}
+			if c.isKnown {
+				d.answerSome(c.path)
+			}
+			calls := make([]*partialCall, count)
+			for i := range calls {
+				calls[i] = d.startPartialCall(d.entries[0].CallerAddr, c.path)
+			}
+			d.eventually(func() bool { return d.gauge(0, "currantusher_callers_requests") == count }, "the entry has not begun to read all requests")
+			d.stopEntry(0)
+			d.awaitLogLine("Leaving.")
+			results := make([]callResult, count)
+			var group sync.WaitGroup
+			for i, call := range calls {
+				time.AfterFunc(wholeAfter(i), call.finish)
+				group.Go(func() { results[i] = call.answer() })
+			}
+			group.Wait()
+			counts := map[int]int{}
+			for i, got := range results {
+				d.requireTrueAnswer(calls[i].body, got)
+				if wholeAfter(i) > lastAnswer-work {
+					require.Zero(t, d.countRuns(calls[i].body), "a server got a request that it could not answer in time")
+				}
+				counts[got.status]++
+			}
+			t.Logf("answers by status: %v", counts)
+		})
+	}
+}
+
+func TestRequestThatBecomesWholeEarlyInTheGraceIsServed(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/issue/1", "/look"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 4, maxAttempts: 2, retryRatio: 1, retrySlack: 1000})
+			d.answerSome(path)
+			call := d.startPartialCall(d.entries[0].CallerAddr, path)
+			d.eventually(func() bool { return d.gauge(0, "currantusher_callers_requests") == 1 }, "the entry has not begun to read all requests")
+			d.stopEntry(0)
+			d.awaitLogLine("Leaving.")
+			call.finish()
+			got := call.answer()
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status, got.body)
+			require.Equal(t, 1, d.countRuns(call.body))
+		})
+	}
+}
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -66,27 +65,30 @@
 
 // forward dispatches an admitted request and writes the response.
 func (g *Gateway) forward(c *call, w http.ResponseWriter, r *http.Request) {
-	directRequest := g.newDirectRequest(c, r)
-	c.traits = requestTraits(c, directRequest.Model, r, g.config.Headers.PromptParts)
+	request := g.newDirectRequest(c, r)
+	c.traits = requestTraits(c, request.Model, r, g.config.Headers.PromptParts)
 	if err := g.crashGuard.check(c.traits); err != nil {
 		g.refuse(c, w, err)
 		return
 	}
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
-	observer := observer{gateway: g, service: c.service, model: directRequest.Model, requestID: c.id, traits: c.traits}
-	exchange := direct.New(g.upstream, g.config.Headers, observer, directRequest, w)
-	ctx, sink, release := g.unlessStopped(r.Context(), exchange, c.route.Kind == fleet.RouteStreaming)
-	defer release()
-	request := g.newDispatchRequest(c, r, exchange.CanResume)
-	request.Sender = stoppableSender{Sender: exchange, stoppable: ctx}
-	err := g.dispatcher.Do(ctx, request, sink)
-	if err != nil && context.Cause(ctx) == errStopping && exchange.FirstByteAt().IsZero() {
-		err = stoppedError(err)
+	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
+	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
+	c.predicted = g.expectedDuration(c, r)
+	stoppable := g.newStoppable(r.Context(), c, exchange, w)
+	defer stoppable.release()
+	err := g.dispatcher.Do(stoppable.ctx, g.newDispatchRequest(c, stoppable, r), stoppable)
+	c.outcome.stopCause = stoppable.stopCause()
+	if err != nil && c.outcome.stopCause != nil && exchange.FirstByteAt().IsZero() {
+		err = stoppedError(err, c.outcome.stopCause)
 	}
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
 	if sentAt := exchange.FirstSentAt(); !sentAt.IsZero() {
 		c.outcome.queueTime = sentAt.Sub(c.startedAt)
+		if err == nil {
+			g.durations.add(c.route.Name, time.Since(sentAt))
+		}
 	}
 	if firstByteAt := exchange.FirstByteAt(); !firstByteAt.IsZero() {
 		c.outcome.firstByteTime = firstByteAt.Sub(c.startedAt)
@@ -229,7 +231,7 @@
 	return needs
 }
 
-func (g *Gateway) newDispatchRequest(c *call, r *http.Request, canResume func() bool) dispatch.Request {
+func (g *Gateway) newDispatchRequest(c *call, sender *stoppable, r *http.Request) dispatch.Request {
 	pool := core.PoolName(c.service)
 	needs := g.requirementsOf(c, r)
 	var team core.Team
@@ -250,13 +252,13 @@
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
-		CanResume:         canResume,
+		CanResume:         sender.CanResume,
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
 		IdleTimeout:       idleTimeout,
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
-		ExpectedDuration:  g.expectedDuration(c, r),
+		ExpectedDuration:  c.predicted,
 		FirstByteDeadline: firstByteDeadline,
 		StartBy:           startBy,
 		ObjectiveMissed:   isRetry,
@@ -269,6 +271,7 @@
 		AtMostOnce:        !c.route.IsRepeatable(),
 		Unclaimed:         true,
 		Stream:            c.route.Kind == fleet.RouteStreaming,
+		Sender:            sender,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/requests/attempt"
 	"currantusher.dev/requests/dispatch"
+	"currantusher.dev/requests/grace"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/sharedlimit"
@@ -86,6 +87,15 @@
 	// waitsEnd ends, by endWaits, when requests whose answer has not begun are stopped.
 	waitsEnd context.Context
 	endWaits context.CancelFunc
+	// streamsEnd ends, by endStreams, when all requests in progress are stopped.
+	streamsEnd context.Context
+	endStreams context.CancelFunc
+	// schedule is that of the planned stop, or nil. leaveBegun ends, by beginLeave, after
+	// it is set.
+	schedule   atomic.Pointer[grace.Schedule]
+	leaveBegun context.Context
+	beginLeave context.CancelFunc
+	durations  *routeDurations
 	// entriesLoaded reports that the rows of all entries have been read from the
 	// store.
 	entriesLoaded atomic.Bool
@@ -115,6 +125,7 @@
 		notices:       notices.NewSet(),
 		rateLimits:    notices.NewLimits(),
 		stallDetector: stall.NewDetector(),
+		durations:     newRouteDurations(),
 		registry:      metrics.NewRegistry(),
 		clock:         clock.New(),
 		log:           config.Log.Component("entry"),
@@ -122,6 +133,8 @@
 	}
 	g.node.Store(&config.Node)
 	g.waitsEnd, g.endWaits = context.WithCancel(context.Background())
+	g.streamsEnd, g.endStreams = context.WithCancel(context.Background())
+	g.leaveBegun, g.beginLeave = context.WithCancel(context.Background())
 	g.roster = roster.New[gossip.Member](g.store, roster.EntriesTable, g.log)
 	g.conns = newCallerConns(g.limits, maxCallerConns(config.Node.MaxOpenFiles))
 	g.relayCache = relay.NewCache(g.store, nil)
@@ -311,10 +324,12 @@
 func (g *Gateway) sweep(ctx context.Context) error {
 	idleConns := metrics.GetOrRegisterGauge("upstream.idle_connections", g.registry)
 	callerConns := metrics.GetOrRegisterGauge("callers.connections", g.registry)
+	requests := metrics.GetOrRegisterGauge("callers.requests", g.registry)
 	evictions := metrics.GetOrRegisterGauge("callers.evictions", g.registry)
 	return runPeriodically(ctx, sweepPeriod, func() {
 		idleConns.Update(int64(g.upstream.CloseExpired()))
 		callerConns.Update(int64(g.conns.count()))
+		requests.Update(g.inFlight.Load())
 		evictions.Update(g.conns.evictions.Load())
 		now := time.Now()
 		g.ledger.Sweep(now)
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -9,6 +9,7 @@
 
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/requests/grace"
 )
 
 // Phases of a planned stop, as fractions of the platform's time between SIGTERM
@@ -55,6 +56,8 @@
 	acceptUntil := startedAt.Add(time.Duration(acceptFraction * float64(stopTime)))
 	shutdownAt := startedAt.Add(time.Duration(shutdownFraction * float64(stopTime)))
 	lastAnswerAt := startedAt.Add(time.Duration(lastAnswerFraction * float64(stopTime)))
+	g.schedule.Store(&grace.Schedule{LastAnswer: lastAnswerAt, Stop: shutdownAt})
+	g.beginLeave()
 	defer time.AfterFunc(time.Until(lastAnswerAt), g.endWaits).Stop()
 	for time.Now().Before(acceptUntil) && !g.isQuiet(startedAt) {
 		time.Sleep(leavePollPeriod)
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -27,6 +27,7 @@
 	}
 	status := statusOf(err)
 	c.outcome.status = status
+	g.closeIfLeaving(w)
 	header := w.Header()
 	header.Set("Content-Length", "0")
 	if status == http.StatusServiceUnavailable {
@@ -90,6 +91,10 @@
 	if c.outcome.retryAfter > 0 {
 		fields["retry_after_ms"] = c.outcome.retryAfter.Milliseconds()
 	}
+	if g.schedule.Load() != nil {
+		fields["leave"] = c.outcome.leaveDecision()
+		metrics.GetOrRegisterCounter("leave."+c.outcome.leaveDecision(), g.registry).Inc(1)
+	}
 	if isQuarantined(c.outcome.err) {
 		addTraits(fields, c.traits)
 	}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -36,7 +36,9 @@
 	traits []fleet.Trait
 	// deadline is when the response must be complete.
 	deadline time.Time
-	outcome  outcome
+	// predicted is the expected duration; 0 means unknown.
+	predicted time.Duration
+	outcome   outcome
 }
 
 // outcome is the result of a call, for its log line and metrics.
@@ -50,6 +52,8 @@
 	queueTime     time.Duration
 	firstByteTime time.Duration
 	retryAfter    time.Duration
+	// stopCause is why a leaving entry stopped the call, or nil.
+	stopCause error
 }
 
 // serve handles one caller request.
@@ -59,9 +63,7 @@
 	c := &call{startedAt: time.Now(), view: g.follower.View(), id: r.Header.Get(g.config.Headers.RequestID)}
 	g.lastRequestNanos.Store(c.startedAt.UnixNano())
 	g.requestRate.Record(c.startedAt)
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.closeIfLeaving(w)
 	defer g.recordCall(c)
 	if err := g.admit(c, w, r); err != nil {
 		g.refuse(c, w, err)
--- /dev/null
+++ b/requests/grace/grace_test.go
@@ -0,0 +1,66 @@
+package grace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	start    = time.Unix(1000, 0)
+	schedule = Schedule{LastAnswer: start.Add(10 * time.Second), Stop: start.Add(12 * time.Second)}
+)
+
+// observed returns count durations of a second and one of the given length.
+func observed(count int, longest time.Duration) Durations {
+	var d Durations
+	for range count {
+		d.Add(time.Second)
+	}
+	d.Add(longest)
+	return d
+}
+
+func TestLastStart(t *testing.T) {
+	late := start.Add(time.Hour)
+	for _, test := range []struct {
+		name    string
+		request Request
+		want    time.Time
+	}{
+		{"the deadline comes first", Request{Deadline: start.Add(9 * time.Second)}, start.Add(9 * time.Second)},
+		{"repeatable, nothing known", Request{Deadline: late, Repeatable: true}, schedule.LastAnswer},
+		{"repeatable, objective", Request{Deadline: late, Repeatable: true, Objective: 2 * time.Second}, start.Add(8 * time.Second)},
+		{"repeatable, usual duration", Request{Deadline: late, Repeatable: true, Objective: 2 * time.Second, Durations: observed(20, 5*time.Second)}, start.Add(9 * time.Second)},
+		{"repeatable, predicted", Request{Deadline: late, Repeatable: true, Predicted: 3 * time.Second, Durations: observed(20, 5*time.Second)}, start.Add(7 * time.Second)},
+		{"repeatable stream", Request{Deadline: late, Repeatable: true, Stream: true, Predicted: 3 * time.Second}, start.Add(9 * time.Second)},
+		{"once, nothing known", Request{Deadline: late, Objective: time.Second}, time.Time{}},
+		{"once, too little known", Request{Deadline: late, Objective: time.Second, Durations: observed(minSamples-2, time.Second)}, time.Time{}},
+		{"once, longest duration", Request{Deadline: late, Objective: time.Second, Durations: observed(20, 5*time.Second)}, start.Add(5 * time.Second)},
+		{"once, objective", Request{Deadline: late, Objective: 4 * time.Second, Durations: observed(20, 2*time.Second)}, start.Add(6 * time.Second)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, schedule.LastStart(test.request))
+		})
+	}
+}
+
+func TestDurationsForgetOldOnes(t *testing.T) {
+	var d Durations
+	d.Add(time.Hour)
+	for range maxSamples {
+		d.Add(time.Second)
+	}
+	longest, known := d.longest()
+	require.True(t, known)
+	require.Equal(t, time.Second, longest)
+}
+
+func TestCloneSharesNoSamples(t *testing.T) {
+	d := observed(maxSamples, time.Second)
+	clone := d.Clone()
+	d.Add(time.Hour)
+	longest, _ := clone.longest()
+	require.Equal(t, time.Second, longest)
+}
