--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,16 +74,21 @@
 	g.seekPlace(r.Context(), g.requirementsOf(c, r))
 	observer := observer{gateway: g, service: c.service, model: request.Model, requestID: c.id, traits: c.traits}
 	exchange := direct.New(g.upstream, g.config.Headers, observer, request, w)
-	ctx, sink, release := g.unlessStopped(r.Context(), exchange)
-	defer release()
-	err := g.dispatcher.Do(ctx, g.newDispatchRequest(c, exchange, r), sink)
-	if err != nil && context.Cause(ctx) == errStopping && exchange.FirstByteAt().IsZero() {
-		err = stoppedError(err)
+	c.predicted = g.expectedDuration(c, r)
+	stoppable := g.newStoppable(r.Context(), c, exchange, w)
+	defer stoppable.release()
+	err := g.dispatcher.Do(stoppable.ctx, g.newDispatchRequest(c, stoppable, r), stoppable)
+	c.outcome.stopCause = stoppable.stopCause()
+	if err != nil && c.outcome.stopCause != nil && exchange.FirstByteAt().IsZero() {
+		err = stoppedError(err, c.outcome.stopCause)
 	}
 	c.outcome.attempts = exchange.Attempts()
 	c.outcome.server = exchange.LastServer()
 	if sentAt := exchange.FirstSentAt(); !sentAt.IsZero() {
 		c.outcome.queueTime = sentAt.Sub(c.startedAt)
+		if err == nil {
+			g.durations.add(c.route.Name, time.Since(sentAt))
+		}
 	}
 	if firstByteAt := exchange.FirstByteAt(); !firstByteAt.IsZero() {
 		c.outcome.firstByteTime = firstByteAt.Sub(c.startedAt)
@@ -227,7 +231,7 @@
 	return needs
 }
 
-func (g *Gateway) newDispatchRequest(c *call, exchange *direct.Exchange, r *http.Request) dispatch.Request {
+func (g *Gateway) newDispatchRequest(c *call, sender *stoppable, r *http.Request) dispatch.Request {
 	pool := core.PoolName(c.service)
 	needs := g.requirementsOf(c, r)
 	var team core.Team
@@ -248,13 +252,13 @@
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
-		CanResume:         exchange.CanResume,
+		CanResume:         sender.CanResume,
 		PauseStart:        g.pauseStarts(c, needs.model),
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
 		IdleTimeout:       idleTimeout,
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
-		ExpectedDuration:  g.expectedDuration(c, r),
+		ExpectedDuration:  c.predicted,
 		FirstByteDeadline: firstByteDeadline,
 		StartBy:           startBy,
 		ObjectiveMissed:   isRetry,
@@ -267,7 +271,7 @@
 		AtMostOnce:        !c.route.IsRepeatable(),
 		Unclaimed:         true,
 		Stream:            c.route.Kind == fleet.RouteStreaming,
-		Sender:            exchange,
+		Sender:            sender,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
 		MaxAttempts:       c.route.MaxAttempts,
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/members/gossip"
-	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/requests/grace"
 )
 
 // Phases of a planned stop, as fractions of the platform's time between SIGTERM
@@ -23,6 +23,9 @@
 	lastAnswerFraction = 0.88
 	// shutdownFraction is when it stops even with requests in progress.
 	shutdownFraction = 0.95
+	// closeFraction is when the connections of requests are closed that shutdownFraction
+	// has not ended.
+	closeFraction = 0.97
 	// defaultStopTime applies when the settings file sets no stop time.
 	defaultStopTime = 5 * time.Second
 	// quietTime without any request ends the accepting phase early.
@@ -47,7 +50,9 @@
 	g.leaving.Store(true)
 	g.gossip.SetPhase(gossip.PhaseLeaving)
 	g.log.WithField("requests", g.inFlight.Load()).Info("Leaving.")
-	go g.removeRow()
+	leaveCtx, endLeave := context.WithCancel(context.Background())
+	defer endLeave()
+	go g.removeRow(leaveCtx)
 	stopTime := g.node.Load().Bounds.Stop
 	if stopTime <= 0 {
 		stopTime = defaultStopTime
@@ -55,6 +60,8 @@
 	acceptUntil := startedAt.Add(time.Duration(acceptFraction * float64(stopTime)))
 	shutdownAt := startedAt.Add(time.Duration(shutdownFraction * float64(stopTime)))
 	lastAnswerAt := startedAt.Add(time.Duration(lastAnswerFraction * float64(stopTime)))
+	g.schedule.Store(&grace.Schedule{LastAnswer: lastAnswerAt, Stop: shutdownAt})
+	g.beginLeave()
 	defer time.AfterFunc(time.Until(lastAnswerAt), g.endWaits).Stop()
 	for time.Now().Before(acceptUntil) && !g.isQuiet(startedAt) {
 		time.Sleep(leavePollPeriod)
@@ -65,16 +72,28 @@
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).WithField("requests", g.inFlight.Load()).Warn("Stop time is over; aborting requests in progress.")
+		g.abortRequests(callerServer, startedAt.Add(time.Duration(closeFraction*float64(stopTime))))
 	}
 	g.log.WithFields(logrus.Fields{
 		"requests": g.inFlight.Load(), "after_ms": time.Since(startedAt).Milliseconds(),
 	}).Info("Left.")
 }
 
-func (g *Gateway) removeRow() {
-	ctx, cancel := context.WithTimeout(context.Background(), rowstore.CallTimeout)
-	defer cancel()
-	if err := g.roster.Remove(ctx, string(g.config.Node.Instance)); err != nil {
-		g.log.WithError(err).Warn("Could not remove this entry's row; other daemons will find it unresponsive.")
+// abortRequests ends the requests in progress between two writes of their answers, so that
+// no caller takes a broken one for complete, and closes all connections not later than until.
+func (g *Gateway) abortRequests(callerServer *http.Server, until time.Time) {
+	g.endStreams()
+	for g.inFlight.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(leavePollPeriod)
+	}
+	if err := callerServer.Close(); err != nil {
+		g.log.WithError(err).Info("Could not close the callers' connections.")
+	}
+}
+
+// removeRow removes this entry's row until the leave ends.
+func (g *Gateway) removeRow(ctx context.Context) {
+	if !g.roster.RemoveWithRetry(ctx, string(g.config.Node.Instance)) {
+		g.log.Warn("Could not remove this entry's row; other daemons will find it unresponsive.")
 	}
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +37,9 @@
 	traits []fleet.Trait
 	// deadline is when the response must be complete.
 	deadline time.Time
-	outcome  outcome
+	// predicted is the expected duration; 0 means unknown.
+	predicted time.Duration
+	outcome   outcome
 }
 
 // outcome is the result of a call, for its log line and metrics.
@@ -50,6 +53,8 @@
 	queueTime     time.Duration
 	firstByteTime time.Duration
 	retryAfter    time.Duration
+	// stopCause is why a leaving entry stopped the call, or nil.
+	stopCause error
 }
 
 // serve handles one caller request.
@@ -59,9 +64,7 @@
 	c := &call{startedAt: time.Now(), view: g.follower.View(), id: r.Header.Get(g.config.Headers.RequestID)}
 	g.lastRequestNanos.Store(c.startedAt.UnixNano())
 	g.requestRate.Record(c.startedAt)
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.closeIfLeaving(w)
 	defer g.recordCall(c)
 	if err := g.admit(c, w, r); err != nil {
 		g.refuse(c, w, err)
@@ -160,11 +163,19 @@
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		return core.Wrap(err, core.CodeInternal, core.ExecutionNotRun, "set read deadline for the body")
 	}
+	c.predicted = g.expectedDuration(c, r)
+	// A deadline in the past ends the read in progress. An error means that the connection
+	// is closed, which ends it too.
+	stop := g.atLastStart(c, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(reader)
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return core.NewRefusal(core.CodeBodyTooLarge, 0, "the body exceeds the limit of %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.isTooLate(c):
+		c.outcome.stopCause = errTooLate
+		return core.NewRefusal(core.CodeDraining, 0, "%v", errTooLate)
 	case err != nil:
 		return core.Wrap(err, core.CodeCancelled, core.ExecutionNotRun, "the caller aborted the body")
 	}
