Recall: a stream that has just begun stays at its server

Callers saw a 200 and a closed connection: the recall collects the requests that no engine has begun, logs each of them and then closes them one after the other. A stream whose first event was read and passed on in between was closed like the others, and cut if no other server took it.

The attempt now notes under the same lock that data was read. A recall that comes later leaves it open; data that is read after the recall is not passed on.

Evidence: TestRecallDoesNotCutAStreamThatHasJustBegun failed before with 'reading the answer of s-1 failed: use of closed network connection'.

--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -56,6 +56,8 @@
 	isHandover bool
 	// isAborted is set by abort.
 	isAborted bool
+	// hasData is set once a part of the body was read before abort was called.
+	hasData bool
 	// isClosed is set once the connection is not in use any more.
 	isClosed bool
 
@@ -191,12 +193,13 @@
 	return e.openAttempts > 1 && (s.isHandover || !e.hasEvent)
 }
 
-// abort closes the connection unless the attempt has become the last one since.
+// abort closes the connection unless the answer has begun or the attempt has become the
+// last one since.
 func (s *replyStream) abort() {
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.isClosed || s.isAborted || !e.hasAttemptsLeft() && !s.isReplaceable() {
+	if s.isClosed || s.isAborted || s.hasData || !e.hasAttemptsLeft() && !s.isReplaceable() {
 		return
 	}
 	s.isAborted = true
@@ -204,6 +207,15 @@
 	s.conn.Close()
 }
 
+// markData records that a part of the body was read. It reports false if the attempt has
+// been aborted, so that nothing of the answer reaches the caller.
+func (s *replyStream) markData() bool {
+	s.exchange.mu.Lock()
+	defer s.exchange.mu.Unlock()
+	s.hasData = !s.isAborted
+	return s.hasData
+}
+
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
@@ -315,6 +327,9 @@
 	if err != nil && !s.bodyComplete {
 		return nil, fmt.Errorf("reading the answer of %s failed: %w", s.server, err)
 	}
+	if n > 0 && !s.markData() {
+		return nil, fmt.Errorf("the answer of %s began after the recall", s.server)
+	}
 	s.attemptObserver.DataReceived()
 	if !s.isEventStream() {
 		return s.buffer[:n], s.checkLength(n)
