Recall: a request that was recalled waits for a retry

Callers got a 502, or a 200 and a closed connection where the attempt continued a stream that another server had broken off: a recall for newer weights closes an attempt that has not begun, and the request failed at once if the retry budget was spent then. The attempt has to be closed in any case, since its weights may not serve the request any more.

The request now waits until the budget holds a retry: without an answer as long as its caller waits for the first byte, otherwise until its deadline. It stops waiting if its traits are quarantined, since no server may get it. The budget is not exceeded. Without a retry until then the answer stays a 502, which promises nothing.

Evidence: without the wait TestRecalledRequestWaitsForARetry fails with 'reading the answer failed, cause: the request was recalled from the server', and TestStreamWhoseContinuationIsRecalledIsNotCut with 'the stream broke after 6 bytes, cause: the retry budget is spent'.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -270,6 +270,7 @@
 		Sender:            exchange,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
+		Barred:            func() error { return g.crashGuard.check(c.traits) },
 		MaxAttempts:       c.route.MaxAttempts,
 		StartTimeout:      max(startTimeoutObjectives*c.route.LatencyObjective, minStartTimeout),
 	}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -12,6 +12,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/upstream"
@@ -88,6 +89,9 @@
 	case frame.Data != nil && s.isEventStream():
 		s.reportBegun()
 	}
+	if err != nil && s.wasAborted() {
+		err = fmt.Errorf("%w: %w", dispatch.ErrRecalled, err)
+	}
 	return frame, err
 }
 
@@ -207,6 +211,12 @@
 	s.conn.Close()
 }
 
+func (s *replyStream) wasAborted() bool {
+	s.exchange.mu.Lock()
+	defer s.exchange.mu.Unlock()
+	return s.isAborted
+}
+
 // markData records that a part of the body was read. It reports false if the attempt has
 // been aborted, so that nothing of the answer reaches the caller.
 func (s *replyStream) markData() bool {
--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -41,6 +41,9 @@
 	lastFrameAt time.Time
 	// isCounted is set while the attempt counts as one that may have run.
 	isCounted bool
+	// isRecalled is set when the entry has closed the attempt so that its server does not
+	// begin the request.
+	isRecalled bool
 	// isSilent is set when another agent took the request over because this one sent
 	// nothing.
 	isSilent bool
@@ -258,6 +261,7 @@
 		return wire.AnswerFrame{}, incompleteError("the answer stream closed before its end frame")
 	}
 	if err != nil {
+		a.isRecalled = errors.Is(err, ErrRecalled)
 		return wire.AnswerFrame{}, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "reading the answer failed")
 	}
 	return reply, a.answer.accept(reply)
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"currantusher.dev/core"
@@ -31,6 +32,10 @@
 // fraction (1/n) of the time left before the deadline.
 const tombstoneReserveDivisor = 5
 
+// ErrRecalled is wrapped by the error of Recv when the entry has closed the connection
+// because the server must not begin the request any more.
+var ErrRecalled = errors.New("the request was recalled from the server")
+
 // ReplyStream receives the frames of one attempt. Recv returns an error when
 // the context passed to Send ends.
 //
@@ -202,6 +207,8 @@
 	// Closure, if set, returns the closure of all servers that could serve the request,
 	// or nil. The request is then refused immediately.
 	Closure func() *fair.Closure
+	// Barred, if set, returns why no server may get the request any more, or nil.
+	Barred func() error
 	// MaxAttempts overrides Config.MaxAttempts when above 0.
 	MaxAttempts int
 	// StartTimeout overrides Config.StartTimeout when above 0.
--- a/requests/dispatch/fleet_test.go
+++ b/requests/dispatch/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,9 @@
 	// events. The header arrives at once if hasEarlyHeader is set.
 	firstEventAfter, eventInterval time.Duration
 	hasEarlyHeader                 bool
+	// recalledAfter is when the entry recalls the attempt, which has no answer yet; 0 means
+	// never.
+	recalledAfter time.Duration
 	// breaksAfter is the number of events before the stream breaks; 0 means never, and
 	// below 0 before the header.
 	breaksAfter int
@@ -153,9 +157,10 @@
 
 // timedFrame is a frame, or a broken connection, that arrives after a time.
 type timedFrame struct {
-	after  time.Duration
-	frame  wire.AnswerFrame
-	breaks bool
+	after    time.Duration
+	frame    wire.AnswerFrame
+	breaks   bool
+	recalled bool
 }
 
 func (s *fakeStream) schedule(m wire.Dispatch, b serverBehaviour) {
@@ -163,6 +168,9 @@
 	case b.refusal != core.CodeOK:
 		s.frames = []timedFrame{{after: b.firstEventAfter, frame: refusal(b.refusal)}}
 		return
+	case b.recalledAfter > 0:
+		s.frames = []timedFrame{{after: b.recalledAfter, recalled: true}}
+		return
 	case b.isSilent:
 		return
 	case b.breaksAfter < 0:
@@ -206,6 +214,9 @@
 	}
 	next := s.frames[0]
 	s.frames = s.frames[1:]
+	if next.recalled {
+		return wire.AnswerFrame{}, fmt.Errorf("%w: closed", ErrRecalled)
+	}
 	if next.breaks {
 		s.frames = nil
 		s.fleet.hasCutStream = s.fleet.hasCutStream || s.hasData
--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -42,16 +42,21 @@
 // waitForSlot returns the slot, for which no server could be picked, and waits
 // for another one.
 func (x *execution) waitForSlot(ctx context.Context) error {
-	deadline := x.request.queueDeadline()
-	if x.output.sentBytes > 0 {
-		// The first byte was sent, so only the final deadline applies.
-		deadline = x.request.Deadline
-	}
+	deadline := x.waitDeadline()
 	boundedCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	return x.grant.RequeueUntil(boundedCtx, deadline)
 }
 
+// waitDeadline returns the time until which the request may wait before it is sent again.
+func (x *execution) waitDeadline() time.Time {
+	if x.output.sentBytes > 0 {
+		// The first byte was sent, so only the final deadline applies.
+		return x.request.Deadline
+	}
+	return x.request.queueDeadline()
+}
+
 // waitForRefusingAgents waits for a moment if no agent is left for a broken stream, and
 // permits those that refused it to be picked again: they may load weights or start. The
 // placer does not pick an agent for a while after a refusal. Requests whose callers have
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/pause"
 	"currantusher.dev/requests/placement"
 )
 
+// retryCheckPeriod is how often a request that waits for a retry checks the budget.
+const retryCheckPeriod = 50 * time.Millisecond
+
 // markTried excludes an agent from further attempts after err. After a digest mismatch
 // the same agent may serve the request with the weights that ChooseWeights returns for
 // the next attempt.
@@ -41,7 +46,7 @@
 		// No server got the request, so the attempt takes no retry from the budget.
 		return nil
 	}
-	return x.prepareRetry(ctx, placer, lastErr)
+	return x.prepareRetry(ctx, placer, a, lastErr)
 }
 
 // mayRetry reports whether another dispatch is permitted after err.
@@ -85,12 +90,13 @@
 }
 
 // prepareRetry takes a retry from the retry budget. If the budget is spent, the
-// request returns to the queue after a temporary refusal and fails otherwise.
-func (x *execution) prepareRetry(ctx context.Context, placer *placement.Placer, lastErr error) error {
+// request waits for a retry after a recall, returns to the queue after a temporary
+// refusal and fails otherwise.
+func (x *execution) prepareRetry(ctx context.Context, placer *placement.Placer, a *agentAttempt, lastErr error) error {
 	if x.output.sentBytes > 0 && !x.output.canResume() {
 		return core.NewFailure(core.CodeStreamBroken, core.ExecutionUnknown, "the stream broke after %d bytes: %s", x.output.sentBytes, core.DetailOf(lastErr))
 	}
-	if placer.WithdrawRetry() {
+	if placer.WithdrawRetry() || a.isRecalled && x.waitForRetry(ctx, placer) {
 		return nil
 	}
 	if !isTemporaryRefusal(lastErr) {
@@ -99,6 +105,21 @@
 	return x.requeue(ctx)
 }
 
+// waitForRetry waits until the retry budget holds a retry, and takes it. It returns false
+// if the request can't be sent any more in time.
+func (x *execution) waitForRetry(ctx context.Context, placer *placement.Placer) bool {
+	for ctx.Err() == nil && x.config.Now().Add(retryCheckPeriod).Before(x.waitDeadline()) {
+		if x.request.Barred != nil && x.request.Barred() != nil {
+			return false
+		}
+		pause.For(ctx, retryCheckPeriod)
+		if ctx.Err() == nil && placer.WithdrawRetry() {
+			return true
+		}
+	}
+	return false
+}
+
 // isTemporaryRefusal reports whether the agent that refused may accept the
 // request soon: it was full, or the entry and the agent have not yet applied the
 // same configuration or incarnation change.
