--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -274,6 +274,7 @@
 		Sender:            sender,
 		Candidates:        func() []placement.Candidate { return g.candidates(placer, needs) },
 		Closure:           func() *fair.Closure { return g.closure(needs) },
+		Barred:            func() error { return g.crashGuard.check(c.traits) },
 		MaxAttempts:       c.route.MaxAttempts,
 		StartTimeout:      max(startTimeoutObjectives*c.route.LatencyObjective, minStartTimeout),
 	}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -12,6 +12,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/upstream"
@@ -56,6 +57,8 @@
 	isHandover bool
 	// isAborted is set by abort.
 	isAborted bool
+	// hasData is set once a part of the body was read before abort was called.
+	hasData bool
 	// isClosed is set once the connection is not in use any more.
 	isClosed bool
 
@@ -87,6 +90,9 @@
 	case frame.Data != nil && s.isEventStream():
 		s.reportBegun()
 	}
+	if err != nil && s.wasAborted() {
+		err = fmt.Errorf("%w: %w", dispatch.ErrRecalled, err)
+	}
 	return frame, err
 }
 
@@ -192,12 +198,13 @@
 	return e.openAttempts > 1 && (s.isHandover || !e.hasEvent)
 }
 
-// abort closes the connection unless the attempt has become the last one since.
+// abort closes the connection unless the answer has begun or the attempt has become the
+// last one since.
 func (s *replyStream) abort() {
 	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.isClosed || s.isAborted || !e.hasAttemptsLeft() && !s.isReplaceable() {
+	if s.isClosed || s.isAborted || s.hasData || !e.hasAttemptsLeft() && !s.isReplaceable() {
 		return
 	}
 	s.isAborted = true
@@ -205,6 +212,21 @@
 	s.conn.Close()
 }
 
+func (s *replyStream) wasAborted() bool {
+	s.exchange.mu.Lock()
+	defer s.exchange.mu.Unlock()
+	return s.isAborted
+}
+
+// markData records that a part of the body was read. It reports false if the attempt has
+// been aborted, so that nothing of the answer reaches the caller.
+func (s *replyStream) markData() bool {
+	s.exchange.mu.Lock()
+	defer s.exchange.mu.Unlock()
+	s.hasData = !s.isAborted
+	return s.hasData
+}
+
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
@@ -316,6 +338,9 @@
 	if err != nil && !s.bodyComplete {
 		return nil, fmt.Errorf("reading the answer of %s failed: %w", s.server, err)
 	}
+	if n > 0 && !s.markData() {
+		return nil, fmt.Errorf("the answer of %s began after the recall", s.server)
+	}
 	s.attemptObserver.DataReceived()
 	if !s.isEventStream() {
 		s.scanner.scan(s.buffer[:n])
