Roster: a late write does not bring back the row of a daemon that left

Seen: TestLateWriteDoesNotBringBackTheRowOfADaemonThatLeft always failed. The store may perform an unanswered write seconds later, also after the daemon has removed its row and left. The row then stayed for ever.

Cause: rows were written and removed without preconditions, so a late write always applied.

Each write now depends on the revision that the daemon last knew. If the store holds another one it says so (412) and the write is repeated with that, at most five times. A late write of a row that exists cannot be performed after the removal, since revisions are not given out twice in an era. A row that does not exist has no revision, so an unanswered creation could still follow a removal: it also depends on a row of the table "departures", which a leaving daemon changes, in the transaction of its removal, if one of its creations has no answer. Both orders are then safe: if the creation comes first, the removal finds another revision and is repeated; if the removal comes first, the creation's precondition no longer holds. A daemon whose creations were all answered changes no other row, so that daemons which join at that time are not delayed; leaving still takes one call, or two after a conflict.

Not covered: an unanswered creation that is performed after the store has come back without the departure (a new era gives revisions out again).

The stand-in store checks preconditions now.

Tests changed: the held write of the test is now released from its caller as soon as the store has it, not after 100 ms. Two tests of rowstore call Commit instead of Put, with the same assertions.

--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -22,6 +22,8 @@
 const (
 	EntriesTable = "entries"
 	AgentsTable  = "agents"
+	// departuresTable has a row for each table of daemons, see rowWriter.
+	departuresTable = "departures"
 )
 
 // minRetryDelay and maxRetryDelay bound the delay after a failed store call, which
@@ -50,7 +52,6 @@
 
 // Roster reads and writes the rows of one role. It is safe for concurrent use.
 type Roster[T any] struct {
-	store  *rowstore.Client
 	reader Reader
 	table  string
 	log    *logrus.Entry
@@ -58,6 +59,8 @@
 	// writeMu is held during a write, so that the last write of this daemon's row is the
 	// last one in the store.
 	writeMu sync.Mutex
+	// writer is guarded by writeMu.
+	writer rowWriter
 
 	mu sync.Mutex
 	// own is this daemon's row as it is to be in the store, deleted after Remove.
@@ -73,7 +76,7 @@
 
 // New returns the roster with the rows of a table, which it reads from the store.
 func New[T any](store *rowstore.Client, table string, log *logrus.Entry) *Roster[T] {
-	return &Roster[T]{store: store, reader: store, table: table, log: log.WithField("table", table)}
+	return &Roster[T]{reader: store, writer: rowWriter{store: store}, table: table, log: log.WithField("table", table)}
 }
 
 // ReadFrom makes the roster read the rows elsewhere.
@@ -153,13 +156,7 @@
 	r.mu.Lock()
 	row, knownBefore := r.own, r.keeper.seen
 	r.mu.Unlock()
-	var era uint64
-	var err error
-	if row.Deleted {
-		era, err = r.store.Remove(ctx, rowstore.Row{Table: row.Table, Key: row.Key})
-	} else {
-		era, err = r.store.Put(ctx, row)
-	}
+	era, err := r.writer.write(ctx, row)
 	if err != nil {
 		return err
 	}
