Silence: streams without data end before their callers leave

Callers whose stream had no event yet waited at engines that stood still until they gave up, without any answer. The engines ran the requests once they went on, seconds after the callers had left.

Taking the request back helps no more once the caller has left: a reset does not drop what lies in the receive buffer of a process that stands still.

A repeatable stream without data now ends with a 504 at 0.9 of the time for which its caller waits, if all servers that have it are silent and one of them has been for 0.8 of that time, at most 1.9 s. Nothing is provable about such a server, so the answer is not a 503. Servers that are silent for about a second keep their requests, and so do streams that have begun. The servers' silence is taken from all requests of the entry.

Three tests of silences expect a stream without data to wait for 2.5 s, longer than its caller would by its gap objective (2 s).

--- a/daemon/deployed/silence_change_test.go
+++ b/daemon/deployed/silence_change_test.go
@@ -87,7 +87,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			forEachMaxAttempts(t, func(t *testing.T, d *deployment) {
+			forEachMaxAttemptsAtGap(t, patientGapObjective, func(t *testing.T, d *deployment) {
 				servers := d.plainServers
 				if c.host == streamHost {
 					servers = d.engines
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -243,8 +243,11 @@
 	if c.route.Kind == fleet.RouteStreaming && !isRetry {
 		startBy = c.startedAt.Add(time.Duration(dispatchFraction * float64(c.route.LatencyObjective)))
 	}
+	giveUpWait, giveUpSilence := giveUpAfter(c.route)
 	var idleTimeout time.Duration
+	var silence func(core.InstanceID) time.Duration
 	if c.route.Kind == fleet.RouteStreaming {
+		silence = g.silence
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
@@ -253,6 +256,9 @@
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
 		IdleTimeout:       idleTimeout,
+		GiveUpAt:          c.startedAt.Add(giveUpWait),
+		GiveUpSilence:     giveUpSilence,
+		Silence:           silence,
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
 		ExpectedDuration:  g.expectedDuration(c, r),
 		FirstByteDeadline: firstByteDeadline,
--- a/daemon/gateway/stall.go
+++ b/daemon/gateway/stall.go
@@ -21,6 +21,13 @@
 	// stallPasses is the time without data, in the longest passes of an engine, after
 	// which it counts as stalled.
 	stallPasses = 1.25
+	// giveUpFraction is the fraction of the time for which callers wait for the first event
+	// after which a stream at silent servers ends. The rest is for the answer's way.
+	giveUpFraction = 0.9
+	// giveUpSilenceFraction is the fraction of that time, and maxGiveUpSilence the time, for
+	// which a server must have been silent, longer than the second for which sound servers are.
+	giveUpSilenceFraction = 0.8
+	maxGiveUpSilence      = 1900 * time.Millisecond
 )
 
 // stallTimeout returns the time without data after which a server of a service counts
@@ -37,6 +44,18 @@
 	return time.Duration(stallPasses * float64(latency.LongestPass(service.Engine.Timing, service.Engine.Slots)))
 }
 
+// giveUpAfter returns the time without data after which a stream ends if its servers are
+// silent, and for how long one of them must have been.
+func giveUpAfter(route *fleet.Route) (wait, silence time.Duration) {
+	timeout := float64(callerEventTimeout(route))
+	return time.Duration(giveUpFraction * timeout), min(time.Duration(giveUpSilenceFraction*timeout), maxGiveUpSilence)
+}
+
+// silence returns for how long a server has sent nothing, or 0 if that is not unusual.
+func (g *Gateway) silence(id core.InstanceID) time.Duration {
+	return g.stallDetector.Silence(time.Now(), id)
+}
+
 // ejectStalledServers ejects servers that have stopped sending and reports the stall to
 // their requests.
 func (g *Gateway) ejectStalledServers(ctx context.Context) error {
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -210,6 +210,13 @@
 	// another agent is asked to continue it, and IdleTimeout the one at any agent; 0
 	// means that the stall alone decides, or that there is no such timeout.
 	StallTimeout, IdleTimeout time.Duration
+	// GiveUpAt is the time, shortly before the caller leaves, from which a repeatable
+	// stream without data ends if all servers that have it are silent, one of them for
+	// GiveUpSilence. Silence returns for how long a server has sent nothing on any request,
+	// or 0 if that is not unusual; nil means that the stream does not end sooner.
+	GiveUpAt      time.Time
+	GiveUpSilence time.Duration
+	Silence       func(core.InstanceID) time.Duration
 }
 
 // queueDeadline returns the time until which the request may wait in the queue.
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -40,6 +40,8 @@
 	began      chan beginning
 	// refused holds the servers that have refused the request during this race.
 	refused map[core.InstanceID]bool
+	// isGivingUp is set while the request ends unless data arrives within stallGrace.
+	isGivingUp bool
 }
 
 // beginning says that an attempt received its first data, or why it did not.
@@ -69,6 +71,8 @@
 	r := race{execution: x, placer: placer, silent: a}
 	timer := newSilenceTimer(x.silenceTimeout(a))
 	defer timer.Stop()
+	giveUpTimer := x.newGiveUpTimer()
+	defer giveUpTimer.Stop()
 	stalled, isOverdue := a.stream.Stalled(), false
 	a.startRead()
 	for {
@@ -89,6 +93,13 @@
 				continue
 			}
 			timer.start(r.ask(ctx))
+		case <-giveUpTimer.C:
+			wasGivingUp := r.isGivingUp
+			r.isGivingUp = r.isHopeless()
+			if wasGivingUp && r.isGivingUp {
+				return r.giveUp()
+			}
+			giveUpTimer.Reset(stallGrace)
 		case b := <-r.began:
 			if b.err == nil {
 				return r.succeed(b.attempt)
@@ -102,6 +113,45 @@
 	}
 }
 
+// newGiveUpTimer returns a timer that fires when the caller is about to leave without data.
+func (x *execution) newGiveUpTimer() *time.Timer {
+	timer := time.NewTimer(x.request.GiveUpAt.Sub(x.config.Now()))
+	if x.request.Silence == nil || x.output.sentBytes > 0 {
+		timer.Stop()
+	}
+	return timer
+}
+
+// isHopeless reports whether all servers that have the request are silent, and one of them
+// for longer than a sound one may be.
+func (r *race) isHopeless() bool {
+	longest := time.Duration(0)
+	isSilent := func(a *agentAttempt) bool {
+		silence := r.request.Silence(a.agent.ID)
+		longest = max(longest, silence)
+		return silence > 0
+	}
+	if r.failure == nil && !isSilent(r.silent) {
+		return false
+	}
+	for b := range r.contenders {
+		if !isSilent(b) {
+			return false
+		}
+	}
+	return longest >= r.request.GiveUpSilence
+}
+
+// giveUp ends the request. A caller that leaves while its request lies unread at a server
+// that stands still cannot take it back: the server would run it afterwards.
+func (r *race) giveUp() frameResult {
+	r.abandonAll()
+	// No other server is asked any more.
+	r.request.Deadline = r.config.Now()
+	err := core.NewFailure(core.CodeTimeout, core.ExecutionUnknown, "the servers with the request were silent until its caller was about to leave")
+	return frameResult{err: err}
+}
+
 // silenceTimer fires after the time after which a server counts as silent, and then when
 // the next server is to be asked.
 type silenceTimer struct {
--- a/requests/stall/stall.go
+++ b/requests/stall/stall.go
@@ -27,6 +27,8 @@
 type serverActivity struct {
 	// lastActivity is when data last arrived on any request.
 	lastActivity time.Time
+	// lastDataAt is lastActivity without the restarts of TakeStalled.
+	lastDataAt time.Time
 	// timeout is the time without data after which the server counts as stalled.
 	timeout time.Duration
 	// activeStreams counts the requests that have received data.
@@ -65,7 +67,7 @@
 	defer d.mu.Unlock()
 	s := d.servers[id]
 	if s == nil {
-		s = &serverActivity{lastActivity: now, requests: map[*TrackedRequest]bool{}}
+		s = &serverActivity{lastActivity: now, lastDataAt: now, requests: map[*TrackedRequest]bool{}}
 		d.servers[id] = s
 	}
 	s.timeout = max(timeout, MinTimeout)
@@ -83,7 +85,7 @@
 	if s == nil || !s.requests[r] {
 		return false
 	}
-	s.lastActivity = now
+	s.lastActivity, s.lastDataAt = now, now
 	if !r.hasActivity {
 		r.hasActivity = true
 		s.activeStreams++
@@ -128,10 +130,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.servers {
-		s.lastActivity = now
+		s.lastActivity, s.lastDataAt = now, now
 	}
 }
 
+// Silence returns for how long a server with requests has sent nothing, or 0 if that is less
+// than its timeout. Unlike a stalled server, it may be reading the prompts of all of them.
+func (d *Detector) Silence(now time.Time, id core.InstanceID) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[id]
+	if s == nil || now.Sub(s.lastDataAt) < s.timeout {
+		return 0
+	}
+	return now.Sub(s.lastDataAt)
+}
+
 // TakeStalled returns the servers that are stalled and restarts their timeouts.
 func (d *Detector) TakeStalled(now time.Time) []StalledServer {
 	d.mu.Lock()
--- a/requests/stall/stall_test.go
+++ b/requests/stall/stall_test.go
@@ -91,3 +91,20 @@
 	require.True(t, second.RecordActivity(at(1100)))
 	require.False(t, first.RecordActivity(at(1101)))
 }
+
+func TestSilenceIsTheTimeWithoutData(t *testing.T) {
+	d := NewDetector()
+	require.Zero(t, d.Silence(at(0), "s-1"), "nothing is known of a server without requests")
+	first := d.Track(at(0), "s-1", 600*time.Millisecond, nil)
+	second := d.Track(at(500), "s-1", 600*time.Millisecond, nil)
+	require.Zero(t, d.Silence(at(599), "s-1"))
+	require.Equal(t, 600*time.Millisecond, d.Silence(at(600), "s-1"), "it may be reading prompts")
+	first.RecordActivity(at(700))
+	require.Zero(t, d.Silence(at(1299), "s-1"))
+	require.Len(t, d.TakeStalled(at(1300)), 1)
+	require.Equal(t, 700*time.Millisecond, d.Silence(at(1400), "s-1"), "a report of the stall is no data")
+	d.ResetTimers(at(2000))
+	require.Zero(t, d.Silence(at(2100), "s-1"))
+	second.RecordActivity(at(3000))
+	require.Zero(t, d.Silence(at(3100), "s-1"))
+}
