--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -247,8 +247,11 @@
 	if c.route.Kind == fleet.RouteStreaming && !isRetry {
 		startBy = c.startedAt.Add(time.Duration(dispatchFraction * float64(c.route.LatencyObjective)))
 	}
+	giveUpWait, giveUpSilence := giveUpAfter(c.route)
 	var idleTimeout time.Duration
+	var silence func(core.InstanceID) time.Duration
 	if c.route.Kind == fleet.RouteStreaming {
+		silence = g.silence
 		idleTimeout = max(streamIdleGaps*c.route.GapObjective, minStreamIdleTimeout)
 	}
 	return dispatch.Request{
@@ -257,6 +260,9 @@
 		HandoverTimeout:   handoverTimeout(c.route),
 		StallTimeout:      stallTimeout(c.route),
 		IdleTimeout:       idleTimeout,
+		GiveUpAt:          c.startedAt.Add(giveUpWait),
+		GiveUpSilence:     giveUpSilence,
+		Silence:           silence,
 		Trace:             callTrace{gateway: g, call: c, model: needs.model},
 		ExpectedDuration:  c.predicted,
 		FirstByteDeadline: firstByteDeadline,
