Stop: a request whose body does not become whole in time is refused

Callers whose request bodies were not whole at the end of the grace of a leaving entry got no answer: their connections closed.

Cause: reading a body ended at the caller's deadline only. The read now ends when it would be too late to send the request to a server, and the caller gets 503 and "Connection: close" while the time suffices for another entry. The test failed before with "unexpected EOF" for bodies with a length and in chunks, after 21 s, when the deadline had passed.

--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -56,14 +56,22 @@
 }
 
 func (d *deployment) startPartialCall(addr, path string) *partialCall {
+	d.t.Helper()
+	body := nextBody()
+	return d.startPartialCallWith(addr, path, body, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:1]))
+}
+
+// startPartialCallWith sends a request whose head ends with a framing header. start is that
+// header and the start of the body.
+func (d *deployment) startPartialCallWith(addr, path, body, start string) *partialCall {
 	d.t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	require.NoError(d.t, err)
 	d.t.Cleanup(func() { _ = conn.Close() })
-	c := &partialCall{body: nextBody(), conn: conn}
+	c := &partialCall{body: body, conn: conn}
 	names := headers.Names()
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 20000\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		path, plainHost, names.RequestID, nextRequestID(), names.Deadline, names.APIKey, apiKey, len(c.body), c.body[:1])
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 20000\r\n%s: %s\r\n%s",
+		path, plainHost, names.RequestID, nextRequestID(), names.Deadline, names.APIKey, apiKey, start)
 	require.NoError(d.t, err)
 	return c
 }
@@ -79,6 +87,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
+	if response.Close {
+		// ReadResponse removes the field.
+		response.Header.Set("Connection", "close")
+	}
 	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err}
 }
 
@@ -184,3 +196,29 @@
 		})
 	}
 }
+
+func TestRequestWhoseBodyDoesNotBecomeWholeInTimeIsRefusedByALeavingEntry(t *testing.T) {
+	t.Parallel()
+	for name, start := range map[string]string{
+		"length":                "Content-Length: 10\r\n\r\nstart",
+		"length, nothing sent":  "Content-Length: 10\r\n\r\n",
+		"chunks":                "Transfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n",
+		"chunks, within a size": "Transfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n1",
+	} {
+		for _, path := range []string{"/issue/1", "/look"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 2, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, stop: 4 * time.Second})
+				call := d.startPartialCallWith(d.entries[0].CallerAddr, path, "never whole", start)
+				d.eventually(func() bool { return d.gauge(0, "currantusher_callers_requests") == 1 }, "the entry has not begun to read the request")
+				d.stopEntry(0)
+				got := call.answer()
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+				require.Equal(t, "close", got.header.Get("Connection"))
+				d.awaitLogLine("Request ended.", "refused_late")
+			})
+		}
+	}
+}
--- a/daemon/gateway/laststart.go
+++ b/daemon/gateway/laststart.go
@@ -61,15 +61,16 @@
 }
 
 // atLastStart calls act once this entry leaves and it is too late to send a call to a
-// server. act is not called after stop has returned.
-func (g *Gateway) atLastStart(c *call, act func()) (stop func()) {
+// server. act is not called after stop, which reports whether it was, has returned.
+func (g *Gateway) atLastStart(c *call, act func()) (stop func() bool) {
 	var mu sync.Mutex
 	var timer *time.Timer
-	isStopped := false
+	isStopped, wasCalled := false, false
 	guarded := func() {
 		mu.Lock()
 		defer mu.Unlock()
 		if !isStopped {
+			wasCalled = true
 			act()
 		}
 	}
@@ -81,7 +82,7 @@
 		}
 		timer = time.AfterFunc(time.Until(g.lastStart(*g.schedule.Load(), c)), guarded)
 	})
-	return func() {
+	return func() bool {
 		keep()
 		mu.Lock()
 		defer mu.Unlock()
@@ -89,6 +90,7 @@
 		if timer != nil {
 			timer.Stop()
 		}
+		return wasCalled
 	}
 }
 
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -162,11 +162,19 @@
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		return core.Wrap(err, core.CodeInternal, core.ExecutionNotRun, "set read deadline for the body")
 	}
+	c.predicted = g.expectedDuration(c, r)
+	// A deadline in the past ends the read in progress. An error means that the connection
+	// is closed, which ends it too.
+	stop := g.atLastStart(c, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(reader)
+	isLate := stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return core.NewRefusal(core.CodeBodyTooLarge, 0, "the body exceeds the limit of %d bytes", limit)
+	case isLate:
+		c.outcome.stopCause = errTooLate
+		return core.NewRefusal(core.CodeDraining, 0, "%v", errTooLate)
 	case err != nil:
 		return core.Wrap(err, core.CodeCancelled, core.ExecutionNotRun, "the caller aborted the body")
 	}
--- a/daemon/gateway/stopping.go
+++ b/daemon/gateway/stopping.go
@@ -38,7 +38,7 @@
 	// keep reports whether the request was not stopped before its answer began. It is
 	// not stopped afterwards until streams end.
 	keep     func() bool
-	releases []func()
+	releases []func() bool
 
 	mu sync.Mutex
 	// openAttempts counts the attempts whose servers may still answer.
@@ -54,7 +54,7 @@
 	end := func() { s.cancel(errStopping) }
 	s.keep = context.AfterFunc(g.waitsEnd, end)
 	stopStreamEnd := context.AfterFunc(g.streamsEnd, end)
-	s.releases = []func(){g.atLastStart(c, s.setLate), func() { s.keep() }, func() { stopStreamEnd() }}
+	s.releases = []func() bool{g.atLastStart(c, s.setLate), s.keep, stopStreamEnd}
 	return s
 }
 
