Stop: a stream in progress at the end is aborted between two events

Streams that lasted longer than the grace of their entry were cut by the end of the process: within an event if one was being written, and, for callers with HTTP/1.0, as a normal close that looks like a complete stream.

The entry now ends requests in progress at shutdownFraction itself, after the event that is being written, with an abort, or a reset without chunks, and closes what is left at closeFraction. The test failed before: the streams went on until the process ended.

--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -222,3 +224,52 @@
 		}
 	}
 }
+
+// putConfigWithoutTimeouts puts routes into force that do not end requests.
+func (d *deployment) putConfigWithoutTimeouts() {
+	d.t.Helper()
+	config := silenceConfig(2, d.originAddr, 2)
+	for i := range config.Routes {
+		config.Routes[i].Timeout = time.Hour
+	}
+	d.store.PutConfig(config)
+	d.eventually(func() bool {
+		d.sendRequest(0, plainHost, "POST", "/look", "", nil)
+		return d.log.count("Request ended.", "config=2") > 0
+	}, "the configuration is not in force")
+}
+
+func TestStreamThatOutlastsTheGraceOfItsEntryIsAborted(t *testing.T) {
+	t.Parallel()
+	for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, path := range []string{silentRoutePrefix + "x", onceRoutePrefix + "x"} {
+			t.Run(protocol+path, func(t *testing.T) {
+				t.Parallel()
+				const endless = 100000
+				d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 2, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, stop: 4 * time.Second, events: 1})
+				for _, engine := range d.engines {
+					engine.EventCount = endless
+				}
+				d.putConfigWithoutTimeouts()
+				conn, err := net.Dial("tcp", d.entries[0].CallerAddr)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				names := headers.Names()
+				_, err = fmt.Fprintf(conn, "GET %s %s\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%s: 10,10\r\n\r\n",
+					path, protocol, streamHost, names.RequestID, nextRequestID(), names.APIKey, apiKey, names.Model, modelName, names.TokenCounts)
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				d.stopEntry(0)
+				d.awaitLogLine("Left.")
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+				body, err := io.ReadAll(response.Body)
+				require.Error(t, err, "the stream looks complete")
+				require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+				require.Equal(t, completeStream(bytes.Count(body, []byte("\n\n"))), string(body), "the stream ends within an event")
+				d.awaitLogLine("Entry stopped.")
+			})
+		}
+	}
+}
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -24,6 +24,9 @@
 	lastAnswerFraction = 0.88
 	// shutdownFraction is when it stops even with requests in progress.
 	shutdownFraction = 0.95
+	// closeFraction is when the connections of requests are closed that shutdownFraction
+	// has not ended.
+	closeFraction = 0.97
 	// defaultStopTime applies when the settings file sets no stop time.
 	defaultStopTime = 5 * time.Second
 	// quietTime without any request ends the accepting phase early.
@@ -68,12 +71,25 @@
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).WithField("requests", g.inFlight.Load()).Warn("Stop time is over; aborting requests in progress.")
+		g.abortRequests(callerServer, startedAt.Add(time.Duration(closeFraction*float64(stopTime))))
 	}
 	g.log.WithFields(logrus.Fields{
 		"requests": g.inFlight.Load(), "after_ms": time.Since(startedAt).Milliseconds(),
 	}).Info("Left.")
 }
 
+// abortRequests ends the requests in progress between two writes of their answers, so that
+// no caller takes a broken one for complete, and closes all connections not later than until.
+func (g *Gateway) abortRequests(callerServer *http.Server, until time.Time) {
+	g.endStreams()
+	for g.inFlight.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(leavePollPeriod)
+	}
+	if err := callerServer.Close(); err != nil {
+		g.log.WithError(err).Info("Could not close the callers' connections.")
+	}
+}
+
 func (g *Gateway) removeRow() {
 	ctx, cancel := context.WithTimeout(context.Background(), rowstore.CallTimeout)
 	defer cancel()
