Stop: a leaving entry removes its row when the store comes back

An entry that left while the store was away kept its row there, since it tried to remove it once. Daemons that started later read it as a peer until they found it unresponsive. Callers are not directed to it: directories name only entries that gossip reports as ready.

The removal is now retried until the leave ends. The test failed before with "the row of the leaving entry remains".

--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/headers"
 )
 
@@ -273,3 +274,17 @@
 		}
 	}
 }
+
+func TestRowOfALeavingEntryIsRemovedWhenTheStoreComesBack(t *testing.T) {
+	t.Parallel()
+	d, call := startLeavingDeployment(t, waitTimeout, plainHost, "/look")
+	d.eventually(func() bool { return len(d.readRows(roster.EntriesTable)) == 1 }, "the entry has no row")
+	d.store.SetDown(true)
+	d.stopEntry(0)
+	d.awaitLogLine("level=warning", "remove")
+	d.store.SetDown(false)
+	d.eventually(func() bool { return len(d.readRows(roster.EntriesTable)) == 0 }, "the row of the leaving entry remains")
+	d.resumeAll()
+	d.eventually(call.hasEnded, "the call does not end")
+	require.Equal(t, http.StatusOK, call.result().status)
+}
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/members/gossip"
-	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/requests/grace"
 )
 
@@ -51,7 +50,9 @@
 	g.leaving.Store(true)
 	g.gossip.SetPhase(gossip.PhaseLeaving)
 	g.log.WithField("requests", g.inFlight.Load()).Info("Leaving.")
-	go g.removeRow()
+	leaveCtx, endLeave := context.WithCancel(context.Background())
+	defer endLeave()
+	go g.removeRow(leaveCtx)
 	stopTime := g.node.Load().Bounds.Stop
 	if stopTime <= 0 {
 		stopTime = defaultStopTime
@@ -90,10 +91,9 @@
 	}
 }
 
-func (g *Gateway) removeRow() {
-	ctx, cancel := context.WithTimeout(context.Background(), rowstore.CallTimeout)
-	defer cancel()
-	if err := g.roster.Remove(ctx, string(g.config.Node.Instance)); err != nil {
-		g.log.WithError(err).Warn("Could not remove this entry's row; other daemons will find it unresponsive.")
+// removeRow removes this entry's row until the leave ends.
+func (g *Gateway) removeRow(ctx context.Context) {
+	if !g.roster.RemoveWithRetry(ctx, string(g.config.Node.Instance)) {
+		g.log.Warn("Could not remove this entry's row; other daemons will find it unresponsive.")
 	}
 }
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -99,6 +99,13 @@
 	return r.writeOwn(ctx)
 }
 
+// RemoveWithRetry deletes this daemon's row like Remove and retries until it succeeds or
+// ctx ends. It returns false if ctx ended first.
+func (r *Roster[T]) RemoveWithRetry(ctx context.Context, id string) bool {
+	r.setOwn(rowstore.Row{Table: r.table, Key: id, Deleted: true})
+	return r.retry(ctx, "remove row", func() error { return r.writeOwn(ctx) })
+}
+
 // Keep writes this daemon's row, or its removal, again after each loss of the store,
 // until ctx ends. era returns the store's latest known era.
 func (r *Roster[T]) Keep(ctx context.Context, era func() uint64) error {
