--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -168,12 +168,12 @@
 	// is closed, which ends it too.
 	stop := g.atLastStart(c, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(reader)
-	stop()
+	isLate := stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return core.NewRefusal(core.CodeBodyTooLarge, 0, "the body exceeds the limit of %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded) && g.isTooLate(c):
+	case isLate:
 		c.outcome.stopCause = errTooLate
 		return core.NewRefusal(core.CodeDraining, 0, "%v", errTooLate)
 	case err != nil:
