--- a/daemon/deployed/odd_rows_test.go
+++ b/daemon/deployed/odd_rows_test.go
@@ -1,8 +1,11 @@
 package deployed
 
 import (
+	"cmp"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 
@@ -27,7 +30,11 @@
 		}
 	}
 	d.store.Put(watch.ServersTable, "a\r\nX-Injected: 1", standin.ServerRow("lots", trap.Listener.Addr().String()))
-	for name, odd := range standin.OddServerRows("lots", trap.Listener.Addr().String()) {
+	oddRows := standin.OddServerRows("lots", trap.Listener.Addr().String())
+	// The largest one is last and stays under all names.
+	bySize := func(a, b string) int { return cmp.Or(cmp.Compare(len(oddRows[a]), len(oddRows[b])), cmp.Compare(a, b)) }
+	for _, name := range slices.SortedFunc(maps.Keys(oddRows), bySize) {
+		odd := oddRows[name]
 		d.store.Put(watch.ServersTable, "odd "+name, odd)
 		d.store.Put(watch.ServersTable, "changing", odd)
 		d.store.Put(roster.EntriesTable, "odd", odd)
