--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
