--- a/daemon/deployed/leave_server_test.go
+++ b/daemon/deployed/leave_server_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -19,8 +18,8 @@
 const (
 	// leavingEvents make streams that last until a new version is in force.
 	leavingEvents = 80
-	// fillingEvents make streams that last longer than a test.
-	fillingEvents = 600
+	// nextEventInterval makes streams of the next servers that outlast those of the first.
+	nextEventInterval = 3 * silenceEventInterval
 	// shortSilence is longer than the time after which a server counts as stalled.
 	shortSilence = 1300 * time.Millisecond
 	// stopDistance is the time between the stop of an entry and a change before or after it.
@@ -105,7 +104,7 @@
 	for i := 1; i <= 2; i++ {
 		next := &standin.Backend{
 			ID: fmt.Sprint("llm-", i), Service: "llm", Zone: "a", Model: modelName,
-			EventCount: fillingEvents, EventInterval: silenceEventInterval,
+			EventCount: leavingEvents, EventInterval: nextEventInterval,
 		}
 		if kind.areFull {
 			next.Slots = len(d.entries)
@@ -185,11 +184,7 @@
 	time.Sleep(stopDistance)
 	d.stopEntry(2)
 	for _, stream := range streams {
-		d.eventually(stream.hasEnded, "the stream does not end")
-		got := stream.result()
-		require.NoError(d.t, got.err, "the stream was cut after %q", lastLine(got.body))
-		require.Equal(d.t, http.StatusOK, got.status)
-		require.Equal(d.t, completeStream(leavingEvents), got.body)
+		stream.requireAnswer(true)
 	}
 	for entry := range d.entries {
 		require.NotZero(d.t, d.log.count(reason.logged, fmt.Sprint("instance=entry-", entry)), "entry %d does not know of the reason", entry)
--- /dev/null
+++ b/daemon/deployed/wait_at_server_test.go
@@ -0,0 +1,82 @@
+package deployed
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/platform/standin"
+)
+
+// startStreamHeldBy starts a stream of an entry that a silent server holds.
+func (d *deployment) startStreamHeldBy(entry int, silent *standin.Backend) *runningCall {
+	d.t.Helper()
+	var stream *runningCall
+	d.eventually(func() bool {
+		stream = d.startStreamOf(entry)
+		d.eventually(func() bool { return stream.hasEnded() || silent.Holds(stream.id) }, "a stream reaches no server")
+		return silent.Holds(stream.id)
+	}, "no stream reaches %s", silent.ID)
+	return stream
+}
+
+// requireAnswer waits for the end of a stream. It must be whole; unless it has to be, an
+// error without a part of an answer will do.
+func (c *runningCall) requireAnswer(mustBeWhole bool) {
+	c.d.t.Helper()
+	c.d.eventually(c.hasEnded, "the stream does not end")
+	got := c.result()
+	require.NoError(c.d.t, got.err, "the stream was cut after %q", lastLine(got.body))
+	if got.status == http.StatusOK || mustBeWhole {
+		require.Equal(c.d.t, http.StatusOK, got.status)
+		require.Equal(c.d.t, completeStream(leavingEvents), got.body)
+		return
+	}
+	require.GreaterOrEqual(c.d.t, got.status, http.StatusInternalServerError)
+	require.Empty(c.d.t, got.body)
+}
+
+// Requests that waited at a server got a 502 or a closed connection when the entry left the
+// server and the next ones refused.
+func TestRequestsThatWaitAtAServerAreAnsweredBesideAStop(t *testing.T) {
+	t.Parallel()
+	for name, reason := range leaveReasons {
+		if name == "ejection" {
+			// A silent server can't fail requests.
+			continue
+		}
+		for kindName, kind := range nextKinds {
+			if kind.areFull {
+				// Few requests reach a server that is ejected while the others are full.
+				continue
+			}
+			t.Run(name+", "+kindName, func(t *testing.T) {
+				t.Parallel()
+				d := startSilenceDeployment(t, silenceSettings{
+					entries: stopsBesideAChange, servers: 1, maxAttempts: kind.maxAttempts,
+					retryRatio: kind.retryRatio, retrySlack: kind.retrySlack, events: leavingEvents,
+				})
+				d.startNextServers(kind)
+				first := d.engines[0]
+				first.Silence()
+				var streams []*runningCall
+				for entry := range d.entries {
+					streams = append(streams, d.startStreamHeldBy(entry, first), d.startStreamHeldBy(entry, first))
+				}
+				d.stopEntry(0)
+				time.Sleep(stopDistance)
+				d.stopEntry(1)
+				reason.act(d, first)
+				time.Sleep(stopDistance)
+				d.stopEntry(2)
+				time.AfterFunc(longSilence, first.Resume)
+				for _, stream := range streams {
+					// No server has the new weights.
+					stream.requireAnswer(name != "weights")
+				}
+			})
+		}
+	}
+}
