Recall: the last attempt does not begin on weights that are out of date

Callers saw nothing of it: an attempt that waited in the last place that the route's bound on attempts leaves was not recalled, so that its engine began it on weights that may not serve it any more (rule VERSION).

Cause: an attempt could be aborted only if the request could go on elsewhere. That was meant for the stall detector, which does not close attempts any more.

The recall now asks whether the server's weights are out of date, and closes such an attempt also without another one: its caller gets a 502, which promises nothing. If the caller has received an event, the last attempt stays, as before. A recall after a quarantine leaves last attempts as before.

Evidence, without the change: TestLastAttemptIsRecalledOnlyFromOutdatedWeights 'Expected nil, but got: &wire.AnswerData', and TestRequestInItsLastAttemptIsRecalledFromOutdatedWeights 'expected: 502, actual: 504'.

--- a/daemon/deployed/wait_at_server_test.go
+++ b/daemon/deployed/wait_at_server_test.go
@@ -80,3 +80,18 @@
 		}
 	}
 }
+
+// A request that waited in its last attempt began on weights that were out of date.
+func TestRequestInItsLastAttemptIsRecalledFromOutdatedWeights(t *testing.T) {
+	t.Parallel()
+	d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, maxAttempts: 1, retryRatio: 1, retrySlack: 1000})
+	first := d.engines[0]
+	first.Silence()
+	stream := d.startStreamHeldBy(0, first)
+	d.store.PutVersion(modelName, 2)
+	d.eventually(stream.hasEnded, "the stream does not end")
+	got := stream.result()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	d.awaitLogLine("Recalling a request", "server="+first.ID)
+}
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -114,10 +114,15 @@
 	if t.cancel == nil || t.model == "" {
 		return false
 	}
-	required := view.RequiredVersion(now.Add(recallLead), t.model, g.node.Load().Bounds.VersionInForce)
+	return g.isOutdated(now, view, t.service, t.server, t.model)
+}
+
+// isOutdated reports whether a request must not begin any more on the weights of a server.
+func (g *Gateway) isOutdated(now time.Time, view *watch.View, service fleet.ServiceName, id core.InstanceID, model fleet.Model) bool {
+	required := view.RequiredVersion(now.Add(recallLead), model, g.node.Load().Bounds.VersionInForce)
 	if required == 0 {
 		return false
 	}
-	server := view.Server(t.service, t.server)
-	return server != nil && g.knownVersion(server, t.model) < required
+	server := view.Server(service, id)
+	return server != nil && g.knownVersion(server, model) < required
 }
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -106,6 +106,9 @@
 	// Version returns the version of the weights with which a server must serve
 	// an attempt, or 0 for any.
 	Version func(server core.InstanceID) fleet.WeightsVersion
+	// IsOutdated, if set, reports whether a server must not begin the request any more
+	// because of its weights.
+	IsOutdated func(server core.InstanceID) bool
 }
 
 // Exchange sends one request and writes its answer to the caller. Use it for a
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -213,3 +213,44 @@
 	close(more)
 	requireEvent(t, stream, secondEvent)
 }
+
+// A request that waited in its last attempt began on weights that were out of date.
+func TestLastAttemptIsRecalledOnlyFromOutdatedWeights(t *testing.T) {
+	for name, isOutdated := range map[string]bool{"outdated": true, "up to date": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestExchange(fleet.RouteStreaming)
+			e.request.MaxAttempts = 1
+			e.request.IsOutdated = func(core.InstanceID) bool { return isOutdated }
+			observer := &abortObserver{}
+			e.observer = observer
+			more := make(chan struct{})
+			addr := serveTwoEvents(t, more, "", firstEvent)
+			stream := startAttempt(t, e, "s-1", addr)
+			observer.cancels[0]()
+			close(more)
+			if !isOutdated {
+				requireEvent(t, stream, firstEvent)
+				return
+			}
+			for {
+				reply, err := stream.Recv()
+				if err != nil {
+					require.ErrorIs(t, err, dispatch.ErrRecalled)
+					return
+				}
+				require.Nil(t, reply.Data)
+			}
+		})
+	}
+}
+
+func TestLastAttemptOfAStreamThatHasBegunIsNotRecalled(t *testing.T) {
+	e, observer, old := newHandover(t, serveRawAnswer(t, okAnswerHead+"\r\n"+firstEvent))
+	e.request.IsOutdated = func(core.InstanceID) bool { return true }
+	old.Cancel()
+	more := make(chan struct{})
+	last := startAttempt(t, e, "s-2", serveTwoEvents(t, more, "", secondEvent))
+	observer.cancels[1]()
+	close(more)
+	requireEvent(t, last, secondEvent)
+}
--- a/requests/direct/stream.go
+++ b/requests/direct/stream.go
@@ -177,55 +177,6 @@
 	return true
 }
 
-// mayAbort reports whether the request can continue elsewhere if this attempt is
-// aborted: at another server, or at the one that it would leave in a handover.
-func (s *replyStream) mayAbort() bool {
-	e := s.exchange
-	if e.maySendAgain() {
-		return true
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return s.isReplaceable()
-}
-
-// isReplaceable reports whether another open attempt can serve the request. A stream that
-// has begun stays at its server during a handover, since the target may not continue it.
-// The caller holds the mutex of the exchange.
-func (s *replyStream) isReplaceable() bool {
-	e := s.exchange
-	return e.openAttempts > 1 && (s.isHandover || !e.hasEvent)
-}
-
-// abort closes the connection unless the answer has begun or the attempt has become the
-// last one since.
-func (s *replyStream) abort() {
-	e := s.exchange
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if s.isClosed || s.isAborted || s.hasData || !e.hasAttemptsLeft() && !s.isReplaceable() {
-		return
-	}
-	s.isAborted = true
-	e.openAttempts--
-	s.conn.Close()
-}
-
-func (s *replyStream) wasAborted() bool {
-	s.exchange.mu.Lock()
-	defer s.exchange.mu.Unlock()
-	return s.isAborted
-}
-
-// markData records that a part of the body was read. It reports false if the attempt has
-// been aborted, so that nothing of the answer reaches the caller.
-func (s *replyStream) markData() bool {
-	s.exchange.mu.Lock()
-	defer s.exchange.mu.Unlock()
-	s.hasData = !s.isAborted
-	return s.hasData
-}
-
 // readHead reads the status and headers of the answer. It returns the header
 // frame, or the end frame of a refusal or a server error.
 func (s *replyStream) readHead() (wire.AnswerFrame, error) {
