--- a/requests/dispatch/contender_test.go
+++ b/requests/dispatch/contender_test.go
@@ -174,3 +174,28 @@
 		})
 	}
 }
+
+// With two attempts, a stream was cut that could have returned to a server that it had left.
+func TestAbandonedAttemptDoesNotUseUpTheAttemptsOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, request := newSilentRun(t, "abc", testSilence, serverBehaviour{})
+		sends := 0
+		r.fleet.handles = func(id core.InstanceID) serverBehaviour {
+			sends++
+			switch {
+			case id == "a":
+				return serverBehaviour{firstEventAfter: eventInterval, eventInterval: eventInterval, breaksAfter: 6}
+			case sends == 2:
+				return serverBehaviour{isSilent: true}
+			default:
+				return serverBehaviour{firstEventAfter: eventInterval, eventInterval: eventInterval}
+			}
+		}
+		r.config.Candidates = r.candidatesByAsked(r.servers)
+		var out testSink
+		require.NoError(t, r.Do(t.Context(), request, &out))
+		require.Equal(t, r.fleet.text, out.String())
+		require.LessOrEqual(t, len(r.fleet.mayHaveRun), request.MaxAttempts, "servers that may have run the request")
+		r.requireNothingLeaks(t)
+	})
+}
