Load generator: a caller that comes late has its whole deadline

Cause: the deadline of a request counted from the time at which it was due. A generator that was later than the deadline and the grace, 12 s, gave the call a context that had already ended, never sent the request and counted it as lost by the system. The lookup of the entries' addresses counted against the deadline too.

The deadline now begins with the first attempt, once the addresses are known; latencies still count from when the request was due. What is asked of the system is the same: the entry gets the whole deadline, and a request without an answer within deadline and grace is lost.

--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -36,7 +36,8 @@
 	addresses *addressCache
 	stream    bool
 	rng       *rand.Rand
-	start     time.Time
+	// start is when the request was due. A caller that comes late has its whole deadline.
+	start time.Time
 }
 
 // requestHistory sums up the attempts of one request.
@@ -55,7 +56,8 @@
 // is not retryable, or past its deadline or number of attempts.
 func (r *runner) sendWithRetries(ctx context.Context, req *clientRequest) requestHistory {
 	var h requestHistory
-	deadline := req.start.Add(r.cfg.Deadline)
+	req.addresses.refresh(ctx)
+	deadline := time.Now().Add(r.cfg.Deadline)
 	for h.attempts < r.cfg.MaxAttempts {
 		httpCall, check := r.newCall(ctx, req, h.attempts, deadline)
 		h.last = httpCall.do(ctx, r.cfg.Client, check)
--- a/bench/load/config.go
+++ b/bench/load/config.go
@@ -56,8 +56,8 @@
 	Rate float64
 	// MaxInFlight bounds the requests in flight.
 	MaxInFlight int
-	// Deadline is the time allowed for one request, retries included. A request
-	// without an answer Grace after its deadline is lost.
+	// Deadline is the time allowed for one request from its first attempt, retries
+	// included. A request without an answer Grace after its deadline is lost.
 	Deadline time.Duration
 	Grace    time.Duration
 	// MaxAttempts bounds the attempts of one request.
