Stop: a request that crosses the close of its connection is not passed on

The HTTP server treats a connection as idle until it has read the head of the next request, and the check of idle connections does so until its hook runs. A shutdown may therefore close a connection on which a whole request arrives; the handler then ran with a closed connection and passed the request on, whose caller could not get an answer.

The entry now checks for its own close after reading a request.

--- a/daemon/gateway/framing.go
+++ b/daemon/gateway/framing.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 )
 
 // maxHeadBytes bounds the captured copy of a request's head, in bytes.
@@ -30,6 +31,14 @@
 	net.Conn
 	head         []byte
 	headComplete bool
+	// isClosed is set by Close, which may come while a request is being read.
+	isClosed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *headCapturingConn) Close() error {
+	c.isClosed.Store(true)
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn. The HTTP server reads a connection from one
@@ -59,6 +68,13 @@
 	return strings.Contains(strings.ToLower(string(head)), "\ncontent-length")
 }
 
+// isConnClosed reports whether this entry has closed the connection of a request. The HTTP
+// server and callerConns may close an idle connection on which a request arrives.
+func isConnClosed(r *http.Request) bool {
+	conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn)
+	return ok && conn.isClosed.Load()
+}
+
 type connContextKey struct{}
 
 // withConn implements http.Server.ConnContext.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -19,6 +19,9 @@
 	notReadyRetryAfter = 500 * time.Millisecond
 	// maxIDLength bounds a request's id in bytes; every log line contains it.
 	maxIDLength = 256
+	// closedWhileRead is the reason why a request is not passed on whose connection was
+	// closed as idle while it arrived.
+	closedWhileRead = "the connection was closed while the request arrived"
 )
 
 // call is the state of one caller request.
@@ -96,6 +99,9 @@
 	if err := g.readBody(c, w, r); err != nil {
 		return err
 	}
+	if isConnClosed(r) {
+		return core.NewRefusal(core.CodeCancelled, 0, "%s", closedWhileRead)
+	}
 	return g.chooseService(c)
 }
 
