--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -83,19 +83,7 @@
 func (c *partialCall) finish() { _, _ = io.WriteString(c.conn, c.body[1:]) }
 
 // answer reads the answer.
-func (c *partialCall) answer() callResult {
-	response, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
-	if err != nil {
-		return callResult{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if response.Close {
-		// ReadResponse removes the field.
-		response.Header.Set("Connection", "close")
-	}
-	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err}
-}
+func (c *partialCall) answer() callResult { return readAnswer(bufio.NewReader(c.conn)) }
 
 func (d *deployment) countRuns(body string) int {
 	call := &runningCall{body: body}
