Test: callers of requests that wait at a silent server are patient

With the gap objective of the other tests of long silences callers wait for 16 s; what is checked is the same.

--- a/daemon/deployed/wait_at_server_test.go
+++ b/daemon/deployed/wait_at_server_test.go
@@ -56,7 +56,7 @@
 				t.Parallel()
 				d := startSilenceDeployment(t, silenceSettings{
 					entries: stopsBesideAChange, servers: 1, maxAttempts: kind.maxAttempts,
-					retryRatio: kind.retryRatio, retrySlack: kind.retrySlack, events: leavingEvents,
+					retryRatio: kind.retryRatio, retrySlack: kind.retrySlack, events: leavingEvents, gapObjective: patientGapObjective,
 				})
 				d.startNextServers(kind)
 				first := d.engines[0]
@@ -84,7 +84,7 @@
 // A request that waited in its last attempt began on weights that were out of date.
 func TestRequestInItsLastAttemptIsRecalledFromOutdatedWeights(t *testing.T) {
 	t.Parallel()
-	d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, maxAttempts: 1, retryRatio: 1, retrySlack: 1000})
+	d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, maxAttempts: 1, retryRatio: 1, retrySlack: 1000, gapObjective: patientGapObjective})
 	first := d.engines[0]
 	first.Silence()
 	stream := d.startStreamHeldBy(0, first)
