--- a/daemon/deployed/grace_test.go
+++ b/daemon/deployed/grace_test.go
@@ -276,3 +276,31 @@
 	d.eventually(call.hasEnded, "the call does not end")
 	require.Equal(t, http.StatusOK, call.result().status)
 }
+
+func TestQueuedRequestsOfALeavingEntryAreRefused(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/issue/1", "/look"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			const count = 8
+			d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, slots: 1, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, stop: 4 * time.Second})
+			d.plainServers[0].AnswerTime = waitTimeout
+			calls := make([]*partialCall, count)
+			for i := range calls {
+				calls[i] = d.startPartialCall(d.entries[0].CallerAddr, path)
+				calls[i].finish()
+			}
+			d.eventually(func() bool { return d.gauge(0, "currantusher_callers_requests") == count }, "the entry does not have all requests")
+			d.stopEntry(0)
+			refused := 0
+			for _, call := range calls {
+				got := call.answer()
+				d.requireTrueAnswer(call.body, got)
+				if got.status == http.StatusServiceUnavailable {
+					refused++
+				}
+			}
+			require.Positive(t, refused, "no request waited")
+		})
+	}
+}
