Recall: a request that waits for a retry leaves its slot to others

Callers saw: requests were refused ("cannot serve the request before its deadline") or waited although servers had room, after as many requests as a service has slots were recalled from a server while no retry was left. Those requests got 502 at their deadlines.

Only requests that get a slot add to the retry budget, so that requests which hold all slots wait for each other until their deadlines.

The slot is returned for the wait, and the request takes its place at the head of its team's queue when it has a retry. If it gets no slot in time, the retry goes back to the budget.

--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -105,9 +105,22 @@
 	return x.requeue(ctx)
 }
 
-// waitForRetry waits until the retry budget holds a retry, and takes it. It returns false
-// if the request can't be sent any more in time.
+// waitForRetry waits, without a slot, until the retry budget holds a retry, and takes it and
+// a slot. It returns false if the request can't be sent any more in time. Only other
+// requests that get a slot add to the budget.
 func (x *execution) waitForRetry(ctx context.Context, placer *placement.Placer) bool {
+	deadline := x.waitDeadline()
+	boundedCtx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	isReady, err := x.grant.Yield(boundedCtx, deadline, func() bool { return x.awaitRetry(ctx, placer) })
+	if err != nil {
+		placer.ReturnRetries(1)
+	}
+	return isReady
+}
+
+// awaitRetry takes a retry from the budget once it holds one.
+func (x *execution) awaitRetry(ctx context.Context, placer *placement.Placer) bool {
 	for ctx.Err() == nil && x.config.Now().Add(retryCheckPeriod).Before(x.waitDeadline()) {
 		if x.request.Barred != nil && x.request.Barred() != nil {
 			return false
--- a/requests/fair/queue.go
+++ b/requests/fair/queue.go
@@ -236,6 +236,25 @@
 	return g.requeue(ctx, false, deadline)
 }
 
+// Yield returns the slot, calls wait and, if that returns true, waits for another slot like
+// RequeueUntil. The request holds a slot only if isReady is true; err is nil if wait returned
+// false.
+func (g *Grant) Yield(ctx context.Context, deadline time.Time, wait func() bool) (isReady bool, err error) {
+	g.Release(false)
+	if !wait() {
+		return false, nil
+	}
+	g.queue.update(func(now time.Time) {
+		g.ticket.request.Deadline = deadline
+		err = g.queue.state.readmit(now, g.ticket)
+	})
+	if err != nil {
+		return false, err
+	}
+	err = g.wait(ctx)
+	return err == nil, err
+}
+
 func (g *Grant) requeue(ctx context.Context, serversFull bool, deadline time.Time) error {
 	var err error
 	g.queue.update(func(now time.Time) {
--- a/requests/fair/state.go
+++ b/requests/fair/state.go
@@ -368,12 +368,16 @@
 		s.shrinkWindow(now)
 	}
 	s.grantsResumeAt = now.Add(s.meanRunTime / time.Duration(max(s.limit(), 1)))
-	name := t.request.Team
-	owner := s.team(name)
 	t.requeues++
 	if t.requeues > s.config.MaxRequeues {
 		return core.NewRefusal(core.CodeLimitReached, s.retryAfterFor(now, t.request), "backend servers are at their limits")
 	}
+	return s.readmit(now, t)
+}
+
+// readmit makes a request that has returned its slot wait at the head of its team's queue.
+func (s *state) readmit(now time.Time, t *ticket) error {
+	owner := s.team(t.request.Team)
 	if s.missesDeadline(now, owner, t.request, 0, waitingMargin) || s.isUnavailable(now) {
 		return s.refuseWaiting(now, t.request)
 	}
