Stop: a stream that begins as its entry stops gets its 504

Callers saw: a connection that closes without an answer, if the first event of a stream came at the moment at which a leaving entry ends the requests without an answer.

Cause: Begin refuses the stream once the function that ends the request was started, but that function runs in a goroutine of its own. If it had not cancelled the request yet, forward found no cause of the stop, took the error for that of a caller who left, and aborted the connection.

Evidence: the new test forces this order; the request had no cause of its stop.

Begin now cancels the request itself, which does nothing if it was cancelled before.

--- a/daemon/gateway/stopping.go
+++ b/daemon/gateway/stopping.go
@@ -92,6 +92,8 @@
 // whole when they begin.
 func (s *stoppable) Begin(contentType string, weights core.Digest) error {
 	if !s.keep() && s.isStream {
+		// The function that does this may not have run yet.
+		s.cancel(errStopping)
 		return errStopping
 	}
 	s.mu.Lock()
