Stop: an answer is written to its end before its connection is closed

Callers saw: a closed connection in place of the end of a stream, or of a 504, if the request ended after the stop time as the last one in progress and its last bytes were not written yet.

Cause: abortRequests closed all connections once inFlight was 0. A request leaves inFlight when its handler returns; the HTTP server writes the rest of the buffer, such as a head without a body or the last chunk, only afterwards.

Evidence: the new test blocks that write; its caller got "unexpected EOF".

Shutdown counts connections until the server has written the answer, so the entry waits for it once more, not longer than before.

--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -83,8 +83,11 @@
 // no caller takes a broken one for complete, and closes all connections not later than until.
 func (g *Gateway) abortRequests(callerServer *http.Server, until time.Time) {
 	g.endStreams()
-	for g.inFlight.Load() > 0 && time.Now().Before(until) {
-		time.Sleep(leavePollPeriod)
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	// The server writes the rest of an answer after its request has left inFlight.
+	if callerServer.Shutdown(ctx) == nil {
+		return
 	}
 	if err := callerServer.Close(); err != nil {
 		g.log.WithError(err).Info("Could not close the callers' connections.")
