Stop: a stream that cannot begin before streams must have begun is refused

Cause: the entry ends streams whose answer has not begun at LastAnswer, but LastStart only asked whether a stream is whole before Stop, which is later. A short stream could be sent up to Stop less its duration, after LastAnswer, where it had no chance.

Evidence: the cases "short stream", "stream whose deadline comes between" and "stream once, longest duration" of TestLastStart gave times after, or too close to, LastAnswer.

A stream must now also begin before LastAnswer: within the objective if it can be repeated, and within the longest time that its kind takes otherwise.

--- a/requests/grace/grace.go
+++ b/requests/grace/grace.go
@@ -38,20 +38,35 @@
 
 // LastStart returns the latest time at which a server may begin with a request. A
 // repeatable request can be repeated at another entry if it takes longer than usual; any
-// other one needs the longest time that requests of its kind take.
+// other one needs the longest time that requests of its kind take. A stream must also begin
+// before LastAnswer.
 func (s Schedule) LastStart(r Request) time.Time {
-	end := s.End(r.Stream)
-	if !r.Deadline.After(end) {
+	if !r.Deadline.After(s.LastAnswer) {
 		return r.Deadline
 	}
-	duration := r.usual()
+	duration, known := r.usual(), true
 	if !r.Repeatable {
-		var known bool
-		if duration, known = r.longest(); !known {
-			return time.Time{}
-		}
+		duration, known = r.longest()
 	}
-	return end.Add(-duration)
+	switch {
+	case !known:
+		return time.Time{}
+	case !r.Stream:
+		return s.LastAnswer.Add(-duration)
+	}
+	lastStart := s.LastAnswer.Add(-r.untilData(duration))
+	if whole := s.Stop.Add(-duration); r.Deadline.After(s.Stop) && whole.Before(lastStart) {
+		return whole
+	}
+	return lastStart
+}
+
+// untilData returns the time within which a stream that takes duration begins.
+func (r Request) untilData(duration time.Duration) time.Duration {
+	if !r.Repeatable {
+		return duration
+	}
+	return min(duration, r.Objective)
 }
 
 // usual returns the time within which most requests of this kind are answered.
