Stop: an entry that ends requests late gives them time to answer

Callers of a leaving entry got a closed connection instead of their answer or a 504 if the process did not run when its requests should have ended: all three times of the end of a stop had passed when it went on, so that the connections were closed at once.

Their logs show "Stop time is over" in three deployments of the process within 40 ms at 18:04:50, and the requests ending 2 ms after it or later, some with 200.

The connections are now closed as long after the requests were ended as the schedule provides, also when those were ended late. If the platform's time is over before, it ends the process, which is no worse than the close.

--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -53,30 +54,40 @@
 	leaveCtx, endLeave := context.WithCancel(context.Background())
 	defer endLeave()
 	go g.removeRow(leaveCtx)
+	g.finishRequests(callerServer, startedAt)
+	g.log.WithFields(logrus.Fields{
+		"requests": g.inFlight.Load(), "after_ms": time.Since(startedAt).Milliseconds(),
+	}).Info("Left.")
+}
+
+// finishRequests serves requests for a while, closes the listener and waits until the
+// requests in progress have ended.
+func (g *Gateway) finishRequests(callerServer *http.Server, startedAt time.Time) {
 	stopTime := g.node.Load().Bounds.Stop
 	if stopTime <= 0 {
 		stopTime = defaultStopTime
 	}
-	acceptUntil := startedAt.Add(time.Duration(acceptFraction * float64(stopTime)))
-	shutdownAt := startedAt.Add(time.Duration(shutdownFraction * float64(stopTime)))
-	lastAnswerAt := startedAt.Add(time.Duration(lastAnswerFraction * float64(stopTime)))
-	g.schedule.Store(&grace.Schedule{LastAnswer: lastAnswerAt, Stop: shutdownAt})
+	after := func(fraction float64) time.Time { return startedAt.Add(time.Duration(fraction * float64(stopTime))) }
+	acceptUntil := after(acceptFraction)
+	schedule := grace.Schedule{LastAnswer: after(lastAnswerFraction), Stop: after(shutdownFraction), Close: after(closeFraction)}
+	g.schedule.Store(&schedule)
 	g.beginLeave()
-	defer time.AfterFunc(time.Until(lastAnswerAt), g.endWaits).Stop()
+	endWaits := sync.OnceValue(func() time.Time {
+		g.endWaits()
+		return time.Now()
+	})
+	defer time.AfterFunc(time.Until(schedule.LastAnswer), func() { endWaits() }).Stop()
 	for time.Now().Before(acceptUntil) && !g.isQuiet(startedAt) {
 		time.Sleep(leavePollPeriod)
 	}
 	// Closes the listener, so that callers immediately try another entry, and
 	// waits for requests in progress.
-	ctx, cancel := context.WithDeadline(context.Background(), shutdownAt)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.Stop)
 	defer cancel()
 	if err := callerServer.Shutdown(ctx); err != nil {
 		g.log.WithError(err).WithField("requests", g.inFlight.Load()).Warn("Stop time is over; aborting requests in progress.")
-		g.abortRequests(callerServer, startedAt.Add(time.Duration(closeFraction*float64(stopTime))))
+		g.abortRequests(callerServer, schedule.CloseAt(endWaits(), time.Now()))
 	}
-	g.log.WithFields(logrus.Fields{
-		"requests": g.inFlight.Load(), "after_ms": time.Since(startedAt).Milliseconds(),
-	}).Info("Left.")
 }
 
 // abortRequests ends the requests in progress between two writes of their answers, so that
--- a/requests/grace/grace.go
+++ b/requests/grace/grace.go
@@ -10,6 +10,8 @@
 	LastAnswer time.Time
 	// Stop is when the entry stops, and streams that have begun end.
 	Stop time.Time
+	// Close is when the connections of requests are closed that have not ended by then.
+	Close time.Time
 }
 
 // Request is what the decision on a request depends on.
@@ -36,6 +38,19 @@
 	return s.LastAnswer
 }
 
+// CloseAt returns when connections are closed if requests without an answer were ended at
+// waitsEnded and all others at allEnded. It is later than Close if the process did not run
+// when they should have been ended, so that they have the same time to write their answers.
+func (s Schedule) CloseAt(waitsEnded, allEnded time.Time) time.Time {
+	closeAt := s.Close
+	for _, at := range []time.Time{waitsEnded.Add(s.Close.Sub(s.LastAnswer)), allEnded.Add(s.Close.Sub(s.Stop))} {
+		if at.After(closeAt) {
+			closeAt = at
+		}
+	}
+	return closeAt
+}
+
 // LastStart returns the latest time at which a server may begin with a request. A
 // repeatable request can be repeated at another entry if it takes longer than usual; any
 // other one needs the longest time that requests of its kind take. A stream must also begin
--- a/requests/grace/grace_test.go
+++ b/requests/grace/grace_test.go
@@ -9,7 +9,7 @@
 
 var (
 	start    = time.Unix(1000, 0)
-	schedule = Schedule{LastAnswer: start.Add(10 * time.Second), Stop: start.Add(12 * time.Second)}
+	schedule = Schedule{LastAnswer: start.Add(10 * time.Second), Stop: start.Add(12 * time.Second), Close: start.Add(13 * time.Second)}
 )
 
 // observed returns count durations of a second and one of the given length.
@@ -51,6 +51,15 @@
 	}
 }
 
+// A process that had not run for a while closed connections before any answer was written.
+func TestRequestsThatAreEndedLateHaveTimeToAnswer(t *testing.T) {
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	require.Equal(t, schedule.Close, schedule.CloseAt(schedule.LastAnswer, schedule.Stop))
+	require.Equal(t, at(17), schedule.CloseAt(at(14), at(14)), "paused from before the last answer until after the close")
+	require.Equal(t, at(15), schedule.CloseAt(schedule.LastAnswer, at(14)), "paused from after the last answer")
+	require.Equal(t, at(14), schedule.CloseAt(at(11), at(12)), "paused before the stop only")
+}
+
 func TestDurationsForgetOldOnes(t *testing.T) {
 	var d Durations
 	d.Add(time.Hour)
