--- a/daemon/deployed/grace_soak_test.go
+++ b/daemon/deployed/grace_soak_test.go
@@ -245,7 +245,9 @@
 	}
 	for seed := range uint64(seeds) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
+			if seeds > graceSeedsInCI {
+				t.Parallel()
+			}
 			random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 			settings := silenceSettings{entries: 3, servers: graceServers, maxAttempts: 2, retryRatio: 1, retrySlack: 1000, slots: graceSlots, stop: graceSoakStop}
 			s := &graceSoak{deployment: startSilenceDeployment(t, settings), addrs: map[int]string{}}
