Test: a run whose refusals are counted ends after its callers have sent requests

It ended the run after 20 ms, whether or not a request had been sent, since the refusals are queried only when the run is over. It now waits for three, one for each of the answers to the queries; what it checks is the same.

--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -203,7 +203,7 @@
 }
 
 func TestRunCountsFalseRefusals(t *testing.T) {
-	server, _ := fakeEntry(t, problemReply(core.CodeInvalidField, core.ExecutionNotRun))
+	server, calls := fakeEntry(t, problemReply(core.CodeInvalidField, core.ExecutionNotRun))
 	cfg := newTestRunner(server, Route{Name: "draft", Kind: tables.PoolEngine, Share: 1}, 1).cfg
 	cfg.MaxInFlight = 1
 	var queries atomic.Int64
@@ -219,10 +219,10 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
-		for queries.Load() == 0 {
+		for calls.Load() < 3 {
 			time.Sleep(20 * time.Millisecond)
-			cancel()
 		}
+		cancel()
 	}()
 	result, err := Run(ctx, cfg)
 	require.NoError(t, err)
