Test: the silence beside a stop lasts until each entry knows of it

The server now goes on a second after the last entry has logged the reason, as for the other reasons, so that the next servers refuse while it is silent at any speed of the machine. Streams must be whole as before.

--- a/daemon/deployed/leave_server_test.go
+++ b/daemon/deployed/leave_server_test.go
@@ -20,8 +20,6 @@
 	leavingEvents = 80
 	// nextEventInterval makes streams of the next servers that outlast those of the first.
 	nextEventInterval = 3 * silenceEventInterval
-	// shortSilence is longer than the time after which a server counts as stalled.
-	shortSilence = 1300 * time.Millisecond
 	// stopDistance is the time between the stop of an entry and a change before or after it.
 	stopDistance = 200 * time.Millisecond
 	// stopsBesideAChange is the number of entries that stop before, at and after a change.
@@ -36,10 +34,7 @@
 }
 
 var leaveReasons = map[string]leaveReason{
-	"silence": {func(_ *deployment, first *standin.Backend) {
-		first.Silence()
-		time.AfterFunc(shortSilence, first.Resume)
-	}, "Server stopped responding"},
+	"silence":    {func(_ *deployment, first *standin.Backend) { first.Silence() }, "Server stopped responding"},
 	"pause":      {(*deployment).announcePause, "Pause of a server announced."},
 	"weights":    {func(d *deployment, _ *standin.Backend) { d.store.PutVersion(modelName, 2) }, "version 2 configured"},
 	"ejection":   {(*deployment).ejectByFailures, "engine-failed"},
@@ -183,10 +178,13 @@
 	reason.act(d, first)
 	time.Sleep(stopDistance)
 	d.stopEntry(2)
+	for entry := range d.entries {
+		d.awaitLogLine(reason.logged, fmt.Sprint("instance=entry-", entry))
+	}
+	// The next servers refuse while the first one is silent.
+	time.Sleep(time.Second)
+	first.Resume()
 	for _, stream := range streams {
 		stream.requireAnswer(true)
 	}
-	for entry := range d.entries {
-		require.NotZero(d.t, d.log.count(reason.logged, fmt.Sprint("instance=entry-", entry)), "entry %d does not know of the reason", entry)
-	}
 }
