Stop: a connection that is closed with its request in progress is reset

Callers with HTTP/1.0, and of answers that have neither a length nor chunks, took a part of a stream for the whole if its entry closed all connections at the end of its stop before the request had been aborted: the HTTP server closes them normally.

The new test does not let the request end at all and failed 3 of 3 times before with 'the answer looks complete'.

--- a/daemon/gateway/conns.go
+++ b/daemon/gateway/conns.go
@@ -122,6 +122,18 @@
 	c.evictions.Add(1)
 }
 
+// resetActiveOnClose makes the close of each connection with a request in progress a reset.
+// A normal close would make an answer look complete that has neither a length nor chunks.
+func (c *callerConns) resetActiveOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.conns {
+		if capturing, ok := conn.(*headCapturingConn); ok && s.state == http.StateActive {
+			capturing.resetOnClose()
+		}
+	}
+}
+
 // count returns the number of open connections.
 func (c *callerConns) count() int {
 	c.mu.Lock()
--- a/daemon/gateway/framing.go
+++ b/daemon/gateway/framing.go
@@ -103,11 +103,14 @@
 
 // resetOnClose makes the close of the caller's connection a reset.
 func resetOnClose(r *http.Request) {
-	conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn)
-	if !ok {
-		return
+	if conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn); ok {
+		conn.resetOnClose()
 	}
-	if tcpConn, ok := conn.Conn.(*net.TCPConn); ok {
+}
+
+// resetOnClose makes the close of the connection a reset, where its kind permits that.
+func (c *headCapturingConn) resetOnClose() {
+	if tcpConn, ok := c.Conn.(*net.TCPConn); ok {
 		// An error means that the connection is closed already.
 		_ = tcpConn.SetLinger(0)
 	}
--- a/daemon/gateway/leave.go
+++ b/daemon/gateway/leave.go
@@ -100,6 +100,7 @@
 	if callerServer.Shutdown(ctx) == nil {
 		return
 	}
+	g.conns.resetActiveOnClose()
 	if err := callerServer.Close(); err != nil {
 		g.log.WithError(err).Info("Could not close the callers' connections.")
 	}
--- a/daemon/gateway/leave_test.go
+++ b/daemon/gateway/leave_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/core/fleet"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/platform/nodefile"
 )
@@ -90,3 +91,32 @@
 		<-ended
 	})
 }
+
+// The answer has neither a length nor chunks.
+func TestAnswerThatIsCutAtTheCloseOfAllConnectionsDoesNotLookComplete(t *testing.T) {
+	g := &Gateway{log: obs.DiscardLogger().Component("entry"), conns: newCallerConns(func() fleet.Limits { return fleet.Limits{} }, 1)}
+	g.streamsEnd, g.endStreams = context.WithCancel(t.Context())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := make(chan struct{})
+	server := &http.Server{ConnState: g.conns.onStateChange, ConnContext: withConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		<-closed
+	})}
+	go func() { _ = server.Serve(headCapturingListener{listener}) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: entry\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, len("part")))
+	require.NoError(t, err)
+	g.abortRequests(server, time.Now())
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err, "the answer looks complete")
+	require.NoError(t, response.Body.Close())
+	require.NoError(t, conn.Close())
+	close(closed)
+}
