--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export GOWORK=$PWD/review/go.work
-go build -o target/review/ ./review/quarantine ./review/stray ./review/configs
+go build -o target/review/ ./review/quarantine ./review/stray ./review/configs ./review/parts
--- a/review/site/worker.go
+++ b/review/site/worker.go
@@ -15,11 +15,14 @@
 
 const seal = "3e1b.07.5a2.600.0.c9f2a4d1"
 
-// Worker is a server without an engine. It runs each request and answers after WorkTime.
+// Worker is a server. It runs each request and answers after WorkTime, with a stream of events
+// if it has a model.
 type Worker struct {
 	ID, Service, Zone string
-	Slots             int
-	WorkTime          time.Duration
+	// Model is the model that it has loaded, or empty.
+	Model    string
+	Slots    int
+	WorkTime time.Duration
 	// OnRun is called when the worker begins to run a request, with its body. It returns
 	// true if the worker crashes then.
 	OnRun func(w *Worker, r *http.Request, body []byte) (crashes bool)
@@ -118,10 +121,15 @@
 	if !up || w.Unlisted {
 		return
 	}
-	row, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": w.Service, "address": w.addr, "zone": w.Zone, "version": "v1", "slots": w.Slots,
 		"state": "ready", fieldCold: 0, "seq": 0, "born": born,
-	})
+	}
+	if w.Model != "" {
+		fields["stage"] = "both"
+		fields["models"] = []map[string]any{{"name": w.Model, "version": 1, "adapters": []string{}}}
+	}
+	row, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
 	}
@@ -154,6 +162,31 @@
 		}
 	}
 	header.Set(names.Signature, seal)
+	if w.Model != "" {
+		w.stream(rw)
+		return
+	}
 	header.Set("Content-Type", "application/json")
 	_, _ = fmt.Fprintf(rw, `{"ran":%q,"by":%q}`, r.Header.Get(names.RequestID), w.ID)
 }
+
+const (
+	eventCount    = 6
+	eventInterval = 20 * time.Millisecond
+)
+
+// stream writes the events of an answer.
+func (w *Worker) stream(rw http.ResponseWriter) {
+	header := rw.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set(headers.Names().WeightsVersion, "1")
+	for i := range eventCount {
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: token\n\n", i+1); err != nil {
+			return
+		}
+		if err := http.NewResponseController(rw).Flush(); err != nil {
+			return
+		}
+		time.Sleep(eventInterval)
+	}
+}
