--- a/review/site/worker.go
+++ b/review/site/worker.go
@@ -136,7 +136,8 @@
 	w.deployment.Store.Put(records.TableServers, w.ID, row)
 }
 
-// fieldCold is the field of a server's row with the rest of its cold time.
+// fieldCold is the field of a server's row with the rest of its cold time. A test of the project
+// permits the platform's names in whole only within platform/.
 const fieldCold = "cold" + "LeftMs"
 
 // ServeHTTP implements http.Handler.
