--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -225,17 +225,6 @@
 	return list
 }
 
-// onNewestWeights handles the ages of the newest versions at another entry.
-// Without them, a new entry would require versions that do not have to be in force
-// yet, and one that read a version late would send requests to older weights for too
-// long.
-func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
-	now := g.clock.Now()
-	for _, n := range list {
-		g.follower.SetVersionSince(n.Model, n.Version, now.Add(-n.Age))
-	}
-}
-
 // relays returns the entries through which this one reads the store.
 func (g *Gateway) relays(context.Context) []relay.Member {
 	return roster.Relays(append(g.gossip.AliveMembers(), g.gossip.AwaitedMembers()...), g.node.Load().DataCentre)
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -95,7 +95,9 @@
 	// standstill is the time span of the standstills after which the operators' table
 	// has not been read yet; zero if there is none.
 	standstill timeSpan
-	events     []Event
+	// resumedAt is the end of the last standstill.
+	resumedAt time.Time
+	events    []Event
 }
 
 // NewState returns an empty State.
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -22,6 +22,7 @@
 		from = s.standstill.from
 	}
 	s.standstill = timeSpan{from: from, until: until}
+	s.resumedAt = until
 }
 
 // isCatchingUp reports whether versions may have been accepted during a standstill that
