Move a load when its version turns out to have been configured earlier

Seen: engines run an older version later than its bound allows, so that entries refuse requests or send them too late.

Cause: a job kept the time of the request with which it began. When the agent learned of an earlier one, from another daemon or because the machine had been suspended, which the steady clock does not count, the load stayed where it was.

Now a job takes over a changed time, while it waits for its load as well, and announces the pause again.

--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -87,12 +87,11 @@
 	}
 	// The pause is announced only now: before it held all pieces, the agent
 	// could not tell whether it would meet its load time.
-	if earliest := time.Now().Add(minPauseNotice); loadTime.Before(earliest) && earliest.Before(target.loadDeadline()) {
-		loadTime = earliest
-	}
+	loadTime = target.withMinNotice(loadTime)
 	m.announcePause(target, loadTime)
 	for ctx.Err() == nil && time.Now().Before(m.effectiveLoadTime(target, loadTime)) {
 		pause.For(ctx, min(loadTimePollPeriod, time.Until(m.effectiveLoadTime(target, loadTime))))
+		target, loadTime = m.correctLoadTime(target, loadTime)
 	}
 	announced := false
 	for ctx.Err() == nil && !m.isNewest(target.VersionKey) {
@@ -113,6 +112,15 @@
 	return ctx.Err()
 }
 
+// withMinNotice returns loadTime, or a later time that leaves minPauseNotice if that is
+// before the load deadline.
+func (t TargetVersion) withMinNotice(loadTime time.Time) time.Time {
+	if earliest := time.Now().Add(minPauseNotice); loadTime.Before(earliest) && earliest.Before(t.loadDeadline()) {
+		return earliest
+	}
+	return loadTime
+}
+
 func scaleDuration(fraction float64, d time.Duration) time.Duration {
 	return time.Duration(fraction * float64(d))
 }
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -110,6 +110,8 @@
 	plans map[VersionKey]FetchPlan
 	// newestVersions holds the newest target version of each model.
 	newestVersions map[fleet.Model]fleet.WeightsVersion
+	// requestTimes holds corrections of the RequestedAt of the jobs' targets.
+	requestTimes map[VersionKey]time.Time
 	// skippedLoadDeadlines holds the load deadlines of versions that were
 	// superseded before their load.
 	skippedLoadDeadlines map[VersionKey]time.Time
@@ -139,6 +141,7 @@
 		jobs:                 map[VersionKey]*job{},
 		plans:                map[VersionKey]FetchPlan{},
 		newestVersions:       map[fleet.Model]fleet.WeightsVersion{},
+		requestTimes:         map[VersionKey]time.Time{},
 		skippedLoadDeadlines: map[VersionKey]time.Time{},
 		targetsChanged:       make(chan struct{}, 1),
 		loadSlot:             make(chan struct{}, 1),
@@ -182,6 +185,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.newestVersions[target.Model] >= target.Version {
+		m.correctRequestTime(target)
 		return
 	}
 	m.newestVersions[target.Model] = target.Version
@@ -218,6 +222,7 @@
 	defer m.mu.Unlock()
 	delete(m.jobs, j.target.VersionKey)
 	delete(m.plans, j.target.VersionKey)
+	delete(m.requestTimes, j.target.VersionKey)
 }
 
 // isNewest reports whether key is the newest target version of its model.
@@ -339,6 +344,7 @@
 	if err != nil {
 		return err
 	}
+	target = m.withRequestTime(target)
 	if err := m.awaitLoadTime(ctx, target, m.scheduledLoadTime(target, plan, report)); err != nil {
 		return err
 	}
