Agents and entries exchange the ages of versions

Seen: (1) an agent that reads a version late without having stood still, because its relay or the store was slow, loads it late, while entries must refuse requests to its engine. (2) Entries that all restart after a version is accepted require it at once, although engines load it seconds later, and refuse callers that could be served.

Cause: entries told each other the ages of versions, but agents got and gave none. An agent counted from its own read. A restarted entry found no other that knew the age.

Estimated and unknown ages are not sent, and reports that may have waited during a standstill replace no estimate. Entries of the old build answer 404, agents of the old build do not ask.

--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -13,6 +13,7 @@
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/platform/endpoints"
 	"currantusher.dev/tables/relay"
+	"currantusher.dev/tables/versionages"
 )
 
 // Timeouts of the listeners for directory, readiness, peers and metrics.
@@ -86,6 +87,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+rowsPath+"{table}", g.serveRows)
 	snapshots := relay.NewSnapshots(g.store, nil, roster.EntriesTable, roster.AgentsTable)
+	mux.Handle("POST "+versionages.Path, versionages.Handler(g.versionAges, g.onVersionAges, g.log))
 	mux.Handle(relay.Path, relay.Handler(g.relayCache, snapshots, g.log))
 	return mux
 }
--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantusher.dev/members/gossip"
+	"currantusher.dev/tables/versionages"
 	"currantusher.dev/tables/watch"
 )
 
@@ -23,3 +24,14 @@
 		})
 	}
 }
+
+// versionAges returns the ages of versions that this entry knows, for agents.
+func (g *Gateway) versionAges() []versionages.Age {
+	return versionages.Known(g.follower.View(), g.clock.Now())
+}
+
+// onVersionAges handles the ages of versions at an agent.
+func (g *Gateway) onVersionAges(ages []versionages.Age) {
+	now := g.clock.Now()
+	versionages.Report(g.follower, ages, now, now.Add(-maxReportDelay))
+}
--- a/daemon/loader/entries.go
+++ b/daemon/loader/entries.go
@@ -67,6 +67,14 @@
 	return entries
 }
 
+// known returns the entries that were read last, or reads them if there are none.
+func (l *entryList) known(ctx context.Context) []gossip.Member {
+	if entries, _ := l.lastRead(); len(entries) > 0 {
+		return entries
+	}
+	return l.get(ctx)
+}
+
 // logChange logs which entries a read added and removed. Entries that are not on the
 // list get no announcements.
 func (l *entryList) logChange(before, after []gossip.Member) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -71,8 +71,9 @@
 	store  *rowstore.Client
 	roster *roster.Roster[staging.Agent]
 	// announcer announces the engine's pauses to the entries.
-	announcer *announcer
-	follower  *watch.Follower
+	announcer   *announcer
+	ageExchange *ageExchange
+	follower    *watch.Follower
 	// clock is that of the follower's view.
 	clock    *clock.Clock
 	manager  *staging.Manager
@@ -108,6 +109,7 @@
 		stored: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), relayed: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), log: l.log,
 	}
 	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
+	l.ageExchange = newAgeExchange(n.Bounds.VersionInForce, l.clock, entries.known, config.Log.Component("watch"))
 	relayed := relay.NewStore(relay.Config{
 		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"),
 		MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval},
@@ -123,8 +125,9 @@
 		Log:               config.Log.Component("watch"),
 		Now:               l.clock.Now,
 		// l.manager is assigned below, before the follower runs.
-		OnChange: func(*watch.View) { l.manager.CheckTargets() },
+		OnChange: l.onChange,
 	})
+	l.ageExchange.follower = l.follower
 	roster.RegisterStoreGauges(l.registry, l.follower.View, l.roster.Rewrites)
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
@@ -139,6 +142,12 @@
 	return l, nil
 }
 
+// onChange handles a new view of the tables.
+func (l *Loader) onChange(view *watch.View) {
+	l.manager.CheckTargets()
+	l.ageExchange.onChange(view)
+}
+
 // targetVersions returns the weights versions that the engine must load.
 func (l *Loader) targetVersions() []staging.TargetVersion {
 	view := l.follower.View()
@@ -205,6 +214,7 @@
 	group.Go(func() error { return l.roster.WriteWithRetry(ctx, string(l.self.ID), l.self) })
 	group.Go(func() error { return l.roster.Keep(ctx, func() uint64 { return l.follower.View().Era }) })
 	group.Go(func() error { return l.announcer.run(ctx) })
+	group.Go(func() error { return l.ageExchange.run(ctx) })
 	group.Go(func() error { return serveHTTP(ctx, l.self.Addr, l.manager.Handler()) })
 	if l.config.MetricsAddr != "" {
 		mux := http.NewServeMux()
--- /dev/null
+++ b/daemon/loader/version_ages_test.go
@@ -0,0 +1,84 @@
+package loader
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"currantusher.dev/core/clock"
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/platform/rowstore"
+	"currantusher.dev/platform/standin"
+	"currantusher.dev/tables/versionages"
+	"currantusher.dev/tables/watch"
+)
+
+const testInForceWithin = 8 * time.Second
+
+// newTestExchange returns the exchange of an agent that has read version 1 at its start, with
+// an entry that knows the age of version 2. received gets what the agent sends.
+func newTestExchange(t *testing.T, age time.Duration, received func([]versionages.Age)) *ageExchange {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := logrus.NewEntry(logger)
+	mux := http.NewServeMux()
+	known := func() []versionages.Age { return []versionages.Age{{Model: "m", Version: 2, Age: age}} }
+	mux.Handle("POST "+versionages.Path, versionages.Handler(known, received, log))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	entries := func(context.Context) []gossip.Member {
+		return []gossip.Member{{ID: "e-1", PeerAddr: strings.TrimPrefix(server.URL, "http://")}}
+	}
+	c := clock.New()
+	e := newAgeExchange(testInForceWithin, c, entries, log)
+	e.follower = watch.NewFollower(watch.Config{Now: c.Now, Log: log, OnChange: e.onChange})
+	importVersion(t, e.follower, 1)
+	return e
+}
+
+func importVersion(t *testing.T, follower *watch.Follower, version int) {
+	t.Helper()
+	revision := uint64(4 + version)
+	row := rowstore.Row{Table: watch.OperatorTable, Key: standin.VersionKey("m"), Value: standin.VersionRow("m", version), Revision: revision}
+	require.True(t, follower.Import(watch.Snapshot{Table: watch.OperatorTable, NewestRevision: revision, Cursor: revision, Rows: []rowstore.Row{row}}))
+}
+
+func TestAgentThatReadsAVersionLateCountsFromTheAgeThatAnEntryTells(t *testing.T) {
+	e := newTestExchange(t, 5*time.Second, func([]versionages.Age) {})
+	importVersion(t, e.follower, 2)
+	readAt := e.clock.Now()
+	e.exchange(t.Context())
+	since := e.follower.View().NewestTarget("m").Since
+	require.GreaterOrEqual(t, readAt.Sub(since), 5*time.Second-e.clock.Since(readAt), "the age is as of the entry's answer")
+	require.Less(t, readAt.Sub(since), 5*time.Second+time.Millisecond)
+}
+
+func TestAgentTellsEntriesTheAgesThatItKnows(t *testing.T) {
+	var received []versionages.Age
+	e := newTestExchange(t, 0, func(ages []versionages.Age) { received = ages })
+	importVersion(t, e.follower, 2)
+	e.exchange(t.Context())
+	require.Len(t, received, 1, "the agent does not know the age of version 1, which it found at its start")
+	require.EqualValues(t, 2, received[0].Version)
+}
+
+func TestAgesAreExchangedOnlyAfterANewVersion(t *testing.T) {
+	e := newTestExchange(t, 0, func([]versionages.Age) {})
+	<-e.versionRead
+	require.True(t, e.isActive())
+	e.until = e.clock.Now()
+	require.False(t, e.isActive())
+	e.onChange(e.follower.View())
+	require.False(t, e.isActive())
+	importVersion(t, e.follower, 2)
+	require.True(t, e.isActive())
+	require.Len(t, e.versionRead, 1)
+}
--- /dev/null
+++ b/tables/versionages/versionages.go
@@ -0,0 +1,155 @@
+// Package versionages exchanges between agents and entries since when versions of weights
+// have been configured. A daemon that reads a version late learns its age from one that read
+// it in time, and an entry that has restarted learns it from the agents.
+package versionages
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/netdial"
+	"currantusher.dev/tables/watch"
+)
+
+// Path is the HTTP path of Handler.
+const Path = "/version-ages"
+
+const (
+	// maxAges and maxBodyBytes bound the ages in a request or a response.
+	maxAges      = 64
+	maxBodyBytes = 16 << 10
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 4 << 10
+	// callTimeout bounds an exchange. Ages are too low by the time that they travel.
+	callTimeout = 400 * time.Millisecond
+)
+
+// Age is the time since a version has been configured, as far as the sender knows.
+type Age struct {
+	Model   fleet.Model          `cbor:"1,keyasint"`
+	Version fleet.WeightsVersion `cbor:"2,keyasint"`
+	Age     time.Duration        `cbor:"3,keyasint"`
+}
+
+// message is the body of a request and of a response.
+type message struct {
+	Ages []Age `cbor:"1,keyasint,omitempty"`
+}
+
+// Known returns the ages at now of the versions of a view, without those that the daemon only
+// estimates or does not know.
+func Known(view *watch.View, now time.Time) []Age {
+	var list []Age
+	for model, targets := range view.Targets {
+		for _, target := range targets {
+			if !target.Since.IsZero() && !target.IsEstimate && len(list) < maxAges {
+				list = append(list, Age{Model: model, Version: target.Version, Age: now.Sub(target.Since)})
+			}
+		}
+	}
+	return list
+}
+
+// Handler serves exchanges. known returns the ages that this daemon knows, and receive is
+// called with those of the caller.
+func Handler(known func() []Age, receive func([]Age), log *logrus.Entry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		ages, err := decode(http.MaxBytesReader(w, request.Body, maxBodyBytes))
+		if err != nil {
+			log.WithError(err).WithField("from", request.RemoteAddr).Warn("Refused a report of versions' ages that cannot be read.")
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		receive(ages)
+		body, err := cbor.Marshal(message{Ages: known()})
+		if err != nil {
+			log.WithError(err).Error("Could not encode the ages of versions.")
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		// A failed write is ignored, because the client asks again.
+		_, _ = w.Write(body)
+	})
+}
+
+// decode reads a message and drops invalid ages.
+func decode(r io.Reader) ([]Age, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxBodyBytes {
+		return nil, errTooLong
+	}
+	var m message
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return nil, err
+	}
+	var valid []Age
+	for _, age := range m.Ages[:min(len(m.Ages), maxAges)] {
+		if age.Version >= 1 && age.Age >= 0 {
+			valid = append(valid, age)
+		}
+	}
+	return valid, nil
+}
+
+var errTooLong = errors.New("the message is longer than allowed")
+
+// ErrUnsupported reports that the other daemon is of a build without exchanges.
+var ErrUnsupported = errors.New("the daemon exchanges no ages of versions")
+
+// Client makes exchanges with the Handlers of other daemons. It is safe for concurrent use.
+type Client struct{ http *http.Client }
+
+// NewClient returns a Client. It keeps no connections: a daemon exchanges ages for a few
+// seconds after a change, each time with another one.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		DialContext: netdial.New(callTimeout).DialContext, DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}}}
+}
+
+// Exchange sends the ages that this daemon knows to the daemon at addr, and returns those
+// that it knows.
+func (c *Client) Exchange(ctx context.Context, addr string, known []Age) ([]Age, error) {
+	body, err := cbor.Marshal(message{Ages: known})
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+Path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return decode(response.Body)
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		return nil, ErrUnsupported
+	default:
+		return nil, fmt.Errorf("the daemon returned status %d", response.StatusCode)
+	}
+}
+
+// Report passes ages that were received at now to a Follower. They were sent after sentAfter
+// if this process has run since.
+func Report(follower *watch.Follower, ages []Age, now, sentAfter time.Time) {
+	for _, age := range ages {
+		follower.ReportVersion(watch.VersionReport{Model: age.Model, Version: age.Version, Since: now.Add(-age.Age), SentAfter: sentAfter})
+	}
+}
