Dispatch: an abandoned attempt doesn't use up the attempts of a stream

Callers saw their streams cut although a sound server was left: with maxAttempts 2 the stream's server fell silent, a second one was asked, the first went on, and broke the stream off later.

Cause: the attempt that was abandoned for the first server counted as one of the two. maxAttempts is the number of servers to which a request may be sent.

A request whose attempts are used up may now return to a server whose attempt was abandoned because another one sent data first. It reaches no more servers than before, each return takes a retry from the budget, and a server is returned to once for each abandonment.

--- a/requests/dispatch/attempt.go
+++ b/requests/dispatch/attempt.go
@@ -93,6 +93,7 @@
 	x.request.Trace.Placed(a.number, a.agent, x.candidateCount, x.output.sentBytes)
 	x.unprovenAttempts++
 	a.isCounted = true
+	delete(x.abandonedAgents, a.agent.ID)
 }
 
 // endAttempt records the outcome of an attempt that beginAttempt counted.
--- a/requests/dispatch/dispatch.go
+++ b/requests/dispatch/dispatch.go
@@ -118,8 +118,9 @@
 	StartTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is buffered until it is verified.
 	MaxAnswerBytes int
-	// MaxAttempts bounds the dispatches of one request that may have run. Dispatches
-	// that provably did not run do not count.
+	// MaxAttempts bounds the agents at which one request may have run. Dispatches that
+	// provably did not run do not count, and neither does one to an agent whose earlier
+	// attempt was abandoned.
 	MaxAttempts int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
--- a/requests/dispatch/execution.go
+++ b/requests/dispatch/execution.go
@@ -26,7 +26,10 @@
 	triedAgents    map[core.InstanceID]bool
 	// refusingAgents holds the tried agents whose attempts provably did not run.
 	refusingAgents map[core.InstanceID]bool
-	attemptCount   int
+	// abandonedAgents holds the tried agents whose last attempt ended only because another
+	// agent served the request.
+	abandonedAgents map[core.InstanceID]bool
+	attemptCount    int
 	// weightsRefusals counts the attempts refused by agents with other weights that may
 	// be picked again.
 	weightsRefusals int
@@ -59,6 +62,7 @@
 		triedAgents:    map[core.InstanceID]bool{},
 
 		refusingAgents:   map[core.InstanceID]bool{},
+		abandonedAgents:  map[core.InstanceID]bool{},
 		refusedHandovers: map[core.InstanceID]bool{},
 	}
 }
@@ -196,11 +200,24 @@
 	x.refreshWeights()
 	candidates := x.candidates()
 	x.candidateCount = len(candidates)
-	return placer.Pick(now, x.placementRequest(), candidates)
+	return placer.Pick(now, x.placementRequest(candidates), candidates)
 }
 
-func (x *execution) placementRequest() placement.Request {
-	return placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.triedAgents}
+func (x *execution) placementRequest(candidates []placement.Candidate) placement.Request {
+	return placement.Request{Prefix: x.request.Prefix, Weights: x.request.Weights, ExpectedDuration: x.request.ExpectedDuration, Tried: x.excludedAgents(candidates)}
+}
+
+// excludedAgents returns those of the candidates that do not get the next attempt. Once the
+// request may have run at as many agents as permitted, these are all but the abandoned ones.
+func (x *execution) excludedAgents(candidates []placement.Candidate) map[core.InstanceID]bool {
+	if x.mayTryAnotherAgent() {
+		return x.triedAgents
+	}
+	excluded := map[core.InstanceID]bool{}
+	for _, c := range candidates {
+		excluded[c.ID] = !x.abandonedAgents[c.ID]
+	}
+	return excluded
 }
 
 func (x *execution) candidates() []placement.Candidate {
--- a/requests/dispatch/handover.go
+++ b/requests/dispatch/handover.go
@@ -141,8 +141,10 @@
 		return placement.Candidate{}, ctx.Err()
 	}
 	var targets []placement.Candidate
-	for _, c := range x.candidates() {
-		if c.ID != from && !x.triedAgents[c.ID] && !excluded[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
+	candidates := x.candidates()
+	tried := x.excludedAgents(candidates)
+	for _, c := range candidates {
+		if c.ID != from && !tried[c.ID] && !excluded[c.ID] && (c.PauseStart.IsZero() || c.PauseStart.After(until)) {
 			targets = append(targets, c)
 		}
 	}
--- a/requests/dispatch/requeue.go
+++ b/requests/dispatch/requeue.go
@@ -36,7 +36,8 @@
 	if core.CodeOf(err) != core.CodeNoBackend {
 		return false
 	}
-	return x.request.Candidates != nil || placer.HasEligible(x.config.Now(), x.placementRequest(), x.candidates())
+	candidates := x.candidates()
+	return x.request.Candidates != nil || placer.HasEligible(x.config.Now(), x.placementRequest(candidates), candidates)
 }
 
 // waitForSlot returns the slot, for which no server could be picked, and waits
--- a/requests/dispatch/retry.go
+++ b/requests/dispatch/retry.go
@@ -28,10 +28,16 @@
 	}
 }
 
-// hasAttemptsLeft reports whether MaxAttempts permits another attempt. Attempts that
-// provably did not run do not count: the tried agents, the deadline and the retry budget
-// bound them.
+// hasAttemptsLeft reports whether MaxAttempts permits another attempt: at another agent, or
+// at one that was abandoned.
 func (x *execution) hasAttemptsLeft() bool {
+	return x.mayTryAnotherAgent() || len(x.abandonedAgents) > 0
+}
+
+// mayTryAnotherAgent reports whether MaxAttempts permits an attempt at an agent that was
+// not tried. Attempts that provably did not run do not count: the tried agents, the
+// deadline and the retry budget bound them.
+func (x *execution) mayTryAnotherAgent() bool {
 	return x.unprovenAttempts+x.weightsRefusals < x.maxAttempts()
 }
 
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -330,6 +330,7 @@
 		b := <-r.began
 		if core.ExecutionOf(b.err) != core.ExecutionNotRun {
 			b.err = core.Wrap(errOvertaken, core.CodeCancelled, core.ExecutionUnknown, "the attempt was abandoned")
+			r.abandonedAgents[b.attempt.agent.ID] = true
 		}
 		r.end(b, placement.Inconclusive)
 	}
