--- a/daemon/roster/erasim_test.go
+++ b/daemon/roster/erasim_test.go
@@ -167,9 +167,10 @@
 		known.State, known.Born = "ready", s.now.UnixMilli()
 	}
 	if !row.Deleted {
-		row.Value, _ = json.Marshal(map[string]any{
-			"service": "llm", "address": "10.0.0.1:80", "zone": "dc-0", "state": known.State, "seq": 0, "born": known.Born,
-		})
+		var fields map[string]any
+		_ = json.Unmarshal(standin.ServerRow("llm", "10.0.0.1:80"), &fields)
+		fields["zone"], fields["state"], fields["born"] = "dc-0", known.State, known.Born
+		row.Value, _ = json.Marshal(fields)
 	}
 	s.servers.write(s.store, row)
 }
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -95,12 +95,11 @@
 	}
 	server, err := records.DecodeServer(row.Key, row.Value)
 	if err != nil {
-		// An invalid row comes from another writer. It removes the server that
-		// the previous row described.
-		delete(s.servers, id)
-		s.addIgnoredEvent(row, "server", err.Error())
+		s.hideServer(row, err)
 		return
 	}
+	_, wasHidden := s.invalidRows[id]
+	delete(s.invalidRows, id)
 	if old != nil && server.IsOlderThan(&old.server.Server) {
 		old.lapsedAt = time.Time{}
 		s.addIgnoredEvent(row, "server", "the row has an older state of the server than the known one")
@@ -114,23 +113,41 @@
 		next.server.ColdUntil = laterOf(next.server.ColdUntil, now.Add(s.coldStart(server.Service)))
 	}
 	s.servers[id] = next
+	if wasHidden {
+		old = nil
+	}
 	s.addServerEvent(row, old, next)
 }
 
+// hideServer handles an invalid row, which comes from another writer. It names no server
+// to use, but what is known of the server whose id it has still holds for the server's
+// next row.
+func (s *State) hideServer(row rowstore.Row, reason error) {
+	id := core.InstanceID(row.Key)
+	if previous, ok := s.invalidRows[id]; ok && previous == reason.Error() {
+		return
+	}
+	s.invalidRows[id] = reason.Error()
+	s.addIgnoredEvent(row, "server", reason.Error())
+}
+
 // removeServer removes a server whose row was deleted. During an outage of the
 // store and shortly after it, rows of live servers are deleted as well, because
 // servers cannot renew them. Such a server is kept for lapsedRowGrace.
 func (s *State) removeServer(now time.Time, row rowstore.Row, old *serverState) {
+	id := core.InstanceID(row.Key)
+	_, isHidden := s.invalidRows[id]
+	delete(s.invalidRows, id)
 	if old == nil {
 		return
 	}
 	afterOutage := s.storeDown || !s.storeUpAt.IsZero() && now.Sub(s.storeUpAt) < lapsedRowGrace
-	if afterOutage && !old.server.Leaving {
+	if afterOutage && !old.server.Leaving && !isHidden {
 		old.lapsedAt = now
 		s.addEvent(row, "server", "row expired during an outage of the store; the server is kept for now")
 		return
 	}
-	delete(s.servers, old.server.ID)
+	delete(s.servers, id)
 	s.addEvent(row, "server", "gone")
 }
 
--- a/tables/watch/oddrows_test.go
+++ b/tables/watch/oddrows_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// Guards against a server that accepts requests again, or counts as newly started, after a
+// row of another writer under its id.
+func TestInvalidRowKeepsTheStateOfTheServerWhoseIDItHas(t *testing.T) {
+	for name, odd := range oddServerRows("s-1") {
+		s := newLoadedState(t)
+		s.Apply(start, ServersTable, newPage(21, serverRow("s-1", 21, map[string]any{"state": "draining", "seq": 4})))
+		known := s.View().Servers["llm"][0]
+		s.TakeEvents()
+		s.Apply(start, ServersTable, newPage(22, at(odd, 22)))
+		require.NotContains(t, serverIDs(s.View()), "s-1", name)
+		requireIgnoredOnce(t, s, name)
+		s.Apply(start, ServersTable, newPage(23, at(odd, 23)))
+		require.Empty(t, s.TakeEvents(), "%s: the same row again", name)
+		s.Apply(start, ServersTable, newPage(24, serverRow("s-1", 24, map[string]any{"seq": 4})))
+		require.Equal(t, known, s.View().Servers["llm"][0], name)
+		s.Apply(start, ServersTable, newPage(25, serverRow("s-1", 25, map[string]any{"state": "draining", "seq": 4})))
+		require.Equal(t, known, s.View().Servers["llm"][0], name)
+	}
+}
+
+// Guards against the use of a server whose invalid row expires during an outage.
+func TestExpiryOfAnInvalidRowDuringAnOutageLeavesNoServer(t *testing.T) {
+	for name, odd := range oddServerRows("s-1") {
+		s := newLoadedState(t)
+		s.Apply(start, ServersTable, newPage(21, at(odd, 21)))
+		s.MarkStoreDown()
+		s.Apply(start, ServersTable, newPage(22, rowstore.Row{Table: ServersTable, Key: "s-1", Revision: 22, Deleted: true}))
+		require.NotContains(t, serverIDs(s.View()), "s-1", name)
+	}
+}
+
 func TestOddOperatorRowsLeaveTheRestInForce(t *testing.T) {
 	nested := strings.Repeat(`{"version":`, 100_000)
 	odd := []string{
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -75,9 +75,12 @@
 // State holds the rows that a daemon has read, and derives views from them. It
 // has no clock, does no I/O and is not safe for concurrent use.
 type State struct {
-	tables         map[string]*table
-	config         *fleet.Table
-	servers        map[core.InstanceID]*serverState
+	tables  map[string]*table
+	config  *fleet.Table
+	servers map[core.InstanceID]*serverState
+	// invalidRows holds the servers whose row is invalid, and the reasons. They are in no
+	// view.
+	invalidRows    map[core.InstanceID]string
 	outDataCentres map[core.DataCentre]bool
 	// lapsedEvacuations holds those of outDataCentres whose rows the store has lost.
 	lapsedEvacuations map[core.DataCentre]bool
@@ -106,6 +109,7 @@
 			ServersTable:  {rows: map[string]rowstore.Row{}},
 		},
 		servers:           map[core.InstanceID]*serverState{},
+		invalidRows:       map[core.InstanceID]string{},
 		outDataCentres:    map[core.DataCentre]bool{},
 		lapsedEvacuations: map[core.DataCentre]bool{},
 		targets:           map[fleet.Model][]TargetVersion{},
@@ -313,7 +317,10 @@
 		DroppedRows:      s.droppedRows,
 		Loaded:           s.tables[OperatorTable].loaded && s.tables[ServersTable].loaded,
 	}
-	for _, state := range s.servers {
+	for id, state := range s.servers {
+		if _, isHidden := s.invalidRows[id]; isHidden {
+			continue
+		}
 		server := state.server
 		v.Servers[server.Service] = append(v.Servers[server.Service], &server)
 	}
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -16,7 +16,10 @@
 var start = time.Unix(1000, 0)
 
 func serverRow(id string, revision uint64, fields map[string]any) rowstore.Row {
-	value := map[string]any{"service": "llm", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "seq": 0, "born": 1}
+	var value map[string]any
+	if err := json.Unmarshal(standin.ServerRow("llm", "10.0.0.1:80"), &value); err != nil {
+		panic(err)
+	}
 	for name, field := range fields {
 		value[name] = field
 	}
