Bound the answers of engines and origins by their kind

The cause is that platform/worker used a plain http.Transport: its bound on heads is 10 MB, and all bodies had one bound, at which they were cut silently and taken as whole.

core/httpcall makes clients for answers of known size: 16 KB of head together with the 1xx answers before it, 256 fields, a bound on body and time for each kind of answer. What exceeds a bound is a TooLargeError, the connection is closed, and the daemon logs it once for each server and part. Reports and orders may take 128 KB, a piece the pieceBytes of the configuration, a manifest 72 bytes a piece and 4 KB. The answer of an order that exceeds its bound leaves the order unanswered. Redirects are no longer followed.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -18,6 +18,7 @@
 
 	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/members/gossip"
@@ -83,6 +84,8 @@
 	mu     sync.Mutex
 	// origins holds a client for each origin by address.
 	origins map[string]*worker.Client
+	engine  *worker.Client
+	faults  *httpcall.Faults
 }
 
 // New validates the settings and creates a loader.
@@ -102,7 +105,9 @@
 		clock:    clock.New(),
 		log:      config.Log.Component("agent").WithField("addr", n.BackendAddr),
 		origins:  map[string]*worker.Client{},
+		faults:   obs.AnswerFaults(config.Log.Component("agent").WithField("addr", n.BackendAddr)),
 	}
+	l.engine = worker.NewReporting(n.BackendAddr, maxEngineConns, l.faults)
 	l.roster = roster.New[staging.Agent](l.store, roster.AgentsTable, l.log)
 	entries := &entryList{
 		stored: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), relayed: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), log: l.log,
@@ -128,7 +133,7 @@
 	roster.RegisterStoreGauges(l.registry, l.follower.View, l.roster.Rewrites)
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
-		Engine:             worker.New(n.BackendAddr, maxEngineConns),
+		Engine:             l.engine,
 		Peers:              staging.NewHTTPPeers(),
 		TargetVersions:     l.targetVersions,
 		AnnouncePause:      l.announcer.announce,
@@ -150,6 +155,9 @@
 	if service == nil || service.Engine == nil || origin == nil {
 		return nil
 	}
+	l.engine.SetWeightsSize(service.Engine.WeightsSize())
+	originClient := l.originClient(origin.Origin)
+	originClient.SetWeightsSize(service.Engine.WeightsSize())
 	var list []staging.TargetVersion
 	for _, model := range service.Engine.Models {
 		target := view.NewestTarget(model)
@@ -158,7 +166,7 @@
 			Pieces:          service.Engine.Pieces,
 			RequestedAt:     l.steadyTime(target.Since),
 			InForceWithin:   l.config.Node.Bounds.VersionInForce,
-			Origin:          l.originClient(origin.Origin),
+			Origin:          originClient,
 			OriginRegion:    l.config.Node.Regions[origin.OriginDataCentre],
 			OriginPieceTime: originPieceTime(origin, service.Engine),
 		})
@@ -189,7 +197,7 @@
 	defer l.mu.Unlock()
 	client := l.origins[addr]
 	if client == nil {
-		client = worker.New(addr, maxOriginConns)
+		client = worker.NewReporting(addr, maxOriginConns, l.faults)
 		l.origins[addr] = client
 	}
 	return client
