--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -58,6 +58,7 @@
 		}
 	}
 	e := fleet.CrashEvidence{Quarantines: s.sentQuarantines(now), Starts: s.sentStarts(now, starts)}
+	e.Starts = append(e.Starts, s.releasingStarts(now, e)...)
 	reports := reports{now: now, index: map[*crash]int{}}
 	reports.add(s.inTurn(news), maxSentSuspects)
 	known = s.inTurn(known)
@@ -105,6 +106,20 @@
 	return sent
 }
 
+// releasingStarts returns the begun answers, not yet in a message, that prove its released
+// traits sound. Without them, an entry that knows the crashes would quarantine the trait anew.
+func (s *Set) releasingStarts(now time.Time, e fleet.CrashEvidence) []fleet.TraitStart {
+	var sent []fleet.TraitStart
+	for _, q := range e.Quarantines {
+		at := s.lastStart(q.Trait)
+		isSent := slices.ContainsFunc(e.Starts, func(start fleet.TraitStart) bool { return start.Trait == q.Trait })
+		if q.Released && !at.IsZero() && !isSent {
+			sent = append(sent, fleet.TraitStart{Trait: q.Trait, Age: now.Sub(at)})
+		}
+	}
+	return sent
+}
+
 // reports are the crash reports of a message.
 type reports struct {
 	now   time.Time
@@ -223,6 +238,10 @@
 	case known.generation == other.Generation && !known.released && !other.Released:
 		isWider := known.join(now, other, decidedAt)
 		return known.change(other.Trait, Widened), isWider && known.isActive(now)
+	case known.released && known.generation >= other.Generation && !other.Released && now.Sub(known.changedAt) >= relayPeriod:
+		// The sender has missed the release.
+		known.changedAt = now
+		return Change{}, false
 	default:
 		return Change{}, false
 	}
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -15,8 +15,8 @@
 	// strikeRetention is how long an ended quarantine is known: until then one crash
 	// suffices for another one.
 	strikeRetention = time.Hour
-	// releaseRetention is how long a release is known, so that other entries learn of
-	// it. It is longer than any entry is cut off from all others and keeps serving.
+	// releaseRetention is the least time for which a release is known, so that other entries
+	// learn of it. It is longer than any entry is cut off from all others and keeps serving.
 	releaseRetention = 10 * time.Minute
 	// maxQuarantines bounds the traits with a current, ended or released quarantine.
 	maxQuarantines = 256
@@ -32,6 +32,8 @@
 	crashes    int
 	released   bool
 	releasedAt time.Time
+	// lifted is set if an operator released the trait.
+	lifted bool
 	// changedAt is when this state became known here.
 	changedAt time.Time
 	// sentAt is when it was last sent to other entries.
@@ -66,7 +68,8 @@
 
 func (q *quarantine) isExpired(now time.Time) bool {
 	if q.released {
-		return now.Sub(q.releasedAt) >= releaseRetention
+		// Until its end, an entry that has not heard of the release may bring it back.
+		return now.Sub(q.releasedAt) >= releaseRetention && !now.Before(q.end())
 	}
 	return now.Sub(q.end()) >= strikeRetention
 }
