Every version that can still bind is kept, not the four newest

State now keeps the newest version that is known to be in force and all newer ones, and drops what is older when the next one is read; messages carry the same set. Beyond 128 versions (of a model in memory, of all models in a message) the two with the least time in between are merged: the newer one counts from the time of the older one, which is never late, and early by the time in which a version must be in force / (limit - 2). A message names the oldest merged version, so that an entry that knows one of them without its age gets one; processes of the old build ignore the field. Reports of versions that a newer one has been configured longer than are not inserted; the check in TestSupersededVersionsAreLearnedFromPeers that used such a report now uses one of a possible age, and the impossible one is checked to have no effect.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -39,9 +39,6 @@
 	// readinessCheckPeriod is the interval of the entry's own readiness check, a
 	// small fraction of the second between the platform's checks.
 	readinessCheckPeriod = 50 * time.Millisecond
-	// maxGossipedVersions bounds the versions of a model that are sent to other entries.
-	// Older ones have been in force for long.
-	maxGossipedVersions = 4
 	// settingsPollPeriod is how often the settings file is read again.
 	settingsPollPeriod = 2 * time.Second
 )
@@ -147,6 +144,7 @@
 		StartPollInterval: watch.DefaultStartPollInterval,
 		// g.gossip is assigned below, before the follower runs.
 		OthersReachStore: func() bool { return g.gossip.PeerReachesStore() },
+		VersionInForce:   func() time.Duration { return g.node.Load().Bounds.VersionInForce },
 		Now:              g.clock.Now,
 		Log:              config.Log.Component("watch"),
 	})
@@ -210,32 +208,6 @@
 	}).Info("Pause of a server announced.")
 }
 
-// newestWeights returns the newest versions of each model and their ages at this entry,
-// for gossip: a version must be in force at its own time although a newer one has been
-// configured since.
-func (g *Gateway) newestWeights() []gossip.NewestWeights {
-	var list []gossip.NewestWeights
-	for model, targets := range g.follower.View().Targets {
-		for _, target := range targets[max(0, len(targets)-maxGossipedVersions):] {
-			if !target.Since.IsZero() && !target.IsEstimate {
-				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: g.clock.Since(target.Since)})
-			}
-		}
-	}
-	return list
-}
-
-// onNewestWeights handles the ages of the newest versions at another entry.
-// Without them, a new entry would require versions that do not have to be in force
-// yet, and one that read a version late would send requests to older weights for too
-// long.
-func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
-	now := g.clock.Now()
-	for _, n := range list {
-		g.follower.SetVersionSince(n.Model, n.Version, now.Add(-n.Age))
-	}
-}
-
 // relays returns the entries through which this one reads the store.
 func (g *Gateway) relays(context.Context) []relay.Member {
 	return roster.Relays(append(g.gossip.AliveMembers(), g.gossip.AwaitedMembers()...), g.node.Load().DataCentre)
--- /dev/null
+++ b/daemon/gateway/version_ages.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"currantusher.dev/members/gossip"
+	"currantusher.dev/tables/watch"
+)
+
+// maxGossipedVersions bounds the versions of all models in a message to other entries, in
+// deployments with fewer than half as many models. With the bounds of the other fields the
+// message fits into a datagram.
+const maxGossipedVersions = 128
+
+// newestWeights returns the versions of each model that are or will have to be in force,
+// and their ages at this entry, for gossip: a version must be in force at its own time
+// although a newer one has been configured since.
+func (g *Gateway) newestWeights() []gossip.NewestWeights {
+	return reportVersions(g.clock.Now(), g.follower.View(), g.node.Load().Bounds.VersionInForce)
+}
+
+func reportVersions(now time.Time, view *watch.View, inForceWithin time.Duration) []gossip.NewestWeights {
+	limit := versionLimit(now, view, inForceWithin)
+	var list []gossip.NewestWeights
+	for model := range view.Targets {
+		for _, target := range view.EffectiveTargets(now, model, inForceWithin, limit) {
+			if !target.Since.IsZero() && !target.IsEstimate {
+				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: now.Sub(target.Since), First: target.First})
+			}
+		}
+	}
+	return list
+}
+
+// versionLimit returns the number of versions of each model that fit into a message. At
+// least two do: the newest one must not be in force before its time.
+func versionLimit(now time.Time, view *watch.View, inForceWithin time.Duration) int {
+	changing := 0
+	for model := range view.Targets {
+		if len(view.EffectiveTargets(now, model, inForceWithin, maxGossipedVersions)) > 1 {
+			changing++
+		}
+	}
+	return max(2, 1+(maxGossipedVersions-len(view.Targets))/max(1, changing))
+}
+
+// onNewestWeights handles the ages of the newest versions at another entry.
+// Without them, a new entry would require versions that do not have to be in force
+// yet, and one that read a version late would send requests to older weights for too
+// long.
+func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
+	now := g.clock.Now()
+	for _, n := range list {
+		first := n.Version
+		if n.First > 0 {
+			first = min(first, n.First)
+		}
+		g.follower.SetVersionsSince(n.Model, first, n.Version, now.Add(-n.Age))
+	}
+}
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -147,6 +147,9 @@
 	// Age is the time since the sender learned of the version, as of the
 	// message.
 	Age time.Duration `cbor:"3,keyasint"`
+	// First is the oldest of the versions that are merged into this one, to bound the
+	// message: the age of each is at most Age. It is 0 if there are none.
+	First fleet.WeightsVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // Outgoing is a message with the peer addresses to send it to.
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"currantusher.dev/core"
@@ -79,10 +78,7 @@
 	if len(list) > 0 && version <= list[len(list)-1].Version {
 		return
 	}
-	target := s.newTarget(now, version, isFirstRead)
-	// Views refer to the old list, so that the new one must be a copy.
-	list = append(slices.Clone(list), target)
-	s.targets[model] = list[max(0, len(list)-maxTargets):]
+	s.addTarget(now, model, s.newTarget(now, version, isFirstRead))
 	s.addEvent(row, "weights", fmt.Sprintf("version %d configured", version))
 }
 
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"currantusher.dev/core/clock"
-	"currantusher.dev/core/fleet"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
 )
@@ -67,6 +66,9 @@
 	OthersReachStore func() bool
 	// OnChange is called with the new view after each change.
 	OnChange func(*View)
+	// VersionInForce returns the time after which a version must be in force. nil means
+	// that it is not known.
+	VersionInForce func() time.Duration
 	// Now is the clock of all times in the View; nil means that of clock.New. It must
 	// count suspensions of the machine: ages of versions are bounded.
 	Now func() time.Time
@@ -112,6 +114,7 @@
 func NewFollower(config Config) *Follower {
 	config.applyDefaults()
 	f := &Follower{config: config, state: NewState(), failing: map[string]bool{}}
+	f.state.versionInForce = config.VersionInForce
 	f.view.Store(f.state.View())
 	f.lastCheck, f.lastCheckSteady = config.Now(), time.Now()
 	return f
@@ -372,15 +375,6 @@
 	return f.state.Export(name)
 }
 
-// SetVersionSince sets since when a version has been configured, as reported by
-// another daemon. It has no effect if this daemon knows an earlier time.
-func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
-	if !improvesSince(f.View().Targets[model], version, since) {
-		return
-	}
-	f.update(func(time.Time) { f.state.SetVersionSince(model, version, since) })
-}
-
 // Import takes over a peer's table if that is newer, and reports whether it did.
 func (f *Follower) Import(snapshot Snapshot) bool {
 	applied := false
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -17,10 +17,6 @@
 // servers two seconds to write their rows again.
 const lapsedRowGrace = 2 * time.Second
 
-// maxTargets is the number of configured versions kept for each model. An origin
-// serves only the two newest.
-const maxTargets = 4
-
 // maxReasonBytes bounds the reason for which a row is ignored in an event.
 const maxReasonBytes = 256
 
@@ -82,6 +78,10 @@
 	// lapsedEvacuations holds those of outDataCentres whose rows the store has lost.
 	lapsedEvacuations map[core.DataCentre]bool
 	targets           map[fleet.Model][]TargetVersion
+	maxTargets        int
+	// versionInForce returns the time after which a version must be in force; nil if this
+	// daemon does not know it.
+	versionInForce func() time.Duration
 	// era is the latest era in any table. Rows of earlier eras are ignored.
 	era uint64
 	// eraChange is the transition to era while not all tables were read in it.
@@ -109,6 +109,7 @@
 		outDataCentres:    map[core.DataCentre]bool{},
 		lapsedEvacuations: map[core.DataCentre]bool{},
 		targets:           map[fleet.Model][]TargetVersion{},
+		maxTargets:        maxTargets,
 	}
 }
 
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -187,7 +187,8 @@
 	require.EqualValues(t, 3, view.RequiredVersion(start.Add(4*time.Second), "m", 7*time.Second))
 	require.EqualValues(t, 3, view.NewestTarget("m").Version)
 	require.False(t, improvesSince(view.Targets["m"], 2, start))
-	require.True(t, improvesSince(view.Targets["m"], 1, start))
+	require.True(t, improvesSince(view.Targets["m"], 1, start.Add(-7*time.Second)))
+	require.False(t, improvesSince(view.Targets["m"], 1, start), "version 2 has been configured for longer")
 }
 
 // A daemon that has read all rows does not know the revision of a deletion. It took a
--- /dev/null
+++ b/tables/watch/targets.go
@@ -0,0 +1,108 @@
+package watch
+
+import (
+	"slices"
+	"time"
+
+	"currantusher.dev/core/fleet"
+)
+
+// maxTargets is the number of configured versions of a model above which State merges
+// some. Within the time in which a version must be in force, versions that are merged
+// are configured less than that time / (maxTargets-2) apart.
+const maxTargets = 128
+
+// isDated reports whether the time since when the version has been configured is known.
+func (t TargetVersion) isDated() bool { return !t.Since.IsZero() && !t.IsEstimate }
+
+func (t TargetVersion) first() fleet.WeightsVersion {
+	if t.First > 0 {
+		return t.First
+	}
+	return t.Version
+}
+
+// addTarget adds a version that is newer than the known ones, and drops those that
+// cannot have to be in force before a newer one any more.
+func (s *State) addTarget(now time.Time, model fleet.Model, target TargetVersion) {
+	list := s.targets[model]
+	if s.versionInForce != nil {
+		list = effectiveTargets(now, list, s.versionInForce())
+	}
+	// Views refer to the old list, so that the new one must be a copy.
+	s.targets[model] = mergeTargets(append(slices.Clone(list), target), s.maxTargets)
+}
+
+// EffectiveTargets returns the newest version of a model that is known to be in force at
+// now and all newer ones, the newest last. If these are more than limit, some are merged:
+// the newer of two versions counts from the time of the older one.
+func (v *View) EffectiveTargets(now time.Time, model fleet.Model, inForceWithin time.Duration, limit int) []TargetVersion {
+	return mergeTargets(effectiveTargets(now, v.Targets[model], inForceWithin), limit)
+}
+
+func effectiveTargets(now time.Time, list []TargetVersion, inForceWithin time.Duration) []TargetVersion {
+	for at := len(list) - 1; at > 0; at-- {
+		if list[at].isDated() && now.Sub(list[at].Since) >= inForceWithin {
+			return list[at:]
+		}
+	}
+	return list
+}
+
+// mergeTargets returns a list of at most limit versions that requires none of them later
+// than list does. It merges those with the least time in between.
+func mergeTargets(list []TargetVersion, limit int) []TargetVersion {
+	if len(list) <= limit {
+		return list
+	}
+	list = slices.Clone(list)
+	for len(list) > max(1, limit) {
+		at := closestPair(list)
+		if older := list[at]; !list[at+1].isDated() || older.Since.Before(list[at+1].Since) {
+			list[at+1].Since, list[at+1].IsEstimate = older.Since, false
+		}
+		list[at+1].First = list[at].first()
+		list = slices.Delete(list, at, at+1)
+	}
+	return list
+}
+
+// closestPair returns the position of the older one of two successive versions of which
+// the newer one counts from the time of the older one at the least cost. Versions whose
+// age is unknown are the last to be merged.
+func closestPair(list []TargetVersion) int {
+	closest, least := 0, time.Duration(-1)
+	for at := range len(list) - 1 {
+		if !list[at].isDated() || !list[at+1].isDated() {
+			continue
+		}
+		if gap := max(0, list[at+1].Since.Sub(list[at].Since)); least < 0 || gap < least {
+			closest, least = at, gap
+		}
+	}
+	return closest
+}
+
+// isSuperseded reports whether a version need not be known because a newer one has been
+// configured for as long.
+func isSuperseded(list []TargetVersion, version fleet.WeightsVersion, since time.Time) bool {
+	return slices.ContainsFunc(list, func(t TargetVersion) bool {
+		return t.Version > version && t.isDated() && !t.Since.After(since)
+	})
+}
+
+// SetVersionSince sets since when a version has been configured, as reported by
+// another daemon. It has no effect if this daemon knows an earlier time.
+func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
+	f.SetVersionsSince(model, version, version, since)
+}
+
+// SetVersionsSince does the same for a version into which the daemon has merged the
+// earlier ones from first on.
+func (f *Follower) SetVersionsSince(model fleet.Model, first, version fleet.WeightsVersion, since time.Time) {
+	list := f.View().Targets[model]
+	if first == version && !improvesSince(list, version, since) {
+		return
+	}
+	f.update(func(time.Time) { f.state.SetVersionsSince(model, first, version, since) })
+}
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -66,22 +66,33 @@
 		detail += fmt.Sprintf(", %d ms earlier than known", list[at].Since.Sub(since).Milliseconds())
 	}
 	s.events = append(s.events, Event{Subject: "weights", Key: string(model), Detail: detail})
-	target := TargetVersion{Version: version, Since: since}
 	if known {
-		list[at] = target
+		list[at].Since, list[at].IsEstimate = since, false
 	} else {
-		list = slices.Insert(list, at, target)
+		list = slices.Insert(list, at, TargetVersion{Version: version, Since: since})
 	}
-	s.targets[model] = list
+	s.targets[model] = mergeTargets(list, s.maxTargets)
 	return true
 }
 
+// SetVersionsSince does the same for a version into which a daemon has merged the earlier
+// ones from first on. The unknown ages of those are no greater.
+func (s *State) SetVersionsSince(model fleet.Model, first, version fleet.WeightsVersion, since time.Time) bool {
+	changed := false
+	for _, target := range s.targets[model] {
+		if target.Version >= first && target.Version < version && !target.isDated() {
+			changed = s.SetVersionSince(model, target.Version, since) || changed
+		}
+	}
+	return s.SetVersionSince(model, version, since) || changed
+}
+
 // improvesSince reports whether a report of the time since when a version has been
 // configured is better than what a list of versions tells.
 func improvesSince(list []TargetVersion, version fleet.WeightsVersion, since time.Time) bool {
 	at, known := findTarget(list, version)
 	switch {
-	case at == len(list):
+	case at == len(list), !known && isSuperseded(list, version, since):
 		return false
 	case !known || list[at].Since.IsZero() || list[at].IsEstimate:
 		return true
