--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -12,6 +12,10 @@
 // message fits into a datagram.
 const maxGossipedVersions = 128
 
+// maxReportDelay is the time within which a report of another daemon is processed while
+// this process runs. Reports may have waited for longer if it did not.
+const maxReportDelay = 500 * time.Millisecond
+
 // newestWeights returns the versions of each model that are or will have to be in force,
 // and their ages at this entry, for gossip: a version must be in force at its own time
 // although a newer one has been configured since.
@@ -55,6 +59,8 @@
 		if n.First > 0 {
 			first = min(first, n.First)
 		}
-		g.follower.SetVersionsSince(n.Model, first, n.Version, now.Add(-n.Age))
+		g.follower.ReportVersion(watch.VersionReport{
+			Model: n.Model, First: first, Version: n.Version, Since: now.Add(-n.Age), SentAfter: now.Add(-maxReportDelay),
+		})
 	}
 }
