--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -17,10 +17,6 @@
 // servers two seconds to write their rows again.
 const lapsedRowGrace = 2 * time.Second
 
-// maxTargets is the number of configured versions kept for each model. An origin
-// serves only the two newest.
-const maxTargets = 4
-
 // maxReasonBytes bounds the reason for which a row is ignored in an event.
 const maxReasonBytes = 256
 
@@ -75,13 +71,20 @@
 // State holds the rows that a daemon has read, and derives views from them. It
 // has no clock, does no I/O and is not safe for concurrent use.
 type State struct {
-	tables         map[string]*table
-	config         *fleet.Table
-	servers        map[core.InstanceID]*serverState
+	tables  map[string]*table
+	config  *fleet.Table
+	servers map[core.InstanceID]*serverState
+	// invalidRows holds the servers whose row is invalid, and the reasons. They are in no
+	// view.
+	invalidRows    map[core.InstanceID]string
 	outDataCentres map[core.DataCentre]bool
 	// lapsedEvacuations holds those of outDataCentres whose rows the store has lost.
 	lapsedEvacuations map[core.DataCentre]bool
 	targets           map[fleet.Model][]TargetVersion
+	maxTargets        int
+	// versionInForce returns the time after which a version must be in force; nil if this
+	// daemon does not know it.
+	versionInForce func() time.Duration
 	// era is the latest era in any table. Rows of earlier eras are ignored.
 	era uint64
 	// eraChange is the transition to era while not all tables were read in it.
@@ -108,9 +111,11 @@
 			ServersTable:  {rows: map[string]rowstore.Row{}},
 		},
 		servers:           map[core.InstanceID]*serverState{},
+		invalidRows:       map[core.InstanceID]string{},
 		outDataCentres:    map[core.DataCentre]bool{},
 		lapsedEvacuations: map[core.DataCentre]bool{},
 		targets:           map[fleet.Model][]TargetVersion{},
+		maxTargets:        maxTargets,
 	}
 }
 
@@ -315,7 +320,10 @@
 		DroppedRows:      s.droppedRows,
 		Loaded:           s.tables[OperatorTable].loaded && s.tables[ServersTable].loaded,
 	}
-	for _, state := range s.servers {
+	for id, state := range s.servers {
+		if _, isHidden := s.invalidRows[id]; isHidden {
+			continue
+		}
 		server := state.server
 		v.Servers[server.Service] = append(v.Servers[server.Service], &server)
 	}
