Exchanges of versions' ages carry merged versions

Evidence: TestMergedVersionsAreReportedWithTheOldestOne; TestLongestListOfAgesIsWithinTheBoundOfAMessage failed with 128 ages in 16 KB, so that the bound of a message is 32 KB.

--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -68,7 +68,7 @@
 
 // versionAges returns the ages of versions that this entry knows, for agents.
 func (g *Gateway) versionAges() []versionages.Age {
-	return versionages.Known(g.follower.View(), g.clock.Now())
+	return versionages.Known(g.follower.View(), g.clock.Now(), g.node.Load().Bounds.VersionInForce)
 }
 
 // onVersionAges handles the ages of versions at an agent.
--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -29,10 +29,11 @@
 // may not have to be in force yet: this agent may have read it late, and entries that have
 // restarted do not know its age.
 type ageExchange struct {
-	// duration is how long ages are exchanged after a version was read.
-	duration time.Duration
-	clock    *clock.Clock
-	client   *versionages.Client
+	// inForceWithin is the time after which a version must be in force, and how long ages
+	// are exchanged after one was read.
+	inForceWithin time.Duration
+	clock         *clock.Clock
+	client        *versionages.Client
 	// follower is set before run is called.
 	follower *watch.Follower
 	// entries returns the entries of the deployment.
@@ -48,9 +49,9 @@
 	failing bool
 }
 
-func newAgeExchange(duration time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, log *logrus.Entry) *ageExchange {
+func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, log *logrus.Entry) *ageExchange {
 	return &ageExchange{
-		duration: duration, clock: clock, client: versionages.NewClient(), entries: entries, log: log,
+		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(), entries: entries, log: log,
 		versionRead: make(chan struct{}, 1), newest: map[fleet.Model]fleet.WeightsVersion{},
 	}
 }
@@ -77,7 +78,7 @@
 		}
 	}
 	if hasNewer {
-		e.until = e.clock.Now().Add(e.duration)
+		e.until = e.clock.Now().Add(e.inForceWithin)
 	}
 	return hasNewer
 }
@@ -130,7 +131,7 @@
 
 func (e *ageExchange) exchangeWith(ctx context.Context, entry gossip.Member) error {
 	calledAt := e.clock.Now()
-	ages, err := e.client.Exchange(ctx, entry.PeerAddr, versionages.Known(e.follower.View(), calledAt))
+	ages, err := e.client.Exchange(ctx, entry.PeerAddr, versionages.Known(e.follower.View(), calledAt, e.inForceWithin))
 	if err != nil {
 		return err
 	}
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -25,8 +25,8 @@
 
 const (
 	// maxAges and maxBodyBytes bound the ages in a request or a response.
-	maxAges      = 64
-	maxBodyBytes = 16 << 10
+	maxAges      = 128
+	maxBodyBytes = 32 << 10
 	// maxResponseHeaderBytes bounds the header of a response.
 	maxResponseHeaderBytes = 4 << 10
 	// callTimeout bounds an exchange. Ages are too low by the time that they travel.
@@ -38,6 +38,8 @@
 	Model   fleet.Model          `cbor:"1,keyasint"`
 	Version fleet.WeightsVersion `cbor:"2,keyasint"`
 	Age     time.Duration        `cbor:"3,keyasint"`
+	// First is the oldest of the versions that are merged into Version; 0 means Version.
+	First fleet.WeightsVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // message is the body of a request and of a response.
@@ -45,14 +47,16 @@
 	Ages []Age `cbor:"1,keyasint,omitempty"`
 }
 
-// Known returns the ages at now of the versions of a view, without those that the daemon only
-// estimates or does not know.
-func Known(view *watch.View, now time.Time) []Age {
+// Known returns the ages at now of the versions of a view that are or will have to be in
+// force, without those that the daemon only estimates or does not know. A version must be in
+// force when inForceWithin has passed since it was configured.
+func Known(view *watch.View, now time.Time, inForceWithin time.Duration) []Age {
+	limit := max(2, maxAges/max(1, len(view.Targets)))
 	var list []Age
-	for model, targets := range view.Targets {
-		for _, target := range targets {
+	for model := range view.Targets {
+		for _, target := range view.EffectiveTargets(now, model, inForceWithin, limit) {
 			if !target.Since.IsZero() && !target.IsEstimate && len(list) < maxAges {
-				list = append(list, Age{Model: model, Version: target.Version, Age: now.Sub(target.Since)})
+				list = append(list, Age{Model: model, Version: target.Version, Age: now.Sub(target.Since), First: target.First})
 			}
 		}
 	}
@@ -96,7 +100,7 @@
 	}
 	var valid []Age
 	for _, age := range m.Ages[:min(len(m.Ages), maxAges)] {
-		if age.Version >= 1 && age.Age >= 0 {
+		if age.Version >= 1 && age.Age >= 0 && age.First >= 0 {
 			valid = append(valid, age)
 		}
 	}
@@ -150,6 +154,8 @@
 // if this process has run since.
 func Report(follower *watch.Follower, ages []Age, now, sentAfter time.Time) {
 	for _, age := range ages {
-		follower.ReportVersion(watch.VersionReport{Model: age.Model, Version: age.Version, Since: now.Add(-age.Age), SentAfter: sentAfter})
+		follower.ReportVersion(watch.VersionReport{
+			Model: age.Model, First: age.First, Version: age.Version, Since: now.Add(-age.Age), SentAfter: sentAfter,
+		})
 	}
 }
