Log where the age of a version comes from

Operators could not tell whether an entry counted from its own read, from the beginning of a standstill or from another daemon's report, which the hypotheses of the incident differ in. Each line that tells of a new or corrected age now has age_ms and source: start, read, standstill, gossip, agent or entry; one that replaces an estimate says by how much.

--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -61,7 +61,7 @@
 			first = min(first, n.First)
 		}
 		g.follower.ReportVersion(watch.VersionReport{
-			Model: n.Model, First: first, Version: n.Version, Since: now.Add(-n.Age), SentAfter: now.Add(-maxReportDelay),
+			Model: n.Model, First: first, Version: n.Version, Since: now.Add(-n.Age), SentAfter: now.Add(-maxReportDelay), Source: watch.SourceGossip,
 		})
 	}
 }
@@ -74,5 +74,5 @@
 // onVersionAges handles the ages of versions at an agent.
 func (g *Gateway) onVersionAges(ages []versionages.Age) {
 	now := g.clock.Now()
-	versionages.Report(g.follower, ages, now, now.Add(-maxReportDelay))
+	versionages.Report(g.follower, watch.SourceAgent, ages, now, now.Add(-maxReportDelay))
 }
--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	versionages.Report(e.follower, ages, e.clock.Now(), calledAt)
+	versionages.Report(e.follower, watch.SourceEntry, ages, e.clock.Now(), calledAt)
 	return nil
 }
 
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -150,12 +150,12 @@
 	}
 }
 
-// Report passes ages that were received at now to a Follower. They were sent after sentAfter
-// if this process has run since.
-func Report(follower *watch.Follower, ages []Age, now, sentAfter time.Time) {
+// Report passes ages that were received from a source at now to a Follower. They were sent
+// after sentAfter if this process has run since.
+func Report(follower *watch.Follower, source watch.VersionSource, ages []Age, now, sentAfter time.Time) {
 	for _, age := range ages {
 		follower.ReportVersion(watch.VersionReport{
-			Model: age.Model, First: age.First, Version: age.Version, Since: now.Add(-age.Age), SentAfter: sentAfter,
+			Model: age.Model, First: age.First, Version: age.Version, Since: now.Add(-age.Age), SentAfter: sentAfter, Source: source,
 		})
 	}
 }
--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -52,7 +52,7 @@
 
 func (d *daemon) known() []Age { return Known(d.follower.View(), d.now, inForceWithin) }
 
-func (d *daemon) receive(ages []Age) { Report(d.follower, ages, d.now, d.now) }
+func (d *daemon) receive(ages []Age) { Report(d.follower, watch.SourceEntry, ages, d.now, d.now) }
 
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -78,8 +78,12 @@
 	if len(list) > 0 && version <= list[len(list)-1].Version {
 		return
 	}
-	s.addTarget(now, model, s.newTarget(now, version, isFirstRead))
-	s.addEvent(row, "weights", fmt.Sprintf("version %d configured", version))
+	target := s.newTarget(now, version, isFirstRead)
+	s.addTarget(now, model, target)
+	s.events = append(s.events, Event{
+		Subject: "weights", Key: row.Key, Revision: row.Revision, Detail: fmt.Sprintf("version %d configured", version),
+		VersionSource: target.ownSource(), VersionSince: target.Since,
+	})
 }
 
 func (s *State) applyServer(now time.Time, row rowstore.Row, isFirstRead bool) {
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -282,9 +282,14 @@
 		}).Warn(event.Detail)
 		return
 	}
-	f.config.Log.WithFields(logrus.Fields{
-		"subject": event.Subject, "key": event.Key, "revision": event.Revision,
-	}).Info(event.Detail)
+	fields := logrus.Fields{"subject": event.Subject, "key": event.Key, "revision": event.Revision}
+	if event.VersionSource != "" {
+		fields["source"] = event.VersionSource
+	}
+	if !event.VersionSince.IsZero() {
+		fields["age_ms"] = f.config.Now().Sub(event.VersionSince).Milliseconds()
+	}
+	f.config.Log.WithFields(fields).Info(event.Detail)
 }
 
 // logUnreadable logs rows that have no key, which State does not get. The feed returns each
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -35,6 +35,10 @@
 	Revision uint64
 	// Ignored means that the row is invalid or outdated and was not applied.
 	Ignored bool
+	// VersionSource is set if the event is a new age of a version, and VersionSince is the
+	// time since when the version has been configured, or zero if it is not known.
+	VersionSource VersionSource
+	VersionSince  time.Time
 	// EraChange is set if the event is a transition to a later era.
 	EraChange *EraChange
 }
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -63,10 +63,14 @@
 	list := slices.Clone(s.targets[model])
 	at, known := findTarget(list, version)
 	detail := fmt.Sprintf("a peer reported since when version %d has been configured", version)
-	if known && !list[at].Since.IsZero() && !list[at].IsEstimate {
+	switch {
+	case !known || list[at].Since.IsZero():
+	case list[at].IsEstimate:
+		detail += fmt.Sprintf(", %d ms later than estimated", since.Sub(list[at].Since).Milliseconds())
+	default:
 		detail += fmt.Sprintf(", %d ms earlier than known", list[at].Since.Sub(since).Milliseconds())
 	}
-	s.events = append(s.events, Event{Subject: "weights", Key: string(model), Detail: detail})
+	s.events = append(s.events, Event{Subject: "weights", Key: string(model), Detail: detail, VersionSince: since})
 	if known {
 		list[at].Since, list[at].IsEstimate = since, false
 	} else {
--- a/tables/watch/version_report.go
+++ b/tables/watch/version_report.go
@@ -7,6 +7,37 @@
 	"currantusher.dev/core/fleet"
 )
 
+// VersionSource tells from where a daemon knows since when a version has been configured.
+type VersionSource string
+
+const (
+	// SourceStart means that the version was configured before the daemon started, at an
+	// unknown time.
+	SourceStart VersionSource = "start"
+	// SourceRead is the daemon's own read of the row.
+	SourceRead VersionSource = "read"
+	// SourceStandstill is the earliest possible time, the beginning of a standstill of the
+	// process.
+	SourceStandstill VersionSource = "standstill"
+	// SourceGossip is an entry's message to another entry.
+	SourceGossip VersionSource = "gossip"
+	// SourceAgent and SourceEntry are exchanges between agents and entries.
+	SourceAgent VersionSource = "agent"
+	SourceEntry VersionSource = "entry"
+)
+
+// ownSource returns from where the time of a version that was just read is known.
+func (t TargetVersion) ownSource() VersionSource {
+	switch {
+	case t.Since.IsZero():
+		return SourceStart
+	case t.IsEstimate:
+		return SourceStandstill
+	default:
+		return SourceRead
+	}
+}
+
 // VersionReport is another daemon's report of since when a version has been configured.
 type VersionReport struct {
 	Model fleet.Model
@@ -18,6 +49,7 @@
 	// SentAfter is a time before the report was sent, provided that this process has run
 	// since.
 	SentAfter time.Time
+	Source    VersionSource
 }
 
 // ReportVersion sets since when a version has been configured. It has no effect, and
@@ -27,7 +59,12 @@
 	if s.mayHaveWaited(r) && s.isEarliestPossible(r) {
 		return false
 	}
-	return s.SetVersionsSince(r.Model, r.first(), r.Version, r.Since)
+	before := len(s.events)
+	changed := s.SetVersionsSince(r.Model, r.first(), r.Version, r.Since)
+	for i := range s.events[before:] {
+		s.events[before+i].VersionSource = r.Source
+	}
+	return changed
 }
 
 func (r VersionReport) first() fleet.WeightsVersion {
