Schedule loads on a clock that counts suspensions of the machine

Suspected: an agent whose machine is suspended while it waits for its load time loads late by the length of the suspension, because loads were scheduled on the steady clock.

The Manager gets the clock of the follower's view, and times of versions need no conversion any more.

Evidence: TestLoadIsNotPostponedByASuspensionOfTheMachine and TestDeadlineOfASkippedVersionIsNotPostponedByASuspensionOfTheMachine, on a clock that jumps by 3 s, load 3 s late with time.Now in load_schedule.go.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -142,6 +142,7 @@
 		AnnouncePause:      l.announcer.announce,
 		ListAgents:         l.agents.get,
 		LinkBytesPerSecond: n.LinkBytesPerSecond,
+		Now:                l.clock.Now,
 		Log:                config.Log.Component("weights").WithField("addr", n.BackendAddr),
 	})
 	return l, nil
@@ -173,7 +174,7 @@
 		list = append(list, staging.TargetVersion{
 			VersionKey:      staging.VersionKey{Model: model, Version: max(target.Version, firstVersion)},
 			Pieces:          service.Engine.Pieces,
-			RequestedAt:     l.steadyTime(target.Since),
+			RequestedAt:     target.Since,
 			InForceWithin:   l.config.Node.Bounds.VersionInForce,
 			Origin:          originClient,
 			OriginRegion:    l.config.Node.Regions[origin.OriginDataCentre],
@@ -183,15 +184,6 @@
 	return list
 }
 
-// steadyTime converts a time of the follower's view to the steady clock, on which loads
-// are scheduled. The zero time remains zero.
-func (l *Loader) steadyTime(t time.Time) time.Time {
-	if t.IsZero() {
-		return t
-	}
-	return time.Now().Add(-l.clock.Since(t))
-}
-
 // originPieceTime returns how long the origin's link takes to send a piece of an
 // engine's weights, or 0 if its bandwidth is unknown.
 func originPieceTime(origin *fleet.Service, engine *fleet.Engine) time.Duration {
--- a/weights/staging/job.go
+++ b/weights/staging/job.go
@@ -19,7 +19,9 @@
 	markFetched func()
 	// older holds the jobs of older versions that were in progress at the start.
 	older []*job
-	// peersTurnAt is when pieces could first be fetched from peers, in Unix
+	// now is Config.Now.
+	now func() time.Time
+	// peersTurnAt is when pieces could first be fetched from peers, a time of now in Unix
 	// nanoseconds; 0 before.
 	peersTurnAt atomic.Int64
 }
@@ -30,7 +32,7 @@
 func (j *job) awaitOlderVersions(ctx context.Context) {
 	for _, older := range j.older {
 		overdueAt := older.target.RequestedAt.Add(scaleDuration(expectedArrivalFraction, older.target.InForceWithin))
-		timer := time.NewTimer(time.Until(overdueAt))
+		timer := time.NewTimer(overdueAt.Sub(j.now()))
 		select {
 		case <-older.fetched:
 		case <-timer.C:
@@ -38,7 +40,7 @@
 		}
 		timer.Stop()
 	}
-	j.peersTurnAt.CompareAndSwap(0, time.Now().UnixNano())
+	j.peersTurnAt.CompareAndSwap(0, j.now().UnixNano())
 }
 
 // expectedArrival returns when all pieces are expected to be held.
@@ -60,8 +62,8 @@
 	}
 }
 
-func newJob(target TargetVersion, cancel context.CancelFunc, older []*job) *job {
-	j := &job{target: target, cancel: cancel, piecesRequested: make(chan struct{}, 1), fetched: make(chan struct{}), older: older}
+func newJob(target TargetVersion, now func() time.Time, cancel context.CancelFunc, older []*job) *job {
+	j := &job{target: target, now: now, cancel: cancel, piecesRequested: make(chan struct{}, 1), fetched: make(chan struct{}), older: older}
 	j.markFetched = sync.OnceFunc(func() { close(j.fetched) })
 	return j
 }
--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -32,7 +32,7 @@
 		return time.Time{}
 	}
 	if target.RequestedAt.IsZero() {
-		return time.Now().Add(minPauseNotice)
+		return m.config.Now().Add(minPauseNotice)
 	}
 	return target.RequestedAt.Add(plan.LoadDelay(target.Version, target.InForceWithin))
 }
@@ -68,7 +68,7 @@
 	if loadTime.IsZero() || m.config.AnnouncePause == nil {
 		return
 	}
-	m.config.AnnouncePause(fleet.PauseNotice{Model: target.Model, Version: target.Version, StartsIn: max(time.Until(loadTime), 0)})
+	m.config.AnnouncePause(fleet.PauseNotice{Model: target.Model, Version: target.Version, StartsIn: max(loadTime.Sub(m.config.Now()), 0)})
 }
 
 // announcePauseEnd notifies the entries that the engine serves a version.
@@ -87,10 +87,10 @@
 	}
 	// The pause is announced only now: before it held all pieces, the agent
 	// could not tell whether it would meet its load time.
-	loadTime = target.withMinNotice(loadTime)
+	loadTime = target.withMinNotice(m.config.Now(), loadTime)
 	m.announcePause(target, loadTime)
-	for ctx.Err() == nil && time.Now().Before(m.effectiveLoadTime(target, loadTime)) {
-		pause.For(ctx, min(loadTimePollPeriod, time.Until(m.effectiveLoadTime(target, loadTime))))
+	for ctx.Err() == nil && m.config.Now().Before(m.effectiveLoadTime(target, loadTime)) {
+		pause.For(ctx, min(loadTimePollPeriod, m.effectiveLoadTime(target, loadTime).Sub(m.config.Now())))
 		target, loadTime = m.correctLoadTime(target, loadTime)
 	}
 	announced := false
@@ -100,7 +100,7 @@
 			m.announcePause(target, target.loadDeadline())
 			return errSuperseded
 		}
-		if !time.Now().Before(target.loadDeadline()) || m.expectedArrivalOfNewest(target.VersionKey).After(target.loadDeadline()) {
+		if !m.config.Now().Before(target.loadDeadline()) || m.expectedArrivalOfNewest(target.VersionKey).After(target.loadDeadline()) {
 			return nil
 		}
 		if !announced {
@@ -114,8 +114,8 @@
 
 // withMinNotice returns loadTime, or a later time that leaves minPauseNotice if that is
 // before the load deadline.
-func (t TargetVersion) withMinNotice(loadTime time.Time) time.Time {
-	if earliest := time.Now().Add(minPauseNotice); loadTime.Before(earliest) && earliest.Before(t.loadDeadline()) {
+func (t TargetVersion) withMinNotice(now, loadTime time.Time) time.Time {
+	if earliest := now.Add(minPauseNotice); loadTime.Before(earliest) && earliest.Before(t.loadDeadline()) {
 		return earliest
 	}
 	return loadTime
@@ -134,7 +134,7 @@
 	if newer == nil {
 		return time.Time{}
 	}
-	return newer.expectedArrival(time.Now())
+	return newer.expectedArrival(m.config.Now())
 }
 
 // hasCompleteNewerVersion reports whether all pieces of a newer version are held,
--- a/weights/staging/load_schedule_test.go
+++ b/weights/staging/load_schedule_test.go
@@ -34,7 +34,7 @@
 	pieces := newPieceSet(target.VersionKey, make([][32]byte, 4))
 	pieces.missing = len(pieces.digests) - heldCount
 	m.pieceSets[target.VersionKey] = pieces
-	m.jobs[target.VersionKey] = newJob(target, func() {}, nil)
+	m.jobs[target.VersionKey] = newJob(target, m.config.Now, func() {}, nil)
 	m.newestVersions[target.Model] = max(m.newestVersions[target.Model], target.Version)
 }
 
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -63,7 +63,8 @@
 	VersionKey
 	// Pieces is the number of pieces of the version.
 	Pieces int
-	// RequestedAt is when the version was configured; zero means long ago.
+	// RequestedAt is when the version was configured, a time of Config.Now; zero means long
+	// ago.
 	RequestedAt time.Time
 	// InForceWithin is the time after RequestedAt within which the version must
 	// be in force.
@@ -93,7 +94,11 @@
 	AnnouncePause func(fleet.PauseNotice)
 	// ListAgents returns the agents of the service.
 	ListAgents func(ctx context.Context) []Agent
-	Log        *logrus.Entry
+	// Now is the clock on which loads are scheduled; nil means time.Now. It should count
+	// suspensions of the machine, during which the time in which a version must be in force
+	// goes on.
+	Now func() time.Time
+	Log *logrus.Entry
 }
 
 // Manager keeps an agent's engine on the newest version of each model.
@@ -133,6 +138,9 @@
 
 // New returns a Manager without any pieces.
 func New(config Config) *Manager {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	return &Manager{
 		config:               config,
 		uplink:               newUplink(config.LinkBytesPerSecond),
@@ -200,7 +208,7 @@
 		}
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
-	next := newJob(target, cancel, continued)
+	next := newJob(target, m.config.Now, cancel, continued)
 	m.jobs[target.VersionKey] = next
 	wait.Go(func() {
 		defer m.removeJob(next)
--- a/weights/staging/request_time.go
+++ b/weights/staging/request_time.go
@@ -32,9 +32,10 @@
 	if target.RequestedAt.IsZero() || shift.Abs() < loadTimePollPeriod {
 		return target, loadTime
 	}
-	loadTime = corrected.withMinNotice(loadTime.Add(shift))
+	now := m.config.Now()
+	loadTime = corrected.withMinNotice(now, loadTime.Add(shift))
 	m.config.Log.WithFields(logrus.Fields{
-		"model": target.Model, "version": target.Version, "moved_ms": shift.Milliseconds(), "in_ms": time.Until(loadTime).Milliseconds(),
+		"model": target.Model, "version": target.Version, "moved_ms": shift.Milliseconds(), "in_ms": loadTime.Sub(now).Milliseconds(),
 	}).Info("Moved the load of a version; it was configured at another time than known before.")
 	m.announcePause(corrected, loadTime)
 	return corrected, loadTime
--- a/weights/staging/request_time_test.go
+++ b/weights/staging/request_time_test.go
@@ -13,8 +13,7 @@
 )
 
 // A target's RequestedAt becomes earlier when another daemon reports that the version was
-// configured earlier, or when the machine was suspended, which the steady clock does not
-// count.
+// configured earlier.
 func TestLoadIsNotPostponedByARequestTimeThatIsKnownLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var announced []fleet.PauseNotice
@@ -49,3 +48,44 @@
 	m.removeJob(m.jobs[target.VersionKey])
 	require.Empty(t, m.requestTimes)
 }
+
+// newSuspendedManager returns a Manager whose machine was suspended for suspension at a time
+// that lies after from now. Timers do not count suspensions.
+func newSuspendedManager(after, suspension time.Duration) *Manager {
+	m := newTestManager(nil)
+	resumedAt := time.Now().Add(after)
+	m.config.Now = func() time.Time {
+		now := time.Now()
+		if now.Before(resumedAt) {
+			return now
+		}
+		return now.Add(suspension)
+	}
+	return m
+}
+
+func TestLoadIsNotPostponedByASuspensionOfTheMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const after, suspension = time.Second, 3 * time.Second
+		m := newSuspendedManager(after, suspension)
+		start := time.Now()
+		target := TargetVersion{VersionKey: olderKey, RequestedAt: start, InForceWithin: inForceWithin}
+		m.addTestJob(target, 4)
+		require.NoError(t, m.awaitLoadTime(t.Context(), target, start.Add(5*time.Second)))
+		require.WithinDuration(t, start.Add(5*time.Second-suspension), time.Now(), loadTimePollPeriod)
+	})
+}
+
+func TestDeadlineOfASkippedVersionIsNotPostponedByASuspensionOfTheMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const after, suspension = time.Second, 3 * time.Second
+		m := newSuspendedManager(after, suspension)
+		start := time.Now()
+		skipped := TargetVersion{VersionKey: olderKey, RequestedAt: start, InForceWithin: inForceWithin}
+		target := TargetVersion{VersionKey: newerKey, RequestedAt: start, InForceWithin: inForceWithin}
+		m.addTestJob(target, 4)
+		m.markSkipped(skipped)
+		require.NoError(t, m.awaitLoadTime(t.Context(), target, start.Add(time.Hour)))
+		require.WithinDuration(t, skipped.loadDeadline().Add(-suspension), time.Now(), loadTimePollPeriod)
+	})
+}
