An empty list of teams lets no API key in

Callers saw: after a configuration that took the last tenant out, all requests ran on routes that are not public, with the dropped key and with keys that no configuration ever held.

Cause: NeedsKey asked whether there are teams, and DecodeConfig did not tell an empty list of tenants from none.

The log line of a configuration says from when on requests need no key, no key is valid, or a team's key is needed.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -172,6 +172,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Teams is empty when requests need no API key.
+	// Teams holds the teams whose callers may use the routes that are not public.
 	Teams []Team
+	// IsOpen is set if there is no list of teams at all: requests need no API key then.
+	// With an empty list, no API key is valid.
+	IsOpen bool
 }
--- a/core/fleet/table.go
+++ b/core/fleet/table.go
@@ -65,7 +65,7 @@
 }
 
 // NeedsKey reports whether requests of the route must carry an API key.
-func (t *Table) NeedsKey(route *Route) bool { return len(t.Config.Teams) > 0 && !route.Public }
+func (t *Table) NeedsKey(route *Route) bool { return !t.Config.IsOpen && !route.Public }
 
 // Team returns the team with the API key, or nil.
 func (t *Table) Team(key string) *Team { return t.teamsByKey[key] }
--- a/core/fleet/table_test.go
+++ b/core/fleet/table_test.go
@@ -38,7 +38,15 @@
 	require.Nil(t, table.Team("k3"))
 	require.True(t, table.NeedsKey(&Route{}))
 	require.False(t, table.NeedsKey(&Route{Public: true}))
-	require.False(t, Compile(Configuration{}).NeedsKey(&Route{}))
+	require.False(t, Compile(Configuration{IsOpen: true}).NeedsKey(&Route{}))
+}
+
+// Guards against a service that anyone may use once its last team is taken out.
+func TestEmptyListOfTeamsLetsNoKeyIn(t *testing.T) {
+	table := Compile(Configuration{Teams: []Team{}})
+	require.True(t, table.NeedsKey(&Route{}))
+	require.False(t, table.NeedsKey(&Route{Public: true}))
+	require.Nil(t, table.Team(""))
 }
 
 func TestServerIsOlderThan(t *testing.T) {
--- a/daemon/gateway/closed_conn_test.go
+++ b/daemon/gateway/closed_conn_test.go
@@ -18,6 +18,7 @@
 	l := newListedGateway(t, "a")
 	l.servers[0].Store.PutConfig(fleet.Configuration{
 		Version:  2,
+		IsOpen:   true,
 		Services: []fleet.Service{{Name: testService, MaxConns: 100}},
 		Routes: []fleet.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: fleet.RouteUnsafe, Timeout: time.Second, MaxAttempts: 1,
--- a/daemon/gateway/notices_test.go
+++ b/daemon/gateway/notices_test.go
@@ -38,7 +38,7 @@
 	store := standin.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	store.PutConfig(fleet.Configuration{Version: 1, Services: []fleet.Service{{Name: testService, MaxConns: 100}}})
+	store.PutConfig(fleet.Configuration{Version: 1, IsOpen: true, Services: []fleet.Service{{Name: testService, MaxConns: 100}}})
 	regions := map[core.DataCentre]core.Region{}
 	for _, dataCentre := range dataCentres {
 		regions[core.DataCentre(dataCentre)] = core.Region("region-" + dataCentre)
--- a/tables/watch/apply.go
+++ b/tables/watch/apply.go
@@ -38,9 +38,31 @@
 		s.addIgnoredEvent(row, "config", fmt.Sprintf("version %d is not above %d", config.Version, s.config.Config.Version))
 		return
 	}
+	old := s.config
 	s.config = fleet.Compile(config)
-	s.addEvent(row, "config", fmt.Sprintf("version %d adopted: %d routes, %d services, %d teams",
-		config.Version, len(config.Routes), len(config.Services), len(config.Teams)))
+	s.addEvent(row, "config", fmt.Sprintf("version %d adopted: %d routes, %d services, %d teams%s",
+		config.Version, len(config.Routes), len(config.Services), len(config.Teams), accessChange(old, s.config)))
+}
+
+// accessChange describes what a configuration changes for callers of the routes that are
+// not public, where it has no teams or the previous one had none.
+func accessChange(old, next *fleet.Table) string {
+	access := func(t *fleet.Table) string {
+		switch {
+		case t == nil:
+			return ""
+		case t.Config.IsOpen:
+			return "requests need no API key, because there is no list of teams"
+		case len(t.Config.Teams) == 0:
+			return "no API key is valid, because the list of teams is empty; only public routes are served"
+		default:
+			return "requests need the API key of a team"
+		}
+	}
+	if access(old) == access(next) || old == nil && !next.Config.IsOpen && len(next.Config.Teams) > 0 {
+		return ""
+	}
+	return "; from now on " + access(next)
 }
 
 func (s *State) applyEvacuation(now time.Time, row rowstore.Row, centre core.DataCentre) {
--- a/tables/watch/state_test.go
+++ b/tables/watch/state_test.go
@@ -216,3 +216,33 @@
 	s.Apply(start, ServersTable, changes)
 	require.Equal(t, []string{"s-1"}, serverIDs(s.View()))
 }
+
+// Guards against a change of who may send requests that no log shows.
+func TestEventsSayWhenTheListOfTeamsChangesWhoseRequestsRun(t *testing.T) {
+	const open, closed, keys = "requests need no API key", "no API key is valid", "requests need the API key of a team"
+	team := []fleet.Team{{Name: "a", Keys: []string{"k"}}}
+	s := NewState()
+	for i, step := range []struct {
+		config fleet.Configuration
+		want   string
+	}{
+		{fleet.Configuration{Teams: team}, ""},
+		{fleet.Configuration{}, closed},
+		{fleet.Configuration{}, ""},
+		{fleet.Configuration{IsOpen: true}, open},
+		{fleet.Configuration{Teams: team}, keys},
+		{fleet.Configuration{Teams: append(team, fleet.Team{Name: "b"})}, ""},
+		{fleet.Configuration{IsOpen: true}, open},
+		{fleet.Configuration{}, closed},
+	} {
+		step.config.Version = int64(i + 1)
+		s.Apply(start, OperatorTable, newPage(uint64(i+1), operatorRow(standin.ConfigKey, string(standin.ConfigRow(step.config)), uint64(i+1))))
+		events := s.TakeEvents()
+		require.Len(t, events, 1)
+		if step.want == "" {
+			require.NotContains(t, events[0].Detail, "API key", i)
+			continue
+		}
+		require.Contains(t, events[0].Detail, "from now on "+step.want, i)
+	}
+}
