Bound the answers of the row store and of other agents by their kind

The clients of the store and of other agents had the same fault as those of engines: 10 MB of a head, and for agents 4 MB of a body that was cut silently and taken as whole.

They now use core/httpcall. An agent's manifest is bounded by the number of pieces, a piece by pieceBytes, the other answers by 4 KB.

odd_peer_test.go takes the bound of manifests instead of the removed constant.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -85,6 +85,7 @@
 	// origins holds a client for each origin by address.
 	origins map[string]*worker.Client
 	engine  *worker.Client
+	peers   *staging.HTTPPeers
 	faults  *httpcall.Faults
 }
 
@@ -100,13 +101,14 @@
 			ID: n.Instance, Addr: n.PeerAddr, DataCentre: n.DataCentre, Region: n.Region,
 			Service: fleet.ServiceName(n.BackendService), EngineAddr: n.BackendAddr,
 		},
-		store:    rowstore.New(n.StoreAddr),
 		registry: metrics.NewRegistry(),
 		clock:    clock.New(),
 		log:      config.Log.Component("agent").WithField("addr", n.BackendAddr),
 		origins:  map[string]*worker.Client{},
 		faults:   obs.AnswerFaults(config.Log.Component("agent").WithField("addr", n.BackendAddr)),
 	}
+	l.store = rowstore.NewReporting(n.StoreAddr, l.faults)
+	l.peers = staging.NewReportingHTTPPeers(l.faults)
 	l.engine = worker.NewReporting(n.BackendAddr, maxEngineConns, l.faults)
 	l.roster = roster.New[staging.Agent](l.store, roster.AgentsTable, l.log)
 	entries := &entryList{
@@ -134,7 +136,7 @@
 	l.manager = staging.New(staging.Config{
 		Self:               l.self,
 		Engine:             l.engine,
-		Peers:              staging.NewHTTPPeers(),
+		Peers:              l.peers,
 		TargetVersions:     l.targetVersions,
 		AnnouncePause:      l.announcer.announce,
 		ListAgents:         l.agents.get,
@@ -155,9 +157,11 @@
 	if service == nil || service.Engine == nil || origin == nil {
 		return nil
 	}
-	l.engine.SetWeightsSize(service.Engine.WeightsSize())
+	size := service.Engine.WeightsSize()
 	originClient := l.originClient(origin.Origin)
-	originClient.SetWeightsSize(service.Engine.WeightsSize())
+	originClient.SetWeightsSize(size)
+	l.engine.SetWeightsSize(size)
+	l.peers.SetWeightsSize(size)
 	var list []staging.TargetVersion
 	for _, model := range service.Engine.Models {
 		target := view.NewestTarget(model)
--- a/weights/staging/odd_peer_test.go
+++ b/weights/staging/odd_peer_test.go
@@ -21,7 +21,7 @@
 	for name, odd := range map[string][]byte{
 		"empty": nil, "text": []byte("\x64text"), "number": {7}, "map": []byte("\xa1\x01\x02"), "texts": []byte("\x81\x61x"), "cut off": good[:len(good)-1],
 		"trailing": append(bytes.Clone(good), 0), "nested": []byte(strings.Repeat("\x81", 100_000) + "\x00"), "huge array": []byte("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
-		"large array": append([]byte("\x9a\x00\x10\x00\x00"), bytes.Repeat([]byte{0x40}, 1<<20)...), "too large": bytes.Repeat([]byte{0x81}, maxPeerResponseBytes+1),
+		"large array": append([]byte("\x9a\x00\x10\x00\x00"), bytes.Repeat([]byte{0x40}, 1<<20)...), "too large": bytes.Repeat([]byte{0x81}, int(peers.manifestAnswer().MaxBodyBytes)+1),
 	} {
 		body = odd
 		digests, err := peers.Manifest(t.Context(), peer, olderKey)
--- a/weights/staging/peers.go
+++ b/weights/staging/peers.go
@@ -15,6 +15,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/core/netdial"
 	"currantusher.dev/core/pause"
 )
@@ -35,8 +36,16 @@
 	readySuffix = ".ready"
 	// urgentQuery marks a request whose sender passes the piece on to others.
 	urgentQuery = "urgent=1"
-	// maxPeerResponseBytes bounds the size of a response.
-	maxPeerResponseBytes = 4 << 20
+	// manifestDigestBytes is the size of an encoded digest, and manifestHeadBytes bounds the
+	// rest of a manifest.
+	manifestDigestBytes = 34
+	manifestHeadBytes   = 16
+	// maxEmptyBytes bounds responses without a piece or manifest, which hold at most the text
+	// of an error.
+	maxEmptyBytes = 4 << 10
+	// unknownPieces and unknownPieceBytes apply until the size of the weights is known.
+	unknownPieces     = 4 << 10
+	unknownPieceBytes = 4 << 20
 )
 
 var (
@@ -52,19 +61,40 @@
 
 // HTTPPeers implements Peers over HTTP.
 type HTTPPeers struct {
-	client *http.Client
+	client             *httpcall.Client
+	pieces, pieceBytes httpcall.Largest
 }
 
 // NewHTTPPeers returns a client that keeps a few idle connections to each agent.
-func NewHTTPPeers() *HTTPPeers {
-	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
-		DialContext: netdial.New(peerDialTimeout).DialContext, MaxIdleConnsPerHost: 2 * transfersPerSource, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
-	}}}
+func NewHTTPPeers() *HTTPPeers { return NewReportingHTTPPeers(nil) }
+
+// NewReportingHTTPPeers returns a client that reports answers over their bound to faults.
+func NewReportingHTTPPeers(faults *httpcall.Faults) *HTTPPeers {
+	return &HTTPPeers{client: httpcall.New(httpcall.Config{
+		Dial: netdial.New(peerDialTimeout).DialContext, MaxIdleConns: 2 * transfersPerSource, IdleTimeout: peerIdleTimeout, Faults: faults,
+	})}
+}
+
+// SetWeightsSize sets the size of the weights. The bounds of manifests and pieces are of the
+// largest size that was set, because versions of different sizes may be transferred at the
+// same time.
+func (p *HTTPPeers) SetWeightsSize(size fleet.WeightsSize) {
+	p.pieces.Raise(int64(size.Pieces))
+	p.pieceBytes.Raise(int64(size.PieceBytes))
+}
+
+func (p *HTTPPeers) manifestAnswer() httpcall.Answer {
+	pieces := p.pieces.Or(unknownPieces)
+	return httpcall.Answer{Kind: "agent's manifest", MaxBodyBytes: max(pieces*manifestDigestBytes+manifestHeadBytes, maxEmptyBytes)}
+}
+
+func (p *HTTPPeers) pieceAnswer() httpcall.Answer {
+	return httpcall.Answer{Kind: "agent's piece", MaxBodyBytes: max(p.pieceBytes.Or(unknownPieceBytes), maxEmptyBytes)}
 }
 
 // Manifest implements Peers.
 func (p *HTTPPeers) Manifest(ctx context.Context, peer Agent, key VersionKey) ([][32]byte, error) {
-	body, _, err := p.get(ctx, peer, weightsPath(key, "manifest"))
+	body, _, err := p.get(ctx, peer, weightsPath(key, "manifest"), p.manifestAnswer())
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +107,7 @@
 
 // AwaitPiece implements Peers.
 func (p *HTTPPeers) AwaitPiece(ctx context.Context, peer Agent, key VersionKey, piece int) error {
-	_, _, err := p.get(ctx, peer, weightsPath(key, strconv.Itoa(piece)+readySuffix))
+	_, _, err := p.get(ctx, peer, weightsPath(key, strconv.Itoa(piece)+readySuffix), httpcall.Answer{Kind: "agent's readiness", MaxBodyBytes: maxEmptyBytes})
 	return err
 }
 
@@ -87,7 +117,7 @@
 	if urgent {
 		path += "?" + urgentQuery
 	}
-	content, transferTime, err := p.get(ctx, peer, path)
+	content, transferTime, err := p.get(ctx, peer, path, p.pieceAnswer())
 	if errors.Is(err, errNoResponse) {
 		return nil, 0, errSourceBusy
 	}
@@ -100,7 +130,7 @@
 
 // get returns the body of a response and its transfer time, which starts when
 // the response header has arrived. A piece's header is sent when its transfer begins.
-func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string) ([]byte, time.Duration, error) {
+func (p *HTTPPeers) get(ctx context.Context, peer Agent, path string, answer httpcall.Answer) ([]byte, time.Duration, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := time.AfterFunc(sourceTimeout, cancel)
@@ -109,7 +139,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	response, err := p.client.Do(request)
+	response, err := p.client.Do(request, answer)
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
 		return nil, 0, errNoResponse
 	}
@@ -119,7 +149,7 @@
 	defer func() { _ = response.Body.Close() }()
 	timeout.Reset(sendTimeout)
 	start := time.Now()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerResponseBytes))
+	body, err := io.ReadAll(response.Body)
 	switch {
 	case err != nil:
 		return nil, time.Since(start), fmt.Errorf("read response of agent %s: %w", peer.ID, err)
