--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -264,7 +264,7 @@
 // isReady reports whether the entry can serve callers' requests.
 func (g *Gateway) isReady() bool {
 	view := g.follower.View()
-	return !g.leaving.Load() && view.Table != nil && len(view.Servers) > 0
+	return !g.leaving.Load() && view.Table != nil && len(view.Servers) > 0 && g.crashGuard.stored.areKnown(g.clock.Now())
 }
 
 // Run serves until ctx ends, then drains: the directory stops returning this
@@ -317,6 +317,7 @@
 		g.ejectStalledServers,
 		g.recallLateRequests,
 		g.crashGuard.run,
+		g.crashGuard.stored.run,
 		g.sweep,
 	}
 }
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -33,6 +33,7 @@
 const (
 	learnedFromEvidence = "own evidence"
 	learnedFromGossip   = "gossip"
+	learnedFromStore    = "store"
 )
 
 // crashGuard keeps requests that crash backend servers away from them.
@@ -40,6 +41,7 @@
 	gateway   *Gateway
 	set       *quarantine.Set
 	confirmer *quarantine.Confirmer
+	stored    *storedQuarantines
 	log       *logrus.Entry
 }
 
@@ -53,6 +55,7 @@
 		}
 		return conn.Close()
 	}, c.crashed)
+	c.stored = newStoredQuarantines(g, c)
 	return c
 }
 
@@ -172,6 +175,7 @@
 func (c *crashGuard) onEvidence(e fleet.CrashEvidence) {
 	changes, isNews := c.set.Merge(c.gateway.clock.Now(), e)
 	c.apply(changes, learnedFromGossip)
+	c.store(changes)
 	if isNews && c.gateway.gossip.IsLarge() {
 		c.gateway.gossip.SendSoon()
 	}
@@ -190,6 +194,7 @@
 		c.set.Progress(now)
 		changes := c.set.Decide(now, settle)
 		c.apply(changes, learnedFromEvidence)
+		c.store(changes)
 		if len(changes) > 0 {
 			c.gateway.gossip.SendSoon()
 		}
@@ -199,6 +204,13 @@
 	})
 }
 
+// store has changes of quarantines stored soon.
+func (c *crashGuard) store(changes []quarantine.Change) {
+	if len(changes) > 0 {
+		c.stored.Wake()
+	}
+}
+
 // apply logs changes of quarantines and recalls the requests that have become quarantined.
 func (c *crashGuard) apply(changes []quarantine.Change, learnedFrom string) {
 	for _, change := range changes {
