Entries tell each other of versions whose age they do not know

An entry that starts reads the newest version of a model alone, and requires it at once until a peer tells its age. Peers told the versions that they knew the age of: a version that they had read at their own start was left out. Then the entry that started last required nothing, and could send callers' requests to engines with any version, though the one before was in force: all entries restart after version 4, version 5 is accepted, one of them restarts again.

Versions without an age are sent in a field of their own, which processes of the old build ignore, and are taken before those with one. An entry adds one if it knows newer ones alone and none of them is in force: it was configured before, and binds until a newer one does.

TestVersionOfUnknownAgeIsRequiredByAnEntryThatStartsAfterANewerOne: 0 instead of 4 is required when the entry does not add it.

--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -24,9 +24,11 @@
 	var list []gossip.NewestWeights
 	for model := range view.Targets {
 		for _, target := range view.EffectiveTargets(now, model, inForceWithin, limit) {
-			if !target.Since.IsZero() && !target.IsEstimate {
-				list = append(list, gossip.NewestWeights{Model: model, Version: target.Version, Age: now.Sub(target.Since), First: target.First})
+			report := gossip.NewestWeights{Model: model, Version: target.Version, IsUndated: !target.IsDated()}
+			if target.IsDated() {
+				report.Age, report.First = now.Sub(target.Since), target.First
 			}
+			list = append(list, report)
 		}
 	}
 	return list
@@ -51,6 +53,10 @@
 func (g *Gateway) onNewestWeights(list []gossip.NewestWeights) {
 	now := g.clock.Now()
 	for _, n := range list {
+		if n.IsUndated {
+			g.follower.AddUndatedVersion(n.Model, n.Version)
+			continue
+		}
 		first := n.Version
 		if n.First > 0 {
 			first = min(first, n.First)
--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -112,6 +112,9 @@
 	// learned of. An entry that started later cannot derive their age from the
 	// rows of the tables.
 	NewestWeights []NewestWeights `cbor:"5,keyasint,omitempty"`
+	// UndatedWeights holds the versions among them of which the sender does not know the
+	// age.
+	UndatedWeights []NewestWeights `cbor:"15,keyasint,omitempty"`
 	// Evidence is what the sender knows of prompt parts that crash backend servers.
 	Evidence *fleet.CrashEvidence `cbor:"10,keyasint,omitempty"`
 	// PauseNotice is sent by an agent. The other fields of its message are
@@ -150,6 +153,37 @@
 	// First is the oldest of the versions that are merged into this one, to bound the
 	// message: the age of each is at most Age. It is 0 if there are none.
 	First fleet.WeightsVersion `cbor:"4,keyasint,omitempty"`
+	// IsUndated means that the age is not known.
+	IsUndated bool `cbor:"-"`
+}
+
+// setWeights puts versions into the message. Processes that do not know UndatedWeights
+// would take a version without an age for a new one.
+func (m *Message) setWeights(list []NewestWeights) {
+	for _, w := range list {
+		if w.IsUndated {
+			m.UndatedWeights = append(m.UndatedWeights, w)
+		} else {
+			m.NewestWeights = append(m.NewestWeights, w)
+		}
+	}
+}
+
+// weights returns the valid versions of the message. Those without an age are the first:
+// they may have to be in force until the age of a newer one has passed.
+func (m *Message) weights() []NewestWeights {
+	var list []NewestWeights
+	for _, w := range m.UndatedWeights {
+		if w.Version >= 1 {
+			list = append(list, NewestWeights{Model: w.Model, Version: w.Version, IsUndated: true})
+		}
+	}
+	for _, w := range m.NewestWeights {
+		if w.Version >= 1 && w.Age >= 0 {
+			list = append(list, w)
+		}
+	}
+	return list
 }
 
 // Outgoing is a message with the peer addresses to send it to.
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -174,7 +173,7 @@
 	}
 	n.forwardPauses()
 	for _, outgoing := range round {
-		outgoing.Message.NewestWeights = newestWeights
+		outgoing.Message.setWeights(newestWeights)
 		if !outgoing.IsLoadsOnly {
 			outgoing.Message.RateLimits = rateLimits
 		}
@@ -247,9 +246,8 @@
 	if len(message.RateLimits) > 0 {
 		n.config.OnRateLimits(message.From.ID, message.RateLimits)
 	}
-	message.NewestWeights = slices.DeleteFunc(message.NewestWeights, func(w NewestWeights) bool { return w.Version < 1 || w.Age < 0 })
-	if len(message.NewestWeights) > 0 {
-		n.config.OnNewestWeights(message.NewestWeights)
+	if weights := message.weights(); len(weights) > 0 {
+		n.config.OnNewestWeights(weights)
 	}
 	if message.Evidence != nil {
 		n.config.OnEvidence(*message.Evidence)
--- a/tables/watch/targets.go
+++ b/tables/watch/targets.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,8 +13,8 @@
 // are configured less than that time / (maxTargets-2) apart.
 const maxTargets = 128
 
-// isDated reports whether the time since when the version has been configured is known.
-func (t TargetVersion) isDated() bool { return !t.Since.IsZero() && !t.IsEstimate }
+// IsDated reports whether the time since when the version has been configured is known.
+func (t TargetVersion) IsDated() bool { return !t.Since.IsZero() && !t.IsEstimate }
 
 func (t TargetVersion) first() fleet.WeightsVersion {
 	if t.First > 0 {
@@ -42,7 +43,7 @@
 
 func effectiveTargets(now time.Time, list []TargetVersion, inForceWithin time.Duration) []TargetVersion {
 	for at := len(list) - 1; at > 0; at-- {
-		if list[at].isDated() && now.Sub(list[at].Since) >= inForceWithin {
+		if list[at].IsDated() && now.Sub(list[at].Since) >= inForceWithin {
 			return list[at:]
 		}
 	}
@@ -58,7 +59,7 @@
 	list = slices.Clone(list)
 	for len(list) > max(1, limit) {
 		at := closestPair(list)
-		if older := list[at]; !list[at+1].isDated() || older.Since.Before(list[at+1].Since) {
+		if older := list[at]; !list[at+1].IsDated() || older.Since.Before(list[at+1].Since) {
 			list[at+1].Since, list[at+1].IsEstimate = older.Since, false
 		}
 		list[at+1].First = list[at].first()
@@ -73,7 +74,7 @@
 func closestPair(list []TargetVersion) int {
 	closest, least := 0, time.Duration(-1)
 	for at := range len(list) - 1 {
-		if !list[at].isDated() || !list[at+1].isDated() {
+		if !list[at].IsDated() || !list[at+1].IsDated() {
 			continue
 		}
 		if gap := max(0, list[at+1].Since.Sub(list[at].Since)); least < 0 || gap < least {
@@ -87,10 +88,44 @@
 // configured for as long.
 func isSuperseded(list []TargetVersion, version fleet.WeightsVersion, since time.Time) bool {
 	return slices.ContainsFunc(list, func(t TargetVersion) bool {
-		return t.Version > version && t.isDated() && !t.Since.After(since)
+		return t.Version > version && t.IsDated() && !t.Since.After(since)
 	})
 }
 
+// AddUndatedVersion adds a version that another daemon knows without its age. If this
+// daemon knows newer versions alone, it was superseded before this daemon started, and
+// must be in force until one of those is. It reports whether it added the version.
+func (s *State) AddUndatedVersion(now time.Time, model fleet.Model, version fleet.WeightsVersion) bool {
+	list := s.targets[model]
+	if !s.lacksUndated(now, list, version) {
+		return false
+	}
+	// Views refer to the old list, so that the new one must be a copy.
+	s.targets[model] = mergeTargets(slices.Insert(slices.Clone(list), 0, TargetVersion{Version: version}), s.maxTargets)
+	s.events = append(s.events, Event{
+		Subject: "weights", Key: string(model), Detail: fmt.Sprintf("a peer reported version %d, which was configured before the known ones", version),
+	})
+	return true
+}
+
+func (s *State) lacksUndated(now time.Time, list []TargetVersion, version fleet.WeightsVersion) bool {
+	if len(list) == 0 || version >= list[0].Version {
+		return false
+	}
+	if s.versionInForce == nil {
+		return true
+	}
+	within := s.versionInForce()
+	return !slices.ContainsFunc(list, func(t TargetVersion) bool { return t.IsDated() && now.Sub(t.Since) >= within })
+}
+
+// AddUndatedVersion adds a version that another daemon knows without its age.
+func (f *Follower) AddUndatedVersion(model fleet.Model, version fleet.WeightsVersion) {
+	if f.state.lacksUndated(f.config.Now(), f.View().Targets[model], version) {
+		f.update(func(now time.Time) { f.state.AddUndatedVersion(now, model, version) })
+	}
+}
+
 // SetVersionSince sets since when a version has been configured, as reported by
 // another daemon. It has no effect if this daemon knows an earlier time.
 func (f *Follower) SetVersionSince(model fleet.Model, version fleet.WeightsVersion, since time.Time) {
--- a/tables/watch/targets_test.go
+++ b/tables/watch/targets_test.go
@@ -39,6 +39,26 @@
 	return accepted
 }
 
+// A process that started after a version of unknown age, and heard of the age of the newest
+// one alone, sent requests to engines with any version.
+func TestVersionOfUnknownAgeIsRequiredByAnEntryThatStartsAfterANewerOne(t *testing.T) {
+	within := func() time.Duration { return testInForceWithin }
+	started, restarted := NewState(), NewState()
+	started.versionInForce, restarted.versionInForce = within, within
+	require.True(t, started.Replace(start, OperatorTable, newPage(5, versionRow(4, 5))))
+	started.Apply(start.Add(time.Second), OperatorTable, newPage(6, versionRow(5, 6)))
+	now := start.Add(2 * time.Second)
+	require.True(t, restarted.Replace(now, OperatorTable, newPage(6, versionRow(5, 6))))
+	deliver(now, started, restarted, maxTargets)
+	require.EqualValues(t, 4, restarted.View().RequiredVersion(now, "m", testInForceWithin))
+	require.EqualValues(t, 4, restarted.View().RequiredVersion(start.Add(9*time.Second-time.Millisecond), "m", testInForceWithin))
+	require.EqualValues(t, 5, restarted.View().RequiredVersion(start.Add(9*time.Second), "m", testInForceWithin))
+	require.False(t, started.AddUndatedVersion(now, "m", 4), "known")
+	require.False(t, restarted.AddUndatedVersion(now, "m", 5), "known")
+	require.False(t, restarted.AddUndatedVersion(now, "m", 6), "the rows tell of newer versions")
+	require.False(t, restarted.AddUndatedVersion(start.Add(9*time.Second), "m", 3), "a newer version is in force")
+}
+
 func TestVersionsThatCannotBindAnyMoreAreDropped(t *testing.T) {
 	s := NewState()
 	s.versionInForce = func() time.Duration { return testInForceWithin }
@@ -64,7 +84,7 @@
 }
 
 // TestRandomVersionsAreRequiredLikeWithoutABoundOnTheirNumber runs two fleets alike, one
-// of which keeps and sends all versions. Entries read late and stand still.
+// of which keeps and sends all versions. Entries read late, stand still and restart.
 func TestRandomVersionsAreRequiredLikeWithoutABoundOnTheirNumber(t *testing.T) {
 	for seed := range uint64(40) {
 		random := rand.New(rand.NewPCG(seed, 50))
@@ -79,9 +99,7 @@
 			f.step(now, versions)
 			for i := range f.bounded {
 				got := f.bounded[i].View().RequiredVersion(now, "m", testInForceWithin)
-				// An entry that does not know the age of a version requires it early.
-				required := min(f.reference[i].View().RequiredVersion(now, "m", testInForceWithin), f.firstRead.RequiredVersion(now, "m", testInForceWithin))
-				require.GreaterOrEqual(t, got, required,
+				require.GreaterOrEqual(t, got, f.requiredByReference(now, i),
 					"seed %d: entry %d at %s forgot a version", seed, i, now.Sub(start))
 				require.LessOrEqual(t, got, f.reference[i].View().RequiredVersion(now.Add(resolution), "m", testInForceWithin),
 					"seed %d: entry %d at %s is too strict, limit %d", seed, i, now.Sub(start), limit)
@@ -132,11 +150,14 @@
 		if now.Before(f.silentUntil[i]) {
 			continue
 		}
-		if f.random.IntN(300) == 0 {
+		switch f.random.IntN(300) {
+		case 0:
 			f.silentUntil[i] = now.Add(time.Duration(f.random.IntN(4000)) * time.Millisecond)
 			f.bounded[i].MarkStandstill(now, f.silentUntil[i])
 			f.reference[i].MarkStandstill(now, f.silentUntil[i])
 			continue
+		case 1:
+			f.bounded[i], f.reference[i] = f.newState(now, f.limit), f.newState(now, 1<<20)
 		}
 		if f.random.IntN(4) == 0 {
 			f.recordRead(now, i)
@@ -149,6 +170,21 @@
 	}
 }
 
+// requiredByReference returns the version that an entry of the reference requires. Instead
+// of an age that it does not know, which it takes for the greatest one, the true one counts.
+func (f *versionFleet) requiredByReference(now time.Time, i int) fleet.WeightsVersion {
+	var list []TargetVersion
+	for _, target := range f.reference[i].targets["m"] {
+		if target.IsDated() {
+			list = append(list, target)
+		} else if at, known := findTarget(f.firstRead.Targets["m"], target.Version); known {
+			list = append(list, f.firstRead.Targets["m"][at])
+		}
+	}
+	view := &View{Targets: map[fleet.Model][]TargetVersion{"m": list}}
+	return view.RequiredVersion(now, "m", testInForceWithin)
+}
+
 // recordRead records that an entry reads the newest version now. One that stood still
 // does not know its age.
 func (f *versionFleet) recordRead(now time.Time, i int) {
@@ -174,8 +210,14 @@
 }
 
 func deliver(now time.Time, from, to *State, limit int) {
-	for _, target := range from.View().EffectiveTargets(now, "m", testInForceWithin, limit) {
-		if target.isDated() {
+	list := from.View().EffectiveTargets(now, "m", testInForceWithin, limit)
+	for _, target := range list {
+		if !target.IsDated() {
+			to.AddUndatedVersion(now, "m", target.Version)
+		}
+	}
+	for _, target := range list {
+		if target.IsDated() {
 			to.SetVersionsSince("m", target.first(), target.Version, target.Since)
 		}
 	}
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -80,7 +80,7 @@
 func (s *State) SetVersionsSince(model fleet.Model, first, version fleet.WeightsVersion, since time.Time) bool {
 	changed := false
 	for _, target := range s.targets[model] {
-		if target.Version >= first && target.Version < version && !target.isDated() {
+		if target.Version >= first && target.Version < version && !target.IsDated() {
 			changed = s.SetVersionSince(model, target.Version, since) || changed
 		}
 	}
