Limits of servers that change together are all told to the other entries

A report to the other entries held the first eight of the limits that had changed in the last 3 s, by server id. The ninth and later ones were told only in the turns of all limits, two a report, after those 3 s: until then other entries sent callers' requests beyond a limit, to be refused by the server, or kept to one that had ended. The state of 160 servers that name a limit at once had reached the others for 30 of them after 20 reports.

Changed limits are now reported by the number of reports since the change, the least first, and stay news until they were in one. The size of a report is unchanged.

TestLimitsThatChangeTogetherAreAllReportedSoon: 30 of 160 before, 160 now.

--- a/requests/notices/limits.go
+++ b/requests/notices/limits.go
@@ -84,6 +84,8 @@
 	// changedAt is when this process learned of the limit or its end.
 	changedAt time.Time
 	listedAt  time.Time
+	// reports is the number of reports with the change.
+	reports int
 }
 
 // NewLimits returns an empty set.
@@ -114,7 +116,7 @@
 	case record.isLaterThan(o) || o.PerSecond > record.PerSecond && !o.isLaterThan(record.LimitObservation):
 		// The answer was written before the one that counts, or possibly so.
 	default:
-		record.LimitObservation, record.changedAt, change.Current = o, now, o.PerSecond
+		record.LimitObservation, record.changedAt, record.reports, change.Current = o, now, 0, o.PerSecond
 	}
 	return change
 }
@@ -185,8 +187,9 @@
 	return limited, oldest
 }
 
-// Report returns up to maxChanged limits that have changed recently, and some of the
-// others, in turns. Ended limits are included until they are dropped.
+// Report returns up to maxChangedReports limits that have changed recently, those first
+// that were reported least since, and some of the others, in turns. Ended limits are
+// included until they are dropped.
 func (l *Limits) Report(now time.Time) []fleet.RateLimit {
 	if l.count.Load() == 0 {
 		return nil
@@ -194,22 +197,35 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	servers := slices.SortedFunc(maps.Keys(l.byLifetime), compareLifetimes)
-	var list []fleet.RateLimit
+	var changed []Lifetime
 	for _, server := range servers {
-		if len(list) < maxChangedReports && now.Sub(l.byLifetime[server].changedAt) < changedReportTime {
-			list = append(list, l.byLifetime[server].report(now, server))
+		if l.byLifetime[server].isNews(now) {
+			changed = append(changed, server)
 		}
 	}
+	var list []fleet.RateLimit
 	for i := range min(reportsInTurns, len(servers)) {
 		server := servers[(l.nextReported+i)%len(servers)]
-		if now.Sub(l.byLifetime[server].changedAt) >= changedReportTime {
+		if !l.byLifetime[server].isNews(now) {
 			list = append(list, l.byLifetime[server].report(now, server))
 		}
 	}
 	l.nextReported = (l.nextReported + reportsInTurns) % len(servers)
+	slices.SortStableFunc(changed, func(a, b Lifetime) int {
+		return cmp.Compare(l.byLifetime[a].reports, l.byLifetime[b].reports)
+	})
+	for _, server := range changed[:min(len(changed), maxChangedReports)] {
+		l.byLifetime[server].reports++
+		list = append(list, l.byLifetime[server].report(now, server))
+	}
 	return list
 }
 
+// isNews reports whether the limit has changed recently, or was not reported since.
+func (r *limitRecord) isNews(now time.Time) bool {
+	return r.reports == 0 || now.Sub(r.changedAt) < changedReportTime
+}
+
 func (r *limitRecord) report(now time.Time, server Lifetime) fleet.RateLimit {
 	report := fleet.RateLimit{
 		Server: server.Server, Incarnation: server.Incarnation,
