--- a/tables/watch/version_report.go
+++ b/tables/watch/version_report.go
@@ -82,7 +82,7 @@
 // version of a report, and that time is not later than the report's.
 func (s *State) isEarliestPossible(r VersionReport) bool {
 	return slices.ContainsFunc(s.targets[r.Model], func(t TargetVersion) bool {
-		return t.Version >= r.first() && t.Version <= r.Version && !t.isDated() && !r.Since.Before(t.Since)
+		return t.Version >= r.first() && t.Version <= r.Version && !t.IsDated() && !r.Since.Before(t.Since)
 	})
 }
 
