--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -95,6 +95,20 @@
 	require.EqualValues(t, 2, entry.follower.View().RequiredVersion(start.Add(9*time.Second), "m", inForceWithin))
 }
 
+func TestEntryThatStoodStillWhenAVersionWasAcceptedLearnsItsAgeFromAnAgent(t *testing.T) {
+	agent, entry := newDaemon(), newDaemon()
+	agent.read(1, 0)
+	agent.read(2, 2*time.Second)
+	entry.read(1, 0)
+	entry.now = start.Add(4 * time.Second)
+	agent.now = entry.now
+	entry.read(2, 0)
+	require.EqualValues(t, 2, entry.follower.View().RequiredVersion(start.Add(8*time.Second), "m", inForceWithin), "no other entry knows the age")
+	exchange(t, agent, entry)
+	require.EqualValues(t, 1, entry.follower.View().RequiredVersion(start.Add(9900*time.Millisecond), "m", inForceWithin))
+	require.EqualValues(t, 2, entry.follower.View().RequiredVersion(start.Add(10*time.Second), "m", inForceWithin))
+}
+
 func TestUnknownAndEstimatedAgesAreNotSent(t *testing.T) {
 	d := newDaemon()
 	d.read(1, 0)
