Deadly parts of prompts with many parts or long identifiers are found

Callers saw: a part in a prompt of more than 16 shared parts, or with an identifier of more than 32 characters, crashed servers for as long as requests with it came; sound requests were not served meanwhile.

Behind it, a crash kept at most 192 suspects and a running check at most 768, both of which a few waiting requests of 200 parts exceed; what came later was dropped.

A check holds requests instead of copies of their suspects. What is kept of a part is a copy of its identifier, not a slice of the header it came in.

--- a/requests/quarantine/bounds_test.go
+++ b/requests/quarantine/bounds_test.go
@@ -14,13 +14,14 @@
 	}
 	require.LessOrEqual(t, len(s.quarantines), maxQuarantines)
 	require.LessOrEqual(t, len(s.crashes.crashes), maxCrashes)
-	require.LessOrEqual(t, len(s.crashes.open), maxCrashes*maxSuspects)
+	require.LessOrEqual(t, len(s.crashes.open), maxSuspicions)
 	for _, q := range s.quarantines {
 		require.LessOrEqual(t, len(q.with), maxRivals)
 	}
-	open := 0
+	open, count := 0, 0
 	for _, c := range s.crashes.crashes {
 		require.LessOrEqual(t, len(c.suspects), maxSuspects)
+		count += len(c.suspects)
 		for part, suspicion := range c.suspects {
 			require.LessOrEqual(t, len(suspicion.requests), maxRequests)
 			if !suspicion.isSound {
@@ -29,6 +30,8 @@
 			}
 		}
 	}
+	require.Equal(t, count, s.crashes.count)
+	require.LessOrEqual(t, count, maxSuspicions)
 	for _, list := range s.crashes.open {
 		require.NotEmpty(t, list)
 		open -= len(list)
--- a/requests/quarantine/confirm.go
+++ b/requests/quarantine/confirm.go
@@ -17,7 +17,7 @@
 	// confirmDelay is the time from the loss of a connection to the check of the server,
 	// in which a process that ends closes its listener too.
 	confirmDelay = 20 * time.Millisecond
-	// maxWaiting bounds the suspects of a running check.
+	// maxWaiting bounds the requests of a running check.
 	maxWaiting = 768
 )
 
@@ -36,7 +36,22 @@
 // check is a running check of a server.
 type check struct {
 	at      time.Time
-	waiting []fleet.Suspect
+	waiting []waitingRequest
+}
+
+// waitingRequest is a request that waited at a server.
+type waitingRequest struct {
+	id     string
+	traits []fleet.Trait
+}
+
+// suspects returns the suspects of all waiting requests.
+func (c *check) suspects() []fleet.Suspect {
+	var list []fleet.Suspect
+	for _, w := range c.waiting {
+		list = append(list, suspects(w.id, w.traits)...)
+	}
+	return list
 }
 
 // NewConfirmer returns a Confirmer that connects with dial and calls report with the
@@ -52,19 +67,18 @@
 	if len(traits) == 0 {
 		return
 	}
-	waiting := suspects(requestID, traits)
-	crashedAt, isKnown, isFirst := c.add(now, server, waiting)
+	crashedAt, isKnown, isFirst := c.add(now, server, waitingRequest{id: requestID, traits: traits})
 	switch {
 	case isKnown:
-		c.report(server, crashedAt, waiting)
+		c.report(server, crashedAt, suspects(requestID, traits))
 	case isFirst:
 		go c.check(context.WithoutCancel(ctx), server, addr)
 	}
 }
 
-// add adds suspects to the check of a server. It reports whether the server is known to
+// add adds a request to the check of a server. It reports whether the server is known to
 // have crashed just now instead, and whether the check is to be started.
-func (c *Confirmer) add(now time.Time, server notices.Lifetime, waiting []fleet.Suspect) (crashedAt time.Time, isKnown, isFirst bool) {
+func (c *Confirmer) add(now time.Time, server notices.Lifetime, waiting waitingRequest) (crashedAt time.Time, isKnown, isFirst bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dropOldCrashes(now)
@@ -72,12 +86,12 @@
 		return at, true, false
 	}
 	if running := c.checks[server]; running != nil {
-		if len(running.waiting)+len(waiting) <= maxWaiting {
-			running.waiting = append(running.waiting, waiting...)
+		if len(running.waiting) < maxWaiting {
+			running.waiting = append(running.waiting, waiting)
 		}
 		return time.Time{}, false, false
 	}
-	c.checks[server] = &check{at: now, waiting: waiting}
+	c.checks[server] = &check{at: now, waiting: []waitingRequest{waiting}}
 	return time.Time{}, false, true
 }
 
@@ -105,7 +119,7 @@
 	err := c.dial(ctx, addr)
 	hasCrashed := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	if done := c.end(server, hasCrashed); hasCrashed {
-		c.report(server, done.at, done.waiting)
+		c.report(server, done.at, done.suspects())
 	}
 }
 
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"currantusher.dev/core/fleet"
@@ -21,7 +22,9 @@
 	maxCrashes = 64
 	// maxSuspects bounds the traits that are suspect in one crash: those of all requests that
 	// wait at a full server.
-	maxSuspects = 192
+	maxSuspects = 4096
+	// maxSuspicions bounds the suspicions of all crashes together.
+	maxSuspicions = 16384
 	// maxRequests bounds the requests that are known for each of these.
 	maxRequests = 4
 	// urgentSuspicions is the number of crashes from which evidence on their suspect is
@@ -81,6 +84,8 @@
 // crashLog holds the crashes that count as evidence.
 type crashLog struct {
 	crashes []*crash
+	// count is the number of suspicions of all crashes, including the refuted ones.
+	count int
 	// open holds the suspicions that are not refuted, by trait.
 	open map[fleet.Trait][]*suspicion
 	// isSound reports whether an answer with a trait is known to have begun shortly before
@@ -112,7 +117,10 @@
 			isNew, isUrgent = true, isUrgent || len(l.open[s.Trait]) >= urgentSuspicions
 		}
 	}
-	if !isKnown && !l.insert(c) {
+	if !isKnown {
+		l.crashes = append(l.crashes, c)
+	}
+	if !l.trim(c) {
 		return false, false
 	}
 	return isNew, isUrgent
@@ -157,14 +165,15 @@
 	known := c.suspects[s.Trait]
 	if known == nil {
 		isSound := l.isSound(s.Trait, c.at)
-		if len(c.suspects) >= maxSuspects && (isSound || !c.dropSound()) {
+		if len(c.suspects) >= maxSuspects && (isSound || !l.dropSound(c)) {
 			return false
 		}
-		known = &suspicion{crash: c, trait: s.Trait, isSound: isSound}
-		c.suspects[s.Trait] = known
+		known = &suspicion{crash: c, trait: kept(s.Trait), isSound: isSound}
+		c.suspects[known.trait] = known
+		l.count++
 		if !isSound {
 			c.open++
-			l.open[s.Trait] = append(l.open[s.Trait], known)
+			l.open[known.trait] = append(l.open[known.trait], known)
 		}
 	}
 	known.position = max(known.position, s.Position)
@@ -179,15 +188,21 @@
 	return true
 }
 
-// dropSound makes room for a suspect.
-func (c *crash) dropSound() bool {
-	for _, trait := range slices.SortedFunc(maps.Keys(c.suspects), compareTraits) {
-		if c.suspects[trait].isSound {
-			delete(c.suspects, trait)
-			return true
-		}
+// kept returns a trait for storage: its identifier may be a part of a long header.
+func kept(t fleet.Trait) fleet.Trait {
+	t.ID = strings.Clone(t.ID)
+	return t
+}
+
+// dropSound drops the suspects of a crash that are proved sound. It reports whether there
+// were any.
+func (l *crashLog) dropSound(c *crash) bool {
+	if c.open == len(c.suspects) {
+		return false
 	}
-	return false
+	l.count -= len(c.suspects) - c.open
+	maps.DeleteFunc(c.suspects, func(_ fleet.Trait, s *suspicion) bool { return s.isSound })
+	return true
 }
 
 // refute closes the suspicions of a trait that matches applies to, and returns them.
@@ -214,21 +229,28 @@
 	l.open[trait] = list
 }
 
-// insert adds a crash. When the log is full, it replaces the one that is worth least as
-// evidence, which may be the new one. It reports whether the crash was added.
-func (l *crashLog) insert(c *crash) bool {
-	l.crashes = append(l.crashes, c)
-	if len(l.crashes) <= maxCrashes {
-		return true
+// trim keeps the log within its bounds. It drops traits that are proved sound first, and
+// then the crash that is worth least as evidence, which may be the one just added. It
+// reports whether that one is left.
+func (l *crashLog) trim(added *crash) bool {
+	for _, c := range l.crashes {
+		if l.count > maxSuspicions {
+			l.dropSound(c)
+		}
 	}
-	least := l.crashes[0]
-	for _, other := range l.crashes {
-		if other.isBefore(least) {
-			least = other
+	for len(l.crashes) > maxCrashes || l.count > maxSuspicions {
+		least := l.crashes[0]
+		for _, other := range l.crashes {
+			if other.isBefore(least) {
+				least = other
+			}
+		}
+		l.remove(func(other *crash) bool { return other == least })
+		if least == added {
+			return false
 		}
 	}
-	l.remove(func(other *crash) bool { return other == least })
-	return least != c
+	return true
 }
 
 func (l *crashLog) remove(matches func(*crash) bool) {
@@ -236,6 +258,7 @@
 		if !matches(c) {
 			return false
 		}
+		l.count -= len(c.suspects)
 		for trait := range c.suspects {
 			if open := l.open[trait]; open != nil {
 				l.setOpen(trait, slices.DeleteFunc(open, func(s *suspicion) bool { return s.crash == c }))
@@ -274,6 +297,7 @@
 // drop removes a suspicion.
 func (l *crashLog) drop(trait fleet.Trait, s *suspicion) {
 	delete(s.crash.suspects, trait)
+	l.count--
 	if !s.isSound {
 		s.crash.open--
 		l.setOpen(trait, slices.DeleteFunc(l.open[trait], func(other *suspicion) bool { return other == s }))
--- a/requests/quarantine/starts.go
+++ b/requests/quarantine/starts.go
@@ -11,7 +11,7 @@
 	// as there are not too many. It covers the crashes that it refutes.
 	startRetention = crashRetention + soundPeriod
 	// maxStarts bounds each of the two generations of startTimes, in traits.
-	maxStarts = 4096
+	maxStarts = 8192
 )
 
 // startTimes holds when an answer to a prompt with a trait last began. It keeps two
@@ -35,6 +35,9 @@
 	if _, ok := s.newer[trait]; !ok && len(s.newer) >= maxStarts {
 		s.rotate(now)
 	}
+	if _, ok := s.newer[trait]; !ok {
+		trait = kept(trait)
+	}
 	s.newer[trait] = at
 	return true
 }
