Bound the answers of relays and of other entries by their kind

Daemons that read rows from a relay or from another entry took 10 MB of a head, decoded far larger, and cut a body at its bound silently: 32 MB after decompression from a relay, 8 MB from an entry.

Both now use core/httpcall: 8 MB for rows, before and after decompression, and a typed error over that, after which a daemon reads from another relay or the store. The entry tells its log once of each server and part, also for the store.

The tests pass the new argument of newClient; a test of the gateway wraps its client.

--- a/daemon/gateway/cut_answer_test.go
+++ b/daemon/gateway/cut_answer_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core/cutanswer"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/tables/watch"
 )
@@ -26,7 +27,7 @@
 	g := &Gateway{log: log, follower: watch.NewFollower(watch.Config{Tables: []string{watch.ServersTable}, Log: log})}
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	err = g.fetchTable(t.Context(), &http.Client{Transport: transport}, server.Addr, watch.ServersTable)
+	err = g.fetchTable(t.Context(), httpcall.Wrap(&http.Client{Transport: transport}, nil), server.Addr, watch.ServersTable)
 	return positions(g.follower.View())[watch.ServersTable], err
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -14,7 +14,9 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/daemon/lifecycle"
+	"currantusher.dev/daemon/obs"
 	"currantusher.dev/daemon/roster"
 	"currantusher.dev/members/activeset"
 	"currantusher.dev/members/gossip"
@@ -56,6 +58,7 @@
 	node        atomic.Pointer[nodefile.Node]
 	incarnation core.Incarnation
 	store       *rowstore.Client
+	faults      *httpcall.Faults
 	// relayCache holds the store changes that this entry relays to other daemons.
 	relayCache    *relay.Cache
 	follower      *watch.Follower
@@ -116,7 +119,7 @@
 		config:        config,
 		started:       time.Now(),
 		incarnation:   core.Incarnation(time.Now().UnixNano()),
-		store:         rowstore.New(config.Node.StoreAddr),
+		faults:        obs.AnswerFaults(config.Log.Component("entry")),
 		upstream:      upstream.NewPool(upstream.Config{}),
 		ledger:        sharedlimit.NewLedger(config.Node.Instance, time.Now()),
 		holders:       newHolderSet(),
@@ -131,6 +134,7 @@
 		log:           config.Log.Component("entry"),
 		requestLog:    config.Log.Component("request"),
 	}
+	g.store = rowstore.NewReporting(config.Node.StoreAddr, g.faults)
 	g.node.Store(&config.Node)
 	g.waitsEnd, g.endWaits = context.WithCancel(context.Background())
 	g.streamsEnd, g.endStreams = context.WithCancel(context.Background())
@@ -140,7 +144,7 @@
 	g.relayCache = relay.NewCache(g.store, nil)
 	g.follower = watch.NewFollower(watch.Config{
 		Store: relay.NewStore(relay.Config{
-			Self: config.Node.Instance, Cache: g.relayCache, Relays: g.relays, Log: config.Log.Component("watch"),
+			Self: config.Node.Instance, Cache: g.relayCache, Relays: g.relays, Log: config.Log.Component("watch"), Faults: g.faults,
 			MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval, watch.ServersTable: watch.ServersReadInterval},
 		}),
 		Tables:            []string{watch.OperatorTable, watch.ServersTable},
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"currantusher.dev/core/httpcall"
+	"currantusher.dev/core/netdial"
 	"currantusher.dev/tables/watch"
 )
 
@@ -25,8 +27,12 @@
 	// maxSnapshotBytes bounds the encoded snapshot of a table from a peer.
 	maxSnapshotBytes = 8 << 20
 	rowsPath         = "/rows/"
+	// idlePeerTimeout is how long a connection to another entry is kept for the next table.
+	idlePeerTimeout = 5 * time.Second
 )
 
+var snapshotAnswer = httpcall.Answer{Kind: "entry's rows", MaxBodyBytes: maxSnapshotBytes, Timeout: peerTimeout}
+
 // join registers this entry in the store, reads the other entries' rows and
 // contacts them by gossip.
 func (g *Gateway) join(ctx context.Context) error {
@@ -61,7 +67,7 @@
 // syncFromPeers fetches tables from entries with a later revision, which happens
 // while this entry cannot reach the store.
 func (g *Gateway) syncFromPeers(ctx context.Context) error {
-	client := &http.Client{Timeout: peerTimeout}
+	client := httpcall.New(httpcall.Config{Dial: netdial.New(peerTimeout).DialContext, MaxIdleConns: 1, IdleTimeout: idlePeerTimeout, Faults: g.faults})
 	checksBehind := map[string]int{}
 	return runPeriodically(ctx, peerSyncPeriod, func() {
 		for table, position := range positions(g.follower.View()) {
@@ -84,17 +90,17 @@
 }
 
 // fetchTable imports a peer's snapshot of a table if it is newer.
-func (g *Gateway) fetchTable(ctx context.Context, client *http.Client, addr, table string) error {
+func (g *Gateway) fetchTable(ctx context.Context, client *httpcall.Client, addr, table string) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+rowsPath+table, nil)
 	if err != nil {
 		return err
 	}
-	response, err := client.Do(request)
+	response, err := client.Do(request, snapshotAnswer)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshotBytes))
+	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
 	}
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -116,7 +116,7 @@
 	}
 	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
 	relayed := relay.NewStore(relay.Config{
-		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"),
+		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"), Faults: l.faults,
 		MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval},
 	})
 	entries.relayed.ReadFrom(relayed)
--- a/tables/relay/cut_answer_test.go
+++ b/tables/relay/cut_answer_test.go
@@ -43,7 +43,7 @@
 	server, err := cutanswer.Start(answer[:cut.Bytes], cut.Ending)
 	require.NoError(t, err)
 	defer server.Close()
-	c := newClient()
+	c := newClient(nil)
 	defer c.http.CloseIdleConnections()
 	_, allErr := c.readAll(t.Context(), server.Addr, table, 1)
 	_, changesErr := c.readChanges(t.Context(), server.Addr, table, rowstore.Position{Era: 1, Revision: 6}, time.Millisecond)
--- a/tables/relay/era_test.go
+++ b/tables/relay/era_test.go
@@ -44,9 +44,9 @@
 	s.lose(1)
 	pages := make(chan rowstore.Page, 1)
 	go func() {
-		page, err := newClient().readAll(context.WithoutCancel(t.Context()), addr, table, 1)
+		page, err := newClient(nil).readAll(context.WithoutCancel(t.Context()), addr, table, 1)
 		for err != nil {
-			page, err = newClient().readAll(context.WithoutCancel(t.Context()), addr, table, 1)
+			page, err = newClient(nil).readAll(context.WithoutCancel(t.Context()), addr, table, 1)
 		}
 		pages <- page
 	}()
@@ -67,9 +67,9 @@
 	cache, addr := newRelay(t, s)
 	errs := make(chan error, 1)
 	go func() {
-		_, err := newClient().readChanges(context.WithoutCancel(t.Context()), addr, table, rowstore.Position{Revision: 1}, time.Second)
+		_, err := newClient(nil).readChanges(context.WithoutCancel(t.Context()), addr, table, rowstore.Position{Revision: 1}, time.Second)
 		for err == nil {
-			_, err = newClient().readChanges(context.WithoutCancel(t.Context()), addr, table, rowstore.Position{Revision: 1}, time.Second)
+			_, err = newClient(nil).readChanges(context.WithoutCancel(t.Context()), addr, table, rowstore.Position{Revision: 1}, time.Second)
 		}
 		errs <- err
 	}()
@@ -94,7 +94,7 @@
 	put("x")
 	cache, addr := newRelay(t, s)
 	read := func() rowstore.Page {
-		page, err := newClient().readAll(t.Context(), addr, table, 0)
+		page, err := newClient(nil).readAll(t.Context(), addr, table, 0)
 		require.NoError(t, err)
 		return page
 	}
--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/core/netdial"
 	"currantusher.dev/platform/rowstore"
 )
@@ -44,8 +45,9 @@
 	// dialTimeout bounds the connection setup, which stays within a data
 	// centre.
 	dialTimeout = 300 * time.Millisecond
-	// maxResponseBytes bounds a response after decompression.
-	maxResponseBytes = 32 << 20
+	// maxResponseBytes bounds a response, before and after decompression. Larger tables are
+	// read from the store.
+	maxResponseBytes = 8 << 20
 	maxIdleConns     = 4
 )
 
@@ -106,13 +108,17 @@
 var errOutdated = errors.New("the relay has no recent reply from the store")
 
 // client reads from the Handlers of other daemons.
-type client struct{ http *http.Client }
+type client struct{ http *httpcall.Client }
 
-func newClient() *client {
-	return &client{http: &http.Client{Transport: &http.Transport{
-		DialContext: netdial.New(dialTimeout).DialContext, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true,
-		ResponseHeaderTimeout: maxWait + headerTimeout,
-	}}}
+// rowsAnswer holds the bounds of a response.
+var rowsAnswer = httpcall.Answer{Kind: "relay's rows", MaxBodyBytes: maxResponseBytes, Timeout: maxWait + bodyTimeout}
+
+// newClient returns a client that reports answers over their bound to faults, which may be
+// nil.
+func newClient(faults *httpcall.Faults) *client {
+	return &client{http: httpcall.New(httpcall.Config{
+		Dial: netdial.New(dialTimeout).DialContext, MaxIdleConns: maxIdleConns, HeadTimeout: maxWait + headerTimeout, Faults: faults,
+	})}
 }
 
 // readAll returns all rows of a table in an era of at least minEra.
@@ -136,13 +142,11 @@
 
 func (c *client) get(ctx context.Context, addr, table string, query url.Values) (rowstore.Page, error) {
 	address := "http://" + addr + Path + url.PathEscape(table) + "?" + query.Encode()
-	callCtx, cancel := context.WithTimeout(ctx, maxWait+bodyTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(callCtx, http.MethodGet, address, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return rowstore.Page{}, err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.http.Do(request, rowsAnswer)
 	if err != nil {
 		return rowstore.Page{}, err
 	}
@@ -156,7 +160,7 @@
 	default:
 		return rowstore.Page{}, fmt.Errorf("relay returned status %d", response.StatusCode)
 	}
-	body, err := readBody(response)
+	body, err := c.readBody(request, response)
 	if err != nil {
 		return rowstore.Page{}, err
 	}
@@ -167,16 +171,16 @@
 	return page, nil
 }
 
-func readBody(response *http.Response) ([]byte, error) {
+func (c *client) readBody(request *http.Request, response *http.Response) ([]byte, error) {
 	var reader io.Reader = response.Body
 	if response.Header.Get("Content-Encoding") == contentEncoding {
 		decompressed, err := gzip.NewReader(response.Body)
 		if err != nil {
 			return nil, err
 		}
-		reader = decompressed
+		reader = c.http.BoundDecoded(decompressed, request, rowsAnswer, maxResponseBytes)
 	}
-	return io.ReadAll(io.LimitReader(reader, maxResponseBytes))
+	return io.ReadAll(reader)
 }
 
 // body is an encoded response.
--- a/tables/relay/relay_test.go
+++ b/tables/relay/relay_test.go
@@ -215,7 +215,7 @@
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	for range 3 {
-		page, err := newClient().readChanges(t.Context(), server.Listener.Addr().String(), table, rowstore.Position{Revision: 1}, time.Second)
+		page, err := newClient(nil).readChanges(t.Context(), server.Listener.Addr().String(), table, rowstore.Position{Revision: 1}, time.Second)
 		require.NoError(t, err)
 		require.Equal(t, []rowstore.Row{row}, page.Rows)
 	}
@@ -231,7 +231,7 @@
 	server := httptest.NewServer(Handler(NewCache(source, nil), snapshots, discardLogger()))
 	defer server.Close()
 	read := func() int {
-		page, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
+		page, err := newClient(nil).readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
 		require.NoError(t, err)
 		return len(page.Rows)
 	}
@@ -249,7 +249,7 @@
 
 	now = now.Add(snapshotAge)
 	source.setDown(true)
-	_, err := newClient().readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
+	_, err := newClient(nil).readAll(context.Background(), strings.TrimPrefix(server.URL, "http://"), table, 0)
 	require.Error(t, err, "the daemon reads from the store itself")
 }
 
--- a/tables/relay/store.go
+++ b/tables/relay/store.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/core/pause"
 	"currantusher.dev/platform/rowstore"
 )
@@ -84,6 +85,8 @@
 	// a table, which batches them.
 	MinIntervals map[string]time.Duration
 	Log          *logrus.Entry
+	// Faults is told the relays' answers over their bound; it may be nil.
+	Faults *httpcall.Faults
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -118,7 +121,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Store{config: config, client: newClient(), avoidUntil: map[core.InstanceID]time.Time{}, lastChangesAt: map[string]time.Time{}}
+	return &Store{config: config, client: newClient(config.Faults), avoidUntil: map[core.InstanceID]time.Time{}, lastChangesAt: map[string]time.Time{}}
 }
 
 // ReadAll returns all rows of a table.
