Bound the answers of the other outgoing calls by their kind

Engine: a chunk MaxChunkBytes, the list of chunks 64 MB, other answers 64 KB. Agent: the state 64 KB; an attempt's answer is forwarded and not bounded as a whole. Source: a manifest and the answers to writes 4 MB, a chunk MaxChunkBytes.

A test of the agent passes the new argument of Do.

--- a/core/httpcall/httpcall.go
+++ b/core/httpcall/httpcall.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -17,6 +18,8 @@
 	MaxHeadBytes = 16 << 10
 	// MaxFields bounds the header lines of an answer.
 	MaxFields = 256
+	// Unbounded is the MaxBodyBytes of an answer that is not kept, such as a stream.
+	Unbounded = math.MaxInt64 - 1
 )
 
 // Config holds the settings of a Client.
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/requests/eventstream"
 	"currantusher.dev/wire"
 )
@@ -50,18 +51,14 @@
 // backend is the HTTP client for the agent's backend server.
 type backend struct {
 	baseURL string
-	client  *http.Client
+	client  *httpcall.Client
 }
 
 func newBackend(baseURL string) *backend {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
 	return &backend{
 		baseURL: strings.TrimSuffix(baseURL, "/"),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleBackendConns,
-			DisableCompression:  true,
-		}},
+		client:  httpcall.New(httpcall.Config{Dial: dialer.DialContext, MaxIdleConns: maxIdleBackendConns}),
 	}
 }
 
@@ -72,7 +69,7 @@
 	if err != nil {
 		return state, err
 	}
-	response, err := b.client.Do(request)
+	response, err := b.client.Do(request, httpcall.Answer{Kind: "state", MaxBodyBytes: maxStateBytes})
 	if err != nil {
 		return state, err
 	}
@@ -80,7 +77,7 @@
 	if response.StatusCode != http.StatusOK {
 		return state, fmt.Errorf("GET /v1/state: unexpected HTTP status %d", response.StatusCode)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return state, err
 	}
@@ -106,7 +103,7 @@
 	}
 	var isFirstRequest atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { isFirstRequest.Store(!info.Reused) }}
-	response, err := b.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, err := b.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)), httpcall.Answer{Kind: "answer", MaxBodyBytes: httpcall.Unbounded})
 	if err != nil {
 		return nil, classifySendError(ctx, err)
 	}
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/wire"
 )
 
@@ -53,7 +54,7 @@
 	request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(d.Body)), nil }
 	calls.Store(0)
 	for range 2 {
-		response, err := b.client.Do(request)
+		response, err := b.client.Do(request, httpcall.Answer{MaxBodyBytes: httpcall.Unbounded})
 		if err == nil {
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
--- a/weights/engine/client.go
+++ b/weights/engine/client.go
@@ -14,14 +14,17 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/core/netdial"
 	"currantusher.dev/weights"
 )
 
 const (
 	maxChunkListBytes = 64 << 20
-	dialTimeout       = 2 * time.Second
-	idleTimeout       = time.Minute
+	// maxStateBytes bounds the answers that hold no chunks.
+	maxStateBytes = 64 << 10
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = time.Minute
 )
 
 // State is the response of GET /v1/state.
@@ -39,19 +42,17 @@
 // Client is the client of one engine. It does not retry.
 type Client struct {
 	url  string
-	http *http.Client
+	http *httpcall.Client
 }
 
 // New returns a client of the engine at url. A nil client means one whose connections
 // carry no call after a refusal.
 func New(url string, client *http.Client) *Client {
-	if client == nil {
-		client = &http.Client{Transport: &http.Transport{
-			DialContext:     netdial.OneRefusal(netdial.New(dialTimeout).DialContext),
-			IdleConnTimeout: idleTimeout,
-		}}
+	bounded := httpcall.New(httpcall.Config{Dial: netdial.OneRefusal(netdial.New(dialTimeout).DialContext), IdleTimeout: idleTimeout})
+	if client != nil {
+		bounded = httpcall.Wrap(client, nil)
 	}
-	return &Client{url: strings.TrimRight(url, "/"), http: client}
+	return &Client{url: strings.TrimRight(url, "/"), http: bounded}
 }
 
 // State returns the engine's state.
@@ -133,12 +134,12 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.http.Do(request, httpcall.Answer{Kind: method + " " + path, MaxBodyBytes: maxResponseBytes(method, path)})
 	if err != nil {
 		return nil, core.Wrap(err, code, core.ExecutionUnknown, "%s %s", method, path)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes(path)))
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, core.Wrap(err, code, core.ExecutionUnknown, "%s %s", method, path)
 	}
@@ -148,11 +149,15 @@
 	return content, nil
 }
 
-func maxResponseBytes(path string) int64 {
-	if path == "/v1/staging/chunks" {
+func maxResponseBytes(method, path string) int64 {
+	switch {
+	case path == "/v1/staging/chunks":
 		return maxChunkListBytes
+	case method == http.MethodGet && strings.HasPrefix(path, "/v1/staging/chunks/"):
+		return weights.MaxChunkBytes
+	default:
+		return maxStateBytes
 	}
-	return weights.MaxChunkBytes
 }
 
 func statusError(status int, code core.Code, call string) error {
--- a/weights/source/client.go
+++ b/weights/source/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"currantusher.dev/core"
+	"currantusher.dev/core/httpcall"
+	"currantusher.dev/core/netdial"
 	"currantusher.dev/weights"
 )
 
@@ -22,6 +24,8 @@
 
 	maxManifestBytes  = 4 << 20
 	defaultRetryAfter = time.Second
+	dialTimeout       = 2 * time.Second
+	idleTimeout       = time.Minute
 )
 
 // Config holds the settings of a Client.
@@ -29,13 +33,14 @@
 	// URL is the base URL, such as http://10.0.0.1:8080.
 	URL        string
 	DataCentre core.DataCentre
-	// HTTP is the client to use; nil means http.DefaultClient.
+	// HTTP is the client to use; nil means one with bounds on heads.
 	HTTP *http.Client
 }
 
 // Client reads and writes manifests and chunks. It does not retry.
 type Client struct {
 	config Config
+	http   *httpcall.Client
 }
 
 // New returns a client. It fails if the URL is empty.
@@ -44,10 +49,11 @@
 		return nil, fmt.Errorf("source URL is empty")
 	}
 	config.URL = strings.TrimRight(config.URL, "/")
-	if config.HTTP == nil {
-		config.HTTP = http.DefaultClient
+	client := httpcall.New(httpcall.Config{Dial: netdial.New(dialTimeout).DialContext, IdleTimeout: idleTimeout})
+	if config.HTTP != nil {
+		client = httpcall.Wrap(config.HTTP, nil)
 	}
-	return &Client{config: config}, nil
+	return &Client{config: config, http: client}, nil
 }
 
 // Manifest returns the encoded manifest of root after verifying its digest.
@@ -62,7 +68,7 @@
 
 // HasChunk implements weights.Sink.
 func (c *Client) HasChunk(ctx context.Context, digest core.Digest) (bool, error) {
-	response, err := c.send(ctx, http.MethodHead, "/v1/chunks/"+digest.String(), nil)
+	response, err := c.send(ctx, http.MethodHead, "/v1/chunks/"+digest.String(), nil, maxManifestBytes)
 	if err != nil {
 		return false, err
 	}
@@ -84,7 +90,7 @@
 }
 
 func (c *Client) get(ctx context.Context, prefix string, digest core.Digest, limit int64) ([]byte, error) {
-	response, err := c.send(ctx, http.MethodGet, prefix+digest.String(), nil)
+	response, err := c.send(ctx, http.MethodGet, prefix+digest.String(), nil, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +98,7 @@
 	if err := statusError(response); err != nil {
 		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	content, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, core.Wrap(err, core.CodeOriginFailed, core.ExecutionUnknown, "read %s", digest.Short())
 	}
@@ -103,7 +109,7 @@
 }
 
 func (c *Client) put(ctx context.Context, path string, content []byte) error {
-	response, err := c.send(ctx, http.MethodPut, path, content)
+	response, err := c.send(ctx, http.MethodPut, path, content, maxManifestBytes)
 	if err != nil {
 		return err
 	}
@@ -111,19 +117,19 @@
 	if err := statusError(response); err != nil {
 		return err
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxManifestBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return core.Wrap(err, core.CodeOriginFailed, core.ExecutionUnknown, "%s %s", http.MethodPut, path)
 	}
 	return nil
 }
 
-func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, method, path string, body []byte, maxBodyBytes int64) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.config.URL+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	request.Header.Set(HeaderDataCentre, string(c.config.DataCentre))
-	response, err := c.config.HTTP.Do(request)
+	response, err := c.http.Do(request, httpcall.Answer{Kind: method + " " + path, MaxBodyBytes: maxBodyBytes})
 	if err != nil {
 		return nil, core.Wrap(err, core.CodeOriginFailed, core.ExecutionUnknown, "%s %s", method, path)
 	}
