Bound the lines of a head while an entry reads it

An entry counted the header fields of an answer only after its head was complete. Until then 16 KB of short lines took 252 KB on each connection, as long as the server kept it open: 240 requests in flight (15 servers with 16 slots) held 60 MB, and as many as an entry has callers (2340) 590 MB.

The reader counts the lines that were parsed, all but those of its last block of 4 KB, which may hold a part of the body, and ends at 512.

--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -28,6 +28,8 @@
 	// maxHeaderFields bounds the header lines of an answer, whose decoded form takes
 	// many times the bytes of a short line.
 	maxHeaderFields = 256
+	// maxHeadLines bounds the lines of a head while it is read, with continued lines.
+	maxHeadLines = 2 * maxHeaderFields
 	// minStatus and maxStatus are the least and the greatest status of HTTP.
 	minStatus = 100
 	maxStatus = 599
@@ -129,6 +131,7 @@
 	defer c.source.unlimit()
 	request := &http.Request{Method: method}
 	for range maxInformationalAnswers {
+		c.source.startHead()
 		response, err := http.ReadResponse(c.reader, request)
 		switch {
 		case err == nil:
