--- a/cmd/currantusher/command.go
+++ b/cmd/currantusher/command.go
@@ -92,6 +92,7 @@
 		diffCommand(),
 		statusCommand(),
 		weightsCommand(),
+		quarantineCommand(),
 		reportCommand(),
 		explainCommand(),
 		checkCommand(),
