Quarantine: crashes that no quarantine explains outlive the entries too

After all entries had been killed, crashes before and after were not one evidence: a request that had crashed two servers began anew.

--- a/daemon/deployed/quarantine_restart_test.go
+++ b/daemon/deployed/quarantine_restart_test.go
@@ -46,7 +46,9 @@
 		server.Drain()
 	}
 	pool := d.startMortalPool(3)
-	runs := func() int { return len(d.plainServers[0].ExecutedRequests()) + len(d.plainServers[1].ExecutedRequests()) }
+	runs := func() int {
+		return len(d.plainServers[0].ExecutedRequests()) + len(d.plainServers[1].ExecutedRequests())
+	}
 	for entry := range d.entries {
 		d.eventually(func() bool {
 			before := runs()
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -185,7 +185,12 @@
 func (c *crashGuard) run(ctx context.Context) error {
 	quarantined := metrics.GetOrRegisterGauge("quarantine.traits", c.gateway.registry)
 	crashes := metrics.GetOrRegisterGauge("quarantine.evidence", c.gateway.registry)
+	evidence := c.set.EvidenceVersion()
 	return runPeriodically(ctx, quarantinePeriod, func() {
+		if version := c.set.EvidenceVersion(); version != evidence {
+			evidence = version
+			c.stored.Wake()
+		}
 		settle := gossip.RoundPeriod
 		if c.gateway.gossip.IsLarge() {
 			settle = largeSettleTime
--- a/daemon/quarantinerows/keeper.go
+++ b/daemon/quarantinerows/keeper.go
@@ -76,6 +76,7 @@
 	// write is allowed after a failed one.
 	missingSince, retryAt time.Time
 	failures              int
+	evidence              evidenceState
 }
 
 // NewKeeper returns a Keeper without rows.
@@ -138,6 +139,11 @@
 	if err != nil {
 		return err
 	}
+	if !k.HasLoaded() {
+		if err := k.readEvidence(ctx); err != nil {
+			return err
+		}
+	}
 	return k.adoptAll(page)
 }
 
@@ -193,6 +199,7 @@
 		for k.write(ctx) {
 			isWritten = true
 		}
+		k.writeEvidence(ctx)
 		if isWritten {
 			pause.For(ctx, callInterval)
 		}
--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -80,6 +80,8 @@
 
 // crashLog holds the crashes that count as evidence.
 type crashLog struct {
+	// version changes with the open suspicions.
+	version uint64
 	crashes []*crash
 	// open holds the suspicions that are not refuted, by trait.
 	open map[fleet.Trait][]*suspicion
@@ -115,6 +117,9 @@
 	if !isKnown && !l.insert(c) {
 		return false, false
 	}
+	if isNew {
+		l.version++
+	}
 	return isNew, isUrgent
 }
 
@@ -203,6 +208,9 @@
 		refuted = append(refuted, s)
 	}
 	l.setOpen(trait, rest)
+	if len(refuted) > 0 {
+		l.version++
+	}
 	return refuted
 }
 
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -145,9 +145,7 @@
 		}
 		suspect.sentAt = r.now
 		limit -= len(suspect.requests)
-		for _, request := range suspect.requests {
-			r.list[i].Suspects = append(r.list[i].Suspects, fleet.Suspect{Trait: suspect.trait, Request: request, Position: suspect.position})
-		}
+		r.list[i].Suspects = append(r.list[i].Suspects, suspect.reports()...)
 	}
 }
 
