--- a/requests/quarantine/crashes.go
+++ b/requests/quarantine/crashes.go
@@ -83,6 +83,8 @@
 
 // crashLog holds the crashes that count as evidence.
 type crashLog struct {
+	// version changes with the open suspicions.
+	version uint64
 	crashes []*crash
 	// count is the number of suspicions of all crashes, including the refuted ones.
 	count int
@@ -123,6 +125,9 @@
 	if !l.trim(c) {
 		return false, false
 	}
+	if isNew {
+		l.version++
+	}
 	return isNew, isUrgent
 }
 
@@ -218,6 +223,9 @@
 		refuted = append(refuted, s)
 	}
 	l.setOpen(trait, rest)
+	if len(refuted) > 0 {
+		l.version++
+	}
 	return refuted
 }
 
