--- a/daemon/gateway/endless_peer_test.go
+++ b/daemon/gateway/endless_peer_test.go
@@ -28,6 +28,7 @@
 			runtime.ReadMemStats(&after)
 			require.Error(t, err)
 			_, sent := server.Close()
+			t.Logf("%d bytes sent, %d allocated", sent, after.TotalAlloc-before.TotalAlloc)
 			require.LessOrEqual(t, sent, 2*maxSnapshotBytes+endless.BufferedBytes)
 			require.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(8*maxSnapshotBytes))
 		})
