--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -118,7 +118,7 @@
 	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
 	l.ageExchange = newAgeExchange(n.Bounds.VersionInForce, l.clock, entries.known, config.Log.Component("watch"))
 	relayed := relay.NewStore(relay.Config{
-		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"),
+		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"), Faults: l.faults,
 		MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval},
 	})
 	entries.relayed.ReadFrom(relayed)
