The oldest version under way is fetched to its end, then the newest

The manifest of the second newer version made an agent drop the pieces of one that it and others still fetched, which the origin serves no longer; and each version with an eighth of its pieces went on beside the others, so that all were late.

Pieces of versions in progress are kept, and of several versions under way only the oldest one with an eighth of its pieces and the newest one are fetched; in between nothing is begun. At most one version in progress more is in memory than before.

The simulated peers answered for a version that they had dropped with a nil dereference; the real ones answer that they do not have it.

--- a/weights/staging/fleet_harness_test.go
+++ b/weights/staging/fleet_harness_test.go
@@ -206,7 +206,11 @@
 
 func (f simulatedPeers) Piece(ctx context.Context, peer Agent, key VersionKey, piece int, urgent bool) ([]byte, time.Duration, error) {
 	f.fleet.takeLatency(ctx, "piece", f.self, peer.ID, piece)
-	content, _ := f.fleet.managers[peer.ID].piecesOf(key).get(piece)
+	pieces := f.fleet.managers[peer.ID].piecesOf(key)
+	if pieces == nil {
+		return nil, 0, errors.New("the version is gone")
+	}
+	content, _ := pieces.get(piece)
 	if content == nil {
 		return nil, 0, errors.New("the piece is gone")
 	}
--- a/weights/staging/job.go
+++ b/weights/staging/job.go
@@ -65,3 +65,13 @@
 	j.markFetched = sync.OnceFunc(func() { close(j.fetched) })
 	return j
 }
+
+// isFetched reports whether all pieces are held, or the job has ended.
+func (j *job) isFetched() bool {
+	select {
+	case <-j.fetched:
+		return true
+	default:
+		return false
+	}
+}
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -174,10 +174,11 @@
 	}
 }
 
-// startJob starts the job of a new target version. The jobs of older versions of the
-// model that have some of their pieces continue, because the older version may have to
-// be in force before the newer version has arrived, and so does one that orders its load;
-// the others are cancelled.
+// startJob starts the job of a new target version. Of the older versions of the model
+// that are under way, the first one continues if it has some of its pieces: it may have to
+// be in force before the newer version has arrived, and versions that are fetched beside
+// each other are all late. Those whose pieces are held continue, and so does one that
+// orders its load; the others are cancelled.
 func (m *Manager) startJob(ctx context.Context, wait *sync.WaitGroup, target TargetVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -186,13 +187,15 @@
 	}
 	m.newestVersions[target.Model] = target.Version
 	var continued []*job
+	first := m.firstInProgress(target.Model)
 	for key, older := range m.jobs {
 		switch {
 		case key.Model != target.Model:
-		case m.hasSomePieces(key) || m.stage.isReservedFor(key):
+		case older == first && m.hasSomePieces(key), older.isFetched(), m.stage.isReservedFor(key):
 			continued = append(continued, older)
 		default:
 			older.cancel()
+			delete(m.jobs, key)
 		}
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
@@ -204,6 +207,18 @@
 	})
 }
 
+// firstInProgress returns the job of the oldest version of a model whose pieces are not all
+// held, or nil. The caller holds the lock.
+func (m *Manager) firstInProgress(model fleet.Model) *job {
+	var first *job
+	for key, j := range m.jobs {
+		if key.Model == model && !j.isFetched() && (first == nil || key.Version < first.target.Version) {
+			first = j
+		}
+	}
+	return first
+}
+
 // hasSomePieces reports whether a version's fetch has made enough progress to be worth
 // completing. The caller holds the lock.
 func (m *Manager) hasSomePieces(key VersionKey) bool {
@@ -359,7 +374,8 @@
 }
 
 // addPieces adds the piece set of a version. It copies pieces that other
-// versions have in common, and drops all versions older than the previous one.
+// versions have in common, and drops all versions older than the previous one, except
+// those that are in progress, of which other agents fetch pieces.
 func (m *Manager) addPieces(p *pieceSet) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -374,7 +390,7 @@
 		}
 	}
 	for key := range m.pieceSets {
-		if key.Model == p.key.Model && key.Version < previous {
+		if key.Model == p.key.Model && key.Version < previous && m.jobs[key] == nil {
 			delete(m.pieceSets, key)
 		}
 	}
