The bound on heads follows the configuration in force

Callers saw: after a configuration raised maxHeaderBytes from 16,384 to 65,536, entries still refused heads of 30,000 bytes with 431; a lower bound did not hold either. Requests with a chunked body and a head over 16 KiB were refused as ambiguous (400), whatever the bound was.

Cause: http.Server.MaxHeaderBytes was set once, when the listeners were opened, mostly before a configuration was known; and the captured copy of a head ended at 16 KiB.

Now the connection counts the bytes of a head while it is read, against the bound that is in force then, also on kept connections, and answers 431 itself as the HTTP server does (the bound plus 4 KiB, then a close that does not overtake the answer). The whole head is captured, so that the framing of long ones is checked; the handler ends the capture, so that bodies of requests that were sent ahead do not count as heads. An idle connection keeps no long buffer. A log line with each new bound says what heads of that length on all connections require, and by how much that exceeds the memory limit of the process.

The tests that build a capturing connection name a bound now.

--- a/daemon/gateway/conns_test.go
+++ b/daemon/gateway/conns_test.go
@@ -69,7 +69,7 @@
 		ConnState:   conns.onStateChange,
 		ConnContext: withConn,
 	}
-	go func() { _ = server.Serve(headCapturingListener{listener}) }()
+	go func() { _ = server.Serve(headCapturingListener{listener, fixedHeaderBytes(defaultHeaderBytes)}) }()
 	defer func() { _ = server.Close() }()
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.dial(ctx) },
--- a/daemon/gateway/framing.go
+++ b/daemon/gateway/framing.go
@@ -3,19 +3,24 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// maxHeadBytes bounds the captured copy of a request's head, in bytes.
-const maxHeadBytes = 16 << 10
-
 // headCapturingListener wraps callers' connections so that the framing of a
-// request can be checked. net/http drops the Content-Length header of a request
-// with a chunked body, although the framing of such a request is ambiguous.
-type headCapturingListener struct{ net.Listener }
+// request can be checked and the length of its head is bounded. net/http drops the
+// Content-Length header of a request with a chunked body, although the framing of such a
+// request is ambiguous, and its bound on heads cannot change after the server has started.
+type headCapturingListener struct {
+	net.Listener
+	// maxHeaderBytes returns the bound that is in force, in bytes.
+	maxHeaderBytes func() int
+}
 
 // Accept implements net.Listener.
 func (l headCapturingListener) Accept() (net.Conn, error) {
@@ -23,12 +28,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headCapturingConn{Conn: conn}, nil
+	return &headCapturingConn{Conn: conn, maxHeaderBytes: l.maxHeaderBytes}, nil
 }
 
 // headCapturingConn keeps a copy of the request head as it is read.
 type headCapturingConn struct {
 	net.Conn
+	maxHeaderBytes func() int
+	// mu guards head and headComplete: a read for the next request may run beside the
+	// handler of a request.
+	mu           sync.Mutex
 	head         []byte
 	headComplete bool
 	// isClosed is set by Close, which may come while a request is being read.
@@ -45,22 +54,80 @@
 // goroutine at a time.
 func (c *headCapturingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if !c.headComplete && n > 0 {
-		c.head = append(c.head, p[:min(n, maxHeadBytes-len(c.head))]...)
-		c.headComplete = len(c.head) == maxHeadBytes || bytes.Contains(c.head, []byte("\r\n\r\n")) || bytes.Contains(c.head, []byte("\n\n"))
+	if n > 0 && !c.capture(p[:n]) {
+		c.refuseHead()
+		// The HTTP server drops a connection that ends within a head.
+		return 0, io.EOF
 	}
 	return n, err
 }
 
+// capture adds bytes to the head. It returns false if the head is too long.
+func (c *headCapturingConn) capture(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headComplete {
+		return true
+	}
+	if len(c.head) == 0 {
+		// Empty lines may precede a request.
+		data = bytes.TrimLeft(data, "\r\n")
+	}
+	searched := max(0, len(c.head)-len("\n\r"))
+	c.head = append(c.head, data...)
+	if end := headEnd(c.head[searched:]); end >= 0 {
+		c.head, c.headComplete = c.head[:searched+end], true
+	}
+	return len(c.head) <= c.maxHeaderBytes()+headSlopBytes
+}
+
+// headEnd returns the length of the head at the start of text, or -1 if it is incomplete.
+// Like net/http, it accepts lines that end without a carriage return.
+func headEnd(text []byte) int {
+	end := -1
+	for _, separator := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(text, []byte(separator)); i >= 0 && (end < 0 || i+len(separator) < end) {
+			end = i + len(separator)
+		}
+	}
+	return end
+}
+
+// refuseHead answers a request whose head is too long, as net/http does.
+func (c *headCapturingConn) refuseHead() {
+	const status = "431 Request Header Fields Too Large"
+	// An error means that the caller is gone.
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+status)
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok && conn.CloseWrite() == nil {
+		// A close with unread bytes is a reset, which could overtake the answer.
+		time.Sleep(refusalLinger)
+	}
+}
+
+// endHead ends the capture of the head of a request that has been read. Requests that were
+// read ahead pass the connection before the one that precedes them ends.
+func (c *headCapturingConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headComplete = true
+}
+
 // reset discards the captured head when a request has ended.
 func (c *headCapturingConn) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.head = c.head[:0]
+	if cap(c.head) > keptHeadBytes {
+		c.head = nil
+	}
 	c.headComplete = false
 }
 
 // hasContentLength reports whether the head has a Content-Length header. It
 // returns true if the head was not captured completely.
 func (c *headCapturingConn) hasContentLength() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	head, _, found := bytes.Cut(c.head, []byte("\r\n\r\n"))
 	if !found {
 		return true
@@ -82,6 +149,13 @@
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
+// endHead ends the capture of the head of a request.
+func endHead(r *http.Request) {
+	if conn, ok := r.Context().Value(connContextKey{}).(*headCapturingConn); ok {
+		conn.endHead()
+	}
+}
+
 // hasAmbiguousFraming reports whether a request has both a Content-Length header
 // and a transfer encoding.
 func hasAmbiguousFraming(r *http.Request) bool {
--- a/daemon/gateway/framing_test.go
+++ b/daemon/gateway/framing_test.go
@@ -32,13 +32,13 @@
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\ntransfer-encoding: chunked\r\ncontent-length:0\r\n\r\n0\r\n\r\n"), 1)
 	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), 100)
 	f.Fuzz(func(t *testing.T, text []byte, chunkSize int) {
-		conn := &headCapturingConn{Conn: &chunkedConn{text: text, chunkSize: max(chunkSize, 1)}}
+		conn := &headCapturingConn{Conn: &chunkedConn{text: text, chunkSize: max(chunkSize, 1)}, maxHeaderBytes: fixedHeaderBytes(defaultHeaderBytes)}
 		request, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil || len(request.TransferEncoding) == 0 {
 			return
 		}
 		head, _, found := bytes.Cut(text, []byte("\r\n\r\n"))
-		if !found || len(head) > maxHeadBytes/2 {
+		if !found || len(head) > defaultHeaderBytes/2 {
 			return
 		}
 		hasLength := strings.Contains(strings.ToLower(string(head)), "\ncontent-length:")
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -312,6 +312,7 @@
 		g.syncFromPeers,
 		g.watchSettingsFile,
 		g.conns.run,
+		g.watchHeadMemory,
 		g.watchReadiness,
 		g.updateActivity,
 		g.ejectStalledServers,
--- a/daemon/gateway/leave_test.go
+++ b/daemon/gateway/leave_test.go
@@ -104,7 +104,7 @@
 		_ = http.NewResponseController(w).Flush()
 		<-closed
 	})}
-	go func() { _ = server.Serve(headCapturingListener{listener}) }()
+	go func() { _ = server.Serve(headCapturingListener{listener, fixedHeaderBytes(defaultHeaderBytes)}) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	_, err = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: entry\r\n\r\n")
--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -19,8 +19,6 @@
 const (
 	auxiliaryHeaderTimeout = 3 * time.Second
 	auxiliaryIdleTimeout   = 30 * time.Second
-	// defaultHeaderBytes applies until a configuration is in force.
-	defaultHeaderBytes = 16 << 10
 )
 
 // httpServer is an HTTP server with its listener.
@@ -51,7 +49,7 @@
 			return err
 		}
 		if server.ConnContext != nil {
-			listener = headCapturingListener{listener}
+			listener = headCapturingListener{listener, g.maxHeaderBytes}
 		}
 		server.ErrorLog = stdlog.New(g.log.WriterLevel(debugLevel), "", 0)
 		servers = append(servers, httpServer{listener: listener, server: server})
@@ -62,7 +60,7 @@
 			Handler:        http.HandlerFunc(g.serve),
 			ConnState:      g.conns.onStateChange,
 			ConnContext:    withConn,
-			MaxHeaderBytes: g.maxHeaderBytes(),
+			MaxHeaderBytes: serverHeaderBytes,
 		}),
 		add(n.ReadyAddr, auxiliaryServer(endpoints.ReadinessHandler(g.isReady))),
 		add(n.DirectoryAddr, auxiliaryServer(endpoints.DirectoryHandler(g.resolve))),
@@ -75,13 +73,6 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
 }
 
-func (g *Gateway) maxHeaderBytes() int {
-	if maxBytes := g.limits().HeaderBytes; maxBytes > 0 {
-		return maxBytes
-	}
-	return defaultHeaderBytes
-}
-
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+rowsPath+"{table}", g.serveRows)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -63,6 +63,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	endHead(r)
 	c := &call{startedAt: time.Now(), view: g.follower.View(), id: r.Header.Get(g.config.Headers.RequestID)}
 	g.lastRequestNanos.Store(c.startedAt.UnixNano())
 	g.requestRate.Record(c.startedAt)
