Length hints beyond the greatest one count as that

A hint of more than 2^20 tokens was taken for none, so that a very long answer counted as one of unknown length, also before a pause of its server; "NaN" was taken for a length, and its conversion differs between processors. The greatest one stands for larger hints now, and NaN is invalid.

Evidence: TestLengthHintsBeyondTheGreatestOneCountAsThat fails on the old code (hint 1048577: 0 instead of the greatest duration).

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,7 +58,7 @@
 	// lengthHintMargin covers five of six length hints; in a third of the requests
 	// they are off by a factor of 1.6.
 	lengthHintMargin = 1.6
-	// maxHintTokens is the largest length hint that is accepted.
+	// maxHintTokens stands for all larger length hints.
 	maxHintTokens = 1 << 20
 	// maxEnginePriority is the least urgent priority that engines accept.
 	maxEnginePriority = 9
@@ -160,12 +161,13 @@
 		return 0
 	}
 	tokens, err := strconv.ParseFloat(text, 64)
-	if err != nil || tokens < 0 || tokens > maxHintTokens {
+	// The value of a number out of range is infinite. NaN is not above anything.
+	if isLength := tokens >= 0; err != nil && !errors.Is(err, strconv.ErrRange) || !isLength {
 		g.requestLog.WithField("id", c.id).WithField("hint", text).Info("Invalid length hint; treating the length as unknown.")
 		return 0
 	}
 	firstToken, interval := usualPace(c.view.Table.Service(c.service))
-	return firstToken + time.Duration(lengthHintMargin*tokens*float64(interval))
+	return firstToken + time.Duration(lengthHintMargin*min(tokens, maxHintTokens)*float64(interval))
 }
 
 // usualPace returns the time to the first token and between tokens at an engine of a
--- a/daemon/gateway/forward_test.go
+++ b/daemon/gateway/forward_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/platform/headers"
 )
 
 func engineService(slots int, step time.Duration, prefillTokensPerSecond float64, stepsPerPass int) *fleet.Service {
@@ -34,3 +37,23 @@
 		require.InDelta(t, c.interval.Seconds(), interval.Seconds(), 0.0005)
 	}
 }
+
+// Guards against a long answer that is taken for one of unknown length, and against
+// conversions that overflow.
+func TestLengthHintsBeyondTheGreatestOneCountAsThat(t *testing.T) {
+	l := newListedGateway(t, "a")
+	c := &call{route: &fleet.Route{Kind: fleet.RouteStreaming}, view: l.follower.View()}
+	expected := func(hint string) time.Duration {
+		r := httptest.NewRequest("POST", "/", nil)
+		r.Header.Set(headers.Names().LengthHint, hint)
+		return l.expectedDuration(c, r)
+	}
+	greatest := expected(strconv.Itoa(maxHintTokens))
+	require.Positive(t, greatest)
+	for _, hint := range []string{strconv.Itoa(maxHintTokens + 1), "1e12", "1e400", "Inf"} {
+		require.Equal(t, greatest, expected(hint), hint)
+	}
+	for _, hint := range []string{"", "-1", "-1e400", "NaN", "x"} {
+		require.Zero(t, expected(hint), hint)
+	}
+}
