Test: many quarantines displace none that is in force (fails)

The 257th quarantine displaces the one that changed longest ago, which may be in force: its requests then crash servers until it is found again.

--- a/requests/quarantine/table_test.go
+++ b/requests/quarantine/table_test.go
@@ -76,3 +76,16 @@
 	table.expire(at(0).Add(basePeriod + strikeRetention))
 	assert.Empty(t, table)
 }
+
+// Guards against deadly traits that are forgotten while others are quarantined.
+func TestManyQuarantinesDisplaceNoneThatIsInForce(t *testing.T) {
+	s := newTestSet()
+	const count = maxQuarantines + 1
+	for i := range count {
+		s.Merge(at(float64(i)/100), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Trait: part(fmt.Sprint(i)), Generation: 1, Crashes: 3}}})
+	}
+	for i := range count {
+		_, _, isRefused := s.Quarantined(at(count/100), parts(fmt.Sprint(i)))
+		assert.True(t, isRefused, "the one decided as number %d", i)
+	}
+}
