--- a/requests/quarantine/record_test.go
+++ b/requests/quarantine/record_test.go
@@ -214,3 +214,18 @@
 	assert.Empty(t, set)
 	assert.Len(t, remove, maxQuarantines, "expired ones")
 }
+
+func BenchmarkCompareFullTableWithFullSet(b *testing.B) {
+	records := map[string]Record{}
+	var list []Record
+	for i := range maxQuarantines {
+		r := Record{Trait: part(fmt.Sprint(i)), Generation: 1, DecidedMs: testStoreMs}
+		records[RecordKey(r.Trait)] = r
+		list = append(list, r)
+	}
+	s := NewSet()
+	s.MergeRecords(at(0), testStoreMs, list, false)
+	for b.Loop() {
+		s.Unstored(at(1), storeAt(1), records)
+	}
+}
