Exchanges of versions' ages use the bounded HTTP client

The client of versionages was written beside core/httpcall and had bounds of its own. It now reports answers over their bound like the others. The test of such an answer expects httpcall.TooLargeError in place of the package's own error, at the same bound.

--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -11,6 +11,7 @@
 
 	"currantusher.dev/core/clock"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/tables/versionages"
 	"currantusher.dev/tables/watch"
@@ -49,9 +50,9 @@
 	failing bool
 }
 
-func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, log *logrus.Entry) *ageExchange {
+func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, faults *httpcall.Faults, log *logrus.Entry) *ageExchange {
 	return &ageExchange{
-		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(), entries: entries, log: log,
+		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(faults), entries: entries, log: log,
 		versionRead: make(chan struct{}, 1), newest: map[fleet.Model]fleet.WeightsVersion{},
 	}
 }
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/core/netdial"
 	"currantusher.dev/tables/watch"
 )
@@ -29,8 +30,6 @@
 	// maxAges and maxBodyBytes bound the ages in a request or a response.
 	maxAges      = 128
 	maxBodyBytes = 32 << 10
-	// maxResponseHeaderBytes bounds the header of a response.
-	maxResponseHeaderBytes = 4 << 10
 	// callTimeout bounds an exchange. Ages are too low by the time that they travel.
 	callTimeout = 400 * time.Millisecond
 )
@@ -116,16 +115,16 @@
 // ErrUnsupported reports that the other daemon is of a build without exchanges.
 var ErrUnsupported = errors.New("the daemon exchanges no ages of versions")
 
+// agesAnswer bounds an answer of Handler.
+var agesAnswer = httpcall.Answer{Kind: "entry's ages of versions", MaxBodyBytes: maxBodyBytes, Timeout: callTimeout}
+
 // Client makes exchanges with the Handlers of other daemons. It is safe for concurrent use.
-type Client struct{ http *http.Client }
-
-// NewClient returns a Client. It keeps no connections: a daemon exchanges ages for a few
-// seconds after a change, each time with another one.
-func NewClient() *Client {
-	return &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
-		DialContext: netdial.New(callTimeout).DialContext, DisableKeepAlives: true, DisableCompression: true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
+type Client struct{ http *httpcall.Client }
+
+// NewClient returns a Client that tells faults the answers over their bound; faults may be
+// nil.
+func NewClient(faults *httpcall.Faults) *Client {
+	return &Client{http: httpcall.New(httpcall.Config{Dial: netdial.New(callTimeout).DialContext, Faults: faults})}
 }
 
 // Exchange sends the ages that this daemon knows to the daemon at addr, and returns those
@@ -139,7 +138,9 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.http.Do(request)
+	// The next exchange is with another daemon.
+	request.Close = true
+	response, err := c.http.Do(request, agesAnswer)
 	if err != nil {
 		return nil, err
 	}
--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/core/httpcall"
 	"currantusher.dev/platform/rowstore"
 	"currantusher.dev/platform/standin"
 	"currantusher.dev/tables/watch"
@@ -65,7 +66,7 @@
 // exchange lets an agent exchange ages with an entry.
 func exchange(t *testing.T, agent, entry *daemon) {
 	t.Helper()
-	ages, err := NewClient().Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, discardLogger())), agent.known())
+	ages, err := NewClient(nil).Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, discardLogger())), agent.known())
 	require.NoError(t, err)
 	agent.receive(ages)
 }
@@ -136,7 +137,7 @@
 
 func TestBuildWithoutExchangesIsRecognised(t *testing.T) {
 	addr := serve(t, http.NewServeMux())
-	_, err := NewClient().Exchange(t.Context(), addr, nil)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
 	require.ErrorIs(t, err, ErrUnsupported)
 }
 
@@ -144,15 +145,16 @@
 	addr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(bytes.Repeat([]byte{0x80}, maxBodyBytes+1))
 	}))
-	_, err := NewClient().Exchange(t.Context(), addr, nil)
-	require.ErrorIs(t, err, errTooLong)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	var tooLarge *httpcall.TooLargeError
+	require.ErrorAs(t, err, &tooLarge)
 }
 
 func TestMalformedAndInvalidAgesAreDropped(t *testing.T) {
 	d := newDaemon()
 	handler := Handler(d.known, func(ages []Age) { require.Empty(t, ages) }, discardLogger())
 	addr := serve(t, handler)
-	_, err := NewClient().Exchange(t.Context(), addr, []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}})
+	_, err := NewClient(nil).Exchange(t.Context(), addr, []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}})
 	require.NoError(t, err)
 	response := httptest.NewRecorder()
 	handler.ServeHTTP(response, httptest.NewRequest(http.MethodPost, Path, strings.NewReader("\xff")))
@@ -166,7 +168,7 @@
 	}
 	var received []Age
 	addr := serve(t, Handler(func() []Age { return nil }, func(ages []Age) { received = ages }, discardLogger()))
-	_, err := NewClient().Exchange(t.Context(), addr, sent)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, sent)
 	require.NoError(t, err)
 	require.Equal(t, sent, received)
 }
@@ -175,7 +177,7 @@
 	d := newDaemon()
 	d.read(3, 0)
 	addr := serve(t, Handler(func() []Age { return []Age{{Model: "m", Version: 3, Age: time.Second, First: 2}} }, d.receive, discardLogger()))
-	ages, err := NewClient().Exchange(t.Context(), addr, nil)
+	ages, err := NewClient(nil).Exchange(t.Context(), addr, nil)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, ages[0].First)
 }
