Quarantine: long evidence of crashes is stored less often

While servers crash, one entry wrote up to 16 KB of evidence each second, three times what control may take of a daemon (5 KB/s).

The interval to the next write follows the length of the last row: at most 4 KB/s, and a second at least.

--- a/daemon/quarantinerows/evidence.go
+++ b/daemon/quarantinerows/evidence.go
@@ -18,8 +18,10 @@
 
 const (
 	evidenceKey = "crashes"
-	// evidenceInterval is the least time between two writes of the evidence.
-	evidenceInterval = time.Second
+	// minEvidenceInterval is the least time between two writes of the evidence. After a long
+	// row it is longer, so that the writes take at most evidenceBytesPerSecond.
+	minEvidenceInterval    = time.Second
+	evidenceBytesPerSecond = 4 << 10
 	// maxEvidenceSuspects bounds the suspects in the row, and maxEvidenceBytes its length.
 	maxEvidenceSuspects = 128
 	maxEvidenceBytes    = 16 << 10
@@ -38,9 +40,15 @@
 	// writtenVersion is the version of the Set's evidence that was last written at writtenAt.
 	writtenVersion uint64
 	writtenAt      time.Time
+	writtenBytes   int
 	failed         bool
 }
 
+// interval returns the least time from the last write to the next one.
+func (e *evidenceState) interval() time.Duration {
+	return max(minEvidenceInterval, time.Duration(e.writtenBytes)*time.Second/evidenceBytesPerSecond)
+}
+
 // readEvidence merges the stored evidence.
 func (k *Keeper) readEvidence(ctx context.Context) error {
 	page, err := k.config.Store.ReadAll(ctx, EvidenceTable)
@@ -84,7 +92,7 @@
 	now := k.config.Now()
 	version := k.config.Set.EvidenceVersion()
 	if rank, isKeeper := k.config.Rank(); !isKeeper || rank != 0 || k.isStale || now.Sub(k.rows.readAt) > maxReadAge ||
-		version == k.evidence.writtenVersion || now.Sub(k.evidence.writtenAt) < evidenceInterval {
+		version == k.evidence.writtenVersion || now.Sub(k.evidence.writtenAt) < k.evidence.interval() {
 		return
 	}
 	k.evidence.writtenAt = now
@@ -94,6 +102,7 @@
 		k.config.Log.WithError(err).Error("Could not encode the evidence of crashes.")
 		return
 	}
+	k.evidence.writtenBytes = len(value)
 	row := rowstore.Row{Table: EvidenceTable, Key: evidenceKey, Value: value}
 	tx := rowstore.Transaction{Set: []rowstore.Row{row}, Expected: []rowstore.Row{{Table: EvidenceTable, Key: evidenceKey, Revision: k.evidence.revision}}}
 	k.mu.Unlock()
--- a/daemon/quarantinerows/evidence_test.go
+++ b/daemon/quarantinerows/evidence_test.go
@@ -43,7 +43,7 @@
 		f.pass(time.Second)
 		a.writeEvidence(t.Context())
 	}
-	f.pass(evidenceInterval)
+	f.pass(minEvidenceInterval)
 	a.config.Set.Started(a.now(), []fleet.Trait{trait(0)})
 	a.rows.readAt = a.now()
 	a.writeEvidence(t.Context())
@@ -94,3 +94,22 @@
 	a.writeEvidence(t.Context())
 	require.Len(t, f.loadedEntry(0).config.Set.StoredEvidence(f.now, maxEvidenceSuspects), 1)
 }
+
+func TestWritesOfLongEvidenceStayWithinTheirRate(t *testing.T) {
+	f := newFixture(t)
+	a := f.loadedEntry(0)
+	const seconds = 60
+	written := 0
+	for i := range seconds {
+		a.crash(i, fleet.Trait{ID: strings.Repeat("f", 2000) + fmt.Sprint(i)})
+		f.pass(time.Second)
+		a.rows.readAt = a.now()
+		before := a.evidence.writtenAt
+		a.writeEvidence(t.Context())
+		if a.evidence.writtenAt.After(before) {
+			written += a.evidence.writtenBytes
+		}
+	}
+	require.Positive(t, written)
+	require.LessOrEqual(t, written, seconds*evidenceBytesPerSecond+maxEvidenceBytes)
+}
