Rows that a relay read before a standstill do not end it

Callers could be served on replaced weights for longer than allowed where all entries of a data centre with relays stood still while a version was accepted. The first reply of a relay after the standstill came from its cache, without the version. The reader took it for a reply of the store, forgot the standstill and counted the version from its next read; the relays, which had estimated the earliest possible time, then took over that younger age from its gossip.

Relays now tell the age of the rows that they return, from the beginning of their own call on, and a follower compares that with the end of the standstill. A relay of a build that tells none counts as old as rows may be.

TestCacheIgnoresPagesOfEarlierEras passes adoptAll the time of the call; its checks are unchanged.

--- a/tables/relay/cache.go
+++ b/tables/relay/cache.go
@@ -54,6 +54,8 @@
 	// lastReplyAt is the time of the store's last reply, or zero after a failed
 	// call.
 	lastReplyAt time.Time
+	// readAt is when the last call began from which the rows are.
+	readAt time.Time
 	// updated is closed and replaced when the cursor advances or a call to the
 	// store fails.
 	updated chan struct{}
@@ -70,17 +72,19 @@
 
 // ReadAll reads all rows of a table from the store, and caches them.
 func (c *Cache) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
+	calledAt := c.now()
 	page, err := c.source.ReadAll(ctx, table)
 	if err != nil {
 		c.markUnavailable(table)
 		return page, err
 	}
-	c.adoptAll(table, page)
+	c.adoptAll(table, page, calledAt)
 	return page, nil
 }
 
-// adoptAll caches all rows of a table, which were read from the store or a relay.
-func (c *Cache) adoptAll(table string, page rowstore.Page) {
+// adoptAll caches all rows of a table, which were read from the store or a relay by a call
+// that began at calledAt.
+func (c *Cache) adoptAll(table string, page rowstore.Page, calledAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
@@ -94,12 +98,14 @@
 	// The order of the changes since the last read is unknown.
 	t.changes = nil
 	t.changesAfter = page.Revision
+	t.readAt = calledAt.Add(-page.Age)
 	t.advance(page.Position(), c.now())
 }
 
 // Changes reads the changes of a table after a position from the store, and
 // caches them. It waits up to wait for the first change.
 func (c *Cache) Changes(ctx context.Context, table string, since rowstore.Position, wait time.Duration) (rowstore.Page, error) {
+	calledAt := c.now()
 	page, err := c.source.Changes(ctx, table, since, wait)
 	if err != nil {
 		if !errors.Is(err, rowstore.ErrHistoryGone) {
@@ -107,13 +113,13 @@
 		}
 		return page, err
 	}
-	c.adoptChanges(table, since, page)
+	c.adoptChanges(table, since, page, calledAt)
 	return page, nil
 }
 
 // adoptChanges caches the changes of a table after a position, which were read from the
-// store or a relay.
-func (c *Cache) adoptChanges(table string, since rowstore.Position, page rowstore.Page) {
+// store or a relay by a call that began at calledAt.
+func (c *Cache) adoptChanges(table string, since rowstore.Position, page rowstore.Page, calledAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table(table)
@@ -124,6 +130,7 @@
 		return
 	}
 	t.appendChanges(page.Rows)
+	t.readAt = calledAt.Add(-page.Age)
 	t.advance(rowstore.Position{Era: since.Era, Revision: max(page.Revision, since.Revision)}, c.now())
 }
 
@@ -247,7 +254,7 @@
 	}
 	byKey := func(a, b rowstore.Row) int { return cmp.Compare(a.Key, b.Key) }
 	rows := slices.SortedFunc(maps.Values(t.rows), byKey)
-	return rowstore.Page{Rows: rows, Revision: t.cursor.Revision, Era: t.cursor.Era}, StatusServed, nil
+	return rowstore.Page{Rows: rows, Revision: t.cursor.Revision, Era: t.cursor.Era, Age: c.now().Sub(t.readAt)}, StatusServed, nil
 }
 
 // ChangesSince returns the changes of a table after a position. It waits until
@@ -281,7 +288,7 @@
 	case since.Era < t.cursor.Era, since.Revision < t.changesAfter:
 		return rowstore.Page{}, StatusTooOld, nil
 	}
-	page := rowstore.Page{Revision: max(t.cursor.Revision, since.Revision), Era: t.cursor.Era}
+	page := rowstore.Page{Revision: max(t.cursor.Revision, since.Revision), Era: t.cursor.Era, Age: c.now().Sub(t.readAt)}
 	for _, row := range t.changes {
 		if row.Revision > since.Revision {
 			page.Rows = append(page.Rows, row)
--- a/tables/relay/era_test.go
+++ b/tables/relay/era_test.go
@@ -115,7 +115,7 @@
 	require.NoError(t, err)
 	s.lose(1)
 	cache, _ := newRelay(t, s)
-	cache.adoptAll(table, old)
+	cache.adoptAll(table, old, cache.now())
 	page, status := cache.AllRows(t.Context(), table, 0)
 	require.Equal(t, StatusServed, status)
 	require.Equal(t, rowstore.Position{Era: 1}, page.Position())
--- a/tables/relay/http.go
+++ b/tables/relay/http.go
@@ -42,6 +42,8 @@
 	// Compression reduces configurations to a tenth.
 	minCompressedBytes = 4 << 10
 	contentEncoding    = "gzip"
+	// ageHeader holds the Age of a page in milliseconds, rounded up.
+	ageHeader = "Rows-Age-Ms"
 	// dialTimeout bounds the connection setup, which stays within a data
 	// centre.
 	dialTimeout = 300 * time.Millisecond
@@ -72,6 +74,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		w.Header().Set(ageHeader, strconv.FormatInt(int64(page.Age/time.Millisecond)+1, 10))
 		if body.compressed {
 			w.Header().Set("Content-Encoding", contentEncoding)
 		}
@@ -168,9 +171,20 @@
 	if err := cbor.Unmarshal(body, &page); err != nil {
 		return rowstore.Page{}, fmt.Errorf("decode response of relay: %w", err)
 	}
+	page.Age = pageAge(response.Header)
 	return page, nil
 }
 
+// pageAge returns the Age of a page. That of a relay which does not tell it is less than
+// maxReplyAge.
+func pageAge(header http.Header) time.Duration {
+	ms, err := strconv.ParseUint(header.Get(ageHeader), 10, 31)
+	if err != nil {
+		return 2 * maxReplyAge
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (c *client) readBody(request *http.Request, response *http.Response) ([]byte, error) {
 	var reader io.Reader = response.Body
 	if response.Header.Get("Content-Encoding") == contentEncoding {
--- a/tables/relay/store.go
+++ b/tables/relay/store.go
@@ -126,10 +126,11 @@
 
 // ReadAll returns all rows of a table.
 func (s *Store) ReadAll(ctx context.Context, table string) (rowstore.Page, error) {
+	calledAt := s.config.Cache.now()
 	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readAll(ctx, addr, table, s.latestEra()) })
 	switch {
 	case err == nil && s.isRelay(ctx):
-		s.config.Cache.adoptAll(table, page)
+		s.config.Cache.adoptAll(table, page, calledAt)
 		return page, nil
 	case err == nil:
 		s.config.Cache.drop(table)
@@ -172,10 +173,11 @@
 		// them.
 		return rowstore.Page{}, rowstore.ErrHistoryGone
 	}
+	calledAt := s.config.Cache.now()
 	page, err := s.readFromRelay(ctx, func(addr string) (rowstore.Page, error) { return s.client.readChanges(ctx, addr, table, since, wait) })
 	switch {
 	case err == nil && isRelay:
-		s.config.Cache.adoptChanges(table, since, page)
+		s.config.Cache.adoptChanges(table, since, page, calledAt)
 	case err == nil:
 		s.config.Cache.drop(table)
 	}
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -189,7 +189,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Replace(now, name, page)
-		f.state.markRead(name, calledAt)
+		f.state.markRead(name, calledAt.Add(-page.Age))
 	})
 	f.logUnreadable(name, page)
 	if !applied {
@@ -217,7 +217,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		applied = f.state.Apply(now, name, page)
-		f.state.markRead(name, calledAt)
+		f.state.markRead(name, calledAt.Add(-page.Age))
 	})
 	f.logUnreadable(name, page)
 	if !applied {
@@ -231,10 +231,17 @@
 // store's first reply, which a long poll would delay until the next change. The caller
 // holds mu.
 func (f *Follower) longPollTimeout(name string) time.Duration {
-	if f.failing[name] || f.state.isCatchingUp() {
+	switch {
+	case f.failing[name]:
 		return 0
+	case !f.state.isCatchingUp():
+		return f.config.LongPollTimeout
+	case f.lastReply.Load() < f.runningSince.UnixNano():
+		return 0
+	default:
+		// A relay replied with rows that it read before the end of the standstill.
+		return OperatorReadInterval
 	}
-	return f.config.LongPollTimeout
 }
 
 // update changes the state, publishes the new view and logs the changes.
