An age that waited in its connection counts from the connection's start

An agent measures the ages of versions before it connects to an entry. If its request arrived late (the agent stood still while it connected, or a lossy or cut link held up the packet, which the system sends again although the client has given up), the entry counted the age from the arrival. An entry that has restarted or stood still does not know better, so that it could serve callers on replaced weights for longer by that time.

Entries count received ages from the time at which they accepted the connection: each exchange has one of its own.

The other tests pass the time of acceptance to the functions that now take it; their checks are unchanged.

--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -51,7 +51,7 @@
 		if err != nil {
 			return err
 		}
-		if server.ConnContext != nil {
+		if addr == n.CallerAddr {
 			listener = headCapturingListener{listener}
 		}
 		server.ErrorLog = stdlog.New(g.log.WriterLevel(debugLevel), "", 0)
@@ -67,7 +67,7 @@
 		}),
 		add(n.ReadyAddr, auxiliaryServer(endpoints.ReadinessHandler(g.isReady))),
 		add(n.DirectoryAddr, auxiliaryServer(endpoints.DirectoryHandler(g.resolve))),
-		add(n.PeerAddr, auxiliaryServer(g.peerHandler())),
+		add(n.PeerAddr, g.peerServer()),
 		add(g.config.MetricsAddr, auxiliaryServer(g.metricsHandler())),
 	)
 }
@@ -76,6 +76,14 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
 }
 
+func (g *Gateway) peerServer() *http.Server {
+	server := auxiliaryServer(g.peerHandler())
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return versionages.WithAcceptTime(ctx, g.clock.Now())
+	}
+	return server
+}
+
 func (g *Gateway) maxHeaderBytes() int {
 	if maxBytes := g.limits().HeaderBytes; maxBytes > 0 {
 		return maxBytes
@@ -87,7 +95,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+rowsPath+"{table}", g.serveRows)
 	snapshots := relay.NewSnapshots(g.store, nil, roster.EntriesTable, roster.AgentsTable)
-	mux.Handle("POST "+versionages.Path, versionages.Handler(g.versionAges, g.onVersionAges, g.log))
+	mux.Handle("POST "+versionages.Path, versionages.Handler(g.versionAges, g.onVersionAges, g.clock.Now, g.log))
 	mux.Handle(relay.Path, relay.Handler(g.relayCache, snapshots, g.log))
 	return mux
 }
--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -77,8 +77,7 @@
 	return versionages.Known(g.follower.View(), g.clock.Now(), g.node.Load().Bounds.VersionInForce)
 }
 
-// onVersionAges handles the ages of versions at an agent.
-func (g *Gateway) onVersionAges(ages []versionages.Age) {
-	now := g.clock.Now()
-	versionages.Report(g.follower, watch.SourceAgent, ages, now, now.Add(-maxReportDelay))
+// onVersionAges handles the ages of versions at an agent, which were true at a time.
+func (g *Gateway) onVersionAges(ages []versionages.Age, at time.Time) {
+	versionages.Report(g.follower, watch.SourceAgent, ages, at, at.Add(-maxReportDelay))
 }
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -24,14 +24,14 @@
 
 // newTestExchange returns the exchange of an agent that has read version 1 at its start, with
 // an entry that knows the age of version 2. received gets what the agent sends.
-func newTestExchange(t *testing.T, age time.Duration, received func([]versionages.Age)) *ageExchange {
+func newTestExchange(t *testing.T, age time.Duration, received func([]versionages.Age, time.Time)) *ageExchange {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	log := logrus.NewEntry(logger)
 	mux := http.NewServeMux()
 	known := func() []versionages.Age { return []versionages.Age{{Model: "m", Version: 2, Age: age}} }
-	mux.Handle("POST "+versionages.Path, versionages.Handler(known, received, log))
+	mux.Handle("POST "+versionages.Path, versionages.Handler(known, received, time.Now, log))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	entries := func(context.Context) []gossip.Member {
@@ -52,7 +52,7 @@
 }
 
 func TestAgentThatReadsAVersionLateCountsFromTheAgeThatAnEntryTells(t *testing.T) {
-	e := newTestExchange(t, 5*time.Second, func([]versionages.Age) {})
+	e := newTestExchange(t, 5*time.Second, func([]versionages.Age, time.Time) {})
 	importVersion(t, e.follower, 2)
 	readAt := e.clock.Now()
 	e.exchange(t.Context())
@@ -63,7 +63,7 @@
 
 func TestAgentTellsEntriesTheAgesThatItKnows(t *testing.T) {
 	var received []versionages.Age
-	e := newTestExchange(t, 0, func(ages []versionages.Age) { received = ages })
+	e := newTestExchange(t, 0, func(ages []versionages.Age, _ time.Time) { received = ages })
 	importVersion(t, e.follower, 2)
 	e.exchange(t.Context())
 	require.Len(t, received, 1, "the agent does not know the age of version 1, which it found at its start")
@@ -71,7 +71,7 @@
 }
 
 func TestAgesAreExchangedOnlyAfterANewVersion(t *testing.T) {
-	e := newTestExchange(t, 0, func([]versionages.Age) {})
+	e := newTestExchange(t, 0, func([]versionages.Age, time.Time) {})
 	<-e.versionRead
 	require.True(t, e.isActive())
 	e.until = e.clock.Now()
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -67,17 +67,30 @@
 	return list[:min(len(list), maxAges)]
 }
 
+type acceptedKey struct{}
+
+// WithAcceptTime returns the context of a connection that was accepted at a time.
+func WithAcceptTime(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, acceptedKey{}, at)
+}
+
 // Handler serves exchanges. known returns the ages that this daemon knows, and receive is
-// called with those of the caller.
-func Handler(known func() []Age, receive func([]Age), log *logrus.Entry) http.Handler {
+// called with those of the caller and the time at which they were true at the latest: the
+// caller has measured them before it connected, and its request may have waited since. now is
+// the clock, which is that of WithAcceptTime as well.
+func Handler(known func() []Age, receive func(ages []Age, at time.Time), now func() time.Time, log *logrus.Entry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		at, ok := request.Context().Value(acceptedKey{}).(time.Time)
+		if !ok {
+			at = now()
+		}
 		ages, err := decode(http.MaxBytesReader(w, request.Body, maxBodyBytes))
 		if err != nil {
 			log.WithError(err).WithField("from", request.RemoteAddr).Warn("Refused a report of versions' ages that cannot be read.")
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		receive(ages)
+		receive(ages, at)
 		body, err := cbor.Marshal(message{Ages: known()})
 		if err != nil {
 			log.WithError(err).Error("Could not encode the ages of versions.")
--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -53,7 +53,11 @@
 
 func (d *daemon) known() []Age { return Known(d.follower.View(), d.now, inForceWithin) }
 
-func (d *daemon) receive(ages []Age) { Report(d.follower, watch.SourceEntry, ages, d.now, d.now) }
+func (d *daemon) clockNow() time.Time { return d.now }
+
+func (d *daemon) receive(ages []Age, at time.Time) {
+	Report(d.follower, watch.SourceEntry, ages, at, at)
+}
 
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
@@ -65,9 +69,9 @@
 // exchange lets an agent exchange ages with an entry.
 func exchange(t *testing.T, agent, entry *daemon) {
 	t.Helper()
-	ages, err := NewClient().Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, discardLogger())), agent.known())
+	ages, err := NewClient().Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, entry.clockNow, discardLogger())), agent.known())
 	require.NoError(t, err)
-	agent.receive(ages)
+	agent.receive(ages, agent.now)
 }
 
 func TestAgentWhoseRelayStoodStillLearnsTheAgeOfAVersionFromAnEntry(t *testing.T) {
@@ -150,7 +154,7 @@
 
 func TestMalformedAndInvalidAgesAreDropped(t *testing.T) {
 	d := newDaemon()
-	handler := Handler(d.known, func(ages []Age) { require.Empty(t, ages) }, discardLogger())
+	handler := Handler(d.known, func(ages []Age, _ time.Time) { require.Empty(t, ages) }, d.clockNow, discardLogger())
 	addr := serve(t, handler)
 	_, err := NewClient().Exchange(t.Context(), addr, []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}})
 	require.NoError(t, err)
@@ -165,7 +169,7 @@
 		sent = append(sent, Age{Model: fleet.Model(strings.Repeat("m", 200)), Version: 1 << 40, Age: time.Hour})
 	}
 	var received []Age
-	addr := serve(t, Handler(func() []Age { return nil }, func(ages []Age) { received = ages }, discardLogger()))
+	addr := serve(t, Handler(func() []Age { return nil }, func(ages []Age, _ time.Time) { received = ages }, time.Now, discardLogger()))
 	_, err := NewClient().Exchange(t.Context(), addr, sent)
 	require.NoError(t, err)
 	require.Equal(t, sent, received)
@@ -174,7 +178,7 @@
 func TestMergedVersionsAreReportedWithTheOldestOne(t *testing.T) {
 	d := newDaemon()
 	d.read(3, 0)
-	addr := serve(t, Handler(func() []Age { return []Age{{Model: "m", Version: 3, Age: time.Second, First: 2}} }, d.receive, discardLogger()))
+	addr := serve(t, Handler(func() []Age { return []Age{{Model: "m", Version: 3, Age: time.Second, First: 2}} }, d.receive, d.clockNow, discardLogger()))
 	ages, err := NewClient().Exchange(t.Context(), addr, nil)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, ages[0].First)
