--- a/daemon/gateway/listen.go
+++ b/daemon/gateway/listen.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return err
 		}
-		if server.ConnContext != nil {
+		if addr == n.CallerAddr {
 			listener = headCapturingListener{listener, g.maxHeaderBytes}
 		}
 		server.ErrorLog = stdlog.New(g.log.WriterLevel(debugLevel), "", 0)
@@ -65,7 +65,7 @@
 		}),
 		add(n.ReadyAddr, auxiliaryServer(endpoints.ReadinessHandler(g.isReady))),
 		add(n.DirectoryAddr, auxiliaryServer(endpoints.DirectoryHandler(g.resolve))),
-		add(n.PeerAddr, auxiliaryServer(g.peerHandler())),
+		add(n.PeerAddr, g.peerServer()),
 		add(g.config.MetricsAddr, auxiliaryServer(g.metricsHandler())),
 	)
 }
@@ -74,11 +74,19 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, IdleTimeout: auxiliaryIdleTimeout}
 }
 
+func (g *Gateway) peerServer() *http.Server {
+	server := auxiliaryServer(g.peerHandler())
+	server.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return versionages.WithAcceptTime(ctx, g.clock.Now())
+	}
+	return server
+}
+
 func (g *Gateway) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+rowsPath+"{table}", g.serveRows)
 	snapshots := relay.NewSnapshots(g.store, nil, roster.EntriesTable, roster.AgentsTable)
-	mux.Handle("POST "+versionages.Path, versionages.Handler(g.versionAges, g.onVersionAges, g.log))
+	mux.Handle("POST "+versionages.Path, versionages.Handler(g.versionAges, g.onVersionAges, g.clock.Now, g.log))
 	mux.Handle(relay.Path, relay.Handler(g.relayCache, snapshots, g.log))
 	return mux
 }
