--- a/daemon/deployed/grace_soak_test.go
+++ b/daemon/deployed/grace_soak_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -179,6 +180,13 @@
 	delete(s.addrs, entry)
 }
 
+// known returns the entries that callers know. A delayed forget may run beside it.
+func (s *graceSoak) known() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.addrs))
+}
+
 // requireTrue checks the results of all calls.
 func (s *graceSoak) requireTrue(t *testing.T, seed uint64) {
 	runs := map[string]int{}
@@ -276,7 +284,7 @@
 			s.operate(operator, settings, time.Now().Add(graceSoakDuration))
 			close(stop)
 			callers.Wait()
-			for entry := range maps.Keys(s.addrs) {
+			for _, entry := range s.known() {
 				s.stopEntry(entry)
 			}
 			s.requireTrue(t, seed)
