--- a/daemon/deployed/wait_at_server_test.go
+++ b/daemon/deployed/wait_at_server_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"currantusher.dev/platform/standin"
+	"currantusher.dev/tables/watch"
 )
 
 // startStreamHeldBy starts a stream of an entry that a silent server holds.
@@ -95,3 +96,20 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	d.awaitLogLine("Recalling a request", "server="+first.ID)
 }
+
+// A request at an engine whose row had lapsed was not recalled.
+func TestRequestAtAnUnlistedEngineIsRecalledFromOutdatedWeights(t *testing.T) {
+	t.Parallel()
+	d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, maxAttempts: 1, retryRatio: 1, retrySlack: 1000, gapObjective: patientGapObjective})
+	first := d.engines[0]
+	first.Silence()
+	stream := d.startStreamHeldBy(0, first)
+	d.store.Remove(watch.ServersTable, first.ID)
+	d.awaitLogLine("msg=gone", "key="+first.ID)
+	d.store.PutVersion(modelName, 2)
+	d.eventually(stream.hasEnded, "the stream does not end")
+	got := stream.result()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status)
+	d.awaitLogLine("Recalling a request", "server="+first.ID)
+}
