--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -8,7 +8,6 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/stall"
-	"currantusher.dev/tables/watch"
 )
 
 // serverObservations holds what responses revealed about backend servers. It
@@ -66,10 +65,10 @@
 }
 
 // version returns the version in a response within observationTTL, or 0.
-func (o *serverObservations) version(now time.Time, server *watch.Server, model fleet.Model) fleet.WeightsVersion {
+func (o *serverObservations) version(now time.Time, server core.InstanceID, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	observed, ok := o.servers[server.ID]
+	observed, ok := o.servers[server]
 	if !ok || now.Sub(observed.updatedAt) > observationTTL {
 		return 0
 	}
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -141,6 +141,7 @@
 		return
 	}
 	t.waits.remove(t)
+	t.waits.gateway.reportOutdatedBegin(now, t)
 	registry := t.waits.gateway.registry
 	t.waits.gateway.histogram("queue_wait.bound_excess_millis." + string(t.service)).Update((bound - wait).Milliseconds())
 	if wait > bound {
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"currantusher.dev/core"
@@ -104,11 +105,31 @@
 			g.log.WithFields(logrus.Fields{
 				"server": t.server, "model": t.model, "waiting_ms": now.Sub(t.sentAt).Milliseconds(),
 			}).Warn("Recalling a request that would begin on weights that are out of date.")
+			metrics.GetOrRegisterCounter("weights.recalled_requests", g.registry).Inc(1)
 			t.cancel()
 		}
 	})
 }
 
+// reportOutdatedBegin counts and logs a request whose first event was received now from a
+// server whose weights must not serve it any more.
+func (g *Gateway) reportOutdatedBegin(now time.Time, t *trackedWait) {
+	version := g.observations.version(now, t.server, t.model)
+	if version == 0 {
+		return
+	}
+	view := g.follower.View()
+	required := view.RequiredVersion(now, t.model, g.node.Load().Bounds.VersionInForce)
+	if version >= required {
+		return
+	}
+	metrics.GetOrRegisterCounter("weights.outdated_begins", g.registry).Inc(1)
+	g.log.WithFields(logrus.Fields{
+		"server": t.server, "model": t.model, "version": version, "required_version": required,
+		"waiting_ms": now.Sub(t.sentAt).Milliseconds(), "listed": view.Server(t.service, t.server) != nil,
+	}).Warn("A server began a request on weights that are out of date.")
+}
+
 // isLate reports whether a request must not begin any more at its server.
 func (g *Gateway) isLate(now time.Time, view *watch.View, t *trackedWait) bool {
 	if t.cancel == nil || t.model == "" {
