--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -135,11 +135,6 @@
 			return g.expectedVersion(requirements{service: c.service, model: model, recallable: c.route.IsRepeatable()}, server)
 		},
 	}
-	if model != "" {
-		request.IsOutdated = func(server core.InstanceID) bool {
-			return g.isOutdated(g.clock.Now(), g.follower.View(), c.service, server, model)
-		}
-	}
 	if c.team != nil {
 		request.Team = c.team.Name
 	}
--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -14,6 +14,7 @@
 	"currantusher.dev/core/netdial"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/headers"
+	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/quarantine"
 	"currantusher.dev/requests/upstream"
@@ -256,9 +257,9 @@
 // recall cancels the requests that a change applies to and that no engine has begun, as
 // far as they may be sent again. It returns their number.
 func (c *crashGuard) recall(change quarantine.Change) int {
-	taken := c.gateway.queueWaits.takePending(func(t *trackedWait) bool { return t.cancel != nil && change.AppliesTo(t.traits) })
+	taken := c.gateway.queueWaits.takePending(func(t *trackedWait) bool { return t.recall != nil && change.AppliesTo(t.traits) })
 	for _, t := range taken {
-		t.cancel()
+		t.recall(direct.RecallQuarantined)
 	}
 	return len(taken)
 }
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -9,6 +9,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/members/gossip"
+	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/queuewait"
 	"currantusher.dev/tables/watch"
 )
@@ -38,9 +39,11 @@
 	model   fleet.Model
 	traits  []fleet.Trait
 	sentAt  time.Time
-	// cancel aborts the attempt so that another server gets the request; nil if it
-	// must not be sent again.
-	cancel func()
+	// recall is nil if the request must not be sent again.
+	recall direct.Recall
+	// listed is the server as listed when the request was sent. Its row may lapse while the
+	// request waits.
+	listed *watch.Server
 	// hasHead is set once the head of the answer was received.
 	hasHead bool
 	// cost records the attempt's part of the server's work.
@@ -103,19 +106,20 @@
 
 // track starts to observe an attempt at a server. It returns nil for services without
 // engines.
-func (q *queueWaits) track(now time.Time, o observer, id core.InstanceID, cancel func()) *trackedWait {
+func (q *queueWaits) track(now time.Time, o observer, id core.InstanceID, recall direct.Recall) *trackedWait {
 	view := q.gateway.follower.View()
 	if view.Table == nil {
 		return nil
 	}
-	service, server := view.Table.Service(o.service), view.Server(o.service, id)
-	if service == nil || service.Engine == nil || server == nil {
+	service := view.Table.Service(o.service)
+	if service == nil || service.Engine == nil {
 		return nil
 	}
+	server := q.gateway.listedOrExpected(view, o, id)
 	load := queueLoad(service, server.Slots, id, q.gateway.gossip.Loads())
 	t := &trackedWait{
 		waits: q, request: q.estimator(o.service).Sent(now, id, load),
-		service: o.service, server: id, model: o.model, traits: o.traits, sentAt: now, cancel: cancel,
+		service: o.service, server: id, model: o.model, traits: o.traits, sentAt: now, recall: recall, listed: server,
 		cost: o.cost.sent(q.gateway, now, server),
 	}
 	q.mu.Lock()
@@ -149,6 +153,16 @@
 	}
 }
 
+// listedOrExpected returns a server as listed. If its row has lapsed since the request was
+// placed, the server has the version that the request expects, or has refused it.
+func (g *Gateway) listedOrExpected(view *watch.View, o observer, id core.InstanceID) *watch.Server {
+	if server := view.Server(o.service, id); server != nil {
+		return server
+	}
+	expected := g.expectedVersion(requirements{service: o.service, model: o.model}, id)
+	return &watch.Server{Server: fleet.Server{ID: id, Weights: map[fleet.Model]fleet.WeightsVersion{o.model: expected}}}
+}
+
 // suspended records that the answer is not read until dataReceived.
 func (t *trackedWait) suspended() {
 	if t != nil {
--- a/daemon/gateway/stall_test.go
+++ b/daemon/gateway/stall_test.go
@@ -12,6 +12,7 @@
 	"currantusher.dev/daemon/obs"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/stall"
 	"currantusher.dev/tables/watch"
@@ -57,7 +58,7 @@
 		for range requestsPerServer {
 			_, err := placer.Pick(now, placement.Request{}, []placement.Candidate{{ID: server, Limit: 16, Direct: true, FreeSlots: 16}})
 			require.NoError(t, err)
-			attempt := observer{gateway: g, service: "llm"}.StartAttempt(server, func() { cancelled++ }, func() { reported++ })
+			attempt := observer{gateway: g, service: "llm"}.StartAttempt(server, func(direct.RecallReason) bool { cancelled++; return true }, func() { reported++ })
 			attempt.DataReceived()
 		}
 	}
@@ -78,7 +79,7 @@
 	candidates := []placement.Candidate{{ID: "s-1", Limit: 16, Direct: true, FreeSlots: 13}}
 	_, err := placer.Pick(now, placement.Request{}, candidates)
 	require.NoError(t, err)
-	attempt := observer{gateway: g, service: "llm"}.StartAttempt("s-1", func() {}, func() {})
+	attempt := observer{gateway: g, service: "llm"}.StartAttempt("s-1", nil, func() {})
 	attempt.DataReceived()
 	later := now.Add(time.Minute)
 	g.reportStalledServers(later)
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -10,6 +10,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/members/gossip"
+	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/queuewait"
 	"currantusher.dev/tables/watch"
 )
@@ -106,7 +107,7 @@
 				"server": t.server, "model": t.model, "waiting_ms": now.Sub(t.sentAt).Milliseconds(),
 			}).Warn("Recalling a request that would begin on weights that are out of date.")
 			metrics.GetOrRegisterCounter("weights.recalled_requests", g.registry).Inc(1)
-			t.cancel()
+			t.recall(direct.RecallOutdated)
 		}
 	})
 }
@@ -132,18 +133,17 @@
 
 // isLate reports whether a request must not begin any more at its server.
 func (g *Gateway) isLate(now time.Time, view *watch.View, t *trackedWait) bool {
-	if t.cancel == nil || t.model == "" {
+	if t.recall == nil || t.model == "" {
 		return false
 	}
-	return g.isOutdated(now, view, t.service, t.server, t.model)
-}
-
-// isOutdated reports whether a request must not begin any more on the weights of a server.
-func (g *Gateway) isOutdated(now time.Time, view *watch.View, service fleet.ServiceName, id core.InstanceID, model fleet.Model) bool {
-	required := view.RequiredVersion(now.Add(recallLead), model, g.node.Load().Bounds.VersionInForce)
+	required := view.RequiredVersion(now.Add(recallLead), t.model, g.node.Load().Bounds.VersionInForce)
 	if required == 0 {
 		return false
 	}
-	server := view.Server(service, id)
-	return server != nil && g.knownVersion(server, model) < required
+	server := view.Server(t.service, t.server)
+	if server == nil {
+		// A server that stands still loses its row, and begins the request when it goes on.
+		server = t.listed
+	}
+	return g.knownVersion(server, t.model) < required
 }
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -12,6 +12,7 @@
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
+	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/tables/watch"
 )
@@ -79,15 +80,16 @@
 // A server that becomes slow after the send holds the request for longer than estimated.
 func TestWaitingRequestIsRecalledBeforeAVersionIsInForce(t *testing.T) {
 	sentAt := time.Now()
-	g, view, service, _ := versionFixture(sentAt.Add(-testInForceWithin + 3*time.Second))
+	g, view, service, server := versionFixture(sentAt.Add(-testInForceWithin + 3*time.Second))
 	load := queueLoad(service, 16, "s-1", gossip.Loads{})
-	track := func(cancel func()) *trackedWait {
+	track := func(recall direct.Recall) *trackedWait {
 		w := &trackedWait{waits: g.queueWaits, request: g.queueWaits.estimator("llm").Sent(sentAt, "s-1", load),
-			service: "llm", server: "s-1", model: "m", sentAt: sentAt, cancel: cancel}
+			service: "llm", server: "s-1", model: "m", sentAt: sentAt, recall: recall, listed: server}
 		g.queueWaits.pending[w] = true
 		return w
 	}
-	waiting, begun, once := track(func() {}), track(func() {}), track(nil)
+	recall := func(direct.RecallReason) bool { return true }
+	waiting, begun, once := track(recall), track(recall), track(nil)
 	begun.dataReceived()
 	begun.dataReceived()
 	late := func(now time.Time) []*trackedWait {
@@ -100,6 +102,20 @@
 	require.Empty(t, g.queueWaits.pending)
 }
 
+// A server whose row lapsed while it stood still kept the requests that it had not begun.
+func TestRequestAtAServerWhoseRowLapsedIsRecalled(t *testing.T) {
+	sentAt := time.Now()
+	g, view, _, server := versionFixture(sentAt.Add(-testInForceWithin + 3*time.Second))
+	recall := func(direct.RecallReason) bool { return true }
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: sentAt, recall: recall, listed: server}
+	delete(view.Servers, "llm")
+	require.False(t, g.isLate(sentAt.Add(2*time.Second), view, w))
+	require.True(t, g.isLate(sentAt.Add(3*time.Second-recallLead), view, w))
+
+	w.listed = &watch.Server{Server: fleet.Server{ID: "s-1", Weights: map[fleet.Model]fleet.WeightsVersion{"m": 2}}}
+	require.False(t, g.isLate(sentAt.Add(time.Hour), view, w), "the server has the new version")
+}
+
 func TestExcessOfTheWaitBoundIsMeasured(t *testing.T) {
 	g, _, service, _ := versionFixture(time.Now())
 	sentAt := g.clock.Now().Add(-2 * time.Minute)
@@ -124,3 +140,23 @@
 	once := requirements{service: "llm", model: "m"}
 	require.False(t, g.mayServe(at(inTime), view, service, server, once, full), "a request that must not run twice is not recalled")
 }
+
+// A request whose server's row lapsed before it was sent was not recalled at all.
+func TestRequestIsRecalledIfTheRowOfItsServerLapsedBeforeTheSend(t *testing.T) {
+	l := newListedGateway(t, "a")
+	store := l.servers[0].Store
+	store.PutConfig(fleet.Configuration{Version: 2, IsOpen: true, Services: []fleet.Service{{Name: testService, MaxConns: 100, Engine: engineService(16, 7400*time.Microsecond, 31900, 6).Engine}}})
+	store.PutVersion("m", 1)
+	l.read()
+	node := *l.node.Load()
+	node.Bounds.VersionInForce = testInForceWithin
+	l.node.Store(&node)
+	now := l.clock.Now()
+	o := observer{gateway: l.Gateway, service: testService, model: "m"}
+	w := l.queueWaits.track(now, o, "s-lapsed", func(direct.RecallReason) bool { return true })
+	require.NotNil(t, w)
+	require.False(t, l.isLate(now, l.follower.View(), w), "the server has refused the request unless it has version 1")
+	store.PutVersion("m", 2)
+	l.read()
+	require.True(t, l.isLate(now.Add(testInForceWithin), l.follower.View(), w))
+}
--- a/requests/direct/abort.go
+++ b/requests/direct/abort.go
@@ -1,11 +1,25 @@
 package direct
 
+// RecallReason tells why a request must not begin at its server.
+type RecallReason int
+
+const (
+	// RecallQuarantined means that the request may crash its server.
+	RecallQuarantined RecallReason = iota + 1
+	// RecallOutdated means that the server's weights must not serve it any more.
+	RecallOutdated
+)
+
+// Recall takes a request back from a server that has not begun its answer, and reports
+// whether it did.
+type Recall func(RecallReason) bool
+
 // mayAbort reports whether the request can continue elsewhere if this attempt is
 // aborted: at another server, or at the one that it would leave in a handover. An attempt
-// that may become outdated may be aborted in any case.
+// whose server's weights may become outdated may be aborted in any case.
 func (s *replyStream) mayAbort() bool {
 	e := s.exchange
-	if e.maySendAgain() || e.request.Repeatable && e.request.IsOutdated != nil {
+	if e.maySendAgain() || e.request.Repeatable && e.request.Model != "" {
 		return true
 	}
 	e.mu.Lock()
@@ -13,12 +27,6 @@
 	return s.isReplaceable()
 }
 
-// isOutdated reports whether the server must not begin the request any more.
-func (s *replyStream) isOutdated() bool {
-	e := s.exchange
-	return e.request.Repeatable && e.request.IsOutdated != nil && e.request.IsOutdated(s.server)
-}
-
 // isReplaceable reports whether another open attempt can serve the request. A stream that
 // has begun stays at its server during a handover, since the target may not continue it.
 // The caller holds the mutex of the exchange.
@@ -27,21 +35,23 @@
 	return e.openAttempts > 1 && (s.isHandover || !e.hasEvent)
 }
 
-// abort closes the connection unless the answer has begun. The last attempt stays open if
-// the caller has received an event, or if the server may still begin the request.
-func (s *replyStream) abort() {
-	e, outdated := s.exchange, s.isOutdated()
+// abort implements Recall by closing the connection. The last attempt stays open if the
+// caller has received an event, or if the server may still begin the request.
+func (s *replyStream) abort(reason RecallReason) bool {
+	e := s.exchange
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if s.isClosed || s.isAborted || s.hasData {
-		return
+		return false
 	}
-	if !e.hasAttemptsLeft() && !s.isReplaceable() && (!outdated || e.hasEvent) {
-		return
+	isLast := !e.hasAttemptsLeft() && !s.isReplaceable()
+	if isLast && (reason != RecallOutdated || e.hasEvent) {
+		return false
 	}
 	s.isAborted = true
 	e.openAttempts--
 	s.conn.Close()
+	return true
 }
 
 func (s *replyStream) wasAborted() bool {
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -41,11 +41,11 @@
 	// AnswerReceived reports two header fields of a server's answer: the version
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
-	// StartAttempt is called after a request was written to a server. cancel
-	// aborts the attempt; it is nil if the request must not be sent again. stalled says
+	// StartAttempt is called after a request was written to a server. recall
+	// is nil if the request must not be sent again. stalled says
 	// that the server sends nothing, so that another one is asked while the attempt goes
 	// on; it may be called more than once.
-	StartAttempt(server core.InstanceID, cancel, stalled func()) AttemptObserver
+	StartAttempt(server core.InstanceID, recall Recall, stalled func()) AttemptObserver
 	// AnswerBegan is called when the first data of a stream with a success status was
 	// received, or all data of another answer with such a status.
 	AnswerBegan(server notices.Lifetime)
@@ -106,9 +106,6 @@
 	// Version returns the version of the weights with which a server must serve
 	// an attempt, or 0 for any.
 	Version func(server core.InstanceID) fleet.WeightsVersion
-	// IsOutdated, if set, reports whether a server must not begin the request any more
-	// because of its weights.
-	IsOutdated func(server core.InstanceID) bool
 }
 
 // Exchange sends one request and writes its answer to the caller. Use it for a
@@ -230,14 +227,15 @@
 		s.continuation = eventstream.NewContinuation(s.lastEventID)
 	}
 	s.open()
-	var cancel, stalled func()
+	var recall Recall
 	if s.mayAbort() {
-		cancel = s.abort
+		recall = s.abort
 	}
+	var stalled func()
 	if e.request.Repeatable {
 		stalled = s.reportStalled
 	}
-	s.attemptObserver = e.observer.StartAttempt(server.ID, cancel, stalled)
+	s.attemptObserver = e.observer.StartAttempt(server.ID, recall, stalled)
 	return s, nil
 }
 
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -17,16 +17,16 @@
 	"currantusher.dev/wire"
 )
 
-// abortObserver keeps the cancel function of each attempt and the servers whose attempts
+// abortObserver keeps the Recall of each attempt and the servers whose attempts
 // were suspended.
 type abortObserver struct {
 	nopObserver
-	cancels   []func()
+	recalls   []Recall
 	suspended []core.InstanceID
 }
 
-func (o *abortObserver) StartAttempt(server core.InstanceID, cancel, _ func()) AttemptObserver {
-	o.cancels = append(o.cancels, cancel)
+func (o *abortObserver) StartAttempt(server core.InstanceID, recall Recall, _ func()) AttemptObserver {
+	o.recalls = append(o.recalls, recall)
 	return abortAttempt{observer: o, server: server}
 }
 
@@ -151,13 +151,13 @@
 	more := make(chan struct{})
 	e, observer, old := newHandover(t, serveUntilClosed(t, more))
 	target := startAttempt(t, e, "s-2", serveNothing(t))
-	observer.cancels[0]()
-	require.NotNil(t, observer.cancels[1])
-	observer.cancels[1]()
+	observer.recalls[0](RecallQuarantined)
+	require.NotNil(t, observer.recalls[1])
+	observer.recalls[1](RecallQuarantined)
 	_, err := target.Recv()
 	require.Error(t, err)
 	target.Cancel()
-	observer.cancels[0]()
+	observer.recalls[0](RecallQuarantined)
 	close(more)
 	requireEvent(t, old, secondEvent)
 }
@@ -168,7 +168,7 @@
 	target := startAttempt(t, e, "s-2", serveTwoEvents(t, more, secondEvent, thirdEvent))
 	requireEvent(t, target, secondEvent)
 	old.Cancel()
-	observer.cancels[1]()
+	observer.recalls[1](RecallQuarantined)
 	close(more)
 	requireEvent(t, target, thirdEvent)
 }
@@ -183,7 +183,7 @@
 	reply, err := target.Recv()
 	require.NoError(t, err)
 	require.Equal(t, core.ExecutionNotRun, reply.End.Execution)
-	observer.cancels[0]()
+	observer.recalls[0](RecallQuarantined)
 	_, err = old.Recv()
 	require.Error(t, err)
 }
@@ -198,8 +198,8 @@
 	more := make(chan struct{})
 	old := startAttempt(t, e, "s-1", serveUntilClosed(t, more))
 	target := startAttempt(t, e, "s-2", serveUntilClosed(t, more))
-	observer.cancels[0]()
-	observer.cancels[1]()
+	observer.recalls[0](RecallQuarantined)
+	observer.recalls[1](RecallQuarantined)
 	_, err := old.Recv()
 	require.Error(t, err)
 	requireEvent(t, target, firstEvent)
@@ -209,26 +209,25 @@
 func TestRecallDoesNotCutAStreamThatHasJustBegun(t *testing.T) {
 	more := make(chan struct{})
 	_, observer, stream := newHandover(t, serveUntilClosed(t, more))
-	observer.cancels[0]()
+	observer.recalls[0](RecallQuarantined)
 	close(more)
 	requireEvent(t, stream, secondEvent)
 }
 
 // A request that waited in its last attempt began on weights that were out of date.
 func TestLastAttemptIsRecalledOnlyFromOutdatedWeights(t *testing.T) {
-	for name, isOutdated := range map[string]bool{"outdated": true, "up to date": false} {
+	for name, reason := range map[string]RecallReason{"outdated": RecallOutdated, "up to date": RecallQuarantined} {
 		t.Run(name, func(t *testing.T) {
 			e := newTestExchange(fleet.RouteStreaming)
-			e.request.MaxAttempts = 1
-			e.request.IsOutdated = func(core.InstanceID) bool { return isOutdated }
+			e.request.MaxAttempts, e.request.Model = 1, "m"
 			observer := &abortObserver{}
 			e.observer = observer
 			more := make(chan struct{})
 			addr := serveTwoEvents(t, more, "", firstEvent)
 			stream := startAttempt(t, e, "s-1", addr)
-			observer.cancels[0]()
+			require.Equal(t, reason == RecallOutdated, observer.recalls[0](reason))
 			close(more)
-			if !isOutdated {
+			if reason != RecallOutdated {
 				requireEvent(t, stream, firstEvent)
 				return
 			}
@@ -246,11 +245,11 @@
 
 func TestLastAttemptOfAStreamThatHasBegunIsNotRecalled(t *testing.T) {
 	e, observer, old := newHandover(t, serveRawAnswer(t, okAnswerHead+"\r\n"+firstEvent))
-	e.request.IsOutdated = func(core.InstanceID) bool { return true }
+	e.request.Model = "m"
 	old.Cancel()
 	more := make(chan struct{})
 	last := startAttempt(t, e, "s-2", serveTwoEvents(t, more, "", secondEvent))
-	observer.cancels[1]()
+	observer.recalls[1](RecallOutdated)
 	close(more)
 	requireEvent(t, last, secondEvent)
 }
--- a/requests/direct/kept_conn_test.go
+++ b/requests/direct/kept_conn_test.go
@@ -86,7 +86,7 @@
 }
 
 func TestAttemptThatEndedDoesNotCloseTheConnectionOfTheNextRequest(t *testing.T) {
-	for name, endAgain := range map[string]func(*replyStream){"cancelled": (*replyStream).Cancel, "aborted": (*replyStream).abort} {
+	for name, endAgain := range map[string]func(*replyStream){"cancelled": (*replyStream).Cancel, "recalled": func(s *replyStream) { s.abort(RecallOutdated) }} {
 		t.Run(name, func(t *testing.T) {
 			mayAnswer := make(chan struct{})
 			addr := serveRequests(t, func(request *http.Request, n int) string {
--- a/requests/direct/release_test.go
+++ b/requests/direct/release_test.go
@@ -26,7 +26,7 @@
 func TestEndedAttemptDoesNotCloseTheConnectionOfTheNextRequest(t *testing.T) {
 	ends := map[string]func(e *Exchange, stream dispatch.ReplyStream){
 		"cancelled": func(_ *Exchange, stream dispatch.ReplyStream) { stream.Cancel() },
-		"aborted":   func(e *Exchange, _ dispatch.ReplyStream) { e.observer.(*abortObserver).cancels[0]() },
+		"recalled":  func(e *Exchange, _ dispatch.ReplyStream) { e.observer.(*abortObserver).recalls[0](RecallOutdated) },
 	}
 	for end, endAttempt := range ends {
 		for name, answer := range map[string]string{
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -31,7 +31,7 @@
 
 type nopObserver struct{}
 
-func (nopObserver) StartAttempt(core.InstanceID, func(), func()) AttemptObserver {
+func (nopObserver) StartAttempt(core.InstanceID, Recall, func()) AttemptObserver {
 	return nopAttempt{}
 }
 func (nopObserver) AnswerBegan(notices.Lifetime)             {}
@@ -211,8 +211,8 @@
 	cancellable []bool
 }
 
-func (o *cancelObserver) StartAttempt(_ core.InstanceID, cancel, _ func()) AttemptObserver {
-	o.cancellable = append(o.cancellable, cancel != nil)
+func (o *cancelObserver) StartAttempt(_ core.InstanceID, recall Recall, _ func()) AttemptObserver {
+	o.cancellable = append(o.cancellable, recall != nil)
 	return nopAttempt{}
 }
 
