--- a/daemon/gateway/quarantine.go
+++ b/daemon/gateway/quarantine.go
@@ -257,11 +257,7 @@
 // recall cancels the requests that a change applies to and that no engine has begun, as
 // far as they may be sent again. It returns their number.
 func (c *crashGuard) recall(change quarantine.Change) int {
-	taken := c.gateway.queueWaits.takePending(func(t *trackedWait) bool { return t.recall != nil && change.AppliesTo(t.traits) })
-	for _, t := range taken {
-		t.recall(direct.RecallQuarantined)
-	}
-	return len(taken)
+	return len(c.gateway.queueWaits.recallPending(direct.RecallQuarantined, func(t *trackedWait) bool { return change.AppliesTo(t.traits) }))
 }
 
 // AnswerBegan implements direct.Observer.
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -185,18 +186,31 @@
 	delete(q.pending, t)
 }
 
-// takePending removes and returns the attempts that no engine has begun and that match.
-func (q *queueWaits) takePending(match func(*trackedWait) bool) []*trackedWait {
+// recallPending recalls the attempts that no engine has begun and that match, and returns
+// them. One that stays at its server may be recalled later for another reason.
+func (q *queueWaits) recallPending(reason direct.RecallReason, match func(*trackedWait) bool) []*trackedWait {
+	matching := q.matchingPending(match)
+	return slices.DeleteFunc(matching, func(t *trackedWait) bool {
+		recalled := t.recall(reason)
+		if recalled {
+			q.remove(t)
+		}
+		return !recalled
+	})
+}
+
+// matchingPending returns the attempts that no engine has begun, that can be recalled and
+// that match.
+func (q *queueWaits) matchingPending(match func(*trackedWait) bool) []*trackedWait {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var taken []*trackedWait
+	var matching []*trackedWait
 	for t := range q.pending {
-		if match(t) {
-			delete(q.pending, t)
-			taken = append(taken, t)
+		if t.recall != nil && match(t) {
+			matching = append(matching, t)
 		}
 	}
-	return taken
+	return matching
 }
 
 // paces returns the servers that this entry observes to be slower than usual.
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -102,16 +102,20 @@
 func (g *Gateway) recallLateRequests(ctx context.Context) error {
 	return runPeriodically(ctx, recallPeriod, func() {
 		now, view := g.clock.Now(), g.follower.View()
-		for _, t := range g.queueWaits.takePending(func(t *trackedWait) bool { return g.isLate(now, view, t) }) {
+		for _, t := range g.recallLate(now, view) {
 			g.log.WithFields(logrus.Fields{
 				"server": t.server, "model": t.model, "waiting_ms": now.Sub(t.sentAt).Milliseconds(),
 			}).Warn("Recalling a request that would begin on weights that are out of date.")
 			metrics.GetOrRegisterCounter("weights.recalled_requests", g.registry).Inc(1)
-			t.recall(direct.RecallOutdated)
 		}
 	})
 }
 
+// recallLate recalls the requests that must not begin any more at their servers.
+func (g *Gateway) recallLate(now time.Time, view *watch.View) []*trackedWait {
+	return g.queueWaits.recallPending(direct.RecallOutdated, func(t *trackedWait) bool { return g.isLate(now, view, t) })
+}
+
 // reportOutdatedBegin counts and logs a request whose first event was received now from a
 // server whose weights must not serve it any more.
 func (g *Gateway) reportOutdatedBegin(now time.Time, t *trackedWait) {
@@ -133,7 +137,7 @@
 
 // isLate reports whether a request must not begin any more at its server.
 func (g *Gateway) isLate(now time.Time, view *watch.View, t *trackedWait) bool {
-	if t.recall == nil || t.model == "" {
+	if t.model == "" {
 		return false
 	}
 	required := view.RequiredVersion(now.Add(recallLead), t.model, g.node.Load().Bounds.VersionInForce)
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -14,6 +14,7 @@
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/direct"
 	"currantusher.dev/requests/pauses"
+	"currantusher.dev/requests/quarantine"
 	"currantusher.dev/tables/watch"
 )
 
@@ -92,9 +93,7 @@
 	waiting, begun, once := track(recall), track(recall), track(nil)
 	begun.dataReceived()
 	begun.dataReceived()
-	late := func(now time.Time) []*trackedWait {
-		return g.queueWaits.takePending(func(w *trackedWait) bool { return g.isLate(now, view, w) })
-	}
+	late := func(now time.Time) []*trackedWait { return g.recallLate(now, view) }
 	require.Empty(t, late(sentAt.Add(2*time.Second)))
 	require.Equal(t, []*trackedWait{waiting}, late(sentAt.Add(3*time.Second-recallLead)))
 	require.Empty(t, late(sentAt.Add(4*time.Second)), "a request that must not run twice stays")
@@ -160,3 +159,22 @@
 	l.read()
 	require.True(t, l.isLate(now.Add(testInForceWithin), l.follower.View(), w))
 }
+
+// A quarantine that left a last attempt at its server kept the recall from seeing it later.
+func TestLastAttemptThatAQuarantineLeavesIsRecalledFromOutdatedWeights(t *testing.T) {
+	sentAt := time.Now()
+	g, view, _, server := versionFixture(sentAt.Add(-testInForceWithin + 3*time.Second))
+	g.crashGuard = &crashGuard{gateway: g}
+	trait := fleet.Trait{Model: "m", ID: "p"}
+	var reasons []direct.RecallReason
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", traits: []fleet.Trait{trait}, sentAt: sentAt, listed: server,
+		recall: func(reason direct.RecallReason) bool {
+			reasons = append(reasons, reason)
+			return reason == direct.RecallOutdated
+		}}
+	g.queueWaits.pending[w] = true
+	require.Zero(t, g.crashGuard.recall(quarantine.Change{Trait: trait, Until: sentAt.Add(time.Hour)}))
+	require.Len(t, g.recallLate(sentAt.Add(3*time.Second), view), 1)
+	require.Equal(t, []direct.RecallReason{direct.RecallQuarantined, direct.RecallOutdated}, reasons)
+	require.Empty(t, g.recallLate(sentAt.Add(4*time.Second), view))
+}
