--- a/daemon/deployed/wait_at_server_test.go
+++ b/daemon/deployed/wait_at_server_test.go
@@ -113,3 +113,19 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	d.awaitLogLine("Recalling a request", "server="+first.ID)
 }
+
+// A request that may run only once stayed at a silent engine and began on outdated weights.
+func TestRequestThatMayRunOnceIsRecalledFromOutdatedWeights(t *testing.T) {
+	t.Parallel()
+	d := startSilenceDeployment(t, silenceSettings{entries: 1, servers: 1, maxAttempts: 1, gapObjective: patientGapObjective})
+	first := d.engines[0]
+	first.Silence()
+	stream := d.startCall(d.entries[0].CallerAddr, streamHost, onceRoutePrefix+"x")
+	d.eventually(func() bool { return first.Holds(stream.id) }, "the stream reaches no server")
+	d.store.PutVersion(modelName, 2)
+	d.eventually(stream.hasEnded, "the stream does not end")
+	got := stream.result()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status, "a 503 would promise that the engine drops the request")
+	d.awaitLogLine("Recalling a request", "server="+first.ID)
+}
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -40,7 +40,7 @@
 	model   fleet.Model
 	traits  []fleet.Trait
 	sentAt  time.Time
-	// recall is nil if the request must not be sent again.
+	// recall is nil if the request stays at the server in any case.
 	recall direct.Recall
 	// listed is the server as listed when the request was sent. Its row may lapse while the
 	// request waits.
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -97,8 +97,7 @@
 
 // recallLateRequests cancels the requests that no engine has begun shortly before its
 // weights may no longer serve them. Most servers drop a request when its connection is
-// closed. Only requests that may run more than once are recalled: the server does not
-// confirm that it dropped a request.
+// closed, but none confirms that. One that may run only once is thus not sent again.
 func (g *Gateway) recallLateRequests(ctx context.Context) error {
 	return runPeriodically(ctx, recallPeriod, func() {
 		now, view := g.clock.Now(), g.follower.View()
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -90,14 +90,14 @@
 		return w
 	}
 	recall := func(direct.RecallReason) bool { return true }
-	waiting, begun, once := track(recall), track(recall), track(nil)
+	waiting, begun, fixed := track(recall), track(recall), track(nil)
 	begun.dataReceived()
 	begun.dataReceived()
 	late := func(now time.Time) []*trackedWait { return g.recallLate(now, view) }
 	require.Empty(t, late(sentAt.Add(2*time.Second)))
 	require.Equal(t, []*trackedWait{waiting}, late(sentAt.Add(3*time.Second-recallLead)))
-	require.Empty(t, late(sentAt.Add(4*time.Second)), "a request that must not run twice stays")
-	once.close(false)
+	require.Empty(t, late(sentAt.Add(4*time.Second)), "a request that cannot be recalled stays")
+	fixed.close(false)
 	require.Empty(t, g.queueWaits.pending)
 }
 
@@ -137,7 +137,7 @@
 	require.True(t, g.mayServe(at(inTime), view, service, server, recallable, full))
 	require.False(t, g.mayServe(at(tooLate), view, service, server, recallable, full))
 	once := requirements{service: "llm", model: "m"}
-	require.False(t, g.mayServe(at(inTime), view, service, server, once, full), "a request that must not run twice is not recalled")
+	require.False(t, g.mayServe(at(inTime), view, service, server, once, full), "a recall ends a request that must not run twice")
 }
 
 // A request whose server's row lapsed before it was sent was not recalled at all.
--- a/requests/direct/abort.go
+++ b/requests/direct/abort.go
@@ -19,7 +19,7 @@
 // whose server's weights may become outdated may be aborted in any case.
 func (s *replyStream) mayAbort() bool {
 	e := s.exchange
-	if e.maySendAgain() || e.request.Repeatable && e.request.Model != "" {
+	if e.maySendAgain() || e.request.Model != "" {
 		return true
 	}
 	e.mu.Lock()
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -42,7 +42,7 @@
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
 	// StartAttempt is called after a request was written to a server. recall
-	// is nil if the request must not be sent again. stalled says
+	// is nil if the request stays there in any case. stalled says
 	// that the server sends nothing, so that another one is asked while the attempt goes
 	// on; it may be called more than once.
 	StartAttempt(server core.InstanceID, recall Recall, stalled func()) AttemptObserver
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -216,18 +216,24 @@
 
 // A request that waited in its last attempt began on weights that were out of date.
 func TestLastAttemptIsRecalledOnlyFromOutdatedWeights(t *testing.T) {
-	for name, reason := range map[string]RecallReason{"outdated": RecallOutdated, "up to date": RecallQuarantined} {
+	for name, c := range map[string]struct {
+		reason     RecallReason
+		repeatable bool
+	}{
+		"outdated": {RecallOutdated, true}, "up to date": {RecallQuarantined, true},
+		"outdated, runs once": {RecallOutdated, false}, "up to date, runs once": {RecallQuarantined, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			e := newTestExchange(fleet.RouteStreaming)
-			e.request.MaxAttempts, e.request.Model = 1, "m"
+			e.request.MaxAttempts, e.request.Model, e.request.Repeatable = 1, "m", c.repeatable
 			observer := &abortObserver{}
 			e.observer = observer
 			more := make(chan struct{})
 			addr := serveTwoEvents(t, more, "", firstEvent)
 			stream := startAttempt(t, e, "s-1", addr)
-			require.Equal(t, reason == RecallOutdated, observer.recalls[0](reason))
+			require.Equal(t, c.reason == RecallOutdated, observer.recalls[0](c.reason))
 			close(more)
-			if reason != RecallOutdated {
+			if c.reason != RecallOutdated {
 				requireEvent(t, stream, firstEvent)
 				return
 			}
