--- a/daemon/deployed/silence_fleet_test.go
+++ b/daemon/deployed/silence_fleet_test.go
@@ -54,6 +54,8 @@
 	stop time.Duration
 	// gapObjective is the one of streams, 0 for silenceGapObjective.
 	gapObjective time.Duration
+	// versionInForce is the bound of the entries, 0 for the default.
+	versionInForce time.Duration
 }
 
 // startSilenceDeployment starts entries before engines and as many servers without an
@@ -121,6 +123,9 @@
 		node.Bounds.Stop = settings.stop
 	}
 	node.Bounds.RetryRatio, node.Bounds.RetrySlack = settings.retryRatio, settings.retrySlack
+	if settings.versionInForce > 0 {
+		node.Bounds.VersionInForce = settings.versionInForce
+	}
 	d.runEntry(node)
 }
 
--- a/daemon/deployed/silence_soak_test.go
+++ b/daemon/deployed/silence_soak_test.go
@@ -275,9 +275,10 @@
 	return strings.TrimSuffix(b.String(), ", ")
 }
 
-func startSilenceSoak(t *testing.T, random *rand.Rand) *silenceSoak {
+func startSilenceSoak(t *testing.T, random *rand.Rand, versionInForce time.Duration) *silenceSoak {
 	settings := silenceSettings{
 		entries: 2 + random.IntN(3), servers: soakServers, maxAttempts: 2, retryRatio: 0.2, retrySlack: 10, slots: soakSlots, events: soakEvents,
+		versionInForce: versionInForce,
 	}
 	s := &silenceSoak{
 		deployment: startSilenceDeployment(t, settings), settings: settings,
@@ -290,21 +291,26 @@
 	return s
 }
 
+// seedCount returns the number of seeds in an environment variable.
+func seedCount(t *testing.T, variable string, usual int) uint64 {
+	text := os.Getenv(variable)
+	if text == "" {
+		return uint64(usual)
+	}
+	seeds, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return uint64(seeds)
+}
+
 // Servers fall silent together while entries are replaced, servers refuse requests and
 // configurations change. No request may be lost.
 func TestNoRequestIsLostInASoakWithSilentServers(t *testing.T) {
 	t.Parallel()
-	seeds := silenceSeedsInCI
-	if text := os.Getenv(silenceSeedsVariable); text != "" {
-		var err error
-		seeds, err = strconv.Atoi(text)
-		require.NoError(t, err)
-	}
-	for seed := range uint64(seeds) {
+	for seed := range seedCount(t, silenceSeedsVariable, silenceSeedsInCI) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
-			s := startSilenceSoak(t, random(0))
+			s := startSilenceSoak(t, random(0), 0)
 			s.store.PutConfig(s.config(1, soakSlots))
 			done := make(chan struct{})
 			var tasks sync.WaitGroup
