--- a/requests/direct/abort.go
+++ b/requests/direct/abort.go
@@ -36,7 +36,7 @@
 }
 
 // abort implements Recall by closing the connection. The last attempt stays open if the
-// caller has received an event, or if the server may still begin the request.
+// server may still begin the request.
 func (s *replyStream) abort(reason RecallReason) bool {
 	e := s.exchange
 	e.mu.Lock()
@@ -44,8 +44,7 @@
 	if s.isClosed || s.isAborted || s.hasData {
 		return false
 	}
-	isLast := !e.hasAttemptsLeft() && !s.isReplaceable()
-	if isLast && (reason != RecallOutdated || e.hasEvent) {
+	if isLast := !e.hasAttemptsLeft() && !s.isReplaceable(); isLast && reason != RecallOutdated {
 		return false
 	}
 	s.isAborted = true
