--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -101,11 +101,11 @@
 }
 
 // StartAttempt implements direct.Observer.
-func (o observer) StartAttempt(server core.InstanceID, recall direct.Recall, stalled func()) direct.AttemptObserver {
+func (o observer) StartAttempt(attempt direct.Attempt) direct.AttemptObserver {
 	return &monitoredAttempt{
-		gateway: o.gateway, server: server,
-		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), server, o.gateway.stallTimeout(o.service), stalled),
-		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, server, recall),
+		gateway: o.gateway, server: attempt.Server,
+		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), attempt.Server, o.gateway.stallTimeout(o.service), attempt.ReportStalled),
+		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, attempt),
 	}
 }
 
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -107,7 +107,7 @@
 
 // track starts to observe an attempt at a server. It returns nil for services without
 // engines.
-func (q *queueWaits) track(now time.Time, o observer, id core.InstanceID, recall direct.Recall) *trackedWait {
+func (q *queueWaits) track(now time.Time, o observer, attempt direct.Attempt) *trackedWait {
 	view := q.gateway.follower.View()
 	if view.Table == nil {
 		return nil
@@ -116,11 +116,16 @@
 	if service == nil || service.Engine == nil {
 		return nil
 	}
-	server := q.gateway.listedOrExpected(view, o, id)
-	load := queueLoad(service, server.Slots, id, q.gateway.gossip.Loads())
+	server := view.Server(o.service, attempt.Server)
+	if server == nil {
+		// The row lapsed after the request was placed. A server that accepts the request has
+		// the expected version, if there is one.
+		server = &watch.Server{Server: fleet.Server{ID: attempt.Server, Weights: map[fleet.Model]fleet.WeightsVersion{o.model: attempt.ExpectedVersion}}}
+	}
+	load := queueLoad(service, server.Slots, server.ID, q.gateway.gossip.Loads())
 	t := &trackedWait{
-		waits: q, request: q.estimator(o.service).Sent(now, id, load),
-		service: o.service, server: id, model: o.model, traits: o.traits, sentAt: now, recall: recall, listed: server,
+		waits: q, request: q.estimator(o.service).Sent(now, server.ID, load),
+		service: o.service, server: server.ID, model: o.model, traits: o.traits, sentAt: now, recall: attempt.Recall, listed: server,
 		cost: o.cost.sent(q.gateway, now, server),
 	}
 	q.mu.Lock()
@@ -154,16 +159,6 @@
 	}
 }
 
-// listedOrExpected returns a server as listed. If its row has lapsed since the request was
-// placed, the server has the version that the request expects, or has refused it.
-func (g *Gateway) listedOrExpected(view *watch.View, o observer, id core.InstanceID) *watch.Server {
-	if server := view.Server(o.service, id); server != nil {
-		return server
-	}
-	expected := g.expectedVersion(requirements{service: o.service, model: o.model}, id)
-	return &watch.Server{Server: fleet.Server{ID: id, Weights: map[fleet.Model]fleet.WeightsVersion{o.model: expected}}}
-}
-
 // suspended records that the answer is not read until dataReceived.
 func (t *trackedWait) suspended() {
 	if t != nil {
--- a/daemon/gateway/stall_test.go
+++ b/daemon/gateway/stall_test.go
@@ -58,7 +58,9 @@
 		for range requestsPerServer {
 			_, err := placer.Pick(now, placement.Request{}, []placement.Candidate{{ID: server, Limit: 16, Direct: true, FreeSlots: 16}})
 			require.NoError(t, err)
-			attempt := observer{gateway: g, service: "llm"}.StartAttempt(server, func(direct.RecallReason) bool { cancelled++; return true }, func() { reported++ })
+			attempt := observer{gateway: g, service: "llm"}.StartAttempt(direct.Attempt{
+				Server: server, Recall: func(direct.RecallReason) bool { cancelled++; return true }, ReportStalled: func() { reported++ },
+			})
 			attempt.DataReceived()
 		}
 	}
@@ -79,7 +81,7 @@
 	candidates := []placement.Candidate{{ID: "s-1", Limit: 16, Direct: true, FreeSlots: 13}}
 	_, err := placer.Pick(now, placement.Request{}, candidates)
 	require.NoError(t, err)
-	attempt := observer{gateway: g, service: "llm"}.StartAttempt("s-1", nil, func() {})
+	attempt := observer{gateway: g, service: "llm"}.StartAttempt(direct.Attempt{Server: "s-1", ReportStalled: func() {}})
 	attempt.DataReceived()
 	later := now.Add(time.Minute)
 	g.reportStalledServers(later)
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -145,19 +145,21 @@
 	l := newListedGateway(t, "a")
 	store := l.servers[0].Store
 	store.PutConfig(fleet.Configuration{Version: 2, IsOpen: true, Services: []fleet.Service{{Name: testService, MaxConns: 100, Engine: engineService(16, 7400*time.Microsecond, 31900, 6).Engine}}})
-	store.PutVersion("m", 1)
+	store.PutVersion("m", 2)
 	l.read()
 	node := *l.node.Load()
 	node.Bounds.VersionInForce = testInForceWithin
 	l.node.Store(&node)
 	now := l.clock.Now()
-	o := observer{gateway: l.Gateway, service: testService, model: "m"}
-	w := l.queueWaits.track(now, o, "s-lapsed", func(direct.RecallReason) bool { return true })
-	require.NotNil(t, w)
-	require.False(t, l.isLate(now, l.follower.View(), w), "the server has refused the request unless it has version 1")
-	store.PutVersion("m", 2)
-	l.read()
-	require.True(t, l.isLate(now.Add(testInForceWithin), l.follower.View(), w))
+	l.follower.SetVersionSince("m", 2, now.Add(-testInForceWithin+2*time.Second))
+	for expected, isRecalled := range map[fleet.WeightsVersion]bool{0: true, 1: true, 2: false} {
+		w := l.queueWaits.track(now, observer{gateway: l.Gateway, service: testService, model: "m"}, direct.Attempt{
+			Server: "s-lapsed", ExpectedVersion: expected, Recall: func(direct.RecallReason) bool { return true },
+		})
+		require.NotNil(t, w)
+		require.False(t, l.isLate(now.Add(time.Second), l.follower.View(), w))
+		require.Equal(t, isRecalled, l.isLate(now.Add(2*time.Second), l.follower.View(), w), "expected version %d", expected)
+	}
 }
 
 // A quarantine that left a last attempt at its server kept the recall from seeing it later.
--- a/requests/direct/answers_test.go
+++ b/requests/direct/answers_test.go
@@ -323,13 +323,13 @@
 			body, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: "+id+"\ndata: a\n\n"))
 			require.ErrorIs(t, err, eventstream.ErrInvalidID)
 			require.Empty(t, body)
-			require.NotContains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id")
+			require.NotContains(t, string(e.encodeRequest("s-2", e.request.Version("s-2"), time.Second)), "Last-Event-Id")
 		})
 	}
 	e := newTestExchange(fleet.RouteStreaming)
 	_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 5\rX-Evil: 1\n\nid: 6"))
 	require.Error(t, err)
-	request := string(e.encodeRequest("s-2", time.Second))
+	request := string(e.encodeRequest("s-2", e.request.Version("s-2"), time.Second))
 	require.Contains(t, request, "Last-Event-Id: 5\r\n")
 	require.NotContains(t, request, "X-Evil")
 }
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -41,11 +41,8 @@
 	// AnswerReceived reports two header fields of a server's answer: the version
 	// of the weights, or 0, and for how much longer the server stays cold.
 	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
-	// StartAttempt is called after a request was written to a server. recall
-	// is nil if the request stays there in any case. stalled says
-	// that the server sends nothing, so that another one is asked while the attempt goes
-	// on; it may be called more than once.
-	StartAttempt(server core.InstanceID, recall Recall, stalled func()) AttemptObserver
+	// StartAttempt is called after a request was written to a server.
+	StartAttempt(Attempt) AttemptObserver
 	// AnswerBegan is called when the first data of a stream with a success status was
 	// received, or all data of another answer with such a status.
 	AnswerBegan(server notices.Lifetime)
@@ -59,6 +56,20 @@
 	InvalidHeader(server core.InstanceID, header string, err error)
 }
 
+// Attempt is a request that was written to a server.
+type Attempt struct {
+	Server core.InstanceID
+	// ExpectedVersion is the version of the weights without which the server refuses the
+	// request, or 0 if it accepts it with any.
+	ExpectedVersion fleet.WeightsVersion
+	// Recall is nil if the request stays at the server in any case.
+	Recall Recall
+	// ReportStalled says that the server sends nothing, so that another one is asked while
+	// the attempt goes on. It is nil if the request must not be sent again, and may be called
+	// more than once.
+	ReportStalled func()
+}
+
 // Reservation is a place for a request that is about to be sent. Exactly one of its
 // methods must be called.
 type Reservation interface {
@@ -211,7 +222,8 @@
 	if e.request.Method != http.MethodHead {
 		conn.NoteRequest(e.request.ID)
 	}
-	if err := conn.Send(e.encodeRequest(server.ID, timeLeft)); err != nil {
+	version := e.request.Version(server.ID)
+	if err := conn.Send(e.encodeRequest(server.ID, version, timeLeft)); err != nil {
 		stopCloseOnDone()
 		conn.Close()
 		return nil, core.Wrap(err, core.CodeIncomplete, core.ExecutionUnknown, "writing the request to %s failed", server.ID)
@@ -227,15 +239,14 @@
 		s.continuation = eventstream.NewContinuation(s.lastEventID)
 	}
 	s.open()
-	var recall Recall
+	attempt := Attempt{Server: server.ID, ExpectedVersion: version}
 	if s.mayAbort() {
-		recall = s.abort
+		attempt.Recall = s.abort
 	}
-	var stalled func()
 	if e.request.Repeatable {
-		stalled = s.reportStalled
+		attempt.ReportStalled = s.reportStalled
 	}
-	s.attemptObserver = e.observer.StartAttempt(server.ID, recall, stalled)
+	s.attemptObserver = e.observer.StartAttempt(attempt)
 	return s, nil
 }
 
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -25,9 +25,9 @@
 	suspended []core.InstanceID
 }
 
-func (o *abortObserver) StartAttempt(server core.InstanceID, recall Recall, _ func()) AttemptObserver {
-	o.recalls = append(o.recalls, recall)
-	return abortAttempt{observer: o, server: server}
+func (o *abortObserver) StartAttempt(attempt Attempt) AttemptObserver {
+	o.recalls = append(o.recalls, attempt.Recall)
+	return abortAttempt{observer: o, server: attempt.Server}
 }
 
 type abortAttempt struct {
@@ -129,12 +129,12 @@
 	require.Error(t, err)
 	old.Select()
 	require.EqualValues(t, "s-1", e.LastServer())
-	require.Contains(t, string(e.encodeRequest("s-3", time.Second)), "Last-Event-Id: 1\r\n")
+	require.Contains(t, string(e.encodeRequest("s-3", e.request.Version("s-3"), time.Second)), "Last-Event-Id: 1\r\n")
 }
 
 func TestTargetResumesAfterTheLastEventThatWasPassedOn(t *testing.T) {
 	e, observer, old := newHandover(t, serveUntilClosed(t, nil))
-	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 1\r\n")
+	require.Contains(t, string(e.encodeRequest("s-2", e.request.Version("s-2"), time.Second)), "Last-Event-Id: 1\r\n")
 	require.Empty(t, observer.suspended)
 	old.Suspend()
 	target := startAttempt(t, e, "s-2", serveRawAnswer(t, okAnswerHead+"\r\n"+secondEvent))
@@ -142,7 +142,7 @@
 	requireEvent(t, target, secondEvent)
 	_, err := target.Recv()
 	require.NoError(t, err)
-	require.Contains(t, string(e.encodeRequest("s-3", time.Second)), "Last-Event-Id: 2\r\n")
+	require.Contains(t, string(e.encodeRequest("s-3", e.request.Version("s-3"), time.Second)), "Last-Event-Id: 2\r\n")
 }
 
 // The recall may abort the target, since the old attempt goes on,
--- a/requests/direct/header.go
+++ b/requests/direct/header.go
@@ -55,7 +55,7 @@
 
 // encodeRequest returns the request of one attempt in HTTP/1.1 format. timeLeft
 // is the time that the backend server has to answer.
-func (e *Exchange) encodeRequest(server core.InstanceID, timeLeft time.Duration) []byte {
+func (e *Exchange) encodeRequest(server core.InstanceID, version fleet.WeightsVersion, timeLeft time.Duration) []byte {
 	r := &e.request
 	var b bytes.Buffer
 	b.Grow(1024 + len(r.Body))
@@ -70,7 +70,7 @@
 	if r.Model != "" {
 		writeLine(&b, e.headerNames.Priority, ": ", strconv.Itoa(r.Priority))
 	}
-	if version := r.Version(server); version > 0 {
+	if version > 0 {
 		writeLine(&b, e.headerNames.ExpectedVersion, ": ", strconv.FormatInt(int64(version), 10))
 	}
 	if id := e.lastEventID; id != "" {
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -31,7 +31,7 @@
 
 type nopObserver struct{}
 
-func (nopObserver) StartAttempt(core.InstanceID, Recall, func()) AttemptObserver {
+func (nopObserver) StartAttempt(Attempt) AttemptObserver {
 	return nopAttempt{}
 }
 func (nopObserver) AnswerBegan(notices.Lifetime)             {}
@@ -171,7 +171,7 @@
 	e := newTestExchange(fleet.RouteStreaming)
 	_, _, err := receive(t, e, serveRawAnswer(t, okAnswerHead+"\r\nid: 4\ndata: a\n\nid: 5\nda"))
 	require.Error(t, err)
-	require.Contains(t, string(e.encodeRequest("s-2", time.Second)), "Last-Event-Id: 4\r\n")
+	require.Contains(t, string(e.encodeRequest("s-2", e.request.Version("s-2"), time.Second)), "Last-Event-Id: 4\r\n")
 }
 
 func TestConnectFailureIsNotConnected(t *testing.T) {
@@ -195,7 +195,7 @@
 		require.Equal(t, core.InstanceID("s-1"), server)
 		return 7
 	}
-	head, body, _ := strings.Cut(string(e.encodeRequest("s-1", 1500*time.Millisecond)), "\r\n\r\n")
+	head, body, _ := strings.Cut(string(e.encodeRequest("s-1", e.request.Version("s-1"), 1500*time.Millisecond)), "\r\n\r\n")
 	require.Equal(t, "body", body)
 	lines := strings.Split(head, "\r\n")
 	require.Equal(t, "POST /a HTTP/1.1", lines[0])
@@ -211,8 +211,8 @@
 	cancellable []bool
 }
 
-func (o *cancelObserver) StartAttempt(_ core.InstanceID, recall Recall, _ func()) AttemptObserver {
-	o.cancellable = append(o.cancellable, recall != nil)
+func (o *cancelObserver) StartAttempt(attempt Attempt) AttemptObserver {
+	o.cancellable = append(o.cancellable, attempt.Recall != nil)
 	return nopAttempt{}
 }
 
