--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -52,7 +52,7 @@
 	}
 	fields["listed_version"] = server.Weights[t.model]
 	fields["answered_version"] = t.gateway.observations.version(t.gateway.clock.Now(), id, t.model)
-	fields["announced_version"] = t.gateway.pauses.LoadedVersion(server.Addr, t.model)
+	fields["announced_version"] = t.gateway.pauses.LoadedVersion(server.Addr, t.model, server.StartedAt)
 }
 
 // Failed implements dispatch.Trace.
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -180,3 +180,18 @@
 	require.Equal(t, []direct.RecallReason{direct.RecallQuarantined, direct.RecallOutdated}, reasons)
 	require.Empty(t, g.recallLate(sentAt.Add(4*time.Second), view))
 }
+
+// An engine was taken to have the version that the engine before it at the same address had
+// announced, and kept its requests.
+func TestRequestAtAnEngineWithAUsedAddressIsRecalled(t *testing.T) {
+	now := time.Now()
+	g, view, _, server := versionFixture(now.Add(-testInForceWithin))
+	server.Addr, server.StartedAt = "10.0.0.1:8000", now.Add(-time.Second)
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: now, listed: server}
+	loaded := fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1, Ended: true}
+	require.True(t, g.pauses.Record(server.StartedAt.Add(-time.Millisecond), loaded))
+	require.True(t, g.isLate(now, view, w))
+	loaded.Sequence++
+	require.True(t, g.pauses.Record(server.StartedAt.Add(time.Millisecond), loaded))
+	require.False(t, g.isLate(now, view, w), "the announcement is its own")
+}
--- a/requests/pauses/pauses.go
+++ b/requests/pauses/pauses.go
@@ -72,13 +72,13 @@
 }
 
 // LoadedVersion returns the newest version of a model that a server has announced
-// as loaded, or 0.
-func (s *Set) LoadedVersion(addr string, model fleet.Model) fleet.WeightsVersion {
+// as loaded since it started, or 0. Earlier announcements are those of another process.
+func (s *Set) LoadedVersion(addr string, model fleet.Model, startedAt time.Time) fleet.WeightsVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var newest fleet.WeightsVersion
 	for version, latest := range s.byServer[addr] {
-		if latest.pause.Ended && latest.pause.Model == model {
+		if latest.pause.Ended && latest.pause.Model == model && !latest.at.Before(startedAt) {
 			newest = max(newest, version)
 		}
 	}
--- a/requests/pauses/pauses_test.go
+++ b/requests/pauses/pauses_test.go
@@ -17,11 +17,11 @@
 	require.True(t, s.PauseStart(now, addr, 1).IsZero())
 	require.True(t, s.Record(now, fleet.PauseNotice{Addr: addr, Model: "m", Version: 2, Sequence: 1, StartsIn: time.Second}))
 	require.Equal(t, now.Add(time.Second), s.PauseStart(now, addr, 1))
-	require.Zero(t, s.LoadedVersion(addr, "m"))
+	require.Zero(t, s.LoadedVersion(addr, "m", time.Time{}))
 	require.True(t, s.Record(now, fleet.PauseNotice{Addr: addr, Model: "m", Version: 2, Sequence: 3, Ended: true}))
 	require.True(t, s.PauseStart(now, addr, 1).IsZero())
-	require.EqualValues(t, 2, s.LoadedVersion(addr, "m"))
-	require.Zero(t, s.LoadedVersion(addr, "other"))
+	require.EqualValues(t, 2, s.LoadedVersion(addr, "m", time.Time{}))
+	require.Zero(t, s.LoadedVersion(addr, "other", time.Time{}))
 }
 
 func TestStaleAnnouncementIsIgnored(t *testing.T) {
