--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -185,11 +185,12 @@
 	if err != nil {
 		return err
 	}
-	applied := true
+	applied := false
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
-		applied = f.state.Replace(now, name, page)
-		f.state.markRead(name, calledAt.Add(-page.Age))
+		if applied = f.state.Replace(now, name, page); applied {
+			f.state.markRead(name, calledAt.Add(-page.Age))
+		}
 	})
 	f.logUnreadable(name, page)
 	if !applied {
@@ -213,11 +214,12 @@
 	if err != nil {
 		return err
 	}
-	applied := true
+	applied := false
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
-		applied = f.state.Apply(now, name, page)
-		f.state.markRead(name, calledAt.Add(-page.Age))
+		if applied = f.state.Apply(now, name, page); applied {
+			f.state.markRead(name, calledAt.Add(-page.Age))
+		}
 	})
 	f.logUnreadable(name, page)
 	if !applied {
--- a/tables/watch/relayed_read_test.go
+++ b/tables/watch/relayed_read_test.go
@@ -51,3 +51,27 @@
 	require.True(t, target.IsEstimate)
 	require.False(t, target.Since.After(stopped))
 }
+
+func TestPageThatIsRefusedDoesNotEndAStandstill(t *testing.T) {
+	for name, read := range map[string]func(*Follower, context.Context, string) error{"all": (*Follower).readAll, "changes": (*Follower).readChanges} {
+		t.Run(name, func(t *testing.T) {
+			f, now := newTestFollower(t)
+			store := &pageStore{}
+			f.config.Store = store
+			stopped := *now
+			*now = now.Add(3 * time.Second)
+			f.update(func(time.Time) {})
+			store.page = rowstore.Page{Revision: 4}
+			if name == "changes" {
+				store.page = rowstore.Page{Rows: []rowstore.Row{versionRow(2, 3)}, Revision: 3, Era: 1}
+			}
+			require.Error(t, read(f, t.Context(), OperatorTable))
+			advance(f, now, 500*time.Millisecond)
+			store.page = rowstore.Page{Rows: []rowstore.Row{versionRow(2, 6)}, Revision: 6}
+			require.NoError(t, f.readAll(t.Context(), OperatorTable))
+			target := f.View().NewestTarget("m")
+			require.EqualValues(t, 2, target.Version)
+			require.False(t, target.Since.After(stopped), "version 2 may have been accepted when the process stopped")
+		})
+	}
+}
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -29,7 +29,7 @@
 // this daemon has not read yet.
 func (s *State) isCatchingUp() bool { return !s.standstill.until.IsZero() }
 
-// markRead records that a call for a table that began at calledAt got a reply.
+// markRead records that the reply to a call for a table that began at calledAt was applied.
 func (s *State) markRead(name string, calledAt time.Time) {
 	if name == OperatorTable && !calledAt.Before(s.standstill.until) {
 		s.standstill = timeSpan{}
