--- a/tables/relay/cache.go
+++ b/tables/relay/cache.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/platform/rowstore"
 )
 
@@ -61,11 +62,11 @@
 	updated chan struct{}
 }
 
-// NewCache returns an empty Cache of a store. now is the clock; nil means
-// time.Now.
+// NewCache returns an empty Cache of a store. now is the clock, which must count
+// suspensions of the machine: readers rely on the age of rows. nil means that of clock.New.
 func NewCache(source Source, now func() time.Time) *Cache {
 	if now == nil {
-		now = time.Now
+		now = clock.New().Now
 	}
 	return &Cache{source: source, now: now, tables: map[string]*cachedTable{}}
 }
--- a/tables/relay/silence_test.go
+++ b/tables/relay/silence_test.go
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		source := silentStore{newFakeStore()}
 		source.put("a", false)
-		cache := NewCache(source, nil)
+		cache := NewCache(source, time.Now)
 		self := Member{ID: "e-1", DataCentre: "a"}
 		store := NewStore(Config{Self: self.ID, Cache: cache, Relays: func(context.Context) []Member { return []Member{self} }, Log: discardLogger()})
 		page, err := store.ReadAll(t.Context(), table)
--- a/tables/relay/snapshots.go
+++ b/tables/relay/snapshots.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"currantusher.dev/core/clock"
 	"currantusher.dev/platform/rowstore"
 )
 
@@ -32,10 +33,10 @@
 }
 
 // NewSnapshots returns Snapshots of some tables of a store. now is the clock; nil means
-// time.Now.
+// that of clock.New.
 func NewSnapshots(source Source, now func() time.Time, tables ...string) *Snapshots {
 	if now == nil {
-		now = time.Now
+		now = clock.New().Now
 	}
 	s := &Snapshots{source: source, tables: map[string]*snapshot{}, now: now}
 	for _, table := range tables {
