--- a/members/gossip/message.go
+++ b/members/gossip/message.go
@@ -159,9 +159,10 @@
 	IsUndated bool `cbor:"-"`
 }
 
-// setWeights puts versions into the message. Processes that do not know UndatedWeights
+// setWeights replaces the versions of the message. Processes that do not know UndatedWeights
 // would take a version without an age for a new one.
 func (m *Message) setWeights(list []NewestWeights) {
+	m.NewestWeights, m.UndatedWeights = nil, nil
 	for _, w := range list {
 		if w.IsUndated {
 			m.UndatedWeights = append(m.UndatedWeights, w)
--- a/members/gossip/node.go
+++ b/members/gossip/node.go
@@ -160,7 +160,7 @@
 func (n *Node) sendRound() {
 	era, revisions := n.config.Revisions()
 	loads, reachesStore := n.config.Loads(), n.config.ReachesStore()
-	newestWeights, paces, work := n.config.NewestWeights(), n.config.Paces(), n.config.Work()
+	paces, work := n.config.Paces(), n.config.Work()
 	evidence, rateLimits := n.config.Evidence(), n.config.RateLimits()
 	n.mu.Lock()
 	n.state.SetReachesStore(reachesStore)
@@ -177,7 +177,6 @@
 	}
 	n.forwardPauses()
 	for _, outgoing := range round {
-		outgoing.Message.setWeights(newestWeights)
 		if !outgoing.IsLoadsOnly {
 			outgoing.Message.RateLimits = rateLimits
 		}
@@ -190,7 +189,7 @@
 				outgoing.Message.Work = encodeWork(work, workLimit(len(outgoing.Addrs)))
 			}
 		}
-		n.send(outgoing)
+		n.sendWithAges(outgoing)
 	}
 }
 
@@ -205,9 +204,8 @@
 }
 
 func (n *Node) send(outgoing Outgoing) {
-	datagram, err := cbor.Marshal(outgoing.Message)
-	if err != nil {
-		n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
+	datagram := n.encode(outgoing.Message)
+	if datagram == nil {
 		return
 	}
 	for _, addr := range outgoing.Addrs {
@@ -215,6 +213,16 @@
 	}
 }
 
+// encode returns the datagram of a message, or nil if that fails.
+func (n *Node) encode(message Message) []byte {
+	datagram, err := cbor.Marshal(message)
+	if err != nil {
+		n.config.Log.WithError(err).Error("Cannot encode the gossip message; skipping it.")
+		return nil
+	}
+	return datagram
+}
+
 func (n *Node) sendDatagram(datagram []byte, peerAddr string) {
 	if err := writeTo(n.socket, datagram, peerAddr); err != nil && !errors.Is(err, net.ErrClosed) {
 		// The next round replaces a lost message.
