--- a/daemon/gateway/version_ages.go
+++ b/daemon/gateway/version_ages.go
@@ -29,8 +29,8 @@
 	var list []gossip.NewestWeights
 	for model := range view.Targets {
 		for _, target := range view.EffectiveTargets(now, model, inForceWithin, limit) {
-			report := gossip.NewestWeights{Model: model, Version: target.Version, IsUndated: !target.IsDated()}
-			if target.IsDated() {
+			report := gossip.NewestWeights{Model: model, Version: target.Version, IsUndated: !target.IsReportable(now)}
+			if !report.IsUndated {
 				report.Age, report.First = now.Sub(target.Since), target.First
 			}
 			list = append(list, report)
--- a/daemon/gateway/version_ages_test.go
+++ b/daemon/gateway/version_ages_test.go
@@ -26,7 +26,7 @@
 	const datagramBytes = 32 << 10
 	now := time.Now()
 	for _, models := range []int{1, 3, 10, 60, 200} {
-		view := fastVersions(now, models, 100)
+		view := fastVersions(now.Add(-watch.MinReportedAge), models, 100)
 		reports := reportVersions(now, view, testInForceWithin)
 		require.LessOrEqual(t, len(reports), max(maxGossipedVersions, 2*models))
 		datagram, err := cbor.Marshal(reports)
@@ -34,6 +34,7 @@
 		require.Less(t, len(datagram), datagramBytes/2, "%d models", models)
 		limit := max(2, (maxGossipedVersions-models)/models)
 		for _, report := range reports {
+			require.False(t, report.IsUndated)
 			due := testInForceWithin - report.Age
 			require.GreaterOrEqual(t, report.Version, view.RequiredVersion(now.Add(due), report.Model, testInForceWithin))
 			require.LessOrEqual(t, report.Version, view.RequiredVersion(now.Add(due+2*testInForceWithin/time.Duration(limit)), report.Model, testInForceWithin), "%d models", models)
@@ -54,3 +55,14 @@
 	}
 	return view
 }
+
+func TestAgeOfAVersionThatAnEntryMayHaveReadLateIsNotSentToOtherEntries(t *testing.T) {
+	readAt := time.Now()
+	view := &watch.View{Targets: map[fleet.Model][]watch.TargetVersion{"m": {{Version: 2, Since: readAt}}}}
+	report := reportVersions(readAt.Add(watch.MinReportedAge-1), view, testInForceWithin)[0]
+	require.EqualValues(t, 2, report.Version)
+	require.True(t, report.IsUndated)
+	report = reportVersions(readAt.Add(watch.MinReportedAge), view, testInForceWithin)[0]
+	require.False(t, report.IsUndated)
+	require.Equal(t, watch.MinReportedAge, report.Age)
+}
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -66,6 +66,9 @@
 	e := newTestExchange(t, 0, func(ages []versionages.Age, _ time.Time) { received = ages })
 	importVersion(t, e.follower, 2)
 	e.exchange(t.Context())
+	require.Empty(t, received, "the agent may have read version 2 late")
+	e.follower.SetVersionSince("m", 2, e.clock.Now().Add(-watch.MinReportedAge))
+	e.exchange(t.Context())
 	require.Len(t, received, 1, "the agent does not know the age of version 1, which it found at its start")
 	require.EqualValues(t, 2, received[0].Version)
 }
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -50,14 +50,14 @@
 }
 
 // Known returns the ages at now of the versions of a view that are or will have to be in
-// force, without those that the daemon only estimates or does not know. A version must be in
-// force when inForceWithin has passed since it was configured.
+// force, without those that the daemon only estimates or does not know, or that it may have
+// read late. A version must be in force when inForceWithin has passed since it was configured.
 func Known(view *watch.View, now time.Time, inForceWithin time.Duration) []Age {
 	limit := max(2, maxAges/max(1, len(view.Targets)))
 	var list []Age
 	for model := range view.Targets {
 		for _, target := range view.EffectiveTargets(now, model, inForceWithin, limit) {
-			if !target.Since.IsZero() && !target.IsEstimate {
+			if target.IsReportable(now) {
 				list = append(list, Age{Model: model, Version: target.Version, Age: now.Sub(target.Since), First: target.First})
 			}
 		}
--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -114,6 +114,22 @@
 	require.EqualValues(t, 2, entry.follower.View().RequiredVersion(start.Add(10*time.Second), "m", inForceWithin))
 }
 
+func TestEntryThatRestartedDoesNotCountFromTheTimeAtWhichAnAgentReadLate(t *testing.T) {
+	agent, informed, restarted := newDaemon(), newDaemon(), newDaemon()
+	agent.read(1, 0)
+	informed.read(1, 0)
+	informed.read(2, time.Second)
+	agent.read(2, 7*time.Second)
+	restarted.now = agent.now
+	restarted.read(2, 0)
+	for _, entry := range []*daemon{restarted, informed, restarted} {
+		entry.now = agent.now
+		exchange(t, agent, entry)
+		require.EqualValues(t, 2, restarted.follower.View().RequiredVersion(start.Add(9*time.Second), "m", inForceWithin))
+	}
+	require.Equal(t, start.Add(time.Second), restarted.follower.View().NewestTarget("m").Since)
+}
+
 func TestUnknownAndEstimatedAgesAreNotSent(t *testing.T) {
 	d := newDaemon()
 	d.read(1, 0)
--- a/tables/watch/targets.go
+++ b/tables/watch/targets.go
@@ -16,6 +16,17 @@
 // IsDated reports whether the time since when the version has been configured is known.
 func (t TargetVersion) IsDated() bool { return !t.Since.IsZero() && !t.IsEstimate }
 
+// MinReportedAge is the age of a version from which a daemon tells it to others. One that
+// read the version late has learned its age by then: entries tell it to each other every
+// 300 ms, and agents ask two of them at once.
+const MinReportedAge = 600 * time.Millisecond
+
+// IsReportable reports whether the time since when the version has been configured is told
+// to other daemons at now.
+func (t TargetVersion) IsReportable(now time.Time) bool {
+	return t.IsDated() && now.Sub(t.Since) >= MinReportedAge
+}
+
 func (t TargetVersion) first() fleet.WeightsVersion {
 	if t.First > 0 {
 		return t.First
