--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -189,7 +189,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		if applied = f.state.Replace(now, name, page); applied {
-			f.state.markRead(name, calledAt.Add(-page.Age))
+			f.state.markRead(name, calledAt.Add(-page.Age), now)
 		}
 	})
 	f.logUnreadable(name, page)
@@ -218,7 +218,7 @@
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
 		if applied = f.state.Apply(now, name, page); applied {
-			f.state.markRead(name, calledAt.Add(-page.Age))
+			f.state.markRead(name, calledAt.Add(-page.Age), now)
 		}
 	})
 	f.logUnreadable(name, page)
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -104,7 +104,10 @@
 	standstill timeSpan
 	// resumedAt is the end of the last standstill.
 	resumedAt time.Time
-	events    []Event
+	// lastRead is when the operators' table was last read, if a pause may have followed in
+	// which versions were accepted; otherwise zero.
+	lastRead time.Time
+	events   []Event
 }
 
 // NewState returns an empty State.
--- a/tables/watch/targets_test.go
+++ b/tables/watch/targets_test.go
@@ -163,7 +163,7 @@
 			f.recordRead(now, i)
 			for _, s := range []*State{f.bounded[i], f.reference[i]} {
 				s.Apply(now, OperatorTable, f.page())
-				s.markRead(OperatorTable, now)
+				s.markRead(OperatorTable, now, now)
 			}
 		}
 		f.send(now, i)
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -19,9 +19,10 @@
 // configured.
 type TargetVersion struct {
 	Version fleet.WeightsVersion
-	// Since is when the first of the known daemons read the version, which is never
-	// before the store accepted it. It is zero if the version was configured before
-	// this daemon started and no peer has reported the time.
+	// Since is when the first of the known daemons read the version, or its last read before
+	// if the store may have accepted the version in the pause between them. It is zero if
+	// the version was configured before this daemon started and no peer has reported the
+	// time.
 	Since time.Time
 	// First is the oldest of the versions that were merged into this one, which count from
 	// Since as well; 0 if there are none.
