--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -229,10 +229,13 @@
 	view := g.follower.View()
 	revisions = map[string]uint64{}
 	for table, position := range positions(view) {
-		if position.Era == view.Era {
+		if position.Era == view.Era && table != watch.LostRows {
 			revisions[table] = position.Revision
 		}
 	}
+	if view.LostRows > 0 {
+		revisions[watch.LostRows] = view.LostRows
+	}
 	return view.Era, revisions
 }
 
@@ -240,6 +243,7 @@
 	return map[string]rowstore.Position{
 		watch.OperatorTable: view.OperatorPosition,
 		watch.ServersTable:  view.ServersPosition,
+		watch.LostRows:      {Era: view.Era, Revision: view.LostRowsSeen},
 	}
 }
 
--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -117,7 +117,7 @@
 // serveRows sends a snapshot of a table to another entry.
 func (g *Gateway) serveRows(w http.ResponseWriter, r *http.Request) {
 	table := r.PathValue("table")
-	if table != watch.OperatorTable && table != watch.ServersTable {
+	if table != watch.OperatorTable && table != watch.ServersTable && table != watch.LostRows {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
--- a/tables/watch/era.go
+++ b/tables/watch/era.go
@@ -38,7 +38,7 @@
 		s.storeDown = false
 		s.storeUpAt = now
 	}
-	s.era = era
+	s.era, s.lostRowsSeen = era, 0
 }
 
 func (s *State) isLoaded() bool {
@@ -58,6 +58,7 @@
 	t.rows = make(map[string]rowstore.Row, len(page.Rows))
 	t.newestRevision = 0
 	for _, row := range page.Rows {
+		s.noteRead(row)
 		old, isKnown := lost[row.Key]
 		delete(lost, row.Key)
 		t.rows[row.Key] = row
@@ -67,11 +68,13 @@
 		}
 		if isKnown {
 			s.eraChange.Replaced++
+			s.noteLost(old)
 		}
 		s.applyRow(now, row, false)
 	}
 	s.eraChange.Dropped += len(lost)
 	for _, key := range slices.Sorted(maps.Keys(lost)) {
+		s.noteLost(lost[key])
 		s.applyLoss(now, rowstore.Row{Table: name, Key: key, Deleted: true})
 	}
 	t.era = page.Era
@@ -103,7 +106,7 @@
 		s.applyRow(now, row, false)
 		return
 	}
-	s.lapsedEvacuations[core.DataCentre(name)] = true
+	s.lapsedEvacuations[core.DataCentre(name)] = lapsedEvacuation{key: row.Key, at: now}
 	s.addEvent(row, "data-centre", "the store has lost the row; the data centre stays out for now")
 }
 
@@ -115,6 +118,11 @@
 		return
 	}
 	for _, centre := range slices.Sorted(maps.Keys(s.lapsedEvacuations)) {
+		lapsed := s.lapsedEvacuations[centre]
+		if now.Sub(lapsed.at) < lapsedEvacuationGrace {
+			continue
+		}
+		delete(s.lostRows, lapsed.key)
 		s.bringIn(now, centre)
 		s.events = append(s.events, Event{Subject: "data-centre", Key: string(centre), Detail: "in: the lost row was not written again"})
 	}
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -313,7 +313,7 @@
 // This includes changes without an event, such as a server's count of orders.
 func (f *Follower) hasNewRows() bool {
 	view := f.view.Load()
-	return f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
+	return f.state.lostRowsSeen > view.LostRowsSeen || f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
 }
 
 func (f *Follower) handleFailure(name string, calledAt time.Time, err error) {
@@ -386,7 +386,7 @@
 func (f *Follower) Export(name string) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Export(name)
+	return f.state.exportAt(f.config.Now(), name)
 }
 
 // Import takes over a peer's table if that is newer, and reports whether it did.
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -62,6 +62,8 @@
 	Cursor         uint64         `cbor:"3,keyasint"`
 	Rows           []rowstore.Row `cbor:"4,keyasint"`
 	Era            uint64         `cbor:"5,keyasint,omitempty"`
+	// LostFor is the time since the store lost the evacuations among LostRows.
+	LostFor time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // serverState is the state of one backend server.
@@ -83,9 +85,14 @@
 	invalidRows    map[core.InstanceID]string
 	outDataCentres map[core.DataCentre]bool
 	// lapsedEvacuations holds those of outDataCentres whose rows the store has lost.
-	lapsedEvacuations map[core.DataCentre]bool
-	targets           map[fleet.Model][]TargetVersion
-	maxTargets        int
+	lapsedEvacuations map[core.DataCentre]lapsedEvacuation
+	// lostRows holds the last values of the operators' rows that the store has lost and that
+	// are still in force.
+	lostRows map[string]rowstore.Row
+	// lostRowsSeen is the greatest number of lost rows of a peer in this era.
+	lostRowsSeen uint64
+	targets      map[fleet.Model][]TargetVersion
+	maxTargets   int
 	// versionInForce returns the time after which a version must be in force; nil if this
 	// daemon does not know it.
 	versionInForce func() time.Duration
@@ -120,7 +127,8 @@
 		servers:           map[core.InstanceID]*serverState{},
 		invalidRows:       map[core.InstanceID]string{},
 		outDataCentres:    map[core.DataCentre]bool{},
-		lapsedEvacuations: map[core.DataCentre]bool{},
+		lapsedEvacuations: map[core.DataCentre]lapsedEvacuation{},
+		lostRows:          map[string]rowstore.Row{},
 		targets:           map[fleet.Model][]TargetVersion{},
 		maxTargets:        maxTargets,
 	}
@@ -228,6 +236,9 @@
 // Import takes over a peer's table if that is newer than the known rows, and
 // reports whether it did.
 func (s *State) Import(now time.Time, snapshot Snapshot) bool {
+	if snapshot.Table == LostRows {
+		return s.importLost(now, snapshot)
+	}
 	t := s.tables[snapshot.Table]
 	newest := rowstore.Position{Era: snapshot.Era, Revision: snapshot.NewestRevision}
 	if t == nil || newest.Compare(s.NewestChange(snapshot.Table)) <= 0 {
@@ -262,6 +273,7 @@
 		t.rows[row.Key] = row
 	}
 	t.newestRevision = max(t.newestRevision, row.Revision)
+	s.noteWritten(row)
 	s.applyRow(now, row, isFirstRead)
 }
 
@@ -325,6 +337,8 @@
 		Era:              s.era,
 		EraChanges:       s.eraChanges,
 		DroppedRows:      s.droppedRows,
+		LostRows:         uint64(len(s.lostRows)),
+		LostRowsSeen:     max(s.lostRowsSeen, uint64(len(s.lostRows))),
 		Loaded:           s.tables[OperatorTable].loaded && s.tables[ServersTable].loaded,
 	}
 	newest := s.newestStarts()
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -53,6 +53,10 @@
 	// EraChanges counts the transitions to a later era, and DroppedRows the known
 	// rows that the later eras did not have.
 	EraChanges, DroppedRows uint64
+	// LostRows counts the operators' rows that the store has lost and that are in force, and
+	// LostRowsSeen is the greatest such count of this daemon and those whose rows it has
+	// fetched.
+	LostRows, LostRowsSeen uint64
 	// Loaded is true if both tables have been read.
 	Loaded bool
 }
