--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -154,10 +154,7 @@
 		} else {
 			err = f.readChanges(ctx, name)
 		}
-		wait := f.config.PollInterval
-		if f.config.Now().Sub(startedAt) < startTime {
-			wait = max(wait, f.config.StartPollInterval)
-		}
+		wait := f.pauseAfterRead(name, startedAt)
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- a/tables/watch/read_gap_test.go
+++ b/tables/watch/read_gap_test.go
@@ -69,20 +69,26 @@
 	}
 }
 
+// newFeedFollower returns a Follower that reads from a store with version 1.
+func newFeedFollower(t *testing.T) (*Follower, *feedStore) {
+	t.Helper()
+	store := &feedStore{rows: map[string]rowstore.Row{}, changed: make(chan struct{})}
+	store.put(versionRow(1, 0))
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return NewFollower(Config{
+		Store: relay.NewStore(relay.Config{
+			Self: "e", Cache: relay.NewCache(store, time.Now), Log: logrus.NewEntry(logger),
+			Relays:       func(context.Context) []relay.Member { return nil },
+			MinIntervals: map[string]time.Duration{OperatorTable: OperatorReadInterval},
+		}),
+		Tables: []string{OperatorTable}, StartPollInterval: DefaultStartPollInterval, Now: time.Now, Log: logrus.NewEntry(logger),
+	}), store
+}
+
 func TestVersionAcceptedBetweenTwoReadsIsRequiredInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &feedStore{rows: map[string]rowstore.Row{}, changed: make(chan struct{})}
-		store.put(versionRow(1, 0))
-		logger := logrus.New()
-		logger.SetOutput(io.Discard)
-		follower := NewFollower(Config{
-			Store: relay.NewStore(relay.Config{
-				Self: "e", Cache: relay.NewCache(store, time.Now), Log: logrus.NewEntry(logger),
-				Relays:       func(context.Context) []relay.Member { return nil },
-				MinIntervals: map[string]time.Duration{OperatorTable: OperatorReadInterval},
-			}),
-			Tables: []string{OperatorTable}, Now: time.Now, Log: logrus.NewEntry(logger),
-		})
+		follower, store := newFeedFollower(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = follower.Run(ctx) }()
@@ -104,6 +110,23 @@
 	})
 }
 
+func TestVersionAcceptedInThePauseAfterAStartIsRequiredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower, store := newFeedFollower(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = follower.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		accepted := time.Now()
+		store.put(versionRow(2, 0))
+		time.Sleep(2 * time.Second)
+		view := follower.View()
+		require.EqualValues(t, 2, view.RequiredVersion(accepted.Add(testInForceWithin), "m", testInForceWithin))
+		follower.SetVersionSince("m", 2, accepted.Add(100*time.Millisecond))
+		require.Equal(t, accepted.Add(100*time.Millisecond), follower.View().NewestTarget("m").Since, "a daemon that read it knows better")
+	})
+}
+
 func TestVersionReadSoonAfterALongCallCountsFromItsRead(t *testing.T) {
 	for wait, readBefore := range map[time.Duration]bool{0: true, maxReadGap: false} {
 		s := newLoadedState(t)
--- a/tables/watch/state.go
+++ b/tables/watch/state.go
@@ -111,9 +111,8 @@
 	standstill timeSpan
 	// resumedAt is the end of the last standstill.
 	resumedAt time.Time
-	// lastRead is when the operators' table was last read, if a pause may have followed in
-	// which versions were accepted; otherwise zero.
-	lastRead time.Time
+	// lastRead is the last read of the operators' table.
+	lastRead lastRead
 	events   []Event
 }
 
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -13,10 +13,6 @@
 // been configured. Reports of peers differ by the time that datagrams take.
 const minSinceCorrection = 50 * time.Millisecond
 
-// maxReadGap bounds the time between two reads of the changes between which a version was
-// accepted that counts from the earlier one.
-const maxReadGap = 2 * OperatorReadInterval
-
 type timeSpan struct{ from, until time.Time }
 
 // MarkStandstill records that the process did not run between two times. If the store
@@ -33,21 +29,6 @@
 // this daemon has not read yet.
 func (s *State) isCatchingUp() bool { return !s.standstill.until.IsZero() }
 
-// markRead records that the reply to a call for a table that began at calledAt was applied
-// at now.
-func (s *State) markRead(name string, calledAt, now time.Time) {
-	if name != OperatorTable {
-		return
-	}
-	if !calledAt.Before(s.standstill.until) {
-		s.standstill = timeSpan{}
-	}
-	// A long call is not followed by a pause.
-	if s.lastRead = now; now.Sub(calledAt) >= maxReadGap {
-		s.lastRead = time.Time{}
-	}
-}
-
 // newTarget returns a version that was read at now, with the time since when it has been
 // configured as far as this daemon can tell.
 func (s *State) newTarget(now time.Time, version fleet.WeightsVersion, isFirstRead bool) TargetVersion {
@@ -56,10 +37,8 @@
 		return TargetVersion{Version: version}
 	case s.isCatchingUp():
 		return TargetVersion{Version: version, Since: s.standstill.from, IsEstimate: true}
-	case now.Sub(s.lastRead) < maxReadGap:
-		return TargetVersion{Version: version, Since: s.lastRead}
 	default:
-		return TargetVersion{Version: version, Since: now}
+		return s.lastRead.newTarget(now, version)
 	}
 }
 
--- a/tables/watch/version_report.go
+++ b/tables/watch/version_report.go
@@ -17,7 +17,7 @@
 	// SourceRead is the daemon's own read of the row.
 	SourceRead VersionSource = "read"
 	// SourceStandstill is the earliest possible time, the beginning of a standstill of the
-	// process.
+	// process or of a pause after its start.
 	SourceStandstill VersionSource = "standstill"
 	// SourceGossip is an entry's message to another entry.
 	SourceGossip VersionSource = "gossip"
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -27,8 +27,9 @@
 	// First is the oldest of the versions that were merged into this one, which count from
 	// Since as well; 0 if there are none.
 	First fleet.WeightsVersion
-	// IsEstimate is true if this daemon did not run when the version was accepted and
-	// no peer has reported the time. Since is then the earliest possible time.
+	// IsEstimate is true if this daemon did not run when the version was accepted, or paused
+	// after its start, and no peer has reported the time. Since is then the earliest possible
+	// time.
 	IsEstimate bool
 }
 
