--- a/daemon/gateway/version_exchange_test.go
+++ b/daemon/gateway/version_exchange_test.go
@@ -47,7 +47,9 @@
 	g, addr := newStartedEntry(t)
 	view := g.follower.View()
 	require.EqualValues(t, 2, g.requiredVersionAt(g.clock.Now(), view, "m"))
-	ages, err := versionages.NewClient(nil).Exchange(t.Context(), addr, []versionages.Age{{Model: "m", Version: 2, Age: time.Second}})
+	ages, err := versionages.NewClient(nil).Exchange(t.Context(), addr, func() []versionages.Age {
+		return []versionages.Age{{Model: "m", Version: 2, Age: time.Second}}
+	})
 	require.NoError(t, err)
 	require.Len(t, ages, 1, "the entry tells the age that it has learned")
 	view = g.follower.View()
@@ -58,7 +60,7 @@
 
 func TestEntryThatDoesNotKnowTheAgeOfAVersionTellsNone(t *testing.T) {
 	_, addr := newStartedEntry(t)
-	ages, err := versionages.NewClient(nil).Exchange(t.Context(), addr, nil)
+	ages, err := versionages.NewClient(nil).Exchange(t.Context(), addr, func() []versionages.Age { return nil })
 	require.NoError(t, err)
 	require.Empty(t, ages)
 }
--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -132,7 +132,9 @@
 
 func (e *ageExchange) exchangeWith(ctx context.Context, entry gossip.Member) error {
 	calledAt := e.clock.Now()
-	ages, err := e.client.Exchange(ctx, entry.PeerAddr, versionages.Known(e.follower.View(), calledAt, e.inForceWithin))
+	ages, err := e.client.Exchange(ctx, entry.PeerAddr, func() []versionages.Age {
+		return versionages.Known(e.follower.View(), e.clock.Now(), e.inForceWithin)
+	})
 	if err != nil {
 		return err
 	}
--- a/tables/versionages/versionages.go
+++ b/tables/versionages/versionages.go
@@ -142,9 +142,12 @@
 }
 
 // Exchange sends the ages that this daemon knows to the daemon at addr, and returns those
-// that it knows.
-func (c *Client) Exchange(ctx context.Context, addr string, known []Age) ([]Age, error) {
-	body, err := cbor.Marshal(message{Ages: known})
+// that it knows. known returns the ages as of its call.
+func (c *Client) Exchange(ctx context.Context, addr string, known func() []Age) ([]Age, error) {
+	// The bound counts from before the ages were taken: it excludes a standstill since.
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := cbor.Marshal(message{Ages: known()})
 	if err != nil {
 		return nil, err
 	}
--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -60,6 +61,8 @@
 	Report(d.follower, watch.SourceEntry, ages, at, at)
 }
 
+func noAges() []Age { return nil }
+
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -70,7 +73,7 @@
 // exchange lets an agent exchange ages with an entry.
 func exchange(t *testing.T, agent, entry *daemon) {
 	t.Helper()
-	ages, err := NewClient(nil).Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, entry.clockNow, discardLogger())), agent.known())
+	ages, err := NewClient(nil).Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, entry.clockNow, discardLogger())), agent.known)
 	require.NoError(t, err)
 	agent.receive(ages, agent.now)
 }
@@ -157,7 +160,7 @@
 
 func TestBuildWithoutExchangesIsRecognised(t *testing.T) {
 	addr := serve(t, http.NewServeMux())
-	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	require.ErrorIs(t, err, ErrUnsupported)
 }
 
@@ -165,7 +168,7 @@
 	addr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(bytes.Repeat([]byte{0x80}, MaxBodyBytes+1))
 	}))
-	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	var tooLarge *httpcall.TooLargeError
 	require.ErrorAs(t, err, &tooLarge)
 }
@@ -174,7 +177,9 @@
 	d := newDaemon()
 	handler := Handler(d.known, func(ages []Age, _ time.Time) { require.Empty(t, ages) }, d.clockNow, discardLogger())
 	addr := serve(t, handler)
-	_, err := NewClient(nil).Exchange(t.Context(), addr, []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}})
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age {
+		return []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}}
+	})
 	require.NoError(t, err)
 	response := httptest.NewRecorder()
 	handler.ServeHTTP(response, httptest.NewRequest(http.MethodPost, Path, strings.NewReader("\xff")))
@@ -188,7 +193,7 @@
 	}
 	var received []Age
 	addr := serve(t, Handler(func() []Age { return nil }, func(ages []Age, _ time.Time) { received = ages }, time.Now, discardLogger()))
-	_, err := NewClient(nil).Exchange(t.Context(), addr, sent)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age { return sent })
 	require.NoError(t, err)
 	require.Equal(t, sent, received)
 }
@@ -197,7 +202,18 @@
 	d := newDaemon()
 	d.read(3, 0)
 	addr := serve(t, Handler(func() []Age { return []Age{{Model: "m", Version: 3, Age: time.Second, First: 2}} }, d.receive, d.clockNow, discardLogger()))
-	ages, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	ages, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, ages[0].First)
 }
+
+func TestAgesAreNotSentAfterAStandstillSinceTheyWereTaken(t *testing.T) {
+	var received []Age
+	addr := serve(t, Handler(noAges, func(ages []Age, _ time.Time) { received = ages }, time.Now, discardLogger()))
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age {
+		time.Sleep(callTimeout)
+		return []Age{{Model: "m", Version: 2, Age: time.Second}}
+	})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Empty(t, received)
+}
