--- a/tables/versionages/versionages_test.go
+++ b/tables/versionages/versionages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -60,6 +61,8 @@
 	Report(d.follower, watch.SourceEntry, ages, at, at)
 }
 
+func noAges() []Age { return nil }
+
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -70,7 +73,7 @@
 // exchange lets an agent exchange ages with an entry.
 func exchange(t *testing.T, agent, entry *daemon) {
 	t.Helper()
-	ages, err := NewClient(nil).Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, entry.clockNow, discardLogger())), agent.known())
+	ages, err := NewClient(nil).Exchange(t.Context(), serve(t, Handler(entry.known, entry.receive, entry.clockNow, discardLogger())), agent.known)
 	require.NoError(t, err)
 	agent.receive(ages, agent.now)
 }
@@ -114,6 +117,22 @@
 	require.EqualValues(t, 2, entry.follower.View().RequiredVersion(start.Add(10*time.Second), "m", inForceWithin))
 }
 
+func TestEntryThatRestartedDoesNotCountFromTheTimeAtWhichAnAgentReadLate(t *testing.T) {
+	agent, informed, restarted := newDaemon(), newDaemon(), newDaemon()
+	agent.read(1, 0)
+	informed.read(1, 0)
+	informed.read(2, time.Second)
+	agent.read(2, 7*time.Second)
+	restarted.now = agent.now
+	restarted.read(2, 0)
+	for _, entry := range []*daemon{restarted, informed, restarted} {
+		entry.now = agent.now
+		exchange(t, agent, entry)
+		require.EqualValues(t, 2, restarted.follower.View().RequiredVersion(start.Add(9*time.Second), "m", inForceWithin))
+	}
+	require.Equal(t, start.Add(time.Second), restarted.follower.View().NewestTarget("m").Since)
+}
+
 func TestUnknownAndEstimatedAgesAreNotSent(t *testing.T) {
 	d := newDaemon()
 	d.read(1, 0)
@@ -141,7 +160,7 @@
 
 func TestBuildWithoutExchangesIsRecognised(t *testing.T) {
 	addr := serve(t, http.NewServeMux())
-	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	require.ErrorIs(t, err, ErrUnsupported)
 }
 
@@ -149,7 +168,7 @@
 	addr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(bytes.Repeat([]byte{0x80}, MaxBodyBytes+1))
 	}))
-	_, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	var tooLarge *httpcall.TooLargeError
 	require.ErrorAs(t, err, &tooLarge)
 }
@@ -158,7 +177,9 @@
 	d := newDaemon()
 	handler := Handler(d.known, func(ages []Age, _ time.Time) { require.Empty(t, ages) }, d.clockNow, discardLogger())
 	addr := serve(t, handler)
-	_, err := NewClient(nil).Exchange(t.Context(), addr, []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}})
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age {
+		return []Age{{Model: "m", Version: 0, Age: 1}, {Model: "m", Version: 1, Age: -1}}
+	})
 	require.NoError(t, err)
 	response := httptest.NewRecorder()
 	handler.ServeHTTP(response, httptest.NewRequest(http.MethodPost, Path, strings.NewReader("\xff")))
@@ -172,7 +193,7 @@
 	}
 	var received []Age
 	addr := serve(t, Handler(func() []Age { return nil }, func(ages []Age, _ time.Time) { received = ages }, time.Now, discardLogger()))
-	_, err := NewClient(nil).Exchange(t.Context(), addr, sent)
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age { return sent })
 	require.NoError(t, err)
 	require.Equal(t, sent, received)
 }
@@ -181,7 +202,18 @@
 	d := newDaemon()
 	d.read(3, 0)
 	addr := serve(t, Handler(func() []Age { return []Age{{Model: "m", Version: 3, Age: time.Second, First: 2}} }, d.receive, d.clockNow, discardLogger()))
-	ages, err := NewClient(nil).Exchange(t.Context(), addr, nil)
+	ages, err := NewClient(nil).Exchange(t.Context(), addr, noAges)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, ages[0].First)
 }
+
+func TestAgesAreNotSentAfterAStandstillSinceTheyWereTaken(t *testing.T) {
+	var received []Age
+	addr := serve(t, Handler(noAges, func(ages []Age, _ time.Time) { received = ages }, time.Now, discardLogger()))
+	_, err := NewClient(nil).Exchange(t.Context(), addr, func() []Age {
+		time.Sleep(callTimeout)
+		return []Age{{Model: "m", Version: 2, Age: time.Second}}
+	})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Empty(t, received)
+}
--- a/tables/watch/follower.go
+++ b/tables/watch/follower.go
@@ -154,10 +154,7 @@
 		} else {
 			err = f.readChanges(ctx, name)
 		}
-		wait := f.config.PollInterval
-		if f.config.Now().Sub(startedAt) < startTime {
-			wait = max(wait, f.config.StartPollInterval)
-		}
+		wait := f.pauseAfterRead(name, startedAt)
 		switch {
 		case ctx.Err() != nil:
 			return nil
@@ -185,11 +182,12 @@
 	if err != nil {
 		return err
 	}
-	applied := true
+	applied := false
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
-		applied = f.state.Replace(now, name, page)
-		f.state.markRead(name, calledAt.Add(-page.Age))
+		if applied = f.state.Replace(now, name, page); applied {
+			f.state.markRead(name, calledAt.Add(-page.Age), now)
+		}
 	})
 	f.logUnreadable(name, page)
 	if !applied {
@@ -213,11 +211,12 @@
 	if err != nil {
 		return err
 	}
-	applied := true
+	applied := false
 	f.update(func(now time.Time) {
 		f.state.MarkStoreUp(now)
-		applied = f.state.Apply(now, name, page)
-		f.state.markRead(name, calledAt.Add(-page.Age))
+		if applied = f.state.Apply(now, name, page); applied {
+			f.state.markRead(name, calledAt.Add(-page.Age), now)
+		}
 	})
 	f.logUnreadable(name, page)
 	if !applied {
@@ -311,7 +310,7 @@
 // This includes changes without an event, such as a server's count of orders.
 func (f *Follower) hasNewRows() bool {
 	view := f.view.Load()
-	return f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
+	return f.state.lostRowsSeen > view.LostRowsSeen || f.state.NewestChange(OperatorTable) != view.OperatorPosition || f.state.NewestChange(ServersTable) != view.ServersPosition
 }
 
 func (f *Follower) handleFailure(name string, calledAt time.Time, err error) {
@@ -384,7 +383,7 @@
 func (f *Follower) Export(name string) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Export(name)
+	return f.state.exportAt(f.config.Now(), name)
 }
 
 // Import takes over a peer's table if that is newer, and reports whether it did.
--- a/tables/watch/version_age.go
+++ b/tables/watch/version_age.go
@@ -29,13 +29,6 @@
 // this daemon has not read yet.
 func (s *State) isCatchingUp() bool { return !s.standstill.until.IsZero() }
 
-// markRead records that a call for a table that began at calledAt got a reply.
-func (s *State) markRead(name string, calledAt time.Time) {
-	if name == OperatorTable && !calledAt.Before(s.standstill.until) {
-		s.standstill = timeSpan{}
-	}
-}
-
 // newTarget returns a version that was read at now, with the time since when it has been
 // configured as far as this daemon can tell.
 func (s *State) newTarget(now time.Time, version fleet.WeightsVersion, isFirstRead bool) TargetVersion {
@@ -45,7 +38,7 @@
 	case s.isCatchingUp():
 		return TargetVersion{Version: version, Since: s.standstill.from, IsEstimate: true}
 	default:
-		return TargetVersion{Version: version, Since: now}
+		return s.lastRead.newTarget(now, version)
 	}
 }
 
--- a/tables/watch/view.go
+++ b/tables/watch/view.go
@@ -19,15 +19,17 @@
 // configured.
 type TargetVersion struct {
 	Version fleet.WeightsVersion
-	// Since is when the first of the known daemons read the version, which is never
-	// before the store accepted it. It is zero if the version was configured before
-	// this daemon started and no peer has reported the time.
+	// Since is when the first of the known daemons read the version, or its last read before
+	// if the store may have accepted the version in the pause between them. It is zero if
+	// the version was configured before this daemon started and no peer has reported the
+	// time.
 	Since time.Time
 	// First is the oldest of the versions that were merged into this one, which count from
 	// Since as well; 0 if there are none.
 	First fleet.WeightsVersion
-	// IsEstimate is true if this daemon did not run when the version was accepted and
-	// no peer has reported the time. Since is then the earliest possible time.
+	// IsEstimate is true if this daemon did not run when the version was accepted, or paused
+	// after its start, and no peer has reported the time. Since is then the earliest possible
+	// time.
 	IsEstimate bool
 }
 
@@ -52,6 +54,10 @@
 	// EraChanges counts the transitions to a later era, and DroppedRows the known
 	// rows that the later eras did not have.
 	EraChanges, DroppedRows uint64
+	// LostRows counts the operators' rows that the store has lost and that are in force, and
+	// LostRowsSeen is the greatest such count of this daemon and those whose rows it has
+	// fetched.
+	LostRows, LostRowsSeen uint64
 	// Loaded is true if both tables have been read.
 	Loaded bool
 }
