--- a/core/httpcall/errors.go
+++ b/core/httpcall/errors.go
@@ -43,6 +43,20 @@
 	return fmt.Sprintf("the %s of the answer of %s (%s) exceeds %d %s", e.Part, e.Server, e.Kind, e.Limit, e.Part.unit())
 }
 
+// StatusError means that an answer has a status that its kind can't have, which says nothing
+// about the call.
+type StatusError struct {
+	// Server is the IP address and port that sent the answer.
+	Server string
+	// Kind is that of Answer.
+	Kind   string
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the answer of %s (%s) has the status %03d", e.Server, e.Kind, e.Status)
+}
+
 // maxErrorBytes bounds the text of an error that may quote received bytes.
 const maxErrorBytes = 300
 
--- a/core/httpcall/httpcall.go
+++ b/core/httpcall/httpcall.go
@@ -18,6 +18,9 @@
 	MaxHeadBytes = 16 << 10
 	// MaxFields bounds the header lines of an answer.
 	MaxFields = 256
+	// minStatus and maxStatus are the least and the greatest status of a final answer.
+	minStatus = 200
+	maxStatus = 599
 	// Unbounded is the MaxBodyBytes of an answer that is not kept, such as a stream.
 	Unbounded = math.MaxInt64 - 1
 )
@@ -61,7 +64,7 @@
 
 func newTransport(config Config) *http.Transport {
 	return &http.Transport{
-		DialContext: config.Dial, MaxConnsPerHost: config.MaxConns, MaxIdleConnsPerHost: config.MaxIdleConns, IdleConnTimeout: config.IdleTimeout,
+		DialContext: netdial.ValidStatus(config.Dial), MaxConnsPerHost: config.MaxConns, MaxIdleConnsPerHost: config.MaxIdleConns, IdleConnTimeout: config.IdleTimeout,
 		ResponseHeaderTimeout: config.HeadTimeout, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true,
 	}
 }
@@ -88,8 +91,9 @@
 }
 
 // Do sends a request and returns the answer. Reading the body returns a *TooLargeError at its
-// bound, and so does Do if the head exceeds MaxHeadBytes or MaxFields. The caller must close
-// the body, which closes the connection unless the body was read completely.
+// bound, and so does Do if the head exceeds MaxHeadBytes or MaxFields. An answer whose status
+// is not one of HTTP, from 200 to 599, is a *StatusError. The caller must close the body, which
+// closes the connection unless the body was read completely.
 func (c *Client) Do(request *http.Request, answer Answer) (*http.Response, error) {
 	cancel := context.CancelFunc(func() {})
 	if answer.Timeout > 0 {
@@ -109,6 +113,12 @@
 		_ = response.Body.Close()
 		cancel()
 		return nil, c.tooLarge(request, answer, PartFields, MaxFields)
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		_ = response.Body.Close()
+		cancel()
+		// Without a body the connection is idle already.
+		c.CloseIdleConnections()
+		return nil, &StatusError{Server: request.URL.Host, Kind: answer.Kind, Status: response.StatusCode}
 	}
 	body := &boundedBody{ReadCloser: response.Body, left: answer.MaxBodyBytes, cancel: cancel}
 	body.tooLarge = func() error { return c.tooLarge(request, answer, PartBody, answer.MaxBodyBytes) }
