--- a/core/oddstatus/oddstatus.go
+++ b/core/oddstatus/oddstatus.go
@@ -37,6 +37,16 @@
 	return answers
 }
 
+// WithStatuses adds answers with the given statuses, which are HTTP's, to those of Answers.
+func WithStatuses(fields, body string, statuses ...int) map[string]string {
+	answers := Answers(fields, body)
+	for _, status := range statuses {
+		line := "HTTP/1.1 " + strconv.Itoa(status) + " X"
+		answers[line] = line + "\r\n" + fields + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	return answers
+}
+
 // Server gives an answer to the first request of each connection, and another one to the
 // later requests of that connection.
 type Server struct {
