--- a/weights/engine/client.go
+++ b/weights/engine/client.go
@@ -143,7 +143,8 @@
 	if err != nil {
 		return nil, core.Wrap(err, code, core.ExecutionUnknown, "%s %s", method, path)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	isSuccess := response.StatusCode == http.StatusOK || method != http.MethodGet && httpcall.IsDone(response.StatusCode)
+	if !isSuccess {
 		return nil, statusError(response.StatusCode, code, fmt.Sprintf("%s %s", method, path))
 	}
 	return content, nil
@@ -161,6 +162,9 @@
 }
 
 func statusError(status int, code core.Code, call string) error {
+	if !httpcall.IsRefused(status) {
+		return core.NewFailure(code, core.ExecutionUnknown, "engine returned status %d for %s", status, call)
+	}
 	if status == http.StatusConflict {
 		code = core.CodeFenced
 	}
