--- a/weights/source/client.go
+++ b/weights/source/client.go
@@ -76,7 +76,7 @@
 	if response.StatusCode == http.StatusNotFound {
 		return false, nil
 	}
-	return response.StatusCode == http.StatusOK, statusError(response)
+	return response.StatusCode == http.StatusOK, statusError(response, response.StatusCode == http.StatusOK)
 }
 
 // PutChunk implements weights.Sink.
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	if err := statusError(response); err != nil {
+	if err := statusError(response, response.StatusCode == http.StatusOK); err != nil {
 		return nil, err
 	}
 	content, err := io.ReadAll(response.Body)
@@ -114,7 +114,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	if err := statusError(response); err != nil {
+	if err := statusError(response, httpcall.IsDone(response.StatusCode)); err != nil {
 		return err
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -136,12 +136,16 @@
 	return response, nil
 }
 
-// statusError returns an error for an HTTP error status, or nil. As the request was
-// refused before any content was sent, the error carries ExecutionNotRun.
-func statusError(response *http.Response) error {
-	if response.StatusCode < http.StatusBadRequest {
+// statusError returns an error for a status that is not the expected one, or nil. As the
+// request was refused before any content was sent, that of an error status carries
+// ExecutionNotRun.
+func statusError(response *http.Response, isExpected bool) error {
+	if isExpected {
 		return nil
 	}
+	if response.StatusCode < http.StatusBadRequest {
+		return core.NewFailure(core.CodeOriginFailed, core.ExecutionUnknown, "source returned status %d", response.StatusCode)
+	}
 	retryAfter := defaultRetryAfter
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
 		retryAfter = time.Duration(seconds) * time.Second
