--- a/daemon/gateway/join.go
+++ b/daemon/gateway/join.go
@@ -100,6 +100,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("the peer returned status %d", response.StatusCode)
+	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
