--- a/daemon/deployed/answers_test.go
+++ b/daemon/deployed/answers_test.go
@@ -64,6 +64,7 @@
 	for name, fault := range map[string]standin.AnswerFault{
 		"reset": standin.AnswerUnframedReset, "cut": standin.AnswerUnframedCut,
 		"endless head": standin.AnswerEndlessHead, "endless body": standin.AnswerEndlessBody,
+		"status 000": standin.AnswerStatus000, "status 700": standin.AnswerStatus700,
 	} {
 		t.Run(name, func(t *testing.T) {
 			// A server that failed gets fewer requests. Each fault is at another server, that of
@@ -89,7 +90,9 @@
 				require.True(t, isWholePlain(result), "another server answers: %+v", result)
 			}
 			results = d.untilFault(d.plainServers[1], fault, d.plain(1, "/issue/1"))
-			require.Equal(t, http.StatusBadGateway, results[len(results)-1].status)
+			failed := results[len(results)-1]
+			require.Equal(t, http.StatusBadGateway, failed.status)
+			require.Empty(t, failed.header.Get(headers.Names().Signature), "the answer is not the server's")
 		})
 	}
 }
