--- a/requests/upstream/conn.go
+++ b/requests/upstream/conn.go
@@ -200,11 +200,19 @@
 		return errors.New("unexpected status 101 (switching protocols)")
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return fmt.Errorf("invalid status %d", response.StatusCode)
+	case response.StatusCode < http.StatusOK && announcesBody(response):
+		return fmt.Errorf("informational answer %d with a body", response.StatusCode)
 	default:
 		return nil
 	}
 }
 
+// announcesBody reports whether the head has the header of a body, which the reader of an
+// informational answer takes for the next head.
+func announcesBody(response *http.Response) bool {
+	return response.Header.Get("Content-Length") != "" || len(response.TransferEncoding) > 0
+}
+
 func countFields(header http.Header) int {
 	count := 0
 	for _, values := range header {
--- a/requests/upstream/status_test.go
+++ b/requests/upstream/status_test.go
@@ -26,3 +26,17 @@
 		require.Equal(t, line[9:12], response.Status[:3])
 	}
 }
+
+func TestBodyOfAnInformationalAnswerIsNotTakenForTheAnswer(t *testing.T) {
+	for _, status := range []string{"100", "102", "103", "199"} {
+		for name, answer := range map[string]string{
+			"length":        "Content-Length: 40\r\n\r\n" + okAnswer,
+			"chunks":        "Transfer-Encoding: chunked\r\n\r\n" + okAnswer,
+			"empty":         "Content-Length: 0\r\n\r\n" + okAnswer,
+			"after another": "A: b\r\n\r\nHTTP/1.1 103 OK\r\nContent-Length: 40\r\n\r\n" + okAnswer,
+		} {
+			_, _, _, err := roundTrip(t, NewPool(Config{}), rawServer(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, "HTTP/1.1 "+status+" OK\r\n"+answer) }))
+			require.Error(t, err, "%s %s", status, name)
+		}
+	}
+}
