--- a/cmd/currantusher/operator.go
+++ b/cmd/currantusher/operator.go
@@ -20,7 +20,11 @@
 	"currantusher.dev/tables/edit"
 )
 
-const operatorTimeout = 15 * time.Second
+const (
+	operatorTimeout = 15 * time.Second
+	// maxStatus is the greatest status of HTTP.
+	maxStatus = 599
+)
 
 // operatorClient calls the operator API of an entry.
 type operatorClient struct {
@@ -69,14 +73,24 @@
 	return roots, nil
 }
 
+// problemOf returns the problem response that an error holds, or nil. One without an error
+// status proves nothing.
+func problemOf(err error) *oas.ProblemStatusCodeWithHeaders {
+	var problem *oas.ProblemStatusCodeWithHeaders
+	if !errors.As(err, &problem) || problem.StatusCode < http.StatusBadRequest || problem.StatusCode > maxStatus {
+		return nil
+	}
+	return problem
+}
+
 // problemToError converts a problem response of an entry to an error with the
 // same result code. Other errors are returned unchanged.
 func problemToError(err error) error {
 	if err == nil {
 		return nil
 	}
-	var problem *oas.ProblemStatusCodeWithHeaders
-	if !errors.As(err, &problem) {
+	problem := problemOf(err)
+	if problem == nil {
 		return err
 	}
 	body := problem.Response
@@ -115,8 +129,7 @@
 // isOutcomeUnknown reports whether an edit may have been accepted although err was
 // returned: the entry reported an unknown outcome or sent no valid response.
 func isOutcomeUnknown(err error) bool {
-	var problem *oas.ProblemStatusCodeWithHeaders
-	if errors.As(err, &problem) {
+	if problem := problemOf(err); problem != nil {
 		return core.Code(problem.Response.Code) == core.CodeEditUnknown
 	}
 	return err != nil
@@ -125,8 +138,7 @@
 // isFinalAnswer reports whether the answer to a repeated edit settles the earlier
 // ones too.
 func isFinalAnswer(err error) bool {
-	var problem *oas.ProblemStatusCodeWithHeaders
-	if errors.As(err, &problem) {
+	if problem := problemOf(err); problem != nil {
 		return edit.IsFinal(core.Code(problem.Response.Code))
 	}
 	return err == nil
