--- a/core/netdial/status.go
+++ b/core/netdial/status.go
@@ -1,13 +1,18 @@
 package netdial
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
 )
 
-// statusLineBytes is the length of a status line up to the end of the status.
-const statusLineBytes = len(statusLineStart) + 3
+const (
+	// statusLineBytes is the length of a status line up to the end of the status.
+	statusLineBytes = len(statusLineStart) + 3
+	// protocolStart is the start of all answers of HTTP/1.
+	protocolStart = "HTTP/1."
+)
 
 // ValidStatus returns a dial function for HTTP/1.1 clients whose connections carry no request
 // after an answer whose status is not one of HTTP, from 200 to 599. http.Transport keeps a
@@ -87,8 +92,10 @@
 	}
 }
 
+// judge looks at the start of a status line. Other bytes are no answer, or are encrypted.
 func (s *statusScanner) judge() {
 	class := s.line[len(statusLineStart)]
-	s.isDone = class != '1'
-	s.isInvalid = s.isDone && (class < '2' || class > '5')
+	isAnswer := bytes.HasPrefix(s.line, []byte(protocolStart))
+	s.isDone = class != '1' || !isAnswer
+	s.isInvalid = isAnswer && s.isDone && (class < '2' || class > '5')
 }
