--- a/core/httpcall/status_test.go
+++ b/core/httpcall/status_test.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"maps"
 	"net/http"
 	"testing"
 	"time"
@@ -12,7 +13,9 @@
 
 func TestAnswerWithoutAStatusOfHTTPIsNoAnswer(t *testing.T) {
 	for _, body := range []string{"", "ok"} {
-		for name, answer := range oddstatus.Answers("", body) {
+		answers := oddstatus.Answers("", body)
+		maps.Copy(answers, oddstatus.Nested("", body))
+		for name, answer := range answers {
 			t.Run(name+"/"+body, func(t *testing.T) {
 				server, err := oddstatus.Start(answer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 				require.NoError(t, err)
--- a/core/netdial/status.go
+++ b/core/netdial/status.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 )
 
@@ -12,11 +15,21 @@
 	statusLineBytes = len(statusLineStart) + 3
 	// protocolStart is the start of all answers of HTTP/1.
 	protocolStart = "HTTP/1."
+	// maxFieldNameBytes is more than the length of the names of bodyFields.
+	maxFieldNameBytes = 32
 )
 
+// ErrInformationalBody means that an informational answer has a body, which would be taken for
+// the next answer.
+var ErrInformationalBody = errors.New("an informational answer has a body")
+
+// bodyFields are the header fields of an answer with a body.
+var bodyFields = []string{"content-length", "transfer-encoding"}
+
 // ValidStatus returns a dial function for HTTP/1.1 clients whose connections carry no request
 // after an answer whose status is not one of HTTP, from 200 to 599. http.Transport keeps a
-// connection after an answer with a greater one.
+// connection after an answer with a greater one. Informational answers with a body end the
+// connection with ErrInformationalBody.
 func ValidStatus(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
@@ -58,7 +71,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.scan(p[:n])
+	if n = c.scanner.scan(p[:n]); c.scanner.hasInformationalBody {
+		return n, ErrInformationalBody
+	}
 	return n, err
 }
 
@@ -68,17 +83,23 @@
 	// isDone is set once the final status was read.
 	isDone    bool
 	isInvalid bool
-	// lineIsEmpty is set at the start of a line in the head of an informational answer.
-	lineIsEmpty bool
+	// lineIsEmpty is set at the start of a line in the head of an informational answer, and
+	// field holds the start of that line.
+	lineIsEmpty          bool
+	field                []byte
+	hasInformationalBody bool
 }
 
 func (s *statusScanner) reset() { s.line, s.isDone, s.lineIsEmpty = s.line[:0], false, false }
 
-func (s *statusScanner) scan(p []byte) {
-	for _, b := range p {
+// scan returns how many of the bytes may be read.
+func (s *statusScanner) scan(p []byte) int {
+	for i, b := range p {
 		switch {
+		case s.hasInformationalBody:
+			return i
 		case s.isDone:
-			return
+			return len(p)
 		case len(s.line) < statusLineBytes:
 			s.line = append(s.line, b)
 			if len(s.line) == statusLineBytes {
@@ -88,8 +109,24 @@
 			s.reset()
 		default:
 			s.lineIsEmpty = b == '\n' || b == '\r' && s.lineIsEmpty
+			s.scanField(b)
 		}
 	}
+	return len(p)
+}
+
+// scanField looks at a byte in the head of an informational answer.
+func (s *statusScanner) scanField(b byte) {
+	switch {
+	case b == '\n':
+		s.field = s.field[:0]
+		return
+	case b == ':' && slices.Contains(bodyFields, strings.ToLower(string(s.field))):
+		s.hasInformationalBody, s.isInvalid = true, true
+	}
+	if len(s.field) < maxFieldNameBytes {
+		s.field = append(s.field, b)
+	}
 }
 
 // judge looks at the start of a status line. Other bytes are no answer, or are encrypted.
--- a/core/oddstatus/oddstatus.go
+++ b/core/oddstatus/oddstatus.go
@@ -37,6 +37,18 @@
 	return answers
 }
 
+// Nested returns informational answers whose body is a whole answer with the given header lines
+// and body.
+func Nested(fields, body string) map[string]string {
+	inner := "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	answers := map[string]string{}
+	for _, line := range []string{"HTTP/1.1 100 Continue", "HTTP/1.1 103", "HTTP/1.1 103 A\r\n\r\nHTTP/1.1 199 OK"} {
+		answers["in the body of "+line] = line + "\r\nContent-Length: " + strconv.Itoa(len(inner)) + "\r\n\r\n" + inner
+		answers["in chunks of "+line] = line + "\r\nA: b\r\ntransfer-encoding: chunked\r\n\r\n" + inner
+	}
+	return answers
+}
+
 // WithStatuses adds answers with the given statuses, which are HTTP's, to those of Answers.
 func WithStatuses(fields, body string, statuses ...int) map[string]string {
 	answers := Answers(fields, body)
--- a/daemon/agent/status_test.go
+++ b/daemon/agent/status_test.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"maps"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,7 +13,9 @@
 )
 
 func TestBackendAnswerWithAnotherStatusThan200DoesNotReachTheEntry(t *testing.T) {
-	for line, answer := range oddstatus.WithStatuses("X-Request-Id: r\r\n", "{}", 201, 202, 203, 204, 206, 299, 300, 304, 399, 400, 404, 408, 421, 500, 503, 599) {
+	answers := oddstatus.WithStatuses("X-Request-Id: r\r\n", "{}", 201, 202, 203, 204, 206, 299, 300, 304, 399, 400, 404, 408, 421, 500, 503, 599)
+	maps.Copy(answers, oddstatus.Nested(strings.TrimPrefix(cutAnswerHead, "HTTP/1.1 200 OK\r\n"), "{}"))
+	for line, answer := range answers {
 		server, err := oddstatus.Start(answer, "")
 		require.NoError(t, err)
 		b := newBackend("http://" + server.Addr)
