--- a/requests/quarantine/decide.go
+++ b/requests/quarantine/decide.go
@@ -174,10 +174,10 @@
 	if len(equals) > 0 && best.moments < minMoments+equalMoments {
 		return nil
 	}
-	changes := []Change{s.quarantine(now, best, rivals)}
+	changes := s.quarantine(now, best, rivals)
 	for _, other := range equals {
 		if other.trait.IsRequest() && !other.isKnown && len(other.crashes) >= len(best.crashes) {
-			changes = append(changes, s.quarantine(now, other, nil))
+			changes = append(changes, s.quarantine(now, other, nil)...)
 		}
 	}
 	return changes
@@ -193,7 +193,8 @@
 	return settled.isEnough(settled.countOthers(s.crashes.crashes, nil))
 }
 
-func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.Trait) Change {
+// quarantine quarantines a trait, unless as many as can be kept are in force for longer.
+func (s *Set) quarantine(now time.Time, cause *candidate, rivals []fleet.Trait) []Change {
 	q := &quarantine{generation: 1, with: rivals, decidedAt: now, crashes: len(cause.crashes), changedAt: now}
 	if previous := s.quarantines[cause.trait]; previous != nil {
 		q.generation = max(previous.generation+1, previous.generation)
@@ -201,8 +202,10 @@
 			q.widen(now, func(p fleet.Trait) bool { return !slices.Contains(previous.with, p) })
 		}
 	}
-	s.quarantines.put(cause.trait, q)
-	return q.change(cause.trait, Decided)
+	if !s.quarantines.put(cause.trait, q) {
+		return nil
+	}
+	return []Change{q.change(cause.trait, Decided)}
 }
 
 // change describes that a quarantine begins or is widened.
--- a/requests/quarantine/exchange.go
+++ b/requests/quarantine/exchange.go
@@ -255,9 +255,11 @@
 		q.releasedAt = now
 	}
 	q.endReported = !q.released && !q.isActive(now)
-	s.quarantines.put(other.Trait, q)
+	isKept := s.quarantines.put(other.Trait, q)
 	s.undecided = true
 	switch {
+	case !isKept && q.isActive(now):
+		return Change{}, false
 	case q.isActive(now):
 		return q.change(other.Trait, Adopted), true
 	case wasActive && q.released:
--- a/requests/quarantine/records.go
+++ b/requests/quarantine/records.go
@@ -31,10 +31,7 @@
 
 func (s *Set) adoptRecord(now time.Time, r Record, stored *quarantine, isNews bool) (Change, bool) {
 	known := s.quarantines[r.Trait]
-	switch {
-	case known == nil && len(s.quarantines) >= maxQuarantines && !stored.isActive(now):
-		return Change{}, false
-	case known != nil && known.generation <= stored.generation && !known.released && known.decidedAt.After(stored.finishedAt()):
+	if known != nil && known.generation <= stored.generation && !known.released && known.decidedAt.After(stored.finishedAt()) {
 		// It was decided without knowing the stored one, which had ended.
 		known.generation, known.changedAt = max(stored.generation+1, stored.generation), now
 		return Change{}, false
@@ -43,7 +40,7 @@
 		Trait: r.Trait, Generation: r.Generation, Age: now.Sub(stored.decidedAt), Crashes: r.Crashes, Released: r.Released, With: r.With,
 	})
 	q := s.quarantines[r.Trait]
-	if q.generation != stored.generation || q.released != stored.released {
+	if q == nil || q.generation != stored.generation || q.released != stored.released {
 		return change, ok
 	}
 	if q != known {
--- a/requests/quarantine/table.go
+++ b/requests/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -18,8 +19,12 @@
 	// releaseRetention is the least time for which a release is known, so that other entries
 	// learn of it. It is longer than any entry is cut off from all others and keeps serving.
 	releaseRetention = 10 * time.Minute
-	// maxQuarantines bounds the traits with a current, ended or released quarantine.
+	// maxQuarantines bounds the traits with a current, ended or released quarantine as long as
+	// few are in force. maxInForce bounds those that are in force, and minPast is the number of
+	// ended and released ones that are kept beside any number of them.
 	maxQuarantines = 256
+	maxInForce     = 1024
+	minPast        = 128
 )
 
 // quarantine is the last quarantine of a trait.
@@ -128,29 +133,54 @@
 			delete(t, trait)
 		}
 	}
+	t.shrink(now)
 }
 
-// put stores a quarantine. When the table is full, it replaces one: a released one if
-// there is any, and of these the one that changed least recently.
-func (t quarantineTable) put(trait fleet.Trait, q *quarantine) {
-	if t[trait] == nil && len(t) >= maxQuarantines {
-		var oldest fleet.Trait
-		var found *quarantine
-		for p, other := range t {
-			if found == nil || other.isReplacedBefore(found) {
-				oldest, found = p, other
-			}
+// put stores a quarantine whose changedAt is the present time. When the table is full, it
+// forgets another one or this one, and reports whether it keeps this one.
+func (t quarantineTable) put(trait fleet.Trait, q *quarantine) bool {
+	t[trait] = q
+	t.shrink(q.changedAt)
+	return t[trait] == q
+}
+
+// shrink forgets the quarantines beyond the bounds: of those that are in force the ones that
+// end first, and of the past ones those that are past for longest. A past one never displaces
+// one that is in force.
+func (t quarantineTable) shrink(now time.Time) {
+	if len(t) <= maxQuarantines {
+		return
+	}
+	var inForce, past []finish
+	for trait, q := range t {
+		f := finish{trait: trait, at: q.finishedAt(), changedAt: q.changedAt}
+		if q.isActive(now) {
+			inForce = append(inForce, f)
+		} else {
+			past = append(past, f)
 		}
-		delete(t, oldest)
 	}
-	t[trait] = q
+	t.forget(inForce, maxInForce)
+	t.forget(past, max(maxQuarantines-len(inForce), minPast))
 }
 
-func (q *quarantine) isReplacedBefore(other *quarantine) bool {
-	if q.released != other.released {
-		return q.released
+// finish is when requests with a trait are or were no longer refused.
+type finish struct {
+	trait         fleet.Trait
+	at, changedAt time.Time
+}
+
+// forget drops the first ones of a list, so that at most limit of them remain.
+func (t quarantineTable) forget(list []finish, limit int) {
+	if len(list) <= limit {
+		return
+	}
+	slices.SortFunc(list, func(a, b finish) int {
+		return cmp.Or(a.at.Compare(b.at), a.changedAt.Compare(b.changedAt), compareTraits(a.trait, b.trait))
+	})
+	for _, f := range list[:len(list)-limit] {
+		delete(t, f.trait)
 	}
-	return q.changedAt.Before(other.changedAt)
 }
 
 func (t quarantineTable) countActive(now time.Time) int64 {
--- a/requests/quarantine/table_test.go
+++ b/requests/quarantine/table_test.go
@@ -89,3 +89,74 @@
 		assert.True(t, isRefused, "the one decided as number %d", i)
 	}
 }
+
+func TestFullTableForgetsWhatEndsOrEndedFirst(t *testing.T) {
+	table := quarantineTable{}
+	name := func(kind string, i int) fleet.Trait { return part(fmt.Sprint(kind, i)) }
+	now := at(0)
+	for i := range 2 * maxInForce {
+		now = at(float64(i) / 1000)
+		past := name("released-", i)
+		isKept := table.put(past, &quarantine{generation: 1, decidedAt: now, changedAt: now, released: true, releasedAt: now})
+		assert.True(t, isKept, "the newest release")
+		isKept = table.put(name("", i), &quarantine{generation: 1, decidedAt: now, changedAt: now})
+		assert.True(t, isKept, "the one that ends last")
+		inForce := table.countActive(now)
+		assert.EqualValues(t, min(i+1, maxInForce), inForce)
+		assert.LessOrEqual(t, len(table)-int(inForce), max(maxQuarantines-int(inForce), minPast))
+	}
+	for i := range maxInForce {
+		assert.NotContains(t, table, name("", i), "one of those that end first")
+		assert.Contains(t, table, name("", maxInForce+i))
+	}
+	for i := range minPast {
+		assert.Contains(t, table, name("released-", 2*maxInForce-1-i), "news that a trait is sound")
+	}
+	isKept := table.put(part("early"), &quarantine{generation: 1, decidedAt: at(0), changedAt: now})
+	assert.False(t, isKept, "all others end later")
+	table.expire(at(0).Add(basePeriod + 10*time.Second))
+	assert.Len(t, table, maxQuarantines, "all have ended")
+	assert.Contains(t, table, name("", 2*maxInForce-1), "the one that ended last")
+}
+
+func TestReleaseBesideManyQuarantinesInForceStays(t *testing.T) {
+	s := newTestSet()
+	s.Decide(at(-100), testSettle)
+	for i := range 2 * maxQuarantines {
+		s.Merge(at(0), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{{Trait: part(fmt.Sprint(i)), Generation: 1, Crashes: 3}}})
+	}
+	ended := fleet.Quarantine{Generation: 1, Age: basePeriod, Crashes: 3}
+	for i := range maxQuarantines {
+		ended.Trait = part(fmt.Sprint("ended-", i))
+		s.Merge(at(0.5), fleet.CrashEvidence{Quarantines: []fleet.Quarantine{ended}})
+	}
+	s.Started(at(1), parts("7"))
+	changes := s.Decide(at(1.1), testSettle)
+	assert.Equal(t, []Change{{Trait: part("7"), Reason: ProvedSound, Crashes: 3}}, changes)
+	s.Decide(at(1.2), testSettle)
+	late := []fleet.Quarantine{{Trait: part("7"), Generation: 1, Age: time.Second, Crashes: 3}}
+	s.Merge(at(60), fleet.CrashEvidence{Quarantines: late})
+	_, _, isRefused := s.Quarantined(at(60), parts("7"))
+	assert.False(t, isRefused, "an entry that missed the release told it")
+	assert.EqualValues(t, 2*maxQuarantines-1, s.Counts().Quarantined)
+}
+
+func TestStoredQuarantinesInForceAreAllRead(t *testing.T) {
+	var records []Record
+	for i := range maxQuarantines {
+		records = append(records, Record{Trait: part(fmt.Sprint("ended-", i)), Generation: 1, DecidedMs: storeAt(-basePeriod.Seconds())})
+	}
+	for i := range maxQuarantines + 1 {
+		records = append(records, Record{Trait: part(fmt.Sprint(i)), Generation: 1, DecidedMs: storeAt(0)})
+	}
+	for i := range minPast {
+		records = append(records, Record{Trait: part(fmt.Sprint("later-", i)), Generation: 1, DecidedMs: storeAt(-basePeriod.Seconds())})
+	}
+	s := NewSet()
+	s.MergeRecords(at(1), storeAt(1), records, false)
+	for i := range maxQuarantines + 1 {
+		_, _, isRefused := s.Quarantined(at(1), parts(fmt.Sprint(i)))
+		assert.True(t, isRefused, "number %d", i)
+	}
+	assert.Len(t, s.quarantines, maxQuarantines+1+minPast)
+}
