--- a/requests/quarantine/record_test.go
+++ b/requests/quarantine/record_test.go
@@ -198,21 +198,47 @@
 }
 
 func TestStoredQuarantinesAreBounded(t *testing.T) {
-	records := map[string]Record{}
-	for i := range maxQuarantines + 50 {
-		r := Record{Trait: part(fmt.Sprint(i)), Generation: 1, DecidedMs: storeAt(float64(i) / 10)}
-		records[RecordKey(r.Trait)] = r
+	ended := storeAt(-basePeriod.Seconds())
+	for name, c := range map[string]struct{ inForce, past, wantInForce, wantPast int }{
+		"past ones":                       {inForce: 0, past: maxQuarantines + 50, wantInForce: 0, wantPast: maxQuarantines - 1},
+		"in force and past ones":          {inForce: 99, past: maxQuarantines, wantInForce: 99, wantPast: maxQuarantines - 100},
+		"many in force":                   {inForce: maxQuarantines + 50, past: 0, wantInForce: maxQuarantines + 50, wantPast: 0},
+		"many in force and many past":     {inForce: maxQuarantines + 50, past: maxQuarantines, wantInForce: maxQuarantines + 50, wantPast: minPast},
+		"more in force than can be kept":  {inForce: maxInForce + 50, past: 0, wantInForce: maxInForce - 1, wantPast: 0},
+		"too many in force and past ones": {inForce: maxInForce + 50, past: maxQuarantines, wantInForce: maxInForce - 1, wantPast: minPast},
+	} {
+		t.Run(name, func(t *testing.T) {
+			records := map[string]Record{}
+			add := func(id string, decidedMs int64) {
+				r := Record{Trait: part(id), Generation: 1, DecidedMs: decidedMs}
+				records[RecordKey(r.Trait)] = r
+			}
+			for i := range c.inForce {
+				add(fmt.Sprint(i), storeAt(float64(i)/100))
+			}
+			for i := range c.past {
+				add(fmt.Sprint("past-", i), ended+int64(i))
+			}
+			s := quarantinedSet(t, 60, "dead")
+			store(s, 60, records)
+			assert.Contains(t, records, RecordKey(part("dead")))
+			assert.Len(t, records, 1+c.wantInForce+c.wantPast)
+			for i := range c.inForce {
+				_, isStored := records[RecordKey(part(fmt.Sprint(i)))]
+				assert.Equal(t, i >= c.inForce-c.wantInForce, isStored, "number %d of those in force", i)
+			}
+			for i := range c.past {
+				_, isStored := records[RecordKey(part(fmt.Sprint("past-", i)))]
+				assert.Equal(t, i >= c.past-c.wantPast, isStored, "number %d of the past ones", i)
+			}
+			set, remove := s.Unstored(at(61), storeAt(61), records)
+			assert.Empty(t, set)
+			assert.Empty(t, remove)
+			set, remove = s.Unstored(at(2*maxPeriod.Seconds()+60), storeAt(2*maxPeriod.Seconds()+60), records)
+			assert.Empty(t, set)
+			assert.Len(t, remove, len(records), "expired ones")
+		})
 	}
-	s := quarantinedSet(t, 60, "dead")
-	store(s, 60, records)
-	assert.Len(t, records, maxQuarantines)
-	assert.Contains(t, records, RecordKey(part("dead")))
-	set, remove := s.Unstored(at(61), storeAt(61), records)
-	assert.Empty(t, set)
-	assert.Empty(t, remove)
-	set, remove = s.Unstored(at(2*maxPeriod.Seconds()+60), storeAt(2*maxPeriod.Seconds()+60), records)
-	assert.Empty(t, set)
-	assert.Len(t, remove, maxQuarantines, "expired ones")
 }
 
 func BenchmarkCompareFullTableWithFullSet(b *testing.B) {
--- a/requests/quarantine/records.go
+++ b/requests/quarantine/records.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -64,7 +63,7 @@
 }
 
 // Unstored returns what is to be written to the store so that it holds the newest quarantines,
-// at most maxQuarantines, and the keys of records that are to be removed. stored is what the
+// as many as a Set keeps, and the keys of records that are to be removed. stored is what the
 // store holds, by key.
 func (s *Set) Unstored(now time.Time, storeMs int64, stored map[string]Record) (set []Record, remove []string) {
 	wanted, written := s.wanted(now, storeMs, stored)
@@ -102,21 +101,12 @@
 	}
 	s.mu.Unlock()
 	if len(wanted) > maxQuarantines {
-		keys := slices.SortedFunc(maps.Keys(wanted), func(a, b string) int { return compareRecords(wanted[a], wanted[b], storeMs) })
-		for _, key := range keys[maxQuarantines:] {
-			delete(wanted, key)
+		kept := quarantineTable{}
+		for _, r := range wanted {
+			kept[r.Trait] = r.quarantine(now, storeMs)
 		}
+		kept.shrink(now)
+		maps.DeleteFunc(wanted, func(_ string, r Record) bool { return kept[r.Trait] == nil })
 	}
 	return wanted, written
 }
-
-// compareRecords orders records by their worth: active ones first, then the latest decision.
-func compareRecords(a, b Record, storeMs int64) int {
-	if active := a.IsActive(storeMs); active != b.IsActive(storeMs) {
-		if active {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(b.DecidedMs, a.DecidedMs), compareTraits(a.Trait, b.Trait))
-}
