--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -133,53 +133,68 @@
 		Closure:         func() *fair.Closure { return g.closure(requirements{service: fleet.ServiceName(name)}) },
 		Seed:            uint64(g.incarnation),
 	})
-	state.placer.SetRetryBurst(s.retryShare(name))
+	state.placer.SetRetryBurst(s.retryDivision().share(name))
 	s.states[name] = state
 	s.start(state)
 	return state
 }
 
-// retryShare returns this entry's share of the retries at a service that all entries
-// together may accumulate.
-func (s *serviceSet) retryShare(name core.PoolName) int {
+// retryDivision divides the retries that all entries together may accumulate at a service,
+// as of one moment. The zero value gives this entry no share.
+type retryDivision struct {
+	sharing limitSharing
+	entries int
+	retries int
+}
+
+func (s *serviceSet) retryDivision() retryDivision {
 	senders, sharing := s.gateway.senders(), s.gateway.sharing()
 	if sharing.settling != nil {
 		sharing.Sharers = *sharing.settling
 		senders = s.gateway.gossip.Known()
 	}
 	if senders.Count == 0 {
-		return 0
+		return retryDivision{}
+	}
+	return retryDivision{
+		sharing: sharing, entries: senders.Count,
+		retries: int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack),
 	}
-	budget := int(retryBudgetFraction * s.gateway.node.Load().Bounds.RetrySlack)
-	return retriesOf(sharing, senders.Count, name, budget)
 }
 
-// retriesOf returns the share of a number of retries at a service. If there are fewer
-// retries than entries, some entries get one each.
-func retriesOf(sharing limitSharing, entries int, name core.PoolName, budget int) int {
-	limit := sharedlimit.Limit{Requests: budget}
-	if budget < entries {
-		limit.LeftOver = budget
+// share returns this entry's retries at a service. If there are fewer retries than entries,
+// some entries get one each.
+func (d retryDivision) share(name core.PoolName) int {
+	if d.entries == 0 {
+		return 0
+	}
+	limit := sharedlimit.Limit{Requests: d.retries}
+	if d.retries < d.entries {
+		limit.LeftOver = d.retries
 	}
-	return sharing.Part(core.InstanceID(name), limit).Requests
+	return d.sharing.Part(core.InstanceID(name), limit).Requests
 }
 
 // adjustRetryBudgets keeps the retry budgets adjusted to the number of entries, and the
 // metrics of the queues up to date.
 func (s *serviceSet) adjustRetryBudgets(ctx context.Context) error {
 	retryShare := metrics.GetOrRegisterGauge("limits.retry_share", s.gateway.registry)
-	return runPeriodically(ctx, retryAdjustPeriod, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		largest := s.retryShare("")
-		for name, state := range s.states {
-			share := s.retryShare(name)
-			state.placer.SetRetryBurst(share)
-			largest = max(largest, share)
-			recordQueue(s.gateway.registry, name, state.queue.Stats())
-		}
-		retryShare.Update(int64(largest))
-	})
+	return runPeriodically(ctx, retryAdjustPeriod, func() { retryShare.Update(int64(s.divideRetries())) })
+}
+
+// divideRetries gives all services their shares of the retries, and returns the largest one.
+func (s *serviceSet) divideRetries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	division := s.retryDivision()
+	largest := division.share("")
+	for name, state := range s.states {
+		share := division.share(name)
+		state.placer.SetRetryBurst(share)
+		largest = max(largest, share)
+		recordQueue(s.gateway.registry, name, state.queue.Stats())
+	}
+	return largest
 }
 
 // senders describes the entries that share the limits of backend servers. Its Count
