--- a/daemon/deployed/deployment_test.go
+++ b/daemon/deployed/deployment_test.go
@@ -155,10 +155,11 @@
 }
 
 // The ports are below the operating system's range of ephemeral ports, so that no
-// outgoing connection takes a port between its choice and its use.
+// outgoing connection takes a port between its choice and its use, and below those of the
+// tests under bench, which run at the same time.
 const (
-	firstPort = 20000
-	lastPort  = 32000
+	firstPort = 2000
+	lastPort  = 11999
 )
 
 var (
