--- a/daemon/obs/http.go
+++ b/daemon/obs/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -33,9 +34,14 @@
 // RegisterHandlers adds /metrics, /healthz and /readyz to mux. ready returns nil
 // when the daemon accepts requests.
 func RegisterHandlers(mux *http.ServeMux, registry metrics.Registry, ready func() error) {
+	// Pages are built one at a time, so that a crowd of readers takes little memory.
+	var building sync.Mutex
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		building.Lock()
+		page := metricsPage(registry)
+		building.Unlock()
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		WriteMetrics(w, registry)
+		_, _ = io.WriteString(w, page)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
@@ -49,9 +55,9 @@
 	})
 }
 
-// WriteMetrics writes the metrics of the registry and the counters of invariant
-// violations in the Prometheus text exposition format.
-func WriteMetrics(w io.Writer, registry metrics.Registry) {
+// metricsPage returns the metrics of the registry and the counters of invariant violations
+// in the Prometheus text exposition format.
+func metricsPage(registry metrics.Registry) string {
 	lines := make([]string, 0)
 	registry.Each(func(name string, metric any) {
 		lines = append(lines, metricLines(metricName(name), metric)...)
@@ -61,7 +67,7 @@
 		lines = append(lines, line)
 	}
 	sort.Strings(lines)
-	_, _ = io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return strings.Join(lines, "\n") + "\n"
 }
 
 func metricName(name string) string {
--- a/daemon/obs/limits_test.go
+++ b/daemon/obs/limits_test.go
@@ -29,10 +29,9 @@
 func TestListenerHasNoMetrics(t *testing.T) {
 	registry := metrics.NewRegistry()
 	LimitListener(registry, DiscardLogger().Component("x"), nil, netlimit.Limits{Name: "peers", Conns: 7})
-	var page bytes.Buffer
-	WriteMetrics(&page, registry)
-	require.Contains(t, page.String(), "currantusher_listener_peers_open_limit 7\n")
+	page := metricsPage(registry)
+	require.Contains(t, page, "currantusher_listener_peers_open_limit 7\n")
 	for _, reason := range netlimit.Reasons() {
-		require.Contains(t, page.String(), "currantusher_listener_peers_over_"+strings.ReplaceAll(string(reason), "-", "_")+" 0\n")
+		require.Contains(t, page, "currantusher_listener_peers_over_"+strings.ReplaceAll(string(reason), "-", "_")+" 0\n")
 	}
 }
--- a/daemon/obs/obs_test.go
+++ b/daemon/obs/obs_test.go
@@ -4,7 +4,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -25,6 +28,34 @@
 	require.Equal(t, 9, strings.Count(page, "invariant_violations_total"))
 }
 
+// observedRegistry counts the pages that are built at the same time.
+type observedRegistry struct {
+	metrics.Registry
+	building, most atomic.Int32
+}
+
+func (r *observedRegistry) Each(visit func(name string, metric any)) {
+	if building := r.building.Add(1); building > r.most.Load() {
+		r.most.Store(building)
+	}
+	defer r.building.Add(-1)
+	time.Sleep(time.Millisecond)
+	r.Registry.Each(visit)
+}
+
+// A crowd of readers made an entry hold as many pages' metrics as connections.
+func TestPagesOfMetricsAreBuiltOneAtATime(t *testing.T) {
+	registry := &observedRegistry{Registry: metrics.NewRegistry()}
+	mux := http.NewServeMux()
+	RegisterHandlers(mux, registry, func() error { return nil })
+	var readers sync.WaitGroup
+	for range 32 {
+		readers.Go(func() { mux.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/metrics", nil)) })
+	}
+	readers.Wait()
+	require.EqualValues(t, 1, registry.most.Load())
+}
+
 func TestNewLoggerRejectsBadSettings(t *testing.T) {
 	_, err := NewLogger(nil, "loud", "text", "i-1")
 	require.ErrorContains(t, err, `log-level "loud"`)
