--- a/requests/direct/odd_status_test.go
+++ b/requests/direct/odd_status_test.go
@@ -54,6 +54,11 @@
 // dispatchPlain runs a request at servers in order. It returns what the caller got, and
 // whether the first server is held for a failed one.
 func dispatchPlain(t *testing.T, kind fleet.RouteKind, addrs ...string) (_ *httptest.ResponseRecorder, hasFailed bool, _ error) {
+	t.Helper()
+	return dispatchPlainWith(t, kind, func(*dispatch.Request) {}, addrs...)
+}
+
+func dispatchPlainWith(t *testing.T, kind fleet.RouteKind, change func(*dispatch.Request), addrs ...string) (_ *httptest.ResponseRecorder, hasFailed bool, _ error) {
 	t.Helper()
 	placer := placement.New(placement.Config{RetryBurst: len(addrs), EjectAfterFailures: 1})
 	queue := fair.New(fair.Config{Capacity: func() int { return len(addrs) }})
@@ -71,6 +76,7 @@
 		ID: "r-1", Deadline: time.Now().Add(testTimeout), Sender: e, MaxAttempts: len(addrs), AtMostOnce: !e.request.Repeatable, Unclaimed: true,
 		Candidates: func() []placement.Candidate { return server(min(e.Attempts(), len(addrs)-1)) },
 	}
+	change(&request)
 	err := d.Do(t.Context(), request, e)
 	return e.writer.(*httptest.ResponseRecorder), !placer.HasEligible(time.Now(), placement.Request{}, server(0)), err
 }
