--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -7,6 +7,7 @@
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
 	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/stall"
 )
 
@@ -19,7 +20,10 @@
 }
 
 type observation struct {
-	versions  map[fleet.Model]fleet.WeightsVersion
+	// versions holds what the process with this incarnation answered.
+	versions    map[fleet.Model]fleet.WeightsVersion
+	incarnation core.Incarnation
+	// coldUntil may be that of a former process.
 	coldUntil time.Time
 	updatedAt time.Time
 }
@@ -33,24 +37,34 @@
 
 // record stores the weights version and the remaining cold time that a response
 // of a server contained.
-func (o *serverObservations) record(now time.Time, server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
+func (o *serverObservations) record(now time.Time, server notices.Lifetime, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
 	if version == 0 && coldFor == 0 {
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	observed, ok := o.servers[server]
+	observed, ok := o.servers[server.Server]
 	if !ok || now.Sub(observed.updatedAt) > observationTTL {
-		observed = observation{versions: map[fleet.Model]fleet.WeightsVersion{}}
+		observed = observation{}
 	}
 	observed.updatedAt = now
 	if version > 0 && model != "" {
-		observed.versions[model] = version
+		observed.setVersion(server.Incarnation, model, version)
 	}
 	if coldFor > 0 {
 		observed.coldUntil = now.Add(coldFor)
 	}
-	o.servers[server] = observed
+	o.servers[server.Server] = observed
+}
+
+// setVersion stores the version that a process answered, unless a later one has answered.
+func (o *observation) setVersion(incarnation core.Incarnation, model fleet.Model, version fleet.WeightsVersion) {
+	if o.versions == nil || incarnation > o.incarnation {
+		o.versions, o.incarnation = map[fleet.Model]fleet.WeightsVersion{}, incarnation
+	}
+	if incarnation == o.incarnation {
+		o.versions[model] = version
+	}
 }
 
 // sweep removes expired observations.
@@ -64,12 +78,12 @@
 	}
 }
 
-// version returns the version in a response within observationTTL, or 0.
-func (o *serverObservations) version(now time.Time, server core.InstanceID, model fleet.Model) fleet.WeightsVersion {
+// version returns the version in a response of this process within observationTTL, or 0.
+func (o *serverObservations) version(now time.Time, server notices.Lifetime, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	observed, ok := o.servers[server]
-	if !ok || now.Sub(observed.updatedAt) > observationTTL {
+	observed, ok := o.servers[server.Server]
+	if !ok || observed.incarnation != server.Incarnation || now.Sub(observed.updatedAt) > observationTTL {
 		return 0
 	}
 	return observed.versions[model]
@@ -96,15 +110,15 @@
 }
 
 // AnswerReceived implements direct.Observer.
-func (o observer) AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
+func (o observer) AnswerReceived(server notices.Lifetime, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
 	o.gateway.observations.record(o.gateway.clock.Now(), server, model, version, coldFor)
 }
 
 // StartAttempt implements direct.Observer.
 func (o observer) StartAttempt(attempt direct.Attempt) direct.AttemptObserver {
 	return &monitoredAttempt{
-		gateway: o.gateway, server: attempt.Server,
-		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), attempt.Server, o.gateway.stallTimeout(o.service), attempt.ReportStalled),
+		gateway: o.gateway, server: attempt.Server.Server,
+		TrackedRequest: o.gateway.stallDetector.Track(time.Now(), attempt.Server.Server, o.gateway.stallTimeout(o.service), attempt.ReportStalled),
 		wait:           o.gateway.queueWaits.track(o.gateway.clock.Now(), o, attempt),
 	}
 }
--- a/daemon/gateway/queuewaits.go
+++ b/daemon/gateway/queuewaits.go
@@ -116,11 +116,14 @@
 	if service == nil || service.Engine == nil {
 		return nil
 	}
-	server := view.Server(o.service, attempt.Server)
+	server := view.Server(o.service, attempt.Server.Server)
 	if server == nil {
 		// The row lapsed after the request was placed. A server that accepts the request has
 		// the expected version, if there is one.
-		server = &watch.Server{Server: fleet.Server{ID: attempt.Server, Weights: map[fleet.Model]fleet.WeightsVersion{o.model: attempt.ExpectedVersion}}}
+		server = &watch.Server{Server: fleet.Server{
+			ID: attempt.Server.Server, StartedAt: time.UnixMilli(int64(attempt.Server.Incarnation)),
+			Weights: map[fleet.Model]fleet.WeightsVersion{o.model: attempt.ExpectedVersion},
+		}}
 	}
 	load := queueLoad(service, server.Slots, server.ID, q.gateway.gossip.Loads())
 	t := &trackedWait{
--- a/daemon/gateway/services.go
+++ b/daemon/gateway/services.go
@@ -328,7 +328,7 @@
 // knownVersion returns the newest version that the server has loaded according to
 // the platform's list, its responses or its agent.
 func (g *Gateway) knownVersion(server *watch.Server, model fleet.Model) fleet.WeightsVersion {
-	return max(server.Weights[model], g.observations.version(g.clock.Now(), server.ID, model), g.pauses.LoadedVersion(server.Addr, model, server.StartedAt))
+	return max(server.Weights[model], g.observations.version(g.clock.Now(), lifetimeOf(server), model), g.pauses.LoadedVersion(server.Addr, model, server.StartedAt))
 }
 
 // pauseStart returns when a server pauses in order to load weights, or the zero
--- a/daemon/gateway/stall_test.go
+++ b/daemon/gateway/stall_test.go
@@ -13,6 +13,7 @@
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/placement"
 	"currantusher.dev/requests/stall"
 	"currantusher.dev/tables/watch"
@@ -59,7 +60,7 @@
 			_, err := placer.Pick(now, placement.Request{}, []placement.Candidate{{ID: server, Limit: 16, Direct: true, FreeSlots: 16}})
 			require.NoError(t, err)
 			attempt := observer{gateway: g, service: "llm"}.StartAttempt(direct.Attempt{
-				Server: server, Recall: func(direct.RecallReason) bool { cancelled++; return true }, ReportStalled: func() { reported++ },
+				Server: notices.Lifetime{Server: server}, Recall: func(direct.RecallReason) bool { cancelled++; return true }, ReportStalled: func() { reported++ },
 			})
 			attempt.DataReceived()
 		}
@@ -81,7 +82,7 @@
 	candidates := []placement.Candidate{{ID: "s-1", Limit: 16, Direct: true, FreeSlots: 13}}
 	_, err := placer.Pick(now, placement.Request{}, candidates)
 	require.NoError(t, err)
-	attempt := observer{gateway: g, service: "llm"}.StartAttempt(direct.Attempt{Server: "s-1", ReportStalled: func() {}})
+	attempt := observer{gateway: g, service: "llm"}.StartAttempt(direct.Attempt{Server: notices.Lifetime{Server: "s-1"}, ReportStalled: func() {}})
 	attempt.DataReceived()
 	later := now.Add(time.Minute)
 	g.reportStalledServers(later)
--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -51,7 +51,7 @@
 		return
 	}
 	fields["listed_version"] = server.Weights[t.model]
-	fields["answered_version"] = t.gateway.observations.version(t.gateway.clock.Now(), id, t.model)
+	fields["answered_version"] = t.gateway.observations.version(t.gateway.clock.Now(), lifetimeOf(server), t.model)
 	fields["announced_version"] = t.gateway.pauses.LoadedVersion(server.Addr, t.model, server.StartedAt)
 }
 
--- a/daemon/gateway/trace_test.go
+++ b/daemon/gateway/trace_test.go
@@ -14,7 +14,7 @@
 func TestPlacementLogsWhatEachSourceSaysOfTheWeights(t *testing.T) {
 	l := newListedGateway(t, "a")
 	hook := logtest.NewLocal(l.log.Logger)
-	l.observations.record(l.clock.Now(), "s-0", "m", 2, 0)
+	l.observations.record(l.clock.Now(), l.lifetime(0), "m", 2, 0)
 	l.pauses.Record(time.Now(), fleet.PauseNotice{Addr: l.servers[0].Addr, Model: "m", Version: 3, Ended: true})
 
 	trace := callTrace{gateway: l.Gateway, call: &call{service: testService}, model: "m"}
--- a/daemon/gateway/versions.go
+++ b/daemon/gateway/versions.go
@@ -118,7 +118,7 @@
 // reportOutdatedBegin counts and logs a request whose first event was received now from a
 // server whose weights must not serve it any more.
 func (g *Gateway) reportOutdatedBegin(now time.Time, t *trackedWait) {
-	version := g.observations.version(now, t.server, t.model)
+	version := g.observations.version(now, lifetimeOf(t.listed), t.model)
 	if version == 0 {
 		return
 	}
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -13,6 +13,7 @@
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/quarantine"
 	"currantusher.dev/tables/watch"
@@ -116,9 +117,9 @@
 }
 
 func TestExcessOfTheWaitBoundIsMeasured(t *testing.T) {
-	g, _, service, _ := versionFixture(time.Now())
+	g, _, service, server := versionFixture(time.Now())
 	sentAt := g.clock.Now().Add(-2 * time.Minute)
-	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1",
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", listed: server,
 		request: g.queueWaits.estimator("llm").Sent(sentAt, "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))}
 	w.dataReceived()
 	w.dataReceived()
@@ -154,7 +155,7 @@
 	l.follower.SetVersionSince("m", 2, now.Add(-testInForceWithin+2*time.Second))
 	for expected, isRecalled := range map[fleet.WeightsVersion]bool{0: true, 1: true, 2: false} {
 		w := l.queueWaits.track(now, observer{gateway: l.Gateway, service: testService, model: "m"}, direct.Attempt{
-			Server: "s-lapsed", ExpectedVersion: expected, Recall: func(direct.RecallReason) bool { return true },
+			Server: notices.Lifetime{Server: "s-lapsed"}, ExpectedVersion: expected, Recall: func(direct.RecallReason) bool { return true },
 		})
 		require.NotNil(t, w)
 		require.False(t, l.isLate(now.Add(time.Second), l.follower.View(), w))
@@ -195,3 +196,26 @@
 	require.True(t, g.pauses.Record(server.StartedAt.Add(time.Millisecond), loaded))
 	require.False(t, g.isLate(now, view, w), "the announcement is its own")
 }
+
+// What the process before had answered counted for the one that started again under its id,
+// which had loaded an older version or none.
+func TestVersionOfAFormerProcessDoesNotCountForTheNextOne(t *testing.T) {
+	g, view, service, server := versionFixture(time.Now())
+	due := view.Targets["m"][1].Since.Add(testInForceWithin)
+	former := *server
+	server.Addr, server.StartedAt, former.StartedAt = "10.0.0.1:8000", due.Add(-2*time.Second), due.Add(-time.Hour)
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: due.Add(-time.Second), listed: server}
+	o := observer{gateway: g, service: "llm", model: "m"}
+	o.AnswerReceived(lifetimeOf(&former), "m", 2, 0)
+	require.False(t, g.isLate(due, view, &trackedWait{waits: g.queueWaits, service: "llm", server: "s-lapsed", model: "m", listed: &former}))
+	require.True(t, g.isLate(due, view, w), "it would begin on version 1")
+	require.False(t, g.mayServe(due, view, service, server, requirements{service: "llm", model: "m"}, gossip.Loads{}))
+	require.True(t, g.pauses.Record(due, fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1}))
+	require.Equal(t, due, g.pauseStart(due, server, "m"), "it loads version 2 now")
+	server.Weights = nil
+	require.False(t, g.beginsInTime(due, view, service, server, "m", gossip.Loads{}), "it has no weights")
+
+	o.AnswerReceived(lifetimeOf(server), "m", 2, 0)
+	o.AnswerReceived(lifetimeOf(&former), "m", 1, 0)
+	require.False(t, g.isLate(due, view, w), "an answer of the former process that arrives late changes nothing")
+}
--- a/requests/direct/exchange.go
+++ b/requests/direct/exchange.go
@@ -40,7 +40,7 @@
 	Reserve(server notices.Lifetime) (Reservation, error)
 	// AnswerReceived reports two header fields of a server's answer: the version
 	// of the weights, or 0, and for how much longer the server stays cold.
-	AnswerReceived(server core.InstanceID, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
+	AnswerReceived(server notices.Lifetime, model fleet.Model, version fleet.WeightsVersion, coldFor time.Duration)
 	// StartAttempt is called after a request was written to a server.
 	StartAttempt(Attempt) AttemptObserver
 	// AnswerBegan is called when the first data of a stream with a success status was
@@ -58,7 +58,7 @@
 
 // Attempt is a request that was written to a server.
 type Attempt struct {
-	Server core.InstanceID
+	Server notices.Lifetime
 	// ExpectedVersion is the version of the weights without which the server refuses the
 	// request, or 0 if it accepts it with any.
 	ExpectedVersion fleet.WeightsVersion
@@ -239,7 +239,7 @@
 		s.continuation = eventstream.NewContinuation(s.lastEventID)
 	}
 	s.open()
-	attempt := Attempt{Server: server.ID, ExpectedVersion: version}
+	attempt := Attempt{Server: lifetime, ExpectedVersion: version}
 	if s.mayAbort() {
 		attempt.Recall = s.abort
 	}
--- a/requests/direct/handover_test.go
+++ b/requests/direct/handover_test.go
@@ -27,7 +27,7 @@
 
 func (o *abortObserver) StartAttempt(attempt Attempt) AttemptObserver {
 	o.recalls = append(o.recalls, attempt.Recall)
-	return abortAttempt{observer: o, server: attempt.Server}
+	return abortAttempt{observer: o, server: attempt.Server.Server}
 }
 
 type abortAttempt struct {
--- a/requests/direct/hints.go
+++ b/requests/direct/hints.go
@@ -22,7 +22,7 @@
 	names := s.exchange.headerNames
 	version := s.numericHeader(names.WeightsVersion, maxVersion)
 	coldMillis := s.numericHeader(names.ColdRemaining, float64(maxColdTime.Milliseconds()))
-	s.exchange.observer.AnswerReceived(s.server, s.exchange.request.Model,
+	s.exchange.observer.AnswerReceived(s.lifetime, s.exchange.request.Model,
 		fleet.WeightsVersion(version), time.Duration(coldMillis*float64(time.Millisecond)))
 }
 
--- a/requests/direct/informational_test.go
+++ b/requests/direct/informational_test.go
@@ -35,7 +35,7 @@
 
 func (o *activityObserver) ConnectionEnded(notices.Lifetime, string) { o.ended++ }
 
-func (o *activityObserver) AnswerReceived(core.InstanceID, fleet.Model, fleet.WeightsVersion, time.Duration) {
+func (o *activityObserver) AnswerReceived(notices.Lifetime, fleet.Model, fleet.WeightsVersion, time.Duration) {
 	o.answers++
 }
 
--- a/requests/direct/odd_header_test.go
+++ b/requests/direct/odd_header_test.go
@@ -8,6 +8,7 @@
 
 	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/notices"
 )
 
 // hintObserver records the hints of answers.
@@ -18,7 +19,7 @@
 	invalid []string
 }
 
-func (o *hintObserver) AnswerReceived(_ core.InstanceID, _ fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
+func (o *hintObserver) AnswerReceived(_ notices.Lifetime, _ fleet.Model, version fleet.WeightsVersion, coldFor time.Duration) {
 	o.version, o.coldFor = version, coldFor
 }
 
--- a/requests/direct/stream_test.go
+++ b/requests/direct/stream_test.go
@@ -60,7 +60,7 @@
 	return nopReservation{}, nil
 }
 
-func (nopObserver) AnswerReceived(core.InstanceID, fleet.Model, fleet.WeightsVersion, time.Duration) {
+func (nopObserver) AnswerReceived(notices.Lifetime, fleet.Model, fleet.WeightsVersion, time.Duration) {
 }
 
 func (nopObserver) InvalidHeader(core.InstanceID, string, error) {}
