--- a/core/fleet/pause.go
+++ b/core/fleet/pause.go
@@ -17,4 +17,7 @@
 	// Ended reports that the version is loaded and the backend server accepts
 	// requests again.
 	Ended bool `cbor:"6,keyasint,omitempty"`
+	// StartedAtMillis is the start of the process that has loaded the version, in Unix
+	// milliseconds, if Ended is set; 0 if it is unknown.
+	StartedAtMillis int64 `cbor:"7,keyasint,omitempty"`
 }
--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -219,3 +219,18 @@
 	o.AnswerReceived(lifetimeOf(&former), "m", 1, 0)
 	require.False(t, g.isLate(due, view, w), "an answer of the former process that arrives late changes nothing")
 }
+
+// Other entries forward announcements for seconds, and an entry that stood still reads them
+// late: after the next process has started.
+func TestLateCopyOfAnAnnouncementOfAFormerProcessDoesNotCount(t *testing.T) {
+	g, view, _, server := versionFixture(time.Now())
+	due := view.Targets["m"][1].Since.Add(testInForceWithin)
+	server.Addr, server.StartedAt = "10.0.0.1:8000", time.UnixMilli(due.Add(-time.Second).UnixMilli())
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: due, listed: server}
+	loaded := fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1, Ended: true, StartedAtMillis: server.StartedAt.UnixMilli() - 1}
+	require.True(t, g.pauses.Record(due, loaded))
+	require.True(t, g.isLate(due, view, w), "it would begin on version 1")
+	loaded.Sequence, loaded.StartedAtMillis = 2, server.StartedAt.UnixMilli()
+	require.True(t, g.pauses.Record(due, loaded))
+	require.False(t, g.isLate(due, view, w), "the announcement is its own")
+}
--- a/requests/pauses/pauses.go
+++ b/requests/pauses/pauses.go
@@ -72,13 +72,13 @@
 }
 
 // LoadedVersion returns the newest version of a model that a server has announced
-// as loaded since it started, or 0. Earlier announcements are those of another process.
+// as loaded since it started, or 0. Announcements of an earlier process do not count.
 func (s *Set) LoadedVersion(addr string, model fleet.Model, startedAt time.Time) fleet.WeightsVersion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var newest fleet.WeightsVersion
 	for version, latest := range s.byServer[addr] {
-		if latest.pause.Ended && latest.pause.Model == model && !latest.at.Before(startedAt) {
+		if latest.pause.Ended && latest.pause.Model == model && !latest.isOfEarlierProcess(startedAt) {
 			newest = max(newest, version)
 		}
 	}
@@ -115,4 +115,13 @@
 	}
 }
 
+// isOfEarlierProcess reports whether the announcement is older than the process that started
+// at startedAt. Copies may arrive after that start.
+func (a announcement) isOfEarlierProcess(startedAt time.Time) bool {
+	if a.pause.StartedAtMillis > 0 {
+		return a.pause.StartedAtMillis < startedAt.UnixMilli()
+	}
+	return a.at.Before(startedAt)
+}
+
 func (a announcement) isExpired(now time.Time) bool { return now.Sub(a.at) > maxPause }
--- a/weights/staging/load.go
+++ b/weights/staging/load.go
@@ -59,7 +59,7 @@
 		report, err := m.engineReport(ctx)
 		if err == nil && report.Loaded[target.Model] >= target.Version {
 			log.WithField("ms", time.Since(began).Milliseconds()).Info("Version loaded.")
-			m.announcePauseEnd(target)
+			m.announcePauseEnd(target, report.StartedAtMillis)
 			return nil
 		}
 		if err == nil && !report.Busy && time.Since(began) > engineTimeout {
--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -71,10 +71,11 @@
 	m.config.AnnouncePause(fleet.PauseNotice{Model: target.Model, Version: target.Version, StartsIn: max(loadTime.Sub(m.config.Now()), 0)})
 }
 
-// announcePauseEnd notifies the entries that the engine serves a version.
-func (m *Manager) announcePauseEnd(target TargetVersion) {
+// announcePauseEnd notifies the entries that the engine's process, which started at a Unix
+// time in milliseconds, serves a version.
+func (m *Manager) announcePauseEnd(target TargetVersion, startedAtMillis int64) {
 	if m.config.AnnouncePause != nil {
-		m.config.AnnouncePause(fleet.PauseNotice{Model: target.Model, Version: target.Version, Ended: true})
+		m.config.AnnouncePause(fleet.PauseNotice{Model: target.Model, Version: target.Version, Ended: true, StartedAtMillis: startedAtMillis})
 	}
 }
 
--- a/weights/staging/load_schedule_test.go
+++ b/weights/staging/load_schedule_test.go
@@ -160,3 +160,15 @@
 	m.downlink.release(time.Now(), "a-1", time.Millisecond)
 	require.False(t, m.shouldDecline(olderKey, missingPiece))
 }
+
+func TestEndOfAPauseNamesTheProcessThatLoadedTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newSimulatedEngine()
+		e.restart()
+		var announced []fleet.PauseNotice
+		m := newTestManager(func(notice fleet.PauseNotice) { announced = append(announced, notice) })
+		m.config.Engine = e
+		require.NoError(t, m.load(t.Context(), m.config.Log, TargetVersion{VersionKey: olderKey}, completePieces(olderKey)))
+		require.Equal(t, []fleet.PauseNotice{{Model: olderKey.Model, Version: olderKey.Version, Ended: true, StartedAtMillis: e.startedAtMillis}}, announced)
+	})
+}
