--- a/requests/direct/hints.go
+++ b/requests/direct/hints.go
@@ -21,6 +21,10 @@
 func (s *replyStream) reportAnswer() {
 	names := s.exchange.headerNames
 	version := s.numericHeader(names.WeightsVersion, maxVersion)
+	if !s.isNotRun() && s.checkAnswerHeader() != nil {
+		// The answer is not the server's own.
+		version = 0
+	}
 	coldMillis := s.numericHeader(names.ColdRemaining, float64(maxColdTime.Milliseconds()))
 	s.exchange.observer.AnswerReceived(s.lifetime, s.exchange.request.Model,
 		fleet.WeightsVersion(version), time.Duration(coldMillis*float64(time.Millisecond)))
--- a/requests/direct/odd_header_test.go
+++ b/requests/direct/odd_header_test.go
@@ -53,3 +53,23 @@
 	require.Equal(t, 1500500*time.Microsecond, observer.coldFor)
 	require.Empty(t, observer.invalid)
 }
+
+// An answer that was rejected made its server count as having the version that it named.
+func TestVersionInAnAnswerThatIsNotTheServersDoesNotCount(t *testing.T) {
+	const unsealed = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Version: 3\r\n"
+	for answer, want := range map[string]fleet.WeightsVersion{
+		unsealed:                      0,
+		unsealed + "X-Not-Run: 1\r\n": 3,
+		okAnswerHead + "X-Version: 3\r\nContent-Encoding: gzip\r\n":             0,
+		okAnswerHead + "X-Version: 3\r\n":                                       3,
+		"HTTP/1.1 421 No\r\nX-Version: 3\r\n":                                   3,
+		"HTTP/1.1 500 No\r\nX-Id: r-1\r\nX-Version: 3\r\n":                      3,
+		"HTTP/1.1 200 OK\r\nX-Id: r-2\r\nX-Seal: s\r\nX-Version: 3\r\n":         0,
+		"HTTP/1.1 103 A\r\nX-Id: r-1\r\nX-Version: 3\r\n\r\nHTTP/1.1 700 X\r\n": 0,
+	} {
+		observer, e := &hintObserver{}, newTestExchange(fleet.RouteSafe)
+		e.observer = observer
+		_, _, _ = receive(t, e, serveRawAnswer(t, answer+"Content-Length: 2\r\n\r\nok"))
+		require.Equal(t, want, observer.version, answer)
+	}
+}
