--- a/daemon/gateway/observations.go
+++ b/daemon/gateway/observations.go
@@ -21,13 +21,18 @@
 
 type observation struct {
 	// versions holds what the process with this incarnation answered.
-	versions    map[fleet.Model]fleet.WeightsVersion
+	versions    map[fleet.Model]observedVersion
 	incarnation core.Incarnation
 	// coldUntil may be that of a former process.
 	coldUntil time.Time
 	updatedAt time.Time
 }
 
+type observedVersion struct {
+	version fleet.WeightsVersion
+	at      time.Time
+}
+
 // observationTTL is how long an observation is valid.
 const observationTTL = 4 * time.Second
 
@@ -49,7 +54,7 @@
 	}
 	observed.updatedAt = now
 	if version > 0 && model != "" {
-		observed.setVersion(server.Incarnation, model, version)
+		observed.setVersion(now, server.Incarnation, model, version)
 	}
 	if coldFor > 0 {
 		observed.coldUntil = now.Add(coldFor)
@@ -58,12 +63,12 @@
 }
 
 // setVersion stores the version that a process answered, unless a later one has answered.
-func (o *observation) setVersion(incarnation core.Incarnation, model fleet.Model, version fleet.WeightsVersion) {
+func (o *observation) setVersion(now time.Time, incarnation core.Incarnation, model fleet.Model, version fleet.WeightsVersion) {
 	if o.versions == nil || incarnation > o.incarnation {
-		o.versions, o.incarnation = map[fleet.Model]fleet.WeightsVersion{}, incarnation
+		o.versions, o.incarnation = map[fleet.Model]observedVersion{}, incarnation
 	}
 	if incarnation == o.incarnation {
-		o.versions[model] = version
+		o.versions[model] = observedVersion{version: version, at: now}
 	}
 }
 
@@ -82,11 +87,12 @@
 func (o *serverObservations) version(now time.Time, server notices.Lifetime, model fleet.Model) fleet.WeightsVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	observed, ok := o.servers[server.Server]
-	if !ok || observed.incarnation != server.Incarnation || now.Sub(observed.updatedAt) > observationTTL {
+	observed := o.servers[server.Server]
+	answered := observed.versions[model]
+	if observed.incarnation != server.Incarnation || now.Sub(answered.at) > observationTTL {
 		return 0
 	}
-	return observed.versions[model]
+	return answered.version
 }
 
 // coldUntil returns when the server stops being cold according to a response, or
