--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -234,3 +234,44 @@
 	require.True(t, g.pauses.Record(due, loaded))
 	require.False(t, g.isLate(due, view, w), "the announcement is its own")
 }
+
+// It is so until the server's next answer; the incident page of 2026-12-06 tells why.
+func TestServerThatAnswersWithAVersionThatIsNotNamedIsTakenForANewerOne(t *testing.T) {
+	l := newListedGateway(t, "a")
+	store := l.servers[0].Store
+	store.PutConfig(fleet.Configuration{Version: 2, IsOpen: true, Services: []fleet.Service{{Name: testService, MaxConns: 100, Engine: engineService(16, 7400*time.Microsecond, 31900, 6).Engine}}})
+	store.PutVersion("m", 2)
+	l.read()
+	node := *l.node.Load()
+	node.Bounds.VersionInForce = testInForceWithin
+	l.node.Store(&node)
+	now, needs := l.clock.Now(), requirements{service: testService, model: "m"}
+	server := l.follower.View().Server(testService, "s-0")
+	w := &trackedWait{waits: l.queueWaits, service: testService, server: "s-0", model: "m", listed: server}
+	answered := func(version fleet.WeightsVersion) (mayServe, isLate bool, expected fleet.WeightsVersion) {
+		observer{gateway: l.Gateway, service: testService, model: "m"}.AnswerReceived(lifetimeOf(server), "m", version, 0)
+		view := l.follower.View()
+		mayServe = l.mayServe(now, view, view.Table.Service(testService), server, needs, gossip.Loads{})
+		return mayServe, l.isLate(view.NewestTarget("m").Since.Add(testInForceWithin), view, w), l.expectedVersion(needs, "s-0")
+	}
+	type result struct {
+		mayServe, isLate bool
+		expected         fleet.WeightsVersion
+	}
+	require.True(t, l.pauses.Record(now, fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1, StartsIn: time.Hour}))
+	const wrong = 1 << 40
+	for _, c := range []struct {
+		left time.Duration
+		want map[fleet.WeightsVersion]result
+	}{
+		{testInForceWithin, map[fleet.WeightsVersion]result{1: {true, true, 0}, 2: {true, false, 0}, wrong: {true, false, 0}}},
+		{0, map[fleet.WeightsVersion]result{1: {false, true, 2}, 2: {true, false, 2}, wrong: {true, false, wrong}}},
+	} {
+		l.follower.SetVersionSince("m", 2, now.Add(c.left-testInForceWithin))
+		for version, want := range c.want {
+			mayServe, isLate, expected := answered(version)
+			require.Equal(t, want, result{mayServe, isLate, expected}, "%v before the bound, version %d", c.left, version)
+			require.Equal(t, version == 1, !l.pauseStart(now, server, "m").IsZero(), "the pause to load version 2, after an answer with %d", version)
+		}
+	}
+}
