--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -197,8 +197,7 @@
 	require.False(t, g.isLate(now, view, w), "the announcement is its own")
 }
 
-// What the process before had answered counted for the one that started again under its id,
-// which had loaded an older version or none.
+// The next process under an id may have an older version or none.
 func TestVersionOfAFormerProcessDoesNotCountForTheNextOne(t *testing.T) {
 	g, view, service, server := versionFixture(time.Now())
 	due := view.Targets["m"][1].Since.Add(testInForceWithin)
@@ -220,8 +219,7 @@
 	require.False(t, g.isLate(due, view, w), "an answer of the former process that arrives late changes nothing")
 }
 
-// Other entries forward announcements for seconds, and an entry that stood still reads them
-// late: after the next process has started.
+// Copies are forwarded for seconds, and an entry that stood still reads them late.
 func TestLateCopyOfAnAnnouncementOfAFormerProcessDoesNotCount(t *testing.T) {
 	g, view, _, server := versionFixture(time.Now())
 	due := view.Targets["m"][1].Since.Add(testInForceWithin)
--- a/requests/direct/informational_test.go
+++ b/requests/direct/informational_test.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// holdAfter answers with text and then sends nothing until the client closes the connection,
-// which fills the channel.
+// holdAfter answers with text and sends nothing more. The channel gets a value when the client
+// has closed the connection.
 func holdAfter(t *testing.T, text string) (string, <-chan struct{}) {
 	t.Helper()
 	closed := make(chan struct{}, 1)
