--- a/daemon/gateway/versions_test.go
+++ b/daemon/gateway/versions_test.go
@@ -13,6 +13,7 @@
 	"currantusher.dev/members/gossip"
 	"currantusher.dev/platform/nodefile"
 	"currantusher.dev/requests/direct"
+	"currantusher.dev/requests/notices"
 	"currantusher.dev/requests/pauses"
 	"currantusher.dev/requests/quarantine"
 	"currantusher.dev/tables/watch"
@@ -116,9 +117,9 @@
 }
 
 func TestExcessOfTheWaitBoundIsMeasured(t *testing.T) {
-	g, _, service, _ := versionFixture(time.Now())
+	g, _, service, server := versionFixture(time.Now())
 	sentAt := g.clock.Now().Add(-2 * time.Minute)
-	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1",
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", listed: server,
 		request: g.queueWaits.estimator("llm").Sent(sentAt, "s-1", queueLoad(service, 16, "s-1", gossip.Loads{}))}
 	w.dataReceived()
 	w.dataReceived()
@@ -154,7 +155,7 @@
 	l.follower.SetVersionSince("m", 2, now.Add(-testInForceWithin+2*time.Second))
 	for expected, isRecalled := range map[fleet.WeightsVersion]bool{0: true, 1: true, 2: false} {
 		w := l.queueWaits.track(now, observer{gateway: l.Gateway, service: testService, model: "m"}, direct.Attempt{
-			Server: "s-lapsed", ExpectedVersion: expected, Recall: func(direct.RecallReason) bool { return true },
+			Server: notices.Lifetime{Server: "s-lapsed"}, ExpectedVersion: expected, Recall: func(direct.RecallReason) bool { return true },
 		})
 		require.NotNil(t, w)
 		require.False(t, l.isLate(now.Add(time.Second), l.follower.View(), w))
@@ -195,3 +196,80 @@
 	require.True(t, g.pauses.Record(server.StartedAt.Add(time.Millisecond), loaded))
 	require.False(t, g.isLate(now, view, w), "the announcement is its own")
 }
+
+// The next process under an id may have an older version or none.
+func TestVersionOfAFormerProcessDoesNotCountForTheNextOne(t *testing.T) {
+	g, view, service, server := versionFixture(time.Now())
+	due := view.Targets["m"][1].Since.Add(testInForceWithin)
+	former := *server
+	server.Addr, server.StartedAt, former.StartedAt = "10.0.0.1:8000", due.Add(-2*time.Second), due.Add(-time.Hour)
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: due.Add(-time.Second), listed: server}
+	o := observer{gateway: g, service: "llm", model: "m"}
+	o.AnswerReceived(lifetimeOf(&former), "m", 2, 0)
+	require.False(t, g.isLate(due, view, &trackedWait{waits: g.queueWaits, service: "llm", server: "s-lapsed", model: "m", listed: &former}))
+	require.True(t, g.isLate(due, view, w), "it would begin on version 1")
+	require.False(t, g.mayServe(due, view, service, server, requirements{service: "llm", model: "m"}, gossip.Loads{}))
+	require.True(t, g.pauses.Record(due, fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1}))
+	require.Equal(t, due, g.pauseStart(due, server, "m"), "it loads version 2 now")
+	server.Weights = nil
+	require.False(t, g.beginsInTime(due, view, service, server, "m", gossip.Loads{}), "it has no weights")
+
+	o.AnswerReceived(lifetimeOf(server), "m", 2, 0)
+	o.AnswerReceived(lifetimeOf(&former), "m", 1, 0)
+	require.False(t, g.isLate(due, view, w), "an answer of the former process that arrives late changes nothing")
+}
+
+// Copies are forwarded for seconds, and an entry that stood still reads them late.
+func TestLateCopyOfAnAnnouncementOfAFormerProcessDoesNotCount(t *testing.T) {
+	g, view, _, server := versionFixture(time.Now())
+	due := view.Targets["m"][1].Since.Add(testInForceWithin)
+	server.Addr, server.StartedAt = "10.0.0.1:8000", time.UnixMilli(due.Add(-time.Second).UnixMilli())
+	w := &trackedWait{waits: g.queueWaits, service: "llm", server: "s-1", model: "m", sentAt: due, listed: server}
+	loaded := fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1, Ended: true, StartedAtMillis: server.StartedAt.UnixMilli() - 1}
+	require.True(t, g.pauses.Record(due, loaded))
+	require.True(t, g.isLate(due, view, w), "it would begin on version 1")
+	loaded.Sequence, loaded.StartedAtMillis = 2, server.StartedAt.UnixMilli()
+	require.True(t, g.pauses.Record(due, loaded))
+	require.False(t, g.isLate(due, view, w), "the announcement is its own")
+}
+
+// It is so until the server's next answer; the incident page of 2026-12-06 tells why.
+func TestServerThatAnswersWithAVersionThatIsNotNamedIsTakenForANewerOne(t *testing.T) {
+	l := newListedGateway(t, "a")
+	store := l.servers[0].Store
+	store.PutConfig(fleet.Configuration{Version: 2, IsOpen: true, Services: []fleet.Service{{Name: testService, MaxConns: 100, Engine: engineService(16, 7400*time.Microsecond, 31900, 6).Engine}}})
+	store.PutVersion("m", 2)
+	l.read()
+	node := *l.node.Load()
+	node.Bounds.VersionInForce = testInForceWithin
+	l.node.Store(&node)
+	now, needs := l.clock.Now(), requirements{service: testService, model: "m"}
+	server := l.follower.View().Server(testService, "s-0")
+	w := &trackedWait{waits: l.queueWaits, service: testService, server: "s-0", model: "m", listed: server}
+	answered := func(version fleet.WeightsVersion) (mayServe, isLate bool, expected fleet.WeightsVersion) {
+		observer{gateway: l.Gateway, service: testService, model: "m"}.AnswerReceived(lifetimeOf(server), "m", version, 0)
+		view := l.follower.View()
+		mayServe = l.mayServe(now, view, view.Table.Service(testService), server, needs, gossip.Loads{})
+		return mayServe, l.isLate(view.NewestTarget("m").Since.Add(testInForceWithin), view, w), l.expectedVersion(needs, "s-0")
+	}
+	type result struct {
+		mayServe, isLate bool
+		expected         fleet.WeightsVersion
+	}
+	require.True(t, l.pauses.Record(now, fleet.PauseNotice{Addr: server.Addr, Model: "m", Version: 2, Sequence: 1, StartsIn: time.Hour}))
+	const wrong = 1 << 40
+	for _, c := range []struct {
+		left time.Duration
+		want map[fleet.WeightsVersion]result
+	}{
+		{testInForceWithin, map[fleet.WeightsVersion]result{1: {true, true, 0}, 2: {true, false, 0}, wrong: {true, false, 0}}},
+		{0, map[fleet.WeightsVersion]result{1: {false, true, 2}, 2: {true, false, 2}, wrong: {true, false, wrong}}},
+	} {
+		l.follower.SetVersionSince("m", 2, now.Add(c.left-testInForceWithin))
+		for version, want := range c.want {
+			mayServe, isLate, expected := answered(version)
+			require.Equal(t, want, result{mayServe, isLate, expected}, "%v before the bound, version %d", c.left, version)
+			require.Equal(t, version == 1, !l.pauseStart(now, server, "m").IsZero(), "the pause to load version 2, after an answer with %d", version)
+		}
+	}
+}
