--- a/daemon/gateway/trace.go
+++ b/daemon/gateway/trace.go
@@ -87,3 +87,12 @@
 		"after_ms": time.Since(t.call.startedAt).Milliseconds(),
 	}).Info("Handover failed; the request stays at its server.")
 }
+
+// Stays implements dispatch.Trace.
+func (t callTrace) Stays(server core.InstanceID, reason dispatch.StayReason, others int) {
+	retries := t.gateway.services.placer(core.PoolName(t.call.service)).Retries()
+	t.gateway.requestLog.WithFields(logrus.Fields{
+		"id": t.call.id, "server": server, "because": string(reason), "among": others, "retries_left": retries,
+		"quiet_ms": t.gateway.silence(server).Milliseconds(), "after_ms": time.Since(t.call.startedAt).Milliseconds(),
+	}).Info("No other server is asked; the request stays at its server.")
+}
--- a/daemon/gateway/trace_test.go
+++ b/daemon/gateway/trace_test.go
@@ -7,7 +7,9 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
+	"currantusher.dev/core"
 	"currantusher.dev/core/fleet"
+	"currantusher.dev/requests/dispatch"
 	"currantusher.dev/requests/placement"
 )
 
@@ -28,3 +30,16 @@
 	trace.Placed(1, placement.Candidate{ID: "s-0"}, 1, 0)
 	require.NotContains(t, hook.LastEntry().Data, "listed_version")
 }
+
+func TestLogSaysWhyNoOtherServerIsAskedAndHowManyRetriesAreLeft(t *testing.T) {
+	l := newListedGateway(t, "a")
+	hook := logtest.NewLocal(l.log.Logger)
+	placer := l.services.placer(core.PoolName(testService))
+	placer.SetRetryBurst(3)
+	placer.ReturnRetries(2)
+	callTrace{gateway: l.Gateway, call: &call{service: testService}}.Stays("s-0", dispatch.StayNoServer, 4)
+	data := hook.LastEntry().Data
+	require.Equal(t, "no-server", data["because"])
+	require.Equal(t, placer.Retries(), data["retries_left"])
+	require.Equal(t, 4, data["among"])
+}
--- a/requests/dispatch/contender_test.go
+++ b/requests/dispatch/contender_test.go
@@ -96,17 +96,21 @@
 
 // The next server was asked only after the start timeout of the one that had failed.
 func TestNextServerIsAskedAtOnceAfterOneHasFailed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r, request := newSilentRun(t, "abc", time.Hour, serverBehaviour{})
-		request.MaxAttempts, request.StartTimeout = 3, 5*time.Second
-		r.fleet.handles = behaviours(map[core.InstanceID]serverBehaviour{"b": {breaksAfter: -1}})
-		r.config.Candidates = r.candidatesByAsked(r.servers)
-		var out gapSink
-		require.NoError(t, r.Do(t.Context(), request, &out))
-		require.Equal(t, r.fleet.text, out.String())
-		require.LessOrEqual(t, out.longestGap, testStallTimeout+stallGrace+2*eventInterval)
-		r.requireNothingLeaks(t)
-	})
+	for name, next := range map[string]serverBehaviour{"breaks": {breaksAfter: -1}, "refuses": {refusal: core.CodeEngineNotServing}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, request := newSilentRun(t, "abc", time.Hour, serverBehaviour{})
+				request.MaxAttempts, request.StartTimeout = 3, 5*time.Second
+				r.fleet.handles = behaviours(map[core.InstanceID]serverBehaviour{"b": next})
+				r.config.Candidates = r.candidatesByAsked(r.servers)
+				var out gapSink
+				require.NoError(t, r.Do(t.Context(), request, &out))
+				require.Equal(t, r.fleet.text, out.String())
+				require.LessOrEqual(t, out.longestGap, testStallTimeout+stallGrace+2*eventInterval)
+				r.requireNothingLeaks(t)
+			})
+		})
+	}
 }
 
 // The longer timeout for streams of stalled servers replaced the idle timeout.
--- a/requests/dispatch/silence.go
+++ b/requests/dispatch/silence.go
@@ -42,6 +42,8 @@
 	refused map[core.InstanceID]bool
 	// isGivingUp is set while the request ends unless data arrives within stallGrace.
 	isGivingUp bool
+	// reportedStays holds the reasons to stay that were reported.
+	reportedStays map[StayReason]bool
 }
 
 // beginning says that an attempt received its first data, or why it did not.
@@ -260,18 +262,18 @@
 // ask asks another server to continue the request, if there is one, and returns the time
 // until the next one is asked.
 func (r *race) ask(ctx context.Context) time.Duration {
-	if !r.mayAsk() {
-		return contenderCheckPeriod
+	if reason := r.reasonNotToAsk(); reason != "" {
+		return r.stay(reason)
 	}
 	target, err := r.pickSuccessor(ctx, r.placer, r.silent.agent.ID, r.config.Now(), r.excluded())
 	if err != nil {
 		// Servers that have refused the request may accept it now.
 		clear(r.refused)
-		return contenderCheckPeriod
+		return r.stay(StayNoServer)
 	}
 	if !r.placer.WithdrawRetry() {
 		r.placer.Finish(r.config.Now(), target.ID, placement.Inconclusive, 0, 0)
-		return contenderCheckPeriod
+		return r.stay(StayNoRetry)
 	}
 	r.start(ctx, target)
 	if timeout := r.startTimeout(); timeout > 0 {
@@ -302,9 +304,30 @@
 	go func() { r.began <- beginning{b, r.beginAnswer(b)} }()
 }
 
-// mayAsk reports whether another server may get the request.
-func (r *race) mayAsk() bool {
-	return (r.output.sentBytes == 0 || r.output.canResume()) && r.hasAttemptsLeft() && r.output.sinkErr == nil
+// reasonNotToAsk returns why no other server may get the request, or "".
+func (r *race) reasonNotToAsk() StayReason {
+	switch {
+	case r.output.sentBytes > 0 && !r.output.canResume():
+		return StayNotResumable
+	case !r.hasAttemptsLeft():
+		return StayNoAttempt
+	case r.output.sinkErr != nil:
+		return StayCallerGone
+	default:
+		return ""
+	}
+}
+
+// stay reports why no other server is asked and returns the time until the next check.
+func (r *race) stay(reason StayReason) time.Duration {
+	if r.reportedStays == nil {
+		r.reportedStays = map[StayReason]bool{}
+	}
+	if !r.reportedStays[reason] {
+		r.reportedStays[reason] = true
+		r.request.Trace.Stays(r.silent.agent.ID, reason, r.candidateCount)
+	}
+	return contenderCheckPeriod
 }
 
 // succeed makes b the attempt that continues the request.
--- a/requests/dispatch/silence_test.go
+++ b/requests/dispatch/silence_test.go
@@ -213,6 +213,49 @@
 	})
 }
 
+// stayTrace records why a request stays at its silent server.
+type stayTrace struct {
+	noTrace
+	reasons []StayReason
+}
+
+// Stays implements Trace.
+func (m *stayTrace) Stays(_ core.InstanceID, reason StayReason, _ int) {
+	m.reasons = append(m.reasons, reason)
+}
+
+// After a refusal, the log did not say why a request waited at its silent server until its
+// caller was about to leave.
+func TestTraceSaysOnceWhyARequestStaysAtItsSilentServer(t *testing.T) {
+	for reason, c := range map[StayReason]struct {
+		servers              string
+		maxAttempts, retries int
+		cannotResume         bool
+	}{
+		StayNoServer:     {servers: "a", maxAttempts: 2, retries: 8},
+		StayNoRetry:      {servers: "abc", maxAttempts: 2, retries: 1},
+		StayNoAttempt:    {servers: "ab", maxAttempts: 1, retries: 8},
+		StayNotResumable: {servers: "ab", maxAttempts: 2, retries: 8, cannotResume: true},
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, request := newSilentRun(t, c.servers, 3*testSilence, serverBehaviour{})
+				r.fleet.handles = behaviours(map[core.InstanceID]serverBehaviour{"b": {refusal: core.CodeEngineNotServing}})
+				r.config.Candidates = r.candidatesByAsked(r.servers)
+				r.placer.SetRetryBurst(c.retries)
+				trace := &stayTrace{}
+				request.Trace, request.MaxAttempts = trace, c.maxAttempts
+				request.CanResume = func() bool { return !c.cannotResume }
+				var out testSink
+				require.NoError(t, r.Do(t.Context(), request, &out))
+				require.Equal(t, r.fleet.text, out.String())
+				require.Equal(t, []StayReason{reason}, trace.reasons)
+				r.requireNothingLeaks(t)
+			})
+		})
+	}
+}
+
 // Each server that stalled had its requests cancelled for the whole retry budget.
 func TestStreamsOfServersThatStallTogetherAreNotCutBeyondTheRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
