--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -113,7 +113,7 @@
 		stored: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), relayed: roster.New[gossip.Member](l.store, roster.EntriesTable, l.log), log: l.log,
 	}
 	l.announcer = newAnnouncer(n.BackendAddr, entries, l.log)
-	l.ageExchange = newAgeExchange(n.Bounds.VersionInForce, l.clock, entries.known, l.faults, config.Log.Component("watch"))
+	l.ageExchange = newAgeExchange(n.Bounds.VersionInForce, l.clock, entries.known, l.announcer.repeatTo, l.faults, config.Log.Component("watch"))
 	relayed := relay.NewStore(relay.Config{
 		Self: n.Instance, Cache: relay.NewCache(l.store, nil), Relays: entries.relays(n.DataCentre), Log: config.Log.Component("watch"), Faults: l.faults,
 		MinIntervals: map[string]time.Duration{watch.OperatorTable: watch.OperatorReadInterval},
--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -39,6 +39,8 @@
 	follower *watch.Follower
 	// entries returns the entries of the deployment.
 	entries func(context.Context) []gossip.Member
+	// onReply is called with each entry that replies. It never blocks.
+	onReply func(gossip.Member)
 	log     *logrus.Entry
 	// versionRead has an item after a version was read.
 	versionRead chan struct{}
@@ -50,9 +52,9 @@
 	failing bool
 }
 
-func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, faults *httpcall.Faults, log *logrus.Entry) *ageExchange {
+func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, onReply func(gossip.Member), faults *httpcall.Faults, log *logrus.Entry) *ageExchange {
 	return &ageExchange{
-		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(faults), entries: entries, log: log,
+		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(faults), entries: entries, onReply: onReply, log: log,
 		versionRead: make(chan struct{}, 1), newest: map[fleet.Model]fleet.WeightsVersion{},
 	}
 }
@@ -139,6 +141,7 @@
 		return err
 	}
 	versionages.Report(e.follower, watch.SourceEntry, ages, e.clock.Now(), calledAt)
+	e.onReply(entry)
 	return nil
 }
 
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -38,7 +38,7 @@
 		return []gossip.Member{{ID: "e-1", PeerAddr: strings.TrimPrefix(server.URL, "http://")}}
 	}
 	c := clock.New()
-	e := newAgeExchange(testInForceWithin, c, entries, nil, log)
+	e := newAgeExchange(testInForceWithin, c, entries, func(gossip.Member) {}, nil, log)
 	e.follower = watch.NewFollower(watch.Config{Now: c.Now, Log: log, OnChange: e.onChange})
 	importVersion(t, e.follower, 1)
 	return e
