--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// ageExchangePeriod is the time between two exchanges of versions' ages while one has
-	// been configured recently.
+	// ageExchangePeriod is the mean time between two exchanges of versions' ages while one
+	// has been configured recently.
 	ageExchangePeriod = time.Second
 	// ageExchangeEntries is the number of entries of each exchange. Others learn the ages
 	// from them.
@@ -87,13 +87,14 @@
 }
 
 func (e *ageExchange) run(ctx context.Context) error {
-	ticker := time.NewTicker(ageExchangePeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(nextExchangeIn())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(nextExchangeIn())
 		case <-e.versionRead:
 		}
 		if e.isActive() {
@@ -102,6 +103,10 @@
 	}
 }
 
+// nextExchangeIn returns a random time, so that agents that start together do not leave the
+// entries without an exchange for a whole period.
+func nextExchangeIn() time.Duration { return ageExchangePeriod/2 + rand.N(ageExchangePeriod) }
+
 func (e *ageExchange) isActive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -85,3 +87,37 @@
 	require.True(t, e.isActive())
 	require.Len(t, e.versionRead, 1)
 }
+
+// Entries that had just started refused callers for up to a second: all agents had told the
+// ages just before.
+func TestAgentsThatStartTogetherDoNotExchangeAgesAtTheSameTimes(t *testing.T) {
+	const agents, testTime = 40, 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var mu sync.Mutex
+		var exchanges []time.Duration
+		for range agents {
+			e := newAgeExchange(testInForceWithin, clock.New(), func(context.Context) []gossip.Member {
+				mu.Lock()
+				defer mu.Unlock()
+				exchanges = append(exchanges, time.Since(start))
+				return nil
+			}, nil, nil, nil)
+			e.until = e.clock.Now().Add(time.Hour)
+			go func() { _ = e.run(ctx) }()
+		}
+		time.Sleep(testTime)
+		cancel()
+		synctest.Wait()
+		require.InDelta(t, agents*testTime.Seconds(), len(exchanges), agents)
+		last := ageExchangePeriod
+		for _, at := range exchanges {
+			if at > ageExchangePeriod {
+				require.Less(t, at-last, ageExchangePeriod/2)
+				last = at
+			}
+		}
+		require.Less(t, testTime-last, ageExchangePeriod/2)
+	})
+}
