--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -21,6 +21,9 @@
 	// ageExchangePeriod is the mean time between two exchanges of versions' ages while one
 	// has been configured recently.
 	ageExchangePeriod = time.Second
+	// ageRetryPeriod is the same after an exchange in which no entry replied: entries that
+	// have just started refuse callers until they know the ages.
+	ageRetryPeriod = 200 * time.Millisecond
 	// ageExchangeEntries is the number of entries of each exchange. Others learn the ages
 	// from them.
 	ageExchangeEntries = 2
@@ -87,25 +90,31 @@
 }
 
 func (e *ageExchange) run(ctx context.Context) error {
-	timer := time.NewTimer(nextExchangeIn())
+	timer := time.NewTimer(e.nextExchangeIn())
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			timer.Reset(nextExchangeIn())
 		case <-e.versionRead:
 		}
 		if e.isActive() {
 			e.exchange(ctx)
 		}
+		timer.Reset(e.nextExchangeIn())
 	}
 }
 
 // nextExchangeIn returns a random time, so that agents that start together do not leave the
 // entries without an exchange for a whole period.
-func nextExchangeIn() time.Duration { return ageExchangePeriod/2 + rand.N(ageExchangePeriod) }
+func (e *ageExchange) nextExchangeIn() time.Duration {
+	period := ageExchangePeriod
+	if e.isActive() && e.hasFailed() {
+		period = ageRetryPeriod
+	}
+	return period/2 + rand.N(period)
+}
 
 func (e *ageExchange) isActive() bool {
 	e.mu.Lock()
@@ -150,6 +159,13 @@
 	return nil
 }
 
+// hasFailed reports whether no entry replied in the last exchange.
+func (e *ageExchange) hasFailed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.failing
+}
+
 // logFailure logs when no entry replies any more, and when one does again.
 func (e *ageExchange) logFailure(failed bool, err error) {
 	e.mu.Lock()
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -121,3 +121,26 @@
 		require.Less(t, testTime-last, ageExchangePeriod/2)
 	})
 }
+
+// Entries refused callers until up to 1.5 s after their start, since agents had met none.
+func TestAgentThatReachesNoEntryTriesAgainSoon(t *testing.T) {
+	const testTime = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		attempts := 0
+		e := newAgeExchange(testInForceWithin, clock.New(), func(context.Context) []gossip.Member {
+			attempts++
+			return []gossip.Member{{ID: "e-1", PeerAddr: testEngineAddr}}
+		}, nil, nil, logrus.NewEntry(logger))
+		e.follower = watch.NewFollower(watch.Config{Now: e.clock.Now, Log: logrus.NewEntry(logger)})
+		e.until = e.clock.Now().Add(time.Hour)
+		go func() { _ = e.run(ctx) }()
+		time.Sleep(testTime)
+		cancel()
+		synctest.Wait()
+		require.Greater(t, attempts, 2*int(testTime/ageExchangePeriod))
+		require.LessOrEqual(t, attempts, 10*int(testTime/ageExchangePeriod), "entries that are down are not flooded")
+	})
+}
