--- a/daemon/loader/version_ages.go
+++ b/daemon/loader/version_ages.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// ageExchangePeriod is the time between two exchanges of versions' ages while one has
-	// been configured recently.
+	// ageExchangePeriod is the mean time between two exchanges of versions' ages while one
+	// has been configured recently.
 	ageExchangePeriod = time.Second
+	// ageRetryPeriod is the same after an exchange in which no entry replied: entries that
+	// have just started refuse callers until they know the ages.
+	ageRetryPeriod = 200 * time.Millisecond
 	// ageExchangeEntries is the number of entries of each exchange. Others learn the ages
 	// from them.
 	ageExchangeEntries = 2
@@ -39,6 +42,8 @@
 	follower *watch.Follower
 	// entries returns the entries of the deployment.
 	entries func(context.Context) []gossip.Member
+	// onReply is called with each entry that replies. It never blocks.
+	onReply func(gossip.Member)
 	log     *logrus.Entry
 	// versionRead has an item after a version was read.
 	versionRead chan struct{}
@@ -50,9 +55,9 @@
 	failing bool
 }
 
-func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, faults *httpcall.Faults, log *logrus.Entry) *ageExchange {
+func newAgeExchange(inForceWithin time.Duration, clock *clock.Clock, entries func(context.Context) []gossip.Member, onReply func(gossip.Member), faults *httpcall.Faults, log *logrus.Entry) *ageExchange {
 	return &ageExchange{
-		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(faults), entries: entries, log: log,
+		inForceWithin: inForceWithin, clock: clock, client: versionages.NewClient(faults), entries: entries, onReply: onReply, log: log,
 		versionRead: make(chan struct{}, 1), newest: map[fleet.Model]fleet.WeightsVersion{},
 	}
 }
@@ -85,21 +90,32 @@
 }
 
 func (e *ageExchange) run(ctx context.Context) error {
-	ticker := time.NewTicker(ageExchangePeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(e.nextExchangeIn())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		case <-e.versionRead:
 		}
 		if e.isActive() {
 			e.exchange(ctx)
 		}
+		timer.Reset(e.nextExchangeIn())
 	}
 }
 
+// nextExchangeIn returns a random time, so that agents that start together do not leave the
+// entries without an exchange for a whole period.
+func (e *ageExchange) nextExchangeIn() time.Duration {
+	period := ageExchangePeriod
+	if e.isActive() && e.hasFailed() {
+		period = ageRetryPeriod
+	}
+	return period/2 + rand.N(period)
+}
+
 func (e *ageExchange) isActive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -139,9 +155,17 @@
 		return err
 	}
 	versionages.Report(e.follower, watch.SourceEntry, ages, e.clock.Now(), calledAt)
+	e.onReply(entry)
 	return nil
 }
 
+// hasFailed reports whether no entry replied in the last exchange.
+func (e *ageExchange) hasFailed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.failing
+}
+
 // logFailure logs when no entry replies any more, and when one does again.
 func (e *ageExchange) logFailure(failed bool, err error) {
 	e.mu.Lock()
--- a/daemon/loader/version_ages_test.go
+++ b/daemon/loader/version_ages_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,7 +40,7 @@
 		return []gossip.Member{{ID: "e-1", PeerAddr: strings.TrimPrefix(server.URL, "http://")}}
 	}
 	c := clock.New()
-	e := newAgeExchange(testInForceWithin, c, entries, nil, log)
+	e := newAgeExchange(testInForceWithin, c, entries, func(gossip.Member) {}, nil, log)
 	e.follower = watch.NewFollower(watch.Config{Now: c.Now, Log: log, OnChange: e.onChange})
 	importVersion(t, e.follower, 1)
 	return e
@@ -85,3 +87,60 @@
 	require.True(t, e.isActive())
 	require.Len(t, e.versionRead, 1)
 }
+
+// Entries that had just started refused callers for up to a second: all agents had told the
+// ages just before.
+func TestAgentsThatStartTogetherDoNotExchangeAgesAtTheSameTimes(t *testing.T) {
+	const agents, testTime = 40, 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var mu sync.Mutex
+		var exchanges []time.Duration
+		for range agents {
+			e := newAgeExchange(testInForceWithin, clock.New(), func(context.Context) []gossip.Member {
+				mu.Lock()
+				defer mu.Unlock()
+				exchanges = append(exchanges, time.Since(start))
+				return nil
+			}, nil, nil, nil)
+			e.until = e.clock.Now().Add(time.Hour)
+			go func() { _ = e.run(ctx) }()
+		}
+		time.Sleep(testTime)
+		cancel()
+		synctest.Wait()
+		require.InDelta(t, agents*testTime.Seconds(), len(exchanges), agents)
+		last := ageExchangePeriod
+		for _, at := range exchanges {
+			if at > ageExchangePeriod {
+				require.Less(t, at-last, ageExchangePeriod/2)
+				last = at
+			}
+		}
+		require.Less(t, testTime-last, ageExchangePeriod/2)
+	})
+}
+
+// Entries refused callers until up to 1.5 s after their start, since agents had met none.
+func TestAgentThatReachesNoEntryTriesAgainSoon(t *testing.T) {
+	const testTime = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		attempts := 0
+		e := newAgeExchange(testInForceWithin, clock.New(), func(context.Context) []gossip.Member {
+			attempts++
+			return []gossip.Member{{ID: "e-1", PeerAddr: testEngineAddr}}
+		}, nil, nil, logrus.NewEntry(logger))
+		e.follower = watch.NewFollower(watch.Config{Now: e.clock.Now, Log: logrus.NewEntry(logger)})
+		e.until = e.clock.Now().Add(time.Hour)
+		go func() { _ = e.run(ctx) }()
+		time.Sleep(testTime)
+		cancel()
+		synctest.Wait()
+		require.Greater(t, attempts, 2*int(testTime/ageExchangePeriod))
+		require.LessOrEqual(t, attempts, 10*int(testTime/ageExchangePeriod), "entries that are down are not flooded")
+	})
+}
