--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"currantusher.dev/core/fleet"
@@ -58,6 +59,15 @@
 	m.skippedLoadDeadlines[target.VersionKey] = target.loadDeadline()
 }
 
+// forgetSkipped forgets the deadlines of the versions that a loaded one replaces.
+func (m *Manager) forgetSkipped(loaded VersionKey) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.skippedLoadDeadlines, func(key VersionKey, _ time.Time) bool {
+		return key.Model == loaded.Model && key.Version < loaded.Version
+	})
+}
+
 // loadDeadline returns the time by which the load of a version must start.
 func (t TargetVersion) loadDeadline() time.Time {
 	return t.RequestedAt.Add(scaleDuration(loadWindowEndFraction, t.InForceWithin))
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -278,6 +278,7 @@
 			pause.For(ctx, retryDelay)
 		case report.Loaded[target.Model] >= target.Version:
 			lastError, lastReport, lastLoadError, delay = "", "", "", retryDelay
+			m.forgetSkipped(target.VersionKey)
 			if !m.isNewest(target.VersionKey) {
 				return
 			}
