--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -213,7 +213,7 @@
 		default:
 			older.cancel()
 			delete(m.jobs, key)
-			if older.target.isOriginNarrow() && !older.target.RequestedAt.IsZero() {
+			if !older.target.RequestedAt.IsZero() {
 				m.skippedLoadDeadlines[key] = older.target.loadDeadline()
 			}
 		}
--- a/weights/staging/skipped_load_test.go
+++ b/weights/staging/skipped_load_test.go
@@ -46,3 +46,22 @@
 		require.Positive(t, skipped, "the test is about engines that skip version 2")
 	})
 }
+
+// Engines waited with the newest version for its own load time, although those that it
+// replaces had to be in force earlier and their pieces had been given up.
+func TestNewestVersionIsLoadedInTimeForOlderOnesThatWereGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, 5, testRegions, answersFraction)
+		const apart, versions = 200 * time.Millisecond, 8
+		events := map[time.Duration]func(){}
+		for i := range versions {
+			events[time.Duration(i)*apart] = func() { f.nameVersion(fleet.WeightsVersion(2 + i)) }
+		}
+		f.run(2*inForceWithin, events)
+		for _, e := range f.engines {
+			require.Equal(t, []fleet.WeightsVersion{1 + versions}, e.accepted, "the test is about versions that are given up")
+		}
+		t.Logf("the last load ends after %v", f.lastLoad(2))
+		require.Less(t, f.lastLoad(2), inForceWithin)
+	})
+}
