--- a/daemon/deployed/version_soak_test.go
+++ b/daemon/deployed/version_soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -90,8 +91,8 @@
 			begun++
 			for i, at := range s.acknowledged {
 				if version := 2 + i; executed.Version < version && executed.StartedAt.Sub(at) > soakVersionInForce {
-					t.Errorf("seed %d: %s began %s on version %d, %v after version %d was acknowledged",
-						seed, engine.ID, executed.ID, executed.Version, executed.StartedAt.Sub(at), version)
+					t.Errorf("seed %d: %s began %s on version %d, %v after version %d was acknowledged at %v; %d events, aborted %v\n%s",
+						seed, engine.ID, executed.ID, executed.Version, executed.StartedAt.Sub(at), version, at, executed.Events, executed.Aborted, strings.Join(s.log.find("id="+executed.ID+" "), ""))
 				}
 			}
 		}
