--- a/weights/staging/fast_versions_test.go
+++ b/weights/staging/fast_versions_test.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// Agents that have few pieces of a version when the next one is named do not continue it.
+// Agents that had few pieces of a version when the next one was named gave it up, while the
+// others continued it. Those had no version that may serve for seconds.
 func TestVersionUnderWayIsLoadedByAllOfManyEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { requireFirstVersionInTime(t, 1200*time.Millisecond, 12) })
 }
--- a/weights/staging/job.go
+++ b/weights/staging/job.go
@@ -21,6 +21,8 @@
 	markFetched func()
 	// older holds the jobs of older versions that were in progress at the start.
 	older []*job
+	// turnEnd is the end of the turn of an older version; zero if there is none.
+	turnEnd time.Time
 	// hasYielded is set once the link of a narrow origin no longer works for this version.
 	// The manager's lock guards it.
 	hasYielded bool
@@ -43,8 +45,7 @@
 		if j.target.isOriginNarrow() {
 			break
 		}
-		overdueAt := older.target.RequestedAt.Add(scaleDuration(expectedArrivalFraction, older.target.InForceWithin))
-		timer := time.NewTimer(overdueAt.Sub(j.now()))
+		timer := time.NewTimer(j.overdueAt(older.target).Sub(j.now()))
 		select {
 		case <-older.fetched:
 		case <-timer.C:
@@ -55,6 +56,21 @@
 	j.peersTurnAt.CompareAndSwap(0, j.now().UnixNano())
 }
 
+// followTurn makes the job wait until the turn of an older version ends.
+func (j *job) followTurn(turn fetchTurn) {
+	if j.target.hasTurns() && !turn.isOfNewest() {
+		j.turnEnd = turn.end()
+	}
+}
+
+// overdueAt returns until when the job waits for an older version.
+func (j *job) overdueAt(older TargetVersion) time.Time {
+	if !j.turnEnd.IsZero() {
+		return j.turnEnd
+	}
+	return older.RequestedAt.Add(scaleDuration(expectedArrivalFraction, older.InForceWithin))
+}
+
 // expectedArrival returns when all pieces are expected to be held.
 func (j *job) expectedArrival(now time.Time) time.Time {
 	start := j.target.RequestedAt
--- a/weights/staging/load_schedule.go
+++ b/weights/staging/load_schedule.go
@@ -59,13 +59,17 @@
 	m.skippedLoadDeadlines[target.VersionKey] = target.loadDeadline()
 }
 
-// forgetSkipped forgets the deadlines of the versions that a loaded one replaces.
-func (m *Manager) forgetSkipped(loaded VersionKey) {
+// forgetReplaced forgets the deadlines and the pieces of the versions that a loaded one
+// replaces.
+func (m *Manager) forgetReplaced(loaded VersionKey) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	maps.DeleteFunc(m.skippedLoadDeadlines, func(key VersionKey, _ time.Time) bool {
 		return key.Model == loaded.Model && key.Version < loaded.Version
 	})
+	if m.newestVersions[loaded.Model] == loaded.Version {
+		m.dropReplacedPieces(loaded, false)
+	}
 }
 
 // loadDeadline returns the time by which the load of a version must start.
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -123,6 +123,8 @@
 	// skippedLoadDeadlines holds the load deadlines of versions that were
 	// superseded before their load.
 	skippedLoadDeadlines map[VersionKey]time.Time
+	// turns holds for each model which version is fetched to its end.
+	turns map[fleet.Model]fetchTurn
 	// engineUnreachable is set while the engine does not reply. The agent then fetches
 	// nothing, and other agents must not wait for it.
 	engineUnreachable atomic.Bool
@@ -156,6 +158,7 @@
 		originsVersions:      map[fleet.Model]fleet.WeightsVersion{},
 		requestTimes:         map[VersionKey]time.Time{},
 		skippedLoadDeadlines: map[VersionKey]time.Time{},
+		turns:                map[fleet.Model]fetchTurn{},
 		targetsChanged:       make(chan struct{}, 1),
 		loadSlot:             make(chan struct{}, 1),
 		stage:                newStageArea(),
@@ -191,10 +194,10 @@
 }
 
 // startJob starts the job of a new target version. Of the older versions of the model
-// that are under way, the first one continues if it has some of its pieces: it may have to
-// be in force before the newer version has arrived, and versions that are fetched beside
-// each other are all late. Those whose pieces are held continue, and so does one that
-// orders its load; the others are cancelled.
+// that are under way, the one whose turn it is continues: it may have to be in force before
+// the newer version has arrived, and versions that are fetched beside each other are all
+// late. Those whose pieces are held continue, and so does one that orders its load; the
+// others are cancelled.
 func (m *Manager) startJob(ctx context.Context, wait *sync.WaitGroup, target TargetVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -203,12 +206,13 @@
 		return
 	}
 	m.newestVersions[target.Model] = target.Version
+	turn := m.nextTurn(target)
 	var continued []*job
 	first := m.firstInProgress(target.Model)
 	for key, older := range m.jobs {
 		switch {
 		case key.Model != target.Model:
-		case older == first && m.hasSomePieces(key) && m.canContinue(older.target), older.isFetched(), m.stage.isReservedFor(key), m.isPreviousOfNarrowOrigin(older.target, target):
+		case m.isContinued(older, first, turn), older.isFetched(), m.stage.isReservedFor(key), m.isPreviousOfNarrowOrigin(older.target, target):
 			continued = append(continued, older)
 		default:
 			older.cancel()
@@ -220,6 +224,7 @@
 	}
 	jobCtx, cancel := context.WithCancel(ctx)
 	next := newJob(target, m.config.Now, cancel, continued)
+	next.followTurn(turn)
 	m.jobs[target.VersionKey] = next
 	wait.Go(func() {
 		defer m.removeJob(next)
@@ -278,7 +283,7 @@
 			pause.For(ctx, retryDelay)
 		case report.Loaded[target.Model] >= target.Version:
 			lastError, lastReport, lastLoadError, delay = "", "", "", retryDelay
-			m.forgetSkipped(target.VersionKey)
+			m.forgetReplaced(target.VersionKey)
 			if !m.isNewest(target.VersionKey) {
 				return
 			}
--- a/weights/staging/request_time.go
+++ b/weights/staging/request_time.go
@@ -11,6 +11,7 @@
 func (m *Manager) correctRequestTime(target TargetVersion) {
 	if m.jobs[target.VersionKey] != nil && !target.RequestedAt.IsZero() {
 		m.requestTimes[target.VersionKey] = target.RequestedAt
+		m.turns[target.Model] = m.turns[target.Model].corrected(target.VersionKey, target.RequestedAt)
 	}
 }
 
