--- a/weights/staging/fast_versions_test.go
+++ b/weights/staging/fast_versions_test.go
@@ -80,6 +80,12 @@
 	synctest.Test(t, func(t *testing.T) { requireFirstVersionInTime(t, 1200*time.Millisecond, 12) })
 }
 
+// The origin's link was shared with the next version, and the origin dropped the first one
+// before it had sent the last of 64 pieces. The version after the next one then waited for it.
+func TestOriginSendsAVersionWholeBeforeTheNextOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { requireFirstVersionInTime(t, time.Second, 1) })
+}
+
 func requireFirstVersionInTime(t *testing.T, apart time.Duration, agentsPerRegion int) {
 	f := runFastVersions(t, apart, agentsPerRegion)
 	require.Less(t, f.lastLoad(2), inForceWithin, "version 2 is the first one under way")
--- a/weights/staging/fetch_turn.go
+++ b/weights/staging/fetch_turn.go
@@ -57,6 +57,15 @@
 	return t.begin.Add(scaleDuration(expectedArrivalFraction, t.target.InForceWithin))
 }
 
+// originFreeAt returns when the origin has sent a copy of the version whose turn it is, if it
+// keeps that version, or the zero time.
+func (t fetchTurn) originFreeAt() time.Time {
+	if t.target.Version+1 < t.newest.Version {
+		return time.Time{}
+	}
+	return t.target.RequestedAt.Add(t.target.originCopyTime())
+}
+
 // lasts reports whether the turn goes on when a newer version is named: it has not ended,
 // and the origin, which keeps the two newest versions, can send a whole copy in time. The
 // next version is expected after the same interval.
--- a/weights/staging/fetch_turn_test.go
+++ b/weights/staging/fetch_turn_test.go
@@ -88,6 +88,14 @@
 	require.Equal(t, fleet.WeightsVersion(3), turn.next(target).target.Version)
 }
 
+func TestNewestVersionIsRequestedAfterTheCopyThatTheOriginKeeps(t *testing.T) {
+	start := time.Now()
+	_, turn := turnsOf(start, 0, 1200*time.Millisecond)
+	require.Equal(t, 1600*time.Millisecond, turn.originFreeAt().Sub(start))
+	_, turn = turnsOf(start, 0, 1200*time.Millisecond, 2400*time.Millisecond)
+	require.True(t, turn.originFreeAt().IsZero(), "the origin has dropped version 2")
+}
+
 // Agents that learned late of a version, and corrected its time, chose other versions than
 // the rest.
 func TestTurnMovesWithTheCorrectedTimeOfItsVersion(t *testing.T) {
--- a/weights/staging/job.go
+++ b/weights/staging/job.go
@@ -23,6 +23,8 @@
 	older []*job
 	// turnEnd is the end of the turn of an older version; zero if there is none.
 	turnEnd time.Time
+	// originFreeAt is when the origin has sent that version; zero if it no longer does.
+	originFreeAt time.Time
 	// hasYielded is set once the link of a narrow origin no longer works for this version.
 	// The manager's lock guards it.
 	hasYielded bool
@@ -59,7 +61,7 @@
 // followTurn makes the job wait until the turn of an older version ends.
 func (j *job) followTurn(turn fetchTurn) {
 	if j.target.hasTurns() && !turn.isOfNewest() {
-		j.turnEnd = turn.end()
+		j.turnEnd, j.originFreeAt = turn.end(), turn.originFreeAt()
 	}
 }
 
--- a/weights/staging/manager.go
+++ b/weights/staging/manager.go
@@ -368,6 +368,7 @@
 	start := time.Now()
 	plan := m.newPlan(ctx, target)
 	versionFetcher := newFetcher(m, log, target, plan)
+	versionFetcher.requestFrom(j.originFreeAt)
 	versionFetcher.awaitPeersTurn = func(ctx context.Context) {
 		j.awaitOlderVersions(ctx, func(target TargetVersion) bool { return m.isOriginsVersion(log, target) })
 	}
--- a/weights/staging/origin_turn.go
+++ b/weights/staging/origin_turn.go
@@ -32,3 +32,11 @@
 func (t TargetVersion) originPeriod() time.Duration {
 	return time.Duration(float64(t.Pieces) * float64(t.OriginPieceTime) / originPace)
 }
+
+// requestFrom postpones the turns of the pieces at the origin to a time that is not past:
+// its link first sends the copy of an older version, which it keeps for a short time.
+func (f *fetcher) requestFrom(at time.Time) {
+	if delay := at.Sub(f.manager.config.Now()); delay > 0 {
+		f.startedAt = f.startedAt.Add(delay)
+	}
+}
