--- a/weights/staging/fetch_turn.go
+++ b/weights/staging/fetch_turn.go
@@ -57,6 +57,15 @@
 	return t.begin.Add(scaleDuration(expectedArrivalFraction, t.target.InForceWithin))
 }
 
+// originFreeAt returns when the origin has sent a copy of the version whose turn it is, if it
+// keeps that version, or the zero time.
+func (t fetchTurn) originFreeAt() time.Time {
+	if t.target.Version+1 < t.newest.Version {
+		return time.Time{}
+	}
+	return t.target.RequestedAt.Add(t.target.originCopyTime())
+}
+
 // lasts reports whether the turn goes on when a newer version is named: it has not ended,
 // and the origin, which keeps the two newest versions, can send a whole copy in time. The
 // next version is expected after the same interval.
@@ -68,11 +77,14 @@
 	return named.RequestedAt.Before(t.end()) && kept >= t.target.originCopyTime()
 }
 
+// firstPieceFraction is the fraction of a turn within which the first piece arrives.
+const firstPieceFraction = 1.0 / 16
+
 // minPieces returns how many pieces an agent has at least unless the origin is away, when
 // all agents prefer the newest version.
 func (t fetchTurn) minPieces() int {
 	elapsed := float64(t.newest.RequestedAt.Sub(t.begin)) / float64(t.end().Sub(t.begin))
-	return scaleCount(minProgressToContinue*elapsed, t.target.Pieces)
+	return max(0, scaleCount(minProgressToContinue*(elapsed-firstPieceFraction), t.target.Pieces))
 }
 
 // isAfter reports whether the turn of an older version is over and was not given up: the
--- a/weights/staging/fetch_turn_test.go
+++ b/weights/staging/fetch_turn_test.go
@@ -67,6 +67,14 @@
 	require.True(t, m.isContinued(older, older, turn))
 }
 
+// Some agents had no piece half a second after a turn had begun and gave the version up, which
+// the others continued.
+func TestVersionIsContinuedBeforeItsFirstPieceArrives(t *testing.T) {
+	_, turn := turnsOf(time.Now(), 0, 900*time.Millisecond, 1800*time.Millisecond, 2700*time.Millisecond, 3600*time.Millisecond, 4500*time.Millisecond)
+	require.Equal(t, fleet.WeightsVersion(6), turn.target.Version)
+	require.Zero(t, turn.minPieces())
+}
+
 // A version without a time or an origin without a known link takes no part in turns.
 func TestVersionsOfUnknownTimeHaveNoTurn(t *testing.T) {
 	start := time.Now()
@@ -80,6 +88,14 @@
 	require.Equal(t, fleet.WeightsVersion(3), turn.next(target).target.Version)
 }
 
+func TestNewestVersionIsRequestedAfterTheCopyThatTheOriginKeeps(t *testing.T) {
+	start := time.Now()
+	_, turn := turnsOf(start, 0, 1200*time.Millisecond)
+	require.Equal(t, 1600*time.Millisecond, turn.originFreeAt().Sub(start))
+	_, turn = turnsOf(start, 0, 1200*time.Millisecond, 2400*time.Millisecond)
+	require.True(t, turn.originFreeAt().IsZero(), "the origin has dropped version 2")
+}
+
 // Agents that learned late of a version, and corrected its time, chose other versions than
 // the rest.
 func TestTurnMovesWithTheCorrectedTimeOfItsVersion(t *testing.T) {
