--- a/weights/staging/fetch_turn.go
+++ b/weights/staging/fetch_turn.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"currantusher.dev/core/fleet"
 )
 
@@ -107,10 +109,17 @@
 	return t
 }
 
-// nextTurn returns the turn from the naming of a version on. The caller holds the lock.
+// nextTurn returns the turn from the naming of a version on, and logs it unless it is that of
+// the version itself. The caller holds the lock.
 func (m *Manager) nextTurn(named TargetVersion) fetchTurn {
 	turn := m.turns[named.Model].next(named)
 	m.turns[named.Model] = turn
+	if named.hasTurns() && !turn.isOfNewest() {
+		m.config.Log.WithFields(logrus.Fields{
+			"model": named.Model, "version": named.Version, "turn_version": turn.target.Version, "missing_pieces": m.missingOf(turn.target),
+			"turn_age_ms": named.RequestedAt.Sub(turn.begin).Milliseconds(), "turn_ends_in_ms": turn.end().Sub(m.config.Now()).Milliseconds(),
+		}).Info("An older version has its turn when a newer one is named.")
+	}
 	return turn
 }
 
