--- a/daemon/deployed/silence_soak_test.go
+++ b/daemon/deployed/silence_soak_test.go
@@ -33,6 +33,9 @@
 	soakEvents       = 40
 	soakDeadline     = 10 * time.Second
 	soakGapObjective = 300 * time.Millisecond
+	// soakConfigVersion is the version of the soak's first configuration. Entries ignore
+	// another one with the version 1 of the deployment's own.
+	soakConfigVersion = 2
 	// soakArrivalPause is the mean time between two streams that keeps most slots in use.
 	soakArrivalPause = soakEvents * silenceEventInterval * 10 / (9 * soakServers * soakSlots)
 )
@@ -203,7 +206,7 @@
 
 // changeConfig writes configurations with other numbers of slots and connections.
 func (s *silenceSoak) changeConfig(random *rand.Rand, done <-chan struct{}) {
-	for version := int64(2); sleepUntil(done, time.Duration(1500+random.IntN(3000))*time.Millisecond); version++ {
+	for version := int64(soakConfigVersion + 1); sleepUntil(done, time.Duration(1500+random.IntN(3000))*time.Millisecond); version++ {
 		s.store.PutConfig(s.config(version, soakSlots+random.IntN(3)))
 	}
 }
@@ -311,7 +314,7 @@
 			t.Parallel()
 			random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 			s := startSilenceSoak(t, random(0), 0)
-			s.store.PutConfig(s.config(1, soakSlots))
+			s.store.PutConfig(s.config(soakConfigVersion, soakSlots))
 			done := make(chan struct{})
 			var tasks sync.WaitGroup
 			for i, task := range []func(*rand.Rand, <-chan struct{}){s.callers, s.silences, s.refusals, s.changeEntries, s.changeConfig} {
--- a/daemon/deployed/version_soak_test.go
+++ b/daemon/deployed/version_soak_test.go
@@ -115,7 +115,7 @@
 			t.Parallel()
 			random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 			s := &versionSoak{silenceSoak: startSilenceSoak(t, random(0), soakVersionInForce)}
-			s.store.PutConfig(s.config(1, soakSlots))
+			s.store.PutConfig(s.config(soakConfigVersion, soakSlots))
 			done := make(chan struct{})
 			var tasks sync.WaitGroup
 			for i, task := range []func(*rand.Rand, <-chan struct{}){s.callers, s.changeEntries} {
