--- a/daemon/deployed/silence_soak_test.go
+++ b/daemon/deployed/silence_soak_test.go
@@ -212,17 +212,12 @@
 }
 
 func (s *silenceSoak) config(version int64, slots int) fleet.Configuration {
-	config := silenceConfig(version, s.originAddr, s.settings.maxAttempts)
+	config := s.settings.config(version, s.originAddr)
 	for i := range config.Services {
 		if config.Services[i].Engine != nil {
 			config.Services[i].Engine.Slots = slots
 		}
 	}
-	for i := range config.Routes {
-		if config.Routes[i].GapObjective > 0 {
-			config.Routes[i].GapObjective = soakGapObjective
-		}
-	}
 	return config
 }
 
@@ -281,7 +276,7 @@
 func startSilenceSoak(t *testing.T, random *rand.Rand, versionInForce time.Duration) *silenceSoak {
 	settings := silenceSettings{
 		entries: 2 + random.IntN(3), servers: soakServers, maxAttempts: 2, retryRatio: 0.2, retrySlack: 10, slots: soakSlots, events: soakEvents,
-		versionInForce: versionInForce,
+		versionInForce: versionInForce, gapObjective: soakGapObjective,
 	}
 	s := &silenceSoak{
 		deployment: startSilenceDeployment(t, settings), settings: settings,
