--- a/daemon/loader/announce_test.go
+++ b/daemon/loader/announce_test.go
@@ -1,10 +1,12 @@
 package loader
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,8 +87,16 @@
 	announced := before.receive(t)
 
 	l.announcer.entries.store([]gossip.Member{restarted.member}, time.Hour)
-	l.ageExchange.exchange(t.Context())
+	ctx, cancel := context.WithCancel(t.Context())
+	var exchanges sync.WaitGroup
+	exchanges.Go(func() {
+		for ctx.Err() == nil {
+			l.ageExchange.exchange(ctx)
+		}
+	})
 	repeated := restarted.receive(t)
+	cancel()
+	exchanges.Wait()
 	require.Less(t, repeated.StartsIn, announced.StartsIn)
 	repeated.StartsIn = announced.StartsIn
 	require.Equal(t, announced, repeated)
--- a/daemon/obs/http.go
+++ b/daemon/obs/http.go
@@ -36,10 +36,13 @@
 func RegisterHandlers(mux *http.ServeMux, registry metrics.Registry, ready func() error) {
 	// Pages are built one at a time, so that a crowd of readers takes little memory.
 	var building sync.Mutex
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	buildPage := func() string {
 		building.Lock()
-		page := metricsPage(registry)
-		building.Unlock()
+		defer building.Unlock()
+		return metricsPage(registry)
+	}
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		page := buildPage()
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_, _ = io.WriteString(w, page)
 	})
