--- a/weights/staging/fetch_turn.go
+++ b/weights/staging/fetch_turn.go
@@ -10,8 +10,9 @@
 
 // fetchTurn tells which version the agents of a service fetch to its end while newer ones
 // are named. It follows from the times at which versions were named and from the origin's
-// link, which all agents know, and not from the pieces that have arrived: agents that
-// decide differently wait for pieces that others have given up.
+// link, and not from the pieces that have arrived: agents that decide differently wait for
+// pieces that others have given up. Agents that have seen the same versions agree; one that
+// starts between them knows no earlier turn.
 type fetchTurn struct {
 	// target is the version whose turn it is, and begin when its turn began, a time of
 	// Config.Now.
@@ -82,8 +83,8 @@
 // firstPieceFraction is the fraction of a turn within which the first piece arrives.
 const firstPieceFraction = 1.0 / 16
 
-// minPieces returns how many pieces an agent has at least unless the origin is away, when
-// all agents prefer the newest version.
+// minPieces returns how many pieces an agent has at least when the newest version is named,
+// unless the origin is away. With fewer, the agent gives the version up.
 func (t fetchTurn) minPieces() int {
 	elapsed := float64(t.newest.RequestedAt.Sub(t.begin)) / float64(t.end().Sub(t.begin))
 	return max(0, scaleCount(minProgressToContinue*(elapsed-firstPieceFraction), t.target.Pieces))
--- a/weights/staging/fetch_turn_test.go
+++ b/weights/staging/fetch_turn_test.go
@@ -75,6 +75,25 @@
 	require.Zero(t, turn.minPieces())
 }
 
+// An agent that restarted while versions followed each other fetched others than the rest.
+func TestTurnOfAnAgentThatStartsBetweenVersionsIsThatOfTheOthers(t *testing.T) {
+	const versions = 8
+	start := time.Now()
+	for _, apart := range []time.Duration{900 * time.Millisecond, 1200 * time.Millisecond, 1700 * time.Millisecond} {
+		t.Run(apart.String(), func(t *testing.T) {
+			var others, restarted fetchTurn
+			for i := range versions {
+				named := turnTarget(fleet.WeightsVersion(2+i), start, time.Duration(i)*apart)
+				others = others.next(named)
+				if i > 0 {
+					restarted = restarted.next(named)
+					require.Equal(t, others.target.Version, restarted.target.Version, "version %d is named", named.Version)
+				}
+			}
+		})
+	}
+}
+
 // A version without a time or an origin without a known link takes no part in turns.
 func TestVersionsOfUnknownTimeHaveNoTurn(t *testing.T) {
 	start := time.Now()
